--- /dev/null
+++ b/endpoint/sse.go
@@ -0,0 +1,96 @@
+package endpoint
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"strconv"
+
+	"github.com/sardinedock/sardinedock/fault"
+)
+
+// maxLineBytes bounds one line of an event stream, so that an endpoint gone
+// wrong cannot make the router hold an endless line.
+const maxLineBytes = 1 << 20
+
+var endMark = []byte("[DONE]")
+
+// eventReader reads server-sent events as the HTML standard defines them, so
+// far as engines use them: the fields id and data, and comments.
+type eventReader struct {
+	r    *bufio.Reader
+	data []byte
+	line []byte
+}
+
+// next returns the next event, or io.EOF after the end mark.
+func (e *eventReader) next() (Piece, error) {
+	var p Piece
+	e.data = e.data[:0]
+	for {
+		line, err := e.readLine()
+		if err == io.EOF {
+			return Piece{}, io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return Piece{}, err
+		}
+		if len(line) == 0 {
+			if len(e.data) == 0 {
+				continue
+			}
+			if bytes.Equal(e.data, endMark) {
+				return Piece{}, io.EOF
+			}
+			p.Data = e.data
+			return p, nil
+		}
+		e.field(line, &p)
+	}
+}
+
+func (e *eventReader) field(line []byte, p *Piece) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimPrefix(value, []byte(" "))
+	switch string(name) {
+	case "id":
+		p.ID, p.Index = splitEventID(value)
+	case "data":
+		if len(e.data) > 0 {
+			e.data = append(e.data, '\n')
+		}
+		e.data = append(e.data, value...)
+	}
+}
+
+// splitEventID reads an id of the form request/index. A malformed one gives
+// index -1, which no stream expects.
+func splitEventID(value []byte) (string, int64) {
+	cut := bytes.LastIndexByte(value, '/')
+	if cut < 0 {
+		return string(value), -1
+	}
+	n, err := strconv.ParseInt(string(value[cut+1:]), 10, 64)
+	if err != nil || n < 0 {
+		return string(value[:cut]), -1
+	}
+	return string(value[:cut]), n
+}
+
+func (e *eventReader) readLine() ([]byte, error) {
+	e.line = e.line[:0]
+	for {
+		chunk, err := e.r.ReadSlice('\n')
+		e.line = append(e.line, chunk...)
+		if len(e.line) > maxLineBytes {
+			return nil, fault.New(fault.Broken, "look at the endpoint's log", "line of an event stream over %d bytes", maxLineBytes)
+		}
+		if err == bufio.ErrBufferFull {
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		return bytes.TrimRight(e.line, "\r\n"), nil
+	}
+}
--- /dev/null
+++ b/entry/errors.go
@@ -0,0 +1,92 @@
+package entry
+
+import (
+	"encoding/json"
+	"errors"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/record"
+)
+
+var errNoRecords = fault.New(fault.Unavailable, "ask again in a second", "this instance has no records yet")
+
+func errNoPath(path string) error {
+	return fault.New(fault.NotFound, "use /v1/completions, /v1/chat/completions, /v1/models or a service's path", "no such path: %s", path)
+}
+
+// authenticate names the organisation that the request's key belongs to.
+func authenticate(ctx *fasthttp.RequestCtx, records *record.Snapshot) (string, error) {
+	const scheme = "Bearer "
+	header := string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization))
+	if len(header) > len(scheme) && strings.EqualFold(header[:len(scheme)], scheme) {
+		if name, ok := records.OrganisationByKey(header[len(scheme):]); ok {
+			return name, nil
+		}
+	}
+	return "", fault.New(fault.Unauthorized, "send Authorization: Bearer with your organisation's key", "the key is missing or not known")
+}
+
+// apiError is the error body of the OpenAI-style API.
+type apiError struct {
+	Error apiErrorBody `json:"error"`
+}
+
+type apiErrorBody struct {
+	Message string  `json:"message"`
+	Type    string  `json:"type"`
+	Param   *string `json:"param"`
+	Code    string  `json:"code"`
+}
+
+// writeError answers with the status and body that belong to the error's kind.
+func writeError(ctx *fasthttp.RequestCtx, err error) {
+	status, errorType := statusOf(fault.KindOf(err))
+	message := err.Error()
+	if remedy := fault.Remedy(err); remedy != "" {
+		message += "; " + remedy
+	}
+	body, _ := json.Marshal(apiError{apiErrorBody{Message: message, Type: errorType, Code: string(fault.KindOf(err))}})
+	ctx.Response.ResetBody()
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
+
+func statusOf(kind fault.Kind) (status int, errorType string) {
+	switch kind {
+	case fault.BadRequest, fault.Suspect:
+		return fasthttp.StatusBadRequest, "invalid_request_error"
+	case fault.TooLarge:
+		return fasthttp.StatusRequestEntityTooLarge, "invalid_request_error"
+	case fault.Unauthorized:
+		return fasthttp.StatusUnauthorized, "authentication_error"
+	case fault.NotFound:
+		return fasthttp.StatusNotFound, "invalid_request_error"
+	case fault.Conflict:
+		return fasthttp.StatusConflict, "invalid_request_error"
+	case fault.LimitExceeded:
+		return fasthttp.StatusTooManyRequests, "rate_limit_error"
+	case fault.Overloaded, fault.Unavailable, fault.RateLimited:
+		return fasthttp.StatusServiceUnavailable, "server_error"
+	case fault.Broken, fault.Unknown:
+		return fasthttp.StatusBadGateway, "server_error"
+	}
+	return fasthttp.StatusInternalServerError, "server_error"
+}
+
+// readFailed answers a request that could not be read.
+func readFailed(ctx *fasthttp.RequestCtx, err error) {
+	var small *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.As(err, &small):
+		writeError(ctx, fault.New(fault.TooLarge, "send fewer or shorter headers", "the headers are too large"))
+		ctx.SetStatusCode(fasthttp.StatusRequestHeaderFieldsTooLarge)
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		writeError(ctx, fault.New(fault.TooLarge, "send a shorter prompt", "the body is too large"))
+	default:
+		writeError(ctx, fault.New(fault.BadRequest, "send a well-formed HTTP request in time", "the request could not be read"))
+	}
+}
--- /dev/null
+++ b/instance/entry.go
@@ -0,0 +1,43 @@
+package instance
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"net"
+	"time"
+
+	"github.com/sardinedock/sardinedock/endpoint"
+	"github.com/sardinedock/sardinedock/entry"
+	"github.com/sardinedock/sardinedock/fault"
+)
+
+// dialTimeout bounds the opening of a connection to an endpoint. Endpoints are
+// milliseconds away; a second means that the endpoint or the way is gone.
+const dialTimeout = time.Second
+
+func (i *Instance) provisionEntry() {
+	limits := i.settings.GetLimits()
+	silence := time.Duration(limits.GetSilenceMs()) * time.Millisecond
+	i.entry = entry.NewServer(entry.Config{
+		Limits: limits,
+		Placer: i.placer(),
+		Dial:   func(addr string) endpoint.Generator { return endpoint.NewClient(addr, dialTimeout, silence) },
+		NewID:  newID,
+	})
+}
+
+func (i *Instance) startCallers() error {
+	ln, err := net.Listen("tcp", i.settings.GetListen().GetCallers())
+	if err != nil {
+		return fault.Wrap(err, fault.Invalid, "choose a free address for listen.callers", "listen for callers")
+	}
+	i.callers = ln
+	go func() { _ = i.entry.HTTP().Serve(ln) }()
+	return nil
+}
+
+func newID() string {
+	var b [12]byte
+	_, _ = rand.Read(b[:])
+	return "req-" + hex.EncodeToString(b[:])
+}
--- /dev/null
+++ b/instance/instance.go
@@ -0,0 +1,70 @@
+// Package instance puts the duties of one entry instance together and runs
+// them from start to graceful shutdown.
+package instance
+
+import (
+	"context"
+	"net"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/sardinedock/sardinedock/admin"
+	"github.com/sardinedock/sardinedock/entry"
+	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/platform"
+	"github.com/sardinedock/sardinedock/schema/settingspb"
+)
+
+// Instance is one entry instance.
+type Instance struct {
+	settings *settingspb.Settings
+	store    *platform.Client
+	entry    *entry.Server
+	callers  net.Listener
+	admin    *admin.Handler
+	adminLn  net.Listener
+}
+
+// Start brings the duties up in the order in which they need each other and
+// begins to serve callers.
+func Start(ctx context.Context, s *settingspb.Settings) (*Instance, error) {
+	i := &Instance{settings: s, admin: admin.NewHandler()}
+	i.provisionStore()
+	i.provisionEntry()
+	if err := i.startRecords(ctx); err != nil {
+		return nil, err
+	}
+	if err := i.startAdmin(); err != nil {
+		return nil, err
+	}
+	if err := i.startCallers(); err != nil {
+		_ = i.adminLn.Close()
+		return nil, err
+	}
+	i.admin.SetReady(true)
+	return i, nil
+}
+
+func (i *Instance) startAdmin() error {
+	ln, err := net.Listen("tcp", i.settings.GetListen().GetAdmin())
+	if err != nil {
+		return fault.Wrap(err, fault.Invalid, "choose a free address for listen.admin", "listen for operators")
+	}
+	i.adminLn = ln
+	server := &fasthttp.Server{Handler: i.admin.Serve, NoDefaultServerHeader: true}
+	go func() { _ = server.Serve(ln) }()
+	return nil
+}
+
+// Callers returns the address that serves callers.
+func (i *Instance) Callers() string { return i.callers.Addr().String() }
+
+// Admin returns the address that serves operators.
+func (i *Instance) Admin() string { return i.adminLn.Addr().String() }
+
+// Stop ends the instance once its open requests are done.
+func (i *Instance) Stop(ctx context.Context) error {
+	i.admin.SetReady(false)
+	defer func() { _ = i.adminLn.Close() }()
+	return i.entry.HTTP().ShutdownWithContext(ctx)
+}
--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,30 @@
+package cli
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"sardinedock": func() { os.Exit(Run(os.Args[1:], os.Stdout, os.Stderr)) },
+	})
+}
+
+// The scripts state what each command prints and with which code it ends.
+func TestScripts(t *testing.T) {
+	examples, err := filepath.Abs("../../examples")
+	if err != nil {
+		t.Fatal(err)
+	}
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/script",
+		Setup: func(env *testscript.Env) error {
+			env.Setenv("EXAMPLES", examples)
+			return nil
+		},
+	})
+}
--- /dev/null
+++ b/internal/cli/serve.go
@@ -0,0 +1,46 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/sardinedock/sardinedock/instance"
+	"github.com/sardinedock/sardinedock/settings"
+)
+
+// serveCommand runs one entry instance until it is told to end.
+type serveCommand struct {
+	settings string
+}
+
+func (c *serveCommand) declare(app *kingpin.Application) *kingpin.CmdClause {
+	clause := app.Command("serve", "Run one entry instance until SIGTERM or SIGINT.")
+	clause.Flag("settings", "The settings file.").Required().StringVar(&c.settings)
+	return clause
+}
+
+func (c *serveCommand) run(out, _ io.Writer) error {
+	s, err := settings.Load(c.settings)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	i, err := instance.Start(ctx, s)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "serving callers on %s\n", i.Callers())
+	<-ctx.Done()
+	drain := time.Duration(s.GetShutdown().GetDrainMs()) * time.Millisecond
+	end, cancel := context.WithTimeout(context.Background(), drain)
+	defer cancel()
+	return i.Stop(end)
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,66 @@
+// Package settings reads the static settings file of an instance.
+package settings
+
+import (
+	"os"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/internal/yamlpb"
+	"github.com/sardinedock/sardinedock/schema/settingspb"
+)
+
+// Load reads and checks the file. An error of kind fault.Invalid lists every
+// fault of the file, one a line.
+func Load(path string) (*settingspb.Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "name a file that can be read", "read the settings")
+	}
+	s, faults := Parse(data)
+	if len(faults) > 0 {
+		return nil, fault.New(fault.Invalid, "mend the lines named above", "%s", Lines(path, faults))
+	}
+	return s, nil
+}
+
+// Parse reads settings, fills in the defaults and returns what is wrong.
+func Parse(data []byte) (*settingspb.Settings, []yamlpb.Fault) {
+	messages, faults := yamlpb.Decode(data, func() proto.Message { return &settingspb.Settings{} })
+	if len(messages) != 1 {
+		one := yamlpb.Fault{Found: "the file does not hold exactly one document", Remedy: "write one document of settings"}
+		return nil, append(faults, one)
+	}
+	s := messages[0].(*settingspb.Settings)
+	return s, append(faults, checkTLS(s.GetFleetTls())...)
+}
+
+// checkTLS refuses half a TLS configuration: it would run without checks that
+// the operator believes to be on.
+func checkTLS(t *settingspb.Tls) []yamlpb.Fault {
+	set := 0
+	for _, file := range []string{t.GetCertFile(), t.GetKeyFile(), t.GetCaFile()} {
+		if file != "" {
+			set++
+		}
+	}
+	if set == 0 || set == 3 {
+		return nil
+	}
+	return []yamlpb.Fault{{
+		Path:   "fleet_tls",
+		Found:  "only some of cert_file, key_file and ca_file are set",
+		Remedy: "set all three, or none for plain TCP",
+	}}
+}
+
+// Lines formats faults one a line, each headed by the file's name.
+func Lines(path string, faults []yamlpb.Fault) string {
+	lines := make([]string, 0, len(faults))
+	for _, f := range faults {
+		lines = append(lines, path+": "+f.String())
+	}
+	return strings.Join(lines, "\n")
+}
