--- /dev/null
+++ b/admin/admin_test.go
@@ -0,0 +1,52 @@
+package admin
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+)
+
+func get(h *Handler, path string) (int, string) {
+	var ctx fasthttp.RequestCtx
+	ctx.Request.SetRequestURI(path)
+	h.Serve(&ctx)
+	return ctx.Response.StatusCode(), string(ctx.Response.Body())
+}
+
+func TestReadyFollowsSetReady(t *testing.T) {
+	h := NewHandler()
+	if status, _ := get(h, "/readyz"); status != fasthttp.StatusServiceUnavailable {
+		t.Errorf("before SetReady: status %d", status)
+	}
+	if status, _ := get(h, "/livez"); status != fasthttp.StatusOK {
+		t.Errorf("livez: status %d", status)
+	}
+	h.SetReady(true)
+	if status, _ := get(h, "/readyz"); status != fasthttp.StatusOK {
+		t.Errorf("after SetReady: status %d", status)
+	}
+}
+
+func TestStateHoldsEveryDuty(t *testing.T) {
+	h := NewHandler()
+	h.Register("sample", func() any { return []int{1, 2} })
+	_, body := get(h, "/debug/state")
+	var got struct {
+		Duties struct{ Sample []int }
+	}
+	if err := json.Unmarshal([]byte(body), &got); err != nil {
+		t.Fatal(err)
+	}
+	if len(got.Duties.Sample) != 2 {
+		t.Errorf("dump is %s", body)
+	}
+}
+
+func TestUnknownPathNamesTheKnownOnes(t *testing.T) {
+	status, body := get(NewHandler(), "/state")
+	if status != fasthttp.StatusNotFound || !strings.Contains(body, "/debug/state") {
+		t.Errorf("status %d, body %q", status, body)
+	}
+}
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -47,9 +47,23 @@
 	Internal Kind = "internal"
 )
 
+// Error is an error with a kind and a remedy. Wrapped errors keep their own;
+// the outermost one counts, since it was chosen with the most knowledge.
+type Error struct {
+	kind   Kind
+	remedy string
+	cause  error
+}
+
+// Error returns the text without the remedy.
+func (e *Error) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause with its trace.
+func (e *Error) Unwrap() error { return e.cause }
+
 // New returns an error of the kind. The remedy says what the reader can do.
 func New(kind Kind, remedy, format string, args ...any) error {
-	return oops.Code(string(kind)).Hint(remedy).Errorf(format, args...)
+	return &Error{kind, remedy, oops.Code(string(kind)).Hint(remedy).Errorf(format, args...)}
 }
 
 // Wrap adds a kind and a remedy to a cause. A nil cause stays nil.
@@ -57,20 +71,16 @@
 	if cause == nil {
 		return nil
 	}
-	return oops.Code(string(kind)).Hint(remedy).Wrapf(cause, format, args...)
+	return &Error{kind, remedy, oops.Code(string(kind)).Hint(remedy).Wrapf(cause, format, args...)}
 }
 
 // KindOf returns the kind of err, or Internal where it has none.
 func KindOf(err error) Kind {
-	var o oops.OopsError
-	if !errors.As(err, &o) {
-		return Internal
-	}
-	code, ok := o.Code().(string)
-	if !ok || code == "" {
-		return Internal
+	var e *Error
+	if errors.As(err, &e) {
+		return e.kind
 	}
-	return Kind(code)
+	return Internal
 }
 
 // Is reports whether err is of the kind.
@@ -80,9 +90,9 @@
 
 // Remedy returns what the reader of err can do, or an empty string.
 func Remedy(err error) string {
-	var o oops.OopsError
-	if !errors.As(err, &o) {
-		return ""
+	var e *Error
+	if errors.As(err, &e) {
+		return e.remedy
 	}
-	return o.Hint()
+	return ""
 }
--- /dev/null
+++ b/internal/cli/dump.go
@@ -0,0 +1,38 @@
+package cli
+
+import (
+	"io"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/valyala/fasthttp"
+
+	"github.com/sardinedock/sardinedock/fault"
+)
+
+// dumpTimeout bounds the wait for a dump; a process that takes longer is stuck.
+const dumpTimeout = 5 * time.Second
+
+// dumpCommand prints the state of every duty of a running instance.
+type dumpCommand struct {
+	instance string
+}
+
+func (c *dumpCommand) declare(app *kingpin.Application) *kingpin.CmdClause {
+	clause := app.Command("dump", "Print the state of a running instance as JSON.")
+	clause.Flag("instance", "The instance's admin address, IP:port.").Required().StringVar(&c.instance)
+	return clause
+}
+
+func (c *dumpCommand) run(out, _ io.Writer) error {
+	client := &fasthttp.HostClient{Addr: c.instance}
+	status, body, err := client.GetTimeout(nil, "http://"+c.instance+"/debug/state", dumpTimeout)
+	if err != nil {
+		return fault.Wrap(err, fault.Unavailable, "check the address (listen.admin of its settings) and that the instance runs", "dump of %s", c.instance)
+	}
+	if status != fasthttp.StatusOK {
+		return fault.New(fault.Unavailable, "name an instance's admin address, not its callers' one", "dump of %s: status %d", c.instance, status)
+	}
+	_, err = out.Write(append(body, '\n'))
+	return err
+}
