Complete the object API's stand-in

Cause: watches, deletes, rates, faults and the instance list were missing, so nothing above could be tested against them. Change: a gate under the HTTP server cuts or silences connections and goes down and up on one address; the store serves watches with heartbeats and 410, rates with 429, a lagging instance list, counts, and faults by Go and /control.

--- a/emulator/store.go
+++ b/emulator/store.go
@@ -2,54 +2,139 @@
 
 import (
 	"encoding/json"
-	"net"
+	"net/url"
 	"sort"
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/sardinedock/sardinedock/platform"
 )
 
+// headerInstance names the calling instance, by which one caller's faults are
+// told from another's.
+const headerInstance = "X-Instance"
+
+const (
+	defaultHistory   = 4096
+	defaultHeartbeat = time.Second
+)
+
+// StoreConfig describes the object API's stand-in.
+type StoreConfig struct {
+	// ReadsPerSecond and WritesPerSecond are the rates over which calls get
+	// 429; 0 sets no limit. A watch counts as a read when it is opened.
+	ReadsPerSecond, WritesPerSecond float64
+	// History is how many changes a watch can start from; 0 means 4096.
+	History int
+	// Heartbeat is the time between a watch's empty lines; 0 means a second.
+	Heartbeat time.Duration
+	// ListLag is how old the list of instances is.
+	ListLag time.Duration
+	// Pace scales all durations.
+	Pace Pace
+	// Seed of the faults that come with a probability.
+	Seed int64
+}
+
 // Store is the object API's stand-in.
 type Store struct {
-	srv *fasthttp.Server
-	ln  net.Listener
+	cfg  StoreConfig
+	gate *gate
+	done chan struct{}
 
-	mu      sync.Mutex
-	version platform.Version
-	objects map[objectKey]platform.Object
-	reads   int
-	writes  int
+	mu        sync.Mutex
+	version   platform.Version
+	objects   map[objectKey]platform.Object
+	history   []platform.Object
+	forgotten platform.Version
+	changed   chan struct{}
+	lists     []instanceList
+	counts    StoreCounts
+	reads     bucket
+	writes    bucket
+	faults    storeFaults
 }
 
 type objectKey struct{ kind, name string }
 
+// instanceList is the list of instances as it stood from a moment on.
+type instanceList struct {
+	from    time.Time
+	entries []platform.InstanceEntry
+}
+
+// StoreCounts says what the object API was asked for.
+type StoreCounts struct {
+	// Reads include opened watches.
+	Reads  int `json:"reads"`
+	Writes int `json:"writes"`
+	// Watches are open now.
+	Watches int `json:"watches"`
+	// RateLimited, Refused and Lost calls are among the reads and writes.
+	RateLimited int `json:"rate_limited"`
+	Refused     int `json:"refused"`
+	Lost        int `json:"lost"`
+}
+
 // StartStore listens on addr and serves until Close.
-func StartStore(addr string) (*Store, error) {
-	ln, err := net.Listen("tcp", addr)
+func StartStore(addr string) (*Store, error) { return StartStoreWith(addr, StoreConfig{}) }
+
+// StartStoreWith is StartStore with rates, lags and a time scale.
+func StartStoreWith(addr string, cfg StoreConfig) (*Store, error) {
+	if cfg.History == 0 {
+		cfg.History = defaultHistory
+	}
+	if cfg.Heartbeat == 0 {
+		cfg.Heartbeat = defaultHeartbeat
+	}
+	s := &Store{
+		cfg:     cfg,
+		done:    make(chan struct{}),
+		objects: map[objectKey]platform.Object{},
+		changed: make(chan struct{}),
+		reads:   newBucket(cfg.ReadsPerSecond),
+		writes:  newBucket(cfg.WritesPerSecond),
+		faults:  newStoreFaults(cfg.Seed),
+	}
+	gate, err := openGate(addr, s.handle)
 	if err != nil {
 		return nil, err
 	}
-	s := &Store{ln: ln, objects: map[objectKey]platform.Object{}}
-	s.srv = &fasthttp.Server{Handler: s.handle, NoDefaultServerHeader: true}
-	go func() { _ = s.srv.Serve(ln) }()
+	s.gate = gate
 	return s, nil
 }
 
 // Addr returns the address that the store listens on.
-func (s *Store) Addr() string { return s.ln.Addr().String() }
+func (s *Store) Addr() string { return s.gate.addr }
 
-// Close stops the store.
-func (s *Store) Close() error { return s.ln.Close() }
+// Close stops the store and cuts its connections.
+func (s *Store) Close() error {
+	s.mu.Lock()
+	select {
+	case <-s.done:
+	default:
+		close(s.done)
+	}
+	s.mu.Unlock()
+	s.gate.close()
+	return nil
+}
 
 // Calls returns how many reads and writes were asked for.
 func (s *Store) Calls() (reads, writes int) {
+	c := s.Counts()
+	return c.Reads, c.Writes
+}
+
+// Counts returns what the store was asked for.
+func (s *Store) Counts() StoreCounts {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.reads, s.writes
+	return s.counts
 }
 
 // Set stores a value without a condition, as an operator's tool would.
@@ -59,70 +144,155 @@
 	return s.put(platform.Object{Kind: kind, Name: name, Value: value})
 }
 
+// Object returns a stored object, past all faults and counts.
+func (s *Store) Object(kind, name string) (platform.Object, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	obj, ok := s.objects[objectKey{kind, name}]
+	return obj, ok
+}
+
+// SetInstances replaces the list of instances; readers see it after the lag.
+func (s *Store) SetInstances(entries []platform.InstanceEntry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lists = append(s.lists, instanceList{time.Now(), append([]platform.InstanceEntry(nil), entries...)})
+}
+
+func (s *Store) instances() []platform.InstanceEntry {
+	seen := time.Now().Add(-s.cfg.Pace.Scale(s.cfg.ListLag))
+	for len(s.lists) > 1 && !s.lists[1].from.After(seen) {
+		s.lists = s.lists[1:]
+	}
+	if len(s.lists) == 0 || s.lists[0].from.After(seen) {
+		return []platform.InstanceEntry{}
+	}
+	return s.lists[0].entries
+}
+
 func (s *Store) put(obj platform.Object) platform.Version {
 	s.version++
 	obj.Version = s.version
 	s.objects[objectKey{obj.Kind, obj.Name}] = obj
+	s.record(obj)
 	return obj.Version
 }
 
-// handle serves /objects/KIND and /objects/KIND/NAME.
+func (s *Store) remove(key objectKey) {
+	s.version++
+	delete(s.objects, key)
+	s.record(platform.Object{Kind: key.kind, Name: key.name, Version: s.version, Deleted: true})
+}
+
+// record keeps a change for the watches and tells them.
+func (s *Store) record(obj platform.Object) {
+	s.history = append(s.history, obj)
+	if over := len(s.history) - s.cfg.History; over > 0 {
+		s.forgotten = s.history[over-1].Version
+		s.history = append([]platform.Object(nil), s.history[over:]...)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// handle serves one call.
 func (s *Store) handle(ctx *fasthttp.RequestCtx) {
-	parts := strings.Split(strings.Trim(string(ctx.Path()), "/"), "/")
-	if len(parts) < 2 || len(parts) > 3 || parts[0] != "objects" {
-		ctx.Error("no such path", fasthttp.StatusNotFound)
+	parts := strings.Split(strings.Trim(string(ctx.URI().PathOriginal()), "/"), "/")
+	if parts[0] == "control" {
+		s.control(ctx, parts[1:])
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(parts) == 2 {
-		s.list(ctx, parts[1])
+	write := ctx.IsPut() || ctx.IsDelete()
+	if !s.admit(ctx, write) {
 		return
 	}
-	key := objectKey{parts[1], parts[2]}
-	if ctx.IsPut() {
-		s.conditionalPut(ctx, key)
-		return
+	s.route(ctx, parts)
+	if write && ctx.Response.StatusCode() == fasthttp.StatusOK {
+		s.loseReply(ctx)
 	}
-	s.reads++
-	obj, ok := s.objects[key]
-	if !ok {
-		ctx.Error("no such object", fasthttp.StatusNotFound)
-		return
+}
+
+func (s *Store) route(ctx *fasthttp.RequestCtx, parts []string) {
+	for i, p := range parts {
+		if text, err := url.PathUnescape(p); err == nil {
+			parts[i] = text
+		}
+	}
+	switch {
+	case len(parts) == 1 && parts[0] == "instances":
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		writeJSON(ctx, s.instances())
+	case len(parts) == 2 && parts[0] == "watch":
+		s.watch(ctx, parts[1])
+	case len(parts) == 2 && parts[0] == "objects":
+		s.list(ctx, parts[1])
+	case len(parts) == 3 && parts[0] == "objects":
+		s.object(ctx, objectKey{parts[1], parts[2]})
+	default:
+		ctx.Error("no such path", fasthttp.StatusNotFound)
 	}
-	writeJSON(ctx, obj)
 }
 
 func (s *Store) list(ctx *fasthttp.RequestCtx, kind string) {
-	s.reads++
+	s.mu.Lock()
 	listing := platform.Listing{Version: s.version, Objects: []platform.Object{}}
 	for key, obj := range s.objects {
 		if key.kind == kind {
 			listing.Objects = append(listing.Objects, obj)
 		}
 	}
+	s.mu.Unlock()
 	sort.Slice(listing.Objects, func(i, j int) bool { return listing.Objects[i].Name < listing.Objects[j].Name })
 	writeJSON(ctx, listing)
 }
 
-func (s *Store) conditionalPut(ctx *fasthttp.RequestCtx, key objectKey) {
-	s.writes++
+func (s *Store) object(ctx *fasthttp.RequestCtx, key objectKey) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	obj, ok := s.objects[key]
+	if ctx.IsPut() || ctx.IsDelete() {
+		s.change(ctx, key, obj.Version)
+		return
+	}
+	if !ok {
+		ctx.Error("no such object", fasthttp.StatusNotFound)
+		return
+	}
+	writeJSON(ctx, obj)
+}
+
+func (s *Store) change(ctx *fasthttp.RequestCtx, key objectKey, current platform.Version) {
 	expected, err := strconv.ParseUint(string(ctx.QueryArgs().Peek("expected")), 10, 64)
 	if err != nil {
 		ctx.Error("expected is not a version", fasthttp.StatusBadRequest)
 		return
 	}
 	var obj platform.Object
-	if err := json.Unmarshal(ctx.PostBody(), &obj); err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+	if ctx.IsPut() {
+		if err := json.Unmarshal(ctx.PostBody(), &obj); err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+			return
+		}
+	}
+	if len(obj.Value) > platform.MaxValueBytes {
+		ctx.Error("value over the limit", fasthttp.StatusRequestEntityTooLarge)
 		return
 	}
-	current := s.objects[key]
-	if uint64(current.Version) != expected {
-		ctx.SetStatusCode(fasthttp.StatusConflict)
+	if ctx.IsDelete() && current == 0 {
+		ctx.Error("no such object", fasthttp.StatusNotFound)
+		return
+	}
+	if current != platform.Version(expected) {
+		ctx.Error("version changed", fasthttp.StatusConflict)
 		return
 	}
-	obj.Kind, obj.Name = key.kind, key.name
-	obj.Version = s.put(obj)
+	obj.Kind, obj.Name, obj.Deleted = key.kind, key.name, false
+	if ctx.IsDelete() {
+		s.remove(key)
+		obj.Version = s.version
+	} else {
+		obj.Version = s.put(obj)
+	}
 	writeJSON(ctx, obj)
 }
--- /dev/null
+++ b/emulator/store_test.go
@@ -0,0 +1,167 @@
+package emulator_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sardinedock/sardinedock/emulator"
+	"github.com/sardinedock/sardinedock/platform"
+)
+
+func startStore(t *testing.T, cfg emulator.StoreConfig) *emulator.Store {
+	t.Helper()
+	s, err := emulator.StartStoreWith("127.0.0.1:0", cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = s.Close() })
+	return s
+}
+
+// call returns the status, or 0 where no answer came.
+func call(t *testing.T, method, url, body string) (int, string) {
+	t.Helper()
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text := &strings.Builder{}
+	_, _ = bufio.NewReader(resp.Body).WriteTo(text)
+	return resp.StatusCode, text.String()
+}
+
+func putURL(s *emulator.Store, name string, expected platform.Version) string {
+	return fmt.Sprintf("http://%s/objects/claims/%s?expected=%d", s.Addr(), name, expected)
+}
+
+// Two writers race for one object. Only one of them may win, or two holders of
+// one claim would both send.
+func TestConditionalWrites(t *testing.T) {
+	s := startStore(t, emulator.StoreConfig{})
+	steps := []struct {
+		method   string
+		expected platform.Version
+		status   int
+	}{
+		{"PUT", 0, 200}, {"PUT", 0, 409}, {"PUT", 1, 200}, {"PUT", 1, 409},
+		{"DELETE", 1, 409}, {"DELETE", 2, 200}, {"DELETE", 2, 404}, {"PUT", 0, 200},
+	}
+	for i, step := range steps {
+		if status, _ := call(t, step.method, putURL(s, "a", step.expected), `{"attempt":"x"}`); status != step.status {
+			t.Fatalf("step %d: status %d, want %d", i, status, step.status)
+		}
+	}
+}
+
+// The store applies a write and the reply is lost on the way. A caller that
+// takes that for a failure would write, or send, a second time.
+func TestLostReplyTakesEffect(t *testing.T) {
+	s := startStore(t, emulator.StoreConfig{})
+	s.SetFaults(emulator.StoreFaults{LoseNext: 1})
+	if status, _ := call(t, "PUT", putURL(s, "a", 0), `{"attempt":"x"}`); status != 0 {
+		t.Fatalf("status %d, want no answer", status)
+	}
+	if obj, ok := s.Object("claims", "a"); !ok || obj.Attempt != "x" {
+		t.Fatalf("object %+v %v, want the write's effect", obj, ok)
+	}
+	if status, _ := call(t, "PUT", putURL(s, "b", 0), `{}`); status != 200 {
+		t.Fatalf("status %d after the ordered loss", status)
+	}
+}
+
+// The platform is down, or calls come over its rate. Each such call has to be
+// told apart by its status.
+func TestOutageRateAndCounts(t *testing.T) {
+	s := startStore(t, emulator.StoreConfig{ReadsPerSecond: 0.5})
+	url := "http://" + s.Addr() + "/objects/claims"
+	if status, _ := call(t, "GET", url, ""); status != 429 {
+		t.Fatalf("status %d over the rate", status)
+	}
+	control := "http://" + s.Addr() + "/control/faults"
+	if status, _ := call(t, "POST", control, `{"outage":"refuse"}`); status != 200 {
+		t.Fatalf("control: status %d", status)
+	}
+	if status, _ := call(t, "PUT", putURL(s, "a", 0), `{}`); status != 503 {
+		t.Fatalf("status %d in an outage", status)
+	}
+	want := emulator.StoreCounts{Reads: 1, Writes: 1, RateLimited: 1, Refused: 1}
+	if got := s.Counts(); got != want {
+		t.Fatalf("counts %+v, want %+v", got, want)
+	}
+}
+
+func TestWatchBringsChangesInOrder(t *testing.T) {
+	s := startStore(t, emulator.StoreConfig{History: 3, Heartbeat: time.Millisecond})
+	from := s.Set("claims", "a", nil)
+	resp, err := http.Get(fmt.Sprintf("http://%s/watch/claims?from=%d", s.Addr(), from))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	s.Set("other", "a", nil)
+	s.Set("claims", "b", []byte("v"))
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		if len(lines.Bytes()) == 0 {
+			continue
+		}
+		var obj platform.Object
+		if err := json.Unmarshal(lines.Bytes(), &obj); err != nil {
+			t.Fatal(err)
+		}
+		if obj.Name != "b" || obj.Version != from+2 || string(obj.Value) != "v" {
+			t.Fatalf("got %+v", obj)
+		}
+		break
+	}
+	s.Set("claims", "c", nil)
+	s.Set("claims", "d", nil)
+	if status, _ := call(t, "GET", fmt.Sprintf("http://%s/watch/claims?from=0", s.Addr()), ""); status != 410 {
+		t.Fatalf("status %d for a forgotten version", status)
+	}
+}
+
+// An instance is replaced while the platform's list still names the old one.
+func TestInstanceListLags(t *testing.T) {
+	s := startStore(t, emulator.StoreConfig{ListLag: time.Hour})
+	s.SetInstances([]platform.InstanceEntry{{Name: "entry-1"}})
+	if _, body := call(t, "GET", "http://"+s.Addr()+"/instances", ""); body != "[]" {
+		t.Fatalf("list %s, want none before the lag is over", body)
+	}
+}
+
+// The platform's process is gone and comes back on its address with all that it
+// stored. Callers are refused at once in between.
+func TestDownAndUp(t *testing.T) {
+	s := startStore(t, emulator.StoreConfig{})
+	s.Set("claims", "a", nil)
+	url := "http://" + s.Addr() + "/objects/claims/a"
+	for range 3 {
+		if err := s.Down(); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := net.Dial("tcp", s.Addr()); !errors.Is(err, syscall.ECONNREFUSED) {
+			t.Fatalf("dial: %v, want refused", err)
+		}
+		if err := s.Up(); err != nil {
+			t.Fatal(err)
+		}
+		if status, _ := call(t, "GET", url, ""); status != 200 {
+			t.Fatalf("status %d after coming back", status)
+		}
+	}
+}
