Keep an explicit zero on its way through the object API

Cause: proto3 scalars without presence drop zeros in JSON. A record written with urgent_slots: 0 passed `check` as 0 and came back from the object API with the default 2: what runs would not be what the operator wrote. A second check for fields written twice went: the YAML parser refuses them first. Conclusion: any later field with a default and a meaningful zero needs `optional`.

--- a/demo/demo.go
+++ b/demo/demo.go
@@ -16,6 +16,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/valyala/fasthttp"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/sardinedock/sardinedock/emulator"
 	"github.com/sardinedock/sardinedock/instance"
@@ -95,7 +96,7 @@
 }
 
 func records(o Options) []*recordspb.Record {
-	pool := &recordspb.EndpointPool{BlockTokens: 64, CacheBlocks: 4096, Slots: 16, UrgentSlots: 2, PrefillTokensPerSecond: 20000, LoadsAtOnce: 2}
+	pool := &recordspb.EndpointPool{BlockTokens: 64, CacheBlocks: 4096, Slots: 16, UrgentSlots: proto.Int64(2), PrefillTokensPerSecond: 20000, LoadsAtOnce: 2}
 	for n := range o.Endpoints {
 		pool.Endpoints = append(pool.Endpoints, &recordspb.Endpoint{Name: fmt.Sprintf("engine-%d", n), Address: "127.0.0.1:0"})
 	}
--- a/internal/yamlpb/yamlpb.go
+++ b/internal/yamlpb/yamlpb.go
@@ -134,10 +134,6 @@
 		d.fault(v.Key, full, "use one of: "+fieldNames(msg.Descriptor()), "unknown field %q", name)
 		return
 	}
-	if d.lines.find(full) != 0 {
-		d.fault(v.Key, full, "keep one of them", "the field is written twice")
-		return
-	}
 	d.lines.add(full, v.Key.GetToken().Position.Line)
 	if _, null := v.Value.(*ast.NullNode); null {
 		return
