--- a/fleet/transport/transport_test.go
+++ b/fleet/transport/transport_test.go
@@ -84,8 +84,6 @@
 // pipes is a dialer whose connections can be made silent: bytes are taken and
 // never arrive, as after a middle box has lost track of the connection.
 type pipes struct {
-	server *transport.Server
-	ctx    context.Context
 	silent atomic.Int64 // connections up to this number are silent
 	opened int64
 	ln     *pipeListener
