--- /dev/null
+++ b/record/judge.go
@@ -0,0 +1,91 @@
+package record
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/schema/recordspb"
+)
+
+// judge decides whether this program can put an item in force. Otherwise it
+// returns the reason in words for the operator.
+func judge(it Item) (*recordspb.Record, string) {
+	if v := schemaVersionOf(it.Value); v > SchemaVersion {
+		return nil, fmt.Sprintf("schema version %d is newer than this program's %d; update the instances", v, SchemaVersion)
+	}
+	r, err := Unmarshal(it.Value)
+	if err != nil {
+		return nil, fmt.Sprintf("%v; %s", err, fault.Remedy(err))
+	}
+	kind, ok := KindOf(r)
+	if !ok || kind != it.Kind {
+		return nil, fmt.Sprintf("the content is not of the kind %q; write it under its own kind", it.Kind)
+	}
+	if r.GetName() != it.Name {
+		return nil, fmt.Sprintf("the content names %q; give object and content one name", r.GetName())
+	}
+	return r, ""
+}
+
+// schemaVersionOf reads only the schema version, because the rest of a newer
+// record may look like nothing that this program can parse.
+func schemaVersionOf(value []byte) int32 {
+	var envelope struct {
+		Camel int32 `json:"schemaVersion"`
+		Snake int32 `json:"schema_version"`
+	}
+	if json.Unmarshal(value, &envelope) != nil {
+		return 0
+	}
+	return max(envelope.Camel, envelope.Snake)
+}
+
+// warnings lists what is in force but cannot work as the operator meant it.
+// These are no reasons to refuse a record: the other half may be on its way.
+func warnings(s *Snapshot, kind Kind, name string) []string {
+	switch kind {
+	case Models:
+		return modelWarnings(s, name)
+	case Organisations:
+		return organisationWarnings(s, name)
+	case Services:
+		svc := s.services[name]
+		return missingClass(s, svc.GetClass())
+	}
+	return nil
+}
+
+func modelWarnings(s *Snapshot, name string) []string {
+	m := s.models[name]
+	list := missingClass(s, m.GetDefaultClass())
+	if _, ok := s.pools[m.GetPool()]; !ok {
+		list = append(list, fmt.Sprintf("pool %q has no record; create it or name another", m.GetPool()))
+	}
+	return list
+}
+
+func organisationWarnings(s *Snapshot, name string) []string {
+	var list []string
+	for _, model := range s.organisations[name].GetModels() {
+		if _, ok := s.models[model]; !ok {
+			list = append(list, fmt.Sprintf("model %q has no record; create it or name another", model))
+		}
+	}
+	for _, text := range s.organisations[name].GetKeyHashes() {
+		if owner := s.byKey[parseKeyHash(text)]; owner != name {
+			list = append(list, fmt.Sprintf("a key belongs to organisation %q already; give each organisation keys of its own", owner))
+		}
+	}
+	return list
+}
+
+func missingClass(s *Snapshot, class string) []string {
+	if class == "" {
+		return nil
+	}
+	if _, ok := s.classes[class]; ok {
+		return nil
+	}
+	return []string{fmt.Sprintf("class %q has no record; create it or name another", class)}
+}
--- a/record/record.go
+++ b/record/record.go
@@ -94,7 +94,8 @@
 // Snapshot is all records in force at one moment. It is never changed once
 // built, so any goroutine may read it.
 type Snapshot struct {
-	// Version is the highest store version among the records.
+	// Version is the highest store version that the snapshot takes account
+	// of, also where the change of that version was refused.
 	Version uint64
 
 	organisations map[string]*recordspb.Organisation
@@ -124,6 +125,7 @@
 	for _, r := range records {
 		s.add(r)
 	}
+	s.indexKeys()
 	for name := range s.services {
 		s.serviceOrder = append(s.serviceOrder, name)
 	}
@@ -138,12 +140,6 @@
 	switch spec := r.GetSpec().(type) {
 	case *recordspb.Record_Organisation:
 		s.organisations[r.GetName()] = spec.Organisation
-		for _, text := range spec.Organisation.GetKeyHashes() {
-			var h keyHash
-			if n, err := hex.Decode(h[:], []byte(text)); err == nil && n == len(h) {
-				s.byKey[h] = r.GetName()
-			}
-		}
 	case *recordspb.Record_Model:
 		s.models[r.GetName()] = spec.Model
 	case *recordspb.Record_Pool:
@@ -155,6 +151,27 @@
 	}
 }
 
+// indexKeys finds organisations by key. A key that two organisations name
+// would make instances that heard of them in another order serve one as the
+// other, so the first by name has it everywhere.
+func (s *Snapshot) indexKeys() {
+	for _, name := range sortedNames(s.organisations) {
+		for _, text := range s.organisations[name].GetKeyHashes() {
+			h := parseKeyHash(text)
+			if _, taken := s.byKey[h]; !taken {
+				s.byKey[h] = name
+			}
+		}
+	}
+}
+
+// parseKeyHash reads a sum that the record's checks have found well formed.
+func parseKeyHash(text string) keyHash {
+	var h keyHash
+	_, _ = hex.Decode(h[:], []byte(text))
+	return h
+}
+
 // HashKey returns the sum of an organisation's key as records hold it.
 func HashKey(key string) string {
 	sum := sha256.Sum256([]byte(key))
