Speak the whole engine protocol, and never send twice

Cause: the client opened a connection for each request, knew only streams and gave every error status one kind.

--- /dev/null
+++ b/endpoint/conn_test.go
@@ -0,0 +1,39 @@
+package endpoint
+
+import (
+	"context"
+	"net"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// An endpoint restarts while a connection to it is idle. A request sent on
+// that connection would break with nobody able to say whether it ran.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	p := &pool{addr: ln.Addr().String(), dialTimeout: time.Second}
+	c, err := p.get(context.Background(), false, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	far, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.put(c)
+	if !open(c.Conn) {
+		t.Fatal("an open connection looks closed")
+	}
+	_ = far.Close()
+	for open(c.Conn) {
+		runtime.Gosched()
+	}
+	if got := p.takeIdle(false); got != nil {
+		t.Fatal("a closed connection was taken from the pool")
+	}
+}
--- a/endpoint/sse.go
+++ b/endpoint/sse.go
@@ -18,8 +18,14 @@
 // eventReader reads server-sent events as the HTML standard defines them, so
 // far as engines use them: the fields id and data, and comments.
 type eventReader struct {
+	r     *bufio.Reader
+	lines lineReader
+	data  []byte
+}
+
+// lineReader reads lines of bounded length.
+type lineReader struct {
 	r    *bufio.Reader
-	data []byte
 	line []byte
 }
 
@@ -27,8 +33,9 @@
 func (e *eventReader) next() (Piece, error) {
 	var p Piece
 	e.data = e.data[:0]
+	e.lines.r = e.r
 	for {
-		line, err := e.readLine()
+		line, err := e.lines.next()
 		if err == io.EOF {
 			return Piece{}, io.ErrUnexpectedEOF
 		}
@@ -46,6 +53,9 @@
 			return p, nil
 		}
 		e.field(line, &p)
+		if len(e.data) > maxLineBytes {
+			return Piece{}, fault.New(fault.Broken, "look at the endpoint's log", "event of over %d bytes", maxLineBytes)
+		}
 	}
 }
 
@@ -77,12 +87,13 @@
 	return string(value[:cut]), n
 }
 
-func (e *eventReader) readLine() ([]byte, error) {
-	e.line = e.line[:0]
+// next returns the next line without its end, valid until the next call.
+func (l *lineReader) next() ([]byte, error) {
+	l.line = l.line[:0]
 	for {
-		chunk, err := e.r.ReadSlice('\n')
-		e.line = append(e.line, chunk...)
-		if len(e.line) > maxLineBytes {
+		chunk, err := l.r.ReadSlice('\n')
+		l.line = append(l.line, chunk...)
+		if len(l.line) > maxLineBytes {
 			return nil, fault.New(fault.Broken, "look at the endpoint's log", "line of an event stream over %d bytes", maxLineBytes)
 		}
 		if err == bufio.ErrBufferFull {
@@ -91,6 +102,6 @@
 		if err != nil {
 			return nil, err
 		}
-		return bytes.TrimRight(e.line, "\r\n"), nil
+		return bytes.TrimRight(l.line, "\r\n"), nil
 	}
 }
--- /dev/null
+++ b/endpoint/stream.go
@@ -0,0 +1,113 @@
+package endpoint
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/sardinedock/sardinedock/fault"
+)
+
+// tailWait is how long the close of a finished stream waits for the end of the
+// body, so that its connection can be used again.
+const tailWait = 20 * time.Millisecond
+
+// httpStream reads server-sent events from one connection.
+type httpStream struct {
+	answer *answer
+	pool   *pool
+	event  eventReader
+	ended  bool
+}
+
+func newStream(a *answer, p *pool) *httpStream {
+	return &httpStream{answer: a, pool: p, event: eventReader{r: bufio.NewReader(a.body)}}
+}
+
+// Incarnation implements Stream.
+func (s *httpStream) Incarnation() uint64 {
+	n, _ := strconv.ParseUint(string(s.answer.header.Peek("X-Engine-Incarnation")), 10, 64)
+	return n
+}
+
+// ModelVersion implements Stream.
+func (s *httpStream) ModelVersion() string {
+	return string(s.answer.header.Peek("X-Model-Version"))
+}
+
+// Next implements Stream.
+func (s *httpStream) Next() (Piece, error) {
+	p, err := s.event.next()
+	if err == io.EOF {
+		s.ended = true
+		return Piece{}, io.EOF
+	}
+	if err != nil {
+		return Piece{}, broken(err)
+	}
+	return p, nil
+}
+
+// Close implements Stream.
+func (s *httpStream) Close() {
+	if !s.ended {
+		s.answer.conn.drop()
+		return
+	}
+	s.answer.conn.silence = tailWait
+	if rest, err := io.Copy(io.Discard, io.LimitReader(s.event.r, maxLineBytes)); err != nil || rest == maxLineBytes {
+		s.answer.conn.drop()
+		return
+	}
+	s.answer.finish(s.pool)
+}
+
+// Events follows the engine's cache; see Observer. The stream counts as broken
+// when it brings neither an event nor a heartbeat for the silence bound.
+func (c *Client) Events(ctx context.Context, after uint64) (CacheEvents, error) {
+	path := "/v1/cache/events?after=" + strconv.FormatUint(after, 10)
+	a, err := c.open(ctx, c.request(fasthttp.MethodGet, path, nil), true)
+	if err != nil {
+		return nil, err
+	}
+	return &cacheEvents{conn: a.conn, lines: lineReader{r: bufio.NewReader(a.body)}}, nil
+}
+
+// cacheEvents reads JSON lines; an empty line is a heartbeat.
+type cacheEvents struct {
+	conn  *conn
+	lines lineReader
+}
+
+// Next implements CacheEvents.
+func (c *cacheEvents) Next() (CacheEvent, error) {
+	for {
+		line, err := c.lines.next()
+		if err != nil {
+			return CacheEvent{}, broken(err)
+		}
+		if len(line) > 0 {
+			return parseCacheEvent(line)
+		}
+	}
+}
+
+func parseCacheEvent(line []byte) (CacheEvent, error) {
+	var e CacheEvent
+	if err := json.Unmarshal(line, &e); err != nil {
+		return CacheEvent{}, fault.Wrap(err, fault.Broken, "check the engine's version", "decode a cache event")
+	}
+	switch e.Op {
+	case CacheStore, CacheEvict, CacheClear:
+		return e, nil
+	}
+	return CacheEvent{}, fault.New(fault.Broken, "check the engine's version", "unknown cache operation %q", e.Op)
+}
+
+// Close implements CacheEvents.
+func (c *cacheEvents) Close() { c.conn.drop() }
--- a/instance/entry.go
+++ b/instance/entry.go
@@ -18,10 +18,11 @@
 func (i *Instance) provisionEntry() {
 	limits := i.settings.GetLimits()
 	silence := time.Duration(limits.GetSilenceMs()) * time.Millisecond
+	clients := endpoint.NewClients(dialTimeout, silence)
 	i.entry = entry.NewServer(entry.Config{
 		Limits: limits,
 		Placer: i.placer(),
-		Dial:   func(addr string) endpoint.Generator { return endpoint.NewClient(addr, dialTimeout, silence) },
+		Dial:   func(addr string) endpoint.Generator { return clients.Engine(addr) },
 		NewID:  newID,
 	})
 }
