Add the decisions under load: ranking, choice, limits, owners

Packages policy and owner hold the decisions as pure functions and state machines: rendezvous candidates, choice among offers, retry budget, organisation limits, window by measured rate, endpoint health, crash guard, and the state of an endpoint at its owner with its queue and cache knowledge. AskRequest gains patience, timeout, class and weight; FingerprintState gains what was cleared; Knowledge is what HandOver carries.

--- /dev/null
+++ b/owner/book.go
@@ -0,0 +1,159 @@
+package owner
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sardinedock/sardinedock/policy"
+	"github.com/sardinedock/sardinedock/schema/fleetpb"
+)
+
+// callerLease is how long an instance may be silent before its grants and asks
+// are taken back. An instance that was killed cannot give back what it holds;
+// without the lease its slots would be lost until the requests' timeouts.
+const callerLease = 10 * time.Second
+
+// Book holds the endpoints that an instance owns.
+type Book struct {
+	endpoints map[string]*Endpoint
+	callers   map[string]time.Time
+	prices    policy.Prices
+}
+
+// NewBook returns an empty book. The prices decide between several endpoints
+// that one ask names.
+func NewBook(prices policy.Prices) *Book {
+	return &Book{endpoints: map[string]*Endpoint{}, callers: map[string]time.Time{}, prices: prices}
+}
+
+// Add takes an endpoint in; one that is there keeps its state and gets the new
+// configuration.
+func (b *Book) Add(cfg Config) *Endpoint {
+	e, ok := b.endpoints[cfg.Name]
+	if !ok {
+		e = New(cfg)
+		b.endpoints[cfg.Name] = e
+		return e
+	}
+	e.reconfigure(cfg)
+	return e
+}
+
+// Remove gives an endpoint up; what waits there is sent away.
+func (b *Book) Remove(name string) []Decision {
+	e, ok := b.endpoints[name]
+	if !ok {
+		return nil
+	}
+	delete(b.endpoints, name)
+	e.status = fleetpb.EndpointStatus_ENDPOINT_STATUS_LEAVING
+	return e.sendAway()
+}
+
+// Endpoint returns an endpoint of the book, nil if it is not there.
+func (b *Book) Endpoint(name string) *Endpoint { return b.endpoints[name] }
+
+// Names lists the endpoints in order.
+func (b *Book) Names() []string {
+	names := make([]string, 0, len(b.endpoints))
+	for name := range b.endpoints {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Ask answers an ask for one of the named endpoints. Probe answers with the
+// offers of all; Take takes the best of them.
+func (b *Book) Ask(now time.Time, a Ask, names []string) Decision {
+	b.Seen(now, a.Caller)
+	offers := b.offers(now, a, names)
+	if len(offers) == 0 {
+		return refuse(a, b.whyNone(names), 0)
+	}
+	if a.Mode == Probe {
+		return Decision{Kind: Offered, Caller: a.Caller, RequestID: a.RequestID, Offers: offers}
+	}
+	best := b.holder(a, names)
+	if best == nil {
+		choice := policy.Choose(a.PromptTokens, 0, offers, b.prices)
+		best = b.endpoints[offers[choice.Index].Endpoint]
+	}
+	d := best.Ask(now, a)
+	if d.Kind == Offered {
+		d.Offers = offers
+	}
+	return d
+}
+
+// holder returns the named endpoint where the ask is granted or queued already.
+func (b *Book) holder(a Ask, names []string) *Endpoint {
+	for _, name := range names {
+		e := b.endpoints[name]
+		if e == nil {
+			continue
+		}
+		_, granted := e.granted[a.key()]
+		_, queued := e.queued[a.key()]
+		if granted || queued {
+			return e
+		}
+	}
+	return nil
+}
+
+func (b *Book) offers(now time.Time, a Ask, names []string) []policy.Offer {
+	offers := make([]policy.Offer, 0, len(names))
+	for _, name := range names {
+		if e := b.endpoints[name]; e != nil && e.live() {
+			offers = append(offers, e.offer(now, a))
+		}
+	}
+	return offers
+}
+
+func (b *Book) whyNone(names []string) Reason {
+	for _, name := range names {
+		if b.endpoints[name] != nil {
+			return ReasonEndpoint
+		}
+	}
+	return ReasonNotOwned
+}
+
+// Seen renews the lease of an instance; any message of it does.
+func (b *Book) Seen(now time.Time, caller string) { b.callers[caller] = now }
+
+// CallerLost takes back all that an instance holds, once it is known to be
+// gone.
+func (b *Book) CallerLost(now time.Time, caller string) []Decision {
+	delete(b.callers, caller)
+	var out []Decision
+	for _, name := range b.Names() {
+		out = append(out, b.endpoints[name].CallerLost(now, caller)...)
+	}
+	return out
+}
+
+// Tick has to be called every TickInterval.
+func (b *Book) Tick(now time.Time) []Decision {
+	var out []Decision
+	for _, caller := range b.silent(now) {
+		out = append(out, b.CallerLost(now, caller)...)
+	}
+	for _, name := range b.Names() {
+		out = append(out, b.endpoints[name].Tick(now)...)
+	}
+	return out
+}
+
+func (b *Book) silent(now time.Time) []string {
+	var silent []string
+	for caller, seen := range b.callers {
+		if now.Sub(seen) > callerLease {
+			silent = append(silent, caller)
+		}
+	}
+	slices.Sort(silent)
+	return silent
+}
--- /dev/null
+++ b/owner/endpoint.go
@@ -0,0 +1,285 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/sardinedock/sardinedock/invariant"
+	"github.com/sardinedock/sardinedock/policy"
+	"github.com/sardinedock/sardinedock/schema/fleetpb"
+)
+
+const (
+	// maxQueued bounds the asks that wait at one endpoint. At the largest burst
+	// a queue this long is some ten seconds of work; who comes later is better
+	// told so at once.
+	maxQueued = 512
+	// firstHold is how long a request is taken to hold a slot before any ended.
+	firstHold = time.Second
+	// holdMemory is the weight of the newest request in the mean hold time.
+	holdMemory = 0.05
+	// defaultTimeout ends a grant whose ask named none.
+	defaultTimeout = 10 * time.Minute
+	// timeoutMargin is what a grant outlives its request by, so that a report
+	// under way is not too late.
+	timeoutMargin = 5 * time.Second
+)
+
+// lane is one of the two queues of an endpoint.
+type lane int
+
+const (
+	waiting lane = iota
+	urgent
+	lanes
+)
+
+func laneOf(a Ask) lane {
+	if a.Urgent {
+		return urgent
+	}
+	return waiting
+}
+
+// requestKey names an ask.
+type requestKey struct{ caller, request string }
+
+func (a Ask) key() requestKey { return requestKey{a.Caller, a.RequestID} }
+
+// grant is a slot that was given away.
+type grant struct {
+	id      uint64
+	ask     Ask
+	lane    lane
+	cached  int64
+	tokens  int64
+	since   time.Time
+	expires time.Time
+	started bool
+}
+
+// Endpoint is the state of one endpoint at its owner. Since every request for
+// the endpoint passes it, it knows what runs there, who waits, and what the
+// cache holds; no report has to be waited for.
+type Endpoint struct {
+	cfg         Config
+	status      fleetpb.EndpointStatus
+	incarnation uint64
+	models      []string
+	known       *knowledge
+	window      policy.Window
+	grants      map[uint64]*grant
+	granted     map[requestKey]uint64
+	queued      map[requestKey]*waiter
+	queue       [lanes]*fairQueue
+	lonely      []*waiter
+	inUse       [lanes]int
+	pending     [lanes]int64
+	hold        [lanes]time.Duration
+	aloneRuns   bool
+	lastGrant   uint64
+	foreign     foreignLoad
+}
+
+// New returns a live endpoint of which nothing is known.
+func New(cfg Config) *Endpoint {
+	e := &Endpoint{
+		cfg:       cfg,
+		status:    fleetpb.EndpointStatus_ENDPOINT_STATUS_LIVE,
+		known:     newKnowledge(cfg.CacheBlocks),
+		window:    policy.NewWindow(cfg.PrefillTokensPerSecond),
+		grants:    map[uint64]*grant{},
+		granted:   map[requestKey]uint64{},
+		queued:    map[requestKey]*waiter{},
+		lastGrant: cfg.FirstGrantID,
+		hold:      [lanes]time.Duration{firstHold, firstHold},
+	}
+	for l := range e.queue {
+		e.queue[l] = newFairQueue()
+	}
+	return e
+}
+
+// Name is the endpoint's name.
+func (e *Endpoint) Name() string { return e.cfg.Name }
+
+// Ask answers an ask with a grant, a place in the queue, an offer or a refusal.
+//
+// It is made for the burst on the hour, when more is asked than the endpoint
+// can start in time: who cannot start before its deadline hears so now and not
+// after having waited, and nobody is told to wait for what will not come. An
+// ask that was sent twice, since its answer was lost, gets the same grant and
+// takes no second slot.
+func (e *Endpoint) Ask(now time.Time, a Ask) Decision {
+	if d, ok := e.repeated(now, a); ok {
+		return d
+	}
+	if !e.live() {
+		return refuse(a, ReasonEndpoint, 0)
+	}
+	offer := e.offer(now, a)
+	impatient := a.Patience > 0 && offer.Wait > a.Patience
+	if a.Mode == Probe || impatient {
+		return Decision{Kind: Offered, Caller: a.Caller, RequestID: a.RequestID, Offers: []policy.Offer{offer}}
+	}
+	if start := now.Add(offer.Wait); start.After(a.Deadline) {
+		return refuse(a, ReasonDeadline, retryAfter(a.RequestID, start.Sub(a.Deadline)))
+	}
+	if e.open(a) {
+		return e.grant(now, a)
+	}
+	if len(e.queued) >= maxQueued {
+		return refuse(a, ReasonQueueFull, retryAfter(a.RequestID, offer.Wait))
+	}
+	e.enqueue(now, a)
+	return Decision{Kind: Queued, Caller: a.Caller, RequestID: a.RequestID, Offer: offer}
+}
+
+// repeated answers an ask that is known already.
+func (e *Endpoint) repeated(now time.Time, a Ask) (Decision, bool) {
+	if id, ok := e.granted[a.key()]; ok && a.Mode == Take {
+		return e.grantedDecision(e.grants[id]), true
+	}
+	if _, ok := e.queued[a.key()]; ok && a.Mode == Take {
+		return Decision{Kind: Queued, Caller: a.Caller, RequestID: a.RequestID, Offer: e.offer(now, a)}, true
+	}
+	return Decision{}, false
+}
+
+func (e *Endpoint) live() bool { return e.status == fleetpb.EndpointStatus_ENDPOINT_STATUS_LIVE }
+
+// open reports whether an ask may start at once: a slot of its lane is free,
+// nobody of its lane or above waits, and the endpoint is not behind with what
+// it has.
+func (e *Endpoint) open(a Ask) bool {
+	if len(e.lonely) > 0 || e.aloneRuns {
+		return false
+	}
+	if a.Alone {
+		return len(e.grants) == 0
+	}
+	if a.Urgent {
+		return e.queue[urgent].length == 0 && e.slotFree(urgent)
+	}
+	return len(e.queued) == 0 && e.slotFree(waiting)
+}
+
+// slotFree reports whether the lane may use one more slot. Requests that may
+// wait never use the slots kept for urgent ones, and are held back while the
+// endpoint is behind with its prefill: what was sent cannot be put behind an
+// urgent request that comes a moment later.
+func (e *Endpoint) slotFree(l lane) bool {
+	used := e.inUse[waiting] + e.inUse[urgent] + e.foreign.requests()
+	if l == urgent {
+		return used < e.cfg.Slots
+	}
+	if e.inUse[waiting] >= e.cfg.Slots-e.cfg.UrgentSlots || used >= e.cfg.Slots {
+		return false
+	}
+	return e.window.Admits(e.pending[waiting] + e.pending[urgent])
+}
+
+func (e *Endpoint) grant(now time.Time, a Ask) Decision {
+	timeout := a.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	cached := e.cached(a)
+	e.lastGrant++
+	g := &grant{
+		id:      e.lastGrant,
+		ask:     a,
+		lane:    laneOf(a),
+		cached:  cached,
+		tokens:  max(a.PromptTokens-cached, 0),
+		since:   now,
+		expires: now.Add(timeout + timeoutMargin),
+	}
+	_, twice := e.granted[a.key()]
+	invariant.Check(!twice, "one_grant_per_request", "request %s of %s granted twice on %s", a.RequestID, a.Caller, e.cfg.Name)
+	e.grants[g.id] = g
+	e.granted[a.key()] = g.id
+	e.inUse[g.lane]++
+	e.pending[g.lane] += g.tokens
+	e.aloneRuns = a.Alone
+	e.foreign.note(len(e.grants))
+	e.queue[g.lane].charge(a.Organisation, a.Weight, e.cost(g.lane, g.tokens))
+	e.known.use(a.Blocks)
+	invariant.Check(e.inUse[waiting] <= max(e.cfg.Slots-e.cfg.UrgentSlots, 0) || g.lane == urgent || a.Alone, "urgent_slots_kept",
+		"%d waiting requests run on %s", e.inUse[waiting], e.cfg.Name)
+	return e.grantedDecision(g)
+}
+
+func (e *Endpoint) grantedDecision(g *grant) Decision {
+	return Decision{Kind: Granted, Caller: g.ask.Caller, RequestID: g.ask.RequestID, Offer: policy.Offer{
+		Endpoint: e.cfg.Name, GrantID: g.id, CachedTokens: g.cached, Incarnation: e.incarnation, Alone: g.ask.Alone,
+	}}
+}
+
+func (e *Endpoint) enqueue(now time.Time, a Ask) {
+	tokens := max(a.PromptTokens-e.cached(a), 0)
+	w := &waiter{ask: a, tokens: tokens, cost: e.cost(laneOf(a), tokens), since: now}
+	e.queued[a.key()] = w
+	if a.Alone {
+		e.lonely = append(e.lonely, w)
+		return
+	}
+	e.queue[laneOf(a)].push(w)
+}
+
+// release frees a grant's slot.
+func (e *Endpoint) release(g *grant) {
+	if !g.started {
+		e.pending[g.lane] -= g.tokens
+	}
+	e.inUse[g.lane]--
+	e.aloneRuns = e.aloneRuns && !g.ask.Alone
+	delete(e.grants, g.id)
+	delete(e.granted, g.ask.key())
+	invariant.Check(e.inUse[g.lane] >= 0 && e.pending[g.lane] >= 0, "slots_balanced",
+		"%d slots and %d tokens in use on %s", e.inUse[g.lane], e.pending[g.lane], e.cfg.Name)
+}
+
+// pump grants what may start now.
+func (e *Endpoint) pump(now time.Time) []Decision {
+	var out []Decision
+	for w := e.next(); w != nil; w = e.next() {
+		e.dequeue(w)
+		out = append(out, e.grant(now, w.ask))
+	}
+	return out
+}
+
+// next returns the waiter that may start now, nil if none.
+func (e *Endpoint) next() *waiter {
+	if !e.live() || e.aloneRuns {
+		return nil
+	}
+	if len(e.lonely) > 0 {
+		if len(e.grants) == 0 {
+			return e.lonely[0]
+		}
+		return nil
+	}
+	if w := e.queue[urgent].head(); w != nil {
+		if e.slotFree(urgent) {
+			return w
+		}
+		return nil
+	}
+	if w := e.queue[waiting].head(); w != nil && e.slotFree(waiting) {
+		return w
+	}
+	return nil
+}
+
+func (e *Endpoint) dequeue(w *waiter) {
+	delete(e.queued, w.ask.key())
+	for i, x := range e.lonely {
+		if x == w {
+			e.lonely = append(e.lonely[:i], e.lonely[i+1:]...)
+			return
+		}
+	}
+	removed := e.queue[laneOf(w.ask)].remove(w)
+	invariant.Check(removed, "queued_once", "request %s was not in the queue of %s", w.ask.RequestID, e.cfg.Name)
+}
--- /dev/null
+++ b/owner/estimate.go
@@ -0,0 +1,114 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/sardinedock/sardinedock/policy"
+)
+
+const (
+	// minRetryAfter keeps refused callers from asking again before anything can
+	// have changed.
+	minRetryAfter = 200 * time.Millisecond
+	// doubtfulShare is what a doubtful block counts for: a gap may have hidden
+	// its eviction, but most blocks outlive a gap.
+	doubtfulShare = 0.5
+)
+
+// cached is how many tokens of the prompt are believed to be cached.
+func (e *Endpoint) cached(a Ask) int64 {
+	known, sure := e.known.depth(a.Blocks)
+	blocks := float64(sure) + float64(known-sure)*doubtfulShare
+	return min(int64(blocks*float64(e.cfg.BlockTokens)), a.PromptTokens)
+}
+
+// offer is what the endpoint would give the ask now.
+func (e *Endpoint) offer(now time.Time, a Ask) policy.Offer {
+	return policy.Offer{
+		Endpoint:     e.cfg.Name,
+		CachedTokens: e.cached(a),
+		Wait:         e.wait(now, a),
+		Incarnation:  e.incarnation,
+		Alone:        a.Alone,
+	}
+}
+
+// wait estimates the time until the endpoint begins with a new ask: until a
+// slot of its lane is free and until the prefill before it is computed,
+// whichever is later.
+func (e *Endpoint) wait(now time.Time, a Ask) time.Duration {
+	l := laneOf(a)
+	if a.Alone || len(e.lonely) > 0 || e.aloneRuns {
+		return e.drainTime(l, len(e.lonely))
+	}
+	own, tokens := 0, int64(0)
+	if line := e.queue[l].lines[a.Organisation]; line != nil {
+		own, tokens = len(line.waiters), line.tokens
+	}
+	return e.waitBehind(now, a, own, tokens)
+}
+
+// waitBehind is the wait of an ask behind own requests of its organisation.
+func (e *Endpoint) waitBehind(now time.Time, a Ask, own int, tokens int64) time.Duration {
+	l := laneOf(a)
+	count, queued := e.queue[l].ahead(a.Organisation, a.Weight, own, tokens)
+	pending := e.pending[urgent]
+	if l == waiting {
+		pending += e.pending[waiting] + e.queue[urgent].tokens
+		count += e.queue[urgent].length
+	}
+	prefill := e.window.Time(queued+pending) - e.progress(now)
+	return max(prefill, e.slotWait(l, count), 0)
+}
+
+// progress is how long the endpoint has been computing on what is pending.
+func (e *Endpoint) progress(now time.Time) time.Duration {
+	return e.window.Since(now, e.pending[waiting]+e.pending[urgent])
+}
+
+// slotWait is the time until a slot is free behind count others: as many
+// requests have to end as there are too few slots, and requests end at the rate
+// at which those that run were measured to.
+func (e *Endpoint) slotWait(l lane, count int) time.Duration {
+	used := e.inUse[waiting] + e.inUse[urgent] + e.foreign.requests()
+	free := e.cfg.Slots - used
+	if l == waiting {
+		free = min(free, e.cfg.Slots-e.cfg.UrgentSlots-e.inUse[waiting])
+	}
+	if count < free {
+		return 0
+	}
+	running := max(e.inUse[waiting]+e.inUse[urgent], 1)
+	return e.hold[l] * time.Duration(count-free+1) / time.Duration(running)
+}
+
+// drainTime is the time until nothing runs any more, behind others that also
+// have to run alone.
+func (e *Endpoint) drainTime(l lane, before int) time.Duration {
+	drain := time.Duration(0)
+	if len(e.grants) > 0 {
+		drain = max(e.hold[waiting], e.hold[urgent])
+	}
+	return drain + time.Duration(before)*e.hold[l]
+}
+
+// cost is the endpoint's time that a request is charged for: its prefill, which
+// nobody else can use, and its part of the slots.
+func (e *Endpoint) cost(l lane, tokens int64) float64 {
+	return e.window.Time(tokens).Seconds() + e.hold[l].Seconds()/float64(max(e.cfg.Slots, 1))
+}
+
+// retryAfter tells a refused caller when to come back. Callers that were
+// refused together are spread over a quarter more, by their ids, so that they
+// do not come back together.
+func retryAfter(requestID string, wait time.Duration) time.Duration {
+	wait = max(wait, minRetryAfter)
+	spread := xxh3.HashString(requestID) % 256
+	return wait + wait/4*time.Duration(spread)/256
+}
+
+func refuse(a Ask, reason Reason, after time.Duration) Decision {
+	return Decision{Kind: Refused, Caller: a.Caller, RequestID: a.RequestID, Reason: reason, RetryAfter: after}
+}
--- /dev/null
+++ b/owner/knowledge.go
@@ -0,0 +1,176 @@
+package owner
+
+import (
+	"encoding/binary"
+
+	"github.com/sardinedock/sardinedock/prefix"
+)
+
+const (
+	// blockBytes is what one known block costs: its entry and its part of the
+	// index.
+	blockBytes = 40
+	// MaxKnowledgeBytes bounds what is known of one endpoint's cache. An engine
+	// whose cache holds more blocks is known by its most recent ones.
+	MaxKnowledgeBytes = 4 << 20
+	none              = int32(-1)
+)
+
+// blockKey is the half of a block's name that is kept. Names chain from their
+// organisation's and version's salt, and a chance match of 64 bits costs one
+// wrong guess of what is cached, never a wrong answer: the engine compares all
+// 128 bits.
+type blockKey uint64
+
+func keyOf(h prefix.Hash) blockKey { return blockKey(binary.LittleEndian.Uint64(h[:8])) }
+
+type knownBlock struct {
+	key        blockKey
+	prev, next int32
+	epoch      uint32
+}
+
+// knowledge models an engine's cache as a list of blocks by last use. It is a
+// guess: the engine evicts by its own rules and its events come late, with
+// gaps. An event that was lost is noticed by its sequence number and makes all
+// that was known before doubtful: an eviction may have been among the lost.
+// What is used after that is sure again.
+type knowledge struct {
+	index    map[blockKey]int32
+	blocks   []knownBlock
+	free     int32
+	newest   int32
+	oldest   int32
+	capacity int
+	epoch    uint32
+	seq      uint64
+}
+
+func newKnowledge(cacheBlocks int64) *knowledge {
+	k := &knowledge{capacity: int(min(max(cacheBlocks, 1), MaxKnowledgeBytes/blockBytes))}
+	k.clear()
+	return k
+}
+
+// clear forgets all blocks.
+func (k *knowledge) clear() {
+	k.index = map[blockKey]int32{}
+	k.blocks = k.blocks[:0]
+	k.free, k.newest, k.oldest = none, none, none
+}
+
+// doubt marks all that is known as unsure.
+func (k *knowledge) doubt() { k.epoch++ }
+
+// depth counts the leading blocks that are known, and how many of these are
+// sure.
+func (k *knowledge) depth(chain []prefix.Hash) (known, sure int) {
+	for _, h := range chain {
+		i, ok := k.index[keyOf(h)]
+		if !ok {
+			break
+		}
+		if sure == known && k.blocks[i].epoch == k.epoch {
+			sure++
+		}
+		known++
+	}
+	return known, sure
+}
+
+// use notes that a request ran over the chain: its blocks are cached now. The
+// first blocks count as used last, since engines evict a chain from its end.
+func (k *knowledge) use(chain []prefix.Hash) {
+	for i := len(chain) - 1; i >= 0; i-- {
+		k.touch(keyOf(chain[i]))
+	}
+}
+
+func (k *knowledge) touch(key blockKey) {
+	i, ok := k.index[key]
+	if ok {
+		k.unlink(i)
+	} else {
+		i = k.allocate()
+		k.blocks[i].key = key
+		k.index[key] = i
+	}
+	b := &k.blocks[i]
+	b.epoch = k.epoch
+	b.prev, b.next = none, k.newest
+	if k.newest != none {
+		k.blocks[k.newest].prev = i
+	}
+	k.newest = i
+	if k.oldest == none {
+		k.oldest = i
+	}
+}
+
+// allocate finds a place for a block and evicts the oldest where there is none.
+func (k *knowledge) allocate() int32 {
+	if len(k.index) >= k.capacity {
+		k.forget(k.blocks[k.oldest].key)
+	}
+	if k.free != none {
+		i := k.free
+		k.free = k.blocks[i].next
+		return i
+	}
+	k.blocks = append(k.blocks, knownBlock{})
+	return int32(len(k.blocks) - 1)
+}
+
+func (k *knowledge) unlink(i int32) {
+	b := k.blocks[i]
+	if b.prev != none {
+		k.blocks[b.prev].next = b.next
+	} else {
+		k.newest = b.next
+	}
+	if b.next != none {
+		k.blocks[b.next].prev = b.prev
+	} else {
+		k.oldest = b.prev
+	}
+}
+
+// forget drops one block.
+func (k *knowledge) forget(key blockKey) {
+	i, ok := k.index[key]
+	if !ok {
+		return
+	}
+	k.unlink(i)
+	delete(k.index, key)
+	k.blocks[i].next = k.free
+	k.free = i
+}
+
+// event applies one event of the engine. It reports whether it came after a
+// gap.
+func (k *knowledge) event(ev CacheEvent) bool {
+	gap := k.seq != 0 && ev.Seq > k.seq+1
+	if ev.Seq <= k.seq {
+		return false
+	}
+	k.seq = ev.Seq
+	if gap {
+		k.doubt()
+	}
+	k.apply(ev)
+	return gap
+}
+
+func (k *knowledge) apply(ev CacheEvent) {
+	switch ev.Op {
+	case CacheClear:
+		k.clear()
+	case CacheStore:
+		k.use(ev.Blocks)
+	case CacheEvict:
+		for _, h := range ev.Blocks {
+			k.forget(keyOf(h))
+		}
+	}
+}
--- /dev/null
+++ b/owner/queue.go
@@ -0,0 +1,162 @@
+package owner
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// waiter is an ask that waits for a slot.
+type waiter struct {
+	ask Ask
+	// tokens that had to be computed when it was queued.
+	tokens int64
+	// cost is the endpoint's time that it is charged for.
+	cost  float64
+	since time.Time
+}
+
+// line is what one organisation has waiting.
+type line struct {
+	organisation string
+	weight       float64
+	// finish is the virtual time up to which the organisation has been served.
+	finish  float64
+	waiters []*waiter
+	tokens  int64
+}
+
+// fairQueue shares one endpoint among organisations by weight: start-time fair
+// queueing over the endpoint's time that each request is charged for.
+//
+// It is made for one large organisation whose burst fills the queue: with one
+// list for all, a small organisation's request would wait behind thousands of
+// others. Here it starts after at most one request of each other organisation
+// for its own share. An idle organisation saves up nothing. Lines of idle
+// organisations are dropped once the virtual time has passed them, so the queue
+// holds no more lines than organisations that were served lately.
+type fairQueue struct {
+	lines  map[string]*line
+	clock  float64
+	length int
+	tokens int64
+}
+
+func newFairQueue() *fairQueue { return &fairQueue{lines: map[string]*line{}} }
+
+func (q *fairQueue) line(organisation string, weight float64) *line {
+	l, ok := q.lines[organisation]
+	if !ok {
+		l = &line{organisation: organisation, finish: q.clock}
+		q.lines[organisation] = l
+	}
+	if weight <= 0 {
+		weight = 1
+	}
+	l.weight = weight
+	return l
+}
+
+// push puts a waiter at the end of its organisation's line.
+func (q *fairQueue) push(w *waiter) {
+	l := q.line(w.ask.Organisation, w.ask.Weight)
+	l.waiters = append(l.waiters, w)
+	l.tokens += w.tokens
+	q.length++
+	q.tokens += w.tokens
+}
+
+// head returns the waiter whose turn it is, nil when none waits. Ties go by
+// name, so that equal states decide equally.
+func (q *fairQueue) head() *waiter {
+	var best *line
+	for _, l := range q.lines {
+		if len(l.waiters) == 0 {
+			continue
+		}
+		if best == nil || q.before(l, best) {
+			best = l
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return best.waiters[0]
+}
+
+func (q *fairQueue) before(a, b *line) bool {
+	sa, sb := max(a.finish, q.clock), max(b.finish, q.clock)
+	if sa != sb {
+		return sa < sb
+	}
+	return a.organisation < b.organisation
+}
+
+// charge counts served time against the organisation, queued for or not.
+func (q *fairQueue) charge(organisation string, weight, cost float64) {
+	l := q.line(organisation, weight)
+	start := max(l.finish, q.clock)
+	l.finish = start + cost/l.weight
+	if q.length > 0 {
+		q.clock = max(q.clock, start)
+	} else {
+		q.clock = l.finish
+	}
+	q.prune()
+}
+
+// prune drops lines that hold neither a waiter nor served time ahead.
+func (q *fairQueue) prune() {
+	for name, l := range q.lines {
+		if len(l.waiters) == 0 && l.finish <= q.clock {
+			delete(q.lines, name)
+		}
+	}
+}
+
+// remove takes a waiter out; it reports whether it was there.
+func (q *fairQueue) remove(w *waiter) bool {
+	l := q.lines[w.ask.Organisation]
+	if l == nil {
+		return false
+	}
+	for i, x := range l.waiters {
+		if x == w {
+			l.waiters = append(l.waiters[:i], l.waiters[i+1:]...)
+			l.tokens -= w.tokens
+			q.length--
+			q.tokens -= w.tokens
+			return true
+		}
+	}
+	return false
+}
+
+// ahead is the work that is served before a request that would stand behind
+// own requests of tokens in its organisation's line: at most their share of
+// each other organisation's.
+func (q *fairQueue) ahead(organisation string, weight float64, own int, tokens int64) (int, int64) {
+	if weight <= 0 {
+		weight = 1
+	}
+	count, sum := own, tokens
+	for name, l := range q.lines {
+		if name == organisation || len(l.waiters) == 0 {
+			continue
+		}
+		share := l.weight / weight
+		count += min(len(l.waiters), int(float64(own+1)*share+0.5))
+		sum += min(l.tokens, int64(float64(tokens)*share)+l.waiters[0].tokens)
+	}
+	return count, sum
+}
+
+// sorted lists the organisations' lines by name.
+func (q *fairQueue) sorted() []*line {
+	list := make([]*line, 0, len(q.lines))
+	for _, l := range q.lines {
+		list = append(list, l)
+	}
+	slices.SortFunc(list, func(a, b *line) int { return strings.Compare(a.organisation, b.organisation) })
+	return list
+}
--- /dev/null
+++ b/owner/snapshot.go
@@ -0,0 +1,117 @@
+package owner
+
+import (
+	"encoding/binary"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/policy"
+	"github.com/sardinedock/sardinedock/schema/fleetpb"
+)
+
+// maxSnapshotBlocks bounds a snapshot: the newest blocks, which are the ones
+// worth handing over, in half a megabyte.
+const maxSnapshotBlocks = 65536
+
+// reconfigure takes a new configuration over.
+func (e *Endpoint) reconfigure(cfg Config) {
+	cfg.FirstGrantID = e.cfg.FirstGrantID
+	if cfg.CacheBlocks != e.cfg.CacheBlocks {
+		e.known = newKnowledge(cfg.CacheBlocks)
+	}
+	e.cfg = cfg
+}
+
+// Snapshot writes what the next owner needs: what is cached, what runs and how
+// fast the endpoint serves. What waits is not in it; it is sent away when the
+// endpoint is removed and asks the next owner.
+func (e *Endpoint) Snapshot(now time.Time) ([]byte, error) {
+	k := &fleetpb.Knowledge{
+		Incarnation: e.incarnation,
+		EventSeq:    e.known.seq,
+		Rate:        e.window.Rate(),
+		Blocks:      e.known.newestFirst(maxSnapshotBlocks),
+		Models:      e.models,
+	}
+	for _, g := range e.sortedGrants() {
+		k.Grants = append(k.Grants, &fleetpb.HeldGrant{
+			Id: g.id, Caller: g.ask.Caller, RequestId: g.ask.RequestID, Organisation: g.ask.Organisation,
+			Urgent: g.ask.Urgent, Alone: g.ask.Alone, Tokens: g.tokens, Started: g.started,
+			Fingerprint: g.ask.Fingerprint[:], AgeMs: now.Sub(g.since).Milliseconds(),
+			LeftMs: g.expires.Sub(now).Milliseconds(),
+		})
+	}
+	data, err := proto.Marshal(k)
+	return data, fault.Wrap(err, fault.Internal, "report the fault", "marshal the state of endpoint %q", e.cfg.Name)
+}
+
+// Restore takes a snapshot of the former owner over. It leaves an endpoint
+// alone that has work of its own already, or is known by a newer incarnation.
+func (e *Endpoint) Restore(now time.Time, data []byte) error {
+	var k fleetpb.Knowledge
+	if err := proto.Unmarshal(data, &k); err != nil {
+		return fault.Wrap(err, fault.BadRequest, "run the same version on all instances", "read the state of endpoint %q", e.cfg.Name)
+	}
+	if e.incarnation > k.GetIncarnation() {
+		return nil
+	}
+	e.incarnation = k.GetIncarnation()
+	e.window = policy.NewWindow(k.GetRate())
+	e.models = k.GetModels()
+	e.restoreBlocks(&k)
+	for _, h := range k.GetGrants() {
+		e.restoreGrant(now, h)
+	}
+	return nil
+}
+
+// restoreBlocks puts the blocks behind what is known already.
+func (e *Endpoint) restoreBlocks(k *fleetpb.Knowledge) {
+	own := e.known.newestFirst(e.known.capacity)
+	e.known.seq = max(e.known.seq, k.GetEventSeq())
+	e.known.useKeys(k.GetBlocks())
+	e.known.useKeys(own)
+}
+
+func (e *Endpoint) restoreGrant(now time.Time, h *fleetpb.HeldGrant) {
+	a := Ask{
+		Caller: h.GetCaller(), RequestID: h.GetRequestId(), Organisation: h.GetOrganisation(),
+		Urgent: h.GetUrgent(), Alone: h.GetAlone(),
+	}
+	copy(a.Fingerprint[:], h.GetFingerprint())
+	if _, ok := e.granted[a.key()]; ok || e.grants[h.GetId()] != nil {
+		return
+	}
+	g := &grant{
+		id: h.GetId(), ask: a, lane: laneOf(a), tokens: h.GetTokens(), started: h.GetStarted(),
+		since:   now.Add(-time.Duration(h.GetAgeMs()) * time.Millisecond),
+		expires: now.Add(time.Duration(h.GetLeftMs()) * time.Millisecond),
+	}
+	e.grants[g.id] = g
+	e.granted[a.key()] = g.id
+	e.inUse[g.lane]++
+	if !g.started {
+		e.pending[g.lane] += g.tokens
+	}
+	e.aloneRuns = e.aloneRuns || a.Alone
+	e.foreign.note(len(e.grants))
+}
+
+// newestFirst packs the newest blocks, eight bytes each.
+func (k *knowledge) newestFirst(limit int) []byte {
+	packed := make([]byte, 0, 8*min(limit, len(k.index)))
+	for i := k.newest; i != none && limit > 0; i = k.blocks[i].next {
+		packed = binary.LittleEndian.AppendUint64(packed, uint64(k.blocks[i].key))
+		limit--
+	}
+	return packed
+}
+
+// useKeys notes packed blocks as cached, the first as the newest.
+func (k *knowledge) useKeys(packed []byte) {
+	for at := len(packed) - 8; at >= 0; at -= 8 {
+		k.touch(blockKey(binary.LittleEndian.Uint64(packed[at:])))
+	}
+}
--- /dev/null
+++ b/policy/choose.go
@@ -0,0 +1,97 @@
+package policy
+
+import "time"
+
+// Offer is what one endpoint would give a request.
+type Offer struct {
+	Endpoint string
+	// GrantID is set once a slot was taken; it is unique at the owner.
+	GrantID uint64
+	// CachedTokens of the prompt are believed to be cached there.
+	CachedTokens int64
+	// Wait until the endpoint begins to work on the request.
+	Wait time.Duration
+	// Incarnation of the endpoint that the offer is about.
+	Incarnation uint64
+	// Alone says that nothing else runs beside the request.
+	Alone bool
+}
+
+// Prices are what the choice weighs time against.
+type Prices struct {
+	// PrefillTokensPerSecond of one endpoint.
+	PrefillTokensPerSecond float64
+	// Recompute multiplies the time of computing uncached tokens. Others wait
+	// behind that work and it evicts their blocks, so it costs the fleet more
+	// than it costs the request.
+	Recompute float64
+	// ImportTokensPerSecond is how fast kept KV cache is imported, 0 where
+	// there is none; ImportFixed is the cost of an import of any size.
+	ImportTokensPerSecond float64
+	ImportFixed           time.Duration
+}
+
+// DefaultRecompute is the price of recomputation that the measurements in
+// docs/notes/placement.md back.
+const DefaultRecompute = 2
+
+// Choice is what Choose decided.
+type Choice struct {
+	// Index of the offer, -1 where there was none.
+	Index int
+	// ImportTokens of kept KV cache to import before the send, 0 for none.
+	ImportTokens int64
+	// Cost is the priced time until the first token.
+	Cost time.Duration
+}
+
+// Choose picks among the offers of the first few candidates the one with the
+// least wait plus priced recomputation. keptTokens of the prompt can be
+// imported from the KV store.
+//
+// It is made for a hot prefix whose load exceeds one endpoint: each request
+// shifts exactly when waiting would cost more than computing the prefix again,
+// so that the prefix spreads over as many endpoints as it needs and shrinks
+// back, with no list of hot prefixes. Without it, callers of a hot prefix queue
+// behind each other while other endpoints idle. Equal costs keep the order of
+// the candidates, which all instances share.
+func Choose(promptTokens, keptTokens int64, offers []Offer, p Prices) Choice {
+	best := Choice{Index: -1}
+	for i, o := range offers {
+		work, imported := p.prefill(promptTokens, keptTokens, o.CachedTokens)
+		cost := o.Wait + work
+		if best.Index < 0 || cost < best.Cost {
+			best = Choice{Index: i, ImportTokens: imported, Cost: cost}
+		}
+	}
+	return best
+}
+
+// prefill prices the computation of what is not cached, with an import of kept
+// KV cache where that is cheaper.
+func (p Prices) prefill(prompt, kept, cached int64) (time.Duration, int64) {
+	missing := max(prompt-cached, 0)
+	compute := p.Compute(missing)
+	gain := min(kept, prompt) - cached
+	if p.ImportTokensPerSecond <= 0 || gain <= 0 {
+		return compute, 0
+	}
+	load := p.ImportFixed + seconds(float64(gain)/p.ImportTokensPerSecond) + p.Compute(missing-gain)
+	if load >= compute {
+		return compute, 0
+	}
+	return load, gain
+}
+
+// Compute prices the computation of tokens.
+func (p Prices) Compute(tokens int64) time.Duration {
+	if p.PrefillTokensPerSecond <= 0 {
+		return 0
+	}
+	return seconds(float64(tokens) / p.PrefillTokensPerSecond * p.Recompute)
+}
+
+// seconds converts to a duration, cut to an hour so that no sum overflows.
+func seconds(s float64) time.Duration {
+	return time.Duration(min(s, 3600) * float64(time.Second))
+}
--- /dev/null
+++ b/policy/ranking_test.go
@@ -0,0 +1,80 @@
+package policy
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/sardinedock/sardinedock/prefix"
+)
+
+func names(n int) []string {
+	list := make([]string, n)
+	for i := range list {
+		list[i] = fmt.Sprintf("engine-%d", i)
+	}
+	return list
+}
+
+func keyOfByte(b byte) prefix.Hash { return prefix.Salt(string(b), "m", "1") }
+
+// An endpoint that goes must move only what it held: if others' order changed
+// too, every change of the list would cost the whole pool's caches.
+func TestRemovedEndpointMovesNothingElse(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := names(rapid.IntRange(2, 40).Draw(t, "endpoints"))
+		key := keyOfByte(rapid.Byte().Draw(t, "key"))
+		gone := rapid.IntRange(0, len(list)-1).Draw(t, "gone")
+		all := NewRanking(list)
+		rest := NewRanking(slices.Delete(slices.Clone(list), gone, gone+1))
+		var want, got []string
+		for _, i := range all.Top(nil, key, 5, func(i int) bool { return i != gone }) {
+			want = append(want, all.Name(i))
+		}
+		for _, i := range rest.Top(nil, key, 5, nil) {
+			got = append(got, rest.Name(i))
+		}
+		if !slices.Equal(got, want) {
+			t.Fatalf("without %s: %v, want %v", list[gone], got, want)
+		}
+	})
+}
+
+func TestTopIsTheHeadOfTheWholeOrder(t *testing.T) {
+	r := NewRanking(names(MaxCandidates))
+	for b := range byte(100) {
+		whole := r.Top(nil, keyOfByte(b), MaxCandidates, nil)
+		if sorted := slices.Sorted(slices.Values(whole)); len(slices.Compact(sorted)) != MaxCandidates {
+			t.Fatalf("key %d: %v is no order of all endpoints", b, whole)
+		}
+		if top := r.Top(nil, keyOfByte(b), 4, nil); !slices.Equal(top, whole[:4]) {
+			t.Fatalf("key %d: first four %v of %v", b, top, whole)
+		}
+	}
+}
+
+func TestKeysSpreadEvenly(t *testing.T) {
+	const endpoints, keys = 16, 16000
+	r := NewRanking(names(endpoints))
+	var first [endpoints]int
+	for i := range keys {
+		first[r.Top(nil, prefix.Salt(fmt.Sprint(i), "m", "1"), 1, nil)[0]]++
+	}
+	for i, n := range first {
+		if n < keys/endpoints*85/100 || n > keys/endpoints*115/100 {
+			t.Errorf("%s is first for %d of %d keys", r.Name(i), n, keys)
+		}
+	}
+}
+
+func BenchmarkTopOf2400(b *testing.B) {
+	r := NewRanking(names(2400))
+	key := keyOfByte(1)
+	dst := make([]int, 0, MaxCandidates)
+	b.ReportAllocs()
+	for b.Loop() {
+		dst = r.Top(dst[:0], key, 4, func(int) bool { return true })
+	}
+}
