Complete the engine's and the plain service's stand-ins

Cause: the thin engine had no cache, queue, resume, cancel, orders or faults, and there was no plain service to count runs at. Change: batching with slots and a queue by priority, LRU prefix cache, prefill by uncached token, resume, cancel, lagging load, late cache events with gaps, KV export and import, orders with fencing, weight loads that slow each other, crash, silence, freeze, slowness, and crossed, repeated, lost and late pieces; answers that can be continued; runs counted by id, key and caller's marker.

--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -1,31 +1,57 @@
+// Package emulator holds small stand-ins of the platform's object API, of
+// model engines and of a plain service, for tests and for the demo. Every fault
+// can be ordered through Go methods and through the HTTP path /control/.
 package emulator
 
 import (
-	"time"
-
 	"github.com/sardinedock/sardinedock/record"
 	"github.com/sardinedock/sardinedock/schema/recordspb"
 )
 
-// defaultTokenTime is a large model's usual pace of decoding.
-const defaultTokenTime = 20 * time.Millisecond
+// Config shapes all stand-ins of one deployment.
+type Config struct {
+	Store StoreConfig
+	// Engine is what engines have in common; names, sizes and the fencing
+	// check come from the pools' records.
+	Engine EngineConfig
+	// Service is what plain services have in common.
+	Service ServiceConfig
+}
 
 // Emulator is a platform and its endpoints.
 type Emulator struct {
-	Store   *Store
-	Engines []*Engine
+	Store    *Store
+	Engines  []*Engine
+	Services []*Service
+	// Runs counts at all endpoints.
+	Runs *Ledger
+
+	cfg Config
 }
 
-// Start serves the object API at storeAddr, with the records in it, and an
-// engine at each address that the pools name.
+// Start serves the object API at storeAddr, with the records in it, and a
+// stand-in at each address that the pools and services name.
 func Start(storeAddr string, records []*recordspb.Record) (*Emulator, error) {
-	store, err := StartStore(storeAddr)
+	return StartWith(storeAddr, records, Config{})
+}
+
+// StartWith is Start with a shape. It writes the addresses that are listened
+// on into the records.
+func StartWith(storeAddr string, records []*recordspb.Record, cfg Config) (*Emulator, error) {
+	store, err := StartStoreWith(storeAddr, cfg.Store)
 	if err != nil {
 		return nil, err
 	}
-	e := &Emulator{Store: store}
+	e := &Emulator{Store: store, Runs: NewLedger(), cfg: cfg}
+	blocks, kept := NewBlockLedger(), NewKVStore()
 	for _, r := range records {
-		if err := e.add(r, records); err != nil {
+		shared := &Shared{
+			Weights: NewWeights(int(r.GetPool().GetLoadsAtOnce())),
+			KV:      kept,
+			Runs:    e.Runs,
+			Blocks:  blocks,
+		}
+		if err := e.add(r, records, shared); err != nil {
 			e.Close()
 			return nil, err
 		}
@@ -33,11 +59,37 @@
 	return e, nil
 }
 
-func (e *Emulator) add(r *recordspb.Record, all []*recordspb.Record) error {
+func (e *Emulator) add(r *recordspb.Record, all []*recordspb.Record, shared *Shared) error {
+	if err := e.startEngines(r, all, shared); err != nil {
+		return err
+	}
+	if err := e.startServices(r); err != nil {
+		return err
+	}
+	value, err := record.Marshal(r)
+	if err != nil {
+		return err
+	}
 	kind, _ := record.KindOf(r)
-	for _, ep := range r.GetPool().GetEndpoints() {
-		model, version := modelOf(r.GetName(), all)
-		cfg := EngineConfig{Name: ep.GetName(), Model: model, Version: version, TokenTime: defaultTokenTime}
+	e.Store.Set(string(kind), r.GetName(), value)
+	return nil
+}
+
+func (e *Emulator) startEngines(r *recordspb.Record, all []*recordspb.Record, shared *Shared) error {
+	pool := r.GetPool()
+	for _, ep := range pool.GetEndpoints() {
+		cfg := e.cfg.Engine
+		cfg.Name = ep.GetName()
+		cfg.Model, cfg.Version = modelOf(r.GetName(), all)
+		cfg.Slots = int(pool.GetSlots())
+		cfg.BlockTokens = int(pool.GetBlockTokens())
+		cfg.CacheBlocks = int(pool.GetCacheBlocks())
+		cfg.ChecksFencing = pool.GetChecksFencing()
+		cfg.Seed += int64(len(e.Engines))
+		cfg.Shared = shared
+		if cfg.PrefillRate == 0 {
+			cfg.PrefillRate = pool.GetPrefillTokensPerSecond()
+		}
 		engine, err := StartEngine(ep.GetAddress(), cfg)
 		if err != nil {
 			return err
@@ -45,11 +97,20 @@
 		e.Engines = append(e.Engines, engine)
 		ep.Address = engine.Addr()
 	}
-	value, err := record.Marshal(r)
-	if err != nil {
-		return err
+	return nil
+}
+
+func (e *Emulator) startServices(r *recordspb.Record) error {
+	for _, ep := range r.GetService().GetEndpoints() {
+		cfg := e.cfg.Service
+		cfg.Name, cfg.Runs = ep.GetName(), e.Runs
+		service, err := StartService(ep.GetAddress(), cfg)
+		if err != nil {
+			return err
+		}
+		e.Services = append(e.Services, service)
+		ep.Address = service.Addr()
 	}
-	e.Store.Set(string(kind), r.GetName(), value)
 	return nil
 }
 
@@ -69,4 +130,7 @@
 	for _, engine := range e.Engines {
 		_ = engine.Close()
 	}
+	for _, service := range e.Services {
+		_ = service.Close()
+	}
 }
--- a/emulator/pace.go
+++ b/emulator/pace.go
@@ -34,3 +34,11 @@
 		return false
 	}
 }
+
+// unscale returns the time that a wall-clock time stands for.
+func (p Pace) unscale(d time.Duration) time.Duration {
+	if p <= 0 || p == 1 {
+		return d
+	}
+	return time.Duration(float64(d) * float64(p))
+}
