--- a/instance/records.go
+++ b/instance/records.go
@@ -11,7 +11,12 @@
 
 func (i *Instance) provisionStore() {
 	p := i.settings.GetPlatform()
-	i.store = platform.NewClient(p.GetAddress(), time.Duration(p.GetTimeoutMs())*time.Millisecond)
+	i.store = platform.NewClient(platform.Config{
+		Address:  p.GetAddress(),
+		Instance: i.settings.GetInstance(),
+		Timeout:  time.Duration(p.GetTimeoutMs()) * time.Millisecond,
+		Fleet:    platform.Rates{Reads: float64(p.GetReadsPerSecond()), Writes: float64(p.GetWritesPerSecond())},
+	})
 }
 
 // startRecords puts the operators' records in force.
