Share state between instances and know who is alive

Instances knew nothing of each other. fleet/exchange holds named items of which the highest (epoch, version) wins; changes go to two random partners every 100 ms while there are any, at rest one peer a second is called with a sum of all state, and a difference is found by bucket sums and summaries. Large values are announced and fetched once. fleet/member keeps the members: rounds of alive, suspect, dead; a suspect hears it and refutes; three others check a silent member first; dead members and seeds are still tried, which joins a partition again. fleet.Node runs both in one goroutine.

In virtual time a change reaches 64 instances within 3 s, a dead instance is expelled, one paused for 4 s is not, and a partition of ten minutes heals within 30 s with the newer record everywhere (go test ./fleet).

--- /dev/null
+++ b/fleet/core_test.go
@@ -0,0 +1,249 @@
+package fleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/sardinedock/sardinedock/fleet/exchange"
+	"github.com/sardinedock/sardinedock/fleet/member"
+	"github.com/sardinedock/sardinedock/schema/fleetpb"
+)
+
+// group is a few cores in virtual time. A message takes no time; a call that
+// does not get through fails after callBound.
+type group struct {
+	t       *testing.T
+	now     time.Time
+	cores   []*core
+	seeds   []string
+	cut     func(a, b int) bool // whether two cores cannot talk
+	stopped map[int]bool
+	late    []lateFailure
+}
+
+type lateFailure struct {
+	at   time.Time
+	from int
+	o    outgoing
+}
+
+func newGroup(t *testing.T, n int) *group {
+	g := &group{t: t, now: time.Unix(1000, 0), stopped: map[int]bool{}, seeds: []string{address(0)}}
+	g.cut = func(int, int) bool { return false }
+	for range n {
+		g.add(uint64(g.now.UnixNano()))
+	}
+	return g
+}
+
+func address(i int) string { return fmt.Sprintf("addr-%03d", i) }
+
+func name(i int) string { return fmt.Sprintf("entry-%03d", i) }
+
+func (g *group) add(incarnation uint64) {
+	g.cores = append(g.cores, g.newCore(len(g.cores), incarnation))
+}
+
+func (g *group) newCore(i int, incarnation uint64) *core {
+	return newCore(Config{
+		Fleet:    "test",
+		Self:     member.Member{Name: name(i), Address: address(i), DataCentre: "accra-1", Incarnation: incarnation},
+		Seeds:    g.seeds,
+		Bounds:   member.DefaultBounds,
+		Complete: func() bool { return true },
+		Changed:  func([]exchange.Item) {},
+	}, rand.New(rand.NewPCG(1, uint64(i))), g.now)
+}
+
+// run lets the given time pass.
+func (g *group) run(d time.Duration) {
+	for end := g.now.Add(d); g.now.Before(end); {
+		g.now = g.now.Add(pushEvery)
+		g.failLate()
+		for i, c := range g.cores {
+			if !g.stopped[i] {
+				g.deliver(i, c.tick(g.now))
+			}
+		}
+	}
+}
+
+func (g *group) deliver(from int, list []outgoing) {
+	for len(list) > 0 {
+		o := list[0]
+		list = list[1:]
+		to := g.at(o.peer.Address)
+		if !g.reaches(from, to) {
+			g.late = append(g.late, lateFailure{g.now.Add(callBound), from, o})
+			continue
+		}
+		reply := g.cores[to].serve(o.request, g.now)
+		for _, target := range o.request.GetCheck() {
+			if g.reaches(to, g.at(target.GetAddress())) {
+				reply.Reached = append(reply.Reached, target.GetInstance())
+			}
+		}
+		list = append(list, g.cores[from].replied(o, reply, g.now)...)
+	}
+}
+
+func (g *group) failLate() {
+	var kept []lateFailure
+	for _, f := range g.late {
+		if g.now.Before(f.at) {
+			kept = append(kept, f)
+		} else if !g.stopped[f.from] {
+			g.deliver(f.from, g.cores[f.from].failed(f.o, g.now))
+		}
+	}
+	g.late = kept
+}
+
+func (g *group) at(addr string) int {
+	for i := range g.cores {
+		if address(i) == addr {
+			return i
+		}
+	}
+	return -1
+}
+
+func (g *group) reaches(a, b int) bool {
+	return b >= 0 && !g.stopped[a] && !g.stopped[b] && !g.cut(a, b)
+}
+
+// wantStatus checks what all running cores but the member itself hold of it.
+func (g *group) wantStatus(of int, want fleetpb.MemberStatus) {
+	g.t.Helper()
+	for i, c := range g.cores {
+		if i == of || g.stopped[i] {
+			continue
+		}
+		if m, ok := c.table.Find(name(of)); !ok || m.Status != want {
+			g.t.Fatalf("%s holds %v of %s, want %v", name(i), m.Status, name(of), want)
+		}
+	}
+}
+
+func (g *group) wantAllAlive() {
+	g.t.Helper()
+	for i := range g.cores {
+		g.wantStatus(i, fleetpb.MemberStatus_MEMBER_STATUS_ALIVE)
+	}
+}
+
+func record(version uint64) exchange.Item {
+	return exchange.Item{
+		Key:     exchange.Key{Kind: fleetpb.ItemKind_ITEM_KIND_RECORD, Name: "pools/counters"},
+		Version: version, Value: fmt.Append(nil, "version ", version),
+	}
+}
+
+func (g *group) wantRecord(version uint64) {
+	g.t.Helper()
+	for i, c := range g.cores {
+		if it, _ := c.store.Get(record(0).Key); it.Version != version {
+			g.t.Fatalf("%s holds version %d, want %d", name(i), it.Version, version)
+		}
+	}
+}
+
+func TestChangeReachesAll(t *testing.T) {
+	for _, n := range []int{2, 8, 64} {
+		g := newGroup(t, n)
+		g.run(20 * time.Second)
+		g.wantAllAlive()
+		g.cores[n/2].put(g.now, record(3))
+		g.run(3 * time.Second)
+		g.wantRecord(3)
+	}
+}
+
+// An instance dies without a word, as most of them do. Its endpoints would
+// have no owner until the others have agreed that it is gone.
+func TestDeadInstanceIsExpelled(t *testing.T) {
+	g := newGroup(t, 16)
+	g.run(20 * time.Second)
+	g.stopped[5] = true
+	g.run(20 * time.Second)
+	g.wantStatus(5, fleetpb.MemberStatus_MEMBER_STATUS_DEAD)
+	for i, c := range g.cores {
+		if owners := c.table.View().Owners; i != 5 && len(owners) != 15 {
+			t.Fatalf("%s has %d owners", name(i), len(owners))
+		}
+	}
+}
+
+// The machine under an instance is paused for a few seconds. Expelling it at
+// once would move its endpoints twice, and callers would pay with what the
+// owners knew of the caches.
+func TestPausedInstanceRefutesSuspicion(t *testing.T) {
+	g := newGroup(t, 16)
+	g.run(20 * time.Second)
+	g.stopped[5] = true
+	g.run(4 * time.Second)
+	g.wantStatus(5, fleetpb.MemberStatus_MEMBER_STATUS_SUSPECT)
+	g.stopped[5] = false
+	g.run(4 * time.Second)
+	g.wantAllAlive()
+}
+
+// The way between two instances is broken while both are well. Without checks
+// by others each of them would be expelled by the other.
+func TestBrokenWayBetweenTwoIsNoSuspicion(t *testing.T) {
+	g := newGroup(t, 8)
+	g.run(20 * time.Second)
+	g.cut = func(a, b int) bool { return a+b == 3 && (a == 1 || a == 2) }
+	for range 60 {
+		g.run(time.Second)
+		g.wantAllAlive()
+	}
+}
+
+// Two regions lose each other for ten minutes while operators change a record
+// through one of them. Afterwards callers must be served by the same record
+// everywhere, and nobody may have to restart anything.
+func TestPartitionHeals(t *testing.T) {
+	g := newGroup(t, 16)
+	g.run(20 * time.Second)
+	g.cores[0].put(g.now, record(3))
+	g.run(5 * time.Second)
+	g.cut = func(a, b int) bool { return a%2 != b%2 }
+	g.run(10 * time.Minute)
+	g.cores[1].put(g.now, record(4))
+	g.run(5 * time.Second)
+	if owners := g.cores[0].table.View().Owners; len(owners) != 8 {
+		t.Fatalf("%d owners in the half", len(owners))
+	}
+	g.cut = func(int, int) bool { return false }
+	g.run(30 * time.Second)
+	g.wantAllAlive()
+	g.wantRecord(4)
+}
+
+// An instance restarts on a machine whose clock is hours behind. Its peers
+// remember a higher incarnation of it and would take the dead one's state for
+// newer than the living one's.
+func TestClockBehindAfterRestart(t *testing.T) {
+	g := newGroup(t, 8)
+	g.run(20 * time.Second)
+	g.stopped[5] = true
+	g.run(20 * time.Second)
+	g.cores[5] = g.newCore(5, 17)
+	g.stopped[5] = false
+	g.run(10 * time.Second)
+	g.wantAllAlive()
+}
+
+func TestLeavingInstanceOwnsNothing(t *testing.T) {
+	g := newGroup(t, 8)
+	g.run(20 * time.Second)
+	g.cores[5].put(g.now, g.cores[5].table.Leave())
+	g.run(2 * time.Second)
+	g.wantStatus(5, fleetpb.MemberStatus_MEMBER_STATUS_LEAVING)
+	g.cores[5].put(g.now, g.cores[5].table.Left())
+	g.run(2 * time.Second)
+	g.wantStatus(5, fleetpb.MemberStatus_MEMBER_STATUS_LEFT)
+}
--- /dev/null
+++ b/fleet/exchange/send.go
@@ -0,0 +1,151 @@
+package exchange
+
+import (
+	"math/bits"
+	"time"
+
+	"github.com/sardinedock/sardinedock/schema/fleetpb"
+)
+
+// Bundle is what one message carries of the shared state.
+type Bundle struct {
+	Items     []*fleetpb.Item
+	Summaries []*fleetpb.Summary
+	Want      []*fleetpb.ItemKey
+}
+
+// Empty reports whether there is nothing to send.
+func (b *Bundle) Empty() bool { return len(b.Items)+len(b.Summaries)+len(b.Want) == 0 }
+
+// Bytes estimates the size of the bundle on the wire.
+func (b *Bundle) Bytes() int {
+	n := 0
+	for _, it := range b.Items {
+		n += overheadBytes + len(it.GetKey().GetName()) + len(it.GetValue())
+	}
+	for _, s := range b.Summaries {
+		n += overheadBytes + len(s.GetKey().GetName())
+	}
+	for _, k := range b.Want {
+		n += overheadBytes/2 + len(k.GetName())
+	}
+	return n
+}
+
+// overheadBytes is what an item needs on the wire beside name and value.
+const overheadBytes = 32
+
+// SendLimit is how often a change is sent by each instance of a fleet of n.
+// Each transmission reaches a random peer, so a few times the logarithm of n
+// reach all but a handful, which the compare finds.
+func SendLimit(n int) int {
+	return min(maxSends, 2+bits.Len(uint(max(n, 1)))*3/2)
+}
+
+// HasHot reports whether a change is still to be sent in a fleet of n.
+func (s *Store) HasHot(n int) bool {
+	for i := range SendLimit(n) {
+		for _, h := range s.hot[i] {
+			if !h.gone && h.sends == i {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Next appends to the bundle the changes that were sent least often, up to the
+// number of bytes, and counts them as sent to the peer in a fleet of n. A
+// change is not sent back to the peer that told it.
+//
+// It is made for a burst of changes, such as a lost rack: the newest changes
+// overtake those that most peers have already, and the bound keeps the cost of
+// each message fixed, whatever the fleet's size.
+func (s *Store) Next(b *Bundle, peer string, n, maxBytes int, now time.Time) {
+	limit := SendLimit(n)
+	var sent []*held
+	for i := 0; i < limit && maxBytes > 0; i++ {
+		queue := s.hot[i]
+		at := 0
+		for ; at < len(queue) && maxBytes > 0; at++ {
+			h := queue[at]
+			if h.gone || h.sends != i {
+				continue
+			}
+			if h.source != peer || peer == "" {
+				maxBytes -= s.send(b, h, now)
+			}
+			sent = append(sent, h)
+		}
+		s.hot[i] = append(queue[:0], queue[at:]...)
+	}
+	for _, h := range sent {
+		h.sends++
+		if h.sends < limit {
+			s.hot[h.sends] = append(s.hot[h.sends], h)
+		}
+	}
+}
+
+// send adds the item, or its summary where it is large, and returns its bytes.
+func (s *Store) send(b *Bundle, h *held, now time.Time) int {
+	if len(h.Value) > inlineBytes {
+		b.Summaries = append(b.Summaries, h.summary())
+		return overheadBytes + len(h.Key.Name)
+	}
+	b.Items = append(b.Items, h.message(now))
+	return overheadBytes + len(h.Key.Name) + len(h.Value)
+}
+
+func (h *held) summary() *fleetpb.Summary {
+	return &fleetpb.Summary{Key: h.Key.message(), Epoch: h.Epoch, Version: h.Version}
+}
+
+func (h *held) message(now time.Time) *fleetpb.Item {
+	m := &fleetpb.Item{Key: h.Key.message(), Epoch: h.Epoch, Version: h.Version, Value: h.Value}
+	if !h.expires.IsZero() {
+		m.TtlMs = max(1, h.expires.Sub(now).Milliseconds())
+	}
+	return m
+}
+
+// Take merges the items of a message from the peer and returns those that were
+// new here.
+func (s *Store) Take(items []*fleetpb.Item, peer string, now time.Time) []Item {
+	var changed []Item
+	for _, m := range items {
+		it := Item{
+			Key:     keyOf(m.GetKey()),
+			Epoch:   m.GetEpoch(),
+			Version: m.GetVersion(),
+			Value:   m.GetValue(),
+			TTL:     time.Duration(m.GetTtlMs()) * time.Millisecond,
+		}
+		if s.Put(it, peer, now) {
+			changed = append(changed, it)
+		}
+	}
+	return changed
+}
+
+// Answer adds to the bundle what the peer has asked for or, by its summaries,
+// holds in an older version, and asks for what it holds in a newer one.
+func (s *Store) Answer(b *Bundle, want []*fleetpb.ItemKey, summaries []*fleetpb.Summary, now time.Time) {
+	for _, k := range want {
+		if h := s.items[keyOf(k)]; h != nil {
+			b.Items = append(b.Items, h.message(now))
+		}
+	}
+	for _, sum := range summaries {
+		h := s.items[keyOf(sum.GetKey())]
+		if h == nil || less(h.Epoch, h.Version, sum.GetEpoch(), sum.GetVersion()) {
+			b.Want = append(b.Want, sum.GetKey())
+		} else if less(sum.GetEpoch(), sum.GetVersion(), h.Epoch, h.Version) {
+			b.Items = append(b.Items, h.message(now))
+		}
+	}
+}
+
+func less(epochA, versionA, epochB, versionB uint64) bool {
+	return epochA < epochB || epochA == epochB && versionA < versionB
+}
