--- a/demo/demo.go
+++ b/demo/demo.go
@@ -1,210 +1,103 @@
 // Package demo runs instances and stand-ins in one process over loopback TCP,
-// drives requests through them and counts what callers got.
+// drives requests through them and counts what callers got and what endpoints
+// ran, independent of the router's own word.
 package demo
 
 import (
-	"bufio"
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"strings"
-	"sync"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-	"github.com/valyala/fasthttp"
-	"google.golang.org/protobuf/proto"
-
 	"github.com/sardinedock/sardinedock/emulator"
-	"github.com/sardinedock/sardinedock/instance"
-	"github.com/sardinedock/sardinedock/record"
-	"github.com/sardinedock/sardinedock/schema/recordspb"
-	"github.com/sardinedock/sardinedock/settings"
+	"github.com/sardinedock/sardinedock/schema/loadpb"
 )
 
-// Scenarios lists the scenarios by name.
-var Scenarios = []string{"kwabena", "khangai"}
-
 // Options are the demo's flags.
 type Options struct {
 	Instances int
+	// Endpoints is the number of model engines; 0 is the scenario's usual one.
 	Endpoints int
 	Seconds   int
 	Seed      int64
 	Scenario  string
 }
 
-// Quantiles of a duration, in milliseconds.
-type Quantiles struct {
-	P50 float64 `json:"p50"`
-	P95 float64 `json:"p95"`
-	P99 float64 `json:"p99"`
-}
-
-// Report is what came of a run, counted at the callers.
-type Report struct {
-	Sent        int       `json:"sent"`
-	Complete    int       `json:"complete"`
-	Incomplete  int       `json:"incomplete"`
-	WrongAnswer int       `json:"wrong_answer"`
-	Refused     int       `json:"refused_not_run"`
-	TTFT        Quantiles `json:"ttft_ms"`
-}
-
-// Broken names the broken invariant, or nothing.
-func (r *Report) Broken() string {
-	if r.Incomplete > 0 || r.WrongAnswer > 0 {
-		return fmt.Sprintf("%d incomplete, %d wrong answers", r.Incomplete, r.WrongAnswer)
-	}
-	return ""
-}
-
-// WriteText prints the report for a reader.
-func (r *Report) WriteText(w io.Writer) error {
-	_, err := fmt.Fprintf(w, "sent %d, complete %d, incomplete %d, wrong answer %d, refused %d\nfirst token ms: p50 %.1f p95 %.1f p99 %.1f\n",
-		r.Sent, r.Complete, r.Incomplete, r.WrongAnswer, r.Refused, r.TTFT.P50, r.TTFT.P95, r.TTFT.P99)
-	return err
-}
-
-const (
-	demoKey   = "demo-key"
-	demoModel = "counter"
-	demoRate  = 50
-)
+// leaveBound is how long after its word a leaving engine may get new work.
+const leaveBound = 3 * time.Second
 
 // Run runs one scenario to its end.
 func Run(ctx context.Context, o Options, progress io.Writer) (*Report, error) {
-	e, err := emulator.Start("127.0.0.1:0", records(o))
+	s := newScenario(o)
+	e, err := emulator.StartWith(anyPort, s.records, s.emulator)
 	if err != nil {
 		return nil, err
 	}
 	defer e.Close()
-	var targets []string
-	for n := range o.Instances {
-		i, err := startInstance(ctx, e.Store.Addr(), n)
-		if err != nil {
-			return nil, err
-		}
-		defer func() { _ = i.Stop(ctx) }()
-		targets = append(targets, i.Callers())
-	}
-	fmt.Fprintf(progress, "%d instances, %d endpoints, %d s of %s\n", o.Instances, o.Endpoints, o.Seconds, o.Scenario)
-	return drive(o, targets), nil
-}
-
-func records(o Options) []*recordspb.Record {
-	pool := &recordspb.EndpointPool{BlockTokens: 64, CacheBlocks: 4096, Slots: 16, UrgentSlots: proto.Int64(2), PrefillTokensPerSecond: 20000, LoadsAtOnce: 2}
-	for n := range o.Endpoints {
-		pool.Endpoints = append(pool.Endpoints, &recordspb.Endpoint{Name: fmt.Sprintf("engine-%d", n), Address: "127.0.0.1:0"})
+	f, err := startFleet(ctx, e.Store, s.dataCentres, o.Instances)
+	if err != nil {
+		return nil, err
 	}
-	class := &recordspb.RequestClass{MaxWaitMs: 2000, TimeoutMs: 60000}
-	model := &recordspb.Model{Version: "1", Pool: "engines", DefaultClass: "quote", MaxTokens: 4096}
-	org := &recordspb.Organisation{KeyHashes: []string{record.HashKey(demoKey)}, Weight: 1}
-	return []*recordspb.Record{
-		{SchemaVersion: 1, Name: "engines", Spec: &recordspb.Record_Pool{Pool: pool}},
-		{SchemaVersion: 1, Name: "quote", Spec: &recordspb.Record_Class{Class: class}},
-		{SchemaVersion: 1, Name: demoModel, Spec: &recordspb.Record_Model{Model: model}},
-		{SchemaVersion: 1, Name: "accra", Spec: &recordspb.Record_Organisation{Organisation: org}},
+	defer f.stop()
+	fmt.Fprintf(progress, "%s: %d instances, %d engines, %d services, %d s\n", o.Scenario, o.Instances, len(e.Engines), len(e.Services), o.Seconds)
+	w := &workload{load: s.load}
+	d := newDriver(w, f, e.Runs)
+	r := &Report{Scenario: o.Scenario, Seed: o.Seed, Instances: o.Instances, Seconds: int64(o.Seconds)}
+	if o.Scenario == scenarioFaults {
+		runFaults(ctx, d, e, f, r, progress)
+	} else {
+		d.run(ctx, progress)
 	}
+	d.fill(r)
+	fillEndpoints(r, e)
+	r.finish()
+	return r, nil
 }
 
-func startInstance(ctx context.Context, storeAddr string, n int) (*instance.Instance, error) {
-	text := fmt.Sprintf("fleet: demo\ninstance: entry-%d\ndata_centre: dc-%d\nlisten: {callers: \"127.0.0.1:0\", admin: \"127.0.0.1:0\", fleet: \"127.0.0.1:0\"}\nplatform: {address: %q}\n", n, n%3, storeAddr)
-	s, faults := settings.Parse([]byte(text))
-	if len(faults) > 0 {
-		return nil, fmt.Errorf("demo settings: %v", faults)
-	}
-	return instance.Start(ctx, s)
+// RunLoad drives instances that run elsewhere. Nothing is known of the
+// endpoints then, so their counts stay empty.
+func RunLoad(ctx context.Context, addr string, l *loadpb.Load, progress io.Writer) *Report {
+	d := newDriver(&workload{load: l}, fixedTarget(addr), nil)
+	d.run(ctx, progress)
+	r := &Report{Scenario: "load", Seed: l.GetSeed(), Instances: 1, Seconds: l.GetSeconds()}
+	d.fill(r)
+	r.finish()
+	return r
 }
 
-// drive sends on schedule whether or not earlier answers have come.
-func drive(o Options, targets []string) *Report {
-	d := &driver{hist: hdrhistogram.New(1, 600_000_000, 3)}
-	rng := rand.New(rand.NewPCG(uint64(o.Seed), 1))
-	start := time.Now()
-	var wg sync.WaitGroup
-	for n := range o.Seconds * demoRate {
-		due := start.Add(time.Duration(n) * time.Second / demoRate)
-		time.Sleep(time.Until(due))
-		prompt := fmt.Sprintf("%s\nitem %d of customer %d", strings.Repeat("M12 anchor, grade 8.8; ", 400), n, rng.IntN(20))
-		target := targets[rng.IntN(len(targets))]
-		wg.Go(func() { d.send(target, prompt, due) })
-	}
-	wg.Wait()
-	d.report.TTFT = Quantiles{d.quantile(50), d.quantile(95), d.quantile(99)}
-	return &d.report
-}
+// fixedTarget is a balancer, or an instance, at one address.
+type fixedTarget string
 
-type driver struct {
-	mu     sync.Mutex
-	report Report
-	hist   *hdrhistogram.Histogram
-}
+func (t fixedTarget) choose(*rand.Rand, []string) string { return string(t) }
+func (t fixedTarget) killedSince(string, time.Time) bool { return false }
 
-func (d *driver) quantile(q float64) float64 {
-	return float64(d.hist.ValueAtQuantile(q)) / 1000
+func (d *driver) fill(r *Report) {
+	d.settleKeys()
+	r.Classes, r.Findings = d.classes, d.findings
 }
 
-func (d *driver) send(target, prompt string, due time.Time) {
-	const maxTokens = 8
-	want := strings.Join(emulator.Answer(prompt, maxTokens), "")
-	body, _ := json.Marshal(struct {
-		Model     string `json:"model"`
-		Prompt    string `json:"prompt"`
-		MaxTokens int    `json:"max_tokens"`
-		Stream    bool   `json:"stream"`
-	}{demoModel, prompt, maxTokens, true})
-	status, got, ended, first := call(target, body)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.report.Sent++
-	switch {
-	case status == fasthttp.StatusServiceUnavailable:
-		d.report.Refused++
-	case status != fasthttp.StatusOK || !ended:
-		d.report.Incomplete++
-	case got != want:
-		d.report.WrongAnswer++
-	default:
-		d.report.Complete++
-		_ = d.hist.RecordValue(first.Sub(due).Microseconds())
-	}
-}
-
-func call(target string, body []byte) (status int, text string, ended bool, first time.Time) {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI("http://" + target + "/v1/completions")
-	req.Header.SetMethod(fasthttp.MethodPost)
-	req.Header.Set("Authorization", "Bearer "+demoKey)
-	req.SetBodyRaw(body)
-	c := &fasthttp.Client{StreamResponseBody: true}
-	if err := c.Do(req, resp); err != nil {
-		return 0, "", false, first
-	}
-	var b strings.Builder
-	sc := bufio.NewScanner(resp.BodyStream())
-	for sc.Scan() {
-		data, ok := bytes.CutPrefix(sc.Bytes(), []byte("data: "))
-		if !ok {
-			continue
-		}
-		if first.IsZero() {
-			first = time.Now()
+// fillEndpoints takes over what the stand-ins counted.
+func fillEndpoints(r *Report, e *emulator.Emulator) {
+	for _, engine := range e.Engines {
+		s := engine.Stats()
+		r.Endpoints.EngineRuns += s.Runs
+		r.Endpoints.Refused += s.Refused
+		r.Endpoints.Crashes += s.Crashes
+		r.Endpoints.StaleBlocks += s.StaleBlocks
+		if s.LastStartAfterLeaving > leaveBound {
+			r.Endpoints.LateStarts++
 		}
-		if string(data) == "[DONE]" {
-			return resp.StatusCode(), b.String(), true, first
-		}
-		var piece struct {
-			Choices []struct{ Text string }
-		}
-		if json.Unmarshal(data, &piece) == nil && len(piece.Choices) == 1 {
-			b.WriteString(piece.Choices[0].Text)
+		for name, tokens := range s.Groups {
+			if c, ok := r.Classes[name]; ok {
+				c.tokens.Add(tokens)
+				c.EndpointRuns += tokens.Runs
+			}
 		}
 	}
-	return resp.StatusCode(), b.String(), false, first
+	for _, service := range e.Services {
+		r.Endpoints.ServiceRuns += service.Runs()
+	}
+	c := e.Store.Counts()
+	r.StoreCalls = StoreCalls{Reads: c.Reads, Writes: c.Writes, Watches: c.Watches, RateLimited: c.RateLimited}
 }
--- /dev/null
+++ b/demo/driver.go
@@ -0,0 +1,327 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sardinedock/sardinedock/emulator"
+)
+
+const (
+	// maxFindings bounds the broken invariants that are told one by one.
+	maxFindings = 20
+	// progressEvery is the time between two lines of progress.
+	progressEvery = time.Second
+	// defaultBackoff is how long a caller waits before it sends again, where
+	// the answer does not say.
+	defaultBackoff = 200 * time.Millisecond
+	// maxBackoff bounds what a caller takes from Retry-After.
+	maxBackoff = 3 * time.Second
+)
+
+// targets is the balancer: it names the instances that callers reach.
+type targets interface {
+	// choose returns an instance, if it can be one that is not in tried.
+	choose(rng *rand.Rand, tried []string) string
+	// killedSince reports whether the instance was killed after the time.
+	killedSince(target string, since time.Time) bool
+}
+
+// driver sends a workload on schedule, whether or not earlier answers have
+// come, and counts what the callers got.
+type driver struct {
+	workload *workload
+	targets  targets
+	// runs is what the endpoints counted; nil where they are not ours.
+	runs *emulator.Ledger
+	// resends is how often a caller sends again after an answer that is not
+	// complete.
+	resends int
+
+	mu       sync.Mutex
+	classes  map[string]*Counts
+	open     int
+	findings []string
+	keys     map[string]*keyed
+}
+
+// keyed is what callers were told of one request that must not run twice.
+type keyed struct {
+	class     string
+	confirmed bool
+}
+
+func newDriver(w *workload, t targets, runs *emulator.Ledger) *driver {
+	d := &driver{workload: w, targets: t, runs: runs, classes: map[string]*Counts{}, keys: map[string]*keyed{}}
+	for _, work := range w.load.GetWork() {
+		d.classes[work.GetName()] = newCounts()
+	}
+	return d
+}
+
+// run sends until the load or ctx ends, and waits for the answers.
+func (d *driver) run(ctx context.Context, progress io.Writer) {
+	stop := d.showProgress(progress)
+	defer stop()
+	start := time.Now()
+	var wg sync.WaitGroup
+	for n, due := range d.workload.dueTimes() {
+		if !sleepUntil(ctx, start.Add(due)) {
+			break
+		}
+		r := d.workload.draw(n, due)
+		if !d.admit(r) {
+			continue
+		}
+		wg.Go(func() {
+			d.perform(ctx, r, start.Add(due))
+			d.leave()
+		})
+	}
+	wg.Wait()
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	t := time.NewTimer(time.Until(at))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// admit keeps the number of open requests bounded, so that a target that has
+// stopped answering cannot make the driver hold everything that is due.
+func (d *driver) admit(r *request) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := d.classes[r.work.GetName()]
+	if d.open >= int(d.workload.load.GetMaxInFlight()) {
+		c.NotSent++
+		return false
+	}
+	d.open++
+	c.Sent++
+	if r.key != "" {
+		d.keys[r.key] = &keyed{class: r.work.GetName()}
+	}
+	return true
+}
+
+func (d *driver) leave() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.open--
+}
+
+// perform sends one request until it is complete or the caller gives up.
+func (d *driver) perform(ctx context.Context, r *request, due time.Time) {
+	var second sync.WaitGroup
+	if r.resend == resendAtOnce {
+		second.Go(func() { d.attempt(r, d.rng(r, 1), 0, nil) })
+	}
+	rng := d.rng(r, 0)
+	var tried []string
+	var last verdict
+	for n := 0; ; n++ {
+		var a answer
+		var target string
+		last, target, a = d.attempt(r, rng, n, tried)
+		if last == verdictComplete {
+			d.observe(r, a, due)
+		}
+		if last == verdictComplete || n >= d.resends || ctx.Err() != nil {
+			break
+		}
+		tried = append(tried, target)
+		wait := min(max(a.retryAfter, defaultBackoff), maxBackoff)
+		sleepUntil(ctx, time.Now().Add(wait/2+rand.N(wait)))
+	}
+	if r.resend == resendAfterwards && last == verdictComplete {
+		d.attempt(r, rng, 0, nil)
+	}
+	second.Wait()
+	d.settle(r, last)
+}
+
+func (d *driver) rng(r *request, stream uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(uint64(d.workload.load.GetSeed())<<8+stream, uint64(r.number)))
+}
+
+// attempt sends a request once and checks the answer against what the
+// endpoints counted.
+func (d *driver) attempt(r *request, rng *rand.Rand, n int, tried []string) (verdict, string, answer) {
+	marker := r.markerName(d.workload.load.GetSeed(), n)
+	c, err := r.build(marker)
+	if err != nil {
+		return verdictFailed, "", answer{}
+	}
+	target := d.targets.choose(rng, tried)
+	begun := time.Now()
+	before := d.runsOf(r, marker)
+	a := do(target, &c, time.Duration(d.workload.load.GetTimeoutMs())*time.Millisecond)
+	v := judge(&a, &c, d.workload.load.GetCheckAnswers())
+	if v == verdictIncomplete && a.ending != endTimeout && a.ending != endShort && d.targets.killedSince(target, begun) {
+		v = verdictCut
+	}
+	d.check(r, v, a, c, marker, target, before)
+	return v, target, a
+}
+
+// runsOf returns how often the endpoints started the request.
+func (d *driver) runsOf(r *request, marker string) int {
+	if d.runs == nil {
+		return 0
+	}
+	return max(d.runs.ByMarker(marker), d.runs.ByKey(r.key))
+}
+
+// check counts what is wrong with one attempt's answer, also when a later
+// attempt mends it.
+func (d *driver) check(r *request, v verdict, a answer, c call, marker, target string, before int) {
+	after := d.runsOf(r, marker)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	counts := d.classes[r.work.GetName()]
+	counts.Attempts++
+	if d.runs == nil {
+		return
+	}
+	at := fmt.Sprintf("%s at %s as %s", marker, target, a.requestID)
+	switch {
+	// A request with a key is one and the same in all attempts: not-run is
+	// false if any of them has run.
+	case v == verdictNotRun && (r.key != "" && after > 0 || after > before):
+		counts.FalseNotRun++
+		d.find("false not-run: %s, status %d, code %s, %d runs", at, a.status, a.errorCode, after)
+	case v == verdictComplete && r.key != "":
+		d.keys[r.key].confirmed = true
+	case v == verdictWrong:
+		d.find("wrong answer: %s, got %q, want %q", at, clip(a.text), clip(c.want))
+	case v == verdictIncomplete:
+		d.find("incomplete: %s, status %d, ending %d after %q", at, a.status, a.ending, clip(a.text))
+	}
+}
+
+// clip shortens a text for a line of the report.
+func clip(s string) string {
+	const limit = 80
+	if len(s) <= limit {
+		return s
+	}
+	return s[:limit] + "..."
+}
+
+func (d *driver) find(format string, args ...any) {
+	if len(d.findings) < maxFindings {
+		d.findings = append(d.findings, fmt.Sprintf(format, args...))
+	}
+}
+
+// observe records the time to the first token, from the due time on.
+func (d *driver) observe(r *request, a answer, due time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	micros := min(max(a.first.Sub(due).Microseconds(), lowestMicros), highestMicros)
+	_ = d.classes[r.work.GetName()].hist.RecordValue(micros)
+}
+
+// settle counts the last word that the caller got.
+func (d *driver) settle(r *request, v verdict) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := d.classes[r.work.GetName()]
+	switch v {
+	case verdictComplete:
+		c.Complete++
+	case verdictIncomplete:
+		c.Incomplete++
+	case verdictWrong:
+		c.WrongAnswer++
+	case verdictNotRun:
+		c.RefusedNotRun++
+	case verdictUnknown:
+		c.UnknownOutcome++
+	case verdictFailed:
+		c.Failed++
+	case verdictCut:
+		c.CutByKill++
+	}
+}
+
+// settleKeys counts, at the end of a run, by what the endpoints ran.
+func (d *driver) settleKeys() {
+	if d.runs == nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for key, k := range d.keys {
+		runs := d.runs.ByKey(key)
+		c := d.classes[k.class]
+		if runs > 1 {
+			c.DoubledNonRepeatable++
+			d.find("doubled: %s ran %d times", key, runs)
+		}
+		if k.confirmed && runs == 0 {
+			c.ConfirmedNotRun++
+			d.find("confirmed but not run: %s", key)
+		}
+		c.EndpointRuns += runs
+	}
+}
+
+// showProgress writes a line a second where a person watches.
+func (d *driver) showProgress(w io.Writer) (stop func()) {
+	if !isTerminal(w) {
+		return func() {}
+	}
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		tick := time.NewTicker(progressEvery)
+		defer tick.Stop()
+		for {
+			select {
+			case <-done:
+				fmt.Fprint(w, "\r"+strings.Repeat(" ", 78)+"\r")
+				return
+			case <-tick.C:
+				fmt.Fprint(w, d.progressLine())
+			}
+		}
+	})
+	return func() {
+		close(done)
+		wg.Wait()
+	}
+}
+
+func (d *driver) progressLine() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var sum Counts
+	for _, c := range d.classes {
+		sum.Sent += c.Sent
+		sum.Complete += c.Complete
+		sum.RefusedNotRun += c.RefusedNotRun
+	}
+	return fmt.Sprintf("\rsent %6d  open %5d  complete %6d  not run %5d", sum.Sent, d.open, sum.Complete, sum.RefusedNotRun)
+}
+
+func isTerminal(w io.Writer) bool {
+	f, ok := w.(*os.File)
+	if !ok {
+		return false
+	}
+	info, err := f.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
+}
--- /dev/null
+++ b/demo/fleet.go
@@ -0,0 +1,172 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sardinedock/sardinedock/emulator"
+	"github.com/sardinedock/sardinedock/instance"
+	"github.com/sardinedock/sardinedock/platform"
+	"github.com/sardinedock/sardinedock/settings"
+)
+
+// anyPort lets the machine choose.
+const anyPort = "127.0.0.1:0"
+
+// stopTimeout bounds the graceful end of the instances after a run.
+const stopTimeout = 20 * time.Second
+
+// fleet is the instances of a run, and the balancer before them.
+type fleet struct {
+	store       *emulator.Store
+	dataCentres []string
+
+	mu      sync.Mutex
+	members []*member
+}
+
+// member is one instance's place: its addresses stay over restarts.
+type member struct {
+	name                  string
+	dataCentre            string
+	callers, admin, peers string
+
+	running *instance.Instance
+	killed  time.Time
+}
+
+// startFleet starts the instances one after the other; each knows all others
+// as seeds, whether or not they run yet.
+func startFleet(ctx context.Context, store *emulator.Store, dataCentres []string, count int) (*fleet, error) {
+	f := &fleet{store: store, dataCentres: dataCentres}
+	ports, err := freePorts(3 * count)
+	if err != nil {
+		return nil, err
+	}
+	for n := range count {
+		f.members = append(f.members, &member{
+			name:       fmt.Sprintf("entry-%d", n+1),
+			dataCentre: dataCentres[n%len(dataCentres)],
+			callers:    ports[3*n], admin: ports[3*n+1], peers: ports[3*n+2],
+		})
+	}
+	f.tellPlatform()
+	for _, m := range f.members {
+		if err := f.start(ctx, m); err != nil {
+			f.stop()
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+// freePorts finds addresses that nothing listens on.
+func freePorts(count int) ([]string, error) {
+	addrs := make([]string, 0, count)
+	for range count {
+		ln, err := net.Listen("tcp", anyPort)
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = ln.Close() }()
+		addrs = append(addrs, ln.Addr().String())
+	}
+	return addrs, nil
+}
+
+func (f *fleet) start(ctx context.Context, m *member) error {
+	s, faults := settings.Parse([]byte(f.settings(m)))
+	if len(faults) > 0 {
+		return fmt.Errorf("settings of the demo: %v", faults)
+	}
+	i, err := instance.Start(ctx, s)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m.running = i
+	return nil
+}
+
+func (f *fleet) settings(m *member) string {
+	var seeds []string
+	for _, other := range f.members {
+		if other != m {
+			seeds = append(seeds, fmt.Sprintf("%q", other.peers))
+		}
+	}
+	return fmt.Sprintf(`fleet: demo
+instance: %s
+data_centre: %s
+listen: {callers: %q, admin: %q, fleet: %q}
+platform: {address: %q}
+seeds: [%s]
+shutdown: {notice_ms: 200, drain_ms: 20000}
+`, m.name, m.dataCentre, m.callers, m.admin, m.peers, f.store.Addr(), strings.Join(seeds, ", "))
+}
+
+// tellPlatform writes the list of instances as the platform would.
+func (f *fleet) tellPlatform() {
+	var entries []platform.InstanceEntry
+	for _, m := range f.members {
+		entries = append(entries, platform.InstanceEntry{Name: m.name, Address: m.peers, DataCentre: m.dataCentre})
+	}
+	f.store.SetInstances(entries)
+}
+
+// choose implements targets.
+func (f *fleet) choose(rng *rand.Rand, tried []string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var up, fresh []string
+	for _, m := range f.members {
+		if m.running == nil {
+			continue
+		}
+		up = append(up, m.callers)
+		if !slices.Contains(tried, m.callers) {
+			fresh = append(fresh, m.callers)
+		}
+	}
+	switch {
+	case len(fresh) > 0:
+		return fresh[rng.IntN(len(fresh))]
+	case len(up) > 0:
+		return up[rng.IntN(len(up))]
+	}
+	return f.members[rng.IntN(len(f.members))].callers
+}
+
+// killedSince implements targets.
+func (f *fleet) killedSince(target string, since time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.members {
+		if m.callers == target {
+			return m.running == nil || m.killed.After(since)
+		}
+	}
+	return false
+}
+
+// stop ends the instances gracefully, all at a time.
+func (f *fleet) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	f.mu.Lock()
+	for _, m := range f.members {
+		if i := m.running; i != nil {
+			wg.Go(func() { _ = i.Stop(ctx) })
+		}
+	}
+	f.mu.Unlock()
+	wg.Wait()
+}
--- /dev/null
+++ b/demo/workload.go
@@ -0,0 +1,236 @@
+package demo
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sardinedock/sardinedock/emulator"
+	"github.com/sardinedock/sardinedock/prefix"
+	"github.com/sardinedock/sardinedock/schema/loadpb"
+)
+
+// request is one thing that a caller wants done.
+type request struct {
+	number int
+	work   *loadpb.Work
+	caller *loadpb.LoadCaller
+	due    time.Duration
+	prompt string
+	chat   bool
+	stream bool
+	poison bool
+	// key is the Idempotency-Key; empty for requests that may be repeated.
+	key string
+	// resend: the caller sends it twice, without having seen an error.
+	resend resendKind
+}
+
+// resendKind says when a caller sends a request a second time.
+type resendKind int
+
+const (
+	resendNever resendKind = iota
+	resendAtOnce
+	resendAfterwards
+)
+
+// workload draws requests. What it draws depends on the load alone, so a run
+// with the same load sends the same requests.
+type workload struct {
+	load  *loadpb.Load
+	texts textCache
+	// poisonShare of the requests to engines crash them.
+	poisonShare float64
+}
+
+// dueTimes draws when the requests are due, in order.
+func (w *workload) dueTimes() []time.Duration {
+	l := w.load
+	rng := rand.New(rand.NewPCG(uint64(l.GetSeed()), 11))
+	total := time.Duration(l.GetSeconds()) * time.Second
+	count := min(int64(float64(l.GetSeconds())*l.GetRequestsPerSecond()), l.GetMaxRequests())
+	period := time.Duration(l.GetBursts().GetPeriodMs()) * time.Millisecond
+	length := time.Duration(l.GetBursts().GetLengthMs()) * time.Millisecond
+	due := make([]time.Duration, count)
+	for i := range due {
+		if period > 0 && rng.Float64() < l.GetBursts().GetShare() {
+			bursts := int64((total + period - 1) / period)
+			due[i] = min(time.Duration(rng.Int64N(bursts))*period+time.Duration(rng.Int64N(int64(length))), total)
+		} else {
+			due[i] = time.Duration(rng.Int64N(int64(total)))
+		}
+	}
+	sort.Slice(due, func(i, j int) bool { return due[i] < due[j] })
+	return due
+}
+
+// draw returns request number n.
+func (w *workload) draw(n int, due time.Duration) *request {
+	rng := rand.New(rand.NewPCG(uint64(w.load.GetSeed()), uint64(n)+1000))
+	r := &request{number: n, due: due}
+	r.caller = pick(rng, w.load.GetCallers())
+	r.work = pick(rng, w.load.GetWork())
+	r.chat = rng.Float64() < r.work.GetChat()
+	r.stream = rng.Float64() >= r.work.GetWhole()
+	if rng.Float64() < r.work.GetResend() {
+		r.resend = resendAtOnce + resendKind(rng.IntN(2))
+	}
+	if r.work.GetNotRepeatable() {
+		r.key = fmt.Sprintf("%s-%d-%d", r.work.GetName(), w.load.GetSeed(), n)
+	}
+	r.poison = r.work.GetModel() != "" && rng.Float64() < w.poisonShare
+	r.prompt = w.prompt(rng, r)
+	return r
+}
+
+// weighted is what has a part of the requests.
+type weighted interface{ GetWeight() float64 }
+
+func pick[T weighted](rng *rand.Rand, list []T) T {
+	sum := 0.0
+	for _, item := range list {
+		sum += item.GetWeight()
+	}
+	at := rng.Float64() * sum
+	for _, item := range list {
+		at -= item.GetWeight()
+		if at < 0 {
+			return item
+		}
+	}
+	return list[len(list)-1]
+}
+
+// prompt joins the levels that requests share and the request's own part.
+func (w *workload) prompt(rng *rand.Rand, r *request) string {
+	work, organisation := r.work, r.caller.GetOrganisation()
+	family := zipf(rng, work.GetZipf(), work.GetFamilies())
+	if period := w.load.GetBursts().GetPeriodMs(); period > 0 {
+		burst := r.due.Milliseconds() / period
+		family = (family + burst*w.load.GetBursts().GetHotShift()) % work.GetFamilies()
+	}
+	customer := zipf(rng, work.GetZipf(), work.GetCustomers())
+	var b strings.Builder
+	b.WriteString(w.texts.text("company "+organisation, work.GetCompanyTokens()))
+	b.WriteString(w.texts.text(fmt.Sprintf("family %d", family), work.GetFamilyTokens()))
+	b.WriteString(w.texts.text(fmt.Sprintf("customer %s %d", organisation, customer), work.GetCustomerTokens()))
+	b.WriteString(makeText(fmt.Sprintf("request %d", r.number), work.GetOwnTokens()))
+	if r.poison {
+		b.WriteString(emulator.PoisonText)
+	}
+	return b.String()
+}
+
+// zipf draws from 0 to n-1 by Zipf's law.
+func zipf(rng *rand.Rand, exponent float64, n int64) int64 {
+	return int64(rand.NewZipf(rng, exponent, 1, uint64(n-1)).Uint64())
+}
+
+// maxTexts bounds the texts that are kept to be used again.
+const maxTexts = 4096
+
+// textCache keeps the texts that many prompts share.
+type textCache struct {
+	mu    sync.Mutex
+	texts map[textKey]string
+}
+
+type textKey struct {
+	name   string
+	tokens int64
+}
+
+func (c *textCache) text(name string, tokens int64) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	key := textKey{name, tokens}
+	if text, ok := c.texts[key]; ok {
+		return text
+	}
+	text := makeText(name, tokens)
+	if c.texts == nil || len(c.texts) >= maxTexts {
+		c.texts = map[textKey]string{}
+	}
+	c.texts[key] = text
+	return text
+}
+
+// makeText returns a text of the name's own, about so many tokens long.
+func makeText(name string, tokens int64) string {
+	var b strings.Builder
+	length := int(tokens * prefix.BytesPerToken)
+	for line := 0; b.Len() < length; line++ {
+		fmt.Fprintf(&b, "%s, line %d: M%d, grade %d.%d, pack of %d\n", name, line, 3+line%33, 4+line%9, line%10, 10+line*7%990)
+	}
+	return b.String()[:length]
+}
+
+// markerName is the name under which the endpoints count an attempt. Attempts
+// of a request that must not run twice share one; attempts of others have
+// their own, so that a refusal can be checked against the runs.
+func (r *request) markerName(seed int64, attempt int) string {
+	if r.key != "" || r.poison {
+		attempt = 0
+	}
+	return fmt.Sprintf("%s/%d-%d-%d", r.work.GetName(), seed, r.number, attempt)
+}
+
+// chatBody and completionBody are what ordinary clients send.
+type chatBody struct {
+	Model     string             `json:"model"`
+	Messages  []emulator.Message `json:"messages"`
+	MaxTokens int64              `json:"max_tokens"`
+	Stream    bool               `json:"stream"`
+}
+
+type completionBody struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int64  `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
+}
+
+// call is one attempt as it goes over the wire, and the answer it has to get.
+type call struct {
+	path   string
+	body   []byte
+	header [][2]string
+	stream bool
+	want   string
+}
+
+// build makes the call of an attempt.
+func (r *request) build(marker string) (call, error) {
+	work := r.work
+	c := call{stream: r.stream && work.GetModel() != ""}
+	c.header = append(c.header, [2]string{"Authorization", "Bearer " + r.caller.GetKey()})
+	if work.GetClass() != "" {
+		c.header = append(c.header, [2]string{headerClass, work.GetClass()})
+	}
+	if r.key != "" {
+		c.header = append(c.header, [2]string{"Idempotency-Key", r.key})
+	}
+	text := r.prompt + emulator.Marker(marker)
+	if work.GetModel() == "" {
+		c.path, c.body = work.GetServicePath(), []byte(text)
+		path := "/" + strings.TrimPrefix(work.GetServicePath(), work.GetServicePrefix())
+		c.want = emulator.ServiceAnswer("POST", path, c.body)
+		return c, nil
+	}
+	var body any = completionBody{work.GetModel(), text, work.GetMaxTokens(), r.stream}
+	c.path = "/v1/completions"
+	if r.chat {
+		messages := []emulator.Message{{Role: "user", Content: text}}
+		body = chatBody{work.GetModel(), messages, work.GetMaxTokens(), r.stream}
+		c.path, text = "/v1/chat/completions", emulator.ChatPrompt(messages)
+	}
+	c.want = strings.Join(emulator.Answer(text, int(work.GetMaxTokens())), "")
+	var err error
+	c.body, err = json.Marshal(body)
+	return c, err
+}
--- /dev/null
+++ b/demo/workload_test.go
@@ -0,0 +1,60 @@
+package demo
+
+import (
+	"reflect"
+	"strings"
+	"testing"
+)
+
+// A run that shows a fault is run again by its seed, so the same seed has to
+// send the same requests.
+func TestSameSeedSameRequests(t *testing.T) {
+	for _, name := range Scenarios {
+		o := Options{Scenario: name, Seconds: 5, Seed: 7}
+		a, b := &workload{load: newScenario(o).load}, &workload{load: newScenario(o).load}
+		due := a.dueTimes()
+		if !reflect.DeepEqual(due, b.dueTimes()) {
+			t.Fatal("due times differ")
+		}
+		for n := range 20 {
+			x, y := a.draw(n, due[n]), b.draw(n, due[n])
+			if x.prompt != y.prompt || x.key != y.key || x.resend != y.resend || x.work.GetName() != y.work.GetName() {
+				t.Fatalf("%s: request %d differs", name, n)
+			}
+		}
+	}
+}
+
+// Prompts are built on texts that others share; without that there is nothing
+// to reuse and a hit rate says nothing.
+func TestPromptsShareTheirStarts(t *testing.T) {
+	w := &workload{load: newScenario(Options{Scenario: scenarioKwabena, Seconds: 10, Seed: 1}).load}
+	starts := map[string]int{}
+	quotes := 0
+	for n, due := range w.dueTimes() {
+		r := w.draw(n, due)
+		if r.work.GetName() != "quote" {
+			continue
+		}
+		quotes++
+		length := 4 * int(r.work.GetCompanyTokens()+r.work.GetFamilyTokens())
+		starts[r.prompt[:length]]++
+		if !strings.Contains(r.prompt[length:], "request ") {
+			t.Fatal("a prompt without a part of its own")
+		}
+	}
+	if len(starts)*2 > quotes {
+		t.Fatalf("%d different starts among %d quotes", len(starts), quotes)
+	}
+}
+
+func TestReportNamesEachBrokenInvariant(t *testing.T) {
+	r := Report{Counts: Counts{Incomplete: 1, WrongAnswer: 2, DoubledNonRepeatable: 3, FalseNotRun: 4, ConfirmedNotRun: 5}}
+	const want = "incomplete 1, wrong_answer 2, doubled_non_repeatable 3, false_not_run 4, confirmed_not_run 5"
+	if got := r.Broken(); got != want {
+		t.Fatalf("got %q, want %q", got, want)
+	}
+	if (&Report{Counts: Counts{RefusedNotRun: 9, UnknownOutcome: 9, Failed: 9}}).Broken() != "" {
+		t.Fatal("a refusal that was said is no broken invariant")
+	}
+}
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"strconv"
 	"strings"
@@ -112,19 +113,38 @@
 	leaving  time.Time
 }
 
-// EngineStats counts what an engine did since it was made, over all starts.
-type EngineStats struct {
+// TokenStats counts runs and what was computed for them.
+type TokenStats struct {
 	// Runs is how many requests got a slot.
 	Runs int `json:"runs"`
-	// Refused is how many were refused unstarted.
-	Refused int `json:"refused"`
-	Crashes int `json:"crashes"`
 	// PromptTokens of all runs, and of them CachedTokens found in the cache.
 	PromptTokens int64 `json:"prompt_tokens"`
 	CachedTokens int64 `json:"cached_tokens"`
 	// RecomputedTokens are those of blocks that some engine had computed
 	// before under the same name.
 	RecomputedTokens int64 `json:"recomputed_tokens"`
+}
+
+// Add adds other to s.
+func (s *TokenStats) Add(other TokenStats) {
+	s.Runs += other.Runs
+	s.PromptTokens += other.PromptTokens
+	s.CachedTokens += other.CachedTokens
+	s.RecomputedTokens += other.RecomputedTokens
+}
+
+// maxGroups bounds the groups of requests that are counted apart.
+const maxGroups = 64
+
+// EngineStats counts what an engine did since it was made, over all starts.
+type EngineStats struct {
+	TokenStats
+	// Groups counts by the part of the callers' markers before the first
+	// slash.
+	Groups map[string]TokenStats `json:"groups"`
+	// Refused is how many were refused unstarted.
+	Refused int `json:"refused"`
+	Crashes int `json:"crashes"`
 	// StaleBlocks were matched under another salt, model or version than they
 	// were computed under. It must stay 0.
 	StaleBlocks int `json:"stale_blocks"`
@@ -211,7 +231,24 @@
 func (e *Engine) Stats() EngineStats {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.stats
+	stats := e.stats
+	stats.Groups = maps.Clone(e.stats.Groups)
+	return stats
+}
+
+// count adds to the counts of all requests and of the request's group.
+func (e *Engine) count(j *job, s TokenStats) {
+	e.stats.Add(s)
+	group, _, _ := strings.Cut(j.marker, "/")
+	sum, ok := e.stats.Groups[group]
+	if !ok && len(e.stats.Groups) >= maxGroups {
+		return
+	}
+	sum.Add(s)
+	if e.stats.Groups == nil {
+		e.stats.Groups = map[string]TokenStats{}
+	}
+	e.stats.Groups[group] = sum
 }
 
 // Incarnation returns the number of the present start.
--- a/emulator/job.go
+++ b/emulator/job.go
@@ -162,7 +162,7 @@
 	l.waitTokens -= j.prompt
 	if got {
 		l.running++
-		e.stats.Runs++
+		e.count(j, TokenStats{Runs: 1})
 	} else {
 		e.forget(l, j)
 	}
@@ -182,8 +182,7 @@
 	e.mu.Lock()
 	depth, stale := l.cache.match(j.blocks, j.like)
 	j.cached = int64(depth * e.cfg.BlockTokens)
-	e.stats.PromptTokens += j.prompt
-	e.stats.CachedTokens += j.cached
+	e.count(j, TokenStats{PromptTokens: j.prompt, CachedTokens: j.cached})
 	e.stats.StaleBlocks += stale
 	e.mu.Unlock()
 	again := e.cfg.Shared.Blocks.compute(j.blocks[depth:])
@@ -193,7 +192,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.stats.RecomputedTokens += int64(again * e.cfg.BlockTokens)
+	e.count(j, TokenStats{RecomputedTokens: int64(again * e.cfg.BlockTokens)})
 	e.store(l, j.blocks, j.like)
 	return true
 }
--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -20,7 +20,7 @@
 func (c *demoCommand) declare(app *kingpin.Application) *kingpin.CmdClause {
 	clause := app.Command("demo", "Run instances and stand-ins in one process and drive a burst through them.")
 	clause.Flag("instances", "Entry instances.").Default("7").IntVar(&c.options.Instances)
-	clause.Flag("endpoints", "Model endpoints.").Default("9").IntVar(&c.options.Endpoints)
+	clause.Flag("endpoints", "Model endpoints; 0 is the scenario's usual number.").Default("0").IntVar(&c.options.Endpoints)
 	clause.Flag("seconds", "How long to send.").Default("10").IntVar(&c.options.Seconds)
 	clause.Flag("seed", "Seed of the requests.").Default("1").Int64Var(&c.options.Seed)
 	clause.Flag("scenario", "What to send.").Default("kwabena").EnumVar(&c.options.Scenario, demo.Scenarios...)
