Follow records by a few watches and serve without the object API

Cause: Start failed while the object API was down, and records never changed after it. A watch of five kinds at each of 360 instances would cost 1,800 waiting calls. Instances start without records; 503 tells Retry-After (one line in entry/errors.go).

--- a/entry/errors.go
+++ b/entry/errors.go
@@ -41,6 +41,9 @@
 	Code    string  `json:"code"`
 }
 
+// retryAfterSeconds is told where nothing more exact is known.
+const retryAfterSeconds = "1"
+
 // writeError answers with the status and body that belong to the error's kind.
 func writeError(ctx *fasthttp.RequestCtx, err error) {
 	status, errorType := statusOf(fault.KindOf(err))
@@ -51,6 +54,9 @@
 	body, _ := json.Marshal(apiError{apiErrorBody{Message: message, Type: errorType, Code: string(fault.KindOf(err))}})
 	ctx.Response.ResetBody()
 	ctx.SetStatusCode(status)
+	if status == fasthttp.StatusServiceUnavailable && len(ctx.Response.Header.Peek(fasthttp.HeaderRetryAfter)) == 0 {
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, retryAfterSeconds)
+	}
 	ctx.SetContentType("application/json")
 	ctx.SetBody(body)
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -12,6 +12,7 @@
 	"github.com/sardinedock/sardinedock/entry"
 	"github.com/sardinedock/sardinedock/fault"
 	"github.com/sardinedock/sardinedock/platform"
+	"github.com/sardinedock/sardinedock/record"
 	"github.com/sardinedock/sardinedock/schema/settingspb"
 )
 
@@ -19,6 +20,8 @@
 type Instance struct {
 	settings *settingspb.Settings
 	store    *platform.Client
+	keeper   *record.Keeper
+	provider *record.Provider
 	entry    *entry.Server
 	callers  net.Listener
 	admin    *admin.Handler
@@ -31,13 +34,13 @@
 	i := &Instance{settings: s, admin: admin.NewHandler()}
 	i.provisionStore()
 	i.provisionEntry()
-	if err := i.startRecords(ctx); err != nil {
-		return nil, err
-	}
+	i.startRecords(ctx)
 	if err := i.startAdmin(); err != nil {
+		i.provider.Stop()
 		return nil, err
 	}
 	if err := i.startCallers(); err != nil {
+		i.provider.Stop()
 		_ = i.adminLn.Close()
 		return nil, err
 	}
@@ -66,5 +69,6 @@
 func (i *Instance) Stop(ctx context.Context) error {
 	i.admin.SetReady(false)
 	defer func() { _ = i.adminLn.Close() }()
+	defer i.provider.Stop()
 	return i.entry.HTTP().ShutdownWithContext(ctx)
 }
