--- /dev/null
+++ b/demo/settings.go
@@ -0,0 +1,46 @@
+package demo
+
+import (
+	"os"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/internal/yamlpb"
+	"github.com/sardinedock/sardinedock/schema/loadpb"
+	"github.com/sardinedock/sardinedock/settings"
+)
+
+// LoadSettings reads and checks a file that describes a load. An error of kind
+// fault.Invalid lists every fault of the file, one a line.
+func LoadSettings(path string) (*loadpb.Load, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "name a file that can be read", "read the load's settings")
+	}
+	l, faults := ParseLoad(data)
+	if len(faults) > 0 {
+		return nil, fault.New(fault.Invalid, "mend the lines named above", "%s", settings.Lines(path, faults))
+	}
+	return l, nil
+}
+
+// ParseLoad reads a load, fills in the defaults and returns what is wrong.
+func ParseLoad(data []byte) (*loadpb.Load, []yamlpb.Fault) {
+	messages, faults := yamlpb.Decode(data, func() proto.Message { return &loadpb.Load{} })
+	if len(messages) != 1 {
+		one := yamlpb.Fault{Found: "the file does not hold exactly one document", Remedy: "write one document"}
+		return nil, append(faults, one)
+	}
+	l := messages[0].(*loadpb.Load)
+	for _, w := range l.GetWork() {
+		if (w.GetModel() == "") == (w.GetServicePath() == "") {
+			faults = append(faults, yamlpb.Fault{
+				Path:   "work " + w.GetName(),
+				Found:  "not exactly one of model and service_path is set",
+				Remedy: "write model for requests to engines, service_path for calls of a plain service",
+			})
+		}
+	}
+	return l, faults
+}
--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -8,6 +8,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"github.com/sardinedock/sardinedock/demo"
 	"github.com/sardinedock/sardinedock/fault"
 	"github.com/sardinedock/sardinedock/internal/yamlpb"
 	"github.com/sardinedock/sardinedock/record"
@@ -46,13 +47,17 @@
 	return nil
 }
 
-// checkFile tells records by their schema_version, which every record has and
-// no settings file does.
+// checkFile tells records by their schema_version, and loads by their work,
+// which no settings file has.
 func checkFile(data []byte) []yamlpb.Fault {
 	if bytes.Contains(data, []byte("schema_version:")) {
 		_, faults := record.ParseYAML(data)
 		return faults
 	}
+	if bytes.Contains(data, []byte("\nwork:")) {
+		_, faults := demo.ParseLoad(data)
+		return faults
+	}
 	_, faults := settings.Parse(data)
 	return faults
 }
--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/sardinedock/sardinedock/demo"
-	"github.com/sardinedock/sardinedock/fault"
 )
 
 // demoCommand runs the main job on embedded stand-ins.
@@ -29,20 +30,11 @@
 }
 
 func (c *demoCommand) run(out, errs io.Writer) error {
-	r, err := demo.Run(context.Background(), c.options, errs)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	r, err := demo.Run(ctx, c.options, errs)
 	if err != nil {
 		return err
 	}
-	if c.report == "json" {
-		err = json.NewEncoder(out).Encode(r)
-	} else {
-		err = r.WriteText(out)
-	}
-	if err != nil {
-		return err
-	}
-	if broken := r.Broken(); broken != "" {
-		return fault.New(fault.Internal, "report the seed and the scenario", "an invariant was broken: %s", broken)
-	}
-	return nil
+	return writeReport(out, r, c.report)
 }
--- a/internal/cli/emulate.go
+++ b/internal/cli/emulate.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -21,15 +22,34 @@
 type emulateCommand struct {
 	storeAddr string
 	records   string
+	pace      float64
+	seed      int64
+	reads     float64
+	writes    float64
 }
 
 func (c *emulateCommand) declare(app *kingpin.Application) *kingpin.CmdClause {
 	clause := app.Command("emulate", "Serve stand-ins of the object API and of the endpoints that a records file names.")
 	clause.Flag("store", "The object API's address.").Default("127.0.0.1:8090").StringVar(&c.storeAddr)
 	clause.Flag("records", "The records file.").Required().StringVar(&c.records)
+	clause.Flag("pace", "By how much faster than real time the stand-ins run.").Default("1").Float64Var(&c.pace)
+	clause.Flag("seed", "Seed of faults that come with a probability.").Default("1").Int64Var(&c.seed)
+	clause.Flag("reads-per-second", "Reads over which the object API answers 429; 0 sets no limit.").Default("2000").Float64Var(&c.reads)
+	clause.Flag("writes-per-second", "Writes over which the object API answers 429; 0 sets no limit.").Default("300").Float64Var(&c.writes)
 	return clause
 }
 
+// config is the stand-ins' shape. Incarnations start from the time, so that
+// they also rise from one start of this process to the next.
+func (c *emulateCommand) config() emulator.Config {
+	pace := emulator.Pace(c.pace)
+	return emulator.Config{
+		Store:   emulator.StoreConfig{ReadsPerSecond: c.reads, WritesPerSecond: c.writes, Pace: pace, Seed: c.seed},
+		Engine:  emulator.EngineConfig{FirstIncarnation: uint64(time.Now().Unix()), Pace: pace, Seed: c.seed},
+		Service: emulator.ServiceConfig{Pace: pace},
+	}
+}
+
 func (c *emulateCommand) run(out, _ io.Writer) error {
 	data, err := os.ReadFile(c.records)
 	if err != nil {
@@ -39,12 +59,12 @@
 	if len(faults) > 0 {
 		return invalidFile(c.records, faults)
 	}
-	e, err := emulator.Start(c.storeAddr, records)
+	e, err := emulator.StartWith(c.storeAddr, records, c.config())
 	if err != nil {
 		return err
 	}
 	defer e.Close()
-	fmt.Fprintf(out, "object API on %s, %d endpoints\n", e.Store.Addr(), len(e.Engines))
+	fmt.Fprintf(out, "object API on %s, %d engines, %d service endpoints\n", e.Store.Addr(), len(e.Engines), len(e.Services))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	<-ctx.Done()
