Kill an instance without draining

Cause: a crash of an instance could not be tried within one process. Change: Instance.Kill closes listeners and callers' connections at once; other duties add their own ends to onKill.

--- a/instance/entry.go
+++ b/instance/entry.go
@@ -32,8 +32,8 @@
 	if err != nil {
 		return fault.Wrap(err, fault.Invalid, "choose a free address for listen.callers", "listen for callers")
 	}
-	i.callers = ln
-	go func() { _ = i.entry.HTTP().Serve(ln) }()
+	i.callers = newCutListener(ln)
+	go func() { _ = i.entry.HTTP().Serve(i.callers) }()
 	return nil
 }
 
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -23,9 +23,11 @@
 	keeper   *record.Keeper
 	provider *record.Provider
 	entry    *entry.Server
-	callers  net.Listener
+	callers  *cutListener
 	admin    *admin.Handler
 	adminLn  net.Listener
+	// onKill ends what other duties listen on.
+	onKill []func()
 }
 
 // Start brings the duties up in the order in which they need each other and
--- /dev/null
+++ b/instance/kill.go
@@ -0,0 +1,78 @@
+package instance
+
+import (
+	"net"
+	"sync"
+)
+
+// Kill ends the instance as a crash does: its listeners and its callers'
+// connections are closed at once, nothing is drained and nobody is told. Work
+// that is under way may carry on for a moment without a caller, like that of a
+// process that was thought to be dead.
+func (i *Instance) Kill() {
+	i.admin.SetReady(false)
+	i.callers.cut()
+	_ = i.adminLn.Close()
+	i.provider.Stop()
+	for _, end := range i.onKill {
+		end()
+	}
+}
+
+// cutListener remembers its open connections, so that all can be closed.
+type cutListener struct {
+	net.Listener
+
+	mu     sync.Mutex
+	closed bool
+	conns  map[net.Conn]struct{}
+}
+
+func newCutListener(ln net.Listener) *cutListener {
+	return &cutListener{Listener: ln, conns: map[net.Conn]struct{}{}}
+}
+
+// Accept implements net.Listener.
+func (l *cutListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &cutConn{Conn: conn, listener: l}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		_ = conn.Close()
+	}
+	l.conns[c] = struct{}{}
+	return c, nil
+}
+
+// cut closes the listener and every connection that it accepted.
+func (l *cutListener) cut() {
+	_ = l.Close()
+	l.mu.Lock()
+	l.closed = true
+	open := make([]net.Conn, 0, len(l.conns))
+	for c := range l.conns {
+		open = append(open, c)
+	}
+	l.mu.Unlock()
+	for _, c := range open {
+		_ = c.Close()
+	}
+}
+
+// cutConn leaves its listener's list when it is closed.
+type cutConn struct {
+	net.Conn
+	listener *cutListener
+}
+
+// Close implements net.Conn.
+func (c *cutConn) Close() error {
+	c.listener.mu.Lock()
+	delete(c.listener.conns, c)
+	c.listener.mu.Unlock()
+	return c.Conn.Close()
+}
