Find the levels of prompts and place by the longest shared one

Cause: placing by the first block piles an organisation on one endpoint, placing by the last block computes a catalogue once for each customer.

--- /dev/null
+++ b/prefix/levels_test.go
@@ -0,0 +1,100 @@
+package prefix
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+)
+
+// prompt joins levels of the given texts, each filled up to a number of blocks
+// of two tokens.
+func prompt(parts ...string) []byte {
+	var b []byte
+	for i := 0; i < len(parts); i += 2 {
+		var blocks int
+		_, _ = fmt.Sscan(parts[i+1], &blocks)
+		for n := range blocks {
+			b = append(b, fmt.Sprintf("%4.4s%04d", parts[i], n)...)
+		}
+	}
+	return b
+}
+
+var (
+	testSalt = Salt("accra", "m", "1")
+	// calls counts tails, so that no two prompts end alike.
+	calls int
+)
+
+func catalogue(family, customer string) []Hash {
+	calls++
+	return Blocks(nil, testSalt, prompt("company", "8", family, "60", customer, "10", fmt.Sprint("t", calls), "3"), 2)
+}
+
+// Callers of one catalogue go to one endpoint whoever their customer is, and
+// two catalogues of one organisation are not tied to the same endpoint. A key
+// that changed while the levels become known would compute a catalogue twice.
+func TestKeyFollowsTheCatalogue(t *testing.T) {
+	l := NewLevels(1 << 10)
+	l.Observe(testSalt, catalogue("nuts", "anna"))
+	l.Observe(testSalt, catalogue("bolt", "anna"))
+	first := l.Key(testSalt, catalogue("rods", "kofi"), 0)
+	for i := range 50 {
+		customer := fmt.Sprint("c", i%7)
+		for _, family := range []string{"nuts", "bolt", "rods"} {
+			chain := catalogue(family, customer)
+			if got := l.Key(testSalt, chain, 0); got != chain[8] {
+				t.Fatalf("round %d: %s of %s is not placed by the first block of the catalogue", i, family, customer)
+			}
+			l.Observe(testSalt, chain)
+		}
+	}
+	if again := l.Key(testSalt, catalogue("rods", "esi"), 0); again != first {
+		t.Fatal("the key of a catalogue changed once it was known")
+	}
+}
+
+// A long text of the caller's own after a short shared sheet would draw each
+// request to another endpoint if length alone decided.
+func TestUnsharedTextDoesNotDecide(t *testing.T) {
+	l := NewLevels(1 << 10)
+	for i := range 20 {
+		chain := Blocks(nil, testSalt, prompt("company", "4", fmt.Sprint("s", i%2), "6", fmt.Sprint("o", i), "90"), 2)
+		if got := l.Key(testSalt, chain, 0); i > 2 && got != chain[4] {
+			t.Fatalf("prompt %d is not placed by its sheet", i)
+		}
+		l.Observe(testSalt, chain)
+	}
+}
+
+func TestHintNamesTheSharedBlocks(t *testing.T) {
+	l := NewLevels(1 << 4)
+	chain := catalogue("nuts", "anna")
+	if got := l.Key(testSalt, chain, 8); got != chain[8] {
+		t.Fatal("the hint was not followed")
+	}
+	if got := l.Key(testSalt, chain, 10000); got != chain[len(chain)-1] {
+		t.Fatal("a hint beyond the prompt has to end at its last block")
+	}
+}
+
+func BenchmarkBlocks(b *testing.B) {
+	text := bytes.Repeat([]byte("catalogue "), 6400)
+	dst := make([]Hash, 0, 1024)
+	b.SetBytes(int64(len(text)))
+	b.ReportAllocs()
+	for b.Loop() {
+		dst = Blocks(dst[:0], testSalt, text, 64)
+	}
+}
+
+func BenchmarkLevels(b *testing.B) {
+	l := NewLevels(DefaultLevelSets)
+	chain := Blocks(nil, testSalt, bytes.Repeat([]byte("catalogue "), 6400), 64)
+	b.ReportAllocs()
+	for b.Loop() {
+		l.Key(testSalt, chain, 0)
+		l.Observe(testSalt, chain)
+	}
+	b.ReportMetric(float64(len(chain)), "blocks/op")
+}
