Send one long prefill at a time, behind the short ones; measure the policy

Cause: a cold catalogue takes an engine a second; all that came behind it waited or shifted, and each shift computed a catalogue once more. Change: owners send one long prefill at a time, marked so that the engine computes it behind its class, and let short ones go on; when they have gone before it for three times its own time they are held back.

--- a/owner/endpoint.go
+++ b/owner/endpoint.go
@@ -19,6 +19,16 @@
 	holdMemory = 0.05
 	// defaultTimeout ends a grant whose ask named none.
 	defaultTimeout = 10 * time.Minute
+	// longTokens is from how many tokens on a prefill is long: a few chunks of an
+	// engine. Cold catalogues are far above it, cached ones far below.
+	longTokens = 1536
+	// chunkTokens is what an engine computes at a time; work of a lower rank
+	// waits for the end of the chunk at most.
+	chunkTokens = 512
+	// longPatience and longFactor bound how long short work may go before a
+	// long prefill that was sent: a multiple of its own time, at least this.
+	longPatience = 500 * time.Millisecond
+	longFactor   = 3
 	// timeoutMargin is what a grant outlives its request by, so that a report
 	// under way is not too late.
 	timeoutMargin = 5 * time.Second
@@ -40,6 +50,28 @@
 	return waiting
 }
 
+// rank is the order in which an engine computes prompts; a lower one interrupts
+// a higher one after the chunk that is being computed.
+type rank int
+
+const (
+	rankUrgent rank = iota
+	rankShort
+	rankLong
+	ranks
+)
+
+func rankOf(a Ask, tokens int64) rank {
+	switch {
+	case a.Urgent:
+		return rankUrgent
+	case tokens > longTokens:
+		return rankLong
+	default:
+		return rankShort
+	}
+}
+
 // requestKey names an ask.
 type requestKey struct{ caller, request string }
 
@@ -50,6 +82,7 @@
 	id      uint64
 	ask     Ask
 	lane    lane
+	rank    rank
 	cached  int64
 	tokens  int64
 	since   time.Time
@@ -73,11 +106,13 @@
 	queue       [lanes]*fairQueue
 	lonely      []*waiter
 	inUse       [lanes]int
-	pending     [lanes]int64
+	pending     [ranks]int64
 	hold        [lanes]time.Duration
 	aloneRuns   bool
 	lastGrant   uint64
 	foreign     foreignLoad
+	// longSince is when the newest long prefill was sent.
+	longSince time.Time
 }
 
 // New returns a live endpoint of which nothing is known.
@@ -124,7 +159,7 @@
 	if start := now.Add(offer.Wait); start.After(a.Deadline) {
 		return refuse(a, ReasonDeadline, retryAfter(a.RequestID, start.Sub(a.Deadline)))
 	}
-	if e.open(a) {
+	if e.open(now, a) {
 		return e.grant(now, a)
 	}
 	if len(e.queued) >= maxQueued {
@@ -150,7 +185,7 @@
 // open reports whether an ask may start at once: a slot of its lane is free,
 // nobody of its lane or above waits, and the endpoint is not behind with what
 // it has.
-func (e *Endpoint) open(a Ask) bool {
+func (e *Endpoint) open(now time.Time, a Ask) bool {
 	if len(e.lonely) > 0 || e.aloneRuns {
 		return false
 	}
@@ -160,22 +195,40 @@
 	if a.Urgent {
 		return e.queue[urgent].length == 0 && e.slotFree(urgent)
 	}
-	return len(e.queued) == 0 && e.slotFree(waiting)
+	return len(e.queued) == 0 && e.slotFree(waiting) && e.prefillFree(now, rankOf(a, a.PromptTokens-e.cached(a)))
 }
 
 // slotFree reports whether the lane may use one more slot. Requests that may
-// wait never use the slots kept for urgent ones, and are held back while the
-// endpoint is behind with its prefill: what was sent cannot be put behind an
-// urgent request that comes a moment later.
+// wait never use the slots kept for urgent ones.
 func (e *Endpoint) slotFree(l lane) bool {
 	used := e.inUse[waiting] + e.inUse[urgent] + e.foreign.requests()
 	if l == urgent {
 		return used < e.cfg.Slots
 	}
-	if e.inUse[waiting] >= e.cfg.Slots-e.cfg.UrgentSlots || used >= e.cfg.Slots {
+	return e.inUse[waiting] < e.cfg.Slots-e.cfg.UrgentSlots && used < e.cfg.Slots
+}
+
+// prefillFree reports whether the endpoint may be sent one more prompt that may
+// wait.
+//
+// It is made for cold catalogues among many cached ones: one cold prompt takes
+// a second of an engine, and everything behind it would wait as long. So one
+// long prefill is sent at a time, with a priority behind the short ones, and
+// short ones go on while they are within the window. When they have gone before
+// the long one for several times its own time they are held back until it is
+// done, so that a stream of short ones cannot hold it up for ever.
+func (e *Endpoint) prefillFree(now time.Time, r rank) bool {
+	if r == rankLong {
+		return e.pending[rankLong] == 0 && e.window.Admits(e.pending[rankShort]+e.pending[rankUrgent])
+	}
+	return !e.longOverdue(now) && e.window.Admits(e.pending[rankShort]+e.pending[rankUrgent])
+}
+
+func (e *Endpoint) longOverdue(now time.Time) bool {
+	if e.pending[rankLong] == 0 {
 		return false
 	}
-	return e.window.Admits(e.pending[waiting] + e.pending[urgent])
+	return now.Sub(e.longSince) > longPatience+longFactor*e.window.Time(e.pending[rankLong])
 }
 
 func (e *Endpoint) grant(now time.Time, a Ask) Decision {
@@ -194,12 +247,16 @@
 		since:   now,
 		expires: now.Add(timeout + timeoutMargin),
 	}
+	g.rank = rankOf(a, g.tokens)
 	_, twice := e.granted[a.key()]
 	invariant.Check(!twice, "one_grant_per_request", "request %s of %s granted twice on %s", a.RequestID, a.Caller, e.cfg.Name)
 	e.grants[g.id] = g
 	e.granted[a.key()] = g.id
 	e.inUse[g.lane]++
-	e.pending[g.lane] += g.tokens
+	e.pending[g.rank] += g.tokens
+	if g.rank == rankLong {
+		e.longSince = now
+	}
 	e.aloneRuns = a.Alone
 	e.foreign.note(len(e.grants))
 	e.queue[g.lane].charge(a.Organisation, a.Weight, e.cost(g.lane, g.tokens))
@@ -212,12 +269,13 @@
 func (e *Endpoint) grantedDecision(g *grant) Decision {
 	return Decision{Kind: Granted, Caller: g.ask.Caller, RequestID: g.ask.RequestID, Offer: policy.Offer{
 		Endpoint: e.cfg.Name, GrantID: g.id, CachedTokens: g.cached, Incarnation: e.incarnation, Alone: g.ask.Alone,
+		Long: g.rank == rankLong,
 	}}
 }
 
 func (e *Endpoint) enqueue(now time.Time, a Ask) {
 	tokens := max(a.PromptTokens-e.cached(a), 0)
-	w := &waiter{ask: a, tokens: tokens, cost: e.cost(laneOf(a), tokens), since: now}
+	w := &waiter{ask: a, tokens: tokens, rank: rankOf(a, tokens)}
 	e.queued[a.key()] = w
 	if a.Alone {
 		e.lonely = append(e.lonely, w)
@@ -229,20 +287,20 @@
 // release frees a grant's slot.
 func (e *Endpoint) release(g *grant) {
 	if !g.started {
-		e.pending[g.lane] -= g.tokens
+		e.pending[g.rank] -= g.tokens
 	}
 	e.inUse[g.lane]--
 	e.aloneRuns = e.aloneRuns && !g.ask.Alone
 	delete(e.grants, g.id)
 	delete(e.granted, g.ask.key())
-	invariant.Check(e.inUse[g.lane] >= 0 && e.pending[g.lane] >= 0, "slots_balanced",
-		"%d slots and %d tokens in use on %s", e.inUse[g.lane], e.pending[g.lane], e.cfg.Name)
+	invariant.Check(e.inUse[g.lane] >= 0 && e.pending[g.rank] >= 0, "slots_balanced",
+		"%d slots and %d tokens in use on %s", e.inUse[g.lane], e.pending[g.rank], e.cfg.Name)
 }
 
 // pump grants what may start now.
 func (e *Endpoint) pump(now time.Time) []Decision {
 	var out []Decision
-	for w := e.next(); w != nil; w = e.next() {
+	for w := e.next(now); w != nil; w = e.next(now) {
 		e.dequeue(w)
 		out = append(out, e.grant(now, w.ask))
 	}
@@ -250,7 +308,7 @@
 }
 
 // next returns the waiter that may start now, nil if none.
-func (e *Endpoint) next() *waiter {
+func (e *Endpoint) next(now time.Time) *waiter {
 	if !e.live() || e.aloneRuns {
 		return nil
 	}
@@ -260,16 +318,20 @@
 		}
 		return nil
 	}
-	if w := e.queue[urgent].head(); w != nil {
+	if e.queue[urgent].length > 0 {
 		if e.slotFree(urgent) {
-			return w
+			return e.queue[urgent].head(func(rank) bool { return true })
 		}
 		return nil
 	}
-	if w := e.queue[waiting].head(); w != nil && e.slotFree(waiting) {
-		return w
+	if e.queue[waiting].length == 0 || !e.slotFree(waiting) {
+		return nil
+	}
+	var free [ranks]bool
+	for r := range free {
+		free[r] = e.prefillFree(now, rank(r))
 	}
-	return nil
+	return e.queue[waiting].head(func(r rank) bool { return free[r] })
 }
 
 func (e *Endpoint) dequeue(w *waiter) {
--- a/owner/estimate.go
+++ b/owner/estimate.go
@@ -43,29 +43,44 @@
 	if a.Alone || len(e.lonely) > 0 || e.aloneRuns {
 		return e.drainTime(l, len(e.lonely))
 	}
-	own, tokens := 0, int64(0)
+	var own work
 	if line := e.queue[l].lines[a.Organisation]; line != nil {
-		own, tokens = len(line.waiters), line.tokens
+		own = line.work
 	}
-	return e.waitBehind(now, a, own, tokens)
+	return e.waitBehind(now, a, rankOf(a, a.PromptTokens-e.cached(a)), own)
 }
 
-// waitBehind is the wait of an ask behind own requests of its organisation.
-func (e *Endpoint) waitBehind(now time.Time, a Ask, own int, tokens int64) time.Duration {
+// waitBehind is the wait of an ask behind own work of its organisation.
+func (e *Endpoint) waitBehind(now time.Time, a Ask, r rank, own work) time.Duration {
 	l := laneOf(a)
-	count, queued := e.queue[l].ahead(a.Organisation, a.Weight, own, tokens)
-	pending := e.pending[urgent]
+	count, queued := e.queue[l].ahead(a.Organisation, a.Weight, r, own)
 	if l == waiting {
-		pending += e.pending[waiting] + e.queue[urgent].tokens
+		queued += e.queue[urgent].work.upTo(rankUrgent)
 		count += e.queue[urgent].length
 	}
-	prefill := e.window.Time(queued+pending) - e.progress(now)
+	prefill := e.window.Time(queued+e.before(now, r)) - e.progress(now)
 	return max(prefill, e.slotWait(l, count), 0)
 }
 
+// before is what was sent and is computed before a new request of the rank.
+func (e *Endpoint) before(now time.Time, r rank) int64 {
+	var sum, later int64
+	for i, tokens := range e.pending {
+		if rank(i) <= r {
+			sum += tokens
+		} else {
+			later += tokens
+		}
+	}
+	if r == rankShort && e.longOverdue(now) {
+		return sum + later
+	}
+	return sum + min(later, chunkTokens)
+}
+
 // progress is how long the endpoint has been computing on what is pending.
 func (e *Endpoint) progress(now time.Time) time.Duration {
-	return e.window.Since(now, e.pending[waiting]+e.pending[urgent])
+	return e.window.Since(now, e.pending[rankUrgent]+e.pending[rankShort]+e.pending[rankLong])
 }
 
 // slotWait is the time until a slot is free behind count others: as many
--- a/owner/events.go
+++ b/owner/events.go
@@ -44,7 +44,7 @@
 		return nil
 	}
 	g.started = true
-	e.pending[g.lane] -= g.tokens
+	e.pending[g.rank] -= g.tokens
 	first := g.since.Add(after)
 	if after <= 0 || first.After(now) {
 		first = now
@@ -184,17 +184,16 @@
 	var late []Decision
 	for _, q := range e.queue {
 		for _, l := range q.sorted() {
-			own, tokens := 0, int64(0)
+			var own work
 			for _, w := range slices.Clone(l.waiters) {
-				wait := e.waitBehind(now, w.ask, own, tokens)
+				wait := e.waitBehind(now, w.ask, w.rank, own)
 				if now.Add(wait).After(w.ask.Deadline) {
 					e.dequeue(w)
 					over := now.Add(wait).Sub(w.ask.Deadline)
 					late = append(late, refuse(w.ask, ReasonDeadline, retryAfter(w.ask.RequestID, over)))
 					continue
 				}
-				own++
-				tokens += w.tokens
+				own.add(w.rank, w.tokens)
 			}
 		}
 	}
--- a/owner/queue.go
+++ b/owner/queue.go
@@ -3,17 +3,14 @@
 import (
 	"slices"
 	"strings"
-	"time"
 )
 
 // waiter is an ask that waits for a slot.
 type waiter struct {
 	ask Ask
-	// tokens that had to be computed when it was queued.
+	// tokens that had to be computed when it was queued, and its rank by them.
 	tokens int64
-	// cost is the endpoint's time that it is charged for.
-	cost  float64
-	since time.Time
+	rank   rank
 }
 
 // line is what one organisation has waiting.
@@ -23,7 +20,33 @@
 	// finish is the virtual time up to which the organisation has been served.
 	finish  float64
 	waiters []*waiter
-	tokens  int64
+	work    work
+}
+
+// work is an amount of waiting requests.
+type work struct {
+	requests int
+	// tokens to compute, by rank.
+	tokens [ranks]int64
+}
+
+func (w *work) add(r rank, tokens int64) {
+	w.requests++
+	w.tokens[r] += tokens
+}
+
+func (w *work) remove(r rank, tokens int64) {
+	w.requests--
+	w.tokens[r] -= tokens
+}
+
+// upTo is the tokens of a rank and those before it.
+func (w work) upTo(r rank) int64 {
+	sum := int64(0)
+	for i := rankUrgent; i <= r; i++ {
+		sum += w.tokens[i]
+	}
+	return sum
 }
 
 // fairQueue shares one endpoint among organisations by weight: start-time fair
@@ -39,7 +62,7 @@
 	lines  map[string]*line
 	clock  float64
 	length int
-	tokens int64
+	work   work
 }
 
 func newFairQueue() *fairQueue { return &fairQueue{lines: map[string]*line{}} }
@@ -61,27 +84,34 @@
 func (q *fairQueue) push(w *waiter) {
 	l := q.line(w.ask.Organisation, w.ask.Weight)
 	l.waiters = append(l.waiters, w)
-	l.tokens += w.tokens
+	l.work.add(w.rank, w.tokens)
+	q.work.add(w.rank, w.tokens)
 	q.length++
-	q.tokens += w.tokens
 }
 
-// head returns the waiter whose turn it is, nil when none waits. Ties go by
-// name, so that equal states decide equally.
-func (q *fairQueue) head() *waiter {
+// head returns the waiter whose turn it is of those whose rank may start, nil
+// when there is none. Ties go by name, so that equal states decide equally.
+func (q *fairQueue) head(may func(rank) bool) *waiter {
 	var best *line
+	var first *waiter
 	for _, l := range q.lines {
-		if len(l.waiters) == 0 {
+		if best != nil && !q.before(l, best) {
 			continue
 		}
-		if best == nil || q.before(l, best) {
-			best = l
+		if w := l.first(may); w != nil {
+			best, first = l, w
 		}
 	}
-	if best == nil {
-		return nil
+	return first
+}
+
+func (l *line) first(may func(rank) bool) *waiter {
+	for _, w := range l.waiters {
+		if may(w.rank) {
+			return w
+		}
 	}
-	return best.waiters[0]
+	return nil
 }
 
 func (q *fairQueue) before(a, b *line) bool {
@@ -123,30 +153,30 @@
 	for i, x := range l.waiters {
 		if x == w {
 			l.waiters = append(l.waiters[:i], l.waiters[i+1:]...)
-			l.tokens -= w.tokens
+			l.work.remove(w.rank, w.tokens)
+			q.work.remove(w.rank, w.tokens)
 			q.length--
-			q.tokens -= w.tokens
 			return true
 		}
 	}
 	return false
 }
 
-// ahead is the work that is served before a request that would stand behind
-// own requests of tokens in its organisation's line: at most their share of
-// each other organisation's.
-func (q *fairQueue) ahead(organisation string, weight float64, own int, tokens int64) (int, int64) {
+// ahead is the work that is served before a request of the rank that would
+// stand behind own work of its organisation: that, and of each other
+// organisation at most its share by weight.
+func (q *fairQueue) ahead(organisation string, weight float64, r rank, own work) (int, int64) {
 	if weight <= 0 {
 		weight = 1
 	}
-	count, sum := own, tokens
+	count, sum := own.requests, own.upTo(r)
 	for name, l := range q.lines {
 		if name == organisation || len(l.waiters) == 0 {
 			continue
 		}
 		share := l.weight / weight
-		count += min(len(l.waiters), int(float64(own+1)*share+0.5))
-		sum += min(l.tokens, int64(float64(tokens)*share)+l.waiters[0].tokens)
+		count += min(l.work.requests, int(float64(own.requests+1)*share+0.5))
+		sum += min(l.work.upTo(r), int64(float64(own.upTo(r))*share)+l.waiters[0].tokens)
 	}
 	return count, sum
 }
--- a/owner/snapshot.go
+++ b/owner/snapshot.go
@@ -89,11 +89,12 @@
 		since:   now.Add(-time.Duration(h.GetAgeMs()) * time.Millisecond),
 		expires: now.Add(time.Duration(h.GetLeftMs()) * time.Millisecond),
 	}
+	g.rank = rankOf(a, g.tokens)
 	e.grants[g.id] = g
 	e.granted[a.key()] = g.id
 	e.inUse[g.lane]++
 	if !g.started {
-		e.pending[g.lane] += g.tokens
+		e.pending[g.rank] += g.tokens
 	}
 	e.aloneRuns = e.aloneRuns || a.Alone
 	e.foreign.note(len(e.grants))
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -15,6 +15,9 @@
 	Incarnation uint64
 	// Alone says that nothing else runs beside the request.
 	Alone bool
+	// Long says that the prompt takes long to compute, and that the engine
+	// should put it behind others of its class.
+	Long bool
 }
 
 // Prices are what the choice weighs time against.
--- /dev/null
+++ b/policy/policybench/main.go
@@ -0,0 +1,139 @@
+// Command policybench drives the decisions under load in virtual time against
+// a small fake of an endpoint and prints, side by side, what callers get under
+// each way of placing. Instances are copies of the decision state; there is no
+// network, and asks take no time.
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+var (
+	seeds    = kingpin.Flag("seeds", "Number of seeds.").Default("20").Int()
+	loads    = kingpin.Flag("load", "Loads as parts of capacity.").Default("0.5", "0.8", "1.0", "1.3").Float64List()
+	chosen   = kingpin.Flag("scenario", "Scenarios: kwabena, khangai, target.").Default("kwabena", "khangai").Strings()
+	policies = kingpin.Flag("policy", "Policies to compare.").Default(roundRobin, leastLoaded, rendezvous, ownView, owners).Strings()
+	herd     = kingpin.Flag("herd", "Restart all instances in the burst.").Bool()
+	deferral = kingpin.Flag("deferral", "Measure deferral of expulsion.").Bool()
+)
+
+func main() {
+	kingpin.Parse()
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
+	for _, s := range scenarios {
+		if !slices.Contains(*chosen, s.name) {
+			continue
+		}
+		switch {
+		case *deferral:
+			printDeferral(w, s)
+		case *herd:
+			printHerd(w, s)
+		default:
+			printPolicies(w, s)
+		}
+	}
+}
+
+// perSeed runs one function for each seed, on all processors.
+func perSeed(run func(seed uint64) figures) []figures {
+	list := make([]figures, *seeds)
+	gate := make(chan struct{}, runtime.NumCPU())
+	var wg sync.WaitGroup
+	for i := range list {
+		wg.Go(func() {
+			gate <- struct{}{}
+			list[i] = run(uint64(i + 1))
+			<-gate
+		})
+	}
+	wg.Wait()
+	return list
+}
+
+func simulate(s scenario, policyName string, load float64, seed uint64, prepare func(*sim)) figures {
+	requests := s.arrivals(seed, load*s.capacity())
+	m := newSim(s, policyName, requests)
+	if prepare != nil {
+		prepare(m)
+	}
+	m.play()
+	return m.figures()
+}
+
+func printPolicies(w *tabwriter.Writer, s scenario) {
+	fmt.Fprintf(w, "\n%s: %d endpoints, capacity %.1f requests/s, %d seeds, median (worst)\n", s.name, s.endpoints, s.capacity(), *seeds)
+	fmt.Fprintln(w, strings.Join(append([]string{"load", "policy"}, columns...), "\t")+"\t")
+	for _, load := range *loads {
+		for _, p := range *policies {
+			list := perSeed(func(seed uint64) figures { return simulate(s, p, load, seed, nil) })
+			fmt.Fprintf(w, "%.1f\t%s\t%s\t\n", load, p, summary(list))
+		}
+		calm := perSeed(func(seed uint64) figures {
+			urgentOnly := s
+			urgentOnly.urgentOnly = true
+			return simulate(urgentOnly, owners, load, seed, nil)
+		})
+		fmt.Fprintf(w, "%.1f\t%s\t%s\t\n", load, "owners, urgent alone", summary(calm))
+	}
+	_ = w.Flush()
+}
+
+// printHerd restarts all instances two seconds into the burst and compares the
+// two seconds before, after, and the two after those.
+func printHerd(w *tabwriter.Writer, s scenario) {
+	fmt.Fprintf(w, "\n%s, all instances restarted in the burst: hit rate and refusals by 2 s\n", s.name)
+	fmt.Fprintln(w, "load\t2 s before\tfirst 2 s\tnext 2 s\trefused in 10 s\tthe same without restart\t")
+	at := s.warm + 2*time.Second
+	for _, load := range *loads {
+		calm, restarted := [][]float64{}, [][]float64{}
+		for seed := range uint64(*seeds) {
+			for _, restart := range []bool{false, true} {
+				m := newSim(s, owners, s.arrivals(seed+1, load*s.capacity()))
+				if restart {
+					m.after(at, m.herdRestart)
+				}
+				m.play()
+				row := []float64{m.hitsIn(at-2*time.Second, at), m.hitsIn(at, at+2*time.Second),
+					m.hitsIn(at+2*time.Second, at+4*time.Second), m.refusedIn(at, at+10*time.Second)}
+				if restart {
+					restarted = append(restarted, row)
+				} else {
+					calm = append(calm, row)
+				}
+			}
+		}
+		fmt.Fprintf(w, "%.1f\t%s\t%s\t%s\t%s\t%s\t\n", load, spreadOf(restarted, 0, -1), spreadOf(restarted, 1, -1),
+			spreadOf(restarted, 2, -1), spreadOf(restarted, 3, 1), spreadOf(calm, 3, 1))
+	}
+	_ = w.Flush()
+}
+
+// printDeferral pauses one endpoint after the other and tells what each
+// deferral of expulsion costs.
+func printDeferral(w *tabwriter.Writer, s scenario) {
+	fmt.Fprintf(w, "\n%s at load 0.8, an endpoint pauses every 8 s: deferral of expulsion after suspicion\n", s.name)
+	fmt.Fprintln(w, "pause\tdeferral\t"+strings.Join(columns, "\t")+"\t")
+	for _, length := range []time.Duration{1, 2, 5, 15, 30} {
+		for _, d := range []time.Duration{0, 1, 5, 15, 60} {
+			list := perSeed(func(seed uint64) figures {
+				return simulate(s, owners, 0.8, seed, func(m *sim) {
+					for i, at := 0, s.warm; at < s.warm+s.measured; i, at = i+1, at+8*time.Second {
+						m.after(at, func() { m.pause(i%s.endpoints, length*time.Second, d*time.Second) })
+					}
+				})
+			})
+			fmt.Fprintf(w, "%ds\t%ds\t%s\t\n", length, d, summary(list))
+		}
+	}
+	_ = w.Flush()
+}
--- /dev/null
+++ b/policy/policybench/sim.go
@@ -0,0 +1,299 @@
+package main
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/sardinedock/sardinedock/owner"
+	"github.com/sardinedock/sardinedock/policy"
+	"github.com/sardinedock/sardinedock/prefix"
+	"github.com/sardinedock/sardinedock/schema/fleetpb"
+)
+
+const (
+	roundRobin  = "round robin"
+	leastLoaded = "least loaded"
+	rendezvous  = "rendezvous"
+	ownView     = "own view"
+	owners      = "owners"
+
+	// candidates is how many endpoints are weighed, patience up to which wait
+	// the first of them is taken without asking the others.
+	candidates = 4
+	patience   = 50 * time.Millisecond
+	// reportLag is how old a load report is, and how often one comes.
+	reportLag = 500 * time.Millisecond
+)
+
+var epoch = time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC)
+
+// sim is one run of one policy.
+type sim struct {
+	timeline
+	s        scenario
+	policy   string
+	ranking  *policy.Ranking
+	engines  []*engine
+	books    []*owner.Book
+	ownerOf  []int
+	levels   []*prefix.Levels
+	requests []*request
+	next     []int
+	asks     int
+	prices   policy.Prices
+}
+
+func endpointName(i int) string { return fmt.Sprintf("engine-%d", i) }
+
+func newSim(s scenario, policyName string, requests []*request) *sim {
+	m := &sim{s: s, policy: policyName, requests: requests, next: make([]int, s.instances)}
+	m.prices = policy.Prices{PrefillTokensPerSecond: s.prefillRate, Recompute: policy.DefaultRecompute}
+	var names, members []string
+	for i := range s.instances {
+		members = append(members, fmt.Sprintf("instance-%d", i))
+	}
+	for i := range s.endpoints {
+		names = append(names, endpointName(i))
+		m.ownerOf = append(m.ownerOf, slices.Index(members, owner.Of(names[i], members)))
+		e := &engine{s: &m.s, t: &m.timeline, cache: newLRU(s.cacheBlocks), slow: 1}
+		e.onFirst, e.onDone = m.first, m.done
+		m.engines = append(m.engines, e)
+	}
+	m.ranking = policy.NewRanking(names)
+	m.restart()
+	return m
+}
+
+func (m *sim) time() time.Time { return epoch.Add(m.now) }
+
+// restart gives all instances a new, empty state.
+func (m *sim) restart() {
+	m.books, m.levels = nil, nil
+	for i := range m.s.instances {
+		b := owner.NewBook(m.prices)
+		for e := range m.s.endpoints {
+			if m.policy != owners || m.ownerOf[e] == i {
+				b.Add(owner.Config{Name: endpointName(e), Slots: m.s.slots, UrgentSlots: m.s.urgentSlots, BlockTokens: blockTokens,
+					CacheBlocks: int64(m.s.cacheBlocks), PrefillTokensPerSecond: m.s.prefillRate, FirstGrantID: uint64(m.now)})
+			}
+		}
+		m.books = append(m.books, b)
+		m.levels = append(m.levels, prefix.NewLevels(prefix.DefaultLevelSets))
+	}
+}
+
+// play runs all arrivals and what they leave, for as long as all could take.
+func (m *sim) play() {
+	for _, r := range m.requests {
+		m.after(r.at, func() { m.arrive(r) })
+	}
+	end := m.s.warm + m.s.measured + m.s.maxWait + 30*time.Second
+	m.every(owner.TickInterval, func() {
+		for _, b := range m.books {
+			m.take(b.Tick(m.time()))
+		}
+	})
+	m.every(reportLag, m.report)
+	m.run(end)
+}
+
+func (m *sim) every(d time.Duration, run func()) {
+	m.after(d, func() {
+		run()
+		m.every(d, run)
+	})
+}
+
+// report brings all books the load of all endpoints as it was a while ago.
+func (m *sim) report() {
+	for i, e := range m.engines {
+		r := owner.LoadReport{MeasuredAt: m.time(), Running: e.used, Waiting: len(e.queue)}
+		m.after(reportLag, func() {
+			for _, b := range m.books {
+				if o := b.Endpoint(endpointName(i)); o != nil {
+					m.take(o.LoadReport(m.time(), r))
+				}
+			}
+		})
+	}
+}
+
+func (m *sim) arrive(r *request) {
+	switch m.policy {
+	case roundRobin:
+		m.next[r.instance]++
+		m.send(r, (m.next[r.instance]+r.instance)%m.s.endpoints)
+	case leastLoaded:
+		best := r.id % m.s.endpoints
+		for i, e := range m.engines {
+			if e.load() < m.engines[best].load() {
+				best = i
+			}
+		}
+		m.send(r, best)
+	case rendezvous:
+		m.send(r, m.candidates(r, 1)[0])
+	default:
+		m.place(r)
+	}
+}
+
+func (m *sim) candidates(r *request, n int) []int {
+	l := m.levels[r.instance]
+	key := l.Key(r.salt, r.chain, 0)
+	l.Observe(r.salt, r.chain)
+	return m.ranking.Top(nil, key, n, func(i int) bool { return !m.engines[i].paused })
+}
+
+func (m *sim) book(r *request, endpoint int) *owner.Book {
+	if m.policy == ownView {
+		return m.books[r.instance]
+	}
+	return m.books[m.ownerOf[endpoint]]
+}
+
+// place asks the first candidate and, when that is busy, chooses among all.
+func (m *sim) place(r *request) {
+	list := m.candidates(r, candidates)
+	if len(list) == 0 {
+		m.after(reportLag, func() { m.place(r) })
+		return
+	}
+	a := m.ask(r)
+	a.Patience = patience
+	d := m.askOne(r, a, list[0])
+	if d.Kind != owner.Offered {
+		m.take([]owner.Decision{d})
+		return
+	}
+	offers := d.Offers
+	a.Mode, a.Patience = owner.Probe, 0
+	for _, e := range list[1:] {
+		offers = append(offers, m.askOne(r, a, e).Offers...)
+	}
+	a.Mode = owner.Take
+	choice := policy.Choose(r.tokens, 0, offers, m.prices)
+	m.take([]owner.Decision{m.askOne(r, a, m.index(offers[choice.Index].Endpoint))})
+}
+
+func (m *sim) askOne(r *request, a owner.Ask, endpoint int) owner.Decision {
+	m.asks++
+	return m.book(r, endpoint).Ask(m.time(), a, []string{endpointName(endpoint)})
+}
+
+func (m *sim) index(name string) int {
+	i := 0
+	_, _ = fmt.Sscanf(name, "engine-%d", &i)
+	return i
+}
+
+func (m *sim) ask(r *request) owner.Ask {
+	return owner.Ask{
+		Caller: "i", RequestID: fmt.Sprintf("%d/%d", r.id, r.attempts), Organisation: fmt.Sprint("o", r.organisation),
+		Urgent: r.urgent, Blocks: r.chain, PromptTokens: r.tokens, MaxTokens: int64(r.output),
+		Deadline: epoch.Add(r.at + r.maxWait),
+	}
+}
+
+func (m *sim) take(decisions []owner.Decision) {
+	for _, d := range decisions {
+		id, attempt := 0, 0
+		_, _ = fmt.Sscanf(d.RequestID, "%d/%d", &id, &attempt)
+		r := m.requests[id]
+		switch {
+		case attempt != r.attempts:
+		case d.Kind == owner.Granted:
+			r.grant = d.Offer.GrantID
+			if d.Offer.Long {
+				r.priority = 2
+			}
+			m.send(r, m.index(d.Offer.Endpoint))
+		case d.Kind == owner.Refused && d.Reason == owner.ReasonEndpoint:
+			r.attempts++
+			m.place(r)
+		case d.Kind == owner.Refused:
+			r.refused = m.now
+		}
+	}
+}
+
+func (m *sim) send(r *request, endpoint int) {
+	r.endpoint = endpoint
+	m.engines[endpoint].send(r)
+}
+
+func (m *sim) held(r *request) *owner.Endpoint {
+	if r.grant == 0 {
+		return nil
+	}
+	return m.book(r, r.endpoint).Endpoint(endpointName(r.endpoint))
+}
+
+func (m *sim) first(r *request) {
+	if e := m.held(r); e != nil {
+		m.take(e.FirstToken(m.time(), r.grant, int64(r.cached), m.now-r.sent))
+	}
+}
+
+func (m *sim) done(r *request) {
+	if e := m.held(r); e != nil {
+		m.take(e.End(m.time(), owner.End{GrantID: r.grant, Stage: owner.Done, CachedTokens: int64(r.cached)}))
+	}
+}
+
+// herdRestart takes all instances' state away. Who had nothing sent yet asks
+// the new instances at once.
+func (m *sim) herdRestart() {
+	m.restart()
+	for _, r := range m.requests {
+		if r.at <= m.now && r.endpoint < 0 && r.refused == 0 {
+			r.attempts++
+			m.place(r)
+		}
+	}
+}
+
+// pause stops an endpoint for a time. Its silence is noticed after a second,
+// and it is expelled after the deferral: what ran there runs elsewhere.
+func (m *sim) pause(endpoint int, length, deferral time.Duration) {
+	const suspectAfter = time.Second
+	e, name := m.engines[endpoint], endpointName(endpoint)
+	o := m.books[m.ownerOf[endpoint]].Endpoint(name)
+	e.paused = true
+	status := func(s fleetpb.EndpointStatus) func() {
+		return func() {
+			if e.paused || s == fleetpb.EndpointStatus_ENDPOINT_STATUS_LIVE {
+				m.take(o.Status(m.time(), s, 1).Decisions)
+			}
+		}
+	}
+	m.after(suspectAfter, status(fleetpb.EndpointStatus_ENDPOINT_STATUS_SUSPECT))
+	m.after(suspectAfter+deferral, func() {
+		status(fleetpb.EndpointStatus_ENDPOINT_STATUS_EXPELLED)()
+		if e.paused {
+			m.resend(e)
+		}
+	})
+	m.after(length, func() {
+		e.paused = false
+		e.step()
+		status(fleetpb.EndpointStatus_ENDPOINT_STATUS_LIVE)()
+	})
+}
+
+// resend takes from a paused engine what has no first token and places it anew.
+func (m *sim) resend(e *engine) {
+	var list []*request
+	for _, j := range e.prefill {
+		list = append(list, j.r)
+		e.used--
+	}
+	list = append(list, e.queue...)
+	e.prefill, e.queue = nil, nil
+	for _, r := range list {
+		r.attempts++
+		r.endpoint, r.grant = -1, 0
+		m.place(r)
+	}
+}
