Estimate the wait for a slot from all that run

Cause: an urgent request's wait was estimated as if all that runs ended as fast as urgent work; it stayed at a full endpoint instead of asking others.

--- a/owner/estimate.go
+++ b/owner/estimate.go
@@ -84,8 +84,9 @@
 }
 
 // slotWait is the time until a slot is free behind count others: as many
-// requests have to end as there are too few slots, and requests end at the rate
-// at which those that run were measured to.
+// requests have to end as there are too few slots, and those that run end at
+// the rate that their mean times give. An urgent request may take any slot that
+// is freed, one that may wait only those of its own lane.
 func (e *Endpoint) slotWait(l lane, count int) time.Duration {
 	used := e.inUse[waiting] + e.inUse[urgent] + e.foreign.requests()
 	free := e.cfg.Slots - used
@@ -95,8 +96,14 @@
 	if count < free {
 		return 0
 	}
-	running := max(e.inUse[waiting]+e.inUse[urgent], 1)
-	return e.hold[l] * time.Duration(count-free+1) / time.Duration(running)
+	ends := float64(e.inUse[waiting]) / e.hold[waiting].Seconds()
+	if l == urgent || e.inUse[waiting] == 0 {
+		ends += float64(e.inUse[urgent]) / e.hold[urgent].Seconds()
+	}
+	if ends <= 0 {
+		return e.hold[l]
+	}
+	return time.Duration(float64(count-free+1) / ends * float64(time.Second))
 }
 
 // drainTime is the time until nothing runs any more, behind others that also
