Give each caller the whole answer, or say that it broke

Cause: a broken, silent, crossed or dead engine ended the caller's stream, the HTTP server's write timeout cut long ones, and whole answers, services and exact refusals were missing. Change: entry resumes a stream on a new connection and continues it elsewhere from prompt and text, under one version of the weights; not repeatable requests are resumed but never sent twice; callers that go away or stop reading cancel the engine's work; whole answers are put together from a stream; services are routed by path; refusals carry outcome and Retry-After; the cache salt names the version that the endpoint really runs.

--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -25,7 +25,7 @@
 // nothing for the silence bound, while something is expected on it, is given
 // up as broken.
 func NewClient(addr string, dialTimeout, silence time.Duration) *Client {
-	return &Client{pool: pool{addr: addr, dialTimeout: dialTimeout}, silence: silence}
+	return &Client{pool: pool{addr: addr, dialTimeout: dialTimeout, headerBytes: engineHeaderBytes}, silence: silence}
 }
 
 // Close closes the idle connections.
--- a/endpoint/conn.go
+++ b/endpoint/conn.go
@@ -3,14 +3,15 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/internal/sockstate"
 )
 
 const (
@@ -24,6 +25,10 @@
 	// other end is gone or has forgotten it. A wait for a plain service's
 	// answer has no other sign of life.
 	keepAliveProbes = 3
+	// engineHeaderBytes and serviceHeaderBytes bound the head of an answer.
+	// Each open stream holds a buffer of this size.
+	engineHeaderBytes  = 4 << 10
+	serviceHeaderBytes = 16 << 10
 )
 
 // conn is one connection to an endpoint. One goroutine may use it.
@@ -63,6 +68,12 @@
 	c.stop = context.AfterFunc(ctx, func() { _ = c.Conn.Close() })
 }
 
+// Silent reports whether an error of a call is that nothing came for too long.
+func Silent(err error) bool {
+	var t interface{ Timeout() bool }
+	return errors.As(err, &t) && t.Timeout()
+}
+
 // send writes one request. The error is of kind Unavailable only if no byte of
 // it left.
 func (c *conn) send(req *fasthttp.Request) error {
@@ -82,6 +93,8 @@
 type pool struct {
 	addr        string
 	dialTimeout time.Duration
+	// headerBytes bounds the head of an answer.
+	headerBytes int
 
 	mu   sync.Mutex
 	idle []*conn
@@ -112,11 +125,14 @@
 		return nil, fault.Wrap(err, fault.Unavailable, "check that the endpoint runs", "dial endpoint %s", p.addr)
 	}
 	c := &conn{Conn: nc}
-	c.br = bufio.NewReader(c)
+	c.br = bufio.NewReaderSize(c, p.headerBytes)
 	return c, nil
 }
 
-// takeIdle returns the connection used last that can still be used.
+// takeIdle returns the connection used last that can still be used. An
+// endpoint that restarted has closed its connections; a request sent on one of
+// them would break, and nobody could say whether it ran. Asking the socket
+// shows the close.
 func (p *pool) takeIdle(fresh bool) *conn {
 	if fresh {
 		return nil
@@ -126,7 +142,7 @@
 	for len(p.idle) > 0 {
 		c := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
-		if time.Since(c.idleAt) < idleBound && open(c.Conn) {
+		if time.Since(c.idleAt) < idleBound && sockstate.Of(c.Conn) == sockstate.Quiet {
 			c.reused = true
 			return c
 		}
@@ -167,26 +183,3 @@
 	}
 	p.idle = nil
 }
-
-// open reports whether an idle connection still looks open. An endpoint that
-// restarted has closed its connections; a request sent on one of them would
-// break, and nobody could say whether it ran. Asking the socket without
-// waiting shows the close.
-func open(nc net.Conn) bool {
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, rerr := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = rerr == syscall.EAGAIN || rerr == syscall.EWOULDBLOCK
-		return true
-	})
-	return err == nil && quiet
-}
--- a/endpoint/conn_test.go
+++ b/endpoint/conn_test.go
@@ -6,6 +6,8 @@
 	"runtime"
 	"testing"
 	"time"
+
+	"github.com/sardinedock/sardinedock/internal/sockstate"
 )
 
 // An endpoint restarts while a connection to it is idle. A request sent on
@@ -26,11 +28,11 @@
 		t.Fatal(err)
 	}
 	p.put(c)
-	if !open(c.Conn) {
+	if sockstate.Of(c.Conn) != sockstate.Quiet {
 		t.Fatal("an open connection looks closed")
 	}
 	_ = far.Close()
-	for open(c.Conn) {
+	for sockstate.Of(c.Conn) != sockstate.Closed {
 		runtime.Gosched()
 	}
 	if got := p.takeIdle(false); got != nil {
--- a/endpoint/service.go
+++ b/endpoint/service.go
@@ -22,14 +22,15 @@
 	Body []byte
 	// Fresh asks for a connection that was not used before.
 	Fresh bool
+	// ReusedSilence bounds the wait for each part of the answer on a
+	// connection that was used before; Silent tells its error.
+	ReusedSilence time.Duration
 }
 
 // ServiceAnswer is the whole answer of a plain service, whatever its status.
 type ServiceAnswer struct {
 	Header fasthttp.ResponseHeader
 	Body   []byte
-	// Reused says that the call went over a connection that was used before.
-	Reused bool
 }
 
 // Service calls one endpoint of a plain service. Any goroutine may use it.
@@ -39,7 +40,7 @@
 
 // NewService returns a client of the plain service at addr.
 func NewService(addr string, dialTimeout time.Duration) *Service {
-	return &Service{pool: pool{addr: addr, dialTimeout: dialTimeout}}
+	return &Service{pool: pool{addr: addr, dialTimeout: dialTimeout, headerBytes: serviceHeaderBytes}}
 }
 
 // Close closes the idle connections.
@@ -54,6 +55,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if cn.reused {
+		cn.silence = r.ReusedSilence
+	}
 	a := &answer{conn: cn}
 	if err = cn.send(s.request(r)); err == nil {
 		err = a.readHeader(r.Method == fasthttp.MethodHead)
@@ -66,7 +70,7 @@
 		cn.drop()
 		return nil, serviceFault(ctx, err)
 	}
-	out := &ServiceAnswer{Body: body, Reused: cn.reused}
+	out := &ServiceAnswer{Body: body}
 	a.header.CopyTo(&out.Header)
 	a.finish(&s.pool)
 	return out, nil
--- /dev/null
+++ b/entry/answer.go
@@ -0,0 +1,347 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/sardinedock/sardinedock/endpoint"
+	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/outcome"
+	"github.com/sardinedock/sardinedock/place"
+	"github.com/sardinedock/sardinedock/prefix"
+)
+
+const (
+	// maxSends bounds how often one request is sent.
+	maxSends = 6
+	// cancelTimeout bounds the telling of an engine that its work is not
+	// wanted any more.
+	cancelTimeout = time.Second
+)
+
+// answer is the one whole answer to a model request. It hides which endpoints
+// give it: Next returns the pieces in order, each once, whatever breaks on the
+// way. One goroutine may use it.
+type answer struct {
+	srv      *Server
+	call     *call
+	req      *modelRequest
+	account  *outcome.Request
+	progress progress
+	run      *run
+	exclude  []string
+	sends    int
+	// endpoint that runs the request, or ran it last.
+	endpoint string
+	// verdict holds once closed is set.
+	verdict outcome.Verdict
+	closed  bool
+}
+
+// run is one send of the request to one endpoint.
+type run struct {
+	id          string
+	grant       place.Grant
+	engine      Engine
+	send        *outcome.Send
+	stream      endpoint.Stream
+	incarnation uint64
+	version     string
+	sentAt      time.Time
+	// next is the index of the piece that has to come, resumes how often the
+	// stream was resumed since the last good piece.
+	next    int64
+	resumes int
+	cached  int64
+	prompt  int64
+}
+
+func (s *Server) newAnswer(c *call, req *modelRequest) *answer {
+	return &answer{srv: s, call: c, req: req, account: outcome.New(req.once)}
+}
+
+// Next blocks for the next piece, which is valid until the next call. It
+// returns io.EOF after the last one, and any other error once, when the answer
+// can't be completed; the verdict holds from then on.
+func (a *answer) Next() ([]byte, error) {
+	for {
+		if a.run == nil {
+			if err := a.begin(); err != nil {
+				return nil, a.fail(err)
+			}
+		}
+		data, err := a.next()
+		if err == nil {
+			return data, nil
+		}
+		if errors.Is(err, io.EOF) {
+			a.complete()
+			return nil, io.EOF
+		}
+		if err := a.recover(err); err != nil {
+			return nil, a.fail(err)
+		}
+	}
+}
+
+// next reads one piece of the present run and checks it.
+func (a *answer) next() ([]byte, error) {
+	r := a.run
+	if r.stream == nil {
+		return nil, fault.New(fault.Broken, "the router resumes the request by itself", "no answer to the send")
+	}
+	p, err := r.stream.Next()
+	if errors.Is(err, io.EOF) && !a.progress.finished {
+		return nil, fault.New(fault.Broken, "look at the endpoint's log", "an end mark before the answer's end")
+	}
+	if err != nil {
+		return nil, err
+	}
+	return a.accept(p)
+}
+
+// accept checks that a piece is the next one of this very request. A late or
+// crossed answer, a lost piece or a repeated one would show a caller text that
+// is not its own, or not whole.
+func (a *answer) accept(p endpoint.Piece) ([]byte, error) {
+	r := a.run
+	quoted := strconv.AppendQuote(nil, r.id)
+	if p.ID != r.id || p.Index != r.next || !bytes.Contains(p.Data, quoted) {
+		a.srv.metrics.crossed.Inc()
+		return nil, fault.New(fault.Broken, "look at the endpoint's log", "piece %s/%d came where %s/%d was due", p.ID, p.Index, r.id, r.next)
+	}
+	c, err := parseChunk(p.Data)
+	if err != nil {
+		return nil, err
+	}
+	if r.next == 0 {
+		a.firstPiece(c)
+	}
+	r.next++
+	r.resumes = 0
+	a.progress.add(c)
+	if r.id == a.req.id {
+		return p.Data, nil
+	}
+	return bytes.ReplaceAll(p.Data, quoted, strconv.AppendQuote(nil, a.req.id)), nil
+}
+
+func (a *answer) firstPiece(c *chunk) {
+	r := a.run
+	if c.Usage != nil {
+		r.cached, r.prompt = c.Usage.PromptTokensDetails.CachedTokens, c.Usage.PromptTokens
+	}
+	a.srv.cfg.Placer.FirstToken(r.grant, r.cached, time.Since(r.sentAt))
+}
+
+// begin places and sends the request until an endpoint takes it.
+func (a *answer) begin() error {
+	for {
+		if a.sends >= maxSends {
+			return fault.New(fault.Overloaded, "send the request again later", "%d endpoints did not take the request", a.sends)
+		}
+		grant, err := a.place()
+		if err != nil {
+			return err
+		}
+		a.account.Admit()
+		a.sends++
+		if err := a.send(grant); err != nil {
+			return err
+		}
+		if a.run != nil {
+			return nil
+		}
+	}
+}
+
+// place asks for a grant. Endpoints that were tried are left out as long as
+// there are others.
+func (a *answer) place() (place.Grant, error) {
+	req := a.req.place
+	req.Exclude = a.exclude
+	grant, err := a.srv.cfg.Placer.Place(a.call.ctx, req)
+	if fault.Is(err, fault.Unavailable) && len(a.exclude) > 0 && a.call.cause() == nil {
+		a.exclude, req.Exclude = nil, nil
+		grant, err = a.srv.cfg.Placer.Place(a.call.ctx, req)
+	}
+	return grant, err
+}
+
+// send sends the request to the granted endpoint. It leaves run nil where
+// another endpoint has to be tried; an error is final.
+func (a *answer) send(g place.Grant) error {
+	r := &run{grant: g, id: a.runID(), engine: a.srv.cfg.Dial(g.Address), incarnation: g.Incarnation}
+	r.version = a.srv.versions.get(g.Endpoint, a.req.place.Model, a.req.place.Version)
+	body, err := a.body(r.version)
+	if err != nil {
+		a.srv.cfg.Placer.Done(g, place.Result{End: place.EndUnused})
+		return err
+	}
+	a.endpoint = g.Endpoint
+	a.run = r
+	r.send = a.account.Send()
+	r.sentAt = time.Now()
+	r.stream, err = r.engine.Generate(a.call.ctx, endpoint.Request{ID: r.id, Path: a.req.path, Body: body, Fresh: a.req.once})
+	if err != nil {
+		return a.sendFailed(err)
+	}
+	return a.opened()
+}
+
+// runID names a send. Sends have ids of their own, so that a late piece of an
+// earlier one can't be taken for a piece of a later one.
+func (a *answer) runID() string {
+	if a.sends == 1 {
+		return a.req.id
+	}
+	return a.req.id + "." + strconv.Itoa(a.sends)
+}
+
+// body is what goes to the engine: the caller's fields, the router's, and the
+// text that the caller already has where another engine began the answer.
+func (a *answer) body(version string) ([]byte, error) {
+	f := a.req.fields
+	if a.progress.pieces > 0 {
+		var ok bool
+		if f, ok = f.continued(a.req.chat, a.progress.text, a.progress.tokens); !ok {
+			return nil, fault.New(fault.Broken, "send the request again", "the endpoint died and the answer's form can't be continued elsewhere")
+		}
+	} else {
+		f = f.clone()
+	}
+	f.setBool(fieldStream, true)
+	f.setString(fieldSalt, prefix.Salt(a.req.place.Organisation, a.req.place.Model, version).String())
+	return f.encode(), nil
+}
+
+// sendFailed decides on a send that brought no answer.
+func (a *answer) sendFailed(err error) error {
+	a.run.send.Failed(err)
+	if cause := a.call.cause(); cause != nil {
+		return cause
+	}
+	switch fault.KindOf(err) {
+	case fault.Unavailable, fault.Overloaded:
+		a.srv.metrics.notStarted.Inc()
+		a.leave(place.EndUnused)
+		return nil
+	case fault.BadRequest, fault.Conflict:
+		// The engine's refusal of the content is a whole answer.
+		a.run.send.Answering()
+		a.run.send.Done()
+		a.leave(place.EndFailed)
+		return err
+	}
+	return a.recover(err)
+}
+
+// opened checks whose answer it is that has begun.
+func (a *answer) opened() error {
+	r := a.run
+	r.incarnation = r.stream.Incarnation()
+	version := r.stream.ModelVersion()
+	a.srv.versions.saw(r.grant.Endpoint, a.req.place.Model, version)
+	if a.progress.pieces > 0 && version != a.progress.version {
+		return a.giveUp(fault.New(fault.Broken, "send the request again", "the answer was begun by version %q and the endpoint runs %q", a.progress.version, version))
+	}
+	if version != r.version && a.account.Repeatable() {
+		return a.giveUp(nil)
+	}
+	r.send.Answering()
+	a.progress.version = version
+	return nil
+}
+
+// giveUp cancels a run that must not go on. The next send goes elsewhere if
+// the cause is given, and ends the answer with it if that was the last one.
+func (a *answer) giveUp(cause error) error {
+	a.cancel()
+	if cause != nil {
+		a.excludeRun()
+	}
+	a.leave(place.EndFailed)
+	if cause != nil && a.sends >= maxSends {
+		return cause
+	}
+	return nil
+}
+
+func (a *answer) excludeRun() { a.exclude = append(a.exclude, a.run.grant.Endpoint) }
+
+// leave ends the present run and gives its grant back.
+func (a *answer) leave(end place.End) {
+	r := a.run
+	if r == nil {
+		return
+	}
+	a.run = nil
+	if r.stream != nil {
+		r.stream.Close()
+	}
+	if end == place.EndUnused || end == place.EndCrashed {
+		a.exclude = append(a.exclude, r.grant.Endpoint)
+	}
+	a.srv.cfg.Placer.Done(r.grant, place.Result{
+		End:          end,
+		Incarnation:  r.incarnation,
+		CachedTokens: r.cached,
+		PromptTokens: r.prompt,
+		OutputTokens: r.next,
+	})
+}
+
+// cancel tells the engine that its work is not wanted any more. The caller's
+// final answer does not wait for it: an engine that has died would hold it up.
+func (a *answer) cancel() {
+	engine, id, cancelled := a.run.engine, a.run.id, a.srv.metrics.cancelled
+	go func() {
+		ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
+		defer stop()
+		if engine.Cancel(ctx, id) == nil {
+			cancelled.Inc()
+		}
+	}()
+}
+
+func (a *answer) complete() {
+	a.run.send.Done()
+	a.leave(place.EndDone)
+	a.close()
+}
+
+// fail ends the answer; what an engine still does for it is cancelled.
+func (a *answer) fail(err error) error {
+	if a.run != nil {
+		a.cancel()
+		a.leave(place.EndFailed)
+	}
+	a.close()
+	return err
+}
+
+func (a *answer) close() {
+	if a.closed {
+		return
+	}
+	a.closed = true
+	a.verdict = a.account.Finish()
+	a.srv.metrics.outcome(a.verdict)
+}
+
+// Close ends an answer that nobody reads any more. A not repeatable request is
+// read to its end, so that its outcome is known when it is asked for again.
+func (a *answer) Close() {
+	for !a.closed && a.req.once && a.run != nil {
+		if _, err := a.Next(); err != nil {
+			break
+		}
+	}
+	if !a.closed {
+		_ = a.fail(errGone)
+	}
+}
--- /dev/null
+++ b/entry/api_test.go
@@ -0,0 +1,187 @@
+package entry_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+
+	"github.com/sardinedock/sardinedock/emulator"
+)
+
+func bodyOf(prompt string, tokens int) io.Reader {
+	return strings.NewReader(fmt.Sprintf(`{"model":"counter","prompt":%q,"max_tokens":%d,"stream":true}`, prompt, tokens))
+}
+
+func TestAnswerHeaders(t *testing.T) {
+	r := newRig(t, rigConfig{engines: 1})
+	long := strings.Repeat(prompt, 100)
+	r.askFor(t, long, 2, nil).rest().wantWhole(long, 2)
+	rd := r.askFor(t, long, 2, nil).rest()
+	rd.wantWhole(long, 2)
+	h := rd.resp.Header
+	if h.Get("X-Request-Id") != "req-2" || h.Get("X-Sardinedock-Endpoint") != "engine-0" || h.Get("X-Sardinedock-Cached-Tokens") != "704" {
+		t.Fatalf("headers %v", h)
+	}
+	if got := h.Get("Content-Type"); got != "text/event-stream" {
+		t.Fatalf("content type %q", got)
+	}
+}
+
+func TestWholeAnswersForAnOrdinaryClient(t *testing.T) {
+	r := newRig(t, rigConfig{engines: 2})
+	c := openai.NewClient(option.WithAPIKey(testKey), option.WithBaseURL(r.url+"/v1"), option.WithMaxRetries(0))
+	got, err := c.Chat.Completions.New(context.Background(), openai.ChatCompletionNewParams{
+		Model: "counter", MaxCompletionTokens: openai.Int(7),
+		Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage(prompt)},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := strings.Join(emulator.Answer("user\n"+prompt+"\n", 7), "")
+	if got.Choices[0].Message.Content != want || got.Choices[0].FinishReason != "length" || got.Object != "chat.completion" {
+		t.Fatalf("got %s", got.RawJSON())
+	}
+	if got.Usage.CompletionTokens != 7 || got.Usage.TotalTokens != got.Usage.PromptTokens+7 || got.ID != "req-1" {
+		t.Fatalf("got %s", got.RawJSON())
+	}
+	text, err := c.Completions.New(context.Background(), openai.CompletionNewParams{
+		Model: "counter", Prompt: openai.CompletionNewParamsPromptUnion{OfString: openai.String(prompt)},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if want := strings.Join(emulator.Answer(prompt, 16), ""); text.Choices[0].Text != want {
+		t.Fatalf("got %s", text.RawJSON())
+	}
+}
+
+// A chat's engine dies in the middle of the answer, for a caller that did not
+// ask for a stream and so sees nothing of it.
+func TestWholeAnswerSurvivesACrash(t *testing.T) {
+	r := newRig(t, rigConfig{engines: 2})
+	type result struct {
+		text string
+		err  error
+	}
+	got := make(chan result, 1)
+	go func() {
+		c := openai.NewClient(option.WithAPIKey(testKey), option.WithBaseURL(r.url+"/v1"), option.WithMaxRetries(0))
+		a, err := c.Chat.Completions.New(context.Background(), openai.ChatCompletionNewParams{
+			Model: "counter", MaxTokens: openai.Int(300),
+			Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage(prompt)},
+		})
+		if err != nil {
+			got <- result{err: err}
+			return
+		}
+		got <- result{text: a.Choices[0].Message.Content}
+	}()
+	var running *emulator.Engine
+	for running == nil {
+		for _, e := range r.Engines {
+			if e.Stats().CachedTokens+e.Stats().PromptTokens > 0 {
+				running = e
+			}
+		}
+	}
+	running.Crash(time.Millisecond)
+	res := <-got
+	if want := strings.Join(emulator.Answer("user\n"+prompt+"\n", 300), ""); res.err != nil || res.text != want {
+		t.Fatalf("got %q, %v", res.text, res.err)
+	}
+}
+
+// What is wrong with a request gets the status that the published API gives
+// it, the remedy in words, and the truth that nothing ran.
+func TestRefusals(t *testing.T) {
+	r := newRig(t, rigConfig{engines: 1})
+	good := `{"model":"counter","prompt":"x","max_tokens":1}`
+	tests := []struct {
+		name, path, body string
+		header           http.Header
+		status           int
+		errorType        string
+	}{
+		{"no key", "/v1/completions", good, http.Header{"Authorization": {"Basic x"}}, 401, "authentication_error"},
+		{"wrong key", "/v1/completions", good, http.Header{"Authorization": {"Bearer no"}}, 401, "authentication_error"},
+		{"no path", "/v2/x", good, nil, 404, "invalid_request_error"},
+		{"not JSON", "/v1/completions", `{"model":`, nil, 400, "invalid_request_error"},
+		{"null", "/v1/completions", `null`, nil, 400, "invalid_request_error"},
+		{"no prompt", "/v1/completions", `{"model":"counter"}`, nil, 400, "invalid_request_error"},
+		{"no messages", "/v1/chat/completions", good, nil, 400, "invalid_request_error"},
+		{"no tokens", "/v1/completions", `{"model":"counter","prompt":"x","max_tokens":0}`, nil, 400, "invalid_request_error"},
+		{"wrong type", "/v1/completions", `{"model":"counter","prompt":"x","stream":"yes"}`, nil, 400, "invalid_request_error"},
+		{"no model", "/v1/completions", `{"model":"none","prompt":"x"}`, nil, 404, "invalid_request_error"},
+		{"model of others", "/v1/completions", `{"model":"secret","prompt":"x"}`, nil, 404, "invalid_request_error"},
+		{"pool without record", "/v1/completions", `{"model":"bad-pool","prompt":"x"}`, nil, 503, "server_error"},
+		{"no class", "/v1/completions", good, http.Header{"X-Sardinedock-Class": {"none"}}, 400, "invalid_request_error"},
+		{"mark", "/v1/completions", good, http.Header{"X-Sardinedock-Not-Repeatable": {"yes"}}, 400, "invalid_request_error"},
+		{"long key", "/v1/completions", good, http.Header{"Idempotency-Key": {strings.Repeat("k", 256)}}, 400, "invalid_request_error"},
+		{"engine's word", "/v1/completions", `{"model":"counter","prompt":[1,2]}`, nil, 400, "invalid_request_error"},
+		{"no service", "/services/none/x", good, nil, 404, "invalid_request_error"},
+		{"large", "/v1/completions", strings.Repeat("x", 2<<20), nil, 413, "invalid_request_error"},
+		{"large header", "/v1/completions", good, http.Header{"X-Long": {strings.Repeat("x", 20000)}}, 431, "invalid_request_error"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			resp := r.do(t, "POST", tt.path, tt.header, tt.body)
+			var got struct {
+				Error struct {
+					Message, Type, Code string
+				}
+			}
+			if err := json.NewDecoder(resp.Body).Decode(&got); err != nil {
+				t.Fatal(err)
+			}
+			if resp.StatusCode != tt.status || got.Error.Type != tt.errorType || got.Error.Message == "" || got.Error.Code == "" {
+				t.Fatalf("status %d, %+v", resp.StatusCode, got)
+			}
+			want := "not-run"
+			if tt.name == "engine's word" {
+				want = "complete"
+			}
+			if o := resp.Header.Get("X-Sardinedock-Outcome"); o != want {
+				t.Fatalf("outcome %q", o)
+			}
+			if resp.StatusCode == 503 && resp.Header.Get("Retry-After") == "" {
+				t.Fatal("no Retry-After")
+			}
+		})
+	}
+	if got := r.Engines[0].Stats().Runs; got != 0 {
+		t.Fatalf("%d runs", got)
+	}
+}
+
+// Every endpoint is away. The refusal says truly that nothing ran.
+func TestNobodyListens(t *testing.T) {
+	r := newRig(t, rigConfig{engines: 2})
+	for _, e := range r.Engines {
+		_ = e.Close()
+	}
+	resp := r.do(t, "POST", "/v1/completions", notRepeatable, `{"model":"counter","prompt":"x","max_tokens":1}`)
+	if resp.StatusCode != 503 || resp.Header.Get("X-Sardinedock-Outcome") != "not-run" || resp.Header.Get("Retry-After") == "" {
+		t.Fatalf("status %d, headers %v", resp.StatusCode, resp.Header)
+	}
+}
+
+// A caller names a cache salt or a priority of its own, to reach another
+// organisation's cached prompts or to go before others.
+func TestCallersCannotSetTheRoutersFields(t *testing.T) {
+	r := newRig(t, rigConfig{engines: 1})
+	long := strings.Repeat(prompt, 100)
+	r.askFor(t, long, 1, nil).rest()
+	body := fmt.Sprintf(`{"cache_salt":"00000000000000000000000000000000","priority":-9,"model":"counter","prompt":%q,"max_tokens":1,"cache_salt":"1"}`, long)
+	resp := r.do(t, "POST", "/v1/completions", nil, body)
+	if got := resp.Header.Get("X-Sardinedock-Cached-Tokens"); resp.StatusCode != 200 || got != "704" {
+		t.Fatalf("status %d, cached %s: the caller's salt was used", resp.StatusCode, got)
+	}
+}
--- a/entry/errors.go
+++ b/entry/errors.go
@@ -7,10 +7,14 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/sardinedock/sardinedock/endpoint"
 	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/outcome"
 	"github.com/sardinedock/sardinedock/record"
 )
 
+var errMethod = fault.New(fault.BadRequest, "send a POST request", "this path takes POST only")
+
 var errNoRecords = fault.New(fault.Unavailable, "ask again in a second", "this instance has no records yet")
 
 func errNoPath(path string) error {
@@ -41,24 +45,53 @@
 	Code    string  `json:"code"`
 }
 
-// retryAfterSeconds is told where nothing more exact is known.
+// retryAfterSeconds is when a caller that was refused may come back. A slot
+// frees up, and a suspect endpoint is known to live again, within about a
+// second.
 const retryAfterSeconds = "1"
 
-// writeError answers with the status and body that belong to the error's kind.
-func writeError(ctx *fasthttp.RequestCtx, err error) {
-	status, errorType := statusOf(fault.KindOf(err))
-	message := err.Error()
-	if remedy := fault.Remedy(err); remedy != "" {
-		message += "; " + remedy
+// writeError answers with the status and body that belong to the error's kind,
+// and the outcome.
+func writeError(ctx *fasthttp.RequestCtx, err error, verdict outcome.Verdict) {
+	kind := fault.KindOf(err)
+	status, _ := statusOf(kind)
+	if own := endpointError(err); own != nil {
+		status = own.Status
 	}
-	body, _ := json.Marshal(apiError{apiErrorBody{Message: message, Type: errorType, Code: string(fault.KindOf(err))}})
 	ctx.Response.ResetBody()
 	ctx.SetStatusCode(status)
-	if status == fasthttp.StatusServiceUnavailable && len(ctx.Response.Header.Peek(fasthttp.HeaderRetryAfter)) == 0 {
+	wait := status == fasthttp.StatusTooManyRequests || status == fasthttp.StatusServiceUnavailable
+	if wait && len(ctx.Response.Header.Peek(fasthttp.HeaderRetryAfter)) == 0 {
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, retryAfterSeconds)
 	}
+	ctx.Response.Header.Set(headerOutcome, verdict.String())
 	ctx.SetContentType("application/json")
-	ctx.SetBody(body)
+	ctx.SetBody(errorBody(err))
+}
+
+// errorBody is the API's error body. An endpoint's own words on the request's
+// content are told; other causes stay in the router.
+func errorBody(err error) []byte {
+	kind := fault.KindOf(err)
+	_, errorType := statusOf(kind)
+	message := err.Error()
+	if remedy := fault.Remedy(err); remedy != "" {
+		message += "; " + remedy
+	}
+	if own := endpointError(err); own != nil {
+		return own.Body
+	}
+	body, _ := json.Marshal(apiError{apiErrorBody{Message: message, Type: errorType, Code: string(kind)}})
+	return body
+}
+
+// endpointError returns the endpoint's own refusal of a request's content.
+func endpointError(err error) *endpoint.StatusError {
+	var own *endpoint.StatusError
+	if errors.As(err, &own) && fault.Is(err, fault.BadRequest) && json.Valid(own.Body) {
+		return own
+	}
+	return nil
 }
 
 func statusOf(kind fault.Kind) (status int, errorType string) {
@@ -86,13 +119,17 @@
 // readFailed answers a request that could not be read.
 func readFailed(ctx *fasthttp.RequestCtx, err error) {
 	var small *fasthttp.ErrSmallBuffer
+	verdict := outcome.New(false).Finish()
+	if c, ok := ctx.Conn().(*callerConn); ok {
+		c.linger.Store(true)
+	}
 	switch {
 	case errors.As(err, &small):
-		writeError(ctx, fault.New(fault.TooLarge, "send fewer or shorter headers", "the headers are too large"))
+		writeError(ctx, fault.New(fault.TooLarge, "send fewer or shorter headers", "the headers are too large"), verdict)
 		ctx.SetStatusCode(fasthttp.StatusRequestHeaderFieldsTooLarge)
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		writeError(ctx, fault.New(fault.TooLarge, "send a shorter prompt", "the body is too large"))
+		writeError(ctx, fault.New(fault.TooLarge, "send a shorter prompt", "the body is too large"), verdict)
 	default:
-		writeError(ctx, fault.New(fault.BadRequest, "send a well-formed HTTP request in time", "the request could not be read"))
+		writeError(ctx, fault.New(fault.BadRequest, "send a well-formed HTTP request in time", "the request could not be read"), verdict)
 	}
 }
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -1,169 +1,107 @@
 package entry
 
 import (
-	"bufio"
-	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
-	"time"
+	"strconv"
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/sardinedock/sardinedock/endpoint"
-	"github.com/sardinedock/sardinedock/fault"
-	"github.com/sardinedock/sardinedock/place"
-	"github.com/sardinedock/sardinedock/prefix"
 	"github.com/sardinedock/sardinedock/record"
-	"github.com/sardinedock/sardinedock/schema/recordspb"
 )
 
-// Answer headers.
-const (
-	headerRequestID = "X-Request-Id"
-	headerEndpoint  = "X-Sardinedock-Endpoint"
-	headerOutcome   = "X-Sardinedock-Outcome"
-	headerClass     = "X-Sardinedock-Class"
-)
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
 
-// generateBody is the part of a request's body that the router reads.
-type generateBody struct {
-	Model     string          `json:"model"`
-	Prompt    json.RawMessage `json:"prompt"`
-	Messages  json.RawMessage `json:"messages"`
-	MaxTokens int64           `json:"max_tokens"`
-	Stream    bool            `json:"stream"`
+type modelList struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
 }
 
-func (s *Server) models(ctx *fasthttp.RequestCtx, records *record.Snapshot) {
-	type entry struct {
-		ID      string `json:"id"`
-		Object  string `json:"object"`
-		OwnedBy string `json:"owned_by"`
-	}
-	data := []entry{}
+func (s *Server) models(ctx *fasthttp.RequestCtx, records *record.Snapshot, organisation string) {
+	list := modelList{Object: "list", Data: []modelEntry{}}
 	for _, name := range records.ModelNames() {
-		data = append(data, entry{ID: name, Object: "model", OwnedBy: "sardinedock"})
+		if mayUse(records, organisation, name) {
+			list.Data = append(list.Data, modelEntry{ID: name, Object: "model", OwnedBy: "sardinedock"})
+		}
 	}
-	body, _ := json.Marshal(struct {
-		Object string  `json:"object"`
-		Data   []entry `json:"data"`
-	}{"list", data})
+	body, _ := json.Marshal(list)
 	ctx.SetContentType("application/json")
 	ctx.SetBody(body)
 }
 
+// generate answers a model request. It reads the first piece before it answers
+// at all, so that what goes wrong before that gets a status of its own.
 func (s *Server) generate(ctx *fasthttp.RequestCtx, records *record.Snapshot, organisation string) {
-	req, err := s.readRequest(ctx, records, organisation)
-	if err != nil {
-		writeError(ctx, err)
+	id := s.cfg.NewID()
+	ctx.Response.Header.Set(headerRequestID, id)
+	if !ctx.IsPost() {
+		s.refuse(ctx, errMethod)
+		ctx.SetStatusCode(fasthttp.StatusMethodNotAllowed)
 		return
 	}
-	ctx.Response.Header.Set(headerRequestID, req.ID)
-	grant, err := s.cfg.Placer.Place(context.Background(), req)
+	req, err := readModelRequest(ctx, records, organisation, id)
 	if err != nil {
-		ctx.Response.Header.Set(headerOutcome, "not-run")
-		writeError(ctx, err)
+		s.refuse(ctx, err)
 		return
 	}
-	engine := s.cfg.Dial(grant.Address)
-	body := append([]byte(nil), ctx.PostBody()...)
-	stream, err := engine.Generate(context.Background(), endpoint.Request{ID: req.ID, Path: string(ctx.Path()), Body: body})
+	s.reruns.accepted()
+	c := &call{id: id, organisation: organisation, class: req.place.ClassName, conn: ctx.Conn(), keepRunning: req.once}
+	s.calls.begin(c, timeout(req.place.Class))
+	a := s.newAnswer(c, req)
+	first, err := a.Next()
 	if err != nil {
-		s.cfg.Placer.Done(grant, place.Result{End: place.EndFailed})
-		writeError(ctx, err)
+		s.calls.end(c)
+		a.writeFailed(ctx, err)
 		return
 	}
-	ctx.Response.Header.Set(headerEndpoint, grant.Endpoint)
-	ctx.SetContentType("text/event-stream")
-	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
-		res := relay(w, req.ID, stream)
-		stream.Close()
-		s.cfg.Placer.Done(grant, res)
-	})
+	a.setHeaders(ctx)
+	if req.stream {
+		streamAnswer(ctx, a, first)
+		return
+	}
+	defer s.calls.end(c)
+	a.writeWhole(ctx, first)
 }
 
-func (s *Server) readRequest(ctx *fasthttp.RequestCtx, records *record.Snapshot, organisation string) (place.Request, error) {
-	var body generateBody
-	if err := json.Unmarshal(ctx.PostBody(), &body); err != nil {
-		return place.Request{}, fault.Wrap(err, fault.BadRequest, "send a JSON object as the API defines it", "the body is not valid")
-	}
-	model, ok := records.Model(body.Model)
-	if !ok {
-		return place.Request{}, fault.New(fault.NotFound, "ask /v1/models for the models there are", "no such model: %q", body.Model)
-	}
-	pool, ok := records.Pool(model.GetPool())
-	if !ok {
-		return place.Request{}, fault.New(fault.Unavailable, "create the pool's record", "model %q names pool %q, which has no record", body.Model, model.GetPool())
-	}
-	className := string(ctx.Request.Header.Peek(headerClass))
-	if className == "" {
-		className = model.GetDefaultClass()
-	}
-	class, ok := records.Class(className)
-	if !ok {
-		class = &recordspb.RequestClass{MaxWaitMs: 2000, TimeoutMs: 120000}
-	}
-	prompt := []byte(body.Prompt)
-	if len(body.Messages) > 0 {
-		prompt = body.Messages
+func (a *answer) setHeaders(ctx *fasthttp.RequestCtx) {
+	h := &ctx.Response.Header
+	h.Set(headerEndpoint, a.endpoint)
+	h.Set(headerCached, strconv.FormatInt(a.progress.cached, 10))
+}
+
+// writeFailed answers a request whose answer can't be completed.
+func (a *answer) writeFailed(ctx *fasthttp.RequestCtx, err error) {
+	if a.endpoint != "" {
+		ctx.Response.Header.Set(headerEndpoint, a.endpoint)
 	}
-	salt := prefix.Salt(organisation, body.Model, model.GetVersion())
-	return place.Request{
-		ID:           s.cfg.NewID(),
-		Organisation: organisation,
-		ClassName:    className,
-		Class:        class,
-		PoolName:     model.GetPool(),
-		Pool:         pool,
-		Model:        body.Model,
-		Version:      model.GetVersion(),
-		Blocks:       prefix.Blocks(nil, salt, prompt, int(pool.GetBlockTokens())),
-		PromptTokens: prefix.Tokens(prompt),
-		MaxTokens:    min(body.MaxTokens, model.GetMaxTokens()),
-	}, nil
+	writeError(ctx, err, a.verdict)
 }
 
-// relay copies the stream to the caller and checks that each piece is the next
-// one of this very request.
-func relay(w *bufio.Writer, id string, stream endpoint.Stream) place.Result {
-	var res place.Result
+// writeWhole reads the rest of the answer and writes it as one.
+func (a *answer) writeWhole(ctx *fasthttp.RequestCtx, piece []byte) {
+	whole := newAssembly(a.req.chat)
 	for {
-		piece, err := stream.Next()
-		if errors.Is(err, io.EOF) {
-			fmt.Fprint(w, "data: [DONE]\n\n")
-			_ = w.Flush()
-			res.End = place.EndDone
-			return res
+		if err := whole.add(piece); err != nil {
+			a.writeFailed(ctx, a.fail(err))
+			return
 		}
-		if err == nil && (piece.ID != id || piece.Index != res.OutputTokens) {
-			err = fault.New(fault.Broken, "send the request again", "a piece of another answer, or out of order")
+		var err error
+		piece, err = a.Next()
+		if errors.Is(err, io.EOF) {
+			break
 		}
 		if err != nil {
-			res.End = place.EndFailed
-			writeErrorEvent(w, err)
-			return res
-		}
-		res.OutputTokens++
-		fmt.Fprintf(w, "data: %s\n\n", piece.Data)
-		if w.Flush() != nil {
-			res.End = place.EndFailed
-			return res
+			a.writeFailed(ctx, err)
+			return
 		}
 	}
-}
-
-// writeErrorEvent ends a stream that cannot be completed. A stream never ends
-// short without such an event.
-func writeErrorEvent(w *bufio.Writer, err error) {
-	_, errorType := statusOf(fault.KindOf(err))
-	body, _ := json.Marshal(apiError{apiErrorBody{Message: err.Error(), Type: errorType, Code: string(fault.KindOf(err))}})
-	fmt.Fprintf(w, "event: error\ndata: %s\n\n", body)
-	_ = w.Flush()
-}
-
-// Timeout returns the class's bound of a whole request.
-func Timeout(class *recordspb.RequestClass) time.Duration {
-	return time.Duration(class.GetTimeoutMs()) * time.Millisecond
+	ctx.SetContentType("application/json")
+	ctx.Response.Header.Set(headerOutcome, a.verdict.String())
+	ctx.SetBody(whole.encode(&a.progress))
 }
--- /dev/null
+++ b/entry/request.go
@@ -0,0 +1,227 @@
+package entry
+
+import (
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/zeebo/xxh3"
+
+	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/place"
+	"github.com/sardinedock/sardinedock/prefix"
+	"github.com/sardinedock/sardinedock/record"
+	"github.com/sardinedock/sardinedock/schema/recordspb"
+)
+
+// defaultCompletionTokens is the answer's bound that the published API states
+// for /v1/completions where the caller sets none.
+const defaultCompletionTokens = 16
+
+// defaultClass treats requests for which no record names a class.
+var defaultClass = &recordspb.RequestClass{MaxWaitMs: 2000, TimeoutMs: 120000}
+
+// modelRequest is one request for a model, read and checked.
+type modelRequest struct {
+	id     string
+	chat   bool
+	path   string
+	stream bool
+	// once marks a request that runs at most once; key is its idempotency key
+	// or empty.
+	once   bool
+	key    string
+	fields fields
+	place  place.Request
+	// single says that the answer has one choice, whose text can be continued.
+	single bool
+}
+
+// readModelRequest checks a caller's request against the records. Errors are
+// final: nothing was sent.
+func readModelRequest(ctx *fasthttp.RequestCtx, records *record.Snapshot, organisation, id string) (*modelRequest, error) {
+	f, err := parseFields(ctx.PostBody())
+	if err != nil {
+		return nil, err
+	}
+	r := &modelRequest{id: id, path: string(ctx.Path()), fields: f}
+	r.chat = strings.HasSuffix(r.path, "/chat/completions")
+	choices := int64(1)
+	for _, err := range [...]error{f.value(fieldStream, &r.stream), f.value(fieldChoices, &choices)} {
+		if err != nil {
+			return nil, err
+		}
+	}
+	r.single = choices == 1
+	if !f.has(promptField(r.chat)) {
+		return nil, fault.New(fault.BadRequest, "send the field "+promptField(r.chat), "there is no %s", promptField(r.chat))
+	}
+	if err := r.readModel(records, organisation); err != nil {
+		return nil, err
+	}
+	if err := r.readClass(ctx, records); err != nil {
+		return nil, err
+	}
+	r.place.Fingerprint = fingerprint(organisation, r.place.Model, ctx.PostBody())
+	return r, nil
+}
+
+func promptField(chat bool) string {
+	if chat {
+		return fieldMessages
+	}
+	return fieldPrompt
+}
+
+func (r *modelRequest) readModel(records *record.Snapshot, organisation string) error {
+	var name string
+	if err := r.fields.value(fieldModel, &name); err != nil {
+		return err
+	}
+	model, ok := lookupModel(records, name)
+	if !ok || !mayUse(records, organisation, name) {
+		return fault.New(fault.NotFound, "ask /v1/models for the models there are", "no such model: %q", name)
+	}
+	pool, ok := records.Pool(model.GetPool())
+	if !ok {
+		return fault.New(fault.Unavailable, "create the pool's record", "model %q names pool %q, which has no record", name, model.GetPool())
+	}
+	if err := r.boundTokens(model.GetMaxTokens()); err != nil {
+		return err
+	}
+	salt := prefix.Salt(organisation, name, model.GetVersion())
+	prompt := r.fields.text(r.chat)
+	r.place = place.Request{
+		ID:           r.id,
+		Organisation: organisation,
+		PoolName:     model.GetPool(),
+		Pool:         pool,
+		Model:        name,
+		Version:      model.GetVersion(),
+		Blocks:       prefix.Blocks(nil, salt, prompt, int(pool.GetBlockTokens())),
+		PromptTokens: prefix.Tokens(prompt),
+		MaxTokens:    r.place.MaxTokens,
+	}
+	return nil
+}
+
+// lookupModel finds a model by its name, or by model:adapter.
+func lookupModel(records *record.Snapshot, name string) (*recordspb.Model, bool) {
+	if m, ok := records.Model(name); ok {
+		return m, true
+	}
+	base, adapter, found := strings.Cut(name, ":")
+	m, ok := records.Model(base)
+	if !found || !ok {
+		return nil, false
+	}
+	return m, contains(m.GetAdapters(), adapter)
+}
+
+// mayUse reports whether the organisation's record allows the model.
+func mayUse(records *record.Snapshot, organisation, model string) bool {
+	o, ok := records.Organisation(organisation)
+	if !ok || len(o.GetModels()) == 0 {
+		return ok
+	}
+	base, _, _ := strings.Cut(model, ":")
+	return contains(o.GetModels(), model) || contains(o.GetModels(), base)
+}
+
+func contains(names []string, name string) bool {
+	for _, n := range names {
+		if n == name {
+			return true
+		}
+	}
+	return false
+}
+
+// boundTokens bounds the answer by the model's record. An answer without a
+// bound would hold its slot for as long as the engine likes.
+func (r *modelRequest) boundTokens(limit int64) error {
+	bounded := false
+	r.place.MaxTokens = limit
+	for _, name := range [...]string{fieldMaxTokens, fieldMaxCompletionTokens} {
+		var n int64
+		if err := r.fields.value(name, &n); err != nil {
+			return err
+		}
+		if !r.fields.has(name) {
+			continue
+		}
+		if n < 1 {
+			return fault.New(fault.BadRequest, "ask for at least one token", "%s is %d", name, n)
+		}
+		bounded = true
+		r.place.MaxTokens = min(n, r.place.MaxTokens)
+		r.fields.setInt(name, min(n, limit))
+	}
+	if bounded {
+		return nil
+	}
+	if !r.chat {
+		r.place.MaxTokens = min(limit, defaultCompletionTokens)
+	}
+	r.fields.setInt(fieldMaxTokens, r.place.MaxTokens)
+	return nil
+}
+
+func (r *modelRequest) readClass(ctx *fasthttp.RequestCtx, records *record.Snapshot) error {
+	model, _ := lookupModel(records, r.place.Model)
+	name, class, err := classOf(ctx, records, model.GetDefaultClass())
+	if err != nil {
+		return err
+	}
+	r.place.ClassName, r.place.Class = name, class
+	r.fields.setInt(fieldPriority, int64(class.GetPriority()))
+	r.once, r.key, err = onceOf(ctx, class)
+	return err
+}
+
+// classOf finds the request's class: by header, else by the record's default.
+func classOf(ctx *fasthttp.RequestCtx, records *record.Snapshot, byRecord string) (string, *recordspb.RequestClass, error) {
+	name := string(ctx.Request.Header.Peek(headerClass))
+	if name != "" {
+		class, ok := records.Class(name)
+		if !ok {
+			return "", nil, fault.New(fault.BadRequest, "name a class that has a record, or leave the header out", "no such class: %q", name)
+		}
+		return name, class, nil
+	}
+	if class, ok := records.Class(byRecord); ok {
+		return byRecord, class, nil
+	}
+	return "", defaultClass, nil
+}
+
+// onceOf reads whether the request may run more than once, and its key.
+func onceOf(ctx *fasthttp.RequestCtx, class *recordspb.RequestClass) (once bool, key string, err error) {
+	key = string(ctx.Request.Header.Peek(headerKey))
+	if len(key) > maxKeyBytes {
+		return false, "", fault.New(fault.BadRequest, "send a shorter key", "%s is over %d bytes", headerKey, maxKeyBytes)
+	}
+	switch mark := string(ctx.Request.Header.Peek(headerNotRepeatable)); strings.ToLower(mark) {
+	case "", "false":
+		return class.GetNotRepeatable(), key, nil
+	case "true":
+		return true, key, nil
+	default:
+		return false, "", fault.New(fault.BadRequest, "send true or false", "%s is %q", headerNotRepeatable, mark)
+	}
+}
+
+// fingerprint names a request's content, by which one that crashes endpoints
+// is known when its caller sends it again.
+func fingerprint(organisation, model string, body []byte) [16]byte {
+	var h xxh3.Hasher
+	salt := prefix.Salt(organisation, model, "")
+	_, _ = h.Write(salt[:])
+	_, _ = h.Write(body)
+	return h.Sum128().Bytes()
+}
+
+// timeout is the bound of the whole request.
+func timeout(class *recordspb.RequestClass) time.Duration {
+	return time.Duration(class.GetTimeoutMs()) * time.Millisecond
+}
--- /dev/null
+++ b/entry/service_test.go
@@ -0,0 +1,127 @@
+package entry_test
+
+import (
+	"io"
+	"net/http"
+	"testing"
+
+	"github.com/sardinedock/sardinedock/emulator"
+	"github.com/sardinedock/sardinedock/schema/recordspb"
+)
+
+func (r *rig) serviceRuns() int {
+	runs := 0
+	for _, s := range r.Services {
+		runs += s.Runs()
+	}
+	return runs
+}
+
+func (r *rig) order(t *testing.T, method string) *http.Response {
+	t.Helper()
+	return r.do(t, method, "/services/ordering/dispatch/7?yard=2", nil, "ship 7")
+}
+
+func TestServiceByPath(t *testing.T) {
+	r := newRig(t, rigConfig{services: 3})
+	for _, method := range []string{"POST", "PUT", "DELETE", "PATCH", "GET"} {
+		resp := r.order(t, method)
+		got, _ := io.ReadAll(resp.Body)
+		if want := emulator.ServiceAnswer(method, "/dispatch/7", []byte("ship 7")); string(got) != want {
+			t.Fatalf("got %q, want %q", got, want)
+		}
+		h := resp.Header
+		if h.Get("X-Sardinedock-Outcome") != "complete" || h.Get("X-Sardinedock-Endpoint") == "" || h.Get("Content-Type") != "text/plain" {
+			t.Fatalf("headers %v", h)
+		}
+	}
+}
+
+// The ordering app takes a confirmation, acts on it and dies before it answers.
+// Sending it again would ship the pallets twice.
+func TestServiceCrashAfterTheEffect(t *testing.T) {
+	r := newRig(t, rigConfig{services: 3})
+	for _, s := range r.Services {
+		s.SetFaults(emulator.ServiceFaults{CrashAfter: 1, DownMS: 1})
+	}
+	resp := r.order(t, "POST")
+	if resp.StatusCode != 502 || resp.Header.Get("X-Sardinedock-Outcome") != "unknown" {
+		t.Fatalf("status %d, headers %v", resp.StatusCode, resp.Header)
+	}
+	if got := r.serviceRuns(); got != 1 {
+		t.Fatalf("%d runs", got)
+	}
+}
+
+// The same for a call that may be repeated: another endpoint answers it.
+func TestRepeatableServiceCallGoesElsewhere(t *testing.T) {
+	r := newRig(t, rigConfig{services: 3})
+	for _, s := range r.Services[:2] {
+		s.SetFaults(emulator.ServiceFaults{CrashAfter: 1, DownMS: 1})
+	}
+	if resp := r.order(t, "GET"); resp.StatusCode != 200 {
+		t.Fatalf("status %d", resp.StatusCode)
+	}
+}
+
+// A service takes a confirmation and never answers. The caller reads, when its
+// class's time is over, that nobody knows.
+func TestSilentService(t *testing.T) {
+	class := &recordspb.RequestClass{MaxWaitMs: 100, TimeoutMs: 300}
+	r := newRig(t, rigConfig{services: 2, class: class})
+	for _, s := range r.Services {
+		s.SetFaults(emulator.ServiceFaults{SilentAfter: 1})
+	}
+	resp := r.do(t, "POST", "/services/ordering/x", http.Header{"X-Sardinedock-Class": {"quote"}}, "ship")
+	if resp.StatusCode != 502 || resp.Header.Get("X-Sardinedock-Outcome") != "unknown" {
+		t.Fatalf("status %d, headers %v", resp.StatusCode, resp.Header)
+	}
+	if got := r.serviceRuns(); got != 1 {
+		t.Fatalf("%d runs", got)
+	}
+}
+
+// Connections to a service that were used before go silent for good while new
+// ones work. A confirmation never goes over such a connection, and a call that
+// may be repeated is sent again on a new one.
+func TestForgottenServiceConnections(t *testing.T) {
+	r := newRig(t, rigConfig{services: 1})
+	for _, method := range []string{"POST", "GET"} {
+		r.order(t, "GET")
+		r.Services[0].SilenceOpen()
+		if resp := r.order(t, method); resp.StatusCode != 200 {
+			t.Fatalf("%s: status %d", method, resp.StatusCode)
+		}
+	}
+	if got := r.serviceRuns(); got < 4 {
+		t.Fatalf("%d runs", got)
+	}
+}
+
+// No endpoint of the service listens: nothing ran, and the refusal says so.
+func TestServiceAway(t *testing.T) {
+	r := newRig(t, rigConfig{services: 2})
+	for _, s := range r.Services {
+		_ = s.Close()
+	}
+	resp := r.order(t, "POST")
+	if resp.StatusCode != 503 || resp.Header.Get("X-Sardinedock-Outcome") != "not-run" || resp.Header.Get("Retry-After") == "" {
+		t.Fatalf("status %d, headers %v", resp.StatusCode, resp.Header)
+	}
+}
+
+// One endpoint of the service is away. A confirmation that never left goes to
+// the next one.
+func TestConfirmationGoesPastAClosedEndpoint(t *testing.T) {
+	r := newRig(t, rigConfig{services: 3})
+	_ = r.Services[0].Close()
+	_ = r.Services[1].Close()
+	for range 6 {
+		if resp := r.order(t, "POST"); resp.StatusCode != 200 {
+			t.Fatalf("status %d", resp.StatusCode)
+		}
+	}
+	if got := r.serviceRuns(); got != 6 {
+		t.Fatalf("%d runs", got)
+	}
+}
--- a/instance/entry.go
+++ b/instance/entry.go
@@ -20,11 +20,13 @@
 	silence := time.Duration(limits.GetSilenceMs()) * time.Millisecond
 	clients := endpoint.NewClients(dialTimeout, silence)
 	i.entry = entry.NewServer(entry.Config{
-		Limits: limits,
-		Placer: i.placer(),
-		Dial:   func(addr string) endpoint.Generator { return clients.Engine(addr) },
-		NewID:  newID,
+		Limits:      limits,
+		Placer:      i.placer(),
+		Dial:        func(addr string) entry.Engine { return clients.Engine(addr) },
+		DialService: func(addr string) entry.Service { return clients.Service(addr) },
+		NewID:       newID,
 	})
+	i.admin.Register("callers", i.entry.Dump)
 }
 
 func (i *Instance) startCallers() error {
@@ -33,7 +35,7 @@
 		return fault.Wrap(err, fault.Invalid, "choose a free address for listen.callers", "listen for callers")
 	}
 	i.callers = newCutListener(ln)
-	go func() { _ = i.entry.HTTP().Serve(i.callers) }()
+	go func() { _ = i.entry.Serve(i.callers) }()
 	return nil
 }
 
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -72,5 +72,5 @@
 	i.admin.SetReady(false)
 	defer func() { _ = i.adminLn.Close() }()
 	defer i.provider.Stop()
-	return i.entry.HTTP().ShutdownWithContext(ctx)
+	return i.entry.Shutdown(ctx)
 }
--- a/instance/kill.go
+++ b/instance/kill.go
@@ -1,8 +1,10 @@
 package instance
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 )
 
 // Kill ends the instance as a crash does: its listeners and its callers'
@@ -76,3 +78,21 @@
 	c.listener.mu.Unlock()
 	return c.Conn.Close()
 }
+
+// SyscallConn implements syscall.Conn, by which a caller that has gone is seen.
+func (c *cutConn) SyscallConn() (syscall.RawConn, error) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return sc.SyscallConn()
+}
+
+// CloseWrite ends what is written and leaves the reading open.
+func (c *cutConn) CloseWrite() error {
+	cw, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return cw.CloseWrite()
+}
