Give duties with one holder a lease with a fencing number

Cause: rollouts and status per pool need one holder at a time, on a store that loses replies and with holders that are paused.

--- /dev/null
+++ b/lease/duty_test.go
@@ -0,0 +1,98 @@
+package lease
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sardinedock/sardinedock/platform/storetest"
+)
+
+func startDuties(s *storetest.Store, n int) []*Duty {
+	duties := make([]*Duty, n)
+	for i := range duties {
+		duties[i] = NewDuty(Config{Store: s, Name: "rollout", Self: fmt.Sprintf("entry-%d", i)})
+		duties[i].Start()
+	}
+	return duties
+}
+
+// holders returns the duties that hold the lease now.
+func holders(duties []*Duty) []*Duty {
+	var list []*Duty
+	for _, d := range duties {
+		if _, ok := d.Held(); ok {
+			list = append(list, d)
+		}
+	}
+	return list
+}
+
+func TestOneOfManyHoldsAndAnotherFollows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &storetest.Store{}
+		duties := startDuties(s, 3)
+		time.Sleep(30 * time.Second)
+		first := holders(duties)
+		if len(first) != 1 {
+			t.Fatalf("%d holders, want 1", len(first))
+		}
+		before, _ := first[0].Held()
+		first[0].Stop()
+		time.Sleep(DefaultLength)
+		second := holders(duties)
+		if len(second) != 1 || second[0] == first[0] {
+			t.Fatalf("%d holders after the release, want another one", len(second))
+		}
+		if after, _ := second[0].Held(); after <= before {
+			t.Fatalf("fence %d after %d", after, before)
+		}
+		for _, d := range duties {
+			if d != first[0] {
+				d.Stop()
+			}
+		}
+	})
+}
+
+// The object API is away for longer than the lease. Nobody may go on believing,
+// and exactly one may believe again afterwards. Lost replies of the first
+// writes must not cost the lease.
+func TestOutageEndsTheBelief(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &storetest.Store{}
+		s.LoseReplies(3)
+		duties := startDuties(s, 2)
+		time.Sleep(40 * time.Second)
+		if n := len(holders(duties)); n != 1 {
+			t.Fatalf("%d holders, want 1", n)
+		}
+		s.SetDown(true)
+		time.Sleep(DefaultLength)
+		if n := len(holders(duties)); n != 0 {
+			t.Fatalf("%d holders in an outage, want none", n)
+		}
+		s.SetDown(false)
+		time.Sleep(2 * DefaultLength)
+		if n := len(holders(duties)); n != 1 {
+			t.Fatalf("%d holders after the outage, want 1", n)
+		}
+		for _, d := range duties {
+			d.Stop()
+		}
+	})
+}
+
+func TestNoCandidateMakesNoCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &storetest.Store{}
+		d := NewDuty(Config{Store: s, Name: "rollout", Self: "entry-0", Candidate: func() bool { return false }})
+		d.Start()
+		time.Sleep(time.Minute)
+		d.Stop()
+		if c := s.Counts(); c != (storetest.Counts{}) {
+			t.Fatalf("calls: %+v", c)
+		}
+	})
+}
--- a/record/duty.go
+++ b/record/duty.go
@@ -1,10 +1,6 @@
 package record
 
-import (
-	"sort"
-
-	"github.com/zeebo/xxh3"
-)
+import "github.com/zeebo/xxh3"
 
 // WatchersPerKind is how many instances watch one kind of record. Three of
 // them outlive the loss of any two; the others hear from peers.
@@ -28,30 +24,25 @@
 // not count, but an instance always counts itself, so that somebody goes on
 // trying when it answers nobody.
 func WatchDuty(members []Member, self string, kind Kind) bool {
-	type scored struct {
-		score uint64
-		name  string
-	}
-	rank := []scored{{watchScore(kind, self), self}}
+	return Chosen(members, self, string(kind), WatchersPerKind)
+}
+
+// Chosen reports whether this instance is one of the n that rendezvous hashing
+// chooses for a duty from the live members. An instance always counts itself.
+func Chosen(members []Member, self, duty string, n int) bool {
+	own, ahead := dutyScore(duty, self), 0
 	for _, m := range members {
-		if m.StoreReachable && m.Name != self {
-			rank = append(rank, scored{watchScore(kind, m.Name), m.Name})
-		}
-	}
-	sort.Slice(rank, func(i, j int) bool {
-		if rank[i].score != rank[j].score {
-			return rank[i].score > rank[j].score
+		if !m.StoreReachable || m.Name == self {
+			continue
 		}
-		return rank[i].name < rank[j].name
-	})
-	for _, r := range rank[:min(len(rank), WatchersPerKind)] {
-		if r.name == self {
-			return true
+		score := dutyScore(duty, m.Name)
+		if score > own || (score == own && m.Name < self) {
+			ahead++
 		}
 	}
-	return false
+	return ahead < n
 }
 
-func watchScore(kind Kind, name string) uint64 {
-	return xxh3.HashString(string(kind) + "/" + name)
+func dutyScore(duty, name string) uint64 {
+	return xxh3.HashString(duty + "/" + name)
 }
