--- a/entry/errors.go
+++ b/entry/errors.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"errors"
+	"strconv"
 	"strings"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -62,7 +64,7 @@
 	ctx.SetStatusCode(status)
 	wait := status == fasthttp.StatusTooManyRequests || status == fasthttp.StatusServiceUnavailable
 	if wait && len(ctx.Response.Header.Peek(fasthttp.HeaderRetryAfter)) == 0 {
-		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, retryAfterSeconds)
+		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, retryAfter(err))
 	}
 	ctx.Response.Header.Set(headerOutcome, verdict.String())
 	ctx.SetContentType("application/json")
@@ -133,3 +135,12 @@
 		writeError(ctx, fault.New(fault.BadRequest, "send a well-formed HTTP request in time", "the request could not be read"), verdict)
 	}
 }
+
+// retryAfter is the time that err tells, in whole seconds, rounded up.
+func retryAfter(err error) string {
+	after := fault.RetryAfter(err)
+	if after <= 0 {
+		return retryAfterSeconds
+	}
+	return strconv.Itoa(int((after + time.Second - 1) / time.Second))
+}
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"github.com/samber/oops"
 )
@@ -96,3 +97,30 @@
 	}
 	return ""
 }
+
+// delayed is an error that tells when to come back.
+type delayed struct {
+	error
+	after time.Duration
+}
+
+func (d *delayed) Unwrap() error { return d.error }
+
+// WithRetryAfter adds to err when the caller may come back with better
+// prospects. A nil err stays nil.
+func WithRetryAfter(err error, after time.Duration) error {
+	if err == nil {
+		return nil
+	}
+	return &delayed{err, after}
+}
+
+// RetryAfter returns when the caller may come back, or 0 where err does not
+// tell.
+func RetryAfter(err error) time.Duration {
+	var d *delayed
+	if errors.As(err, &d) {
+		return d.after
+	}
+	return 0
+}
--- a/fleet/exchange/store.go
+++ b/fleet/exchange/store.go
@@ -73,6 +73,16 @@
 	return h.Item, true
 }
 
+// Left is how long an item is still remembered; 0 where it has no TTL or is
+// not held.
+func (s *Store) Left(k Key, now time.Time) time.Duration {
+	h := s.items[k]
+	if h == nil || h.expires.IsZero() {
+		return 0
+	}
+	return h.expires.Sub(now)
+}
+
 // Each calls fn with all items of a kind, in no order.
 func (s *Store) Each(kind fleetpb.ItemKind, fn func(Item)) {
 	for k, h := range s.items {
--- a/fleet/member/member.go
+++ b/fleet/member/member.go
@@ -26,6 +26,8 @@
 	RecordsVersion uint64
 	// Callers is the address that serves callers.
 	Callers string
+	// StoreReachable says that the object API answers the instance.
+	StoreReachable bool
 }
 
 // Owns reports whether the member may own endpoints. A suspect keeps what it
@@ -96,6 +98,7 @@
 	return Member{
 		Name: it.Key.Name, Address: s.GetAddress(), DataCentre: s.GetDataCentre(), Region: s.GetRegion(),
 		Status: s.GetStatus(), Incarnation: it.Epoch, RecordsVersion: s.GetRecordsVersion(), Callers: s.GetCallers(),
+		StoreReachable: s.GetStoreReachable(),
 	}, true
 }
 
@@ -103,6 +106,7 @@
 	s := &fleetpb.MemberState{
 		Address: m.Address, DataCentre: m.DataCentre, Region: m.Region,
 		Status: m.Status, RecordsVersion: m.RecordsVersion, Callers: m.Callers,
+		StoreReachable: m.StoreReachable,
 	}
 	value, _ := proto.MarshalOptions{Deterministic: true}.Marshal(s)
 	return exchange.Item{Key: itemKey(m.Name), Epoch: m.Incarnation, Version: version, Value: value, TTL: ttl}
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -5,6 +5,7 @@
 package fleet
 
 import (
+	"bytes"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -53,6 +54,9 @@
 	Seed uint64
 	// Complete tells whether this instance holds all records.
 	Complete func() bool
+	// ViewChanged is told of each new view by the node's goroutine. It must not
+	// block nor call the node; nil tells nobody.
+	ViewChanged func(*member.View)
 	// Changed is told of each item that was new here, by the node's goroutine,
 	// in order. It must not block nor call the node.
 	Changed func([]exchange.Item)
@@ -114,7 +118,11 @@
 		n.send(ctx, o)
 	}
 	if n.core.table.TakeDirty() {
-		n.view.Store(n.core.table.View())
+		view := n.core.table.View()
+		n.view.Store(view)
+		if n.cfg.ViewChanged != nil {
+			n.cfg.ViewChanged(view)
+		}
 	}
 }
 
@@ -170,6 +178,20 @@
 	})
 }
 
+// PublishNext puts a value of this instance into the exchange, one version above
+// the one held, for kinds that several instances write. A value that is held
+// already is not told again before half of its TTL is over.
+func (n *Node) PublishNext(ctx context.Context, key exchange.Key, value []byte, ttl time.Duration) error {
+	return n.events.Put(ctx, func(c *core, now time.Time) []outgoing {
+		old, held := c.store.Get(key)
+		if held && bytes.Equal(old.Value, value) && (ttl == 0 || c.store.Left(key, now) > ttl/2) {
+			return nil
+		}
+		c.put(now, exchange.Item{Key: key, Epoch: old.Epoch, Version: old.Version + 1, Value: value, TTL: ttl})
+		return nil
+	})
+}
+
 // SetListed replaces the addresses of the platform's lagging list.
 func (n *Node) SetListed(ctx context.Context, addresses []string) error {
 	return n.events.Put(ctx, func(c *core, _ time.Time) []outgoing {
@@ -178,20 +200,33 @@
 	})
 }
 
-// SetRecordsVersion tells peers the highest store version in force here.
-func (n *Node) SetRecordsVersion(ctx context.Context, version uint64) error {
+// Tell tells peers which records are in force here and whether the object API
+// can be reached.
+func (n *Node) Tell(ctx context.Context, recordsVersion uint64, storeReachable bool) error {
 	return n.events.Put(ctx, func(c *core, now time.Time) []outgoing {
-		c.put(now, c.table.Update(func(m *member.Member) { m.RecordsVersion = version }))
+		self := c.table.Self()
+		if self.RecordsVersion == recordsVersion && self.StoreReachable == storeReachable {
+			return nil
+		}
+		c.put(now, c.table.Update(func(m *member.Member) {
+			m.RecordsVersion, m.StoreReachable = recordsVersion, storeReachable
+		}))
 		return nil
 	})
 }
 
-// Leave tells peers that this instance takes no ownership any more.
+// Leave tells peers that this instance takes no ownership any more. When it
+// returns, View knows of it.
 func (n *Node) Leave(ctx context.Context) error {
-	return n.do(ctx, func(c *core, now time.Time) []outgoing {
+	err := n.do(ctx, func(c *core, now time.Time) []outgoing {
 		c.put(now, c.table.Leave())
 		return c.pushes(now)
 	})
+	if err != nil {
+		return err
+	}
+	// The view is stored after the event that changed it.
+	return n.do(ctx, func(*core, time.Time) []outgoing { return nil })
 }
 
 // Left tells partners that this instance ends now, and waits for their
--- a/fleet/start.go
+++ b/fleet/start.go
@@ -11,26 +11,46 @@
 const (
 	// pullBound is how long one peer may take for a page of its state.
 	pullBound = 500 * time.Millisecond
+	// pullStagger is how long after one peer the next is tried.
+	pullStagger = 100 * time.Millisecond
 	// pullPages bounds the pages of one pull.
 	pullPages = 64
 )
 
-// Pull fetches all state from the first of the addresses that answers, so that
-// an instance that starts while the object API is away serves at once. It
-// reports whether a peer that holds all records has handed them over. Run must
-// have been started.
+// Pull fetches all state from a peer, so that an instance that starts while the
+// object API is away serves at once. The addresses are tried one after the
+// other, each a little after the one before it: one that is silent must not
+// cost the start its bound. It reports whether a peer that holds all records
+// has handed them over. Run must have been started.
 func (n *Node) Pull(ctx context.Context, addresses []string) bool {
-	complete := false
-	for _, address := range addresses {
-		if address == n.cfg.Self.Address {
-			continue
-		}
-		if n.pullAll(ctx, address) {
-			complete = true
-			break
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan bool, len(addresses))
+	tried := 0
+	next := time.NewTimer(0)
+	defer next.Stop()
+	for open := 0; tried < len(addresses) || open > 0; {
+		select {
+		case <-next.C:
+			if tried == len(addresses) {
+				continue
+			}
+			address := addresses[tried]
+			tried++
+			open++
+			next.Reset(pullStagger)
+			go func() { results <- address != n.cfg.Self.Address && n.pullAll(ctx, address) }()
+		case complete := <-results:
+			open--
+			if complete {
+				return true
+			}
+			next.Reset(0)
+		case <-ctx.Done():
+			return false
 		}
 	}
-	return complete
+	return false
 }
 
 // pullAll fetches all pages from one peer.
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -26,6 +26,7 @@
 	callers  *cutListener
 	admin    *admin.Handler
 	adminLn  net.Listener
+	peers    *peers
 	// onKill ends what other duties listen on.
 	onKill []func()
 }
@@ -35,14 +36,21 @@
 func Start(ctx context.Context, s *settingspb.Settings) (*Instance, error) {
 	i := &Instance{settings: s, admin: admin.NewHandler()}
 	i.provisionStore()
+	if err := i.provisionFleet(); err != nil {
+		return nil, err
+	}
 	i.provisionEntry()
+	i.startFleet(ctx)
 	i.startRecords(ctx)
+	i.startPlacing(ctx)
 	if err := i.startAdmin(); err != nil {
 		i.provider.Stop()
+		i.stopFleet(ctx)
 		return nil, err
 	}
 	if err := i.startCallers(); err != nil {
 		i.provider.Stop()
+		i.stopFleet(ctx)
 		_ = i.adminLn.Close()
 		return nil, err
 	}
@@ -72,5 +80,7 @@
 	i.admin.SetReady(false)
 	defer func() { _ = i.adminLn.Close() }()
 	defer i.provider.Stop()
+	defer i.stopFleet(ctx)
+	i.leaveFleet(ctx)
 	return i.entry.Shutdown(ctx)
 }
--- /dev/null
+++ b/place/ask.go
@@ -0,0 +1,214 @@
+package place
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/owner"
+	"github.com/sardinedock/sardinedock/policy"
+	"github.com/sardinedock/sardinedock/schema/fleetpb"
+)
+
+// placeOnce asks the owner of the first candidate and, where that one is busy,
+// those of the others. again is set where the request has to be placed anew.
+//
+// It is made for a hot prefix in a burst: one ask is enough as long as the
+// first candidate is not behind, and only when it is do the others cost asks.
+func (f *Fleet) placeOnce(ctx context.Context, t *ticket, list []candidate) (g Grant, again bool, err error) {
+	first, ok := f.ask(ctx, t, list[0].name, func(in *fleetpb.AskRequest) { in.PatienceMs = patience.Milliseconds() })
+	if !ok || first.GetRefusal() == string(owner.ReasonNotOwned) {
+		return f.withoutOwner(ctx, t, list)
+	}
+	switch {
+	case first.GetGranted() != nil || first.GetQueued():
+		return f.settle(ctx, t, list[0], first)
+	case first.GetRefusal() == string(owner.ReasonEndpoint):
+		return f.exclude(t, list[0].name)
+	}
+	offers := append(first.GetOffers(), f.probe(ctx, t, list[1:])...)
+	chosen, wait := f.choose(t, offers)
+	if chosen < 0 {
+		return Grant{}, false, overloaded(retryAfter(t, first, wait))
+	}
+	c := list[slices.IndexFunc(list, func(c candidate) bool { return c.name == offers[chosen].GetEndpoint() })]
+	if c.name != list[0].name {
+		shifted.Inc()
+	}
+	reply, ok := f.ask(ctx, t, c.name, func(*fleetpb.AskRequest) {})
+	if !ok {
+		return f.withoutOwner(ctx, t, list)
+	}
+	return f.settle(ctx, t, c, reply)
+}
+
+// withoutOwner decides from this instance's own view.
+func (f *Fleet) withoutOwner(ctx context.Context, t *ticket, list []candidate) (Grant, bool, error) {
+	if err := callerGone(ctx); err != nil {
+		return Grant{}, false, err
+	}
+	g, err := f.placeOwn(t, list)
+	return g, false, err
+}
+
+// exclude leaves an endpoint out and has the request placed anew.
+func (f *Fleet) exclude(t *ticket, name string) (Grant, bool, error) {
+	t.request.Exclude = append(slices.Clone(t.request.Exclude), name)
+	return Grant{}, true, nil
+}
+
+// settle ends an ask that took a slot, waits for one or was refused.
+func (f *Fleet) settle(ctx context.Context, t *ticket, c candidate, reply *fleetpb.AskReply) (Grant, bool, error) {
+	instance := t.routes.owners[c.name]
+	for {
+		switch {
+		case reply.GetGranted() != nil:
+			o := reply.GetGranted()
+			return f.granted(t, Grant{
+				ID: o.GetGrantId(), Owner: instance, Endpoint: c.name, Address: c.address,
+				Incarnation: o.GetIncarnation(), CachedTokens: o.GetCachedTokens(), Alone: o.GetAlone(),
+			}), false, nil
+		case reply.GetRefusal() == string(owner.ReasonEndpoint):
+			return f.exclude(t, c.name)
+		case reply.GetRefusal() == string(owner.ReasonNotOwned):
+			// The endpoint has gone to another owner; ask that one.
+			return Grant{}, true, nil
+		case reply.GetRefusal() != "":
+			return Grant{}, false, overloaded(milliseconds(reply.GetRetryAfterMs()))
+		case !reply.GetQueued():
+			return Grant{}, true, nil
+		}
+		var ok bool
+		reply, ok = f.ask(ctx, t, c.name, func(in *fleetpb.AskRequest) { in.WaitMs = pollWait.Milliseconds() })
+		if err := callerGone(ctx); err != nil {
+			f.reports.withdraw(t, instance, c.name)
+			return Grant{}, false, err
+		}
+		if !ok {
+			f.reports.withdraw(t, instance, c.name)
+			return Grant{}, true, nil
+		}
+	}
+}
+
+func callerGone(ctx context.Context) error {
+	return fault.Wrap(ctx.Err(), fault.Unavailable, "send the request again", "the caller has gone or its time is over")
+}
+
+// choose picks among the offers that start in time. It returns -1 and the
+// shortest wait where none does.
+func (f *Fleet) choose(t *ticket, offers []*fleetpb.Offer) (int, time.Duration) {
+	left := t.deadline.Sub(f.cfg.Clock.Now())
+	shortest := time.Duration(-1)
+	var index []int
+	var list []policy.Offer
+	for i, o := range offers {
+		offer := fromOffer(o)
+		if shortest < 0 || offer.Wait < shortest {
+			shortest = offer.Wait
+		}
+		if offer.Wait <= left {
+			index, list = append(index, i), append(list, offer)
+		}
+	}
+	choice := policy.Choose(t.request.PromptTokens, 0, list, t.pool.prices())
+	if choice.Index < 0 {
+		return -1, shortest
+	}
+	return index[choice.Index], shortest
+}
+
+// retryAfter is when a slot may be free for a request that cannot start in
+// time now.
+func retryAfter(t *ticket, first *fleetpb.AskReply, shortest time.Duration) time.Duration {
+	after := milliseconds(first.GetRetryAfterMs())
+	if over := shortest - classWait(t.request.Class); shortest >= 0 && (after == 0 || over < after) {
+		after = over
+	}
+	return max(after, ownRetryAfter)
+}
+
+// probe asks the owners of the candidates for offers, all at once.
+func (f *Fleet) probe(ctx context.Context, t *ticket, list []candidate) []*fleetpb.Offer {
+	byOwner := map[string][]string{}
+	for _, c := range list {
+		instance := t.routes.owners[c.name]
+		byOwner[instance] = append(byOwner[instance], c.name)
+	}
+	var mu sync.Mutex
+	var offers []*fleetpb.Offer
+	var wg sync.WaitGroup
+	for _, names := range byOwner {
+		wg.Go(func() {
+			reply, ok := f.ask(ctx, t, names[0], func(in *fleetpb.AskRequest) { in.Endpoints, in.Probe = names, true })
+			if !ok {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			offers = append(offers, reply.GetOffers()...)
+		})
+	}
+	wg.Wait()
+	// The order of the candidates, which all instances share, decides ties.
+	slices.SortStableFunc(offers, func(a, b *fleetpb.Offer) int { return position(list, a) - position(list, b) })
+	return offers
+}
+
+func position(list []candidate, o *fleetpb.Offer) int {
+	return slices.IndexFunc(list, func(c candidate) bool { return c.name == o.GetEndpoint() })
+}
+
+// ask sends one ask to the owner of an endpoint. ok is false where the owner
+// gives no answer in time.
+func (f *Fleet) ask(ctx context.Context, t *ticket, name string, change func(*fleetpb.AskRequest)) (reply *fleetpb.AskReply, ok bool) {
+	in := f.askRequest(t, name)
+	change(in)
+	instance := t.routes.owners[name]
+	bound := askBound
+	if in.GetWaitMs() > 0 {
+		bound = pollBound
+	}
+	if instance == f.cfg.Caller.GetInstance() {
+		ctx, cancel := context.WithTimeout(ctx, pollBound)
+		defer cancel()
+		reply, err := f.cfg.Duty.Ask(ctx, in)
+		return reply, err == nil
+	}
+	address, known := t.routes.address(instance)
+	if !known || !f.states.mayAsk(instance, f.cfg.Clock.Now()) {
+		return nil, false
+	}
+	asksSent.Inc()
+	reply, err := f.cfg.Peers.Ask(ctx, address, bound, in)
+	if err == nil {
+		f.states.answered(instance)
+		return reply, true
+	}
+	asksFailed.Inc()
+	if ctx.Err() == nil && !fault.Is(err, fault.Overloaded) {
+		f.states.didNotAnswer(instance, f.cfg.Clock.Now())
+	}
+	if !in.GetProbe() {
+		// The owner may have given a slot whose reply was lost.
+		f.reports.withdraw(t, instance, name)
+	}
+	return nil, false
+}
+
+func (f *Fleet) askRequest(t *ticket, name string) *fleetpb.AskRequest {
+	r := t.request
+	if t.blocks == nil {
+		t.blocks = packBlocks(r.Blocks)
+	}
+	return &fleetpb.AskRequest{
+		Caller: f.cfg.Caller, RequestId: t.askID(), Endpoints: []string{name},
+		Organisation: r.Organisation, Weight: t.weight, Class: r.ClassName, Urgent: r.Class.GetUrgent(),
+		Model: r.Model, Version: r.Version, BlockHashes: t.blocks,
+		PromptTokens: r.PromptTokens, MaxTokens: r.MaxTokens,
+		BudgetMs: max(0, t.deadline.Sub(f.cfg.Clock.Now()).Milliseconds()), TimeoutMs: r.Class.GetTimeoutMs(),
+		Fingerprint: r.Fingerprint[:], Alone: t.alone,
+	}
+}
--- /dev/null
+++ b/place/duty.go
@@ -0,0 +1,246 @@
+package place
+
+import (
+	"context"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/sardinedock/sardinedock/clock"
+	"github.com/sardinedock/sardinedock/owner"
+	"github.com/sardinedock/sardinedock/policy"
+	"github.com/sardinedock/sardinedock/ring"
+	"github.com/sardinedock/sardinedock/schema/fleetpb"
+)
+
+const (
+	// dutyRing bounds what waits for the owner's goroutine. Asks that do not
+	// fit are refused at once, so that their callers decide for themselves.
+	dutyRing = 4096
+	// maxWait bounds how long a reply is held back, whatever the caller asks
+	// for: by then the caller wants to hear that the owner is alive.
+	maxWait = time.Second
+	// unclaimedBound is how long a slot is kept for a request whose caller has
+	// not come back for the answer: its reply was lost, or the caller is gone.
+	unclaimedBound = 2 * time.Second
+	// renewEvery is how often the leases of live instances are renewed.
+	renewEvery = time.Second
+)
+
+var (
+	asksServed      = metrics.GetOrCreateCounter("sardinedock_owner_asks_total")
+	asksOverBound   = metrics.GetOrCreateCounter("sardinedock_owner_asks_over_bound_total")
+	grantsUnclaimed = metrics.GetOrCreateCounter("sardinedock_owner_grants_unclaimed_total")
+	cacheGaps       = metrics.GetOrCreateCounter("sardinedock_owner_cache_event_gaps_total")
+)
+
+// DutyConfig is what a Duty needs.
+type DutyConfig struct {
+	Self  string
+	Clock clock.Clock
+	// FirstGrantID is higher than any that an earlier start of the instance
+	// gave, such as its incarnation.
+	FirstGrantID uint64
+	// Lost is told of requests that were in flight when an endpoint crashed.
+	// It is called by the duty's goroutine and must not block.
+	Lost func(endpoint string, incarnation uint64, lost []owner.Fingerprint)
+	// HandOver is given the state of an endpoint that another instance owns
+	// from now on. It must not block.
+	HandOver func(endpoint, next string, knowledge []byte)
+}
+
+// Duty owns the state of the endpoints that this instance is the owner of. One
+// goroutine works on it; all methods may be called by any goroutine.
+type Duty struct {
+	cfg    DutyConfig
+	events *ring.Ring[dutyEvent]
+
+	book *owner.Book
+	// held are the replies that wait for a decision, unclaimed the grants that
+	// nobody was there to hear of.
+	held      map[askKey]chan owner.Decision
+	unclaimed map[askKey]unclaimedGrant
+	members   []string
+	renewed   time.Time
+	restored  map[string][]byte
+}
+
+type askKey struct{ caller, request string }
+
+type unclaimedGrant struct {
+	endpoint string
+	since    time.Time
+}
+
+// dutyEvent is applied to the duty's state by its goroutine.
+type dutyEvent func(d *Duty, now time.Time)
+
+// NewDuty returns a duty without endpoints, which Run starts.
+func NewDuty(cfg DutyConfig) *Duty {
+	return &Duty{
+		cfg:       cfg,
+		events:    ring.New[dutyEvent]("owner_events", dutyRing),
+		book:      owner.NewBook(policy.Prices{Recompute: policy.DefaultRecompute}),
+		held:      map[askKey]chan owner.Decision{},
+		unclaimed: map[askKey]unclaimedGrant{},
+		restored:  map[string][]byte{},
+	}
+}
+
+// Run works until ctx ends.
+func (d *Duty) Run(ctx context.Context) {
+	ticker := time.NewTicker(owner.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-d.events.C():
+			e(d, d.cfg.Clock.Now())
+		case <-ticker.C:
+			d.tick(d.cfg.Clock.Now())
+		}
+	}
+}
+
+func (d *Duty) tick(now time.Time) {
+	if now.Sub(d.renewed) >= renewEvery {
+		d.renewed = now
+		for _, m := range d.members {
+			d.book.Seen(now, m)
+		}
+	}
+	d.decide(now, d.book.Tick(now))
+	for key, g := range d.unclaimed {
+		if now.Sub(g.since) < unclaimedBound {
+			continue
+		}
+		delete(d.unclaimed, key)
+		if e := d.book.Endpoint(g.endpoint); e != nil {
+			grantsUnclaimed.Inc()
+			d.decide(now, e.Withdraw(now, key.caller, key.request))
+		}
+	}
+}
+
+// decide hands decisions to the replies that are held back for them.
+func (d *Duty) decide(now time.Time, decisions []owner.Decision) {
+	for _, x := range decisions {
+		key := askKey{x.Caller, x.RequestID}
+		if ch := d.held[key]; ch != nil {
+			delete(d.held, key)
+			ch <- x
+			continue
+		}
+		if x.Kind == owner.Granted {
+			d.unclaimed[key] = unclaimedGrant{x.Offer.Endpoint, now}
+		}
+	}
+}
+
+// Ask answers an ask. It blocks until the decision, at most for the ask's wait.
+// An error means that the caller has to decide for itself.
+func (d *Duty) Ask(ctx context.Context, in *fleetpb.AskRequest) (*fleetpb.AskReply, error) {
+	asksServed.Inc()
+	wait := min(time.Duration(in.GetWaitMs())*time.Millisecond, maxWait)
+	// Room for the first answer and for the decision after it, so that the
+	// duty never waits for a caller.
+	answer := make(chan owner.Decision, 2)
+	key := askKey{in.GetCaller().GetInstance(), in.GetRequestId()}
+	accepted := d.events.Offer(func(d *Duty, now time.Time) { d.ask(now, key, in, wait > 0, answer) })
+	if !accepted {
+		asksOverBound.Inc()
+		return nil, errOwnerBusy
+	}
+	first, err := receive(ctx, answer)
+	if err != nil {
+		return d.giveUp(ctx, key, answer, first)
+	}
+	if first.Kind != owner.Queued || wait <= 0 {
+		return toReply(first), nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case later := <-answer:
+		return toReply(later), nil
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return d.giveUp(ctx, key, answer, first)
+}
+
+func receive(ctx context.Context, answer chan owner.Decision) (owner.Decision, error) {
+	select {
+	case x := <-answer:
+		return x, nil
+	case <-ctx.Done():
+		return owner.Decision{}, context.Cause(ctx)
+	}
+}
+
+// giveUp takes a held reply back. The decision may have come meanwhile.
+func (d *Duty) giveUp(ctx context.Context, key askKey, answer chan owner.Decision, queued owner.Decision) (*fleetpb.AskReply, error) {
+	done := make(chan struct{})
+	_ = d.events.Put(context.WithoutCancel(ctx), func(d *Duty, now time.Time) {
+		defer close(done)
+		if d.held[key] == answer {
+			delete(d.held, key)
+		}
+		for ctx.Err() != nil && len(answer) > 0 {
+			// The caller has gone, so nobody hears of the grant.
+			d.decide(now, []owner.Decision{<-answer})
+		}
+	})
+	select {
+	case <-done:
+	case <-time.After(maxWait):
+		return nil, errOwnerBusy
+	}
+	select {
+	case later := <-answer:
+		return toReply(later), nil
+	default:
+		return toReply(queued), nil
+	}
+}
+
+func (d *Duty) ask(now time.Time, key askKey, in *fleetpb.AskRequest, hold bool, answer chan owner.Decision) {
+	delete(d.unclaimed, key)
+	x := d.book.Ask(now, fromAsk(now, in), in.GetEndpoints())
+	if x.Kind == owner.Queued && hold {
+		d.held[key] = answer
+	}
+	answer <- x
+}
+
+// Report takes what became of grants. A full ring gives the oldest up; their
+// grants end by themselves.
+func (d *Duty) Report(caller string, ends []*fleetpb.GrantEnd) {
+	d.events.Push(func(d *Duty, now time.Time) {
+		d.book.Seen(now, caller)
+		for _, e := range ends {
+			d.end(now, caller, e)
+		}
+	})
+}
+
+func (d *Duty) end(now time.Time, caller string, in *fleetpb.GrantEnd) {
+	e := d.book.Endpoint(in.GetEndpoint())
+	if e == nil {
+		return
+	}
+	if in.GetGrantId() == 0 {
+		delete(d.unclaimed, askKey{caller, in.GetRequestId()})
+		d.decide(now, e.Withdraw(now, caller, in.GetRequestId()))
+		return
+	}
+	if in.GetState() == fleetpb.GrantState_GRANT_STATE_FIRST_TOKEN {
+		after := time.Duration(in.GetFirstTokenMs()) * time.Millisecond
+		d.decide(now, e.FirstToken(now, in.GetGrantId(), in.GetCachedTokens(), after))
+		return
+	}
+	d.decide(now, e.End(now, owner.End{
+		GrantID: in.GetGrantId(), Stage: stageOf(in.GetState()), Incarnation: in.GetIncarnation(), CachedTokens: in.GetCachedTokens(),
+	}))
+}
--- /dev/null
+++ b/place/limits.go
@@ -0,0 +1,180 @@
+package place
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sardinedock/sardinedock/fleet/member"
+	"github.com/sardinedock/sardinedock/policy"
+	"github.com/sardinedock/sardinedock/record"
+	"github.com/sardinedock/sardinedock/schema/fleetpb"
+)
+
+const (
+	// usageEvery is how often an instance tells its use, and usageEachMember
+	// what each member adds to that, so that the bytes that reach an instance
+	// stay the same: 20 reports a second over the whole fleet.
+	usageEvery      = time.Second
+	usageEachMember = 50 * time.Millisecond
+	// usageRounds is after how many missed reports an instance's use counts
+	// for nothing.
+	usageRounds = 5
+)
+
+// limits holds organisations to what their records allow over the whole fleet.
+// Any goroutine may use it.
+type limits struct {
+	self    string
+	publish func(kind fleetpb.ItemKind, name string, value []byte, ttl time.Duration)
+
+	mu      sync.Mutex
+	byName  map[string]*policy.OrganisationLimit
+	usage   map[string]*fleetpb.UsageState
+	members int
+}
+
+func newLimits(self string, publish func(fleetpb.ItemKind, string, []byte, time.Duration)) *limits {
+	return &limits{
+		self: self, publish: publish, members: 1,
+		byName: map[string]*policy.OrganisationLimit{}, usage: map[string]*fleetpb.UsageState{},
+	}
+}
+
+// admit counts a request. The returned limit has to be given to done; it is nil
+// where the organisation has none.
+func (l *limits) admit(now time.Time, organisation string) (*policy.OrganisationLimit, bool, time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	limit := l.byName[organisation]
+	if limit == nil {
+		return nil, true, 0
+	}
+	ok, after := limit.Admit(now)
+	return limit, ok, after
+}
+
+func (l *limits) done(limit *policy.OrganisationLimit) {
+	if limit == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	limit.Done()
+}
+
+// setMembers puts the records' limits in force for the members as they are.
+func (l *limits) setMembers(now time.Time, view *member.View, records *record.Snapshot) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.members = max(len(view.Owners), 1)
+	for name := range l.usage {
+		if m, ok := view.Find(name); !ok || !m.Owns() {
+			delete(l.usage, name)
+		}
+	}
+	if records == nil {
+		return
+	}
+	limited := map[string]bool{}
+	for _, name := range records.OrganisationNames() {
+		o, _ := records.Organisation(name)
+		if o.GetRequestsPerSecond() <= 0 && o.GetInFlight() <= 0 {
+			continue
+		}
+		limited[name] = true
+		if l.byName[name] == nil {
+			l.byName[name] = policy.NewOrganisationLimit(now, o.GetRequestsPerSecond(), o.GetInFlight())
+		}
+		l.byName[name].SetLimits(o.GetRequestsPerSecond(), o.GetInFlight())
+	}
+	for name := range l.byName {
+		if !limited[name] {
+			delete(l.byName, name)
+		}
+	}
+	l.share()
+}
+
+// heard takes another instance's use.
+func (l *limits) heard(instance string, value []byte) {
+	s := &fleetpb.UsageState{}
+	if instance == l.self || proto.Unmarshal(value, s) != nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.usage[instance] = s
+	l.share()
+}
+
+// share gives each limit what the other instances reported.
+func (l *limits) share() {
+	others := map[string][]policy.Usage{}
+	for _, s := range l.usage {
+		for _, u := range s.GetUsage() {
+			if l.byName[u.GetOrganisation()] != nil {
+				others[u.GetOrganisation()] = append(others[u.GetOrganisation()], policy.Usage{Demand: float64(u.GetDemand()), InFlight: u.GetInFlight()})
+			}
+		}
+	}
+	for name, limit := range l.byName {
+		limit.SetPeers(l.members, others[name])
+	}
+}
+
+// run tells this instance's use until ctx ends.
+func (l *limits) run(ctx context.Context, now func() time.Time) {
+	for {
+		every := l.every()
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(every):
+		}
+		if value := l.report(now()); len(value) > 0 {
+			l.publish(fleetpb.ItemKind_ITEM_KIND_USAGE, l.self, value, usageRounds*every)
+		}
+	}
+}
+
+func (l *limits) every() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(usageEvery, time.Duration(l.members)*usageEachMember)
+}
+
+// report is the use of the limited organisations that have any.
+func (l *limits) report(now time.Time) []byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := &fleetpb.UsageState{}
+	for name, limit := range l.byName {
+		if u := limit.Usage(now); u.InFlight > 0 || u.Demand > 0.01 {
+			s.Usage = append(s.Usage, &fleetpb.OrganisationUsage{Organisation: name, Demand: float32(u.Demand), InFlight: u.InFlight})
+		}
+	}
+	slices.SortFunc(s.Usage, func(a, b *fleetpb.OrganisationUsage) int {
+		if a.GetOrganisation() < b.GetOrganisation() {
+			return -1
+		}
+		return 1
+	})
+	value, _ := proto.Marshal(s)
+	return value
+}
+
+// names lists the organisations that have limits.
+func (l *limits) names() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	names := make([]string, 0, len(l.byName))
+	for name := range l.byName {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/place/observe.go
@@ -0,0 +1,140 @@
+package place
+
+import (
+	"context"
+	"time"
+
+	"github.com/sardinedock/sardinedock/owner"
+	"github.com/sardinedock/sardinedock/schema/fleetpb"
+)
+
+// maxRestored bounds the states that were handed over before this instance
+// knew that it owns their endpoints.
+const maxRestored = 64
+
+// SetOwned replaces the endpoints that this instance owns. What it owned before
+// and does not now is handed over to the instance that next names.
+func (d *Duty) SetOwned(ctx context.Context, owned []owner.Config, members []string, next func(endpoint string) string) error {
+	return d.events.Put(ctx, func(d *Duty, now time.Time) {
+		d.loseCallers(now, members)
+		keep := make(map[string]bool, len(owned))
+		for _, cfg := range owned {
+			keep[cfg.Name] = true
+			cfg.FirstGrantID = d.cfg.FirstGrantID
+			e := d.book.Add(cfg)
+			if knowledge, ok := d.restored[cfg.Name]; ok {
+				delete(d.restored, cfg.Name)
+				_ = e.Restore(now, knowledge)
+			}
+		}
+		for _, name := range d.book.Names() {
+			if !keep[name] {
+				d.handOver(now, name, next(name))
+			}
+		}
+	})
+}
+
+// loseCallers takes back what instances held that are members no more.
+func (d *Duty) loseCallers(now time.Time, members []string) {
+	live := make(map[string]bool, len(members))
+	for _, m := range members {
+		live[m] = true
+	}
+	for _, m := range d.members {
+		if !live[m] {
+			d.decide(now, d.book.CallerLost(now, m))
+		}
+	}
+	d.members = members
+}
+
+func (d *Duty) handOver(now time.Time, name, next string) {
+	knowledge, err := d.book.Endpoint(name).Snapshot(now)
+	d.decide(now, d.book.Remove(name))
+	if err == nil && next != "" && next != d.cfg.Self {
+		d.cfg.HandOver(name, next, knowledge)
+	}
+}
+
+// Restore takes over what the former owner of an endpoint knew.
+func (d *Duty) Restore(ctx context.Context, endpoint string, knowledge []byte) error {
+	return d.events.Put(ctx, func(d *Duty, now time.Time) {
+		if e := d.book.Endpoint(endpoint); e != nil {
+			_ = e.Restore(now, knowledge)
+			return
+		}
+		if len(d.restored) < maxRestored {
+			d.restored[endpoint] = knowledge
+		}
+	})
+}
+
+// Status tells how an endpoint is treated, and what it has loaded. Endpoints
+// of other owners are passed over.
+func (d *Duty) Status(ctx context.Context, endpoint string, s *fleetpb.EndpointState) error {
+	return d.events.Put(ctx, func(d *Duty, now time.Time) {
+		e := d.book.Endpoint(endpoint)
+		if e == nil {
+			return
+		}
+		if s.GetModelVersions() != nil {
+			e.Models(s.GetModelVersions())
+		}
+		change := e.Status(now, s.GetStatus(), s.GetIncarnation())
+		if len(change.Lost) > 0 {
+			d.cfg.Lost(endpoint, s.GetIncarnation(), change.Lost)
+		}
+		d.decide(now, change.Decisions)
+	})
+}
+
+// Load tells what an endpoint said of its load. A full ring gives the oldest
+// reports up.
+func (d *Duty) Load(endpoint string, r owner.LoadReport) {
+	d.events.Push(func(d *Duty, now time.Time) {
+		if e := d.book.Endpoint(endpoint); e != nil {
+			d.decide(now, e.LoadReport(now, r))
+		}
+	})
+}
+
+// CacheEvents tells what happened to an endpoint's cache. What a full ring
+// gives up is a gap like those of the engine's own stream.
+func (d *Duty) CacheEvents(endpoint string, events []owner.CacheEvent) {
+	d.events.Push(func(d *Duty, _ time.Time) {
+		e := d.book.Endpoint(endpoint)
+		if e == nil {
+			return
+		}
+		for _, ev := range events {
+			if e.CacheEvent(ev) {
+				cacheGaps.Inc()
+			}
+		}
+	})
+}
+
+// DutyDump is the owner's part of the state dump.
+type DutyDump struct {
+	Owned     []string `json:"owned"`
+	Held      int      `json:"held_replies"`
+	Unclaimed int      `json:"unclaimed_grants"`
+}
+
+// Dump returns the state now, or nothing where the duty does not answer.
+func (d *Duty) Dump(ctx context.Context) DutyDump {
+	ch := make(chan DutyDump, 1)
+	err := d.events.Put(ctx, func(d *Duty, _ time.Time) {
+		ch <- DutyDump{Owned: d.book.Names(), Held: len(d.held), Unclaimed: len(d.unclaimed)}
+	})
+	if err != nil {
+		return DutyDump{}
+	}
+	select {
+	case dump := <-ch:
+		return dump
+	case <-ctx.Done():
+		return DutyDump{}
+	}
+}
--- a/place/place.go
+++ b/place/place.go
@@ -48,6 +48,9 @@
 	// Alone says that the request is suspected of crashing endpoints and that
 	// nothing else was put beside it.
 	Alone bool
+
+	// ticket is what the placer has to know of the request at its end.
+	ticket *ticket
 }
 
 // End is the stage that a granted request reached.
--- /dev/null
+++ b/place/reports.go
@@ -0,0 +1,199 @@
+package place
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/sardinedock/sardinedock/fleet/member"
+	"github.com/sardinedock/sardinedock/schema/fleetpb"
+)
+
+const (
+	// reportEvery is how long reports are gathered for one message. An owner
+	// learns of a free slot that much later, which is a few percent of the
+	// shortest requests.
+	reportEvery = 10 * time.Millisecond
+	// reportBound is how long an owner may take to answer; reportRetry how
+	// long after a failure it is tried again.
+	reportBound = time.Second
+	reportRetry = 500 * time.Millisecond
+	// maxPending bounds the reports kept for one owner that does not answer.
+	// The oldest are given up: their grants end by their timeout.
+	maxPending = 4096
+	// maxReports bounds the reports of one message.
+	maxReports = 512
+)
+
+var (
+	reportsSent = metrics.GetOrCreateCounter("sardinedock_place_reports_total")
+	reportsLost = metrics.GetOrCreateCounter("sardinedock_place_reports_lost_total")
+)
+
+// reporter tells owners what became of their grants, in batches, and keeps what
+// an owner has not confirmed. Adding never blocks.
+type reporter struct {
+	f    *Fleet
+	wake chan struct{}
+
+	mu      sync.Mutex
+	pending map[string]*pendingReports
+}
+
+// pendingReports are those for one owner.
+type pendingReports struct {
+	ends    []*fleetpb.GrantEnd
+	sending bool
+	notNow  time.Time
+}
+
+func newReporter(f *Fleet) *reporter {
+	return &reporter{f: f, wake: make(chan struct{}, 1), pending: map[string]*pendingReports{}}
+}
+
+// add tells the owner that gave the grant and, where the endpoint has another
+// owner now, that one: the grant may have been handed over.
+func (r *reporter) add(g Grant, end *fleetpb.GrantEnd) {
+	r.queue(g.Owner, end)
+	if now := r.f.routes.Load().owners[g.Endpoint]; now != g.Owner {
+		r.queue(now, end)
+	}
+}
+
+// withdraw takes back an ask, or the grant whose reply was lost. The request is
+// known by another name from now on, so that a late withdrawal cannot take back
+// a later ask.
+func (r *reporter) withdraw(t *ticket, instance, endpoint string) {
+	r.queue(instance, &fleetpb.GrantEnd{Endpoint: endpoint, RequestId: t.askID(), State: fleetpb.GrantState_GRANT_STATE_UNUSED})
+	t.withdrawn++
+}
+
+// askID names the request at owners.
+func (t *ticket) askID() string {
+	if t.withdrawn == 0 {
+		return t.request.ID
+	}
+	return t.request.ID + "/" + strconv.Itoa(t.withdrawn)
+}
+
+func (r *reporter) queue(instance string, end *fleetpb.GrantEnd) {
+	if instance == "" {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.pending[instance]
+	if p == nil {
+		p = &pendingReports{}
+		r.pending[instance] = p
+	}
+	p.ends = append(p.ends, end)
+	p.bound()
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (p *pendingReports) bound() {
+	if over := len(p.ends) - maxPending; over > 0 {
+		p.ends = p.ends[over:]
+		reportsLost.Add(over)
+	}
+}
+
+// run sends reports until ctx ends.
+func (r *reporter) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.wake:
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(reportEvery):
+		}
+		r.flush(ctx)
+	}
+}
+
+// flush starts a message to each owner that is due.
+func (r *reporter) flush(ctx context.Context) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.f.cfg.Clock.Now()
+	view := r.f.routes.Load().view
+	for instance, p := range r.pending {
+		if len(p.ends) == 0 && !p.sending {
+			delete(r.pending, instance)
+			continue
+		}
+		if p.sending || now.Before(p.notNow) {
+			continue
+		}
+		r.send(ctx, instance, p, view)
+	}
+}
+
+// send sends one batch. The lock is held by the caller.
+func (r *reporter) send(ctx context.Context, instance string, p *pendingReports, view *member.View) {
+	batch := p.ends[:min(len(p.ends), maxReports)]
+	p.ends = p.ends[len(batch):]
+	if instance == view.Self {
+		r.f.cfg.Duty.Report(instance, batch)
+		r.again(0)
+		return
+	}
+	m, ok := view.Find(instance)
+	if !ok || m.Status == fleetpb.MemberStatus_MEMBER_STATUS_DEAD || m.Status == fleetpb.MemberStatus_MEMBER_STATUS_LEFT {
+		delete(r.pending, instance)
+		reportsLost.Add(len(batch) + len(p.ends))
+		return
+	}
+	p.sending = true
+	go r.deliver(ctx, instance, m.Address, p, batch)
+}
+
+func (r *reporter) deliver(ctx context.Context, instance, address string, p *pendingReports, batch []*fleetpb.GrantEnd) {
+	_, err := r.f.cfg.Peers.Report(ctx, address, reportBound, &fleetpb.ReportRequest{Caller: r.f.cfg.Caller, Ends: batch})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p.sending = false
+	if err == nil {
+		reportsSent.Inc()
+		if len(p.ends) > 0 {
+			r.again(0)
+		}
+		return
+	}
+	p.ends = append(append([]*fleetpb.GrantEnd(nil), batch...), p.ends...)
+	p.bound()
+	p.notNow = r.f.cfg.Clock.Now().Add(reportRetry)
+	r.again(reportRetry)
+}
+
+// again has the reports looked at after a while.
+func (r *reporter) again(after time.Duration) {
+	time.AfterFunc(after, func() {
+		select {
+		case r.wake <- struct{}{}:
+		default:
+		}
+	})
+}
+
+// counts is the number of reports that wait, by owner.
+func (r *reporter) counts() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	counts := make(map[string]int, len(r.pending))
+	for instance, p := range r.pending {
+		counts[instance] = len(p.ends)
+	}
+	return counts
+}
--- /dev/null
+++ b/place/routes.go
@@ -0,0 +1,145 @@
+package place
+
+import (
+	"time"
+
+	"github.com/sardinedock/sardinedock/fleet/member"
+	"github.com/sardinedock/sardinedock/owner"
+	"github.com/sardinedock/sardinedock/policy"
+	"github.com/sardinedock/sardinedock/record"
+	"github.com/sardinedock/sardinedock/schema/recordspb"
+)
+
+// routes is what placing reads of records and members at one moment. It is
+// never changed once built.
+type routes struct {
+	view    *member.View
+	records *record.Snapshot
+	pools   map[string]*poolRoutes
+	// owners names each endpoint's owner.
+	owners map[string]string
+}
+
+// poolRoutes is one pool.
+type poolRoutes struct {
+	record    *recordspb.EndpointPool
+	ranking   *policy.Ranking
+	endpoints []*recordspb.Endpoint
+	// near marks the endpoints of this instance's region; all where none is.
+	near []bool
+}
+
+// newRoutes works out owners and rankings. It hashes each endpoint with each
+// member, some ten milliseconds at the largest size, so it is done when records
+// or members change and not for a request.
+func newRoutes(view *member.View, records *record.Snapshot) *routes {
+	r := &routes{view: view, records: records, pools: map[string]*poolRoutes{}, owners: map[string]string{}}
+	if records == nil {
+		return r
+	}
+	regions := newRegions(view)
+	for _, name := range records.PoolNames() {
+		pool, _ := records.Pool(name)
+		r.pools[name] = newPoolRoutes(pool, regions)
+		for _, e := range pool.GetEndpoints() {
+			r.owners[e.GetName()] = owner.Of(e.GetName(), regions.members(e.GetDataCentre()))
+		}
+	}
+	return r
+}
+
+func newPoolRoutes(pool *recordspb.EndpointPool, regions *regions) *poolRoutes {
+	p := &poolRoutes{record: pool, endpoints: pool.GetEndpoints(), near: make([]bool, len(pool.GetEndpoints()))}
+	names := make([]string, 0, len(p.endpoints))
+	any := false
+	for i, e := range p.endpoints {
+		names = append(names, e.GetName())
+		p.near[i] = regions.isNear(e.GetDataCentre())
+		any = any || p.near[i]
+	}
+	for i := range p.near {
+		p.near[i] = p.near[i] || !any
+	}
+	p.ranking = policy.NewRanking(names)
+	return p
+}
+
+// next is the instance that owns the endpoint now.
+func (r *routes) next(endpoint string) string { return r.owners[endpoint] }
+
+// address is the fleet address of a member that can be asked.
+func (r *routes) address(instance string) (string, bool) {
+	m, ok := r.view.Find(instance)
+	return m.Address, ok && m.Address != ""
+}
+
+// owned lists the endpoints that this instance owns.
+func (r *routes) owned() []owner.Config {
+	var list []owner.Config
+	for _, p := range r.pools {
+		for _, e := range p.endpoints {
+			if r.owners[e.GetName()] == r.view.Self {
+				list = append(list, ownerConfig(e.GetName(), p.record))
+			}
+		}
+	}
+	return list
+}
+
+func ownerConfig(name string, pool *recordspb.EndpointPool) owner.Config {
+	return owner.Config{
+		Name: name, Slots: int(pool.GetSlots()), UrgentSlots: int(pool.GetUrgentSlots()),
+		BlockTokens: pool.GetBlockTokens(), CacheBlocks: pool.GetCacheBlocks(),
+		PrefillTokensPerSecond: pool.GetPrefillTokensPerSecond(),
+	}
+}
+
+// regions groups members by region. An endpoint's owner is chosen in the
+// endpoint's own region: an ask across regions would take longer than it is
+// worth, and a region that is cut off keeps all its owners.
+type regions struct {
+	self     string
+	ofCentre map[string]string
+	byRegion map[string][]string
+	all      []string
+}
+
+func newRegions(view *member.View) *regions {
+	g := &regions{ofCentre: map[string]string{}, byRegion: map[string][]string{}, all: view.Owners}
+	for _, m := range view.Members {
+		g.ofCentre[m.DataCentre] = m.Region
+		if m.Owns() {
+			g.byRegion[m.Region] = append(g.byRegion[m.Region], m.Name)
+		}
+		if m.Name == view.Self {
+			g.self = m.Region
+		}
+	}
+	return g
+}
+
+// members are those that may own an endpoint in the data centre.
+func (g *regions) members(centre string) []string {
+	if region, ok := g.ofCentre[centre]; ok && len(g.byRegion[region]) > 0 {
+		return g.byRegion[region]
+	}
+	return g.all
+}
+
+func (g *regions) isNear(centre string) bool {
+	region, ok := g.ofCentre[centre]
+	return !ok || region == g.self
+}
+
+// prices are what the choice between a pool's endpoints weighs.
+func (p *poolRoutes) prices() policy.Prices {
+	return policy.Prices{
+		PrefillTokensPerSecond: p.record.GetPrefillTokensPerSecond(),
+		Recompute:              policy.DefaultRecompute,
+	}
+}
+
+// classWait is how long a request of the class may wait for its start.
+func classWait(class *recordspb.RequestClass) time.Duration {
+	return milliseconds(class.GetMaxWaitMs())
+}
--- /dev/null
+++ b/place/share.go
@@ -0,0 +1,237 @@
+package place
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sardinedock/sardinedock/fleet/exchange"
+	"github.com/sardinedock/sardinedock/owner"
+	"github.com/sardinedock/sardinedock/schema/fleetpb"
+)
+
+// shareRing bounds what waits between placing and the exchange, in both
+// directions. When it is full the oldest is given up: fingerprints and use are
+// told again, and states of endpoints follow from the next observation.
+const shareRing = 1024
+
+const (
+	// handOverBound is how long the next owner may take to take an endpoint
+	// over; handOvers how many are given at once.
+	handOverBound = 2 * time.Second
+	handOvers     = 8
+	// handOverPoll is how often a leaving instance looks whether all is given.
+	handOverPoll = 5 * time.Millisecond
+)
+
+var (
+	handOversDone   = metrics.GetOrCreateCounter(`sardinedock_owner_hand_overs_total{result="done"}`)
+	handOversFailed = metrics.GetOrCreateCounter(`sardinedock_owner_hand_overs_total{result="failed"}`)
+	sharesFailed    = metrics.GetOrCreateCounter("sardinedock_place_publications_failed_total")
+)
+
+// publication is a state on its way into the exchange.
+type publication struct {
+	key   exchange.Key
+	value []byte
+	ttl   time.Duration
+}
+
+func (f *Fleet) publish(kind fleetpb.ItemKind, name string, value []byte, ttl time.Duration) {
+	f.outbox.Push(publication{exchange.Key{Kind: kind, Name: name}, value, ttl})
+}
+
+// Heard takes items that were new to the exchange. It does not block.
+func (f *Fleet) Heard(items []exchange.Item) { f.inbox.Push(items) }
+
+// Observed takes what this instance found out of an endpoint that it owns, and
+// tells all instances.
+func (f *Fleet) Observed(ctx context.Context, endpoint string, s *fleetpb.EndpointState) {
+	f.states.tell(endpoint, s)
+	_ = f.cfg.Duty.Status(ctx, endpoint, s)
+	if value, err := (proto.MarshalOptions{Deterministic: true}).Marshal(s); err == nil {
+		f.publish(fleetpb.ItemKind_ITEM_KIND_ENDPOINT, endpoint, value, 0)
+	}
+}
+
+// Run works until ctx ends.
+func (f *Fleet) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { f.reports.run(ctx) })
+	wg.Go(func() { f.limits.run(ctx, f.cfg.Clock.Now) })
+	wg.Go(func() { f.runOutbox(ctx) })
+	wg.Go(func() { f.runInbox(ctx) })
+	wg.Wait()
+}
+
+func (f *Fleet) runOutbox(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case p := <-f.outbox.C():
+			if f.cfg.Publish(ctx, p.key, p.value, p.ttl) != nil {
+				sharesFailed.Inc()
+			}
+		}
+	}
+}
+
+func (f *Fleet) runInbox(ctx context.Context) {
+	forget := time.NewTicker(crashMemory / 10)
+	defer forget.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case items := <-f.inbox.C():
+			for _, it := range items {
+				f.heard(ctx, it)
+			}
+		case <-forget.C:
+			f.guard.forget(f.cfg.Clock.Now())
+		}
+	}
+}
+
+func (f *Fleet) heard(ctx context.Context, it exchange.Item) {
+	switch it.Key.Kind {
+	case fleetpb.ItemKind_ITEM_KIND_ENDPOINT:
+		s := &fleetpb.EndpointState{}
+		if proto.Unmarshal(it.Value, s) != nil {
+			return
+		}
+		f.states.tell(it.Key.Name, s)
+		_ = f.cfg.Duty.Status(ctx, it.Key.Name, s)
+	case fleetpb.ItemKind_ITEM_KIND_FINGERPRINT:
+		f.guard.heard(f.cfg.Clock.Now(), it.Key.Name, it.Value, it.TTL)
+	case fleetpb.ItemKind_ITEM_KIND_USAGE:
+		f.limits.heard(it.Key.Name, it.Value)
+	}
+}
+
+// Fingerprint names a request's content.
+type Fingerprint = owner.Fingerprint
+
+// Lost takes the requests that were in flight when an endpoint crashed.
+func (f *Fleet) Lost(endpoint string, incarnation uint64, lost []owner.Fingerprint) {
+	f.guard.crashed(f.cfg.Clock.Now(), endpoint, incarnation, lost)
+}
+
+// Ask serves another instance's ask.
+func (f *Fleet) Ask(ctx context.Context, in *fleetpb.AskRequest) (*fleetpb.AskReply, error) {
+	return f.cfg.Duty.Ask(ctx, in)
+}
+
+// Report serves another instance's reports.
+func (f *Fleet) Report(_ context.Context, in *fleetpb.ReportRequest) (*fleetpb.ReportReply, error) {
+	f.cfg.Duty.Report(in.GetCaller().GetInstance(), in.GetEnds())
+	return &fleetpb.ReportReply{}, nil
+}
+
+// HandOver serves the former owner of an endpoint.
+func (f *Fleet) HandOver(ctx context.Context, in *fleetpb.HandOverRequest) (*fleetpb.HandOverReply, error) {
+	if err := f.cfg.Duty.Restore(ctx, in.GetEndpoint(), in.GetKnowledge()); err != nil {
+		return nil, err
+	}
+	return &fleetpb.HandOverReply{Accepted: true}, nil
+}
+
+// handOver is one endpoint's state on its way to its next owner.
+type handOver struct {
+	endpoint, next string
+	knowledge      []byte
+}
+
+// HandOvers gives endpoints away. Its Give is the duty's hook.
+type HandOvers struct {
+	queue chan handOver
+	open  atomic.Int64
+}
+
+// NewHandOvers returns an empty queue with room for all endpoints of one
+// instance.
+func NewHandOvers() *HandOvers { return &HandOvers{queue: make(chan handOver, shareRing)} }
+
+// Give queues an endpoint's state. What does not fit is given up: the next
+// owner then begins without it.
+func (h *HandOvers) Give(endpoint, next string, knowledge []byte) {
+	h.open.Add(1)
+	select {
+	case h.queue <- handOver{endpoint, next, knowledge}:
+	default:
+		h.open.Add(-1)
+		handOversFailed.Inc()
+	}
+}
+
+// Wait blocks until all that was queued is given, or ctx ends.
+func (h *HandOvers) Wait(ctx context.Context) {
+	ticker := time.NewTicker(handOverPoll)
+	defer ticker.Stop()
+	for h.open.Load() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Run sends states to the next owners until ctx ends.
+func (h *HandOvers) Run(ctx context.Context, f *Fleet) {
+	var wg sync.WaitGroup
+	for range handOvers {
+		wg.Go(func() {
+			for {
+				select {
+				case <-ctx.Done():
+					return
+				case x := <-h.queue:
+					f.giveAway(ctx, x)
+					h.open.Add(-1)
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func (f *Fleet) giveAway(ctx context.Context, x handOver) {
+	address, ok := f.routes.Load().address(x.next)
+	if !ok {
+		handOversFailed.Inc()
+		return
+	}
+	in := &fleetpb.HandOverRequest{Caller: f.cfg.Caller, Endpoint: x.endpoint, Knowledge: x.knowledge}
+	if _, err := f.cfg.Peers.HandOver(ctx, address, handOverBound, in); err != nil {
+		handOversFailed.Inc()
+		return
+	}
+	handOversDone.Inc()
+}
+
+// FleetDump is the placer's part of the state dump.
+type FleetDump struct {
+	Pools   map[string]int    `json:"endpoints_by_pool"`
+	Told    map[string]string `json:"endpoint_status"`
+	Running map[string]int    `json:"running_here"`
+	Silent  []string          `json:"silent_owners"`
+	Limits  []string          `json:"limited_organisations"`
+	Pending map[string]int    `json:"reports_pending"`
+	Owner   DutyDump          `json:"owner"`
+}
+
+// Dump returns the state now.
+func (f *Fleet) Dump(ctx context.Context) FleetDump {
+	d := FleetDump{Pools: map[string]int{}, Pending: f.reports.counts(), Limits: f.limits.names(), Owner: f.cfg.Duty.Dump(ctx)}
+	for name, p := range f.routes.Load().pools {
+		d.Pools[name] = len(p.endpoints)
+	}
+	d.Told, d.Running, d.Silent = f.states.dump()
+	return d
+}
--- a/record/record.go
+++ b/record/record.go
@@ -207,6 +207,9 @@
 	return p, ok
 }
 
+// OrganisationNames lists the organisations in order of name.
+func (s *Snapshot) OrganisationNames() []string { return sortedNames(s.organisations) }
+
 // PoolNames lists the pools in order of name.
 func (s *Snapshot) PoolNames() []string { return sortedNames(s.pools) }
 
