--- a/demo/demo.go
+++ b/demo/demo.go
@@ -45,11 +45,12 @@
 	d := newDriver(w, f, e.Runs)
 	r := &Report{Scenario: o.Scenario, Seed: o.Seed, Instances: o.Instances, Seconds: int64(o.Seconds)}
 	if o.Scenario == scenarioFaults {
-		runFaults(ctx, d, e, f, r, progress)
+		runFaults(ctx, d, e, f, s, r, progress)
 	} else {
 		d.run(ctx, progress)
 	}
 	d.fill(r)
+	r.FailedStarts = f.failedStarts
 	fillEndpoints(r, e)
 	r.finish()
 	return r, nil
--- a/demo/driver.go
+++ b/demo/driver.go
@@ -54,6 +54,7 @@
 // keyed is what callers were told of one request that must not run twice.
 type keyed struct {
 	class     string
+	marker    string
 	confirmed bool
 }
 
@@ -111,7 +112,7 @@
 	d.open++
 	c.Sent++
 	if r.key != "" {
-		d.keys[r.key] = &keyed{class: r.work.GetName()}
+		d.keys[r.key] = &keyed{class: r.work.GetName(), marker: r.markerName(d.workload.load.GetSeed(), 0)}
 	}
 	return true
 }
@@ -184,30 +185,29 @@
 	return max(d.runs.ByMarker(marker), d.runs.ByKey(r.key))
 }
 
-// check counts what is wrong with one attempt's answer, also when a later
-// attempt mends it.
+// check counts what is wrong with one attempt's answer; a later attempt does
+// not mend it.
 func (d *driver) check(r *request, v verdict, a answer, c call, marker, target string, before int) {
 	after := d.runsOf(r, marker)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	counts := d.classes[r.work.GetName()]
 	counts.Attempts++
-	if d.runs == nil {
-		return
-	}
 	at := fmt.Sprintf("%s at %s as %s", marker, target, a.requestID)
 	switch {
+	case v == verdictIncomplete:
+		counts.Incomplete++
+		d.find("incomplete: %s, status %d, ending %d after %q", at, a.status, a.ending, clip(a.text))
 	// A request with a key is one and the same in all attempts: not-run is
 	// false if any of them has run.
-	case v == verdictNotRun && (r.key != "" && after > 0 || after > before):
+	case d.runs != nil && v == verdictNotRun && (r.key != "" && after > 0 || after > before):
 		counts.FalseNotRun++
 		d.find("false not-run: %s, status %d, code %s, %d runs", at, a.status, a.errorCode, after)
 	case v == verdictComplete && r.key != "":
 		d.keys[r.key].confirmed = true
 	case v == verdictWrong:
+		counts.WrongAnswer++
 		d.find("wrong answer: %s, got %q, want %q", at, clip(a.text), clip(c.want))
-	case v == verdictIncomplete:
-		d.find("incomplete: %s, status %d, ending %d after %q", at, a.status, a.ending, clip(a.text))
 	}
 }
 
@@ -242,10 +242,8 @@
 	switch v {
 	case verdictComplete:
 		c.Complete++
-	case verdictIncomplete:
-		c.Incomplete++
-	case verdictWrong:
-		c.WrongAnswer++
+	case verdictUnsent:
+		c.NotReached++
 	case verdictNotRun:
 		c.RefusedNotRun++
 	case verdictUnknown:
@@ -265,7 +263,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for key, k := range d.keys {
-		runs := d.runs.ByKey(key)
+		// Services see the key, engines only the marker.
+		runs := max(d.runs.ByKey(key), d.runs.ByMarker(k.marker))
 		c := d.classes[k.class]
 		if runs > 1 {
 			c.DoubledNonRepeatable++
@@ -275,7 +274,6 @@
 			c.ConfirmedNotRun++
 			d.find("confirmed but not run: %s", key)
 		}
-		c.EndpointRuns += runs
 	}
 }
 
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -29,6 +29,8 @@
 
 	mu      sync.Mutex
 	members []*member
+	// failedStarts counts starts that did not find their addresses free.
+	failedStarts int
 }
 
 // member is one instance's place: its addresses stay over restarts.
@@ -37,8 +39,10 @@
 	dataCentre            string
 	callers, admin, peers string
 
-	running *instance.Instance
-	killed  time.Time
+	// running is the instance that the balancer sends to, if there is one.
+	running            *instance.Instance
+	starting, draining bool
+	killed             time.Time
 }
 
 // startFleet starts the instances one after the other; each knows all others
@@ -170,3 +174,79 @@
 	f.mu.Unlock()
 	wg.Wait()
 }
+
+const (
+	// balancerNotice is how long the balancer goes on sending to an instance
+	// that is no longer ready.
+	balancerNotice = 100 * time.Millisecond
+	// restartTries and restartWait bound the tries to listen again.
+	restartTries = 50
+	restartWait  = 100 * time.Millisecond
+)
+
+// kill ends the instance at a place as a crash does.
+func (f *fleet) kill(n int) *member {
+	f.mu.Lock()
+	m := f.members[n]
+	i := m.running
+	m.running, m.killed = nil, time.Now()
+	f.mu.Unlock()
+	if i != nil {
+		i.Kill()
+	}
+	return m
+}
+
+// drain ends the instance at a place gracefully; nil if it does not run.
+func (f *fleet) drain(n int) *member {
+	f.mu.Lock()
+	m := f.members[n]
+	i := m.running
+	if i == nil || m.draining {
+		f.mu.Unlock()
+		return nil
+	}
+	m.draining = true
+	f.mu.Unlock()
+	time.AfterFunc(balancerNotice, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if m.running == i {
+			m.running = nil
+		}
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	_ = i.Stop(ctx)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m.draining = false
+	if m.running == i {
+		m.running = nil
+	}
+	return m
+}
+
+// restart starts the instance at a place again, unless it runs.
+func (f *fleet) restart(m *member) {
+	for range restartTries {
+		f.mu.Lock()
+		skip := m.running != nil || m.starting || m.draining
+		m.starting = !skip || m.starting
+		f.mu.Unlock()
+		if skip {
+			return
+		}
+		err := f.start(context.Background(), m)
+		f.mu.Lock()
+		m.starting = false
+		if err != nil {
+			f.failedStarts++
+		}
+		f.mu.Unlock()
+		if err == nil {
+			return
+		}
+		time.Sleep(restartWait)
+	}
+}
--- a/demo/report.go
+++ b/demo/report.go
@@ -30,9 +30,10 @@
 	return Quantiles{at(50), at(95), at(99)}
 }
 
-// Counts is what became of requests, as callers and endpoints saw it. Each
-// request that was sent ends in exactly one of complete, incomplete,
-// wrong_answer, refused_not_run, unknown_outcome, failed and cut_by_kill.
+// Counts is what became of requests, as callers and endpoints saw it. Complete,
+// RefusedNotRun, UnknownOutcome, Failed, CutByKill and NotReached count requests
+// by the last word that the caller got; Incomplete and WrongAnswer count every
+// answer, also of a request that was then sent again.
 type Counts struct {
 	Sent int `json:"sent"`
 	// Complete answers were whole and right.
@@ -49,6 +50,8 @@
 	Failed int `json:"failed"`
 	// CutByKill broke off because the instance was killed.
 	CutByKill int `json:"cut_by_kill"`
+	// NotReached found no instance.
+	NotReached int `json:"not_reached"`
 	// NotSent were due while too many others were open.
 	NotSent int `json:"not_sent"`
 	// Attempts is how often callers sent, with all resends.
@@ -109,6 +112,8 @@
 	Endpoints  EndpointCounts     `json:"endpoints"`
 	// Faults counts the faults that were ordered, by kind.
 	Faults map[string]int `json:"faults,omitempty"`
+	// FailedStarts counts restarts of instances that had to be tried again.
+	FailedStarts int `json:"failed_starts,omitempty"`
 	// Findings are the first broken invariants, one a line.
 	Findings []string `json:"findings,omitempty"`
 }
@@ -122,6 +127,7 @@
 	}{
 		{"incomplete", r.Incomplete},
 		{"wrong_answer", r.WrongAnswer},
+		{"not_reached", r.NotReached},
 		{"doubled_non_repeatable", r.DoubledNonRepeatable},
 		{"false_not_run", r.FalseNotRun},
 		{"confirmed_not_run", r.ConfirmedNotRun},
@@ -150,13 +156,14 @@
 	for _, name := range names {
 		writeRow(&b, name, r.Classes[name])
 	}
-	fmt.Fprintf(&b, "\ndoubled %d, false not-run %d, confirmed but not run %d, cut by kill %d, not sent %d, attempts %d\n",
-		r.DoubledNonRepeatable, r.FalseNotRun, r.ConfirmedNotRun, r.CutByKill, r.NotSent, r.Attempts)
+	fmt.Fprintf(&b, "\ndoubled %d, false not-run %d, confirmed but not run %d, cut by kill %d, not reached %d, not sent %d, attempts %d\n",
+		r.DoubledNonRepeatable, r.FalseNotRun, r.ConfirmedNotRun, r.CutByKill, r.NotReached, r.NotSent, r.Attempts)
 	e := r.Endpoints
 	fmt.Fprintf(&b, "endpoints: %d engine runs, %d service runs, %d refused, %d crashes, %d stale blocks, %d late starts\n",
 		e.EngineRuns, e.ServiceRuns, e.Refused, e.Crashes, e.StaleBlocks, e.LateStarts)
 	fmt.Fprintf(&b, "object API: %d reads, %d writes, %d open watches, %d over the rate\n",
 		r.StoreCalls.Reads, r.StoreCalls.Writes, r.StoreCalls.Watches, r.StoreCalls.RateLimited)
+	writeFaults(&b, r)
 	for _, f := range r.Findings {
 		fmt.Fprintf(&b, "broken: %s\n", f)
 	}
@@ -164,6 +171,17 @@
 	return err
 }
 
+func writeFaults(b *strings.Builder, r *Report) {
+	names := make([]string, 0, len(r.Faults))
+	for name := range r.Faults {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		fmt.Fprintf(b, "fault: %3d %s\n", r.Faults[name], name)
+	}
+}
+
 func writeRow(b *strings.Builder, name string, c *Counts) {
 	fmt.Fprintf(b, "%-14s %7d %8d %10d %6d %7d %7d %6d %8.3f %9d  %.1f %.1f %.1f\n", name, c.Sent, c.Complete, c.Incomplete, c.WrongAnswer,
 		c.RefusedNotRun, c.UnknownOutcome, c.Failed, c.PrefixHitRate, c.WastedRecomputeTokens, c.TTFT.P50, c.TTFT.P95, c.TTFT.P99)
@@ -188,6 +206,7 @@
 	c.UnknownOutcome += o.UnknownOutcome
 	c.Failed += o.Failed
 	c.CutByKill += o.CutByKill
+	c.NotReached += o.NotReached
 	c.NotSent += o.NotSent
 	c.Attempts += o.Attempts
 	c.DoubledNonRepeatable += o.DoubledNonRepeatable
--- a/demo/verdict.go
+++ b/demo/verdict.go
@@ -14,6 +14,8 @@
 	verdictFailed
 	// verdictCut: the connection broke because the instance was killed.
 	verdictCut
+	// verdictUnsent: no instance was reached, nothing was sent.
+	verdictUnsent
 )
 
 // judge decides from the answer alone.
@@ -29,6 +31,8 @@
 		return verdictComplete
 	case endError:
 		return judgeError(a)
+	case endUnsent:
+		return verdictUnsent
 	}
 	return verdictIncomplete
 }
