Follow the endpoints that an instance owns

Cause: nothing told owners which endpoints live, what they have loaded and what their caches do. Change: monitor.Monitor asks each endpoint for its state on new connections four times in the suspicion bound, passes loads on each second and follows the cache events from where they stood; status by policy.EndpointHealth; typed events on a ring. A silence is told after 1 to 1.5 times its bound, since polls have a timeout. Conclusion: ready to be wired to the owner's duty.

--- /dev/null
+++ b/monitor/watcher.go
@@ -0,0 +1,278 @@
+package monitor
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/sardinedock/sardinedock/endpoint"
+	"github.com/sardinedock/sardinedock/policy"
+	"github.com/sardinedock/sardinedock/ring"
+	"github.com/sardinedock/sardinedock/schema/fleetpb"
+)
+
+const (
+	// pollShare is the part of the suspicion bound after which an endpoint is
+	// asked again: one lost answer must not make it a suspect.
+	pollShare = 4
+	// leastPoll bounds the cost of following, whatever a record says.
+	leastPoll = 50 * time.Millisecond
+	// repeatEvery is how often status and load are told without a change.
+	repeatEvery = time.Second
+	// firstPause and longestPause bound the time between attempts to open the
+	// stream of cache events.
+	firstPause   = 100 * time.Millisecond
+	longestPause = 2 * time.Second
+)
+
+var (
+	pollsTotal   = metrics.GetOrCreateCounter("sardinedock_monitor_polls_total")
+	pollFailures = metrics.GetOrCreateCounter("sardinedock_monitor_poll_failures_total")
+	changesTotal = metrics.GetOrCreateCounter("sardinedock_monitor_status_changes_total")
+	streamsTotal = metrics.GetOrCreateCounter("sardinedock_monitor_cache_streams_total")
+)
+
+// watcher follows one endpoint. One goroutine asks for state and load and owns
+// the health; another, for each incarnation, reads the cache events.
+type watcher struct {
+	observer endpoint.Observer
+	events   *ring.Ring[Event]
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
+	retarget chan struct{}
+
+	health *policy.EndpointHealth
+	models []string
+	told   time.Time
+
+	mu     sync.Mutex
+	target Target
+	dump   EndpointDump
+}
+
+// set replaces the target; it reports false where that takes a new watcher.
+func (w *watcher) set(t Target) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if t.Address != w.target.Address || t.Pool != w.target.Pool {
+		return false
+	}
+	if t == w.target {
+		return true
+	}
+	w.target = t
+	select {
+	case w.retarget <- struct{}{}:
+	default:
+	}
+	return true
+}
+
+func (w *watcher) current() Target {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.target
+}
+
+func (w *watcher) state() EndpointDump {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.dump
+}
+
+func (w *watcher) run(ctx context.Context) {
+	w.health = policy.NewEndpointHealth(time.Now(), w.current().Bounds)
+	stopCache := func() {}
+	defer func() { stopCache() }()
+	for ctx.Err() == nil {
+		t := w.current()
+		w.health.SetBounds(t.Bounds)
+		_, before := w.health.Status()
+		w.poll(ctx, t)
+		if _, now := w.health.Status(); now != before {
+			stopCache()
+			stopCache = w.followCache(ctx, now)
+		}
+		w.pause(ctx, pollInterval(t))
+	}
+}
+
+func pollInterval(t Target) time.Duration {
+	return max(t.Bounds.SuspectAfter/pollShare, leastPoll)
+}
+
+func (w *watcher) pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-w.retarget:
+	case <-ctx.Done():
+	}
+}
+
+// poll asks once for the state and takes the answer, or its absence, into the
+// health. An answer that takes longer than two polls counts as none.
+func (w *watcher) poll(ctx context.Context, t Target) {
+	pollsTotal.Inc()
+	bounded, cancel := context.WithTimeout(ctx, 2*pollInterval(t))
+	defer cancel()
+	s, err := w.observer.State(bounded)
+	if ctx.Err() != nil {
+		return
+	}
+	now := time.Now()
+	changed := false
+	if err != nil {
+		pollFailures.Inc()
+		changed = w.failed(now, err)
+	} else {
+		changed = w.heard(now, t, s)
+	}
+	if changed || now.Sub(w.told) >= repeatEvery {
+		w.tell(now, t, changed)
+		w.load(ctx, t)
+	}
+}
+
+// failed notes a poll without an answer. A refused connection is the word of
+// the machine that the process is gone; anything else may be a pause.
+func (w *watcher) failed(now time.Time, err error) bool {
+	w.mu.Lock()
+	w.dump.Failure = err.Error()
+	w.mu.Unlock()
+	changed := w.health.Tick(now)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		_, incarnation := w.health.Status()
+		changed = w.health.Crashed(now, incarnation) || changed
+	}
+	return changed
+}
+
+func (w *watcher) heard(now time.Time, t Target, s endpoint.State) bool {
+	w.mu.Lock()
+	w.dump.Failure, w.dump.HeardAt = "", now
+	w.mu.Unlock()
+	changed := w.health.Heard(now, s.Incarnation, t.Leaving || s.Leaving)
+	models := modelVersions(s)
+	if !slices.Equal(models, w.models) {
+		w.models = models
+		changed = true
+	}
+	return changed
+}
+
+func modelVersions(s endpoint.State) []string {
+	list := make([]string, 0, len(s.Models))
+	for _, m := range s.Models {
+		list = append(list, m.Model+"@"+m.Version)
+	}
+	slices.Sort(list)
+	return list
+}
+
+func (w *watcher) tell(now time.Time, t Target, changed bool) {
+	w.told = now
+	if changed {
+		changesTotal.Inc()
+	}
+	status, incarnation := w.health.Status()
+	w.mu.Lock()
+	w.dump.Status, w.dump.Incarnation, w.dump.ModelVersions = status.String(), incarnation, w.models
+	failure := w.dump.Failure
+	w.mu.Unlock()
+	w.events.Push(StatusChanged{
+		Endpoint: t.Name, Pool: t.Pool, Status: status, Incarnation: incarnation,
+		ModelVersions: w.models, Reason: reason(status, failure),
+	})
+}
+
+// reason says a status in words for operators.
+func reason(status fleetpb.EndpointStatus, failure string) string {
+	switch status {
+	case fleetpb.EndpointStatus_ENDPOINT_STATUS_SUSPECT:
+		return "silent, gets no new work: " + failure
+	case fleetpb.EndpointStatus_ENDPOINT_STATUS_EXPELLED:
+		return "silent for long, its cache counts as lost: " + failure
+	case fleetpb.EndpointStatus_ENDPOINT_STATUS_LEAVING:
+		return "leaving, gets no new work"
+	}
+	return ""
+}
+
+// load passes the load report on. It is never a sign of death: the report may
+// come over a connection that something in between has forgotten.
+func (w *watcher) load(ctx context.Context, t Target) {
+	if status, _ := w.health.Status(); status != fleetpb.EndpointStatus_ENDPOINT_STATUS_LIVE {
+		return
+	}
+	bounded, cancel := context.WithTimeout(ctx, pollInterval(t))
+	defer cancel()
+	if r, err := w.observer.Load(bounded); err == nil {
+		w.events.Push(LoadReported{Endpoint: t.Name, Report: r})
+	}
+}
+
+// followCache reads the cache events of one incarnation until the returned
+// function is called. Each incarnation counts its events from the start.
+func (w *watcher) followCache(ctx context.Context, incarnation uint64) context.CancelFunc {
+	ctx, cancel := context.WithCancel(ctx)
+	w.done.Go(func() {
+		var seq uint64
+		pause := firstPause
+		for ctx.Err() == nil {
+			before := seq
+			seq = w.readCache(ctx, incarnation, seq)
+			pause = min(2*pause, longestPause)
+			if seq > before {
+				pause = firstPause
+			}
+			sleep(ctx, pause/2+time.Duration(rand.Float64()*float64(pause)))
+		}
+	})
+	return cancel
+}
+
+// readCache reads one stream of events to its end and returns the last Seq.
+// A stream that goes silent ends by the client's bound, and the next one is
+// opened on a new connection where this one stood.
+func (w *watcher) readCache(ctx context.Context, incarnation, seq uint64) uint64 {
+	streamsTotal.Inc()
+	stream, err := w.observer.Events(ctx, seq)
+	if err != nil {
+		return seq
+	}
+	defer stream.Close()
+	stop := context.AfterFunc(ctx, stream.Close)
+	defer stop()
+	name := w.current().Name
+	for {
+		e, err := stream.Next()
+		if err != nil || ctx.Err() != nil {
+			return seq
+		}
+		if e.Incarnation != incarnation {
+			continue
+		}
+		seq = e.Seq
+		w.mu.Lock()
+		w.dump.CacheSeq = seq
+		w.mu.Unlock()
+		w.events.Push(CacheChanged{Endpoint: name, Event: e})
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
