--- /dev/null
+++ b/internal/cli/status.go
@@ -0,0 +1,50 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/sardinedock/sardinedock/platform"
+	"github.com/sardinedock/sardinedock/status"
+)
+
+// statusCommand prints the status objects.
+type statusCommand struct {
+	store   string
+	timeout time.Duration
+	report  string
+}
+
+func (c *statusCommand) declare(app *kingpin.Application) *kingpin.CmdClause {
+	clause := app.Command("status", "Print what is in force, what is refused and why, and what was decided.")
+	clause.Flag("store", "The object API's address.").Required().StringVar(&c.store)
+	clause.Flag("timeout", "How long to wait for it.").Default("2s").DurationVar(&c.timeout)
+	clause.Flag("report", "The report's form.").Default("text").EnumVar(&c.report, "text", "json")
+	return clause
+}
+
+func (c *statusCommand) run(out, _ io.Writer) error {
+	store := platform.NewClient(platform.Config{Address: c.store, Timeout: c.timeout})
+	list, err := status.Read(context.Background(), store)
+	if err != nil {
+		return err
+	}
+	if c.report == "json" {
+		return json.NewEncoder(out).Encode(list)
+	}
+	if len(list) == 0 {
+		_, err := fmt.Fprintln(out, "no status yet: no instance has told one")
+		return err
+	}
+	for _, n := range list {
+		if err := n.WriteText(out, time.Now()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/status/object.go
@@ -0,0 +1,207 @@
+// Package status tells operators in their own words what is in force and what
+// is not, in one object for each pool and one for the fleet.
+package status
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/platform"
+	"github.com/sardinedock/sardinedock/record"
+	"github.com/sardinedock/sardinedock/rollout"
+)
+
+// Kind is the kind of the status objects.
+const Kind = "status"
+
+// FleetName is the name of the object that tells of what belongs to no pool.
+const FleetName = "fleet"
+
+// PoolName is the name of a pool's object.
+func PoolName(pool string) string { return "pool." + pool }
+
+const (
+	// maxRecords bounds the records that an object tells of by name, so that
+	// it stays far below the largest value. Faulty ones come first.
+	maxRecords = 200
+	// maxDecisions bounds the decisions that are kept.
+	maxDecisions = 50
+	// maxInstances bounds the instances that are named as behind.
+	maxInstances = 50
+)
+
+// Object is what a status object holds, as JSON.
+type Object struct {
+	// WrittenBy and WrittenAt are the writer and its clock.
+	WrittenBy string    `json:"written_by"`
+	WrittenAt time.Time `json:"written_at"`
+	// Version is the highest version of a record that the writer knows.
+	Version uint64 `json:"version"`
+	// Records in force, refused or faulty. Omitted counts the good ones left
+	// out.
+	Records []record.Condition `json:"records"`
+	Omitted int                `json:"omitted,omitempty"`
+	// Behind are instances that have not got Version.
+	Behind []Instance `json:"behind,omitempty"`
+	// Instances is the number of live instances.
+	Instances int `json:"instances"`
+	// Endpoints that are not live.
+	Endpoints []Endpoint `json:"endpoints,omitempty"`
+	// Rollout is nil in the fleet's object.
+	Rollout *rollout.Progress `json:"rollout,omitempty"`
+	// Decisions are the newest last.
+	Decisions []Decision `json:"decisions,omitempty"`
+}
+
+// Instance is an instance and the records that are in force there.
+type Instance struct {
+	Name    string `json:"name"`
+	Version uint64 `json:"version"`
+}
+
+// Endpoint is an endpoint and why it is treated as it is.
+type Endpoint struct {
+	Name   string `json:"name"`
+	Status string `json:"status"`
+	Reason string `json:"reason,omitempty"`
+}
+
+// Decision is something that the system decided by itself.
+type Decision struct {
+	At   time.Time `json:"at"`
+	Text string    `json:"text"`
+}
+
+// SetRecords puts in the records that an object tells of: all that are refused
+// or warned of, and the newest of the others.
+func (o *Object) SetRecords(list []record.Condition) {
+	sort.SliceStable(list, func(i, j int) bool {
+		a, b := faulty(list[i]), faulty(list[j])
+		if a != b {
+			return a
+		}
+		return list[i].Newest > list[j].Newest
+	})
+	kept := min(len(list), maxRecords)
+	o.Records, o.Omitted = list[:kept], len(list)-kept
+}
+
+func faulty(c record.Condition) bool { return c.Refused != "" || len(c.Warnings) > 0 }
+
+// SetInstances puts in which of the live instances are behind.
+func (o *Object) SetInstances(list []Instance) {
+	o.Instances = len(list)
+	for _, i := range list {
+		if i.Version < o.Version && len(o.Behind) < maxInstances {
+			o.Behind = append(o.Behind, i)
+		}
+	}
+}
+
+// same reports whether nothing changed that is worth a write.
+func (o Object) same(other Object) bool {
+	return o.comparable() == other.comparable()
+}
+
+func (o Object) comparable() string {
+	o.WrittenAt, o.Decisions = time.Time{}, nil
+	if o.Rollout != nil {
+		p := *o.Rollout
+		p.At = time.Time{}
+		o.Rollout = &p
+	}
+	text, _ := json.Marshal(o)
+	return string(text)
+}
+
+// Read reads the status objects from the object API, the fleet's first.
+func Read(ctx context.Context, store platform.Store) ([]Named, error) {
+	listing, err := store.List(ctx, Kind)
+	if err != nil {
+		return nil, err
+	}
+	list := make([]Named, 0, len(listing.Objects))
+	for _, obj := range listing.Objects {
+		n := Named{Name: obj.Name}
+		if err := json.Unmarshal(obj.Value, &n.Object); err != nil {
+			return nil, fault.Wrap(err, fault.Invalid, "remove the object; it is written again", "status object %q", obj.Name)
+		}
+		list = append(list, n)
+	}
+	sort.SliceStable(list, func(i, j int) bool { return list[i].Name == FleetName && list[j].Name != FleetName })
+	return list, nil
+}
+
+// Named is a status object and its name.
+type Named struct {
+	Name   string `json:"name"`
+	Object Object `json:"status"`
+}
+
+// WriteText prints an object for operators. now is the reader's time.
+func (n Named) WriteText(w io.Writer, now time.Time) error {
+	var b strings.Builder
+	o := n.Object
+	fmt.Fprintf(&b, "%s: records up to version %d, %d instances; told by %s %s\n", n.Name, o.Version, o.Instances, o.WrittenBy, ago(now, o.WrittenAt))
+	for _, c := range o.Records {
+		writeRecord(&b, now, c)
+	}
+	if o.Omitted > 0 {
+		fmt.Fprintf(&b, "  and %d more records in force without a fault\n", o.Omitted)
+	}
+	for _, i := range o.Behind {
+		fmt.Fprintf(&b, "  instance %s is at version %d\n", i.Name, i.Version)
+	}
+	for _, e := range o.Endpoints {
+		fmt.Fprintf(&b, "  endpoint %s: %s; %s\n", e.Name, e.Status, e.Reason)
+	}
+	if o.Rollout != nil {
+		writeRollout(&b, now, *o.Rollout)
+	}
+	for _, d := range o.Decisions {
+		fmt.Fprintf(&b, "  %s: %s\n", ago(now, d.At), d.Text)
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+func writeRecord(b *strings.Builder, now time.Time, c record.Condition) {
+	fmt.Fprintf(b, "  %s/%s: ", c.Kind, c.Name)
+	if c.InForce == 0 {
+		b.WriteString("not in force")
+	} else {
+		fmt.Fprintf(b, "version %d in force since %s", c.InForce, ago(now, c.Since))
+	}
+	if c.Refused != "" {
+		fmt.Fprintf(b, "; version %d refused: %s", c.Newest, c.Refused)
+	}
+	for _, text := range c.Warnings {
+		fmt.Fprintf(b, "; warning: %s", text)
+	}
+	b.WriteString("\n")
+}
+
+func writeRollout(b *strings.Builder, now time.Time, p rollout.Progress) {
+	fmt.Fprintf(b, "  rollout of %s: %d of %d endpoints have it", strings.Join(p.Wanted, ", "), p.Converged, p.Endpoints)
+	if len(p.Behind) > 0 {
+		fmt.Fprintf(b, "; %d load, %d do not answer; behind since %s: %s", p.Loading, p.Unanswered, ago(now, p.Since), strings.Join(p.Behind, ", "))
+	}
+	if p.Refused != "" {
+		fmt.Fprintf(b, "; %s", p.Refused)
+	}
+	b.WriteString("\n")
+}
+
+// ago says a time in the reader's terms; the writer's clock may be apart.
+func ago(now, at time.Time) string {
+	if at.IsZero() {
+		return "an unknown time"
+	}
+	return max(now.Sub(at), 0).Round(time.Second).String() + " ago"
+}
