Run a not repeatable request at most once

Change: package outcome/claim keeps keys in 64 shard objects of the object API; a key is claimed by conditional write before the send, a lost reply is settled by the attempt id, what an attempt abandoned is given back, ends and small answers are recorded, ops that come during a write share the next one. Entry claims after the grant, looks before it, answers resends from the record. instance.go opens, kills and closes the claims (Book).

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -8,9 +8,12 @@
 	"strconv"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/sardinedock/sardinedock/endpoint"
 	"github.com/sardinedock/sardinedock/fault"
 	"github.com/sardinedock/sardinedock/outcome"
+	"github.com/sardinedock/sardinedock/outcome/claim"
 	"github.com/sardinedock/sardinedock/place"
 	"github.com/sardinedock/sardinedock/prefix"
 )
@@ -35,6 +38,7 @@
 	run      *run
 	exclude  []string
 	sends    int
+	ticket   *ticket
 	// endpoint that runs the request, or ran it last.
 	endpoint string
 	// verdict holds once closed is set.
@@ -61,7 +65,22 @@
 }
 
 func (s *Server) newAnswer(c *call, req *modelRequest) *answer {
-	return &answer{srv: s, call: c, req: req, account: outcome.New(req.once)}
+	a := &answer{srv: s, call: c, req: req, account: outcome.New(req.once)}
+	a.ticket = s.newTicket(a.account, req.key, claim.Request{
+		Key:     claim.NewKey(req.place.Organisation, req.key),
+		Body:    claim.Hash(req.place.Fingerprint),
+		Attempt: req.id,
+	}, req.place.Class)
+	return a
+}
+
+// look finds out whether the request's key is known; see ticket.
+func (a *answer) look() error {
+	err := a.ticket.look(a.call.ctx)
+	if err != nil {
+		a.close()
+	}
+	return err
 }
 
 // Next blocks for the next piece, which is valid until the next call. It
@@ -149,6 +168,10 @@
 			return err
 		}
 		a.account.Admit()
+		if err := a.ticket.take(a.call.ctx); err != nil {
+			a.srv.cfg.Placer.Done(grant, place.Result{End: place.EndUnused})
+			return err
+		}
 		a.sends++
 		if err := a.send(grant); err != nil {
 			return err
@@ -331,6 +354,22 @@
 	a.closed = true
 	a.verdict = a.account.Finish()
 	a.srv.metrics.outcome(a.verdict)
+	// An answer that is not streamed is recorded once it is put together.
+	if !a.verdict.Complete() || a.req.stream {
+		a.record(nil)
+	}
+}
+
+// record tells the claim's record what became of the request, with the answer's
+// body where there is one.
+func (a *answer) record(body []byte) {
+	a.ticket.end(a.verdict, claim.Answer{
+		Status:      fasthttp.StatusOK,
+		ContentType: "application/json",
+		Body:        body,
+		Kept:        body != nil,
+		Endpoint:    a.endpoint,
+	})
 }
 
 // Close ends an answer that nobody reads any more. A not repeatable request is
--- a/entry/errors.go
+++ b/entry/errors.go
@@ -55,22 +55,35 @@
 // writeError answers with the status and body that belong to the error's kind,
 // and the outcome.
 func writeError(ctx *fasthttp.RequestCtx, err error, verdict outcome.Verdict) {
-	kind := fault.KindOf(err)
-	status, _ := statusOf(kind)
-	if own := endpointError(err); own != nil {
-		status = own.Status
-	}
 	ctx.Response.ResetBody()
+	ctx.Response.Header.Set(headerOutcome, verdict.String())
+	var rec *recordedError
+	if errors.As(err, &rec) && writeRecorded(ctx, rec.found.Answer) {
+		return
+	}
+	status, again := answerTo(err)
 	ctx.SetStatusCode(status)
-	wait := status == fasthttp.StatusTooManyRequests || status == fasthttp.StatusServiceUnavailable
-	if wait && len(ctx.Response.Header.Peek(fasthttp.HeaderRetryAfter)) == 0 {
+	if again && len(ctx.Response.Header.Peek(fasthttp.HeaderRetryAfter)) == 0 {
 		ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, retryAfter(err))
 	}
-	ctx.Response.Header.Set(headerOutcome, verdict.String())
 	ctx.SetContentType("application/json")
 	ctx.SetBody(errorBody(err))
 }
 
+// answerTo returns the status of an error, and whether it makes sense to come
+// back.
+func answerTo(err error) (status int, again bool) {
+	var rec *recordedError
+	if errors.As(err, &rec) {
+		return fasthttp.StatusConflict, rec.found.Answer == nil
+	}
+	if own := endpointError(err); own != nil {
+		return own.Status, false
+	}
+	status, _ = statusOf(fault.KindOf(err))
+	return status, status == fasthttp.StatusTooManyRequests || status == fasthttp.StatusServiceUnavailable
+}
+
 // errorBody is the API's error body. An endpoint's own words on the request's
 // content are told; other causes stay in the router.
 func errorBody(err error) []byte {
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -54,7 +54,7 @@
 	c := &call{id: id, organisation: organisation, class: req.place.ClassName, conn: ctx.Conn(), keepRunning: req.once}
 	s.calls.begin(c, timeout(req.place.Class))
 	a := s.newAnswer(c, req)
-	first, err := a.Next()
+	first, err := a.first()
 	if err != nil {
 		s.calls.end(c)
 		a.writeFailed(ctx, err)
@@ -69,6 +69,14 @@
 	a.writeWhole(ctx, first)
 }
 
+// first reads the first piece.
+func (a *answer) first() ([]byte, error) {
+	if err := a.look(); err != nil {
+		return nil, err
+	}
+	return a.Next()
+}
+
 func (a *answer) setHeaders(ctx *fasthttp.RequestCtx) {
 	h := &ctx.Response.Header
 	h.Set(headerEndpoint, a.endpoint)
@@ -103,5 +111,7 @@
 	}
 	ctx.SetContentType("application/json")
 	ctx.Response.Header.Set(headerOutcome, a.verdict.String())
-	ctx.SetBody(whole.encode(&a.progress))
+	body := whole.encode(&a.progress)
+	a.record(body)
+	ctx.SetBody(body)
 }
--- /dev/null
+++ b/entry/once_test.go
@@ -0,0 +1,239 @@
+package entry_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/sardinedock/sardinedock/clock"
+	"github.com/sardinedock/sardinedock/emulator"
+	"github.com/sardinedock/sardinedock/entry"
+	"github.com/sardinedock/sardinedock/outcome/claim"
+	"github.com/sardinedock/sardinedock/platform/storetest"
+	"github.com/sardinedock/sardinedock/schema/recordspb"
+)
+
+// pair is two instances before the same store and endpoints.
+type pair struct {
+	*rig
+	store *storetest.Store
+	books [2]*claim.Book
+	urls  [2]string
+}
+
+func newPair(t *testing.T, cfg rigConfig) *pair {
+	t.Helper()
+	p := &pair{store: &storetest.Store{}}
+	for n := range p.books {
+		b := claim.Open(p.store, clock.System{})
+		t.Cleanup(b.Kill)
+		p.books[n] = b
+	}
+	configure := cfg.configure
+	cfg.configure = func(c *entry.Config) {
+		c.Claims = p.books[0]
+		if configure != nil {
+			configure(c)
+		}
+	}
+	p.rig = newRig(t, cfg)
+	p.urls[0] = p.url
+	other := p.config
+	other.Claims = p.books[1]
+	p.urls[1] = p.serve(t, other)
+	return p
+}
+
+// send sends an order with a key through one of the instances.
+func (p *pair) send(t *testing.T, instance int, key, body string) *http.Response {
+	t.Helper()
+	return p.call(t, instance, "/services/ordering/dispatch", key, body)
+}
+
+func (p *pair) call(t *testing.T, instance int, path, key, body string) *http.Response {
+	t.Helper()
+	p.url = p.urls[instance]
+	header := http.Header{"Idempotency-Key": {key}, "X-Sardinedock-Not-Repeatable": {"true"}}
+	return p.do(t, "POST", path, header, body)
+}
+
+func want(t *testing.T, resp *http.Response, status int, outcome string) string {
+	t.Helper()
+	body, _ := io.ReadAll(resp.Body)
+	if got := resp.Header.Get("X-Sardinedock-Outcome"); resp.StatusCode != status || got != outcome {
+		t.Fatalf("status %d, outcome %s: %s; want %d, %s", resp.StatusCode, got, body, status, outcome)
+	}
+	return string(body)
+}
+
+// wantRecorded waits until the end of a request is on record at the other
+// instance: it is recorded after the caller has its answer.
+func (p *pair) wantRecorded(t *testing.T, key, body string) *http.Response {
+	t.Helper()
+	for {
+		resp := p.send(t, 1, key, body)
+		if resp.Header.Get("X-Sardinedock-Outcome") == "complete" {
+			return resp
+		}
+		want(t, resp, 409, "unknown")
+	}
+}
+
+// The answer to a confirmation is lost on its way to the counter, which sends
+// it again to another instance. It reads the first answer; nothing ships twice.
+func TestResendIsAnsweredFromTheRecord(t *testing.T) {
+	p := newPair(t, rigConfig{services: 2})
+	first := want(t, p.send(t, 0, "k", "ship 7"), 200, "complete")
+	resp := p.wantRecorded(t, "k", "ship 7")
+	if got := want(t, resp, 200, "complete"); got != first || resp.Header.Get("Idempotent-Replayed") != "true" {
+		t.Fatalf("got %q, want %q", got, first)
+	}
+	if got := p.serviceRuns(); got != 1 {
+		t.Fatalf("%d runs", got)
+	}
+	want(t, p.send(t, 1, "k", "ship 8"), 409, "not-run")
+	want(t, p.send(t, 1, "k2", "ship 8"), 200, "complete")
+}
+
+// A confirmation hangs at the ordering app and the counter sends it again. The
+// second one is told at once that nobody knows yet, and does not run.
+func TestResendWhileTheFirstHangs(t *testing.T) {
+	class := &recordspb.RequestClass{MaxWaitMs: 500, TimeoutMs: 1500}
+	p := newPair(t, rigConfig{services: 1, class: class, service: emulator.ServiceConfig{}})
+	p.Services[0].SetFaults(emulator.ServiceFaults{SilentAfter: 1})
+	first := make(chan *http.Response, 1)
+	url := p.urls[0]
+	go func() {
+		req, _ := http.NewRequest("POST", url+"/services/ordering/dispatch", nil)
+		req.Header = http.Header{"Idempotency-Key": {"k"}, "Authorization": {"Bearer " + testKey}, "X-Sardinedock-Class": {"quote"}}
+		resp, _ := http.DefaultClient.Do(req)
+		first <- resp
+	}()
+	for p.serviceRuns() == 0 {
+	}
+	resp := p.send(t, 1, "k", "")
+	want(t, resp, 409, "unknown")
+	if resp.Header.Get("Retry-After") == "" {
+		t.Fatal("no Retry-After")
+	}
+	resp = <-first
+	want(t, resp, 502, "unknown")
+	_ = resp.Body.Close()
+	want(t, p.send(t, 1, "k", ""), 409, "unknown")
+	if got := p.serviceRuns(); got != 1 {
+		t.Fatalf("%d runs", got)
+	}
+}
+
+// The object API is down for minutes. Confirmations are refused truly once
+// their class's wait is over; what may be repeated does not notice.
+func TestStoreDown(t *testing.T) {
+	class := &recordspb.RequestClass{MaxWaitMs: 200, TimeoutMs: 60000}
+	p := newPair(t, rigConfig{services: 1, engines: 1, class: class})
+	p.store.SetDown(true)
+	header := http.Header{"Idempotency-Key": {"k"}, "X-Sardinedock-Class": {"quote"}}
+	resp := p.do(t, "POST", "/services/ordering/dispatch", header, "ship 7")
+	want(t, resp, 503, "not-run")
+	if resp.Header.Get("Retry-After") == "" {
+		t.Fatal("no Retry-After")
+	}
+	if got := p.serviceRuns(); got != 0 {
+		t.Fatalf("%d runs", got)
+	}
+	p.askFor(t, prompt, 3, nil).rest().wantWhole(prompt, 3)
+	if ends := p.placer.ends(); len(ends) != 1 {
+		t.Fatalf("ends %v", ends)
+	}
+	model := p.call(t, 0, "/v1/completions", "m", `{"model":"counter","prompt":"x","max_tokens":2}`)
+	want(t, model, 503, "not-run")
+	if ends := p.placer.ends(); len(ends) != 1 {
+		t.Fatal("a request that waits for the object API took a slot")
+	}
+	p.store.SetDown(false)
+	want(t, p.send(t, 1, "k", "ship 7"), 200, "complete")
+}
+
+// The operator has chosen that confirmations go on without the object API.
+func TestStoreDownWithTheOtherRule(t *testing.T) {
+	class := &recordspb.RequestClass{MaxWaitMs: 100, TimeoutMs: 60000, WhenStoreDown: recordspb.StoreDownRule_STORE_DOWN_RUN_UNCLAIMED}
+	p := newPair(t, rigConfig{services: 1, class: class})
+	p.store.SetDown(true)
+	header := http.Header{"Idempotency-Key": {"k"}, "X-Sardinedock-Class": {"quote"}}
+	want(t, p.do(t, "POST", "/services/ordering/dispatch", header, "ship 7"), 200, "complete")
+}
+
+// The store's reply to the claim is lost, and the instance is killed with the
+// confirmation at the ordering app. The resend elsewhere must not ship again.
+func TestLostReplyAndKilledInstance(t *testing.T) {
+	p := newPair(t, rigConfig{services: 1})
+	p.store.LoseReplies(1)
+	p.Services[0].SetFaults(emulator.ServiceFaults{SilentAfter: 1})
+	url := p.urls[0]
+	go func() {
+		req, _ := http.NewRequest("POST", url+"/services/ordering/dispatch", nil)
+		req.Header = http.Header{"Idempotency-Key": {"k"}, "Authorization": {"Bearer " + testKey}}
+		if resp, err := http.DefaultClient.Do(req); err == nil {
+			_ = resp.Body.Close()
+		}
+	}()
+	for p.serviceRuns() == 0 {
+	}
+	p.books[0].Kill()
+	want(t, p.send(t, 1, "k", ""), 409, "unknown")
+	if got := p.serviceRuns(); got != 1 {
+		t.Fatalf("%d runs", got)
+	}
+}
+
+// Nothing listens at the ordering app, so the confirmation did not run and is
+// said not to have run. Its key is free for the resend once the app is back.
+func TestKeyOfUnsentRequestIsFree(t *testing.T) {
+	p := newPair(t, rigConfig{services: 1})
+	go p.Services[0].Crash(time.Second)
+	for listens(p.Services[0].Addr()) {
+	}
+	want(t, p.send(t, 0, "k", "ship 7"), 503, "not-run")
+	for {
+		resp := p.send(t, 1, "k", "ship 7")
+		if resp.StatusCode == 200 {
+			break
+		}
+	}
+	if got := p.serviceRuns(); got != 1 {
+		t.Fatalf("%d runs", got)
+	}
+}
+
+func listens(addr string) bool {
+	c, err := net.Dial("tcp", addr)
+	if err == nil {
+		_ = c.Close()
+	}
+	return err == nil
+}
+
+// A not repeatable model request: its whole answer is small enough to be kept,
+// a streamed one is known to be complete.
+func TestModelAnswersAreRecorded(t *testing.T) {
+	p := newPair(t, rigConfig{engines: 1})
+	body := `{"model":"counter","prompt":"x","max_tokens":2}`
+	first := want(t, p.call(t, 0, "/v1/completions", "whole", body), 200, "complete")
+	var again *http.Response
+	for again == nil || again.Header.Get("X-Sardinedock-Outcome") != "complete" {
+		again = p.call(t, 1, "/v1/completions", "whole", body)
+	}
+	if got := want(t, again, 200, "complete"); got != first {
+		t.Fatalf("got %s, want %s", got, first)
+	}
+	body = `{"model":"counter","prompt":"x","max_tokens":2,"stream":true}`
+	_, _ = io.ReadAll(p.call(t, 0, "/v1/completions", "stream", body).Body)
+	for again = p.call(t, 1, "/v1/completions", "stream", body); again.Header.Get("X-Sardinedock-Outcome") == "unknown"; {
+		again = p.call(t, 1, "/v1/completions", "stream", body)
+	}
+	want(t, again, 409, "complete")
+	if got := p.Engines[0].Stats().Runs; got != 2 {
+		t.Fatalf("%d runs", got)
+	}
+}
--- a/entry/server_test.go
+++ b/entry/server_test.go
@@ -73,6 +73,8 @@
 type rig struct {
 	*emulator.Emulator
 	server *entry.Server
+	config entry.Config
+	all    *record.Snapshot
 	placer *placer
 	url    string
 	ids    int
@@ -111,20 +113,28 @@
 	if cfg.configure != nil {
 		cfg.configure(&config)
 	}
+	r.config, r.all = config, record.NewSnapshot(1, records)
+	r.url = r.serve(t, config)
+	return r
+}
+
+// serve starts a server and returns its URL.
+func (r *rig) serve(t *testing.T, config entry.Config) string {
+	t.Helper()
 	r.server = entry.NewServer(config)
-	r.server.SetRecords(record.NewSnapshot(1, records))
+	server := r.server
+	server.SetRecords(r.all)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.url = "http://" + ln.Addr().String()
-	go func() { _ = r.server.Serve(ln) }()
+	go func() { _ = server.Serve(ln) }()
 	t.Cleanup(func() {
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
-		_ = r.server.Shutdown(ctx)
+		_ = server.Shutdown(ctx)
 	})
-	return r
+	return "http://" + ln.Addr().String()
 }
 
 func (r *rig) newID() string {
--- a/entry/service.go
+++ b/entry/service.go
@@ -9,6 +9,7 @@
 	"github.com/sardinedock/sardinedock/endpoint"
 	"github.com/sardinedock/sardinedock/fault"
 	"github.com/sardinedock/sardinedock/outcome"
+	"github.com/sardinedock/sardinedock/outcome/claim"
 	"github.com/sardinedock/sardinedock/place"
 	"github.com/sardinedock/sardinedock/prefix"
 	"github.com/sardinedock/sardinedock/record"
@@ -20,10 +21,10 @@
 	srv     *Server
 	call    *call
 	account *outcome.Request
-	record  *recordspb.Service
+	service *recordspb.Service
 	request endpoint.ServiceRequest
 	once    bool
-	key     string
+	ticket  *ticket
 }
 
 // service routes a call by its path's prefix. Any method and body pass.
@@ -47,7 +48,7 @@
 		return
 	}
 	once = once || contains(svc.GetNotRepeatableMethods(), string(ctx.Method()))
-	c := &serviceCall{srv: s, account: outcome.New(once), record: svc, once: once, key: key}
+	c := &serviceCall{srv: s, account: outcome.New(once), service: svc, once: once}
 	c.call = &call{id: id, organisation: organisation, class: className, conn: ctx.Conn(), keepRunning: once}
 	c.request = endpoint.ServiceRequest{
 		Method: string(ctx.Method()),
@@ -59,6 +60,11 @@
 		// Only what may run twice may be given up on silence alone.
 		ReusedSilence: s.silence(),
 	}
+	c.ticket = s.newTicket(c.account, key, claim.Request{
+		Key:     claim.NewKey(organisation, key),
+		Body:    claim.NewBody(c.request.Method, path+"?"+string(ctx.URI().QueryString()), c.request.Body),
+		Attempt: id,
+	}, class)
 	s.reruns.accepted()
 	s.calls.begin(c.call, timeout(class))
 	defer s.calls.end(c.call)
@@ -80,10 +86,10 @@
 }
 
 func (c *serviceCall) answer(ctx *fasthttp.RequestCtx) {
-	c.account.Admit()
 	name, a, err := c.send()
 	verdict := c.account.Finish()
 	c.srv.metrics.outcome(verdict)
+	c.record(verdict, name, a)
 	if name != "" {
 		ctx.Response.Header.Set(headerEndpoint, name)
 	}
@@ -96,13 +102,32 @@
 	ctx.SetBody(a.Body)
 }
 
+// record tells the claim's record what became of the call.
+func (c *serviceCall) record(v outcome.Verdict, name string, a *endpoint.ServiceAnswer) {
+	if a == nil {
+		c.ticket.end(v, claim.Answer{})
+		return
+	}
+	c.ticket.end(v, claim.Answer{
+		Status:      a.Header.StatusCode(),
+		ContentType: string(a.Header.ContentType()),
+		Body:        a.Body,
+		Kept:        true,
+		Endpoint:    name,
+	})
+}
+
 // send tries the endpoints in an order of the call's own, so that calls spread
 // and no list of the busy ones is needed. A call that may have run is sent to
 // the next one only if it is repeatable.
 func (c *serviceCall) send() (name string, a *endpoint.ServiceAnswer, err error) {
+	c.account.Admit()
+	if err = c.ticket.take(c.call.ctx); err != nil {
+		return "", nil, err
+	}
 	err = fault.New(fault.Unavailable, "add endpoints to the service's record", "no endpoint can take the call")
 	key := prefix.Salt(c.call.id, "", "")
-	for _, e := range place.Order(key, c.record.GetEndpoints()) {
+	for _, e := range place.Order(key, c.service.GetEndpoints()) {
 		if e.GetLeaving() {
 			continue
 		}
--- a/instance/entry.go
+++ b/instance/entry.go
@@ -6,9 +6,11 @@
 	"net"
 	"time"
 
+	"github.com/sardinedock/sardinedock/clock"
 	"github.com/sardinedock/sardinedock/endpoint"
 	"github.com/sardinedock/sardinedock/entry"
 	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/outcome/claim"
 )
 
 // dialTimeout bounds the opening of a connection to an endpoint. Endpoints are
@@ -19,11 +21,15 @@
 	limits := i.settings.GetLimits()
 	silence := time.Duration(limits.GetSilenceMs()) * time.Millisecond
 	clients := endpoint.NewClients(dialTimeout, silence)
+	i.claims = claim.Open(i.store, clock.System{})
+	i.admin.Register("claims", i.claims.Dump)
+	i.onKill = append(i.onKill, i.claims.Kill)
 	i.entry = entry.NewServer(entry.Config{
 		Limits:      limits,
 		Placer:      i.placer(),
 		Dial:        func(addr string) entry.Engine { return clients.Engine(addr) },
 		DialService: func(addr string) entry.Service { return clients.Service(addr) },
+		Claims:      i.claims,
 		NewID:       newID,
 	})
 	i.admin.Register("callers", i.entry.Dump)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -11,6 +11,7 @@
 	"github.com/sardinedock/sardinedock/admin"
 	"github.com/sardinedock/sardinedock/entry"
 	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/outcome/claim"
 	"github.com/sardinedock/sardinedock/platform"
 	"github.com/sardinedock/sardinedock/record"
 	"github.com/sardinedock/sardinedock/schema/settingspb"
@@ -23,6 +24,7 @@
 	keeper   *record.Keeper
 	provider *record.Provider
 	entry    *entry.Server
+	claims   *claim.Book
 	callers  *cutListener
 	admin    *admin.Handler
 	adminLn  net.Listener
@@ -82,5 +84,7 @@
 	defer i.provider.Stop()
 	defer i.stopFleet(ctx)
 	i.leaveFleet(ctx)
+	// What became of the last requests is recorded before the process ends.
+	defer i.claims.Close(ctx)
 	return i.entry.Shutdown(ctx)
 }
--- /dev/null
+++ b/outcome/claim/table.go
@@ -0,0 +1,141 @@
+package claim
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/schema/claimspb"
+)
+
+// table is the decoded value of one shard. It has no I/O and no clock.
+type table struct {
+	shard *claimspb.Shard
+	byKey map[Hash]*claimspb.Claim
+	size  int
+}
+
+// parseTable decodes a shard. A value that can't be read is an error and must
+// not be overwritten: keys that it holds could then be claimed a second time.
+func parseTable(value []byte) (*table, error) {
+	t := &table{shard: &claimspb.Shard{SchemaVersion: schemaVersion}, byKey: map[Hash]*claimspb.Claim{}}
+	if len(value) == 0 {
+		return t, nil
+	}
+	if err := proto.Unmarshal(value, t.shard); err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "look who else writes objects of kind claims", "decode a shard of claims")
+	}
+	if v := t.shard.GetSchemaVersion(); v != schemaVersion {
+		return nil, fault.New(fault.Invalid, "run the version that wrote it", "shard of claims has schema version %d", v)
+	}
+	for _, c := range t.shard.GetClaims() {
+		if len(c.GetKey()) != len(Hash{}) || len(c.GetBody()) != len(Hash{}) {
+			return nil, fault.New(fault.Invalid, "look who else writes objects of kind claims", "a claim's hash has a wrong length")
+		}
+		t.byKey[Hash(c.GetKey())] = c
+		t.size += entrySize(c)
+	}
+	return t, nil
+}
+
+// entrySize is the room that a claim takes in the encoded shard.
+func entrySize(c *claimspb.Claim) int {
+	const frame = 4
+	return proto.Size(c) + frame
+}
+
+func (t *table) encode() ([]byte, error) {
+	value, err := proto.Marshal(t.shard)
+	return value, fault.Wrap(err, fault.Internal, "report it", "encode a shard of claims")
+}
+
+// take adds a claim unless the key is taken. ok is false if there is no room.
+func (t *table) take(r Request, now time.Time) (f Found, added, ok bool) {
+	if c, taken := t.byKey[r.Key]; taken {
+		if c.GetAttempt() == r.Attempt {
+			return Found{}, false, true
+		}
+		return found(c, r.Body), false, true
+	}
+	c := &claimspb.Claim{
+		Key:         r.Key[:],
+		Body:        r.Body[:],
+		Attempt:     r.Attempt,
+		ExpiresAtMs: now.Add(r.Timeout + Retention).UnixMilli(),
+	}
+	if !t.makeRoom(entrySize(c)) {
+		return Found{}, false, false
+	}
+	t.byKey[r.Key] = c
+	t.shard.Claims = append(t.shard.Claims, c)
+	t.size += entrySize(c)
+	return Found{}, true, true
+}
+
+// makeRoom gives up kept bodies, oldest first, but never a claim: a resend
+// then reads that its request is complete without the answer's text.
+func (t *table) makeRoom(need int) bool {
+	for _, c := range t.shard.GetClaims() {
+		if t.size+need <= maxShardBytes {
+			return true
+		}
+		if a := c.GetAnswer(); a.GetKept() {
+			before := entrySize(c)
+			a.Body, a.Kept = nil, false
+			t.size += entrySize(c) - before
+		}
+	}
+	return t.size+need <= maxShardBytes
+}
+
+// held returns the claim of a key if the attempt holds it and has not ended.
+func (t *table) held(key Hash, attempt string) (*claimspb.Claim, bool) {
+	c, ok := t.byKey[key]
+	return c, ok && c.GetAttempt() == attempt && c.GetAnswer() == nil
+}
+
+// finish records an answer; it reports whether that changed the table.
+func (t *table) finish(key Hash, attempt string, a Answer) bool {
+	c, ok := t.held(key, attempt)
+	if !ok {
+		return false
+	}
+	before := entrySize(c)
+	c.Answer = &claimspb.Answer{Status: int32(a.Status), ContentType: a.ContentType, Endpoint: a.Endpoint}
+	if a.Kept && len(a.Body) <= maxBodyBytes {
+		c.Answer.Body, c.Answer.Kept = a.Body, true
+	}
+	t.size += entrySize(c) - before
+	t.makeRoom(0)
+	return true
+}
+
+// release removes the claim of an attempt that will never send.
+func (t *table) release(key Hash, attempt string) bool {
+	if _, ok := t.held(key, attempt); !ok {
+		return false
+	}
+	t.remove(func(c *claimspb.Claim) bool { return Hash(c.GetKey()) == key })
+	return true
+}
+
+// expire forgets claims whose time is over; it does not by itself make a write
+// worth while.
+func (t *table) expire(now time.Time) {
+	ms := now.UnixMilli()
+	t.remove(func(c *claimspb.Claim) bool { return c.GetExpiresAtMs() <= ms })
+}
+
+func (t *table) remove(drop func(*claimspb.Claim) bool) {
+	kept := t.shard.GetClaims()[:0]
+	for _, c := range t.shard.GetClaims() {
+		if drop(c) {
+			t.size -= entrySize(c)
+			delete(t.byKey, Hash(c.GetKey()))
+			continue
+		}
+		kept = append(kept, c)
+	}
+	t.shard.Claims = kept
+}
--- a/outcome/state.go
+++ b/outcome/state.go
@@ -106,6 +106,21 @@
 	}
 }
 
+// Recorded ends the account of a request whose idempotency key another attempt
+// holds: what became of that attempt is what became of the request. It is
+// unknown unless the attempt's whole answer is on record.
+func (r *Request) Recorded(answered bool) {
+	if !r.check(r.sends == 0 && !r.final(), "recorded") {
+		return
+	}
+	r.sends++
+	r.open++
+	r.state = Failed
+	if answered {
+		r.state = Done
+	}
+}
+
 // MaySend reports whether the request may be sent now: always before the first
 // send, after that only if it is repeatable or no send can have started it.
 func (r *Request) MaySend() bool {
--- a/outcome/state_test.go
+++ b/outcome/state_test.go
@@ -147,3 +147,17 @@
 		t.Fatal("a request that answered is said not to have run")
 	}
 }
+
+// A caller sends its key a second time while the first request may still run
+// at another instance. That this instance sent nothing does not make it true
+// that nothing ran.
+func TestKeyHeldElsewhereIsNeverNotRun(t *testing.T) {
+	for answered, want := range map[bool]string{false: "unknown", true: "complete"} {
+		r := outcome.New(true)
+		r.Admit()
+		r.Recorded(answered)
+		if got := r.Finish().String(); got != want || r.MaySend() {
+			t.Fatalf("answered %v: said %s, may send %v", answered, got, r.MaySend())
+		}
+	}
+}
