Wait for an endpoint until the class's wait is over

Change: where all endpoints were tried, entry pauses and asks again until max_wait_ms after the arrival or the break; only sends that an endpoint may have begun count against the bound of six. Conclusion: an engine's restart is ridden out also in a small pool.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -15,12 +15,15 @@
 	"github.com/sardinedock/sardinedock/outcome"
 	"github.com/sardinedock/sardinedock/outcome/claim"
 	"github.com/sardinedock/sardinedock/place"
-	"github.com/sardinedock/sardinedock/prefix"
 )
 
 const (
-	// maxSends bounds how often one request is sent.
-	maxSends = 6
+	// maxStarted bounds how often one request is begun by an endpoint.
+	maxStarted = 6
+	// firstPause and maxPause bound the waits before all endpoints are tried
+	// once more.
+	firstPause = 50 * time.Millisecond
+	maxPause   = time.Second
 	// cancelTimeout bounds the telling of an engine that its work is not
 	// wanted any more.
 	cancelTimeout = time.Second
@@ -37,8 +40,16 @@
 	progress progress
 	run      *run
 	exclude  []string
-	sends    int
-	ticket   *ticket
+	// sends is how often the request was sent, started how often an endpoint
+	// may have begun it.
+	sends, started int
+	// startBy is when a request that no endpoint takes is given up, pause the
+	// last wait before all were tried again.
+	startBy time.Time
+	pause   time.Duration
+	// broke is why the last run broke off.
+	broke  error
+	ticket *ticket
 	// endpoint that runs the request, or ran it last.
 	endpoint string
 	// verdict holds once closed is set.
@@ -71,6 +82,7 @@
 		Body:    claim.Hash(req.place.Fingerprint),
 		Attempt: req.id,
 	}, req.place.Class)
+	a.waitFrom(time.Now())
 	return a
 }
 
@@ -160,12 +172,12 @@
 // begin places and sends the request until an endpoint takes it.
 func (a *answer) begin() error {
 	for {
-		if a.sends >= maxSends {
-			return fault.New(fault.Overloaded, "send the request again later", "%d endpoints did not take the request", a.sends)
+		if a.started >= maxStarted {
+			return fault.New(fault.Broken, "send the request again later", "the request broke off %d times", a.started)
 		}
 		grant, err := a.place()
 		if err != nil {
-			return err
+			return a.unplaced(err)
 		}
 		a.account.Admit()
 		if err := a.ticket.take(a.call.ctx); err != nil {
@@ -183,115 +195,52 @@
 }
 
 // place asks for a grant. Endpoints that were tried are left out as long as
-// there are others.
+// there are others. Where there are none, such as in a small pool whose
+// engines have just crashed together, it asks again until the class's wait is
+// over: an engine is back within a second or two.
 func (a *answer) place() (place.Grant, error) {
-	req := a.req.place
-	req.Exclude = a.exclude
-	grant, err := a.srv.cfg.Placer.Place(a.call.ctx, req)
-	if fault.Is(err, fault.Unavailable) && len(a.exclude) > 0 && a.call.cause() == nil {
-		a.exclude, req.Exclude = nil, nil
-		grant, err = a.srv.cfg.Placer.Place(a.call.ctx, req)
-	}
-	return grant, err
-}
-
-// send sends the request to the granted endpoint. It leaves run nil where
-// another endpoint has to be tried; an error is final.
-func (a *answer) send(g place.Grant) error {
-	r := &run{grant: g, id: a.runID(), engine: a.srv.cfg.Dial(g.Address), incarnation: g.Incarnation}
-	r.version = a.srv.versions.get(g.Endpoint, a.req.place.Model, a.req.place.Version)
-	body, err := a.body(r.version)
-	if err != nil {
-		a.srv.cfg.Placer.Done(g, place.Result{End: place.EndUnused})
-		return err
-	}
-	a.endpoint = g.Endpoint
-	a.run = r
-	r.send = a.account.Send()
-	r.sentAt = time.Now()
-	r.stream, err = r.engine.Generate(a.call.ctx, endpoint.Request{ID: r.id, Path: a.req.path, Body: body, Fresh: a.req.once})
-	if err != nil {
-		return a.sendFailed(err)
-	}
-	return a.opened()
-}
-
-// runID names a send. Sends have ids of their own, so that a late piece of an
-// earlier one can't be taken for a piece of a later one.
-func (a *answer) runID() string {
-	if a.sends == 1 {
-		return a.req.id
-	}
-	return a.req.id + "." + strconv.Itoa(a.sends)
-}
-
-// body is what goes to the engine: the caller's fields, the router's, and the
-// text that the caller already has where another engine began the answer.
-func (a *answer) body(version string) ([]byte, error) {
-	f := a.req.fields
-	if a.progress.pieces > 0 {
-		var ok bool
-		if f, ok = f.continued(a.req.chat, a.progress.text, a.progress.tokens); !ok {
-			return nil, fault.New(fault.Broken, "send the request again", "the endpoint died and the answer's form can't be continued elsewhere")
+	for {
+		req := a.req.place
+		req.Exclude = a.exclude
+		grant, err := a.srv.cfg.Placer.Place(a.call.ctx, req)
+		tried := len(a.exclude) > 0 || a.started > 0
+		if !fault.Is(err, fault.Unavailable) || !tried || !a.rest() {
+			return grant, err
 		}
-	} else {
-		f = f.clone()
+		a.exclude = nil
 	}
-	f.setBool(fieldStream, true)
-	f.setString(fieldSalt, prefix.Salt(a.req.place.Organisation, a.req.place.Model, version).String())
-	return f.encode(), nil
 }
 
-// sendFailed decides on a send that brought no answer.
-func (a *answer) sendFailed(err error) error {
-	a.run.send.Failed(err)
-	if cause := a.call.cause(); cause != nil {
-		return cause
-	}
-	switch fault.KindOf(err) {
-	case fault.Unavailable, fault.Overloaded:
-		a.srv.metrics.notStarted.Inc()
-		a.leave(place.EndUnused)
-		return nil
-	case fault.BadRequest, fault.Conflict:
-		// The engine's refusal of the content is a whole answer.
-		a.run.send.Answering()
-		a.run.send.Done()
-		a.leave(place.EndFailed)
+// unplaced is the error of a request that no endpoint takes. Of an answer that
+// has begun the caller is told why it broke off.
+func (a *answer) unplaced(err error) error {
+	if a.broke == nil || a.progress.pieces == 0 || a.call.cause() != nil {
 		return err
 	}
-	return a.recover(err)
+	return fault.Wrap(a.broke, fault.Broken, "send the request again", "the answer broke off and no endpoint could go on with it")
 }
 
-// opened checks whose answer it is that has begun.
-func (a *answer) opened() error {
-	r := a.run
-	r.incarnation = r.stream.Incarnation()
-	version := r.stream.ModelVersion()
-	a.srv.versions.saw(r.grant.Endpoint, a.req.place.Model, version)
-	if a.progress.pieces > 0 && version != a.progress.version {
-		return a.giveUp(fault.New(fault.Broken, "send the request again", "the answer was begun by version %q and the endpoint runs %q", a.progress.version, version))
+// rest pauses before all endpoints are tried once more; false when the time to
+// start is over.
+func (a *answer) rest() bool {
+	a.pause = min(max(2*a.pause, firstPause), maxPause)
+	if time.Now().Add(a.pause).After(a.startBy) {
+		return false
 	}
-	if version != r.version && a.account.Repeatable() {
-		return a.giveUp(nil)
+	t := time.NewTimer(a.pause)
+	defer t.Stop()
+	select {
+	case <-a.call.ctx.Done():
+		return false
+	case <-t.C:
+		return true
 	}
-	r.send.Answering()
-	a.progress.version = version
-	return nil
 }
 
-// giveUp cancels a run that must not go on. The next send goes elsewhere if
-// the cause is given, and ends the answer with it if that was the last one.
-func (a *answer) giveUp(cause error) error {
-	a.cancel()
-	if cause != nil {
-		a.excludeRun()
-	}
-	a.leave(place.EndFailed)
-	if cause != nil && a.sends >= maxSends {
-		return cause
-	}
-	return nil
+// waitFrom sets the time by which the request has to start.
+func (a *answer) waitFrom(now time.Time) {
+	a.pause = 0
+	a.startBy = now.Add(time.Duration(a.req.place.Class.GetMaxWaitMs()) * time.Millisecond)
 }
 
 func (a *answer) excludeRun() { a.exclude = append(a.exclude, a.run.grant.Endpoint) }
--- a/entry/recover.go
+++ b/entry/recover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/sardinedock/sardinedock/endpoint"
 	"github.com/sardinedock/sardinedock/fault"
@@ -61,6 +62,7 @@
 
 // elsewhere decides whether the request may be sent again.
 func (a *answer) elsewhere(cause error) error {
+	a.broke = cause
 	if !a.account.MaySend() {
 		return fault.Wrap(cause, fault.Unknown, "ask with the same Idempotency-Key what became of it", "a not repeatable request broke off; it may have run")
 	}
@@ -71,6 +73,7 @@
 		return fault.Wrap(cause, fault.Overloaded, "send the request again later", "too many requests had to be run again")
 	}
 	a.srv.metrics.continued.Inc()
+	a.waitFrom(time.Now())
 	return nil
 }
 
