Measure slopes; tell peers only what they lack

sardinedock slopes prints what exchange, asks, decisions, state and changes cost at several sizes. Its first run showed that items fetched at start were told on, each 13 times: at rest 742 B/s sent at 8 instances, 1,360 at 64.

A question about a silent member that was never answered stayed open for ever and kept the member from being suspected; it ends after 3 s.

--- a/fleet/core.go
+++ b/fleet/core.go
@@ -38,6 +38,11 @@
 	// checkPeers are asked to try a member that did not answer: the way from
 	// here may be broken, not the member.
 	checkPeers = 3
+	// checkEnds is when a question to peers counts as answered by nobody. A call
+	// that was not made, since too many were open, never brings an answer, and
+	// a question that stayed open would keep the member from being suspected
+	// for ever.
+	checkEnds = 3 * time.Second
 	// expireEvery is how often items past their TTL are looked for.
 	expireEvery = time.Second
 	// stallBound is a pause of this instance after which failures of its
@@ -98,6 +103,7 @@
 type check struct {
 	open    int
 	reached bool
+	since   time.Time
 }
 
 func newCore(cfg Config, random *rand.Rand, now time.Time) *core {
@@ -149,6 +155,7 @@
 	c.budget = min(burstBytes, c.budget+bytesPerSecond*now.Sub(c.lastTick).Seconds())
 	c.lastTick = now
 	c.put(now, c.table.Tick(now)...)
+	c.endChecks(now)
 	if now.Sub(c.lastExpire) >= expireEvery {
 		c.lastExpire = now
 		c.expire(now)
@@ -227,6 +234,9 @@
 func (c *core) serve(in *fleetpb.ExchangeRequest, now time.Time) *fleetpb.ExchangeReply {
 	name := in.GetCaller().GetInstance()
 	c.learn(c.store.Take(in.GetItems(), name, now), now)
+	if in.GetRoot() == c.store.Root() {
+		c.store.Agreed(c.size())
+	}
 	var b exchange.Bundle
 	c.store.Answer(&b, in.GetWant(), in.GetSummaries(), now)
 	if c.budget > 0 {
@@ -251,7 +261,14 @@
 // replied takes the reply to a call and returns the calls that follow.
 func (c *core) replied(o outgoing, in *fleetpb.ExchangeReply, now time.Time) []outgoing {
 	name := in.GetCaller().GetInstance()
-	c.learn(c.store.Take(in.GetItems(), name, now), now)
+	if o.purpose == purposePull {
+		c.learn(c.store.Adopt(in.GetItems(), name, now), now)
+	} else {
+		c.learn(c.store.Take(in.GetItems(), name, now), now)
+	}
+	if in.GetRoot() == c.store.Root() {
+		c.store.Agreed(c.size())
+	}
 	if o.purpose == purposeCheck {
 		return c.checked(o.suspect, len(in.GetReached()) > 0, now)
 	}
@@ -323,7 +340,7 @@
 		c.put(now, c.table.Suspect(peer.Name)...)
 		return nil
 	}
-	c.checks[peer.Name] = &check{open: len(out)}
+	c.checks[peer.Name] = &check{open: len(out), since: now}
 	return out
 }
 
@@ -346,6 +363,18 @@
 	return nil
 }
 
+// endChecks decides questions whose answers are overdue.
+func (c *core) endChecks(now time.Time) {
+	for _, name := range c.table.Names() {
+		q := c.checks[name]
+		if q == nil || now.Sub(q.since) < checkEnds {
+			continue
+		}
+		q.open = 1
+		c.checked(name, false, now)
+	}
+}
+
 func memberKey(name string) exchange.Key {
 	return exchange.Key{Kind: fleetpb.ItemKind_ITEM_KIND_MEMBER, Name: name}
 }
--- a/fleet/core_test.go
+++ b/fleet/core_test.go
@@ -21,6 +21,7 @@
 	cut     func(a, b int) bool // whether two cores cannot talk
 	stopped map[int]bool
 	late    []lateFailure
+	noCheck bool // whether questions about members vanish without a trace
 }
 
 type lateFailure struct {
@@ -74,6 +75,9 @@
 	for len(list) > 0 {
 		o := list[0]
 		list = list[1:]
+		if g.noCheck && o.purpose == purposeCheck {
+			continue
+		}
 		to := g.at(o.peer.Address)
 		if !g.reaches(from, to) {
 			g.late = append(g.late, lateFailure{g.now.Add(callBound), from, o})
@@ -90,15 +94,15 @@
 }
 
 func (g *group) failLate() {
-	var kept []lateFailure
-	for _, f := range g.late {
+	due := g.late
+	g.late = nil
+	for _, f := range due {
 		if g.now.Before(f.at) {
-			kept = append(kept, f)
+			g.late = append(g.late, f)
 		} else if !g.stopped[f.from] {
 			g.deliver(f.from, g.cores[f.from].failed(f.o, g.now))
 		}
 	}
-	g.late = kept
 }
 
 func (g *group) at(addr string) int {
@@ -176,6 +180,18 @@
 	}
 }
 
+// A rack dies, and the questions about its instances are never sent, as too many
+// calls are open. A question that stays open for ever would keep the dead
+// instances among the owners.
+func TestUnansweredCheckEnds(t *testing.T) {
+	g := newGroup(t, 16)
+	g.run(20 * time.Second)
+	g.noCheck = true
+	g.stopped[5] = true
+	g.run(25 * time.Second)
+	g.wantStatus(5, fleetpb.MemberStatus_MEMBER_STATUS_DEAD)
+}
+
 // The machine under an instance is paused for a few seconds. Expelling it at
 // once would move its endpoints twice, and callers would pay with what the
 // owners knew of the caches.
--- a/fleet/exchange/send.go
+++ b/fleet/exchange/send.go
@@ -87,6 +87,29 @@
 	}
 }
 
+// Agreed is called when a peer of a fleet of n turned out to hold the same: all
+// changes count as sent to it. Without it, an instance that starts with a few
+// thousand items would tell each of them to peers that have had them for long.
+func (s *Store) Agreed(n int) {
+	limit := SendLimit(n)
+	for i := limit - 1; i >= 0; i-- {
+		queue := s.hot[i]
+		s.hot[i] = nil
+		for _, h := range queue {
+			if h.gone || h.sends != i {
+				continue
+			}
+			if h.TTL > 0 {
+				s.hot[i] = append(s.hot[i], h)
+				continue
+			}
+			if h.sends++; h.sends < limit {
+				s.hot[h.sends] = append(s.hot[h.sends], h)
+			}
+		}
+	}
+}
+
 // send adds the item, or its summary where it is large, and returns its bytes.
 func (s *Store) send(b *Bundle, h *held, now time.Time) int {
 	if len(h.Value) > inlineBytes {
@@ -128,6 +151,14 @@
 	return changed
 }
 
+// Adopt merges all that a peer holds into the store of a starting instance. The
+// peer's peers have it, so it is not told on.
+func (s *Store) Adopt(items []*fleetpb.Item, peer string, now time.Time) []Item {
+	s.quiet = true
+	defer func() { s.quiet = false }()
+	return s.Take(items, peer, now)
+}
+
 // Answer adds to the bundle what the peer has asked for or, by its summaries,
 // holds in an older version, and asks for what it holds in a newer one.
 func (s *Store) Answer(b *Bundle, want []*fleetpb.ItemKey, summaries []*fleetpb.Summary, now time.Time) {
--- a/fleet/exchange/store.go
+++ b/fleet/exchange/store.go
@@ -37,6 +37,8 @@
 	// hot holds the items that are still to be told, by how often they were
 	// sent. An entry whose item moved on is skipped when met.
 	hot [maxSends][]*held
+	// quiet is set while items are taken that need not be told on.
+	quiet bool
 }
 
 type bucket struct {
@@ -115,7 +117,9 @@
 		s.remove(old)
 	}
 	s.insert(h)
-	s.hot[0] = append(s.hot[0], h)
+	if !s.quiet {
+		s.hot[0] = append(s.hot[0], h)
+	}
 	return true
 }
 
--- a/instance/fleet.go
+++ b/instance/fleet.go
@@ -201,3 +201,6 @@
 		return dump(ctx)
 	}
 }
+
+// Records returns the records in force here, or nil where there are none yet.
+func (i *Instance) Records() *record.Snapshot { return i.keeper.Snapshot() }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -28,7 +28,10 @@
 	app := kingpin.New("sardinedock", "A router for language-model traffic with long shared prompts.")
 	app.UsageWriter(errs).ErrorWriter(errs).Terminate(nil)
 	commands := map[string]command{}
-	for _, c := range []command{&serveCommand{}, &checkCommand{}, &emulateCommand{}, &demoCommand{}, &loadCommand{}, &dumpCommand{}, &statusCommand{}, &versionCommand{}} {
+	for _, c := range []command{
+		&serveCommand{}, &checkCommand{}, &emulateCommand{}, &demoCommand{}, &loadCommand{},
+		&dumpCommand{}, &statusCommand{}, &slopesCommand{}, &versionCommand{},
+	} {
 		clause := c.declare(app)
 		commands[clause.FullCommand()] = c
 	}
--- /dev/null
+++ b/internal/slopes/decision.go
@@ -0,0 +1,79 @@
+package slopes
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/sardinedock/sardinedock/clock"
+	"github.com/sardinedock/sardinedock/fleet/exchange"
+	"github.com/sardinedock/sardinedock/owner"
+	"github.com/sardinedock/sardinedock/place"
+	"github.com/sardinedock/sardinedock/schema/fleetpb"
+)
+
+// decisions is how many decisions are timed at each size.
+const decisions = 5000
+
+// granting is a fleet whose owners grant everything at once.
+type granting struct{ next uint64 }
+
+func (g *granting) Ask(_ context.Context, _ string, _ time.Duration, in *fleetpb.AskRequest) (*fleetpb.AskReply, error) {
+	g.next++
+	return &fleetpb.AskReply{Granted: &fleetpb.Offer{Endpoint: in.GetEndpoints()[0], GrantId: g.next}}, nil
+}
+
+func (g *granting) Report(context.Context, string, time.Duration, *fleetpb.ReportRequest) (*fleetpb.ReportReply, error) {
+	return &fleetpb.ReportReply{}, nil
+}
+
+func (g *granting) HandOver(context.Context, string, time.Duration, *fleetpb.HandOverRequest) (*fleetpb.HandOverReply, error) {
+	return &fleetpb.HandOverReply{}, nil
+}
+
+// measureDecision times what the entry does for a request beside the call to
+// the owner, and what a change of members or records costs it.
+func measureDecision(_ Options, out io.Writer) error {
+	fmt.Fprintf(out, "decision at the entry, 64 blocks, owners that grant at once\n")
+	fmt.Fprintf(out, "%10s %10s %16s %16s\n", "endpoints", "instances", "us a request", "ms a change")
+	for _, size := range []struct{ endpoints, instances int }{{24, 8}, {240, 36}, {1200, 180}, {2400, 360}} {
+		if err := decideWith(out, size.endpoints, size.instances); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func decideWith(out io.Writer, endpoints, instances int) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var names, addresses []string
+	for i := range instances {
+		names, addresses = append(names, fmt.Sprintf("entry-%03d", i)), append(addresses, "peer")
+	}
+	duty := place.NewDuty(place.DutyConfig{
+		Self: "entry", Clock: clock.System{}, HandOver: func(string, string, []byte) {},
+		Lost: func(string, uint64, []owner.Fingerprint) {},
+	})
+	go duty.Run(ctx)
+	f := place.NewFleet(place.FleetConfig{
+		Caller: &fleetpb.Caller{Fleet: fleetName, Instance: "entry"}, Clock: clock.System{}, Peers: &granting{}, Duty: duty,
+		Publish: func(context.Context, exchange.Key, []byte, time.Duration) error { return nil },
+	})
+	f.SetRecords(ctx, poolRecord(endpoints))
+	begin := time.Now()
+	f.SetView(ctx, viewOf("entry", names, addresses))
+	change := time.Since(begin)
+	used := cpu()
+	for i := range decisions {
+		g, err := f.Place(ctx, requestOf(i, 64))
+		if err != nil {
+			return err
+		}
+		f.Done(g, place.Result{End: place.EndDone})
+	}
+	each := float64((cpu() - used).Microseconds()) / decisions
+	fmt.Fprintf(out, "%10d %10d %16.1f %16.2f\n", endpoints, instances, each, float64(change.Microseconds())/1000)
+	return nil
+}
--- /dev/null
+++ b/internal/slopes/state.go
@@ -0,0 +1,71 @@
+package slopes
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"runtime"
+	"time"
+
+	"github.com/sardinedock/sardinedock/fleet/exchange"
+	"github.com/sardinedock/sardinedock/fleet/member"
+	"github.com/sardinedock/sardinedock/owner"
+	"github.com/sardinedock/sardinedock/policy"
+	"github.com/sardinedock/sardinedock/schema/fleetpb"
+)
+
+// measureState prints the heap that each kind of state takes, at three sizes.
+func measureState(_ Options, out io.Writer) error {
+	fmt.Fprintf(out, "heap bytes of one piece of state\n%-34s %10s %12s\n", "state", "pieces", "bytes each")
+	for _, n := range []int{600, 1200, 2400} {
+		printHeap(out, "endpoint's item in the exchange", n, func() any { return storeOf(someItems(n, 0)) })
+		printHeap(out, "record's item in the exchange", n, func() any { return storeOf(someItems(0, n)) })
+		printHeap(out, "member", n, func() any { return tableOf(n) })
+	}
+	for _, blocks := range []int{1000, 4000, 16000} {
+		printHeap(out, fmt.Sprintf("owned endpoint, %d blocks known", blocks), 16, func() any { return bookOf(16, blocks) })
+	}
+	return nil
+}
+
+// printHeap builds something and prints what it holds of the heap.
+func printHeap(out io.Writer, name string, pieces int, build func() any) {
+	before := heap()
+	built := build()
+	after := heap()
+	runtime.KeepAlive(built)
+	fmt.Fprintf(out, "%-34s %10d %12.0f\n", name, pieces, float64(after-before)/float64(pieces))
+}
+
+func storeOf(items []exchange.Item) *exchange.Store {
+	s := exchange.NewStore()
+	now := time.Now()
+	for _, it := range items {
+		s.Put(it, "peer", now)
+	}
+	return s
+}
+
+func tableOf(n int) *member.Table {
+	t := member.New(member.Member{Name: "self"}, nil, member.DefaultBounds, rand.New(rand.NewPCG(1, 1)))
+	other := member.New(member.Member{Name: "other"}, nil, member.DefaultBounds, rand.New(rand.NewPCG(1, 1)))
+	for i := range n {
+		it := other.Update(func(m *member.Member) {
+			m.Name, m.Address, m.DataCentre = fmt.Sprintf("entry-%04d", i), fmt.Sprintf("10.0.%d.%d:8082", i/256, i%256), "accra-1"
+		})
+		t.Apply(it, time.Now())
+	}
+	return t
+}
+
+func bookOf(endpoints, blocks int) *owner.Book {
+	b := owner.NewBook(policy.Prices{Recompute: policy.DefaultRecompute})
+	now := time.Now()
+	for e := range endpoints {
+		name := fmt.Sprintf("engine-%d", e)
+		o := b.Add(owner.Config{Name: name, Slots: 64, BlockTokens: blockTokens, CacheBlocks: int64(blocks), PrefillTokensPerSecond: 20000})
+		o.Status(now, fleetpb.EndpointStatus_ENDPOINT_STATUS_LIVE, 1)
+		o.CacheEvent(owner.CacheEvent{Seq: 1, Incarnation: 1, Op: owner.CacheStore, Blocks: chain(blocks, e)})
+	}
+	return b
+}
