Keep the accepted version of a refused record over a restart of all

Cause: instances keep nothing, and the object API shows only the newest version; after a bad edit and a restart of all instances, the version in force before was known to nobody. Change: record.Preserver, held by the fleet's lease, stores that version as an object and removes it when outdated; a list that shows only a refused version reads it back. Tests of package instance run side by side. Conclusion: an accepted record outlives bad edit and restart, but for the second until the holder has stored it.

--- a/instance/pools.go
+++ b/instance/pools.go
@@ -26,6 +26,8 @@
 	lease   *lease.Duty
 	rollout *rollout.Duty
 	status  *status.Writer
+	// preserver belongs to the fleet's lease only.
+	preserver *record.Preserver
 	// seen is what the decisions are found by; see decisions.
 	seen decisions
 }
@@ -127,7 +129,9 @@
 		},
 	})
 	describe := func() (status.Object, bool) { return i.describeFleet(h) }
-	if pool != "" {
+	if pool == "" {
+		h.preserver = record.NewPreserver(i.store, i.keeper, h.lease)
+	} else {
 		h.rollout = rollout.NewDuty(rollout.Config{
 			Pool: pool, Lease: h.lease, Records: i.keeper.Snapshot,
 			Dial: func(addr string) rollout.Engine { return i.clients.Engine(addr) },
@@ -144,6 +148,9 @@
 	if h.rollout != nil {
 		h.rollout.Start()
 	}
+	if h.preserver != nil {
+		h.preserver.Start()
+	}
 	h.status.Start()
 }
 
@@ -153,6 +160,9 @@
 	if h.rollout != nil {
 		h.rollout.Stop()
 	}
+	if h.preserver != nil {
+		h.preserver.Stop()
+	}
 	h.status.Stop()
 	h.lease.Stop()
 	if release {
--- a/instance/records_test.go
+++ b/instance/records_test.go
@@ -109,6 +109,7 @@
 // records. They come up all the same, tell callers when to come back, and
 // serve as soon as the object API is there.
 func TestStartWithTheObjectAPIDown(t *testing.T) {
+	t.Parallel()
 	store := startObjectAPI(t)
 	if err := store.Down(); err != nil {
 		t.Fatal(err)
@@ -130,6 +131,7 @@
 // when the object API went away and came back in between, and a bad edit after
 // it must change nothing.
 func TestChangeIsInForceEverywhere(t *testing.T) {
+	t.Parallel()
 	store := startObjectAPI(t)
 	fleet := startFleet(t, store, 8)
 	awaitClass(fleet, 1)
--- a/instance/rollout_test.go
+++ b/instance/rollout_test.go
@@ -90,6 +90,7 @@
 // version, and operators can read that. Then an order for the old version that
 // the lost instance had in its hands arrives after all.
 func TestRolloutOutlivesItsHolder(t *testing.T) {
+	t.Parallel()
 	for _, checks := range []bool{true, false} {
 		t.Run(fmt.Sprintf("checks fencing %v", checks), func(t *testing.T) {
 			t.Parallel()
--- a/record/provider.go
+++ b/record/provider.go
@@ -240,6 +240,9 @@
 		items = append(items, f.item(obj))
 	}
 	f.cfg.Keeper.OfferListing(f.kind, uint64(listing.Version), items)
+	for _, name := range f.cfg.Keeper.lacking(f.kind) {
+		f.note(recall(ctx, f.cfg.Store, f.cfg.Keeper, f.kind, name))
+	}
 	f.advance(max(listing.Version, 1))
 	f.mu.Lock()
 	f.dump.ListedAt = time.Now()
