--- a/internal/slopes/change.go
+++ b/internal/slopes/change.go
@@ -20,6 +20,8 @@
 const (
 	changeInstances = 8
 	changePoll      = time.Millisecond
+	// maxSeeds is how many of the first instances the others know.
+	maxSeeds = 3
 	changeBound     = 30 * time.Second
 	// betweenChanges keeps a change from riding on the messages of the last.
 	betweenChanges = 150 * time.Millisecond
@@ -47,7 +49,7 @@
 	if err := setWait(store, 1); err != nil {
 		return err
 	}
-	list, err := startInstances(store.Addr(), reach)
+	list, err := startInstances(store.Addr(), changeInstances, reach)
 	defer stopInstances(list)
 	if err != nil {
 		return err
@@ -85,7 +87,7 @@
 
 // startInstances starts the instances; those from reach on are given an
 // address of the object API where nobody answers.
-func startInstances(store string, reach int) ([]*instance.Instance, error) {
+func startInstances(store string, count, reach int) ([]*instance.Instance, error) {
 	nobody, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -94,7 +96,7 @@
 	_ = nobody.Close()
 	var list []*instance.Instance
 	var seeds []string
-	for k := range changeInstances {
+	for k := range count {
 		address := store
 		if k >= reach {
 			address = dead
@@ -110,7 +112,9 @@
 			return list, err
 		}
 		list = append(list, i)
-		seeds = append(seeds, fmt.Sprintf("%q", i.Fleet()))
+		if len(seeds) < maxSeeds {
+			seeds = append(seeds, fmt.Sprintf("%q", i.Fleet()))
+		}
 	}
 	return list, awaitWait(list, 1)
 }
--- a/internal/slopes/slopes.go
+++ b/internal/slopes/slopes.go
@@ -39,6 +39,7 @@
 	{"decision", measureDecision},
 	{"state", measureState},
 	{"change", measureChange},
+	{"instance", measureInstance},
 }
 
 // PartNames lists the parts.
