--- a/internal/slopes/change.go
+++ b/internal/slopes/change.go
@@ -21,8 +21,8 @@
 	changeInstances = 8
 	changePoll      = time.Millisecond
 	// maxSeeds is how many of the first instances the others know.
-	maxSeeds = 3
-	changeBound     = 30 * time.Second
+	maxSeeds    = 3
+	changeBound = 30 * time.Second
 	// betweenChanges keeps a change from riding on the messages of the last.
 	betweenChanges = 150 * time.Millisecond
 )
