Say not run of a keyed request only when its key is known to be free

Change: outcome.Request is Keyed until the claims' record shows the key free; until then the word is unknown. Refusals for this instance's own faults do the same. Streamed answers up to 4 KB are recorded too, also of gone callers. Conclusion: the word is true of all attempts under a key, at the price of unknown for first attempts while the object API is away.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -303,32 +303,26 @@
 	a.closed = true
 	a.verdict = a.account.Finish()
 	a.srv.metrics.outcome(a.verdict)
-	// An answer that is not streamed is recorded once it is put together.
-	if !a.verdict.Complete() || a.req.stream {
-		a.record(nil)
+	// A complete answer is recorded by whoever has put it together.
+	if !a.verdict.Complete() {
+		a.record("", nil)
 	}
 }
 
 // record tells the claim's record what became of the request, with the answer's
 // body where there is one.
-func (a *answer) record(body []byte) {
+func (a *answer) record(contentType string, body []byte) {
 	a.ticket.end(a.verdict, claim.Answer{
 		Status:      fasthttp.StatusOK,
-		ContentType: "application/json",
+		ContentType: contentType,
 		Body:        body,
 		Kept:        body != nil,
 		Endpoint:    a.endpoint,
 	})
 }
 
-// Close ends an answer that nobody reads any more. A not repeatable request is
-// read to its end, so that its outcome is known when it is asked for again.
+// Close ends an answer that nobody reads any more.
 func (a *answer) Close() {
-	for !a.closed && a.req.once && a.run != nil {
-		if _, err := a.Next(); err != nil {
-			break
-		}
-	}
 	if !a.closed {
 		_ = a.fail(errGone)
 	}
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -112,6 +112,6 @@
 	ctx.SetContentType("application/json")
 	ctx.Response.Header.Set(headerOutcome, a.verdict.String())
 	body := whole.encode(&a.progress)
-	a.record(body)
+	a.record("application/json", body)
 	ctx.SetBody(body)
 }
--- a/entry/once.go
+++ b/entry/once.go
@@ -51,6 +51,7 @@
 	if account.Repeatable() || key == "" || s.cfg.Claims == nil {
 		return nil
 	}
+	account.Keyed()
 	r.Timeout = timeout(class)
 	startBy := time.Now().Add(time.Duration(class.GetMaxWaitMs()) * time.Millisecond)
 	return &ticket{claims: s.cfg.Claims, account: account, request: r, class: class, startBy: startBy}
@@ -68,6 +69,7 @@
 
 func (t *ticket) recorded(f claim.Found) error {
 	if !f.SameBody {
+		t.account.KeyFree()
 		return fault.New(fault.Conflict, "use a new key for another request", "this %s was used for another request", headerKey)
 	}
 	t.account.Recorded(f.Answer != nil)
@@ -92,6 +94,7 @@
 	if f.Taken {
 		return t.recorded(f)
 	}
+	t.account.KeyFree()
 	return nil
 }
 
@@ -117,6 +120,7 @@
 	if f.Taken {
 		return t.recorded(f)
 	}
+	t.account.KeyFree()
 	t.account.Claim()
 	t.held = true
 	return t.check()
--- a/entry/server.go
+++ b/entry/server.go
@@ -129,9 +129,16 @@
 	}
 }
 
-// refuse answers a request of which nothing was sent.
+// refuse answers a request of which nothing was sent. What is wrong with the
+// request itself was wrong with earlier attempts under its key too; where the
+// fault is this instance's, another one may have run such an attempt.
 func (s *Server) refuse(ctx *fasthttp.RequestCtx, err error) {
-	verdict := outcome.New(false).Finish()
+	account := outcome.New(false)
+	status, _ := answerTo(err)
+	if status >= fasthttp.StatusInternalServerError && len(ctx.Request.Header.Peek(headerKey)) > 0 {
+		account.Keyed()
+	}
+	verdict := account.Finish()
 	s.metrics.outcome(verdict)
 	writeError(ctx, err, verdict)
 }
--- a/entry/sse.go
+++ b/entry/sse.go
@@ -5,6 +5,8 @@
 	"io"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/sardinedock/sardinedock/outcome/claim"
 )
 
 // eventBody is the body of a streamed answer. The HTTP server reads it as fast
@@ -16,13 +18,18 @@
 	// pending is what is left to write; buf is its memory.
 	pending, buf []byte
 	ended        bool
+	// kept is the whole body so far where it is small and can be recorded.
+	kept []byte
+	long bool
 }
 
+const eventStream = "text/event-stream"
+
 // streamAnswer makes the answer the response's body.
 func streamAnswer(ctx *fasthttp.RequestCtx, a *answer, first []byte) {
 	b := &eventBody{answer: a, resp: &ctx.Response}
 	b.piece(first)
-	ctx.SetContentType("text/event-stream")
+	ctx.SetContentType(eventStream)
 	ctx.Response.Header.Set(fasthttp.HeaderCacheControl, "no-cache")
 	_ = ctx.Response.Header.SetTrailer(headerOutcome)
 	ctx.SetBodyStream(b, -1)
@@ -33,6 +40,18 @@
 	b.buf = append(b.buf, data...)
 	b.buf = append(b.buf, "\n\n"...)
 	b.pending = b.buf
+	b.keep()
+}
+
+// keep adds what is pending to the body that is recorded for resends.
+func (b *eventBody) keep() {
+	if b.answer.ticket == nil || b.long {
+		return
+	}
+	b.kept = append(b.kept, b.pending...)
+	if len(b.kept) > claim.MaxBodyBytes {
+		b.kept, b.long = nil, true
+	}
 }
 
 // Read implements io.Reader. It blocks for the next piece.
@@ -58,14 +77,19 @@
 	b.resp.Header.Set(headerOutcome, b.answer.verdict.String())
 	if errors.Is(err, io.EOF) {
 		b.piece([]byte("[DONE]"))
+		b.answer.record(eventStream, b.kept)
 		return
 	}
 	b.pending = append(append([]byte("event: error\ndata: "), errorBody(err)...), "\n\n"...)
 }
 
 // Close implements io.Closer; the HTTP server calls it at the end, also when
-// the caller has gone.
+// the caller has gone. A not repeatable answer is then read to its end, so that
+// a resend finds it on record.
 func (b *eventBody) Close() error {
+	for b.answer.req.once && !b.ended {
+		b.next()
+	}
 	b.answer.Close()
 	b.answer.srv.calls.end(b.answer.call)
 	return nil
--- a/outcome/claim/claim.go
+++ b/outcome/claim/claim.go
@@ -27,9 +27,10 @@
 // caller that sends a key again later than that asks for a new run.
 const Retention = 10 * time.Minute
 
+// MaxBodyBytes is the largest answer that is kept for resends.
+const MaxBodyBytes = 4 << 10
+
 const (
-	// maxBodyBytes is the largest answer that is kept for resends.
-	maxBodyBytes = 1 << 10
 	// maxShardBytes bounds a shard below the object API's largest value, with
 	// room for its encoding on the wire.
 	maxShardBytes = 700 << 10
--- a/outcome/claim/table.go
+++ b/outcome/claim/table.go
@@ -103,7 +103,7 @@
 	}
 	before := entrySize(c)
 	c.Answer = &claimspb.Answer{Status: int32(a.Status), ContentType: a.ContentType, Endpoint: a.Endpoint}
-	if a.Kept && len(a.Body) <= maxBodyBytes {
+	if a.Kept && len(a.Body) <= MaxBodyBytes {
 		c.Answer.Body, c.Answer.Kept = a.Body, true
 	}
 	t.size += entrySize(c) - before
--- a/outcome/state.go
+++ b/outcome/state.go
@@ -74,6 +74,9 @@
 type Request struct {
 	state State
 	once  bool
+	// keyed is set while an earlier attempt under the same idempotency key may
+	// have run for all that is known here.
+	keyed bool
 	// sends that were opened; open ones may have run, answered ones did.
 	sends int
 	// open counts the sends of which nobody has said that they did not start.
@@ -106,6 +109,15 @@
 	}
 }
 
+// Keyed notes that the request carries an idempotency key. To its caller all
+// attempts under the key are one request, and another instance may have run an
+// earlier one: until KeyFree the word is unknown even if nothing was sent.
+func (r *Request) Keyed() { r.keyed = true }
+
+// KeyFree notes that the record of claims shows the key to be free, or to
+// belong to a request for something else.
+func (r *Request) KeyFree() { r.keyed = false }
+
 // Recorded ends the account of a request whose idempotency key another attempt
 // holds: what became of that attempt is what became of the request. It is
 // unknown unless the attempt's whole answer is on record.
@@ -152,7 +164,7 @@
 	if r.state == Done {
 		return Verdict{wordComplete}
 	}
-	if r.open == 0 {
+	if r.open == 0 && !r.keyed {
 		return Verdict{wordNotRun}
 	}
 	return Verdict{wordUnknown}
