Stop telling what peers know, and poll without the prompt's blocks

A change was sent 8 to 15 times by each instance whether or not anybody lacked it; now a peer says what it knew already, and three such answers end the sending. Use by organisation goes after all else and is told at a rate that does not grow with the fleet. A poll for a queued request repeats no block hashes; an owner that does not know it any more says so. A request that waits at a leaving owner is placed through the next one, where it was refused with a single endpoint.

--- a/fleet/core.go
+++ b/fleet/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -75,6 +76,8 @@
 	suspect string
 	rounds  int
 	started time.Time
+	// told is what the request tells of changes.
+	told exchange.Bundle
 }
 
 // core is the exchange and the membership of one instance, apart from sockets,
@@ -195,14 +198,14 @@
 	return out
 }
 
-func (c *core) size() int { return len(c.table.Names()) + 1 }
+func (c *core) size() int { return c.table.Len() + 1 }
 
 // call builds the message of one exchange.
 func (c *core) call(peer member.Peer, p purpose, maxBytes int, now time.Time) outgoing {
 	var b exchange.Bundle
 	c.store.Next(&b, peer.Name, c.size(), maxBytes, now)
 	c.tellVerdict(&b, peer.Name, 0)
-	return outgoing{peer: peer, purpose: p, request: c.request(&b), started: now}
+	return outgoing{peer: peer, purpose: p, request: c.request(&b), started: now, told: b}
 }
 
 func (c *core) request(b *exchange.Bundle) *fleetpb.ExchangeRequest {
@@ -233,6 +236,7 @@
 // serve answers a peer's call.
 func (c *core) serve(in *fleetpb.ExchangeRequest, now time.Time) *fleetpb.ExchangeReply {
 	name := in.GetCaller().GetInstance()
+	known := c.store.Stale(in.GetItems(), in.GetSummaries())
 	c.learn(c.store.Take(in.GetItems(), name, now), now)
 	if in.GetRoot() == c.store.Root() {
 		c.store.Agreed(c.size())
@@ -246,7 +250,7 @@
 	c.budget -= float64(b.Bytes())
 	reply := &fleetpb.ExchangeReply{
 		Caller: c.caller(), Items: b.Items, Summaries: b.Summaries, Want: b.Want,
-		Root: c.store.Root(), Complete: c.complete(),
+		Root: c.store.Root(), Complete: c.complete(), Known: known,
 	}
 	if len(in.GetBucketSums()) > 0 {
 		differing, covered := c.store.Differing(in.GetBucketSums(), c.jitter.IntN(exchange.Buckets))
@@ -261,6 +265,7 @@
 // replied takes the reply to a call and returns the calls that follow.
 func (c *core) replied(o outgoing, in *fleetpb.ExchangeReply, now time.Time) []outgoing {
 	name := in.GetCaller().GetInstance()
+	o.told.Known(in.GetKnown())
 	if o.purpose == purposePull {
 		c.learn(c.store.Adopt(in.GetItems(), name, now), now)
 	} else {
@@ -365,12 +370,15 @@
 
 // endChecks decides questions whose answers are overdue.
 func (c *core) endChecks(now time.Time) {
-	for _, name := range c.table.Names() {
-		q := c.checks[name]
-		if q == nil || now.Sub(q.since) < checkEnds {
-			continue
+	var overdue []string
+	for name, q := range c.checks {
+		if now.Sub(q.since) >= checkEnds {
+			overdue = append(overdue, name)
 		}
-		q.open = 1
+	}
+	slices.Sort(overdue)
+	for _, name := range overdue {
+		c.checks[name].open = 1
 		c.checked(name, false, now)
 	}
 }
--- a/fleet/exchange/send.go
+++ b/fleet/exchange/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/bits"
+	"slices"
 	"time"
 
 	"github.com/sardinedock/sardinedock/schema/fleetpb"
@@ -12,6 +13,10 @@
 	Items     []*fleetpb.Item
 	Summaries []*fleetpb.Summary
 	Want      []*fleetpb.ItemKey
+
+	// told are the changes behind Items, and after them those behind
+	// Summaries, for Known.
+	toldItems, toldSummaries []*held
 }
 
 // Empty reports whether there is nothing to send.
@@ -32,6 +37,16 @@
 	return n
 }
 
+// lowFrom is the size of a fleet from which on use by organisation is told with
+// the regular calls only: each instance changes its own all the time, and a push
+// for each would cost more than the lag of a few seconds does.
+const lowFrom = 16
+
+// uselessBound is after how many peers that knew a change already it is not
+// told any more. It ends most changes at a third of the sends that SendLimit
+// allows; what it misses is found by the compare.
+const uselessBound = 3
+
 // overheadBytes is what an item needs on the wire beside name and value.
 const overheadBytes = 32
 
@@ -46,7 +61,7 @@
 func (s *Store) HasHot(n int) bool {
 	for i := range SendLimit(n) {
 		for _, h := range s.hot[i] {
-			if !h.gone && h.sends == i {
+			if h.waits(i) && (n <= lowFrom || !h.low()) {
 				return true
 			}
 		}
@@ -54,6 +69,14 @@
 	return false
 }
 
+// waits reports whether an entry of the hot list is still to be sent.
+func (h *held) waits(sends int) bool {
+	return !h.gone && h.sends == sends && h.useless < uselessBound
+}
+
+// low reports whether a change goes after all others.
+func (h *held) low() bool { return h.Key.Kind == fleetpb.ItemKind_ITEM_KIND_USAGE }
+
 // Next appends to the bundle the changes that were sent least often, up to the
 // number of bytes, and counts them as sent to the peer in a fleet of n. A
 // change is not sent back to the peer that told it.
@@ -63,21 +86,30 @@
 // each message fixed, whatever the fleet's size.
 func (s *Store) Next(b *Bundle, peer string, n, maxBytes int, now time.Time) {
 	limit := SendLimit(n)
+	left := s.next(b, peer, limit, maxBytes, false, now)
+	s.next(b, peer, limit, left, true, now)
+}
+
+// next appends the changes that are low or not, and returns the bytes left.
+func (s *Store) next(b *Bundle, peer string, limit, maxBytes int, low bool, now time.Time) int {
 	var sent []*held
 	for i := 0; i < limit && maxBytes > 0; i++ {
 		queue := s.hot[i]
-		at := 0
-		for ; at < len(queue) && maxBytes > 0; at++ {
-			h := queue[at]
-			if h.gone || h.sends != i {
-				continue
-			}
-			if h.source != peer || peer == "" {
-				maxBytes -= s.send(b, h, now)
+		kept := queue[:0]
+		for _, h := range queue {
+			switch {
+			case !h.waits(i):
+			case h.low() != low || maxBytes <= 0:
+				kept = append(kept, h)
+			default:
+				if h.source != peer || peer == "" {
+					maxBytes -= s.send(b, h, now)
+				}
+				sent = append(sent, h)
 			}
-			sent = append(sent, h)
 		}
-		s.hot[i] = append(queue[:0], queue[at:]...)
+		clear(queue[len(kept):])
+		s.hot[i] = kept
 	}
 	for _, h := range sent {
 		h.sends++
@@ -85,6 +117,18 @@
 			s.hot[h.sends] = append(s.hot[h.sends], h)
 		}
 	}
+	return maxBytes
+}
+
+// Known takes what a peer says it knew already of the items and summaries that
+// the bundle told it.
+func (b *Bundle) Known(indexes []uint32) {
+	told := append(slices.Clone(b.toldItems), b.toldSummaries...)
+	for _, i := range indexes {
+		if int(i) < len(told) {
+			told[i].useless++
+		}
+	}
 }
 
 // Agreed is called when a peer of a fleet of n turned out to hold the same: all
@@ -96,7 +140,7 @@
 		queue := s.hot[i]
 		s.hot[i] = nil
 		for _, h := range queue {
-			if h.gone || h.sends != i {
+			if !h.waits(i) {
 				continue
 			}
 			if h.TTL > 0 {
@@ -114,9 +158,11 @@
 func (s *Store) send(b *Bundle, h *held, now time.Time) int {
 	if len(h.Value) > inlineBytes {
 		b.Summaries = append(b.Summaries, h.summary())
+		b.toldSummaries = append(b.toldSummaries, h)
 		return overheadBytes + len(h.Key.Name)
 	}
 	b.Items = append(b.Items, h.message(now))
+	b.toldItems = append(b.toldItems, h)
 	return overheadBytes + len(h.Key.Name) + len(h.Value)
 }
 
@@ -151,6 +197,24 @@
 	return changed
 }
 
+// Stale lists the indexes of the items, and after them of the summaries, that
+// would tell this store nothing new.
+func (s *Store) Stale(items []*fleetpb.Item, summaries []*fleetpb.Summary) (known []uint32) {
+	for i, m := range items {
+		h := s.items[keyOf(m.GetKey())]
+		if h != nil && !less(h.Epoch, h.Version, m.GetEpoch(), m.GetVersion()) {
+			known = append(known, uint32(i))
+		}
+	}
+	for i, m := range summaries {
+		h := s.items[keyOf(m.GetKey())]
+		if h != nil && !less(h.Epoch, h.Version, m.GetEpoch(), m.GetVersion()) {
+			known = append(known, uint32(len(items)+i))
+		}
+	}
+	return known
+}
+
 // Adopt merges all that a peer holds into the store of a starting instance. The
 // peer's peers have it, so it is not told on.
 func (s *Store) Adopt(items []*fleetpb.Item, peer string, now time.Time) []Item {
--- a/fleet/exchange/store.go
+++ b/fleet/exchange/store.go
@@ -52,6 +52,7 @@
 	expires time.Time // zero: never
 	bucket  int
 	sends   int
+	useless int
 	gone    bool
 	source  string
 }
--- a/fleet/member/table.go
+++ b/fleet/member/table.go
@@ -200,6 +200,10 @@
 	return names
 }
 
+// Len is the number of members known, dead ones included, but for the instance
+// itself.
+func (t *Table) Len() int { return len(t.members) }
+
 // View returns the list now.
 func (t *Table) View() *View {
 	v := &View{Self: t.self.Name, Members: make([]Member, 0, len(t.members)+1)}
--- a/instance/fleet.go
+++ b/instance/fleet.go
@@ -25,11 +25,12 @@
 	listEvery = time.Minute
 	// pullWithin bounds the search for a peer's state at start.
 	pullWithin = 600 * time.Millisecond
-	// tellEvery is how often this instance tells what is in force here, and
-	// tellEachMember what each member adds, so that three such changes a
-	// second reach an instance whatever the fleet's size.
+	// tellEvery is how often this instance tells what is in force here. Each
+	// member beyond tellFrom adds tellEachMember, so that about one such change
+	// a second reaches an instance whatever the fleet's size.
 	tellEvery      = 2 * time.Second
-	tellEachMember = 333 * time.Millisecond
+	tellFrom       = 6
+	tellEachMember = time.Second
 	// dumpBound ends a state dump that a duty does not answer.
 	dumpBound = time.Second
 	// sweepEvery is how often idle connections to peers are looked at.
--- a/instance/fleet_run.go
+++ b/instance/fleet_run.go
@@ -122,7 +122,7 @@
 func (i *Instance) runTell(ctx context.Context) {
 	swept := time.Now()
 	for {
-		every := max(tellEvery, time.Duration(len(i.peers.node.View().Owners))*tellEachMember)
+		every := max(tellEvery, time.Duration(len(i.peers.node.View().Owners)-tellFrom)*tellEachMember)
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/slopes/exchange.go
+++ b/internal/slopes/exchange.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sardinedock/sardinedock/clock"
@@ -33,6 +34,8 @@
 	client  *transport.Client
 	traffic *transport.Traffic
 	address string
+	// heard is the highest version of the followed record here.
+	heard atomic.Uint64
 }
 
 // Exchange implements the Fleet service.
@@ -56,7 +59,13 @@
 		},
 		Seeds: seeds, Bounds: member.DefaultBounds, Client: n.client, Clock: clock.System{}, Seed: uint64(i),
 		Complete: func() bool { return true },
-		Changed:  func([]exchange.Item) {},
+		Changed: func(items []exchange.Item) {
+			for _, it := range items {
+				if it.Key.Name == followed {
+					n.heard.Store(it.Version)
+				}
+			}
+		},
 	})
 	server, err := transport.NewServer(fleetName, n, nil, n.traffic)
 	if err != nil {
--- a/internal/slopes/slopes.go
+++ b/internal/slopes/slopes.go
@@ -35,6 +35,7 @@
 
 var parts = []part{
 	{"exchange", measureExchange},
+	{"spread", measureSpread},
 	{"ask", measureAsk},
 	{"decision", measureDecision},
 	{"state", measureState},
--- a/place/ask.go
+++ b/place/ask.go
@@ -81,7 +81,7 @@
 			return Grant{}, true, nil
 		}
 		var ok bool
-		reply, ok = f.ask(ctx, t, c.name, func(in *fleetpb.AskRequest) { in.WaitMs = pollWait.Milliseconds() })
+		reply, ok = f.ask(ctx, t, c.name, func(in *fleetpb.AskRequest) { in.WaitMs, in.BlockHashes = pollWait.Milliseconds(), nil })
 		if err := callerGone(ctx); err != nil {
 			f.reports.withdraw(t, instance, c.name)
 			return Grant{}, false, err
--- a/place/duty.go
+++ b/place/duty.go
@@ -62,7 +62,7 @@
 	unclaimed map[askKey]unclaimedGrant
 	members   []string
 	renewed   time.Time
-	restored  map[string][]byte
+	restored  map[string]restoredState
 }
 
 type askKey struct{ caller, request string }
@@ -72,6 +72,12 @@
 	since    time.Time
 }
 
+// restoredState was handed over before this instance knew that it is the owner.
+type restoredState struct {
+	knowledge []byte
+	at        time.Time
+}
+
 // dutyEvent is applied to the duty's state by its goroutine.
 type dutyEvent func(d *Duty, now time.Time)
 
@@ -83,7 +89,7 @@
 		book:      owner.NewBook(policy.Prices{Recompute: policy.DefaultRecompute}),
 		held:      map[askKey]chan owner.Decision{},
 		unclaimed: map[askKey]unclaimedGrant{},
-		restored:  map[string][]byte{},
+		restored:  map[string]restoredState{},
 	}
 }
 
@@ -207,7 +213,16 @@
 
 func (d *Duty) ask(now time.Time, key askKey, in *fleetpb.AskRequest, hold bool, answer chan owner.Decision) {
 	delete(d.unclaimed, key)
-	x := d.book.Ask(now, fromAsk(now, in), in.GetEndpoints())
+	a := fromAsk(now, in)
+	if hold {
+		// It has been asked before, and this message does not hold the prompt's
+		// blocks: an ask that is not known any more cannot be queued anew.
+		a.Deadline = now.Add(-time.Second)
+	}
+	x := d.book.Ask(now, a, in.GetEndpoints())
+	if hold && x.Kind == owner.Refused && x.Reason == owner.ReasonDeadline {
+		x.Reason = owner.ReasonNotOwned
+	}
 	if x.Kind == owner.Queued && hold {
 		d.held[key] = answer
 	}
--- a/place/fleet_test.go
+++ b/place/fleet_test.go
@@ -65,10 +65,18 @@
 
 // view is the members as instance i sees them; those from left on are leaving.
 func (f *fleet) view(i, left int) *member.View {
+	return f.viewBy(i, func(k int) bool { return k >= left })
+}
+
+func (f *fleet) viewWithout(i, left int) *member.View {
+	return f.viewBy(i, func(k int) bool { return k == left })
+}
+
+func (f *fleet) viewBy(i int, leaving func(int) bool) *member.View {
 	v := &member.View{Self: instanceName(i)}
 	for k := range f.placers {
 		m := member.Member{Name: instanceName(k), Address: instanceName(k), Status: fleetpb.MemberStatus_MEMBER_STATUS_ALIVE}
-		if k >= left {
+		if leaving(k) {
 			m.Status = fleetpb.MemberStatus_MEMBER_STATUS_LEAVING
 		} else {
 			v.Owners = append(v.Owners, m.Name)
@@ -403,6 +411,32 @@
 	})
 }
 
+// The owner of the only endpoint leaves while a request waits there. The request
+// must be placed through the next owner, and not be refused.
+func TestWaitingRequestFollowsTheOwner(t *testing.T) {
+	inFleet(t, 3, 1, 1, func(t *testing.T, f *fleet) {
+		old := f.ownerOf("engine-0")
+		caller := (old + 1) % 3
+		held := f.mustPlace(t, caller, request("a"))
+		go func() {
+			time.Sleep(time.Second)
+			for i := range 3 {
+				f.placers[i].SetView(f.ctx, f.viewWithout(i, old))
+			}
+			time.Sleep(time.Second)
+			f.placers[caller].Done(held, place.Result{End: place.EndDone})
+		}()
+		begin := time.Now()
+		g := f.mustPlace(t, caller, request("b"))
+		if took := time.Since(begin); took < 2*time.Second || took > 2100*time.Millisecond {
+			t.Fatalf("started after %v", took)
+		}
+		if g.ID == 0 || g.Owner == instanceName(old) {
+			t.Fatalf("placed by %q", g.Owner)
+		}
+	})
+}
+
 // An organisation sends more than its record allows, through all instances at
 // once. Each instance alone sees too little of it to notice.
 func TestOrganisationLimitHoldsOverTheFleet(t *testing.T) {
--- a/place/limits.go
+++ b/place/limits.go
@@ -17,9 +17,9 @@
 const (
 	// usageEvery is how often an instance tells its use, and usageEachMember
 	// what each member adds to that, so that the bytes that reach an instance
-	// stay the same: 20 reports a second over the whole fleet.
+	// stay the same: four reports a second over the whole fleet.
 	usageEvery      = time.Second
-	usageEachMember = 50 * time.Millisecond
+	usageEachMember = 250 * time.Millisecond
 	// usageRounds is after how many missed reports an instance's use counts
 	// for nothing.
 	usageRounds = 5
--- a/place/observe.go
+++ b/place/observe.go
@@ -8,9 +8,14 @@
 	"github.com/sardinedock/sardinedock/schema/fleetpb"
 )
 
-// maxRestored bounds the states that were handed over before this instance
-// knew that it owns their endpoints.
-const maxRestored = 64
+const (
+	// maxRestored bounds the states that were handed over before this instance
+	// knew that it owns their endpoints.
+	maxRestored = 64
+	// restoredBound is how long such a state is worth anything. The news of the
+	// former owner's leave takes a second or two.
+	restoredBound = 10 * time.Second
+)
 
 // SetOwned replaces the endpoints that this instance owns. What it owned before
 // and does not now is handed over to the instance that next names.
@@ -22,10 +27,10 @@
 			keep[cfg.Name] = true
 			cfg.FirstGrantID = d.cfg.FirstGrantID
 			e := d.book.Add(cfg)
-			if knowledge, ok := d.restored[cfg.Name]; ok {
-				delete(d.restored, cfg.Name)
-				_ = e.Restore(now, knowledge)
+			if r, ok := d.restored[cfg.Name]; ok && now.Sub(r.at) < restoredBound {
+				_ = e.Restore(now, r.knowledge)
 			}
+			delete(d.restored, cfg.Name)
 		}
 		for _, name := range d.book.Names() {
 			if !keep[name] {
@@ -51,7 +56,12 @@
 
 func (d *Duty) handOver(now time.Time, name, next string) {
 	knowledge, err := d.book.Endpoint(name).Snapshot(now)
-	d.decide(now, d.book.Remove(name))
+	away := d.book.Remove(name)
+	for i := range away {
+		// The endpoint is well; its next owner is to be asked.
+		away[i].Reason = owner.ReasonNotOwned
+	}
+	d.decide(now, away)
 	if err == nil && next != "" && next != d.cfg.Self {
 		d.cfg.HandOver(name, next, knowledge)
 	}
@@ -64,8 +74,13 @@
 			_ = e.Restore(now, knowledge)
 			return
 		}
+		for name, r := range d.restored {
+			if now.Sub(r.at) >= restoredBound {
+				delete(d.restored, name)
+			}
+		}
 		if len(d.restored) < maxRestored {
-			d.restored[endpoint] = knowledge
+			d.restored[endpoint] = restoredState{knowledge, now}
 		}
 	})
 }
