End an instance without cutting or refusing a request

Cause: Stop closed the listener as soon as it was called, while the balancer still sent requests. Change: Instance.Shutdown says not ready, serves on for notice_ms, then drains for drain_ms; serve uses it, a second signal ends the waits (cli/serve.go). What is open when the drain is over ends with an explicit error event. The slow entry tests run in parallel.

--- a/entry/api_test.go
+++ b/entry/api_test.go
@@ -66,6 +66,7 @@
 // A chat's engine dies in the middle of the answer, for a caller that did not
 // ask for a stream and so sees nothing of it.
 func TestWholeAnswerSurvivesACrash(t *testing.T) {
+	t.Parallel()
 	r := newRig(t, rigConfig{engines: 2})
 	type result struct {
 		text string
@@ -163,6 +164,7 @@
 
 // Every endpoint is away. The refusal says truly that nothing ran.
 func TestNobodyListens(t *testing.T) {
+	t.Parallel()
 	r := newRig(t, rigConfig{engines: 2})
 	for _, e := range r.Engines {
 		_ = e.Close()
--- a/entry/faults_test.go
+++ b/entry/faults_test.go
@@ -19,6 +19,7 @@
 // Pieces of a stream come crossed with another's, twice, late, or not at all.
 // A caller would read another customer's words, or a text with a hole.
 func TestPieceFaultsAreMended(t *testing.T) {
+	t.Parallel()
 	tests := map[string]emulator.EngineFaults{
 		"crossed":  {CrossNext: 1},
 		"repeated": {RepeatNext: 1},
@@ -80,6 +81,7 @@
 // The connection to an engine goes silent for good while new ones work. The
 // engine lives and goes on; taking it for dead would compute the prompt again.
 func TestSilentConnectionIsResumed(t *testing.T) {
+	t.Parallel()
 	r := newRig(t, rigConfig{engines: 2})
 	rd := r.askFor(t, prompt, 60, nil)
 	rd.piece()
@@ -121,6 +123,7 @@
 
 // Both engines die, one after the other.
 func TestTwoCrashes(t *testing.T) {
+	t.Parallel()
 	r := newRig(t, rigConfig{engines: 3})
 	rd := r.askFor(t, prompt, 80, nil)
 	rd.piece()
@@ -165,6 +168,7 @@
 // The engine dies and the only other one runs newer weights. Half an answer of
 // each would be an answer that neither would give.
 func TestWeightsAreNotMixed(t *testing.T) {
+	t.Parallel()
 	r := newRig(t, rigConfig{engines: 1})
 	other, err := emulator.StartEngine("127.0.0.1:0", emulator.EngineConfig{Name: "engine-0", Model: "counter", Version: "2", Pace: testPace})
 	if err != nil {
@@ -243,6 +247,7 @@
 // A caller goes away while its request is still computed and nothing is
 // written to it.
 func TestCallerGoneBeforeTheFirstPiece(t *testing.T) {
+	t.Parallel()
 	r := newRig(t, rigConfig{engines: 1, engine: emulator.EngineConfig{PrefillRate: 0.001, Heartbeat: 50 * time.Millisecond}})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/entry/once_test.go
+++ b/entry/once_test.go
@@ -101,6 +101,7 @@
 // A confirmation hangs at the ordering app and the counter sends it again. The
 // second one is told at once that nobody knows yet, and does not run.
 func TestResendWhileTheFirstHangs(t *testing.T) {
+	t.Parallel()
 	class := &recordspb.RequestClass{MaxWaitMs: 500, TimeoutMs: 1500}
 	p := newPair(t, rigConfig{services: 1, class: class, service: emulator.ServiceConfig{}})
 	p.Services[0].SetFaults(emulator.ServiceFaults{SilentAfter: 1})
@@ -133,6 +134,7 @@
 // can't be read, so the word is unknown: a counter that reads "not run" would
 // order again under a new key. What may be repeated does not notice.
 func TestStoreDown(t *testing.T) {
+	t.Parallel()
 	class := &recordspb.RequestClass{MaxWaitMs: 200, TimeoutMs: 60000}
 	p := newPair(t, rigConfig{services: 1, engines: 1, class: class})
 	p.store.SetDown(true)
@@ -160,6 +162,7 @@
 
 // The operator has chosen that confirmations go on without the object API.
 func TestStoreDownWithTheOtherRule(t *testing.T) {
+	t.Parallel()
 	class := &recordspb.RequestClass{MaxWaitMs: 100, TimeoutMs: 60000, WhenStoreDown: recordspb.StoreDownRule_STORE_DOWN_RUN_UNCLAIMED}
 	p := newPair(t, rigConfig{services: 1, class: class})
 	p.store.SetDown(true)
@@ -170,6 +173,7 @@
 // The store's reply to the claim is lost, and the instance is killed with the
 // confirmation at the ordering app. The resend elsewhere must not ship again.
 func TestLostReplyAndKilledInstance(t *testing.T) {
+	t.Parallel()
 	p := newPair(t, rigConfig{services: 1})
 	p.store.LoseReplies(1)
 	p.Services[0].SetFaults(emulator.ServiceFaults{SilentAfter: 1})
@@ -193,6 +197,7 @@
 // Nothing listens at the ordering app, so the confirmation did not run and is
 // said not to have run. Its key is free for the resend once the app is back.
 func TestKeyOfUnsentRequestIsFree(t *testing.T) {
+	t.Parallel()
 	p := newPair(t, rigConfig{services: 1})
 	go p.Services[0].Crash(time.Second)
 	for listens(p.Services[0].Addr()) {
--- a/entry/service_test.go
+++ b/entry/service_test.go
@@ -67,6 +67,7 @@
 // A service takes a confirmation and never answers. The caller reads, when its
 // class's time is over, that nobody knows.
 func TestSilentService(t *testing.T) {
+	t.Parallel()
 	class := &recordspb.RequestClass{MaxWaitMs: 100, TimeoutMs: 300}
 	r := newRig(t, rigConfig{services: 2, class: class})
 	for _, s := range r.Services {
@@ -85,6 +86,7 @@
 // ones work. A confirmation never goes over such a connection, and a call that
 // may be repeated is sent again on a new one.
 func TestForgottenServiceConnections(t *testing.T) {
+	t.Parallel()
 	r := newRig(t, rigConfig{services: 1})
 	for _, method := range []string{"POST", "GET"} {
 		r.order(t, "GET")
--- /dev/null
+++ b/entry/shutdown_test.go
@@ -0,0 +1,85 @@
+package entry_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/sardinedock/sardinedock/schema/settingspb"
+)
+
+// patient limits never end an idle connection by themselves.
+var patient = &settingspb.Limits{
+	HeaderBytes: 16384, BodyBytes: 1 << 20, ReadTimeoutMs: 600000, WriteTimeoutMs: 1000,
+	Connections: 100, StreamBufferPieces: 8, SilenceMs: testSilence.Milliseconds(),
+}
+
+// An operator replaces an instance while a review streams. The engineer must
+// get all of it.
+func TestShutdownLetsStreamsFinish(t *testing.T) {
+	r := newRig(t, rigConfig{engines: 1, limits: patient})
+	rd := r.askFor(t, prompt, 200, nil)
+	rd.piece()
+	done := make(chan error, 1)
+	go func() { done <- r.server.Shutdown(context.Background()) }()
+	for listens(strings.TrimPrefix(r.url, "http://")) {
+	}
+	rd.rest().wantWhole(prompt, 200)
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A balancer keeps idle connections open for long. They must not hold the
+// shutdown up.
+func TestIdleConnectionsDoNotHoldShutdown(t *testing.T) {
+	r := newRig(t, rigConfig{engines: 1, limits: patient})
+	client := &http.Client{Transport: &http.Transport{}}
+	req, err := http.NewRequest("GET", r.url+"/v1/models", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	resp, err := client.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	if resp.Close {
+		t.Fatal("the connection was not kept open")
+	}
+	if err := r.server.Shutdown(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A stream is longer than the time to drain. It ends with an error that says
+// so: an answer that just stops would pass for a whole one.
+func TestDrainTimeOverEndsStreamsWithAnError(t *testing.T) {
+	r := newRig(t, rigConfig{engines: 1, limits: patient})
+	rd := r.askFor(t, prompt, 90000, nil)
+	rd.piece()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- r.server.Shutdown(ctx) }()
+	cancel()
+	rd.rest().wantError("broken", "unknown")
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	waitIdle(t, r.Engines[0])
+}
+
+// The balancer still sends requests to an instance that is about to end. They
+// are served, and their connections are not kept.
+func TestDrainingServes(t *testing.T) {
+	r := newRig(t, rigConfig{engines: 1})
+	r.server.Drain()
+	resp := r.do(t, "POST", "/v1/completions", nil, `{"model":"counter","prompt":"x","max_tokens":1}`)
+	if resp.StatusCode != 200 || !resp.Close {
+		t.Fatalf("status %d, connection closes: %v", resp.StatusCode, resp.Close)
+	}
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -83,7 +84,27 @@
 // Admin returns the address that serves operators.
 func (i *Instance) Admin() string { return i.adminLn.Addr().String() }
 
-// Stop ends the instance once its open requests are done.
+// Shutdown ends the instance gracefully. It says "not ready" first and goes on
+// serving for the time that the balancer needs to notice; then it stops
+// listening and waits for open requests, for the time that settings.shutdown
+// gives. The end of ctx ends both waits.
+func (i *Instance) Shutdown(ctx context.Context) error {
+	i.admin.SetReady(false)
+	i.entry.Drain()
+	notice := time.NewTimer(time.Duration(i.settings.GetShutdown().GetNoticeMs()) * time.Millisecond)
+	defer notice.Stop()
+	select {
+	case <-ctx.Done():
+	case <-notice.C:
+	}
+	drain := time.Duration(i.settings.GetShutdown().GetDrainMs()) * time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, drain)
+	defer cancel()
+	return i.Stop(ctx)
+}
+
+// Stop ends the instance once its open requests are done, without notice.
+// Requests that are open at the end of ctx end with an error that says so.
 func (i *Instance) Stop(ctx context.Context) error {
 	i.admin.SetReady(false)
 	defer func() { _ = i.adminLn.Close() }()
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -7,7 +7,6 @@
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -39,8 +38,8 @@
 	}
 	fmt.Fprintf(out, "serving callers on %s\n", i.Callers())
 	<-ctx.Done()
-	drain := time.Duration(s.GetShutdown().GetDrainMs()) * time.Millisecond
-	end, cancel := context.WithTimeout(context.Background(), drain)
+	// A second signal ends the waiting.
+	end, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
-	return i.Stop(end)
+	return i.Shutdown(end)
 }
