Keep the urgent slots free, not only apart

Cause: with a fixed number of slots apart, urgent work used these up while waiting work filled all others; the next urgent request then waited for the end of a long answer. Change: a waiting request starts only while as many slots as are kept for urgent work stay free. policybench now has 32 slots, 4 of them for urgent work, and longer answers.

--- a/owner/endpoint.go
+++ b/owner/endpoint.go
@@ -198,14 +198,17 @@
 	return len(e.queued) == 0 && e.slotFree(waiting) && e.prefillFree(now, rankOf(a, a.PromptTokens-e.cached(a)))
 }
 
-// slotFree reports whether the lane may use one more slot. Requests that may
-// wait never use the slots kept for urgent ones.
+// slotFree reports whether the lane may use one more slot. The slots kept for
+// urgent requests are kept free beside those that urgent requests use already:
+// under a burst of urgent work, with a fixed number it would use up its slots
+// while waiting work filled all others, and each next one would wait until a
+// long answer has ended.
 func (e *Endpoint) slotFree(l lane) bool {
 	used := e.inUse[waiting] + e.inUse[urgent] + e.foreign.requests()
 	if l == urgent {
 		return used < e.cfg.Slots
 	}
-	return e.inUse[waiting] < e.cfg.Slots-e.cfg.UrgentSlots && used < e.cfg.Slots
+	return used < e.cfg.Slots-e.cfg.UrgentSlots
 }
 
 // prefillFree reports whether the endpoint may be sent one more prompt that may
--- a/owner/estimate.go
+++ b/owner/estimate.go
@@ -85,21 +85,18 @@
 
 // slotWait is the time until a slot is free behind count others: as many
 // requests have to end as there are too few slots, and those that run end at
-// the rate that their mean times give. An urgent request may take any slot that
-// is freed, one that may wait only those of its own lane.
+// the rate that their mean times give.
 func (e *Endpoint) slotWait(l lane, count int) time.Duration {
 	used := e.inUse[waiting] + e.inUse[urgent] + e.foreign.requests()
 	free := e.cfg.Slots - used
 	if l == waiting {
-		free = min(free, e.cfg.Slots-e.cfg.UrgentSlots-e.inUse[waiting])
+		free -= e.cfg.UrgentSlots
 	}
 	if count < free {
 		return 0
 	}
 	ends := float64(e.inUse[waiting]) / e.hold[waiting].Seconds()
-	if l == urgent || e.inUse[waiting] == 0 {
-		ends += float64(e.inUse[urgent]) / e.hold[urgent].Seconds()
-	}
+	ends += float64(e.inUse[urgent]) / e.hold[urgent].Seconds()
 	if ends <= 0 {
 		return e.hold[l]
 	}
--- a/policy/policybench/main.go
+++ b/policy/policybench/main.go
@@ -15,15 +15,20 @@
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/sardinedock/sardinedock/policy"
 )
 
 var (
-	seeds    = kingpin.Flag("seeds", "Number of seeds.").Default("20").Int()
-	loads    = kingpin.Flag("load", "Loads as parts of capacity.").Default("0.5", "0.8", "1.0", "1.3").Float64List()
-	chosen   = kingpin.Flag("scenario", "Scenarios: kwabena, khangai, target.").Default("kwabena", "khangai").Strings()
-	policies = kingpin.Flag("policy", "Policies to compare.").Default(roundRobin, leastLoaded, rendezvous, ownView, owners).Strings()
-	herd     = kingpin.Flag("herd", "Restart all instances in the burst.").Bool()
-	deferral = kingpin.Flag("deferral", "Measure deferral of expulsion.").Bool()
+	seeds      = kingpin.Flag("seeds", "Number of seeds.").Default("20").Int()
+	loads      = kingpin.Flag("load", "Loads as parts of capacity.").Default("0.5", "0.8", "1.0", "1.3").Float64List()
+	chosen     = kingpin.Flag("scenario", "Scenarios: kwabena, khangai, target.").Default("kwabena", "khangai").Strings()
+	policies   = kingpin.Flag("policy", "Policies to compare.").Default(roundRobin, leastLoaded, rendezvous, ownView, owners).Strings()
+	herd       = kingpin.Flag("herd", "Restart all instances in the burst.").Bool()
+	candidates = kingpin.Flag("candidates", "Endpoints that are weighed.").Default("4").Int()
+	patience   = kingpin.Flag("patience", "Wait up to which the first candidate is taken without asking the others.").Default("50ms").Duration()
+	recompute  = kingpin.Flag("recompute", "Price of recomputation.").Default(fmt.Sprint(policy.DefaultRecompute)).Float64()
+	deferral   = kingpin.Flag("deferral", "Measure deferral of expulsion.").Bool()
 )
 
 func main() {
--- a/policy/policybench/sim.go
+++ b/policy/policybench/sim.go
@@ -18,10 +18,6 @@
 	ownView     = "own view"
 	owners      = "owners"
 
-	// candidates is how many endpoints are weighed, patience up to which wait
-	// the first of them is taken without asking the others.
-	candidates = 4
-	patience   = 50 * time.Millisecond
 	// reportLag is how old a load report is, and how often one comes.
 	reportLag = 500 * time.Millisecond
 )
@@ -48,7 +44,7 @@
 
 func newSim(s scenario, policyName string, requests []*request) *sim {
 	m := &sim{s: s, policy: policyName, requests: requests, next: make([]int, s.instances)}
-	m.prices = policy.Prices{PrefillTokensPerSecond: s.prefillRate, Recompute: policy.DefaultRecompute}
+	m.prices = policy.Prices{PrefillTokensPerSecond: s.prefillRate, Recompute: *recompute}
 	var names, members []string
 	for i := range s.instances {
 		members = append(members, fmt.Sprintf("instance-%d", i))
@@ -155,13 +151,13 @@
 
 // place asks the first candidate and, when that is busy, chooses among all.
 func (m *sim) place(r *request) {
-	list := m.candidates(r, candidates)
+	list := m.candidates(r, *candidates)
 	if len(list) == 0 {
 		m.after(reportLag, func() { m.place(r) })
 		return
 	}
 	a := m.ask(r)
-	a.Patience = patience
+	a.Patience = *patience
 	d := m.askOne(r, a, list[0])
 	if d.Kind != owner.Offered {
 		m.take([]owner.Decision{d})
--- a/policy/policybench/workload.go
+++ b/policy/policybench/workload.go
@@ -35,15 +35,15 @@
 // shared prompts about fill all caches together and both prefill and slots can
 // become short.
 var scenarios = []scenario{
-	{name: "kwabena", endpoints: 9, instances: 8, slots: 16, urgentSlots: 2, cacheBlocks: 4096, prefillRate: 20000,
+	{name: "kwabena", endpoints: 9, instances: 8, slots: 32, urgentSlots: 4, cacheBlocks: 4096, prefillRate: 20000,
 		tokenTime: 20 * time.Millisecond, organisations: 8, families: 16, customers: 20, sheets: 8,
-		company: 16, family: 160, customer: 8, sheet: 24, tail: 4, urgentShare: 0.4, output: 50, urgentOutput: 8,
+		company: 16, family: 160, customer: 8, sheet: 24, tail: 4, urgentShare: 0.4, output: 100, urgentOutput: 8,
 		maxWait: 10 * time.Second, urgentWait: time.Second, warm: 50 * time.Second, measured: 40 * time.Second},
-	{name: "khangai", endpoints: 18, instances: 8, slots: 16, urgentSlots: 2, cacheBlocks: 8192, prefillRate: 20000,
+	{name: "khangai", endpoints: 18, instances: 8, slots: 32, urgentSlots: 4, cacheBlocks: 8192, prefillRate: 20000,
 		tokenTime: 20 * time.Millisecond, organisations: 8, families: 32, customers: 20, sheets: 8,
-		company: 16, family: 400, customer: 16, sheet: 32, tail: 6, urgentShare: 0.5, output: 100, urgentOutput: 16,
+		company: 16, family: 400, customer: 16, sheet: 32, tail: 6, urgentShare: 0.5, output: 200, urgentOutput: 16,
 		maxWait: 30 * time.Second, urgentWait: time.Second, warm: 50 * time.Second, measured: 40 * time.Second},
-	{name: "target", endpoints: 120, instances: 18, slots: 16, urgentSlots: 2, cacheBlocks: 8192, prefillRate: 20000,
+	{name: "target", endpoints: 120, instances: 18, slots: 32, urgentSlots: 4, cacheBlocks: 8192, prefillRate: 20000,
 		tokenTime: 20 * time.Millisecond, organisations: 55, families: 32, customers: 20, sheets: 8,
 		company: 16, family: 300, customer: 12, sheet: 32, tail: 5, urgentShare: 0.4, output: 80, urgentOutput: 16,
 		maxWait: 20 * time.Second, urgentWait: time.Second, warm: 30 * time.Second, measured: 20 * time.Second},
