--- a/owner/endpoint.go
+++ b/owner/endpoint.go
@@ -111,6 +111,10 @@
 	aloneRuns   bool
 	lastGrant   uint64
 	foreign     foreignLoad
+	// began is when this owner was first asked; cacheKnown says that what the
+	// cache held before is known: nothing, or what the former owner told.
+	began      time.Time
+	cacheKnown bool
 	// longSince is when the newest long prefill was sent.
 	longSince time.Time
 }
@@ -195,7 +199,7 @@
 	if a.Urgent {
 		return e.queue[urgent].length == 0 && e.slotFree(urgent)
 	}
-	return len(e.queued) == 0 && e.slotFree(waiting) && e.prefillFree(now, rankOf(a, a.PromptTokens-e.cached(a)))
+	return len(e.queued) == 0 && e.slotFree(waiting) && e.prefillFree(now, rankOf(a, a.PromptTokens-e.cached(now, a)))
 }
 
 // slotFree reports whether the lane may use one more slot. The slots kept for
@@ -239,7 +243,7 @@
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
-	cached := e.cached(a)
+	cached := e.cached(now, a)
 	e.lastGrant++
 	g := &grant{
 		id:      e.lastGrant,
@@ -277,7 +281,7 @@
 }
 
 func (e *Endpoint) enqueue(now time.Time, a Ask) {
-	tokens := max(a.PromptTokens-e.cached(a), 0)
+	tokens := max(a.PromptTokens-e.cached(now, a), 0)
 	w := &waiter{ask: a, tokens: tokens, rank: rankOf(a, tokens)}
 	e.queued[a.key()] = w
 	if a.Alone {
--- a/owner/estimate.go
+++ b/owner/estimate.go
@@ -15,20 +15,45 @@
 	// doubtfulShare is what a doubtful block counts for: a gap may have hidden
 	// its eviction, but most blocks outlive a gap.
 	doubtfulShare = 0.5
+	// learnTime is how long a new owner takes to see what is in steady use: a
+	// few times the interval at which shared prompts come again.
+	learnTime = 5 * time.Second
+	// firstShare of a prompt is taken to be cached at its first candidate while
+	// the owner is learning: what most prompts share.
+	firstShare = 0.9
 )
 
 // cached is how many tokens of the prompt are believed to be cached.
-func (e *Endpoint) cached(a Ask) int64 {
+//
+// It is made for the restart of all instances in the middle of a burst: the
+// engines' caches are full and no owner knows of what. Taken for empty, every
+// prompt would look like a long one, and the endpoint with the shortest queue
+// would get it instead of the one that has it cached. So a new owner believes
+// in the order of candidates, by which its predecessors placed, until it has
+// seen for itself what is in use.
+func (e *Endpoint) cached(now time.Time, a Ask) int64 {
 	known, sure := e.known.depth(a.Blocks)
 	blocks := float64(sure) + float64(known-sure)*doubtfulShare
-	return min(int64(blocks*float64(e.cfg.BlockTokens)), a.PromptTokens)
+	tokens := blocks * float64(e.cfg.BlockTokens)
+	if a.Candidate == 0 && e.learning(now) {
+		tokens = max(tokens, firstShare*float64(a.PromptTokens))
+	}
+	return min(int64(tokens), a.PromptTokens)
+}
+
+// learning reports whether the owner is new and the endpoint is not.
+func (e *Endpoint) learning(now time.Time) bool {
+	if e.began.IsZero() {
+		e.began = now
+	}
+	return !e.cacheKnown && now.Sub(e.began) < learnTime
 }
 
 // offer is what the endpoint would give the ask now.
 func (e *Endpoint) offer(now time.Time, a Ask) policy.Offer {
 	return policy.Offer{
 		Endpoint:     e.cfg.Name,
-		CachedTokens: e.cached(a),
+		CachedTokens: e.cached(now, a),
 		Wait:         e.wait(now, a),
 		Incarnation:  e.incarnation,
 		Alone:        a.Alone,
@@ -47,7 +72,7 @@
 	if line := e.queue[l].lines[a.Organisation]; line != nil {
 		own = line.work
 	}
-	return e.waitBehind(now, a, rankOf(a, a.PromptTokens-e.cached(a)), own)
+	return e.waitBehind(now, a, rankOf(a, a.PromptTokens-e.cached(now, a)), own)
 }
 
 // waitBehind is the wait of an ask behind own work of its organisation.
--- a/owner/events.go
+++ b/owner/events.go
@@ -141,6 +141,7 @@
 	}
 	e.known = newKnowledge(e.cfg.CacheBlocks)
 	e.foreign = foreignLoad{}
+	e.cacheKnown = true
 	return lost
 }
 
@@ -159,6 +160,7 @@
 func (e *Endpoint) Models(models []string) {
 	if e.models != nil && !slices.Equal(e.models, models) {
 		e.known.clear()
+		e.cacheKnown = true
 	}
 	e.models = append([]string{}, models...)
 }
--- a/owner/snapshot.go
+++ b/owner/snapshot.go
@@ -61,6 +61,7 @@
 	e.window = policy.NewWindow(k.GetRate())
 	e.models = k.GetModels()
 	e.restoreBlocks(&k)
+	e.cacheKnown = true
 	for _, h := range k.GetGrants() {
 		e.restoreGrant(now, h)
 	}
--- a/owner/types.go
+++ b/owner/types.go
@@ -45,6 +45,8 @@
 	// Timeout bounds the whole request once granted; the grant ends with it.
 	Timeout     time.Duration
 	Fingerprint Fingerprint
+	// Candidate is the endpoint's place in the prompt's order, 0 for the first.
+	Candidate int
 	// Alone asks for an endpoint on which nothing else runs.
 	Alone bool
 }
