Place by a fixed block until the levels say otherwise

Change: the key is a block at a fixed place, also once the level that holds it is known; levels decide only where the place is wrong.

--- a/prefix/levels.go
+++ b/prefix/levels.go
@@ -9,6 +9,9 @@
 	// DefaultLevelSets bounds a Levels to a megabyte: 64k blocks, the shared
 	// prompts of some 300 families of 200 blocks.
 	DefaultLevelSets = 1 << 14
+	// maxFixedPlace is, in blocks, beyond what most companies' own text needs:
+	// 2,048 tokens with blocks of 64.
+	maxFixedPlace = 32
 )
 
 // seenBlock is what is remembered of one block: one block that followed it, and
@@ -77,8 +80,12 @@
 // first level, all work of a large organisation would go to one endpoint;
 // placed by the last, each customer's prompt would bring the whole catalogue
 // to another one. The longest shared level is the one that costs most to hold
-// twice. Its first block is known before its end is: a catalogue that was never
-// seen gets the key that it keeps.
+// twice. Any of its blocks names it.
+//
+// An instance that has just started knows no levels. It takes a block at a
+// fixed place, and goes on to take that one when the level that it has found
+// holds it: so a restart of all instances moves no prompts, unless the text
+// that all prompts of an organisation share is longer than that place.
 //
 // hint is the number of leading blocks that the caller says all of its prompts
 // share; 0 leaves it to what was observed.
@@ -89,28 +96,54 @@
 	if hint > 0 {
 		return chain[min(hint, len(chain)-1)]
 	}
-	best, bestLength := -1, -1
-	start, length := -1, 0
+	place := fixedPlace(len(chain))
+	start, end := l.longestShared(salt, chain)
+	if start < 0 {
+		return chain[place]
+	}
+	within := start <= place && place < end
+	if within && (l.seen(chain[place]) || !l.seen(chain[start])) {
+		return chain[place]
+	}
+	return chain[start]
+}
+
+func (l *Levels) seen(h Hash) bool { return l.find(binary.LittleEndian.Uint64(h[:8])) != nil }
+
+// fixedPlace is where a prompt of the given number of blocks is taken to have
+// left the text that its whole organisation shares.
+func fixedPlace(blocks int) int {
+	for place := maxFixedPlace; place > 1; place /= 2 {
+		if blocks > place+place/2 {
+			return place
+		}
+	}
+	return 0
+}
+
+// longestShared finds the level with the most blocks that were seen before,
+// from its first block to the first one after it, the organisation's first
+// level left aside; -1 where none is known.
+func (l *Levels) longestShared(salt Hash, chain []Hash) (int, int) {
+	best, bestEnd, bestSeen := -1, 0, -1
+	start, seen := -1, 0
 	parent := salt
 	for i, h := range chain {
 		if l.partsAfter(parent) {
-			if start >= 0 && length > bestLength {
-				best, bestLength = start, length
+			if start >= 0 && seen > bestSeen {
+				best, bestEnd, bestSeen = start, i, seen
 			}
-			start, length = i, 0
+			start, seen = i, 0
 		}
-		if l.find(binary.LittleEndian.Uint64(h[:8])) != nil {
-			length++
+		if l.seen(h) {
+			seen++
 		}
 		parent = h
 	}
-	if start >= 0 && length > bestLength {
-		best = start
-	}
-	if best < 0 {
-		return chain[0]
+	if start >= 0 && seen > bestSeen {
+		best, bestEnd = start, len(chain)
 	}
-	return chain[best]
+	return best, bestEnd
 }
 
 func (l *Levels) partsAfter(h Hash) bool {
