--- a/fleet/core_test.go
+++ b/fleet/core_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/sardinedock/sardinedock/fleet/exchange"
 	"github.com/sardinedock/sardinedock/fleet/member"
 	"github.com/sardinedock/sardinedock/schema/fleetpb"
@@ -14,7 +16,7 @@
 // group is a few cores in virtual time. A message takes no time; a call that
 // does not get through fails after callBound.
 type group struct {
-	t       *testing.T
+	t       fataler
 	now     time.Time
 	cores   []*core
 	seeds   []string
@@ -30,7 +32,13 @@
 	o    outgoing
 }
 
-func newGroup(t *testing.T, n int) *group {
+// fataler is a test, or one draw of a property.
+type fataler interface {
+	Helper()
+	Fatalf(format string, args ...any)
+}
+
+func newGroup(t fataler, n int) *group {
 	g := &group{t: t, now: time.Unix(1000, 0), stopped: map[int]bool{}, seeds: []string{address(0)}}
 	g.cut = func(int, int) bool { return false }
 	for range n {
@@ -263,3 +271,67 @@
 	g.run(2 * time.Second)
 	g.wantStatus(5, fleetpb.MemberStatus_MEMBER_STATUS_LEFT)
 }
+
+// Instances are cut off from each other, stopped and restarted, some with a
+// clock that went back, while operators change a record, in any order. No
+// instance may go back to an older version, and once the ways are whole again
+// all must agree on who is alive and on the newest record.
+func TestAnyFaultsHeal(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const n = 6
+		g := newGroup(t, n)
+		g.run(5 * time.Second)
+		version := uint64(0)
+		highest := make([]uint64, n)
+		check := func() {
+			for i, c := range g.cores {
+				it, _ := c.store.Get(record(0).Key)
+				if it.Version < highest[i] {
+					t.Fatalf("%s went from version %d to %d", name(i), highest[i], it.Version)
+				}
+				highest[i] = it.Version
+			}
+		}
+		for range rapid.IntRange(1, 8).Draw(t, "steps") {
+			i := rapid.IntRange(0, n-1).Draw(t, "instance")
+			switch rapid.SampledFrom([]string{"cut", "heal", "stop", "restart", "change"}).Draw(t, "step") {
+			case "cut":
+				side := rapid.IntRange(1, 1<<n-2).Draw(t, "side")
+				g.cut = func(a, b int) bool { return side>>a&1 != side>>b&1 }
+			case "heal":
+				g.cut = func(int, int) bool { return false }
+			case "stop":
+				g.stopped[i] = true
+			case "restart":
+				back := time.Duration(rapid.IntRange(0, 100).Draw(t, "clock back, s")) * time.Second
+				g.cores[i] = g.newCore(i, uint64(g.now.Add(-back).UnixNano()))
+				g.stopped[i] = false
+				highest[i] = 0
+			case "change":
+				version++
+				g.cores[i].put(g.now, record(version))
+			}
+			g.run(time.Duration(rapid.IntRange(0, 15).Draw(t, "wait, s")) * time.Second)
+			check()
+		}
+		g.cut = func(int, int) bool { return false }
+		for i := range n {
+			g.stopped[i] = false
+		}
+		g.run(60 * time.Second)
+		check()
+		g.wantAllAlive()
+		newest := uint64(0)
+		for _, v := range highest {
+			newest = max(newest, v)
+		}
+		if newest > 0 {
+			g.wantRecord(newest)
+		}
+		for i, c := range g.cores {
+			if c.store.Root() != g.cores[0].store.Root() {
+				t.Fatalf("%s holds other state", name(i))
+			}
+		}
+	})
+}
