Send one organisation's work by one path in the demo

Cause: half of the demo's requests went as chats, half as completions, drawn request by request. The two frame a prompt differently, so each catalogue was cached twice and the working set was twice what the caches can hold. The demo judged the size of its caches, not the placing. Change: an organisation's program uses one path for one kind of work.

--- a/demo/workload.go
+++ b/demo/workload.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
 	"sort"
 	"strings"
@@ -75,7 +76,7 @@
 	r := &request{number: n, due: due}
 	r.caller = pick(rng, w.load.GetCallers())
 	r.work = pick(rng, w.load.GetWork())
-	r.chat = rng.Float64() < r.work.GetChat()
+	r.chat = w.usesChat(r)
 	r.stream = rng.Float64() >= r.work.GetWhole()
 	if rng.Float64() < r.work.GetResend() {
 		r.resend = resendAtOnce + resendKind(rng.IntN(2))
@@ -88,6 +89,16 @@
 	return r
 }
 
+// usesChat says by which path the organisation's program sends this work. One
+// program uses one path: the two frame the same text differently, so that
+// neither is answered from what the other had computed.
+func (w *workload) usesChat(r *request) bool {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(r.work.GetName() + "/" + r.caller.GetOrganisation()))
+	share := float64(h.Sum32()%1000) / 1000
+	return share < r.work.GetChat()
+}
+
 // weighted is what has a part of the requests.
 type weighted interface{ GetWeight() float64 }
 
