Do not change the placing key when memory of a prompt fades

Cause: with more shared blocks than the table holds, the block at the fixed place was often forgotten and the key changed to the level's first block. Change: the fixed place decides whenever the level that is found holds it.

--- a/prefix/levels.go
+++ b/prefix/levels.go
@@ -98,11 +98,7 @@
 	}
 	place := fixedPlace(len(chain))
 	start, end := l.longestShared(salt, chain)
-	if start < 0 {
-		return chain[place]
-	}
-	within := start <= place && place < end
-	if within && (l.seen(chain[place]) || !l.seen(chain[start])) {
+	if start < 0 || start <= place && place < end {
 		return chain[place]
 	}
 	return chain[start]
