--- a/policy/policybench/workload.go
+++ b/policy/policybench/workload.go
@@ -74,12 +74,13 @@
 	sent                       time.Duration
 }
 
-func (r *request) chainOf() {
+// chainOf names the blocks; by the seed, so that each run places anew.
+func (r *request) chainOf(seed uint64) {
 	for _, p := range r.parts {
 		for i := range p.blocks {
 			var h prefix.Hash
-			binary.LittleEndian.PutUint64(h[:8], spread(uint64(p.id)<<20|uint64(i)))
-			binary.LittleEndian.PutUint64(h[8:], spread(uint64(p.id)<<20|uint64(i)|1<<63))
+			binary.LittleEndian.PutUint64(h[:8], spread(seed<<44+uint64(p.id)<<20|uint64(i)))
+			binary.LittleEndian.PutUint64(h[8:], spread(seed<<44+uint64(p.id)<<20|uint64(i)|1<<63))
 			r.chain = append(r.chain, h)
 		}
 	}
@@ -147,7 +148,7 @@
 		if s.urgentOnly && !r.urgent {
 			continue
 		}
-		r.chainOf()
+		r.chainOf(seed)
 		list = append(list, r)
 	}
 	return list
