Price recomputation by the endpoint's measured rate; pass it to entries

Change: the rate is all that was computed between a long prompt's send and its first token. Offers carry it; the candidate's place and the mark of long prompts go over the wire, and entry gives long prompts the priority behind their class. Smallest changes in place and entry that carry the three.

--- a/entry/send.go
+++ b/entry/send.go
@@ -15,7 +15,7 @@
 func (a *answer) send(g place.Grant) error {
 	r := &run{grant: g, id: a.runID(), engine: a.srv.cfg.Dial(g.Address), incarnation: g.Incarnation}
 	r.version = a.srv.versions.get(g.Endpoint, a.req.place.Model, a.req.place.Version)
-	body, err := a.body(r.version)
+	body, err := a.body(r.version, g.Long)
 	if err != nil {
 		a.srv.cfg.Placer.Done(g, place.Result{End: place.EndUnused})
 		return err
@@ -43,7 +43,7 @@
 
 // body is what goes to the engine: the caller's fields, the router's, and the
 // text that the caller already has where another engine began the answer.
-func (a *answer) body(version string) ([]byte, error) {
+func (a *answer) body(version string, long bool) ([]byte, error) {
 	f := a.req.fields
 	if a.progress.pieces > 0 {
 		var ok bool
@@ -53,6 +53,11 @@
 	} else {
 		f = f.clone()
 	}
+	if long {
+		// Short prompts of the class go first at the engine, or each of them
+		// would wait the second that a cold catalogue takes.
+		f.setInt(fieldPriority, int64(a.req.place.Class.GetPriority())+1)
+	}
 	f.setBool(fieldStream, true)
 	f.setString(fieldSalt, prefix.Salt(a.req.place.Organisation, a.req.place.Model, version).String())
 	return f.encode(), nil
--- a/owner/endpoint.go
+++ b/owner/endpoint.go
@@ -88,6 +88,8 @@
 	since   time.Time
 	expires time.Time
 	started bool
+	// mark is the window's at the send.
+	mark int64
 }
 
 // Endpoint is the state of one endpoint at its owner. Since every request for
@@ -255,6 +257,7 @@
 		expires: now.Add(timeout + timeoutMargin),
 	}
 	g.rank = rankOf(a, g.tokens)
+	g.mark = e.window.Mark()
 	_, twice := e.granted[a.key()]
 	invariant.Check(!twice, "one_grant_per_request", "request %s of %s granted twice on %s", a.RequestID, a.Caller, e.cfg.Name)
 	e.grants[g.id] = g
--- a/owner/estimate.go
+++ b/owner/estimate.go
@@ -57,6 +57,7 @@
 		Wait:         e.wait(now, a),
 		Incarnation:  e.incarnation,
 		Alone:        a.Alone,
+		PrefillRate:  e.window.Rate(),
 	}
 }
 
--- a/owner/events.go
+++ b/owner/events.go
@@ -49,7 +49,7 @@
 	if after <= 0 || first.After(now) {
 		first = now
 	}
-	e.window.Observe(g.since, first, max(g.ask.PromptTokens-cachedTokens, 0))
+	e.window.Observe(g.mark, g.since, first, max(g.ask.PromptTokens-cachedTokens, 0))
 	e.known.use(g.ask.Blocks)
 	return e.pump(now)
 }
--- a/place/ask.go
+++ b/place/ask.go
@@ -37,7 +37,8 @@
 	if c.name != list[0].name {
 		shifted.Inc()
 	}
-	reply, ok := f.ask(ctx, t, c.name, func(*fleetpb.AskRequest) {})
+	place := slices.Index(list, c)
+	reply, ok := f.ask(ctx, t, c.name, func(in *fleetpb.AskRequest) { in.Candidate = int32(place) })
 	if !ok {
 		return f.withoutOwner(ctx, t, list)
 	}
@@ -68,7 +69,7 @@
 			o := reply.GetGranted()
 			return f.granted(t, Grant{
 				ID: o.GetGrantId(), Owner: instance, Endpoint: c.name, Address: c.address,
-				Incarnation: o.GetIncarnation(), CachedTokens: o.GetCachedTokens(), Alone: o.GetAlone(),
+				Incarnation: o.GetIncarnation(), CachedTokens: o.GetCachedTokens(), Alone: o.GetAlone(), Long: o.GetLong(),
 			}), false, nil
 		case reply.GetRefusal() == string(owner.ReasonEndpoint):
 			return f.exclude(t, c.name)
@@ -142,7 +143,7 @@
 	var wg sync.WaitGroup
 	for _, names := range byOwner {
 		wg.Go(func() {
-			reply, ok := f.ask(ctx, t, names[0], func(in *fleetpb.AskRequest) { in.Endpoints, in.Probe = names, true })
+			reply, ok := f.ask(ctx, t, names[0], func(in *fleetpb.AskRequest) { in.Endpoints, in.Probe, in.Candidate = names, true, 1 })
 			if !ok {
 				return
 			}
--- a/place/place.go
+++ b/place/place.go
@@ -48,6 +48,9 @@
 	// Alone says that the request is suspected of crashing endpoints and that
 	// nothing else was put beside it.
 	Alone bool
+	// Long says that the prompt takes long to compute and that the engine
+	// should put it behind others of its class.
+	Long bool
 
 	// ticket is what the placer has to know of the request at its end.
 	ticket *ticket
--- a/place/wire.go
+++ b/place/wire.go
@@ -30,6 +30,7 @@
 		Deadline:     now.Add(milliseconds(in.GetBudgetMs())),
 		Timeout:      milliseconds(in.GetTimeoutMs()),
 		Alone:        in.GetAlone(),
+		Candidate:    int(in.GetCandidate()),
 	}
 	if in.GetProbe() {
 		a.Mode = owner.Probe
@@ -78,6 +79,7 @@
 	return &fleetpb.Offer{
 		Endpoint: o.Endpoint, GrantId: o.GrantID, CachedTokens: o.CachedTokens,
 		WaitMs: o.Wait.Milliseconds(), Incarnation: o.Incarnation, Alone: o.Alone,
+		Long: o.Long, PrefillRate: o.PrefillRate,
 	}
 }
 
@@ -85,6 +87,7 @@
 	return policy.Offer{
 		Endpoint: o.GetEndpoint(), GrantID: o.GetGrantId(), CachedTokens: o.GetCachedTokens(),
 		Wait: milliseconds(o.GetWaitMs()), Incarnation: o.GetIncarnation(), Alone: o.GetAlone(),
+		Long: o.GetLong(), PrefillRate: o.GetPrefillRate(),
 	}
 }
 
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -18,11 +18,13 @@
 	// Long says that the prompt takes long to compute, and that the engine
 	// should put it behind others of its class.
 	Long bool
+	// PrefillRate that was measured there, in tokens a second; 0 if unknown.
+	PrefillRate float64
 }
 
 // Prices are what the choice weighs time against.
 type Prices struct {
-	// PrefillTokensPerSecond of one endpoint.
+	// PrefillTokensPerSecond of an endpoint whose offer names no rate.
 	PrefillTokensPerSecond float64
 	// Recompute multiplies the time of computing uncached tokens. Others wait
 	// behind that work and it evicts their blocks, so it costs the fleet more
@@ -61,7 +63,11 @@
 func Choose(promptTokens, keptTokens int64, offers []Offer, p Prices) Choice {
 	best := Choice{Index: -1}
 	for i, o := range offers {
-		work, imported := p.prefill(promptTokens, keptTokens, o.CachedTokens)
+		at := p
+		if o.PrefillRate > 0 {
+			at.PrefillTokensPerSecond = o.PrefillRate
+		}
+		work, imported := at.prefill(promptTokens, keptTokens, o.CachedTokens)
 		cost := o.Wait + work
 		if best.Index < 0 || cost < best.Cost {
 			best = Choice{Index: i, ImportTokens: imported, Cost: cost}
--- a/policy/window.go
+++ b/policy/window.go
@@ -29,6 +29,8 @@
 	tokens float64
 	busy   float64
 	last   time.Time
+	// done counts the tokens that were computed.
+	done int64
 }
 
 // NewWindow starts from the rate that the pool's record guesses.
@@ -37,22 +39,23 @@
 	return Window{tokens: first, busy: first / max(tokensPerSecond, 1)}
 }
 
-// Observe takes one first token: sent and first are when the request was sent
-// and answered, tokens what had to be computed. Work that began behind another
-// request is counted from that one's first token.
-func (w *Window) Observe(sent, first time.Time, tokens int64) {
-	start := sent
-	if w.last.After(start) {
-		start = w.last
-	}
+// Mark is to be taken when a request is sent and given to Observe.
+func (w *Window) Mark() int64 { return w.done }
+
+// Observe takes one first token: when the request was sent and answered, what
+// had to be computed, and the mark of its send. Engines compute other prompts
+// in between, by priority or in turns, so the rate is all that was computed
+// between the two times, not this request's part alone.
+func (w *Window) Observe(mark int64, sent, first time.Time, tokens int64) {
+	w.done += tokens
 	if first.After(w.last) {
 		w.last = first
 	}
-	took := first.Sub(start).Seconds()
+	took := first.Sub(sent).Seconds()
 	if tokens < observeTokens || took <= 0 {
 		return
 	}
-	w.tokens += float64(tokens)
+	w.tokens += float64(w.done - mark)
 	w.busy += took
 	if w.tokens > rateMemory {
 		scale := rateMemory / w.tokens
