--- /dev/null
+++ b/entry/recover_bench_test.go
@@ -0,0 +1,45 @@
+package entry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sardinedock/sardinedock/emulator"
+)
+
+// BenchmarkBreak measures the pause that a caller sees when an answer breaks
+// off after its first piece: the longest gap between two pieces, beside the
+// usual one of the same answer. The silence bound is 300 ms here.
+func BenchmarkBreak(b *testing.B) {
+	faults := map[string]func(e *emulator.Engine){
+		"none":   func(*emulator.Engine) {},
+		"cut":    func(e *emulator.Engine) { e.CutOpen() },
+		"silent": func(e *emulator.Engine) { e.SilenceOpen() },
+		"crash":  func(e *emulator.Engine) { go e.Crash(2 * time.Second) },
+		"cross":  func(e *emulator.Engine) { e.SetFaults(emulator.EngineFaults{CrossNext: 1}) },
+	}
+	for name, fault := range faults {
+		b.Run(name, func(b *testing.B) {
+			var worst time.Duration
+			for range b.N {
+				worst += longestGap(b, fault)
+			}
+			b.ReportMetric(float64(worst.Microseconds())/1000/float64(b.N), "ms/break")
+		})
+	}
+}
+
+func longestGap(b *testing.B, fault func(e *emulator.Engine)) time.Duration {
+	r := newRig(b, rigConfig{engines: 2, engine: emulator.EngineConfig{Pace: 4}})
+	rd := r.askFor(b, prompt, 30, nil)
+	rd.piece()
+	fault(r.engineOf(rd.resp))
+	var worst time.Duration
+	for last := time.Now(); rd.piece(); {
+		now := time.Now()
+		worst = max(worst, now.Sub(last))
+		last = now
+	}
+	rd.wantWhole(prompt, 30)
+	return worst
+}
--- a/entry/server_test.go
+++ b/entry/server_test.go
@@ -90,7 +90,7 @@
 	configure         func(*entry.Config)
 }
 
-func newRig(t *testing.T, cfg rigConfig) *rig {
+func newRig(t testing.TB, cfg rigConfig) *rig {
 	t.Helper()
 	if cfg.engine.Pace == 0 {
 		cfg.engine.Pace = testPace
@@ -119,7 +119,7 @@
 }
 
 // serve starts a server and returns its URL.
-func (r *rig) serve(t *testing.T, config entry.Config) string {
+func (r *rig) serve(t testing.TB, config entry.Config) string {
 	t.Helper()
 	r.server = entry.NewServer(config)
 	server := r.server
@@ -189,7 +189,7 @@
 	return nil
 }
 
-func (r *rig) do(t *testing.T, method, path string, header http.Header, body string) *http.Response {
+func (r *rig) do(t testing.TB, method, path string, header http.Header, body string) *http.Response {
 	t.Helper()
 	req, err := http.NewRequestWithContext(t.Context(), method, r.url+path, strings.NewReader(body))
 	if err != nil {
@@ -211,7 +211,7 @@
 }
 
 // askFor asks for a streamed completion.
-func (r *rig) askFor(t *testing.T, prompt string, tokens int, header http.Header) *reader {
+func (r *rig) askFor(t testing.TB, prompt string, tokens int, header http.Header) *reader {
 	t.Helper()
 	body := fmt.Sprintf(`{"model":"counter","prompt":%q,"max_tokens":%d,"stream":true}`, prompt, tokens)
 	resp := r.do(t, "POST", "/v1/completions", header, body)
@@ -220,7 +220,7 @@
 
 // reader reads a streamed answer as a caller does.
 type reader struct {
-	t     *testing.T
+	t     testing.TB
 	resp  *http.Response
 	lines *bufio.Scanner
 	text  strings.Builder
--- a/outcome/claim/claim.go
+++ b/outcome/claim/claim.go
@@ -19,9 +19,11 @@
 // Kind is the object API's kind of the shards.
 const Kind = "claims"
 
-// Shards is the number of shard objects. It must never change while claims
-// are kept: programs that disagree about a key's shard would both claim it.
-const Shards = 64
+// Shards is the number of shard objects: one for each value of a hash's first
+// byte. Each write carries a whole shard, so many small ones keep the bytes and
+// the conflicts low. It must never change while claims are kept: programs that
+// disagree about a key's shard would both claim it.
+const Shards = 256
 
 // Retention is how long a claim is kept after its request's own timeout. A
 // caller that sends a key again later than that asks for a new run.
@@ -60,9 +62,9 @@
 	return Hash(h.Sum(nil)[:len(Hash{})])
 }
 
-func (h Hash) shard() int { return int(h[0]) % Shards }
+func (h Hash) shard() int { return int(h[0]) }
 
-func shardName(n int) string { return fmt.Sprintf("shard-%02d", n) }
+func shardName(n int) string { return fmt.Sprintf("shard-%02x", n) }
 
 // Request is what an attempt claims.
 type Request struct {
--- a/outcome/claim/claim_test.go
+++ b/outcome/claim/claim_test.go
@@ -243,7 +243,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := &storetest.Store{}
 		for n := range claim.Shards {
-			s.Set(claim.Kind, fmt.Sprintf("shard-%02d", n), []byte{0xff})
+			s.Set(claim.Kind, fmt.Sprintf("shard-%02x", n), []byte{0xff})
 		}
 		a := open(t, s)
 		if _, err := take(a, request("k", "1")); !fault.Is(err, fault.Unavailable) {
--- /dev/null
+++ b/outcome/claim/load_test.go
@@ -0,0 +1,87 @@
+package claim_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sardinedock/sardinedock/clock"
+	"github.com/sardinedock/sardinedock/outcome/claim"
+	"github.com/sardinedock/sardinedock/platform"
+	"github.com/sardinedock/sardinedock/platform/storetest"
+)
+
+// slowStore answers each call after a way of some milliseconds.
+type slowStore struct {
+	*storetest.Store
+	way time.Duration
+}
+
+func (s *slowStore) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+	time.Sleep(s.way)
+	defer time.Sleep(s.way)
+	return s.Store.Get(ctx, kind, name)
+}
+
+func (s *slowStore) Put(ctx context.Context, obj platform.Object, expected platform.Version) (platform.Version, error) {
+	time.Sleep(s.way)
+	defer time.Sleep(s.way)
+	return s.Store.Put(ctx, obj, expected)
+}
+
+// Not repeatable requests come to a whole fleet at a steady rate. What they
+// cost the object API must stay near two writes each, or a burst of
+// confirmations would take the rate that the rest of the platform lives on.
+func TestStoreLoad(t *testing.T) {
+	for _, c := range []struct{ instances, rate int }{{7, 5}, {7, 100}, {40, 50}, {40, 100}, {40, 200}} {
+		t.Run(fmt.Sprintf("%dinstances_%dps", c.instances, c.rate), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { storeLoad(t, c.instances, c.rate) })
+		})
+	}
+}
+
+func storeLoad(t *testing.T, instances, rate int) {
+	const seconds = 5
+	s := &slowStore{Store: &storetest.Store{}, way: 2 * time.Millisecond}
+	books := make([]*claim.Book, instances)
+	for n := range books {
+		books[n] = claim.Open(s, clock.System{})
+	}
+	rng := rand.New(rand.NewPCG(1, 2))
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var waits []time.Duration
+	for n := range rate * seconds {
+		b := books[rng.IntN(instances)]
+		wg.Go(func() {
+			r := request(fmt.Sprint("k", n), fmt.Sprint("a", n))
+			begun := time.Now()
+			if f, err := take(b, r); err != nil || f.Taken {
+				t.Errorf("claim %d: %+v, %v", n, f, err)
+			}
+			mu.Lock()
+			waits = append(waits, time.Since(begun))
+			mu.Unlock()
+			time.Sleep(100 * time.Millisecond)
+			b.Finish(r, claim.Answer{Status: 200, Body: []byte("confirmed"), Kept: true})
+		})
+		time.Sleep(time.Duration(rng.ExpFloat64() * float64(time.Second) / float64(rate)))
+	}
+	wg.Wait()
+	for _, b := range books {
+		b.Close(context.Background())
+	}
+	sort.Slice(waits, func(i, j int) bool { return waits[i] < waits[j] })
+	counts, total := s.Counts(), float64(rate*seconds)
+	t.Logf("%d instances, %d claims/s: %.2f writes and %.2f reads a claim; claim takes p50 %v, p99 %v",
+		instances, rate, float64(counts.Puts)/total, float64(counts.Gets)/total,
+		waits[len(waits)/2], waits[len(waits)*99/100])
+	if perClaim := float64(counts.Puts) / total; perClaim > 2.3 {
+		t.Errorf("%.2f writes a claim", perClaim)
+	}
+}
--- a/outcome/claim/shard.go
+++ b/outcome/claim/shard.go
@@ -15,7 +15,7 @@
 const (
 	// ringSize bounds what waits for one shard. A request that finds it full
 	// is refused unsent.
-	ringSize = 1024
+	ringSize = 256
 	// firstPause and maxPause bound the waits between calls of a store that
 	// does not answer.
 	firstPause = 20 * time.Millisecond
