Test limits, retries, window, health, crash guard and cache knowledge

Cause: TestUnusedGrantTeachesNothing failed: a learning owner forgot only what it had not guessed, so a request that was never sent left blocks known. Change: a grant notes what was known before it, and that is what stays.

--- a/owner/endpoint.go
+++ b/owner/endpoint.go
@@ -79,11 +79,13 @@
 
 // grant is a slot that was given away.
 type grant struct {
-	id      uint64
-	ask     Ask
-	lane    lane
-	rank    rank
-	cached  int64
+	id     uint64
+	ask    Ask
+	lane   lane
+	rank   rank
+	cached int64
+	// depth is how many blocks were known before the grant.
+	depth   int
 	tokens  int64
 	since   time.Time
 	expires time.Time
@@ -257,6 +259,7 @@
 		expires: now.Add(timeout + timeoutMargin),
 	}
 	g.rank = rankOf(a, g.tokens)
+	g.depth, _ = e.known.depth(a.Blocks)
 	g.mark = e.window.Mark()
 	_, twice := e.granted[a.key()]
 	invariant.Check(!twice, "one_grant_per_request", "request %s of %s granted twice on %s", a.RequestID, a.Caller, e.cfg.Name)
--- a/owner/events.go
+++ b/owner/events.go
@@ -76,8 +76,7 @@
 // unlearn forgets what a grant was expected to leave in the cache and did not.
 // It may forget what another request left there too, which costs a guess.
 func (e *Endpoint) unlearn(g *grant) {
-	from := int(g.cached / max(e.cfg.BlockTokens, 1))
-	for _, h := range g.ask.Blocks[min(from, len(g.ask.Blocks)):] {
+	for _, h := range g.ask.Blocks[min(g.depth, len(g.ask.Blocks)):] {
 		e.known.forget(keyOf(h))
 	}
 }
--- /dev/null
+++ b/owner/knowledge_test.go
@@ -0,0 +1,203 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/sardinedock/sardinedock/prefix"
+)
+
+// asked is what a probe is offered after the endpoint has been in use for long
+// enough that the owner believes what it knows.
+func cachedOffer(e *Endpoint, blocks []prefix.Hash) int64 {
+	e.cacheKnown = true
+	a := ask("probe", "a", false, blocks)
+	a.Mode = Probe
+	return e.Ask(epoch, a).Offers[0].CachedTokens
+}
+
+func used(t *testing.T, e *Endpoint, blocks []prefix.Hash) {
+	t.Helper()
+	d := e.Ask(epoch, ask("warm", "a", false, blocks))
+	if d.Kind != Granted {
+		t.Fatalf("%+v", d)
+	}
+	e.FirstToken(epoch, d.Offer.GrantID, 0, time.Millisecond)
+	e.End(epoch, End{GrantID: d.Offer.GrantID, Stage: Done})
+}
+
+// Work of another organisation, of older weights or of a crashed engine must
+// never be counted on: the engine would compute everything while the router
+// takes it for quick.
+func TestKnowledgeIsDropped(t *testing.T) {
+	blocks := chain("a", "1", 1, 10)
+	tests := []struct {
+		name   string
+		change func(e *Endpoint)
+		probe  []prefix.Hash
+		want   int64
+	}{
+		{"the same prompt", func(*Endpoint) {}, blocks, 640},
+		{"another organisation", func(*Endpoint) {}, chain("b", "1", 1, 10), 0},
+		{"newer weights", func(*Endpoint) {}, chain("a", "2", 1, 10), 0},
+		{"a pause", func(e *Endpoint) { e.Status(epoch, suspect, 1); e.Status(epoch, live, 1) }, blocks, 640},
+		{"another incarnation", func(e *Endpoint) { e.Status(epoch, live, 2) }, blocks, 0},
+		{"expulsion", func(e *Endpoint) { e.Status(epoch, expelled, 1); e.Status(epoch, live, 1) }, blocks, 0},
+		{"models loaded", func(e *Endpoint) { e.Models([]string{"m@1"}); e.Models([]string{"m@1", "m@2"}) }, blocks, 0},
+		{"evicted", func(e *Endpoint) {
+			e.CacheEvent(CacheEvent{Seq: 1, Incarnation: 1, Op: CacheEvict, Blocks: blocks[6:]})
+		}, blocks, 384},
+		{"a gap in the events", func(e *Endpoint) {
+			e.CacheEvent(CacheEvent{Seq: 1, Incarnation: 1, Op: CacheStore})
+			e.CacheEvent(CacheEvent{Seq: 3, Incarnation: 1, Op: CacheStore, Blocks: blocks[:2]})
+		}, blocks, 2*64 + 8*32},
+		{"events of the dead incarnation", func(e *Endpoint) {
+			e.CacheEvent(CacheEvent{Seq: 9, Incarnation: 7, Op: CacheClear})
+		}, blocks, 640},
+		{"cleared", func(e *Endpoint) { e.CacheEvent(CacheEvent{Seq: 1, Incarnation: 1, Op: CacheClear}) }, blocks, 0},
+	}
+	for _, tt := range tests {
+		e := New(config())
+		e.Status(epoch, live, 1)
+		used(t, e, blocks)
+		tt.change(e)
+		if got := cachedOffer(e, tt.probe); got != tt.want {
+			t.Errorf("%s: %d tokens believed cached, want %d", tt.name, got, tt.want)
+		}
+	}
+}
+
+// A request that was granted and never sent leaves nothing in the cache.
+func TestUnusedGrantTeachesNothing(t *testing.T) {
+	e := New(config())
+	blocks := chain("a", "1", 1, 10)
+	d := e.Ask(epoch, ask("r", "a", false, blocks))
+	e.End(epoch, End{GrantID: d.Offer.GrantID, Stage: Unused})
+	if got := cachedOffer(e, blocks); got != 0 {
+		t.Fatalf("%d tokens believed cached", got)
+	}
+}
+
+// The knowledge of one endpoint never exceeds its bound, and keeps what was
+// used last.
+func TestKnowledgeIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		k := newKnowledge(int64(rapid.IntRange(1, 30).Draw(t, "capacity")))
+		var reference []blockKey
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			key := blockKey(rapid.IntRange(0, 50).Draw(t, "block"))
+			if rapid.IntRange(0, 4).Draw(t, "forget") == 0 {
+				k.forget(key)
+				reference = without(reference, key)
+				continue
+			}
+			k.touch(key)
+			reference = append([]blockKey{key}, without(reference, key)...)
+			reference = reference[:min(len(reference), k.capacity)]
+		}
+		var got []blockKey
+		for i := k.newest; i != none; i = k.blocks[i].next {
+			got = append(got, k.blocks[i].key)
+		}
+		if len(got) != len(reference) || len(k.index) != len(reference) || len(k.blocks) > k.capacity {
+			t.Fatalf("%v with %d indexed in %d places, want %v", got, len(k.index), len(k.blocks), reference)
+		}
+		for i := range got {
+			if got[i] != reference[i] {
+				t.Fatalf("%v, want %v", got, reference)
+			}
+		}
+	})
+}
+
+func without(list []blockKey, key blockKey) []blockKey {
+	var rest []blockKey
+	for _, k := range list {
+		if k != key {
+			rest = append(rest, k)
+		}
+	}
+	return rest
+}
+
+// An instance leaves and gives its endpoints away. The next owner must know
+// what is cached and what still runs, or it would fill slots that are taken.
+func TestHandOver(t *testing.T) {
+	old := New(config())
+	old.Status(epoch, live, 5)
+	blocks := chain("a", "1", 1, 10)
+	used(t, old, blocks)
+	held := old.Ask(epoch, ask("held", "a", true, blocks))
+	data, err := old.Snapshot(epoch)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg := config()
+	cfg.FirstGrantID = 1 << 40
+	next := New(cfg)
+	if err := next.Restore(epoch, data); err != nil {
+		t.Fatal(err)
+	}
+	if got := cachedOffer(next, blocks); got != 640 {
+		t.Errorf("%d tokens believed cached after the hand-over, want 640", got)
+	}
+	if next.inUse[urgent] != 1 || next.incarnation != 5 {
+		t.Errorf("%d urgent slots in use at incarnation %d", next.inUse[urgent], next.incarnation)
+	}
+	next.End(epoch, End{GrantID: held.Offer.GrantID, Stage: Done})
+	if len(next.grants) != 0 {
+		t.Error("the end of a grant that was handed over was not understood")
+	}
+	if err := next.Restore(epoch, []byte("junk")); err == nil {
+		t.Error("junk was taken for a snapshot")
+	}
+}
+
+// An instance is killed. What it held and waited for must come free without
+// its word.
+func TestSilentCallerLosesItsGrants(t *testing.T) {
+	b := NewBook(testPrices)
+	b.Add(config())
+	for _, id := range []string{"1", "2", "3", "4", "5"} {
+		b.Ask(epoch, ask(id, "a", false, nil), []string{"engine-1"})
+	}
+	other := ask("other", "b", false, nil)
+	other.Caller = "i2"
+	if d := b.Ask(epoch, other, []string{"engine-1"}); d.Kind != Queued {
+		t.Fatalf("%+v", d)
+	}
+	b.Seen(epoch.Add(callerLease), "i2")
+	out := b.Tick(epoch.Add(callerLease + time.Second))
+	if len(out) != 1 || out[0].Kind != Granted || out[0].Caller != "i2" {
+		t.Fatalf("%+v", out)
+	}
+}
+
+// A refusal names a time to come back that is after the deadline, and comes in
+// the same moment as the ask.
+func TestDeadlineThatCannotBeMet(t *testing.T) {
+	e := New(config())
+	for i, id := range []string{"1", "2", "3", "4", "5", "6"} {
+		a := ask(id, "a", false, chain("a", "1", i, 200))
+		e.Ask(epoch, a)
+	}
+	late := ask("late", "b", false, chain("b", "1", 9, 200))
+	late.Deadline = epoch.Add(100 * time.Millisecond)
+	d := e.Ask(epoch, late)
+	if d.Kind != Refused || d.Reason != ReasonDeadline || d.RetryAfter < minRetryAfter {
+		t.Fatalf("%+v", d)
+	}
+}
+
+func BenchmarkAskAndEnd(b *testing.B) {
+	e := New(Config{Name: "e", Slots: 32, UrgentSlots: 4, BlockTokens: 64, CacheBlocks: 8192, PrefillTokensPerSecond: 20000})
+	blocks := chain("a", "1", 1, 200)
+	b.ReportAllocs()
+	for b.Loop() {
+		d := e.Ask(epoch, ask("r", "a", false, blocks))
+		e.FirstToken(epoch, d.Offer.GrantID, 0, time.Millisecond)
+		e.End(epoch, End{GrantID: d.Offer.GrantID, Stage: Done})
+	}
+}
--- /dev/null
+++ b/policy/state_test.go
@@ -0,0 +1,174 @@
+package policy
+
+import (
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/sardinedock/sardinedock/schema/fleetpb"
+)
+
+// A long prompt is interrupted by short ones and an engine slows down. The rate
+// has to follow what the engine does, not what the interruptions suggest.
+func TestWindowFollowsTheServiceRate(t *testing.T) {
+	w := NewWindow(20000)
+	now := start
+	serve := func(rate float64, rounds int) {
+		for range rounds {
+			mark, sent := w.Mark(), now
+			for range 4 {
+				short, at := w.Mark(), now
+				now = now.Add(time.Duration(128 / rate * 1e9))
+				w.Observe(short, at, now, 128)
+			}
+			now = now.Add(time.Duration(10000 / rate * 1e9))
+			w.Observe(mark, sent, now, 10000)
+			now = now.Add(time.Second)
+		}
+	}
+	serve(20000, 30)
+	if r := w.Rate(); r < 18000 || r > 22000 {
+		t.Errorf("rate %.0f of an engine that computes 20000 tokens a second", r)
+	}
+	serve(4000, 30)
+	if r := w.Rate(); r < 3600 || r > 5000 {
+		t.Errorf("rate %.0f after the engine slowed down to 4000", r)
+	}
+	if !w.Admits(0) || w.Admits(4000) {
+		t.Error("a second of work is outstanding and more is admitted, or an idle engine gets nothing")
+	}
+}
+
+// One family of prompts is asked for more than its endpoint can serve. Requests
+// shift when waiting costs more than computing the prompt again, and not before.
+func TestChoiceWeighsWaitAgainstRecomputation(t *testing.T) {
+	p := Prices{PrefillTokensPerSecond: 10000, Recompute: 2}
+	offers := func(wait time.Duration) []Offer {
+		return []Offer{{Endpoint: "home", CachedTokens: 9000, Wait: wait}, {Endpoint: "cold"}}
+	}
+	tests := []struct {
+		name string
+		wait time.Duration
+		kept int64
+		want Choice
+	}{
+		{"home is idle", 0, 0, Choice{Index: 0, Cost: 200 * time.Millisecond}},
+		{"home is busy for less than the recomputation", 1700 * time.Millisecond, 0, Choice{Index: 0, Cost: 1900 * time.Millisecond}},
+		{"home is busy for longer", 1900 * time.Millisecond, 0, Choice{Index: 1, Cost: 2 * time.Second}},
+		{"kept work is imported at the cold one", 700 * time.Millisecond, 8000, Choice{Index: 1, ImportTokens: 8000, Cost: 500 * time.Millisecond}},
+	}
+	for _, tt := range tests {
+		at := p
+		if tt.kept > 0 {
+			at.ImportTokensPerSecond, at.ImportFixed = 100000, 20*time.Millisecond
+		}
+		if got := Choose(10000, tt.kept, offers(tt.wait), at); got != tt.want {
+			t.Errorf("%s: %+v, want %+v", tt.name, got, tt.want)
+		}
+	}
+	if got := Choose(1, 0, nil, p); got.Index != -1 {
+		t.Errorf("no offers: %+v", got)
+	}
+}
+
+// A pause shorter than the bound of expulsion must not cost the endpoint its
+// place; a delayed sign of life of a dead incarnation must not bring it back.
+func TestEndpointHealth(t *testing.T) {
+	const live, suspect = fleetpb.EndpointStatus_ENDPOINT_STATUS_LIVE, fleetpb.EndpointStatus_ENDPOINT_STATUS_SUSPECT
+	const leaving, expelled = fleetpb.EndpointStatus_ENDPOINT_STATUS_LEAVING, fleetpb.EndpointStatus_ENDPOINT_STATUS_EXPELLED
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	h := NewEndpointHealth(start, HealthBounds{SuspectAfter: time.Second, ExpelAfter: 5 * time.Second})
+	steps := []struct {
+		what string
+		do   func() bool
+		want fleetpb.EndpointStatus
+	}{
+		{"first sign", func() bool { return h.Heard(at(0), 7, false) }, live},
+		{"just before the bound", func() bool { return !h.Tick(at(999)) }, live},
+		{"silent for a second", func() bool { return h.Tick(at(1000)) }, suspect},
+		{"back", func() bool { return h.Heard(at(1500), 7, false) }, live},
+		{"refused connections", func() bool { return h.Crashed(at(1600), 7) }, suspect},
+		{"word of the dead incarnation", func() bool { return !h.Heard(at(1700), 6, false) }, suspect},
+		{"restarted", func() bool { return h.Heard(at(1800), 8, false) }, live},
+		{"word of an older crash", func() bool { return !h.Crashed(at(1900), 7) }, live},
+		{"leaving", func() bool { return h.Heard(at(2000), 8, true) }, leaving},
+		{"gone", func() bool { return h.Tick(at(7000)) }, expelled},
+	}
+	for _, s := range steps {
+		if ok := s.do(); !ok {
+			t.Errorf("%s: change reported wrongly", s.what)
+		}
+		if got, _ := h.Status(); got != s.want {
+			t.Fatalf("%s: %v, want %v", s.what, got, s.want)
+		}
+	}
+}
+
+// One request crashes each endpoint that runs it, and its caller sends it again
+// and again to other instances. The first crash takes innocent requests along;
+// these are cleared by running alone. After the second endpoint it is refused.
+func TestRequestThatCrashesEndpoints(t *testing.T) {
+	poison, innocent := [16]byte{1}, [16]byte{2}
+	here, there := NewCrashGuard(time.Minute), NewCrashGuard(time.Minute)
+	tell := func(from, to *CrashGuard, now time.Time) {
+		for _, fp := range from.Changed() {
+			s, ttl := from.State(now, fp)
+			to.Merge(now, fp, s, ttl)
+		}
+	}
+	expect := func(g *CrashGuard, now time.Time, fp [16]byte, want CrashVerdict) {
+		t.Helper()
+		if got, _ := g.Verdict(now, fp); got != want {
+			t.Fatalf("verdict %v on %v, want %v", got, fp[0], want)
+		}
+	}
+	for _, fp := range [][16]byte{poison, innocent} {
+		here.Crashed(start, fp, "engine-1", 4)
+		here.Crashed(start, fp, "engine-1", 4)
+		expect(here, start, fp, CrashSuspect)
+	}
+	tell(here, there, start)
+	there.Completed(start.Add(time.Second), innocent)
+	there.Crashed(start.Add(time.Second), poison, "engine-2", 1)
+	tell(there, here, start.Add(time.Second))
+	for _, g := range []*CrashGuard{here, there} {
+		expect(g, start.Add(2*time.Second), innocent, CrashClean)
+		expect(g, start.Add(2*time.Second), poison, CrashRefused)
+		expect(g, start.Add(2*time.Minute), poison, CrashClean)
+	}
+}
+
+// States travel between instances in any order and more than once; all have to
+// come to the same verdicts.
+func TestCrashStatesMergeToTheSame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		fp := [16]byte{1}
+		var states []*fleetpb.FingerprintState
+		for range rapid.IntRange(1, 5).Draw(t, "instances") {
+			g := NewCrashGuard(time.Minute)
+			for range rapid.IntRange(0, 3).Draw(t, "crashes") {
+				g.Crashed(start, fp, rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "endpoint"), 1)
+				if rapid.Bool().Draw(t, "completed") {
+					g.Completed(start, fp)
+				}
+			}
+			if s, _ := g.State(start, fp); s != nil {
+				states = append(states, s)
+			}
+		}
+		merged := func(order []*fleetpb.FingerprintState) *fleetpb.FingerprintState {
+			g := NewCrashGuard(time.Minute)
+			for _, s := range order {
+				g.Merge(start, fp, s, time.Minute)
+				g.Merge(start, fp, states[0], time.Minute)
+			}
+			s, _ := g.State(start, fp)
+			return s
+		}
+		if a, b := merged(states), merged(rapid.Permutation(states).Draw(t, "order")); !proto.Equal(a, b) {
+			t.Fatalf("%v and %v", a, b)
+		}
+	})
+}
