--- a/internal/slopes/slopes.go
+++ b/internal/slopes/slopes.go
@@ -39,6 +39,7 @@
 	{"ask", measureAsk},
 	{"decision", measureDecision},
 	{"owner", measureOwner},
+	{"connection", measureConnection},
 	{"state", measureState},
 	{"change", measureChange},
 	{"instance", measureInstance},
