Take the service's stand-in down before the crashing call ends

The ordered crash ran beside the call that ordered it, so it could cut the next call after its effect; the caller then sent a third time. Ruled out: a client that retries (PATCH is not idempotent, keep-alive is off). Change: the service goes down first, then drops the call's connection.

--- a/emulator/service.go
+++ b/emulator/service.go
@@ -110,10 +110,23 @@
 // Crash cuts every connection and refuses new ones for a time.
 func (s *Service) Crash(down time.Duration) {
 	_ = s.gate.down()
+	s.restart(down)
+}
+
+func (s *Service) restart(down time.Duration) {
 	s.cfg.Pace.sleep(down, s.done)
 	_ = s.gate.up()
 }
 
+// crashUnder crashes the service under a call. It is down before the call's
+// connection ends: a crash that came later would hit the caller's next call,
+// which nobody ordered.
+func (s *Service) crashUnder(ctx *fasthttp.RequestCtx, down time.Duration) {
+	_ = s.gate.down()
+	go s.restart(down)
+	drop(ctx)
+}
+
 // ServiceAnswer is the text that the service answers a call with.
 func ServiceAnswer(method, path string, body []byte) string {
 	return fmt.Sprintf("%s %s %016x", method, path, xxh3.Hash(body))
@@ -131,8 +144,7 @@
 	}
 	down := time.Duration(f.DownMS) * time.Millisecond
 	if f.CrashBefore > 0 {
-		go s.Crash(down)
-		drop(ctx)
+		s.crashUnder(ctx, down)
 		return
 	}
 	if !s.cfg.Pace.sleep(s.cfg.WorkTime+time.Duration(f.SlowMS)*time.Millisecond, s.done) {
@@ -142,8 +154,7 @@
 	s.effect(ctx)
 	switch {
 	case f.CrashAfter > 0:
-		go s.Crash(down)
-		drop(ctx)
+		s.crashUnder(ctx, down)
 	case f.SilentAfter > 0:
 		hold(ctx)
 	default:
