Check refusals again at the end of a run

Cause: a request that was refused as not run could start after the refusal had been checked, by a connection that was slow or silent, and nobody counted it. Change: words of not-run are kept and compared with the endpoints' counts once everything has ended; checks stand in a file of their own.

--- a/demo/demo.go
+++ b/demo/demo.go
@@ -75,6 +75,7 @@
 
 func (d *driver) fill(r *Report) {
 	d.settleKeys()
+	d.settleRefusals()
 	r.Classes, r.Findings = d.classes, d.findings
 }
 
--- a/demo/driver.go
+++ b/demo/driver.go
@@ -14,8 +14,6 @@
 )
 
 const (
-	// maxFindings bounds the broken invariants that are told one by one.
-	maxFindings = 20
 	// progressEvery is the time between two lines of progress.
 	progressEvery = time.Second
 	// defaultBackoff is how long a caller waits before it sends again, where
@@ -49,13 +47,13 @@
 	open     int
 	findings []string
 	keys     map[string]*keyed
+	refusals []refusal
 }
 
-// keyed is what callers were told of one request that must not run twice.
-type keyed struct {
-	class     string
-	marker    string
-	confirmed bool
+// refusal is a word of "not run" that has to be true to the end.
+type refusal struct {
+	class, marker, key string
+	runs               int
 }
 
 func newDriver(w *workload, t targets, runs *emulator.Ledger) *driver {
@@ -177,55 +175,6 @@
 	return v, target, a
 }
 
-// runsOf returns how often the endpoints started the request.
-func (d *driver) runsOf(r *request, marker string) int {
-	if d.runs == nil {
-		return 0
-	}
-	return max(d.runs.ByMarker(marker), d.runs.ByKey(r.key))
-}
-
-// check counts what is wrong with one attempt's answer; a later attempt does
-// not mend it.
-func (d *driver) check(r *request, v verdict, a answer, c call, marker, target string, before int) {
-	after := d.runsOf(r, marker)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	counts := d.classes[r.work.GetName()]
-	counts.Attempts++
-	at := fmt.Sprintf("%s at %s as %s", marker, target, a.requestID)
-	switch {
-	case v == verdictIncomplete:
-		counts.Incomplete++
-		d.find("incomplete: %s, status %d, ending %d after %q", at, a.status, a.ending, clip(a.text))
-	// A request with a key is one and the same in all attempts: not-run is
-	// false if any of them has run.
-	case d.runs != nil && v == verdictNotRun && (r.key != "" && after > 0 || after > before):
-		counts.FalseNotRun++
-		d.find("false not-run: %s, status %d, code %s, %d runs", at, a.status, a.errorCode, after)
-	case v == verdictComplete && r.key != "":
-		d.keys[r.key].confirmed = true
-	case v == verdictWrong:
-		counts.WrongAnswer++
-		d.find("wrong answer: %s, got %q, want %q", at, clip(a.text), clip(c.want))
-	}
-}
-
-// clip shortens a text for a line of the report.
-func clip(s string) string {
-	const limit = 80
-	if len(s) <= limit {
-		return s
-	}
-	return s[:limit] + "..."
-}
-
-func (d *driver) find(format string, args ...any) {
-	if len(d.findings) < maxFindings {
-		d.findings = append(d.findings, fmt.Sprintf(format, args...))
-	}
-}
-
 // observe records the time to the first token, from the due time on.
 func (d *driver) observe(r *request, a answer, due time.Time) {
 	d.mu.Lock()
@@ -246,6 +195,11 @@
 		c.NotReached++
 	case verdictNotRun:
 		c.RefusedNotRun++
+		// A second attempt that was open beside this one may still run.
+		if r.key != "" && r.resend == resendNever {
+			marker := r.markerName(d.workload.load.GetSeed(), 0)
+			d.refuse(r, marker, d.runsOf(r, marker))
+		}
 	case verdictUnknown:
 		c.UnknownOutcome++
 	case verdictFailed:
@@ -255,28 +209,6 @@
 	}
 }
 
-// settleKeys counts, at the end of a run, by what the endpoints ran.
-func (d *driver) settleKeys() {
-	if d.runs == nil {
-		return
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for key, k := range d.keys {
-		// Services see the key, engines only the marker.
-		runs := max(d.runs.ByKey(key), d.runs.ByMarker(k.marker))
-		c := d.classes[k.class]
-		if runs > 1 {
-			c.DoubledNonRepeatable++
-			d.find("doubled: %s ran %d times", key, runs)
-		}
-		if k.confirmed && runs == 0 {
-			c.ConfirmedNotRun++
-			d.find("confirmed but not run: %s", key)
-		}
-	}
-}
-
 // showProgress writes a line a second where a person watches.
 func (d *driver) showProgress(w io.Writer) (stop func()) {
 	if !isTerminal(w) {
