Forget connections between instances

Change: a link forwards TCP and can silence or cut what is open; in the demo one stands before each instance's fleet address.

--- a/demo/faultkinds.go
+++ b/demo/faultkinds.go
@@ -35,6 +35,8 @@
 	{"service silent", 2, serviceSilent},
 	{"service slow", 1, serviceSlow},
 	{"service connections silent", 2, func(in *injector) { in.service().SilenceOpen() }},
+	{"peer connections silent", 2, func(in *injector) { in.member().link.SilenceOpen() }},
+	{"peer connections cut", 1, func(in *injector) { in.member().link.CutOpen() }},
 	{"instance killed", 3, instanceKilled},
 	{"instances restarted in a herd", 1, herdRestarted},
 	{"instance stopped", 1, instanceStopped},
--- a/demo/faults.go
+++ b/demo/faults.go
@@ -141,6 +141,10 @@
 	return in.emulator.Services[in.rng.IntN(len(in.emulator.Services))]
 }
 
+func (in *injector) member() *member {
+	return in.fleet.members[in.rng.IntN(len(in.fleet.members))]
+}
+
 // changeEngine changes the faults in force at an engine.
 func (in *injector) changeEngine(e *emulator.Engine, change func(*emulator.EngineFaults)) {
 	in.mu.Lock()
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -38,6 +38,8 @@
 	name                  string
 	dataCentre            string
 	callers, admin, peers string
+	// link stands between the peers and this instance.
+	link *emulator.Link
 
 	// running is the instance that the balancer sends to, if there is one.
 	running            *instance.Instance
@@ -60,6 +62,10 @@
 			callers:    ports[3*n], admin: ports[3*n+1], peers: ports[3*n+2],
 		})
 	}
+	if err := f.startLinks(); err != nil {
+		f.stop()
+		return nil, err
+	}
 	f.tellPlatform()
 	for _, m := range f.members {
 		if err := f.start(ctx, m); err != nil {
@@ -70,6 +76,17 @@
 	return f, nil
 }
 
+func (f *fleet) startLinks() error {
+	for _, m := range f.members {
+		link, err := emulator.StartLink(anyPort, m.peers)
+		if err != nil {
+			return err
+		}
+		m.link = link
+	}
+	return nil
+}
+
 // freePorts finds addresses that nothing listens on.
 func freePorts(count int) ([]string, error) {
 	addrs := make([]string, 0, count)
@@ -103,24 +120,24 @@
 	var seeds []string
 	for _, other := range f.members {
 		if other != m {
-			seeds = append(seeds, fmt.Sprintf("%q", other.peers))
+			seeds = append(seeds, fmt.Sprintf("%q", other.link.Addr()))
 		}
 	}
 	return fmt.Sprintf(`fleet: demo
 instance: %s
 data_centre: %s
-listen: {callers: %q, admin: %q, fleet: %q}
+listen: {callers: %q, admin: %q, fleet: %q, advertise: %q}
 platform: {address: %q}
 seeds: [%s]
 shutdown: {notice_ms: 200, drain_ms: 20000}
-`, m.name, m.dataCentre, m.callers, m.admin, m.peers, f.store.Addr(), strings.Join(seeds, ", "))
+`, m.name, m.dataCentre, m.callers, m.admin, m.peers, m.link.Addr(), f.store.Addr(), strings.Join(seeds, ", "))
 }
 
 // tellPlatform writes the list of instances as the platform would.
 func (f *fleet) tellPlatform() {
 	var entries []platform.InstanceEntry
 	for _, m := range f.members {
-		entries = append(entries, platform.InstanceEntry{Name: m.name, Address: m.peers, DataCentre: m.dataCentre})
+		entries = append(entries, platform.InstanceEntry{Name: m.name, Address: m.link.Addr(), DataCentre: m.dataCentre})
 	}
 	f.store.SetInstances(entries)
 }
@@ -173,6 +190,11 @@
 	}
 	f.mu.Unlock()
 	wg.Wait()
+	for _, m := range f.members {
+		if m.link != nil {
+			m.link.Close()
+		}
+	}
 }
 
 const (
--- a/emulator/gate.go
+++ b/emulator/gate.go
@@ -19,7 +19,7 @@
 // gate is a stand-in's listener. It can cut its connections, make the open
 // ones silent while new ones work, and go down and come back on one address.
 type gate struct {
-	srv  *fasthttp.Server
+	run  func(net.Listener) error
 	addr string
 
 	mu       sync.Mutex
@@ -32,18 +32,24 @@
 // noReservation says that no socket holds the address.
 const noReservation = -1
 
+// openGate serves HTTP behind a gate.
 func openGate(addr string, handler fasthttp.RequestHandler) (*gate, error) {
-	ln, err := net.Listen("tcp", addr)
-	if err != nil {
-		return nil, err
-	}
-	g := &gate{addr: ln.Addr().String(), reserved: noReservation, conns: map[*gateConn]struct{}{}}
-	g.srv = &fasthttp.Server{
+	srv := &fasthttp.Server{
 		Handler:               handler,
 		NoDefaultServerHeader: true,
 		MaxRequestBodySize:    64 << 20,
 		Logger:                silentLogger{},
 	}
+	return openGateWith(addr, srv.Serve)
+}
+
+// openGateWith runs any server behind a gate.
+func openGateWith(addr string, run func(net.Listener) error) (*gate, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	g := &gate{run: run, addr: ln.Addr().String(), reserved: noReservation, conns: map[*gateConn]struct{}{}}
 	g.serve(ln)
 	return g, nil
 }
@@ -55,7 +61,7 @@
 
 func (g *gate) serve(ln net.Listener) {
 	g.ln = ln
-	go func() { _ = g.srv.Serve(&gateListener{Listener: ln, gate: g}) }()
+	go func() { _ = g.run(&gateListener{Listener: ln, gate: g}) }()
 }
 
 // down closes the listener and every connection. The address stays bound, so
