Hold the ports of instances that are away

Cause: a run with faults ended with 'address already in use' when another process took a port between its choice and its use. Change: the demo binds its instances' ports for the whole run without listening.

--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"slices"
 	"strings"
 	"sync"
@@ -26,6 +25,7 @@
 type fleet struct {
 	store       *emulator.Store
 	dataCentres []string
+	releases    []func()
 
 	mu      sync.Mutex
 	members []*member
@@ -51,8 +51,9 @@
 // as seeds, whether or not they run yet.
 func startFleet(ctx context.Context, store *emulator.Store, dataCentres []string, count int) (*fleet, error) {
 	f := &fleet{store: store, dataCentres: dataCentres}
-	ports, err := freePorts(3 * count)
+	ports, err := f.reservePorts(3 * count)
 	if err != nil {
+		f.stop()
 		return nil, err
 	}
 	for n := range count {
@@ -87,16 +88,16 @@
 	return nil
 }
 
-// freePorts finds addresses that nothing listens on.
-func freePorts(count int) ([]string, error) {
+// reservePorts holds addresses for the instances until the run ends.
+func (f *fleet) reservePorts(count int) ([]string, error) {
 	addrs := make([]string, 0, count)
 	for range count {
-		ln, err := net.Listen("tcp", anyPort)
+		addr, release, err := emulator.ReservePort()
 		if err != nil {
 			return nil, err
 		}
-		defer func() { _ = ln.Close() }()
-		addrs = append(addrs, ln.Addr().String())
+		f.releases = append(f.releases, release)
+		addrs = append(addrs, addr)
 	}
 	return addrs, nil
 }
@@ -195,6 +196,9 @@
 			m.link.Close()
 		}
 	}
+	for _, release := range f.releases {
+		release()
+	}
 }
 
 const (
--- a/emulator/gate.go
+++ b/emulator/gate.go
@@ -237,3 +237,25 @@
 	c.gate.mu.Unlock()
 	return c.Conn.Close()
 }
+
+// ReservePort holds a free loopback port until release, so that nothing else
+// takes it while the process that is to listen there is away. It can be
+// listened on meanwhile.
+func ReservePort() (addr string, release func(), err error) {
+	fd, err := reserve("127.0.0.1:0")
+	if err != nil {
+		return "", nil, err
+	}
+	release = func() { _ = syscall.Close(fd) }
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		release()
+		return "", nil, err
+	}
+	bound, ok := name.(*syscall.SockaddrInet4)
+	if !ok {
+		release()
+		return "", nil, fmt.Errorf("hold a port: the socket's address is %T", name)
+	}
+	return fmt.Sprintf("127.0.0.1:%d", bound.Port), release, nil
+}
