--- a/fleet/transport/tls_test.go
+++ b/fleet/transport/tls_test.go
@@ -27,7 +27,7 @@
 	key  *ecdsa.PrivateKey
 }
 
-func newAuthority(t *testing.T) *authority {
+func newAuthority(t testing.TB) *authority {
 	t.Helper()
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
@@ -50,7 +50,7 @@
 }
 
 // issue writes a certificate and its key, and the authority, into files.
-func (a *authority) issue(t *testing.T) *settingspb.Tls {
+func (a *authority) issue(t testing.TB) *settingspb.Tls {
 	t.Helper()
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
@@ -76,7 +76,7 @@
 	}
 }
 
-func writePEM(t *testing.T, dir, name, block string, der []byte) string {
+func writePEM(t testing.TB, dir, name, block string, der []byte) string {
 	t.Helper()
 	path := filepath.Join(dir, name)
 	if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: block, Bytes: der}), 0o600); err != nil {
@@ -85,7 +85,7 @@
 	return path
 }
 
-func loadKeys(t *testing.T, files *settingspb.Tls) *transport.Keys {
+func loadKeys(t testing.TB, files *settingspb.Tls) *transport.Keys {
 	t.Helper()
 	keys, err := transport.LoadKeys(files)
 	if err != nil {
@@ -156,3 +156,23 @@
 		synctest.Wait()
 	})
 }
+
+// BenchmarkFirstCall measures a call that has to open its connection, with and
+// without TLS. Bytes are those of both directions.
+func BenchmarkFirstCall(b *testing.B) {
+	fleetAuthority := newAuthority(b)
+	for name, keys := range map[string]*transport.Keys{"plain": nil, "tls": loadKeys(b, fleetAuthority.issue(b))} {
+		b.Run(name, func(b *testing.B) {
+			address := listen(b, &echo{}, keys)
+			traffic := &transport.Traffic{}
+			for b.Loop() {
+				client := transport.NewClient(transport.DialTCP, keys, traffic)
+				if _, err := client.Ask(context.Background(), address, 5*time.Second, ask(fleetName)); err != nil {
+					b.Fatal(err)
+				}
+				client.Close()
+			}
+			b.ReportMetric(float64(traffic.Sent.Load()+traffic.Received.Load())/float64(b.N), "B/call")
+		})
+	}
+}
--- a/fleet/transport/transport_test.go
+++ b/fleet/transport/transport_test.go
@@ -31,7 +31,7 @@
 }
 
 // listen serves e on loopback and returns the address.
-func listen(t *testing.T, e *echo, keys *transport.Keys) string {
+func listen(t testing.TB, e *echo, keys *transport.Keys) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/slopes/state.go
+++ b/internal/slopes/state.go
@@ -1,17 +1,22 @@
 package slopes
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"runtime"
 	"time"
 
+	"github.com/sardinedock/sardinedock/clock"
 	"github.com/sardinedock/sardinedock/fleet/exchange"
 	"github.com/sardinedock/sardinedock/fleet/member"
 	"github.com/sardinedock/sardinedock/owner"
+	"github.com/sardinedock/sardinedock/place"
 	"github.com/sardinedock/sardinedock/policy"
+	"github.com/sardinedock/sardinedock/record"
 	"github.com/sardinedock/sardinedock/schema/fleetpb"
+	"github.com/sardinedock/sardinedock/schema/recordspb"
 )
 
 // measureState prints the heap that each kind of state takes, at three sizes.
@@ -20,9 +25,12 @@
 	for _, n := range []int{600, 1200, 2400} {
 		printHeap(out, "endpoint's item in the exchange", n, func() any { return storeOf(someItems(n, 0)) })
 		printHeap(out, "record's item in the exchange", n, func() any { return storeOf(someItems(0, n)) })
+		printHeap(out, "record in the keeper", n, func() any { return keeperOf(n) })
 		printHeap(out, "member", n, func() any { return tableOf(n) })
+		printHeap(out, "endpoint in routes and ranking", n, func() any { return fleetOf(n) })
 	}
-	for _, blocks := range []int{1000, 4000, 16000} {
+	printHeap(out, "placing without records", 1, func() any { return fleetOf(0) })
+	for _, blocks := range []int{1000, 4000, 16000, 150000} {
 		printHeap(out, fmt.Sprintf("owned endpoint, %d blocks known", blocks), 16, func() any { return bookOf(16, blocks) })
 	}
 	return nil
@@ -69,3 +77,33 @@
 	}
 	return b
 }
+
+// keeperOf holds records of organisations as they are in the object API.
+func keeperOf(n int) *record.Keeper {
+	k := record.NewKeeper(clock.System{})
+	var items []record.Item
+	for i := range n {
+		name := fmt.Sprintf("customer-%04d", i)
+		r := &recordspb.Record{SchemaVersion: 1, Name: name, Spec: &recordspb.Record_Organisation{Organisation: &recordspb.Organisation{
+			Weight: 1, RequestsPerSecond: 100, KeyHashes: []string{record.HashKey(name), record.HashKey(name + "-next")},
+		}}}
+		value, _ := record.Marshal(r)
+		items = append(items, record.Item{Kind: record.Organisations, Name: name, Version: uint64(i + 1), Value: value})
+	}
+	k.Offer(items...)
+	k.SetComplete()
+	return k
+}
+
+// fleetOf is a placer that knows a pool of n endpoints.
+func fleetOf(n int) *place.Fleet {
+	duty := place.NewDuty(place.DutyConfig{Self: "entry", Clock: clock.System{}})
+	f := place.NewFleet(place.FleetConfig{
+		Caller: &fleetpb.Caller{Fleet: fleetName, Instance: "entry"}, Clock: clock.System{}, Peers: &granting{}, Duty: duty,
+	})
+	if n > 0 {
+		f.SetRecords(context.Background(), poolRecord(n))
+		f.SetView(context.Background(), viewOf("entry", []string{"other"}, []string{"peer"}))
+	}
+	return f
+}
