--- a/demo/checks.go
+++ b/demo/checks.go
@@ -1,6 +1,10 @@
 package demo
 
-import "fmt"
+import (
+	"fmt"
+	"strings"
+	"time"
+)
 
 // maxFindings bounds the broken invariants that are told one by one.
 const maxFindings = 20
@@ -10,8 +14,24 @@
 	class     string
 	marker    string
 	confirmed bool
+	// trace is what each attempt came to, in the order of their ends.
+	trace []string
 }
 
+// maxTrace bounds the attempts of one request that are told.
+const maxTrace = 16
+
+// traced adds an attempt to the request's trace.
+func (k *keyed) traced(begun time.Time, v verdict, target string, a *answer, runs int) {
+	if len(k.trace) < maxTrace {
+		k.trace = append(k.trace, fmt.Sprintf("%s to %s at %s: %s, status %d, code %s, %d runs then", begun.Format(traceTime),
+			time.Now().Format(traceTime), target, v, a.status, a.errorCode, runs))
+	}
+}
+
+// traceTime is the layout of the times in traces.
+const traceTime = "05.000"
+
 // runsOf returns how often the endpoints started the request.
 func (d *driver) runsOf(r *request, marker string) int {
 	if d.runs == nil {
@@ -22,7 +42,7 @@
 
 // check counts what is wrong with one attempt's answer; a later attempt does
 // not mend it.
-func (d *driver) check(r *request, v verdict, a answer, c call, marker, target string, before int) {
+func (d *driver) check(r *request, v verdict, a answer, c call, marker, target string, begun time.Time, before int) {
 	after := d.runsOf(r, marker)
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -31,6 +51,9 @@
 	if v == verdictNotRun && r.key == "" && !r.poison {
 		d.refuse(r, marker, before)
 	}
+	if r.key != "" {
+		d.keys[r.key].traced(begun, v, target, &a, after)
+	}
 	at := fmt.Sprintf("%s at %s as %s", marker, target, a.requestID)
 	switch {
 	case v == verdictIncomplete:
@@ -40,7 +63,7 @@
 	// false if any of them has run.
 	case d.runs != nil && v == verdictNotRun && (r.key != "" && after > 0 || r.poison && after > before):
 		counts.FalseNotRun++
-		d.find("false not-run: %s, status %d, code %s, %d runs", at, a.status, a.errorCode, after)
+		d.find("false not-run: %s, status %d, code %s, %d runs; %s", at, a.status, a.errorCode, after, d.traceOf(r.key))
 	case v == verdictComplete && r.key != "":
 		d.keys[r.key].confirmed = true
 	case v == verdictWrong:
@@ -86,7 +109,7 @@
 	for _, r := range d.refusals {
 		if runs := max(d.runs.ByMarker(r.marker), d.runs.ByKey(r.key)); runs > r.runs {
 			d.classes[r.class].FalseNotRun++
-			d.find("false not-run: %s ran after its refusal, %d runs", r.marker, runs)
+			d.find("false not-run: %s ran after its refusal, %d runs; %s", r.marker, runs, d.traceOf(r.key))
 		}
 	}
 }
@@ -104,11 +127,18 @@
 		c := d.classes[k.class]
 		if runs > 1 {
 			c.DoubledNonRepeatable++
-			d.find("doubled: %s ran %d times", key, runs)
+			d.find("doubled: %s ran %d times; %s", key, runs, d.traceOf(key))
 		}
 		if k.confirmed && runs == 0 {
 			c.ConfirmedNotRun++
-			d.find("confirmed but not run: %s", key)
+			d.find("confirmed but not run: %s; %s", key, d.traceOf(key))
 		}
 	}
 }
+
+func (d *driver) traceOf(key string) string {
+	if k, ok := d.keys[key]; ok {
+		return strings.Join(k.trace, " | ")
+	}
+	return "no trace"
+}
--- a/demo/driver.go
+++ b/demo/driver.go
@@ -19,6 +19,8 @@
 	// defaultBackoff is how long a caller waits before it sends again, where
 	// the answer does not say.
 	defaultBackoff = 200 * time.Millisecond
+	// reachBound is how long a caller goes on trying to reach any instance.
+	reachBound = 15 * time.Second
 	// maxBackoff bounds what a caller takes from Retry-After.
 	maxBackoff = 3 * time.Second
 )
@@ -137,7 +139,13 @@
 		if last == verdictComplete {
 			d.observe(r, a, due)
 		}
-		if last == verdictComplete || n >= d.resends || ctx.Err() != nil {
+		if last == verdictComplete || ctx.Err() != nil {
+			break
+		}
+		if last == verdictUnsent && time.Since(due) < reachBound {
+			n--
+		}
+		if n >= d.resends {
 			break
 		}
 		tried = append(tried, target)
@@ -171,7 +179,7 @@
 	if v == verdictIncomplete && a.ending != endTimeout && a.ending != endShort && d.targets.killedSince(target, begun) {
 		v = verdictCut
 	}
-	d.check(r, v, a, c, marker, target, before)
+	d.check(r, v, a, c, marker, target, begun, before)
 	return v, target, a
 }
 
--- a/demo/verdict.go
+++ b/demo/verdict.go
@@ -18,6 +18,11 @@
 	verdictUnsent
 )
 
+// String names the verdict for traces.
+func (v verdict) String() string {
+	return [...]string{"complete", "incomplete", "wrong", "not run", "unknown", "failed", "cut by kill", "not reached"}[v]
+}
+
 // judge decides from the answer alone.
 func judge(a *answer, c *call, checkText bool) verdict {
 	if checkText && a.status == 200 && !strings.HasPrefix(c.want, a.text) {
