Resend after the entries' own bound of silence in the measurement of pauses

Cause: policybench kept requests at a silent endpoint until its expulsion, which an entry instance does not: it gives a stream up after its own bound of silence. Change: requests without a first token go elsewhere after three seconds, expelled or not.

--- a/policy/policybench/sim.go
+++ b/policy/policybench/sim.go
@@ -275,9 +275,10 @@
 }
 
 // pause stops an endpoint for a time. Its silence is noticed after a second,
-// and it is expelled after the deferral: what ran there runs elsewhere.
+// and it is expelled after the deferral. Entries send what has no first token
+// after three seconds of silence elsewhere, expelled or not.
 func (m *sim) pause(endpoint int, length, deferral time.Duration) {
-	const suspectAfter = time.Second
+	const suspectAfter, entrySilence = time.Second, 3 * time.Second
 	e, name := m.engines[endpoint], endpointName(endpoint)
 	o := m.books[m.ownerOf[endpoint]].Endpoint(name)
 	e.paused = true
@@ -289,8 +290,8 @@
 		}
 	}
 	m.after(suspectAfter, status(fleetpb.EndpointStatus_ENDPOINT_STATUS_SUSPECT))
-	m.after(suspectAfter+deferral, func() {
-		status(fleetpb.EndpointStatus_ENDPOINT_STATUS_EXPELLED)()
+	m.after(suspectAfter+deferral, status(fleetpb.EndpointStatus_ENDPOINT_STATUS_EXPELLED))
+	m.after(entrySilence, func() {
 		if e.paused {
 			m.resend(e)
 		}
