Raise the price of recomputation while all candidates are behind

Cause: in saturation each shift takes as much of the pool's capacity as it computes; waits grew and more shifted. The hit rate fell with the load.

--- a/policy/choose.go
+++ b/policy/choose.go
@@ -40,6 +40,11 @@
 // docs/notes/placement.md back.
 const DefaultRecompute = 2
 
+// scarceWait is the wait at the least busy candidate that doubles the price of
+// recomputation. A tenth of a second is about what an endpoint is given ahead,
+// so that less is not yet a sign of saturation.
+const scarceWait = 100 * time.Millisecond
+
 // Choice is what Choose decided.
 type Choice struct {
 	// Index of the offer, -1 where there was none.
@@ -61,6 +66,7 @@
 // behind each other while other endpoints idle. Equal costs keep the order of
 // the candidates, which all instances share.
 func Choose(promptTokens, keptTokens int64, offers []Offer, p Prices) Choice {
+	p = p.scarce(offers)
 	best := Choice{Index: -1}
 	for i, o := range offers {
 		at := p
@@ -76,6 +82,23 @@
 	return best
 }
 
+// scarce raises the price of recomputation while even the least busy candidate
+// is behind. While one of them idles, computing a prompt again costs nobody
+// else's time. In saturation it does: each shift then takes as much from the
+// pool's capacity as it computes, the waits grow, and more requests shift. That
+// showed as a hit rate that falls with the load; with the price it stays.
+func (p Prices) scarce(offers []Offer) Prices {
+	if len(offers) == 0 {
+		return p
+	}
+	least := offers[0].Wait
+	for _, o := range offers {
+		least = min(least, o.Wait)
+	}
+	p.Recompute *= 1 + least.Seconds()/scarceWait.Seconds()
+	return p
+}
+
 // prefill prices the computation of what is not cached, with an import of kept
 // KV cache where that is cheaper.
 func (p Prices) prefill(prompt, kept, cached int64) (time.Duration, int64) {
--- a/policy/state_test.go
+++ b/policy/state_test.go
@@ -68,6 +68,11 @@
 			t.Errorf("%s: %+v, want %+v", tt.name, got, tt.want)
 		}
 	}
+	saturated := offers(3 * time.Second)
+	saturated[1].Wait = 200 * time.Millisecond
+	if got := Choose(10000, 0, saturated, p); got.Index != 0 {
+		t.Errorf("all are behind and the prompt is computed once more: %+v", got)
+	}
 	if got := Choose(1, 0, nil, p); got.Index != -1 {
 		t.Errorf("no offers: %+v", got)
 	}
