Beat on watches beside changes of other kinds

Cause: every change of any kind began the object API's heartbeat wait anew, and a quiet kind's watch was forgotten with the history of the others. Under steady writes watches fell silent, readers opened them again, and the old ones were not noticed to be gone. Change: the heartbeat counts from the last one, and a watch that has looked at a change has passed it.

--- a/emulator/store_test.go
+++ b/emulator/store_test.go
@@ -165,3 +165,34 @@
 		}
 	}
 }
+
+// Other kinds change all the time while a watch's own kind does not. Its reader
+// must still hear that the watch lives, or it would open it again and again.
+func TestHeartbeatsComeBesideOtherChanges(t *testing.T) {
+	s := startStore(t, emulator.StoreConfig{Heartbeat: 20 * time.Millisecond})
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		tick := time.NewTicker(time.Millisecond)
+		defer tick.Stop()
+		for {
+			select {
+			case <-stop:
+				return
+			case <-tick.C:
+				s.Set("other", "a", nil)
+			}
+		}
+	}()
+	resp, err := http.Get("http://" + s.Addr() + "/watch/claims?from=0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	beats := bufio.NewReader(resp.Body)
+	for range 5 {
+		if line, err := beats.ReadString('\n'); err != nil || line != "\n" {
+			t.Fatalf("line %q: %v", line, err)
+		}
+	}
+}
--- a/emulator/storewatch.go
+++ b/emulator/storewatch.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"sort"
 	"strconv"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -43,8 +44,9 @@
 	if !heartbeat(w) {
 		return
 	}
+	beat := time.Now()
 	for {
-		events, changed, ok := s.since(kind, instance, position)
+		events, seen, changed, ok := s.since(kind, instance, position)
 		if !ok {
 			return
 		}
@@ -54,14 +56,18 @@
 				return
 			}
 			_, _ = w.Write(append(line, '\n'))
-			position = obj.Version
 		}
+		position = max(position, seen)
 		if len(events) > 0 && w.Flush() != nil {
 			return
 		}
-		if !s.cfg.Pace.sleep(s.cfg.Heartbeat, either(changed, s.done)) {
+		// Changes of other kinds end the wait and must not put the heartbeat
+		// off, or a reader would take the watch for silent.
+		left := s.cfg.Heartbeat - s.cfg.Pace.unscale(time.Since(beat))
+		if left > 0 && !s.cfg.Pace.sleep(left, either(changed, s.done)) {
 			continue
 		}
+		beat = time.Now()
 		if !heartbeat(w) {
 			return
 		}
@@ -84,18 +90,19 @@
 	}
 }
 
-// since returns the changes of a kind after position, and a channel that is
-// closed at the next change of anything. It returns false where the watch ends.
-func (s *Store) since(kind, instance string, position platform.Version) ([]platform.Object, chan struct{}, bool) {
+// since returns the changes of a kind after position, the version up to which
+// it looked, and a channel that is closed at the next change of anything. It
+// returns false where the watch ends.
+func (s *Store) since(kind, instance string, position platform.Version) ([]platform.Object, platform.Version, chan struct{}, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	select {
 	case <-s.done:
-		return nil, nil, false
+		return nil, 0, nil, false
 	default:
 	}
 	if position < s.forgotten || s.faults.cuts(instance) || s.faults.Outage != OutageNone {
-		return nil, nil, false
+		return nil, 0, nil, false
 	}
 	i := sort.Search(len(s.history), func(i int) bool { return s.history[i].Version > position })
 	var events []platform.Object
@@ -104,5 +111,5 @@
 			events = append(events, obj)
 		}
 	}
-	return events, s.changed, true
+	return events, s.version, s.changed, true
 }
