--- a/entry/body.go
+++ b/entry/body.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/internal/jsonscan"
 )
 
 // Fields of a request's body that the router reads or writes.
@@ -29,17 +30,13 @@
 // and a long prompt is never decoded.
 type fields map[string]json.RawMessage
 
-// parseFields reads a body. Of a field that stands twice only the last one
-// counts and goes on, so that engine and router can't read different ones.
+// parseFields reads a body, which the fields alias. Of a field that stands
+// twice only the last one counts and goes on, so that engine and router can't
+// read different ones.
 func parseFields(body []byte) (fields, error) {
 	f := fields{}
-	if err := json.Unmarshal(body, &f); err != nil {
-		return nil, fault.Wrap(err, fault.BadRequest, "send a JSON object as the API defines it", "the body is not valid")
-	}
-	if f == nil {
-		return nil, fault.New(fault.BadRequest, "send a JSON object as the API defines it", "the body is null")
-	}
-	return f, nil
+	err := jsonscan.Fields(body, func(name string, value []byte) { f[name] = value })
+	return f, err
 }
 
 // value decodes a field into out, which keeps its value where the field is
@@ -103,25 +100,34 @@
 	if chat {
 		return f.chatText()
 	}
-	var prompt string
-	if json.Unmarshal(f[fieldPrompt], &prompt) != nil {
-		return f[fieldPrompt]
+	if prompt, ok := jsonscan.Unquote(f[fieldPrompt]); ok {
+		return prompt
 	}
-	return []byte(prompt)
+	return f[fieldPrompt]
 }
 
 func (f fields) chatText() []byte {
-	var messages []struct {
-		Role    string `json:"role"`
-		Content string `json:"content"`
-	}
-	if json.Unmarshal(f[fieldMessages], &messages) != nil {
-		return f[fieldMessages]
-	}
-	var text []byte
-	for _, m := range messages {
-		text = append(append(text, m.Role...), '\n')
-		text = append(append(text, m.Content...), '\n')
+	raw := f[fieldMessages]
+	text := make([]byte, 0, len(raw))
+	ok := true
+	err := jsonscan.Elements(raw, func(message []byte) {
+		var role, content []byte
+		bad := jsonscan.Fields(message, func(name string, value []byte) {
+			switch name {
+			case "role":
+				role, _ = jsonscan.Unquote(value)
+			case "content":
+				var isText bool
+				content, isText = jsonscan.Unquote(value)
+				ok = ok && (isText || string(value) == "null")
+			}
+		})
+		ok = ok && bad == nil
+		text = append(append(text, role...), '\n')
+		text = append(append(text, content...), '\n')
+	})
+	if err != nil || !ok {
+		return raw
 	}
 	return text
 }
--- /dev/null
+++ b/entry/once_internal_test.go
@@ -0,0 +1,56 @@
+package entry
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sardinedock/sardinedock/outcome"
+	"github.com/sardinedock/sardinedock/outcome/claim"
+	"github.com/sardinedock/sardinedock/schema/recordspb"
+)
+
+// pausedClaims grants every claim, after the process was paused.
+type pausedClaims struct {
+	pause    time.Duration
+	released int
+}
+
+func (p *pausedClaims) Look(context.Context, claim.Request) (claim.Found, error) {
+	return claim.Found{}, nil
+}
+
+func (p *pausedClaims) Take(context.Context, claim.Request) (claim.Found, error) {
+	time.Sleep(p.pause)
+	return claim.Found{}, nil
+}
+
+func (p *pausedClaims) Finish(claim.Request, claim.Answer) {}
+
+func (p *pausedClaims) Release(claim.Request) { p.released++ }
+
+// An instance is paused between its claim and the send, for so long that the
+// store may have forgotten the claim and another instance may hold the key.
+// Going on would ship twice, so it refuses, and says truly that it sent
+// nothing.
+func TestPausedHolderDoesNotSend(t *testing.T) {
+	for pause, ok := range map[time.Duration]bool{time.Second: true, claim.Retention: false} {
+		synctest.Test(t, func(t *testing.T) {
+			claims := &pausedClaims{pause: pause}
+			s := &Server{cfg: Config{Claims: claims}}
+			account := outcome.New(true)
+			class := &recordspb.RequestClass{MaxWaitMs: 1000, TimeoutMs: 60000}
+			ticket := s.newTicket(account, "k", claim.Request{Key: claim.NewKey("accra", "k"), Attempt: "a"}, class)
+			account.Admit()
+			if err := ticket.take(context.Background()); (err == nil) != ok {
+				t.Fatalf("after a pause of %v: %v", pause, err)
+			}
+			verdict := account.Finish()
+			ticket.end(verdict, claim.Answer{})
+			if !verdict.NotRun() || claims.released != 1 {
+				t.Fatalf("said %s, released %d times", verdict, claims.released)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/entry/overhead_bench_test.go
@@ -0,0 +1,108 @@
+package entry_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sardinedock/sardinedock/emulator"
+	"github.com/sardinedock/sardinedock/schema/settingspb"
+)
+
+// BenchmarkOverhead measures the first token through the router beside that of
+// the engine itself, one after the other in the same run: prompts of 400 KB or
+// a few bytes, all cached, a granted slot, connections that are open.
+func BenchmarkOverhead(b *testing.B) {
+	for name, prompt := range map[string]string{"short": prompt, "400KB": strings.Repeat("M12 anchor, grade 8.8; ", 17400)} {
+		b.Run(name, func(b *testing.B) {
+			r := newRig(b, rigConfig{engines: 1, engine: emulator.EngineConfig{Pace: 1000, CacheBlocks: 1 << 16}})
+			client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+			body := fmt.Sprintf(`{"model":"counter","prompt":%q,"max_tokens":1,"stream":true}`, prompt)
+			direct, routed := make([]time.Duration, b.N), make([]time.Duration, b.N)
+			for n := range b.N {
+				direct[n] = firstByte(b, client, "http://"+r.Engines[0].Addr(), body)
+				routed[n] = firstByte(b, client, r.url, body)
+			}
+			b.ReportMetric(micros(direct), "direct-p50-us")
+			b.ReportMetric(micros(routed), "routed-p50-us")
+			b.ReportMetric(micros(routed)-micros(direct), "added-p50-us")
+		})
+	}
+}
+
+func micros(d []time.Duration) float64 {
+	sort.Slice(d, func(i, j int) bool { return d[i] < d[j] })
+	return float64(d[len(d)/2].Nanoseconds()) / 1000
+}
+
+func firstByte(b *testing.B, client *http.Client, url, body string) time.Duration {
+	req, err := http.NewRequest("POST", url+"/v1/completions", strings.NewReader(body))
+	if err != nil {
+		b.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	begun := time.Now()
+	resp, err := client.Do(req)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		b.Fatal(resp, err)
+	}
+	data, err := io.ReadAll(resp.Body)
+	took := time.Since(begun)
+	if err != nil || !strings.HasSuffix(string(data), "[DONE]\n\n") {
+		b.Fatalf("%q, %v", data, err)
+	}
+	_ = resp.Body.Close()
+	return took
+}
+
+// BenchmarkOpenStreams measures what 1,000 open streams of short prompts hold
+// in the whole process, the router, the engine stand-in and the callers, and
+// the same without the router. The difference is the router's.
+func BenchmarkOpenStreams(b *testing.B) {
+	limits := &settingspb.Limits{
+		HeaderBytes: 16384, BodyBytes: 1 << 20, ReadTimeoutMs: 60000, WriteTimeoutMs: 10000,
+		Connections: 10000, StreamBufferPieces: 64, SilenceMs: 60000,
+	}
+	for range b.N {
+		r := newRig(b, rigConfig{engines: 1, limits: limits, engine: emulator.EngineConfig{Pace: 1, TokenTime: 20 * time.Second, Queue: 4096, Heartbeat: 100 * time.Millisecond}})
+		direct := heldBy(b, "http://"+r.Engines[0].Addr())
+		routed := heldBy(b, r.url)
+		b.ReportMetric((routed-direct)/1000/1024, "KB/stream")
+	}
+}
+
+// heldBy opens 1,000 streams and returns the bytes of heap and stacks in use.
+func heldBy(b *testing.B, url string) float64 {
+	const streams = 1000
+	before := inUse()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	var wg sync.WaitGroup
+	open := make([]io.Closer, streams)
+	for n := range streams {
+		wg.Go(func() {
+			req, _ := http.NewRequest("POST", url+"/v1/chat/completions", strings.NewReader(`{"model":"counter","messages":[{"role":"user","content":"x"}],"max_tokens":2,"stream":true}`))
+			req.Header.Set("Authorization", "Bearer "+testKey)
+			if resp, err := client.Do(req); err == nil {
+				open[n] = resp.Body
+			}
+		})
+	}
+	time.Sleep(2 * time.Second)
+	held := inUse() - before
+	client.CloseIdleConnections()
+	return held
+}
+
+func inUse() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapInuse + m.StackInuse)
+}
--- a/entry/request.go
+++ b/entry/request.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"strings"
 	"time"
 
@@ -40,7 +41,8 @@
 // readModelRequest checks a caller's request against the records. Errors are
 // final: nothing was sent.
 func readModelRequest(ctx *fasthttp.RequestCtx, records *record.Snapshot, organisation, id string) (*modelRequest, error) {
-	f, err := parseFields(ctx.PostBody())
+	// The server takes the body's memory back before a stream has ended.
+	f, err := parseFields(bytes.Clone(ctx.PostBody()))
 	if err != nil {
 		return nil, err
 	}
