--- a/instance/fleet_run.go
+++ b/instance/fleet_run.go
@@ -127,6 +127,7 @@
 		case <-ctx.Done():
 			return
 		case <-time.After(every):
+		case <-i.tellNow:
 		}
 		_ = i.peers.node.Tell(ctx, i.keeper.Version(), i.provider.StoreReachable())
 		if time.Since(swept) >= sweepEvery {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -25,13 +25,15 @@
 	store    *platform.Client
 	keeper   *record.Keeper
 	provider *record.Provider
-	entry    *entry.Server
-	claims   *claim.Book
-	callers  *cutListener
-	admin    *admin.Handler
-	adminLn  net.Listener
-	peers    *peers
-	clients  *endpoint.Clients
+	// tellNow wakes the duty that tells peers what is in force here.
+	tellNow chan struct{}
+	entry   *entry.Server
+	claims  *claim.Book
+	callers *cutListener
+	admin   *admin.Handler
+	adminLn net.Listener
+	peers   *peers
+	clients *endpoint.Clients
 	// following and pools are the duties towards endpoints.
 	following *following
 	pools     *poolDuties
--- a/instance/records.go
+++ b/instance/records.go
@@ -22,12 +22,16 @@
 		Timeout:  time.Duration(p.GetTimeoutMs()) * time.Millisecond,
 		Fleet:    platform.Rates{Reads: float64(p.GetReadsPerSecond()), Writes: float64(p.GetWritesPerSecond())},
 	})
+	i.tellNow = make(chan struct{}, 1)
 	i.keeper = record.NewKeeper(clock.System{})
 	i.provider = record.NewProvider(record.ProviderConfig{
 		Store:  i.store,
 		Keeper: i.keeper,
 		Self:   i.name(),
 		Spread: i.spreadLists,
+		ReachableChanged: func() {
+			latest(i.tellNow, struct{}{})
+		},
 	})
 	i.admin.Register("platform", func() any { return i.store.Dump() })
 	i.admin.Register("records", func() any { return i.keeper.Dump() })
