Look at the other candidates before a long prompt is computed anew

Cause: an idle first candidate was taken at once, whether it had the prompt cached or not. After a burst had spread a prefix, or the first candidate had evicted it, the prefix was computed there though another candidate held it. Change: the patience of the first ask bounds waiting plus the computing of what is not cached, not waiting alone.

--- a/owner/endpoint.go
+++ b/owner/endpoint.go
@@ -160,7 +160,7 @@
 		return refuse(a, ReasonEndpoint, 0)
 	}
 	offer := e.offer(now, a)
-	impatient := a.Patience > 0 && offer.Wait > a.Patience
+	impatient := a.Patience > 0 && e.costly(a, offer)
 	if a.Mode == Probe || impatient {
 		return Decision{Kind: Offered, Caller: a.Caller, RequestID: a.RequestID, Offers: []policy.Offer{offer}}
 	}
@@ -177,6 +177,18 @@
 	return Decision{Kind: Queued, Caller: a.Caller, RequestID: a.RequestID, Offer: offer}
 }
 
+// costly reports whether the time until the first token, of waiting and of
+// computing what is not cached, is over the ask's patience.
+//
+// It is made for prompts whose shared part lies at another candidate, since a
+// burst had spread it or this endpoint has evicted it. To ask the others costs
+// a round trip of a millisecond or two; a catalogue computed twice costs a
+// quarter of a second here and evicts another one.
+func (e *Endpoint) costly(a Ask, offer policy.Offer) bool {
+	missing := max(a.PromptTokens-offer.CachedTokens, 0)
+	return offer.Wait+e.window.Time(missing) > a.Patience
+}
+
 // repeated answers an ask that is known already.
 func (e *Endpoint) repeated(now time.Time, a Ask) (Decision, bool) {
 	if id, ok := e.granted[a.key()]; ok && a.Mode == Take {
--- a/owner/types.go
+++ b/owner/types.go
@@ -28,9 +28,10 @@
 	Caller    string
 	RequestID string
 	Mode      Mode
-	// Patience bounds the wait that Take queues for; with a longer one the
-	// answer is an offer, so that the caller can look at other endpoints. 0
-	// means no bound but the deadline.
+	// Patience bounds the time until the first token that Take accepts, of
+	// waiting and of computing what is not cached; with a longer one the answer
+	// is an offer, so that the caller can look at other endpoints. 0 means no
+	// bound but the deadline.
 	Patience     time.Duration
 	Organisation string
 	// Weight of the organisation; 0 counts as 1.
