Look up a prompt once for an ask; compare urgent work at its own rate

Cause: an ask looked the prompt's blocks up four times. Requests that were never begun were left out of the times.

--- a/owner/book.go
+++ b/owner/book.go
@@ -106,7 +106,7 @@
 	offers := make([]policy.Offer, 0, len(names))
 	for _, name := range names {
 		if e := b.endpoints[name]; e != nil && e.live() {
-			offers = append(offers, e.offer(now, a))
+			offers = append(offers, e.offer(now, a, e.appraise(now, a)))
 		}
 	}
 	return offers
--- a/owner/endpoint.go
+++ b/owner/endpoint.go
@@ -159,7 +159,8 @@
 	if !e.live() {
 		return refuse(a, ReasonEndpoint, 0)
 	}
-	offer := e.offer(now, a)
+	p := e.appraise(now, a)
+	offer := e.offer(now, a, p)
 	impatient := a.Patience > 0 && e.costly(a, offer)
 	if a.Mode == Probe || impatient {
 		return Decision{Kind: Offered, Caller: a.Caller, RequestID: a.RequestID, Offers: []policy.Offer{offer}}
@@ -167,13 +168,13 @@
 	if start := now.Add(offer.Wait); start.After(a.Deadline) {
 		return refuse(a, ReasonDeadline, retryAfter(a.RequestID, start.Sub(a.Deadline)))
 	}
-	if e.open(now, a) {
-		return e.grant(now, a)
+	if e.open(now, a, p.rank) {
+		return e.grant(now, a, p)
 	}
 	if len(e.queued) >= maxQueued {
 		return refuse(a, ReasonQueueFull, retryAfter(a.RequestID, offer.Wait))
 	}
-	e.enqueue(now, a)
+	e.enqueue(a, p)
 	return Decision{Kind: Queued, Caller: a.Caller, RequestID: a.RequestID, Offer: offer}
 }
 
@@ -195,7 +196,7 @@
 		return e.grantedDecision(e.grants[id]), true
 	}
 	if _, ok := e.queued[a.key()]; ok && a.Mode == Take {
-		return Decision{Kind: Queued, Caller: a.Caller, RequestID: a.RequestID, Offer: e.offer(now, a)}, true
+		return Decision{Kind: Queued, Caller: a.Caller, RequestID: a.RequestID, Offer: e.offer(now, a, e.appraise(now, a))}, true
 	}
 	return Decision{}, false
 }
@@ -205,7 +206,7 @@
 // open reports whether an ask may start at once: a slot of its lane is free,
 // nobody of its lane or above waits, and the endpoint is not behind with what
 // it has.
-func (e *Endpoint) open(now time.Time, a Ask) bool {
+func (e *Endpoint) open(now time.Time, a Ask, r rank) bool {
 	if len(e.lonely) > 0 || e.aloneRuns {
 		return false
 	}
@@ -215,7 +216,7 @@
 	if a.Urgent {
 		return e.queue[urgent].length == 0 && e.slotFree(urgent)
 	}
-	return len(e.queued) == 0 && e.slotFree(waiting) && e.prefillFree(now, rankOf(a, a.PromptTokens-e.cached(now, a)))
+	return len(e.queued) == 0 && e.slotFree(waiting) && e.prefillFree(now, r)
 }
 
 // slotFree reports whether the lane may use one more slot. The slots kept for
@@ -254,25 +255,24 @@
 	return now.Sub(e.longSince) > longPatience+longFactor*e.window.Time(e.pending[rankLong])
 }
 
-func (e *Endpoint) grant(now time.Time, a Ask) Decision {
+func (e *Endpoint) grant(now time.Time, a Ask, p appraisal) Decision {
 	timeout := a.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
-	cached := e.cached(now, a)
 	e.lastGrant++
 	g := &grant{
 		id:      e.lastGrant,
 		ask:     a,
 		lane:    laneOf(a),
-		cached:  cached,
-		tokens:  max(a.PromptTokens-cached, 0),
+		rank:    p.rank,
+		cached:  p.cached,
+		depth:   p.depth,
+		tokens:  p.missing,
+		mark:    e.window.Mark(),
 		since:   now,
 		expires: now.Add(timeout + timeoutMargin),
 	}
-	g.rank = rankOf(a, g.tokens)
-	g.depth, _ = e.known.depth(a.Blocks)
-	g.mark = e.window.Mark()
 	_, twice := e.granted[a.key()]
 	invariant.Check(!twice, "one_grant_per_request", "request %s of %s granted twice on %s", a.RequestID, a.Caller, e.cfg.Name)
 	e.grants[g.id] = g
@@ -298,9 +298,8 @@
 	}}
 }
 
-func (e *Endpoint) enqueue(now time.Time, a Ask) {
-	tokens := max(a.PromptTokens-e.cached(now, a), 0)
-	w := &waiter{ask: a, tokens: tokens, rank: rankOf(a, tokens)}
+func (e *Endpoint) enqueue(a Ask, p appraisal) {
+	w := &waiter{ask: a, tokens: p.missing, rank: p.rank}
 	e.queued[a.key()] = w
 	if a.Alone {
 		e.lonely = append(e.lonely, w)
@@ -327,7 +326,7 @@
 	var out []Decision
 	for w := e.next(now); w != nil; w = e.next(now) {
 		e.dequeue(w)
-		out = append(out, e.grant(now, w.ask))
+		out = append(out, e.grant(now, w.ask, e.appraise(now, w.ask)))
 	}
 	return out
 }
--- a/owner/estimate.go
+++ b/owner/estimate.go
@@ -23,7 +23,16 @@
 	firstShare = 0.9
 )
 
-// cached is how many tokens of the prompt are believed to be cached.
+// appraisal is what a prompt is worth at this endpoint now.
+type appraisal struct {
+	// depth is how many leading blocks are known.
+	depth int
+	// cached tokens are believed to be there, missing ones to be computed.
+	cached, missing int64
+	rank            rank
+}
+
+// appraise looks up what of a prompt is cached.
 //
 // It is made for the restart of all instances in the middle of a burst: the
 // engines' caches are full and no owner knows of what. Taken for empty, every
@@ -31,14 +40,17 @@
 // would get it instead of the one that has it cached. So a new owner believes
 // in the order of candidates, by which its predecessors placed, until it has
 // seen for itself what is in use.
-func (e *Endpoint) cached(now time.Time, a Ask) int64 {
+func (e *Endpoint) appraise(now time.Time, a Ask) appraisal {
 	known, sure := e.known.depth(a.Blocks)
 	blocks := float64(sure) + float64(known-sure)*doubtfulShare
 	tokens := blocks * float64(e.cfg.BlockTokens)
 	if a.Candidate == 0 && e.learning(now) {
 		tokens = max(tokens, firstShare*float64(a.PromptTokens))
 	}
-	return min(int64(tokens), a.PromptTokens)
+	p := appraisal{depth: known, cached: min(int64(tokens), a.PromptTokens)}
+	p.missing = a.PromptTokens - p.cached
+	p.rank = rankOf(a, p.missing)
+	return p
 }
 
 // learning reports whether the owner is new and the endpoint is not.
@@ -50,11 +62,11 @@
 }
 
 // offer is what the endpoint would give the ask now.
-func (e *Endpoint) offer(now time.Time, a Ask) policy.Offer {
+func (e *Endpoint) offer(now time.Time, a Ask, p appraisal) policy.Offer {
 	return policy.Offer{
 		Endpoint:     e.cfg.Name,
-		CachedTokens: e.cached(now, a),
-		Wait:         e.wait(now, a),
+		CachedTokens: p.cached,
+		Wait:         e.wait(now, a, p.rank),
 		Incarnation:  e.incarnation,
 		Alone:        a.Alone,
 		PrefillRate:  e.window.Rate(),
@@ -64,7 +76,7 @@
 // wait estimates the time until the endpoint begins with a new ask: until a
 // slot of its lane is free and until the prefill before it is computed,
 // whichever is later.
-func (e *Endpoint) wait(now time.Time, a Ask) time.Duration {
+func (e *Endpoint) wait(now time.Time, a Ask, r rank) time.Duration {
 	l := laneOf(a)
 	if a.Alone || len(e.lonely) > 0 || e.aloneRuns {
 		return e.drainTime(l, len(e.lonely))
@@ -73,7 +85,7 @@
 	if line := e.queue[l].lines[a.Organisation]; line != nil {
 		own = line.work
 	}
-	return e.waitBehind(now, a, rankOf(a, a.PromptTokens-e.cached(now, a)), own)
+	return e.waitBehind(now, a, r, own)
 }
 
 // waitBehind is the wait of an ask behind own work of its organisation.
--- a/policy/policybench/figures.go
+++ b/policy/policybench/figures.go
@@ -15,10 +15,12 @@
 
 type figures []float64
 
-// figures sums up the requests that arrived after the warm-up.
+// figures sums up the requests that arrived after the warm-up. Who still waited
+// at the end of the run, half a minute and more after the last arrival, counts
+// with that wait.
 func (m *sim) figures() figures {
 	var all, urgent []float64
-	var prompt, cached, served, inTime, refused, offered int64
+	var prompt, cached, inTime, refused, offered int64
 	var lateRefusal time.Duration
 	for _, r := range m.requests {
 		if r.at < m.s.warm {
@@ -29,16 +31,18 @@
 			refused++
 			lateRefusal = max(lateRefusal, r.refused-r.at-r.maxWait)
 		}
-		if r.first == 0 {
+		if r.refused > 0 {
 			continue
 		}
-		served++
-		prompt += r.tokens
-		cached += int64(r.cached)
-		if r.started <= r.at+r.maxWait {
-			inTime++
+		wait := (m.now - r.at).Seconds()
+		if r.first > 0 {
+			wait = (r.first - r.at).Seconds()
+			prompt += r.tokens
+			cached += int64(r.cached)
+			if r.started <= r.at+r.maxWait {
+				inTime++
+			}
 		}
-		wait := (r.first - r.at).Seconds()
 		all = append(all, wait)
 		if r.urgent {
 			urgent = append(urgent, wait)
--- a/policy/policybench/main.go
+++ b/policy/policybench/main.go
@@ -39,6 +39,7 @@
 		if !slices.Contains(*chosen, s.name) {
 			continue
 		}
+		s.fullRate = s.capacity()
 		switch {
 		case *deferral:
 			printDeferral(w, s)
@@ -67,7 +68,7 @@
 }
 
 func simulate(s scenario, policyName string, load float64, seed uint64, prepare func(*sim)) figures {
-	requests := s.arrivals(seed, load*s.capacity())
+	requests := s.arrivals(seed, load*s.fullRate)
 	m := newSim(s, policyName, requests)
 	if prepare != nil {
 		prepare(m)
@@ -77,7 +78,7 @@
 }
 
 func printPolicies(w *tabwriter.Writer, s scenario) {
-	fmt.Fprintf(w, "\n%s: %d endpoints, capacity %.1f requests/s, %d seeds, median (worst)\n", s.name, s.endpoints, s.capacity(), *seeds)
+	fmt.Fprintf(w, "\n%s: %d endpoints, capacity %.1f requests/s, %d seeds, median (worst)\n", s.name, s.endpoints, s.fullRate, *seeds)
 	fmt.Fprintln(w, strings.Join(append([]string{"load", "policy"}, columns...), "\t")+"\t")
 	for _, load := range *loads {
 		for _, p := range *policies {
@@ -104,7 +105,7 @@
 		var rows [2][]figures
 		for i, restart := range []bool{false, true} {
 			rows[i] = perSeed(func(seed uint64) figures {
-				m := newSim(s, owners, s.arrivals(seed, load*s.capacity()))
+				m := newSim(s, owners, s.arrivals(seed, load*s.fullRate))
 				if restart {
 					m.after(at, m.herdRestart)
 				}
--- a/policy/policybench/workload.go
+++ b/policy/policybench/workload.go
@@ -29,6 +29,8 @@
 	warm, measured              time.Duration
 	// urgentOnly leaves out the requests that may wait.
 	urgentOnly bool
+	// fullRate is the capacity, worked out once.
+	fullRate float64
 }
 
 // Figures of the letters where they give any; the rest is chosen so that the
