Index known blocks in 40 bytes each

Cause: a known block took 77 bytes with a Go map, the bound was reckoned with 40: twice the stated memory. Change: a table of places with linear probing.

--- a/owner/knowledge.go
+++ b/owner/knowledge.go
@@ -36,7 +36,7 @@
 // that was known before doubtful: an eviction may have been among the lost.
 // What is used after that is sure again.
 type knowledge struct {
-	index    map[blockKey]int32
+	index    blockIndex
 	blocks   []knownBlock
 	free     int32
 	newest   int32
@@ -54,7 +54,7 @@
 
 // clear forgets all blocks.
 func (k *knowledge) clear() {
-	k.index = map[blockKey]int32{}
+	k.index = blockIndex{}
 	k.blocks = k.blocks[:0]
 	k.free, k.newest, k.oldest = none, none, none
 }
@@ -66,7 +66,7 @@
 // sure.
 func (k *knowledge) depth(chain []prefix.Hash) (known, sure int) {
 	for _, h := range chain {
-		i, ok := k.index[keyOf(h)]
+		i, ok := k.index.find(k.blocks, keyOf(h))
 		if !ok {
 			break
 		}
@@ -87,13 +87,13 @@
 }
 
 func (k *knowledge) touch(key blockKey) {
-	i, ok := k.index[key]
+	i, ok := k.index.find(k.blocks, key)
 	if ok {
 		k.unlink(i)
 	} else {
 		i = k.allocate()
 		k.blocks[i].key = key
-		k.index[key] = i
+		k.index.add(k.blocks, i)
 	}
 	b := &k.blocks[i]
 	b.epoch = k.epoch
@@ -109,7 +109,7 @@
 
 // allocate finds a place for a block and evicts the oldest where there is none.
 func (k *knowledge) allocate() int32 {
-	if len(k.index) >= k.capacity {
+	if k.index.length >= k.capacity {
 		k.forget(k.blocks[k.oldest].key)
 	}
 	if k.free != none {
@@ -137,12 +137,12 @@
 
 // forget drops one block.
 func (k *knowledge) forget(key blockKey) {
-	i, ok := k.index[key]
+	i, ok := k.index.find(k.blocks, key)
 	if !ok {
 		return
 	}
 	k.unlink(i)
-	delete(k.index, key)
+	k.index.remove(k.blocks, key)
 	k.blocks[i].next = k.free
 	k.free = i
 }
--- a/owner/knowledge_test.go
+++ b/owner/knowledge_test.go
@@ -1,6 +1,8 @@
 package owner
 
 import (
+	"runtime"
+	"strconv"
 	"testing"
 	"time"
 
@@ -84,10 +86,10 @@
 // used last.
 func TestKnowledgeIsBounded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		k := newKnowledge(int64(rapid.IntRange(1, 30).Draw(t, "capacity")))
+		k := newKnowledge(int64(rapid.IntRange(1, 120).Draw(t, "capacity")))
 		var reference []blockKey
-		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			key := blockKey(rapid.IntRange(0, 50).Draw(t, "block"))
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			key := blockKey(rapid.IntRange(0, 150).Draw(t, "block"))
 			if rapid.IntRange(0, 4).Draw(t, "forget") == 0 {
 				k.forget(key)
 				reference = without(reference, key)
@@ -101,8 +103,8 @@
 		for i := k.newest; i != none; i = k.blocks[i].next {
 			got = append(got, k.blocks[i].key)
 		}
-		if len(got) != len(reference) || len(k.index) != len(reference) || len(k.blocks) > k.capacity {
-			t.Fatalf("%v with %d indexed in %d places, want %v", got, len(k.index), len(k.blocks), reference)
+		if len(got) != len(reference) || k.index.length != len(reference) || len(k.blocks) > k.capacity {
+			t.Fatalf("%v with %d indexed in %d places, want %v", got, k.index.length, len(k.blocks), reference)
 		}
 		for i := range got {
 			if got[i] != reference[i] {
@@ -201,3 +203,41 @@
 		e.End(epoch, End{GrantID: d.Offer.GrantID, Stage: Done})
 	}
 }
+
+// BenchmarkKnowledgeBytes tells what one known block costs.
+func BenchmarkKnowledgeBytes(b *testing.B) {
+	const blocks = 100_000
+	heap := func() uint64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	for b.Loop() {
+		before := heap()
+		k := newKnowledge(blocks)
+		for i := range 2 * blocks {
+			k.touch(blockKey(uint64(i) * 0x9e3779b97f4a7c15))
+		}
+		b.ReportMetric(float64(heap()-before)/float64(k.index.length), "bytes/block")
+		runtime.KeepAlive(k)
+	}
+}
+
+// BenchmarkGrantBytes tells what one open grant costs beside its blocks' names.
+func BenchmarkGrantBytes(b *testing.B) {
+	const grants = 20_000
+	for b.Loop() {
+		var before, after runtime.MemStats
+		e := New(Config{Name: "e", Slots: grants, BlockTokens: 64, CacheBlocks: 64, PrefillTokensPerSecond: 1e12})
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		for i := range grants {
+			e.Ask(epoch, ask(strconv.Itoa(i), "a", false, nil))
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(len(e.grants)), "bytes/grant")
+		runtime.KeepAlive(e)
+	}
+}
--- a/owner/snapshot.go
+++ b/owner/snapshot.go
@@ -103,7 +103,7 @@
 
 // newestFirst packs the newest blocks, eight bytes each.
 func (k *knowledge) newestFirst(limit int) []byte {
-	packed := make([]byte, 0, 8*min(limit, len(k.index)))
+	packed := make([]byte, 0, 8*min(limit, k.index.length))
 	for i := k.newest; i != none && limit > 0; i = k.blocks[i].next {
 		packed = binary.LittleEndian.AppendUint64(packed, uint64(k.blocks[i].key))
 		limit--
--- a/policy/ranking_test.go
+++ b/policy/ranking_test.go
@@ -78,3 +78,24 @@
 		dst = r.Top(dst[:0], key, 4, func(int) bool { return true })
 	}
 }
+
+// BenchmarkDecisionOf2400 is what an instance does for one request: key, four
+// candidates, and the choice among their offers.
+func BenchmarkDecisionOf2400(b *testing.B) {
+	r := NewRanking(names(2400))
+	levels := prefix.NewLevels(prefix.DefaultLevelSets)
+	salt := prefix.Salt("a", "m", "1")
+	chain := prefix.Blocks(nil, salt, make([]byte, 200*256), 64)
+	prices := Prices{PrefillTokensPerSecond: 20000, Recompute: DefaultRecompute}
+	var found [4]int
+	offers := make([]Offer, 4)
+	b.ReportAllocs()
+	for b.Loop() {
+		key := levels.Key(salt, chain, 0)
+		levels.Observe(salt, chain)
+		for i, e := range r.Top(found[:0], key, 4, func(int) bool { return true }) {
+			offers[i] = Offer{Endpoint: r.Name(e), CachedTokens: int64(i) * 1000, Wait: 1000}
+		}
+		Choose(12800, 0, offers, prices)
+	}
+}
