Take a break before any answer for a crash when the request is forgotten

Cause: TestAloneAndCrashedIsTheEnd failed in one of six race runs: an engine that crashed and was back before the check, under a grant without incarnation, was taken to have lost the request, so a crash-causing one went on. Change: a connection that broke before the answer's head, at an engine that now does not know the request, counts as a crash; a resumed stream is checked against the incarnation of an answer only, as a grant's may be old. Measured: go test -race -count=6 ./entry passes. Conclusion: a quick restart doesn't hide a crash.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -59,12 +59,14 @@
 
 // run is one send of the request to one endpoint.
 type run struct {
-	id          string
-	grant       place.Grant
-	engine      Engine
-	send        *outcome.Send
-	stream      endpoint.Stream
+	id     string
+	grant  place.Grant
+	engine Engine
+	send   *outcome.Send
+	stream endpoint.Stream
+	// incarnation of the engine: the grant's, until an answer tells it.
 	incarnation uint64
+	answered    bool
 	version     string
 	sentAt      time.Time
 	// next is the index of the piece that has to come, resumes how often the
--- a/entry/recover.go
+++ b/entry/recover.go
@@ -95,13 +95,27 @@
 		if err == nil {
 			return a.adopt(s)
 		}
-		if found := a.alive(); found == dead || fault.Is(err, fault.NotFound) {
+		found := a.alive()
+		if found == lost && fault.Is(err, fault.NotFound) && a.maybeDied(cause) {
+			return dead
+		}
+		if found == dead || fault.Is(err, fault.NotFound) {
 			return found
 		}
 	}
 	return lost
 }
 
+// maybeDied reports whether the engine may have died and come back unseen: the
+// connection broke before any answer told the engine's incarnation, and the
+// engine that is there now doesn't know the request. Taking that for a crash
+// costs a run alone at worst; passing over it would let a request that crashes
+// endpoints go on to the next one. A silent connection may never have brought
+// the request.
+func (a *answer) maybeDied(cause error) bool {
+	return a.run.incarnation == 0 && !endpoint.Silent(cause)
+}
+
 // alive asks the engine for its state on a new connection.
 func (a *answer) alive() state {
 	ctx, stop := context.WithTimeout(a.call.ctx, a.srv.silence())
@@ -121,7 +135,9 @@
 func (a *answer) adopt(s endpoint.Stream) state {
 	r := a.run
 	r.resumes++
-	if r.incarnation != 0 && s.Incarnation() != r.incarnation {
+	// The incarnation of a grant may be an old one; only that of an answer tells
+	// a restart.
+	if r.answered && s.Incarnation() != r.incarnation {
 		s.Close()
 		return dead
 	}
@@ -130,7 +146,7 @@
 		return lost
 	}
 	r.stream = s
-	r.incarnation = s.Incarnation()
+	r.incarnation, r.answered = s.Incarnation(), true
 	a.progress.version = s.ModelVersion()
 	r.send.Answering()
 	return resumed
--- a/entry/send.go
+++ b/entry/send.go
@@ -88,7 +88,7 @@
 // opened checks whose answer it is that has begun.
 func (a *answer) opened() error {
 	r := a.run
-	r.incarnation = r.stream.Incarnation()
+	r.incarnation, r.answered = r.stream.Incarnation(), true
 	version := r.stream.ModelVersion()
 	a.srv.versions.saw(r.grant.Endpoint, a.req.place.Model, version)
 	if a.progress.pieces > 0 && version != a.progress.version {
