--- a/fleet/core.go
+++ b/fleet/core.go
@@ -121,6 +121,7 @@
 		checks:   map[string]*check{},
 		jitter:   random,
 	}
+	c.store.SetMinor(member.Minor)
 	c.put(now, c.table.SelfItem())
 	return c
 }
--- a/fleet/core_test.go
+++ b/fleet/core_test.go
@@ -23,6 +23,7 @@
 	cut     func(a, b int) bool // whether two cores cannot talk
 	stopped map[int]bool
 	late    []lateFailure
+	bytes   int  // that were sent between the cores
 	noCheck bool // whether questions about members vanish without a trace
 }
 
@@ -97,6 +98,7 @@
 				reply.Reached = append(reply.Reached, target.GetInstance())
 			}
 		}
+		g.count(o, reply)
 		list = append(list, g.cores[from].replied(o, reply, g.now)...)
 	}
 }
@@ -188,6 +190,25 @@
 	}
 }
 
+// Each of many instances tells again and again which records are in force
+// there. If that was told like a change of records, it would use up the bytes
+// that an instance may send.
+func TestRecordsInForceAreToldInPassing(t *testing.T) {
+	g := newGroup(t, 32)
+	g.run(30 * time.Second)
+	c := g.cores[3]
+	c.put(g.now, c.table.Update(func(m *member.Member) { m.RecordsVersion = 7 }))
+	if out := c.pushes(g.now.Add(time.Second)); len(out) > 0 {
+		t.Fatalf("pushed to %d peers", len(out))
+	}
+	g.run(20 * time.Second)
+	for i, other := range g.cores {
+		if m, _ := other.table.Find(name(3)); i != 3 && m.RecordsVersion != 7 {
+			t.Fatalf("%s has not heard of it", name(i))
+		}
+	}
+}
+
 // An instance dies without a word, as most of them do. Its endpoints would
 // have no owner until the others have agreed that it is gone.
 func TestDeadInstanceIsExpelled(t *testing.T) {
--- a/fleet/exchange/send.go
+++ b/fleet/exchange/send.go
@@ -37,9 +37,9 @@
 	return n
 }
 
-// lowFrom is the size of a fleet from which on use by organisation is told with
-// the regular calls only: each instance changes its own all the time, and a push
-// for each would cost more than the lag of a few seconds does.
+// lowFrom is the size of a fleet from which on use by organisation and minor
+// changes are told with the regular calls only: each instance makes them all the
+// time, and pushes for each would cost more than a lag of seconds does.
 const lowFrom = 16
 
 // uselessBound is after how many peers that knew a change already it is not
@@ -61,7 +61,7 @@
 func (s *Store) HasHot(n int) bool {
 	for i := range SendLimit(n) {
 		for _, h := range s.hot[i] {
-			if h.waits(i) && (n <= lowFrom || !h.low()) {
+			if h.waits(i) && (n <= lowFrom || !h.low) {
 				return true
 			}
 		}
@@ -74,9 +74,6 @@
 	return !h.gone && h.sends == sends && h.useless < uselessBound
 }
 
-// low reports whether a change goes after all others.
-func (h *held) low() bool { return h.Key.Kind == fleetpb.ItemKind_ITEM_KIND_USAGE }
-
 // Next appends to the bundle the changes that were sent least often, up to the
 // number of bytes, and counts them as sent to the peer in a fleet of n. A
 // change is not sent back to the peer that told it.
@@ -99,7 +96,7 @@
 		for _, h := range queue {
 			switch {
 			case !h.waits(i):
-			case h.low() != low || maxBytes <= 0:
+			case h.low != low || maxBytes <= 0:
 				kept = append(kept, h)
 			default:
 				if h.source != peer || peer == "" {
--- a/fleet/exchange/store.go
+++ b/fleet/exchange/store.go
@@ -40,7 +40,8 @@
 	root    uint64
 	// hot holds the items that are still to be told, by how often they were
 	// sent. An entry whose item moved on is skipped when met.
-	hot [maxSends][]*held
+	hot   [maxSends][]*held
+	minor func(old, changed Item) bool
 	// recent are the latest lasting changes, the newest last.
 	recent []*held
 	// quiet is set while items are taken that need not be told on.
@@ -60,11 +61,17 @@
 	sends   int
 	useless int
 	gone    bool
+	low     bool
 	source  string
 }
 
 // NewStore returns an empty store.
-func NewStore() *Store { return &Store{items: map[Key]*held{}} }
+func NewStore() *Store {
+	return &Store{items: map[Key]*held{}, minor: func(Item, Item) bool { return false }}
+}
+
+// SetMinor has changes for which minor returns true told after all others.
+func (s *Store) SetMinor(minor func(old, changed Item) bool) { s.minor = minor }
 
 // Len is the number of items.
 func (s *Store) Len() int { return len(s.items) }
@@ -115,6 +122,7 @@
 		return false
 	}
 	h := &held{Item: it, bucket: int(it.Key.hash() % Buckets), source: source}
+	h.low = it.Key.Kind == fleetpb.ItemKind_ITEM_KIND_USAGE || old != nil && s.minor(old.Item, it)
 	if it.TTL > 0 {
 		h.expires = now.Add(it.TTL)
 	}
--- a/fleet/member/member.go
+++ b/fleet/member/member.go
@@ -111,3 +111,15 @@
 	value, _ := proto.MarshalOptions{Deterministic: true}.Marshal(s)
 	return exchange.Item{Key: itemKey(m.Name), Epoch: m.Incarnation, Version: version, Value: value, TTL: ttl}
 }
+
+// Minor reports whether a member's change is of no concern but for status: it
+// tells which records are in force there.
+func Minor(old, changed exchange.Item) bool {
+	if old.Key.Kind != fleetpb.ItemKind_ITEM_KIND_MEMBER || old.Epoch != changed.Epoch {
+		return false
+	}
+	a, readable := decode(old)
+	b, ok := decode(changed)
+	a.RecordsVersion, b.RecordsVersion = 0, 0
+	return readable && ok && a == b
+}
--- a/instance/fleet.go
+++ b/instance/fleet.go
@@ -26,11 +26,11 @@
 	// pullWithin bounds the search for a peer's state at start.
 	pullWithin = 600 * time.Millisecond
 	// tellEvery is how often this instance tells what is in force here. Each
-	// member beyond tellFrom adds tellEachMember, so that about one such change
-	// a second reaches an instance whatever the fleet's size.
+	// member beyond tellFrom adds tellEachMember, so that an instance hears of
+	// one such change in two seconds whatever the fleet's size.
 	tellEvery      = 2 * time.Second
 	tellFrom       = 6
-	tellEachMember = time.Second
+	tellEachMember = 2 * time.Second
 	// dumpBound ends a state dump that a duty does not answer.
 	dumpBound = time.Second
 	// sweepEvery is how often idle connections to peers are looked at.
--- a/internal/cli/slopes.go
+++ b/internal/cli/slopes.go
@@ -20,6 +20,7 @@
 	clause.Flag("rest", "How long to measure the exchange at rest.").Default("20s").DurationVar(&c.options.Rest)
 	clause.Flag("endpoints", "Endpoints whose state each instance holds.").Default("2400").IntVar(&c.options.Endpoints)
 	clause.Flag("records", "Records that each instance holds.").Default("1200").IntVar(&c.options.Records)
+	clause.Flag("bytes", "Size of a change that is told from peer to peer.").Default("400").IntVar(&c.options.ValueBytes)
 	clause.Flag("changes", "Changes of a record to time.").Default("60").IntVar(&c.options.Changes)
 	return clause
 }
--- a/internal/slopes/instance.go
+++ b/internal/slopes/instance.go
@@ -11,8 +11,13 @@
 	"github.com/sardinedock/sardinedock/schema/recordspb"
 )
 
-// maxInstances bounds the whole instances in one process.
-const maxInstances = 32
+const (
+	// maxInstances bounds the whole instances in one process; with the engines
+	// that each follows, maxWithEngines, so that the open files of a process
+	// suffice.
+	maxInstances   = 32
+	maxWithEngines = 8
+)
 
 // enginesEach is how many engines each instance owns at the target.
 const enginesEach = 7
@@ -26,7 +31,7 @@
 		fmt.Fprintf(out, "whole instances at rest, %d engines each, %v each\n", engines, o.Rest)
 		fmt.Fprintf(out, "%9s %14s %16s %12s %12s %14s %14s %10s\n", "instances", "exchange B/s", "all sockets B/s", "cpu % core", "heap MB", "reads/s each", "writes/s each", "watches")
 		for _, size := range o.Sizes {
-			if size > maxInstances {
+			if size > maxInstances || engines > 0 && size > maxWithEngines {
 				continue
 			}
 			if err := instancesAtRest(o, out, size, engines); err != nil {
--- a/internal/slopes/slopes.go
+++ b/internal/slopes/slopes.go
@@ -23,6 +23,8 @@
 	// Endpoints and Records are the numbers of items that each instance holds.
 	Endpoints int
 	Records   int
+	// ValueBytes is the size of a record that is changed.
+	ValueBytes int
 	// Changes is the number of record changes that are timed.
 	Changes int
 }
--- a/internal/slopes/spread.go
+++ b/internal/slopes/spread.go
@@ -24,7 +24,7 @@
 // measureSpread times a change from one instance to all others, and counts the
 // bytes that it adds to what is sent at rest.
 func measureSpread(o Options, out io.Writer) error {
-	fmt.Fprintf(out, "a change of %d bytes told from peer to peer, %d changes\n", recordBytes, o.Changes)
+	fmt.Fprintf(out, "a change of %d bytes told from peer to peer, %d changes\n", o.ValueBytes, o.Changes)
 	fmt.Fprintf(out, "%9s %10s %10s %10s %18s\n", "instances", "p50", "p99", "slowest", "B sent a change")
 	for _, size := range o.Sizes {
 		if err := spreadOver(o, out, size); err != nil {
@@ -53,7 +53,7 @@
 		at := time.Now()
 		version := uint64(followedFrom + i)
 		key := exchange.Key{Kind: fleetpb.ItemKind_ITEM_KIND_RECORD, Name: followed}
-		if err := nodes[i%size].node.Publish(ctx, exchange.Item{Key: key, Version: version, Value: make([]byte, recordBytes)}); err != nil {
+		if err := nodes[i%size].node.Publish(ctx, exchange.Item{Key: key, Version: version, Value: make([]byte, o.ValueBytes)}); err != nil {
 			return err
 		}
 		for slices.ContainsFunc(nodes, func(n *node) bool { return n.heard.Load() < version }) {
