--- a/owner/endpoint.go
+++ b/owner/endpoint.go
@@ -161,7 +161,7 @@
 	}
 	p := e.appraise(now, a)
 	offer := e.offer(now, a, p)
-	impatient := a.Patience > 0 && e.costly(a, offer)
+	impatient := a.Patience > 0 && e.costly(a, offer, p)
 	if a.Mode == Probe || impatient {
 		return Decision{Kind: Offered, Caller: a.Caller, RequestID: a.RequestID, Offers: []policy.Offer{offer}}
 	}
@@ -185,9 +185,8 @@
 // burst had spread it or this endpoint has evicted it. To ask the others costs
 // a round trip of a millisecond or two; a catalogue computed twice costs a
 // quarter of a second here and evicts another one.
-func (e *Endpoint) costly(a Ask, offer policy.Offer) bool {
-	missing := max(a.PromptTokens-offer.CachedTokens, 0)
-	return offer.Wait+e.window.Time(missing) > a.Patience
+func (e *Endpoint) costly(a Ask, offer policy.Offer, p appraisal) bool {
+	return offer.Wait+e.window.Time(p.missing) > a.Patience
 }
 
 // repeated answers an ask that is known already.
--- a/policy/policybench/sim.go
+++ b/policy/policybench/sim.go
@@ -35,6 +35,10 @@
 
 var tuned = tuning{candidates: 4, patience: 50 * time.Millisecond, recompute: policy.DefaultRecompute}
 
+// caller stands for all instances in asks; requests are told apart by their
+// ids.
+const caller = "i"
+
 var epoch = time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC)
 
 // sim is one run of one policy.
@@ -106,6 +110,7 @@
 	end := m.s.warm + m.s.measured + m.s.maxWait + 30*time.Second
 	m.every(owner.TickInterval, func() {
 		for _, b := range m.books {
+			b.Seen(m.time(), caller)
 			m.take(b.Tick(m.time()))
 		}
 	})
@@ -210,7 +215,7 @@
 
 func (m *sim) ask(r *request) owner.Ask {
 	return owner.Ask{
-		Caller: "i", RequestID: fmt.Sprintf("%d/%d", r.id, r.attempts), Organisation: fmt.Sprint("o", r.organisation),
+		Caller: caller, RequestID: fmt.Sprintf("%d/%d", r.id, r.attempts), Organisation: fmt.Sprint("o", r.organisation),
 		Urgent: r.urgent, Blocks: r.chain, PromptTokens: r.tokens, MaxTokens: int64(r.output),
 		Deadline: epoch.Add(r.at + r.maxWait),
 	}
