Ask again what became of a request that nobody knew of

Cause: callers took 'unknown' for the last word, though its remedy is to ask with the same key; a request that waited in a frozen engine counted as a late start.

--- a/demo/driver.go
+++ b/demo/driver.go
@@ -19,7 +19,11 @@
 	// defaultBackoff is how long a caller waits before it sends again, where
 	// the answer does not say.
 	defaultBackoff = 200 * time.Millisecond
-	// reachBound is how long a caller goes on trying to reach any instance.
+	// unknownResends is how often a caller asks again what became of a request
+	// of which nobody knew.
+	unknownResends = 3
+	// reachBound is how long a caller that sends again goes on trying to reach
+	// any instance.
 	reachBound = 15 * time.Second
 	// maxBackoff bounds what a caller takes from Retry-After.
 	maxBackoff = 3 * time.Second
@@ -142,10 +146,10 @@
 		if last == verdictComplete || ctx.Err() != nil {
 			break
 		}
-		if last == verdictUnsent && time.Since(due) < reachBound {
+		if last == verdictUnsent && d.resends > 0 && time.Since(due) < reachBound {
 			n--
 		}
-		if n >= d.resends {
+		if n >= d.resendsAfter(r, last) {
 			break
 		}
 		tried = append(tried, target)
@@ -159,6 +163,15 @@
 	d.settle(r, last)
 }
 
+// resendsAfter is how often the caller sends again after such an answer. One
+// that is told that nobody knows asks with the same key, as it is advised to.
+func (d *driver) resendsAfter(r *request, v verdict) int {
+	if r.key != "" && v == verdictUnknown {
+		return max(d.resends, unknownResends)
+	}
+	return d.resends
+}
+
 func (d *driver) rng(r *request, stream uint64) *rand.Rand {
 	return rand.New(rand.NewPCG(uint64(d.workload.load.GetSeed())<<8+stream, uint64(r.number)))
 }
@@ -210,6 +223,9 @@
 		}
 	case verdictUnknown:
 		c.UnknownOutcome++
+		if d.runsOf(r, r.markerName(d.workload.load.GetSeed(), 0)) > 0 {
+			c.UnknownRan++
+		}
 	case verdictFailed:
 		c.Failed++
 	case verdictCut:
--- a/demo/faultkinds.go
+++ b/demo/faultkinds.go
@@ -1,6 +1,7 @@
 package demo
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/sardinedock/sardinedock/emulator"
@@ -83,9 +84,9 @@
 	e.SetLeaving(true)
 	in.setLeaving(e.Name(), true)
 	in.until(leaveBound+time.Second, leaveBound+3*time.Second, func() {
-		if e.Stats().LastStartAfterLeaving > leaveBound {
+		if late := e.Stats().LastStartAfterLeaving; late > leaveBound {
 			in.mu.Lock()
-			in.late++
+			in.late = append(in.late, fmt.Sprintf("late start: %s got new work %s after it said that it leaves", e.Name(), late))
 			in.mu.Unlock()
 		}
 		e.SetLeaving(false)
--- a/demo/faults.go
+++ b/demo/faults.go
@@ -66,7 +66,7 @@
 
 	mu     sync.Mutex
 	counts map[string]int
-	late   int
+	late   []string
 }
 
 // runFaults sends the load while faults come and go, and heals all of them
@@ -89,7 +89,8 @@
 	d.run(ctx, progress)
 	drawing.Wait()
 	r.Faults = in.counts
-	r.Endpoints.LateStarts += in.late
+	r.Endpoints.LateStarts += len(in.late)
+	d.findings = append(d.findings, in.late...)
 }
 
 // run draws faults until ctx ends, and heals them.
--- a/demo/report.go
+++ b/demo/report.go
@@ -46,6 +46,8 @@
 	RefusedNotRun int `json:"refused_not_run"`
 	// UnknownOutcome ended with the word that nobody knows whether they ran.
 	UnknownOutcome int `json:"unknown_outcome"`
+	// UnknownRan are those of them that an endpoint had run.
+	UnknownRan int `json:"unknown_ran"`
 	// Failed ended with another error that was said.
 	Failed int `json:"failed"`
 	// CutByKill broke off because the instance was killed.
@@ -207,6 +209,7 @@
 	c.WrongAnswer += o.WrongAnswer
 	c.RefusedNotRun += o.RefusedNotRun
 	c.UnknownOutcome += o.UnknownOutcome
+	c.UnknownRan += o.UnknownRan
 	c.Failed += o.Failed
 	c.CutByKill += o.CutByKill
 	c.NotReached += o.NotReached
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -149,7 +149,7 @@
 	// were computed under. It must stay 0.
 	StaleBlocks int `json:"stale_blocks"`
 	// LastStartAfterLeaving is how long after the engine said that it leaves
-	// it was given its last request.
+	// its last request came, not counting a wait while it was frozen.
 	LastStartAfterLeaving time.Duration `json:"last_start_after_leaving_ns"`
 }
 
@@ -272,6 +272,7 @@
 		return
 	}
 	l := e.current()
+	arrived := time.Now()
 	if !e.awake(l.done) {
 		drop(ctx)
 		return
@@ -279,9 +280,9 @@
 	ctx.Response.Header.Set("X-Engine-Incarnation", strconv.FormatUint(l.incarnation, 10))
 	switch path {
 	case "/v1/completions":
-		e.generate(ctx, l, false)
+		e.generate(ctx, l, false, arrived)
 	case "/v1/chat/completions":
-		e.generate(ctx, l, true)
+		e.generate(ctx, l, true, arrived)
 	case "/v1/state":
 		writeJSON(ctx, e.state(l))
 	case "/v1/load":
--- a/emulator/job.go
+++ b/emulator/job.go
@@ -40,7 +40,7 @@
 }
 
 // generate takes a request in.
-func (e *Engine) generate(ctx *fasthttp.RequestCtx, l *life, chat bool) {
+func (e *Engine) generate(ctx *fasthttp.RequestCtx, l *life, chat bool, arrived time.Time) {
 	var b body
 	if err := json.Unmarshal(ctx.PostBody(), &b); err != nil {
 		writeAPIError(ctx, fasthttp.StatusBadRequest, "bad_request", err.Error())
@@ -62,7 +62,7 @@
 		j.id = fmt.Sprintf("%s-%d", e.cfg.Name, ctx.ID())
 	}
 	ctx.Response.Header.Set("X-Model-Version", version)
-	if !e.enqueue(l, j) {
+	if !e.enqueue(l, j, arrived) {
 		writeAPIError(ctx, fasthttp.StatusTooManyRequests, codeNotStarted, "the queue is full")
 		return
 	}
@@ -114,7 +114,7 @@
 }
 
 // enqueue takes the request into the queue, or refuses it.
-func (e *Engine) enqueue(l *life, j *job) bool {
+func (e *Engine) enqueue(l *life, j *job, arrived time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if l.waiting >= e.cfg.Queue || e.life != l || e.closed {
@@ -122,7 +122,7 @@
 		return false
 	}
 	if !e.leaving.IsZero() {
-		e.stats.LastStartAfterLeaving = time.Since(e.leaving)
+		e.stats.LastStartAfterLeaving = max(e.stats.LastStartAfterLeaving, arrived.Sub(e.leaving))
 	}
 	l.jobs[j.id] = j
 	l.waiting++
