Bound what a connection may leave unconfirmed

Cause: a caller's connection that something in between has forgotten takes small writes into its buffer for minutes; no write ends late, and TCP probes nothing while data is unconfirmed. Change: TCP_USER_TIMEOUT and keep-alive on callers' connections (write_timeout_ms) and endpoints' (4 s), from internal/sockstate. Measured: a test reads the bound back from dialled and accepted connections; a network that drops packets was not tried.

--- a/endpoint/conn.go
+++ b/endpoint/conn.go
@@ -25,6 +25,8 @@
 	// other end is gone or has forgotten it. A wait for a plain service's
 	// answer has no other sign of life.
 	keepAliveProbes = 3
+	// unconfirmedBound is how long what was sent may stay unconfirmed.
+	unconfirmedBound = 4 * time.Second
 	// engineHeaderBytes and serviceHeaderBytes bound the head of an answer.
 	// Each open stream holds a buffer of this size.
 	engineHeaderBytes  = 4 << 10
@@ -118,6 +120,7 @@
 func (p *pool) dial(ctx context.Context) (*conn, error) {
 	d := net.Dialer{
 		Timeout:         p.dialTimeout,
+		Control:         sockstate.UserTimeout(unconfirmedBound),
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: keepAliveProbes},
 	}
 	nc, err := d.DialContext(ctx, "tcp", p.addr)
--- a/instance/entry.go
+++ b/instance/entry.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"context"
 	"crypto/rand"
 	"encoding/hex"
 	"net"
@@ -10,6 +11,7 @@
 	"github.com/sardinedock/sardinedock/endpoint"
 	"github.com/sardinedock/sardinedock/entry"
 	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/internal/sockstate"
 	"github.com/sardinedock/sardinedock/outcome/claim"
 )
 
@@ -17,6 +19,9 @@
 // milliseconds away; a second means that the endpoint or the way is gone.
 const dialTimeout = time.Second
 
+// callerProbes of TCP without an answer end a caller's connection.
+const callerProbes = 3
+
 func (i *Instance) provisionEntry() {
 	limits := i.settings.GetLimits()
 	silence := time.Duration(limits.GetSilenceMs()) * time.Millisecond
@@ -36,7 +41,12 @@
 }
 
 func (i *Instance) startCallers() error {
-	ln, err := net.Listen("tcp", i.settings.GetListen().GetCallers())
+	bound := time.Duration(i.settings.GetLimits().GetWriteTimeoutMs()) * time.Millisecond
+	lc := net.ListenConfig{
+		Control:         sockstate.UserTimeout(bound),
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: bound, Interval: max(bound/callerProbes, time.Second), Count: callerProbes},
+	}
+	ln, err := lc.Listen(context.Background(), "tcp", i.settings.GetListen().GetCallers())
 	if err != nil {
 		return fault.Wrap(err, fault.Invalid, "choose a free address for listen.callers", "listen for callers")
 	}
--- /dev/null
+++ b/internal/sockstate/timeout_linux_test.go
@@ -0,0 +1,88 @@
+package sockstate
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// A caller's connection is forgotten by something in between. What bounds the
+// wait for it is set on the listener and has to reach each connection.
+func TestAcceptedConnectionsInheritTheBound(t *testing.T) {
+	const bound = 7 * time.Second
+	lc := net.ListenConfig{Control: UserTimeout(bound)}
+	ln, err := lc.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	d := net.Dialer{Control: UserTimeout(bound)}
+	near, err := d.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = near.Close() }()
+	far, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = far.Close() }()
+	for name, c := range map[string]net.Conn{"dialled": near, "accepted": far} {
+		if got := userTimeout(t, c); got != bound {
+			t.Errorf("%s connection: bound %v, want %v", name, got, bound)
+		}
+	}
+}
+
+func userTimeout(t *testing.T, c net.Conn) time.Duration {
+	raw, err := c.(syscall.Conn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var ms int
+	if err := raw.Control(func(fd uintptr) { ms, err = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout) }); err != nil {
+		t.Fatal(err)
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// A caller closes its connection while nothing is written to it.
+func TestStates(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	near, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	far, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = far.Close() }()
+	if got := Of(far); got != Quiet {
+		t.Fatalf("open connection: state %d", got)
+	}
+	if _, err := near.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	for Of(far) == Quiet {
+	}
+	if got := Of(far); got != Readable {
+		t.Fatalf("connection with data: state %d", got)
+	}
+	var one [1]byte
+	if n, err := far.Read(one[:]); n != 1 || err != nil {
+		t.Fatalf("looking took the data away: %d, %v", n, err)
+	}
+	_ = near.Close()
+	for Of(far) == Quiet {
+	}
+	if got := Of(far); got != Closed {
+		t.Fatalf("closed connection: state %d", got)
+	}
+}
