Test the engine stand-in's slots, queue, cache, load lag and weights

Cause: others rely on these and only crash, pieces and transfers were tested. Change: tests in virtual time where time matters.

--- a/emulator/engine_test.go
+++ b/emulator/engine_test.go
@@ -242,3 +242,54 @@
 		t.Fatal("the request did not run")
 	}
 }
+
+// An engine's queue is full. Its word that the request was not started is the
+// only refusal that may be passed on as not run, so nothing may have run.
+func TestFullQueueRefusesUnstarted(t *testing.T) {
+	e := startEngine(t, emulator.EngineConfig{Slots: 1, Queue: 1, TokenTime: time.Hour, Pace: 1})
+	url := "http://" + e.Addr() + "/v1/completions"
+	const body = `{"model":"counter","prompt":"p","max_tokens":1,"stream":true}`
+	for _, id := range []string{"running", "waiting"} {
+		req, err := http.NewRequest("POST", url, strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("X-Request-Id", id)
+		go func() {
+			if resp, err := http.DefaultClient.Do(req); err == nil {
+				_ = resp.Body.Close()
+			}
+		}()
+		for waitsFor(t, e) != id {
+		}
+	}
+	status, answer := call(t, "POST", url, body)
+	if status != 429 || !strings.Contains(answer, `"not_started"`) {
+		t.Fatalf("status %d, %s", status, answer)
+	}
+	if status, _ := call(t, "DELETE", "http://"+e.Addr()+"/v1/streams/running", ""); status != 200 {
+		t.Fatalf("cancel: status %d", status)
+	}
+	for e.Runs()["waiting"] == 0 {
+	}
+	if runs := e.Runs(); len(runs) != 2 {
+		t.Fatalf("runs %v, want those of the two accepted requests", runs)
+	}
+}
+
+// waitsFor names the newest request that the engine has accepted.
+func waitsFor(t *testing.T, e *emulator.Engine) string {
+	t.Helper()
+	_, text := call(t, "GET", "http://"+e.Addr()+"/v1/load", "")
+	var report endpoint.LoadReport
+	if err := json.Unmarshal([]byte(text), &report); err != nil {
+		t.Fatal(err)
+	}
+	switch {
+	case report.Running == 1 && report.Waiting == 1:
+		return "waiting"
+	case report.Running == 1:
+		return "running"
+	}
+	return ""
+}
--- /dev/null
+++ b/emulator/work_test.go
@@ -0,0 +1,111 @@
+package emulator
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sardinedock/sardinedock/prefix"
+)
+
+// Too many engines load weights at the same time and each waits for the others.
+// Operators notice a rollout that takes much longer than its parts.
+func TestLoadsPastTheLimitSlowEachOther(t *testing.T) {
+	for _, c := range []struct {
+		loads int
+		want  time.Duration
+	}{{1, 400 * time.Millisecond}, {2, 400 * time.Millisecond}, {4, 800 * time.Millisecond}} {
+		synctest.Test(t, func(t *testing.T) {
+			w := NewWeights(2)
+			start := time.Now()
+			var all sync.WaitGroup
+			for range c.loads {
+				all.Go(func() { w.load(400*time.Millisecond, 1, nil) })
+			}
+			all.Wait()
+			// The first step of the first load runs before the others began.
+			if got := time.Since(start); got > c.want || got < c.want*9/10 {
+				t.Errorf("%d loads took %s, want about %s", c.loads, got, c.want)
+			}
+			if w.Peak() != c.loads {
+				t.Errorf("peak %d, want %d", w.Peak(), c.loads)
+			}
+		})
+	}
+}
+
+func TestSlotsGoByPriorityThenArrival(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSemaphore(1)
+		s.acquire(0, nil)
+		var order []string
+		var all sync.WaitGroup
+		for i, priority := range []int{10, 0, 10, 0} {
+			all.Go(func() {
+				s.acquire(priority, nil)
+				order = append(order, fmt.Sprintf("%d/%d", priority, i))
+				s.release()
+			})
+			synctest.Wait()
+		}
+		gone := make(chan struct{})
+		all.Go(func() {
+			if s.acquire(-1, gone) {
+				t.Error("a waiter that has gone got a slot")
+			}
+		})
+		synctest.Wait()
+		close(gone)
+		synctest.Wait()
+		s.release()
+		all.Wait()
+		if got := fmt.Sprint(order); got != "[0/1 0/3 10/0 10/2]" {
+			t.Fatalf("order %s", got)
+		}
+	})
+}
+
+// What engines say of their load is old. A reader that takes it for the present
+// would send everything to the engine that was idle a moment ago.
+func TestLoadReportLags(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &Engine{cfg: EngineConfig{LoadLag: time.Second}.withDefaults()}
+		e.begin()
+		e.mu.Lock()
+		e.life.waiting = 5
+		time.Sleep(time.Minute)
+		e.sampleLoad(e.life)
+		e.mu.Unlock()
+		if got := e.load(e.life).Waiting; got != 0 {
+			t.Fatalf("%d waiting at once", got)
+		}
+		time.Sleep(time.Second)
+		if got := e.load(e.life).Waiting; got != 5 {
+			t.Fatalf("%d waiting after the lag, want 5", got)
+		}
+	})
+}
+
+// Blocks that were not used for long go first, and of one prompt its end goes
+// before its start.
+func TestCacheEvictsTheEndOfTheOldestPrompt(t *testing.T) {
+	c := newBlockCache(4)
+	old, young := [3][16]byte{{1}, {2}, {3}}, [3][16]byte{{4}, {5}, {6}}
+	var a, b []prefix.Hash
+	for i := range old {
+		a, b = append(a, prefix.Hash(old[i])), append(b, prefix.Hash(young[i]))
+	}
+	c.insert(a, cachedBlock{})
+	_, evicted := c.insert(b, cachedBlock{})
+	if len(evicted) != 2 || evicted[0] != a[2] || evicted[1] != a[1] {
+		t.Fatalf("evicted %v", evicted)
+	}
+	if depth, _ := c.match(a, cachedBlock{}); depth != 1 {
+		t.Fatalf("depth %d of the old prompt, want 1", depth)
+	}
+	if depth, stale := c.match(b, cachedBlock{version: "2"}); depth != 3 || stale != 3 {
+		t.Fatalf("depth %d, stale %d under another version", depth, stale)
+	}
+}
