Say not run of a request that timed out in the queue

Cause: a call whose class timeout ended while it waited for a slot was told unknown with 502, or an internal error, although nothing was sent. Change: entry answers 503, not-run and Retry-After. The demo's graceful stop goes through Instance.Shutdown, with the notice that its settings give (demo/fleet.go). A test for a caller that does not read. Conclusion: the word is as exact as the account allows.

--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -243,7 +243,7 @@
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	_ = i.Stop(ctx)
+	_ = i.Shutdown(ctx)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m.draining = false
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -216,12 +216,23 @@
 // unplaced is the error of a request that no endpoint takes. Of an answer that
 // has begun the caller is told why it broke off.
 func (a *answer) unplaced(err error) error {
-	if a.broke == nil || a.progress.pieces == 0 || a.call.cause() != nil {
+	if cause := a.call.cause(); cause != nil {
+		return a.late(cause)
+	}
+	if a.broke == nil || a.progress.pieces == 0 {
 		return err
 	}
 	return fault.Wrap(a.broke, fault.Broken, "send the request again", "the answer broke off and no endpoint could go on with it")
 }
 
+// late is the error of a call that ended before it was placed.
+func (a *answer) late(cause error) error {
+	if errors.Is(cause, errTimeout) && a.account.Verdict().NotRun() {
+		return fault.New(fault.Overloaded, "send the request again later", "the request could not start before its class's timeout")
+	}
+	return cause
+}
+
 // rest pauses before all endpoints are tried once more; false when the time to
 // start is over.
 func (a *answer) rest() bool {
--- a/entry/faults_test.go
+++ b/entry/faults_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -10,6 +12,7 @@
 	"github.com/sardinedock/sardinedock/endpoint"
 	"github.com/sardinedock/sardinedock/entry"
 	"github.com/sardinedock/sardinedock/place"
+	"github.com/sardinedock/sardinedock/schema/recordspb"
 )
 
 const prompt = "twelve M12 anchors, grade 8.8"
@@ -299,3 +302,54 @@
 		t.Fatalf("ends %v", ends)
 	}
 }
+
+// A caller asks for a long answer and stops reading. Its stream ends after the
+// write timeout; otherwise each such caller would hold a connection, and what
+// is buffered for it, for as long as it likes.
+func TestCallerThatDoesNotReadIsDropped(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, rigConfig{engines: 1, engine: emulator.EngineConfig{Pace: 10000}})
+	rd := r.askFor(t, prompt, 99000, nil)
+	rd.piece()
+	for openCalls(t, r) > 0 {
+	}
+	if _, err := io.ReadAll(rd.resp.Body); err == nil {
+		t.Fatal("the stream has a proper end, as if it were whole")
+	}
+}
+
+// openCalls is how many requests the server's dump lists as open.
+func openCalls(t *testing.T, r *rig) int {
+	t.Helper()
+	data, err := json.Marshal(r.server.Dump())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var dump struct {
+		Open int `json:"open"`
+	}
+	if err := json.Unmarshal(data, &dump); err != nil {
+		t.Fatal(err)
+	}
+	return dump.Open
+}
+
+// stuckPlacer places nothing.
+type stuckPlacer struct{ place.Static }
+
+func (stuckPlacer) Place(ctx context.Context, _ place.Request) (place.Grant, error) {
+	<-ctx.Done()
+	return place.Grant{}, ctx.Err()
+}
+
+// No slot comes free before the class's timeout. Nothing was sent, and the
+// caller reads so, and when to come back.
+func TestTimeoutInTheQueueIsNotRun(t *testing.T) {
+	t.Parallel()
+	class := &recordspb.RequestClass{MaxWaitMs: 50, TimeoutMs: 100}
+	r := newRig(t, rigConfig{engines: 1, class: class, configure: func(c *entry.Config) { c.Placer = stuckPlacer{} }})
+	resp := r.do(t, "POST", "/v1/completions", nil, `{"model":"counter","prompt":"x","max_tokens":1}`)
+	if resp.StatusCode != 503 || resp.Header.Get("X-Sardinedock-Outcome") != "not-run" || resp.Header.Get("Retry-After") == "" {
+		t.Fatalf("status %d, headers %v", resp.StatusCode, resp.Header)
+	}
+}
