--- a/emulator/engine_test.go
+++ b/emulator/engine_test.go
@@ -293,3 +293,28 @@
 	}
 	return ""
 }
+
+// Faults of engines that run as a process of their own are ordered over HTTP.
+func TestEngineControlPath(t *testing.T) {
+	e := startEngine(t, emulator.EngineConfig{})
+	control := "http://" + e.Addr() + "/control/"
+	if status, body := call(t, "POST", control+"faults", `{"slow":3,"cross_next":2}`); status != 200 || !strings.Contains(body, `"slow":3`) {
+		t.Fatalf("faults: %d %s", status, body)
+	}
+	if got := e.Faults(); got.Slow != 3 || got.CrossNext != 2 {
+		t.Fatalf("faults in force: %+v", got)
+	}
+	if status, _ := call(t, "POST", control+"faults", `{"slow":`); status != 400 {
+		t.Fatalf("half a body: status %d", status)
+	}
+	if status, _ := call(t, "POST", control+"leaving", `{"leaving":true}`); status != 200 {
+		t.Fatalf("leaving: status %d", status)
+	}
+	if _, body := call(t, "GET", "http://"+e.Addr()+"/v1/state", ""); !strings.Contains(body, `"leaving":true`) {
+		t.Fatalf("state %s", body)
+	}
+	// The crash may cut the answer to its own order.
+	call(t, "POST", control+"crash", `{"down_ms":1}`)
+	for e.Stats().Crashes == 0 {
+	}
+}
