Ask the endpoints of a large pool slowly

Cause: the holder of a pool's lease asked every endpoint each three seconds on a new connection, 37 a second for 110 endpoints, though nothing changes. Change: a look waits 100 ms for each endpoint at rest, 20 ms while rolling out. Figures: 120 endpoints at rest are asked at most 660 times a minute (test); 2,400 by the old interval. Conclusion: a late order in such a pool is found after 11 s in place of 3.

--- a/rollout/duty.go
+++ b/rollout/duty.go
@@ -22,6 +22,10 @@
 	// that a former holder sent late is found and undone.
 	activeEvery = 500 * time.Millisecond
 	restEvery   = 3 * time.Second
+	// activeEach and restEach are what each endpoint adds at least, so that the
+	// holder of a large pool asks 50 times a second at most, and 10 at rest.
+	activeEach = 20 * time.Millisecond
+	restEach   = 100 * time.Millisecond
 	// askTimeout bounds one question or order, asksAtOnce how many are open.
 	askTimeout = 2 * time.Second
 	asksAtOnce = 8
@@ -158,10 +162,11 @@
 	orders := Plan(wanted, observed, d.inFlight, limits)
 	d.note(wanted, observed)
 	d.send(ctx, pool.GetEndpoints(), orders, fence)
+	n := time.Duration(len(observed))
 	if len(orders) == 0 && len(d.inFlight) == 0 && d.converged() {
-		return restEvery
+		return max(restEvery, n*restEach)
 	}
-	return activeEvery
+	return max(activeEvery, n*activeEach)
 }
 
 // observe asks all endpoints for their state, a few at a time.
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -35,6 +35,7 @@
 	engines map[string]*engine
 	loads   int
 	peak    int
+	asked   int
 }
 
 func newPool(n int, version string, checks bool) *enginePool {
@@ -53,6 +54,7 @@
 func (e *engine) State(context.Context) (endpoint.State, error) {
 	e.pool.mu.Lock()
 	defer e.pool.mu.Unlock()
+	e.pool.asked++
 	if e.silent {
 		return endpoint.State{}, fault.New(fault.Unavailable, "start it", "silent")
 	}
@@ -320,6 +322,30 @@
 	})
 }
 
+// A pool of over a hundred endpoints must not cost its holder more questions at
+// rest than a small one does.
+func TestLargePoolIsAskedSlowly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const endpoints = 120
+		p := newPool(endpoints, "1", true)
+		for _, e := range p.engines {
+			e.state.Role = "prefill"
+		}
+		d := startDuty(p, &lease{fence: 5}, records(endpoints, "1"))
+		defer d.Stop()
+		time.Sleep(time.Minute)
+		p.mu.Lock()
+		before := p.asked
+		p.mu.Unlock()
+		time.Sleep(time.Minute)
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if asked := p.asked - before; asked == 0 || asked > 11*60 {
+			t.Fatalf("%d questions in a minute of rest", asked)
+		}
+	})
+}
+
 func TestPoolWithoutModelsIsLeftAlone(t *testing.T) {
 	o := Observed{Name: "e", Answered: true, State: endpoint.State{Models: []endpoint.ModelState{{Model: "a", Version: "1"}}}}
 	if got := Plan(Wanted{}, []Observed{o}, nil, Limits{LoadsAtOnce: 1}); len(got) != 0 {
