Call every member from somewhere, and correct stale states

In virtual time, 60 of 360 instances stopped at once were known to all only after 488 s. A member that was nobody's random partner, as a few are in a large young fleet, was called by nobody: each instance now also calls the next two on a ring of hashed names. And a dead member's item has a TTL, so it is in no sum, and an instance that had missed it showed its older one again and again without being told: whoever gets an older item answers with the newer.

--- a/fleet/core.go
+++ b/fleet/core.go
@@ -244,6 +244,7 @@
 	}
 	var b exchange.Bundle
 	c.store.Answer(&b, in.GetWant(), in.GetSummaries(), now)
+	c.store.Correct(&b, in.GetItems(), now)
 	if c.budget > 0 {
 		c.store.Next(&b, name, c.size(), callBytes, now)
 	}
@@ -291,6 +292,7 @@
 	var b exchange.Bundle
 	c.store.Answer(&b, in.GetWant(), in.GetSummaries(), now)
 	c.store.Missing(&b, in.GetBuckets(), in.GetSummaries(), now)
+	c.store.Correct(&b, in.GetItems(), now)
 	differ := in.GetRoot() != c.store.Root()
 	compare := differ && now.Sub(c.lastCompare) >= compareEvery && len(in.GetBuckets()) == 0
 	if differ && o.purpose == purposeCall && o.rounds == 0 {
--- a/fleet/core_bench_test.go
+++ b/fleet/core_bench_test.go
@@ -99,3 +99,36 @@
 func (g *group) count(o outgoing, reply proto.Message) {
 	g.bytes += proto.Size(o.request) + proto.Size(reply) + messageOverhead
 }
+
+// BenchmarkLostDataCentre measures, in virtual time, how long it takes until
+// every other instance knows that a sixth of them is dead, and what that costs.
+func BenchmarkLostDataCentre(b *testing.B) {
+	for _, n := range []int{60, 360} {
+		b.Run(fmt.Sprint("instances=", n), func(b *testing.B) {
+			for b.Loop() {
+				g := newGroup(b, n)
+				g.run(60 * time.Second)
+				for i := range n / 6 {
+					g.stopped[i*6] = true
+				}
+				begin := g.now
+				g.bytes = 0
+				for !g.allExpelled() && g.now.Sub(begin) < 10*time.Minute {
+					g.run(time.Second)
+				}
+				b.ReportMetric(g.now.Sub(begin).Seconds(), "s-until-known")
+				b.ReportMetric(float64(g.bytes)/g.now.Sub(begin).Seconds()/float64(n), "B/s")
+			}
+		})
+	}
+}
+
+// allExpelled reports whether every running core has expelled those stopped.
+func (g *group) allExpelled() bool {
+	for i, c := range g.cores {
+		if !g.stopped[i] && len(c.table.View().Owners) != len(g.cores)-len(g.stopped) {
+			return false
+		}
+	}
+	return true
+}
--- a/fleet/exchange/send.go
+++ b/fleet/exchange/send.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/bits"
-	"slices"
 	"time"
 
 	"github.com/sardinedock/sardinedock/schema/fleetpb"
@@ -120,10 +119,13 @@
 // Known takes what a peer says it knew already of the items and summaries that
 // the bundle told it.
 func (b *Bundle) Known(indexes []uint32) {
-	told := append(slices.Clone(b.toldItems), b.toldSummaries...)
-	for _, i := range indexes {
-		if int(i) < len(told) {
-			told[i].useless++
+	for _, index := range indexes {
+		i := int(index)
+		if i < len(b.toldItems) {
+			b.toldItems[i].useless++
+		}
+		if i -= len(b.Items); i >= 0 && i < len(b.toldSummaries) {
+			b.toldSummaries[i].useless++
 		}
 	}
 }
@@ -194,6 +196,18 @@
 	return changed
 }
 
+// Correct adds to the bundle what is held in a newer version than the peer's
+// items. Without it a peer would keep, and show in every compare, a state that
+// was replaced by one with a TTL, such as a dead member's.
+func (s *Store) Correct(b *Bundle, items []*fleetpb.Item, now time.Time) {
+	for _, m := range items {
+		h := s.items[keyOf(m.GetKey())]
+		if h != nil && less(m.GetEpoch(), m.GetVersion(), h.Epoch, h.Version) {
+			b.Items = append(b.Items, h.message(now))
+		}
+	}
+}
+
 // Stale lists the indexes of the items, and after them of the summaries, that
 // would tell this store nothing new.
 func (s *Store) Stale(items []*fleetpb.Item, summaries []*fleetpb.Summary) (known []uint32) {
--- a/fleet/member/partners.go
+++ b/fleet/member/partners.go
@@ -1,9 +1,12 @@
 package member
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 
+	"github.com/zeebo/xxh3"
+
 	"github.com/sardinedock/sardinedock/schema/fleetpb"
 )
 
@@ -12,6 +15,10 @@
 	// time. A few keep their connections, and so their TLS handshakes, in use;
 	// eight random ones leave no instance without anybody that calls it.
 	partnerCount = 8
+	// ringCount of them are the next live members on a ring of hashed names.
+	// Chance alone leaves a few members of a large fleet without anybody that
+	// calls them, and nobody would notice their deaths.
+	ringCount = 2
 	// callsPerPartner is after how many calls the oldest partner gives way to
 	// the next member, so that each member is called by each other one in
 	// bounded time.
@@ -33,6 +40,7 @@
 type partners struct {
 	order   []string // shuffled names still to become partners
 	current []string
+	ring    []string
 	at      int
 	calls   int
 }
@@ -50,22 +58,22 @@
 			return peer, true
 		}
 	}
-	t.fillPartners()
-	if len(p.current) == 0 {
+	list := t.partnerNames()
+	if len(list) == 0 {
 		return t.stranger()
 	}
 	p.at++
-	m := t.members[p.current[p.at%len(p.current)]]
+	m := t.members[list[p.at%len(list)]]
 	return Peer{m.Name, m.Address}, true
 }
 
 // Partners returns up to k random partners but for one, to whom a change is
 // told or whom a check is asked of.
 func (t *Table) Partners(k int, but string) []Peer {
-	t.fillPartners()
+	names := t.partnerNames()
 	var list []Peer
-	for _, i := range t.random.Perm(len(t.partners.current)) {
-		m := t.members[t.partners.current[i]]
+	for _, i := range t.random.Perm(len(names)) {
+		m := t.members[names[i]]
 		if m.Name != but && len(list) < k {
 			list = append(list, Peer{m.Name, m.Address})
 		}
@@ -73,18 +81,49 @@
 	return list
 }
 
-// fillPartners drops partners that are gone and takes the next ones.
+// partnerNames lists the partners now.
+func (t *Table) partnerNames() []string {
+	t.fillRing()
+	t.fillPartners()
+	return slices.Concat(t.partners.ring, t.partners.current)
+}
+
+// fillRing finds the next live members after this instance on the ring.
+func (t *Table) fillRing() {
+	type successor struct {
+		distance uint64
+		name     string
+	}
+	own := ringPlace(t.self.Name)
+	var next []successor
+	for name, s := range t.members {
+		if !s.live() {
+			continue
+		}
+		next = append(next, successor{s.place - own, name})
+		slices.SortFunc(next, func(a, b successor) int { return cmp.Compare(a.distance, b.distance) })
+		next = next[:min(len(next), ringCount)]
+	}
+	t.partners.ring = t.partners.ring[:0]
+	for _, s := range next {
+		t.partners.ring = append(t.partners.ring, s.name)
+	}
+}
+
+func ringPlace(name string) uint64 { return xxh3.HashString(name) }
+
+// fillPartners drops random partners that are gone and takes the next ones.
 func (t *Table) fillPartners() {
 	p := &t.partners
-	p.current = slices.DeleteFunc(p.current, func(name string) bool { return !t.isLive(name) })
+	p.current = slices.DeleteFunc(p.current, func(name string) bool { return !t.isLive(name) || slices.Contains(p.ring, name) })
 	skipped := 0
-	for len(p.current) < partnerCount && len(p.current) < len(t.members) {
+	for len(p.current) < partnerCount-ringCount && len(p.current)+len(p.ring) < len(t.members) {
 		if len(p.order) == 0 {
 			p.order = t.shuffled()
 		}
 		name := p.order[0]
 		p.order = p.order[1:]
-		if t.isLive(name) && !slices.Contains(p.current, name) {
+		if t.isLive(name) && !slices.Contains(p.current, name) && !slices.Contains(p.ring, name) {
 			p.current = append(p.current, name)
 			skipped = 0
 			continue
--- a/fleet/member/table.go
+++ b/fleet/member/table.go
@@ -42,6 +42,7 @@
 	Member
 	version      uint64
 	suspectSince time.Time
+	place        uint64 // on the ring of names
 }
 
 // New returns a table that knows only the instance itself. The incarnation of
@@ -111,7 +112,7 @@
 	}
 	s := t.members[m.Name]
 	if s == nil {
-		s = &state{}
+		s = &state{place: ringPlace(m.Name)}
 		t.members[m.Name] = s
 	}
 	if m.Status == fleetpb.MemberStatus_MEMBER_STATUS_SUSPECT && s.Status != m.Status {
