Hang up on instances and send again

Cause: callers of a run never went away before their answer, and a timeout before the first byte counted as a cut connection. Change: a share of the callers closes the first connection within 0.6 s and sends the same again, with the same key; timeouts are told by the deadline.

--- a/demo/driver.go
+++ b/demo/driver.go
@@ -166,6 +166,9 @@
 // resendsAfter is how often the caller sends again after such an answer. One
 // that is told that nobody knows asks with the same key, as it is advised to.
 func (d *driver) resendsAfter(r *request, v verdict) int {
+	if v == verdictHungUp {
+		return max(d.resends, 1)
+	}
 	if r.key != "" && v == verdictUnknown {
 		return max(d.resends, unknownResends)
 	}
@@ -187,8 +190,15 @@
 	target := d.targets.choose(rng, tried)
 	begun := time.Now()
 	before := d.runsOf(r, marker)
-	a := do(target, &c, time.Duration(d.workload.load.GetTimeoutMs())*time.Millisecond)
+	timeout := time.Duration(d.workload.load.GetTimeoutMs()) * time.Millisecond
+	if n == 0 && r.hangUp > 0 {
+		timeout = r.hangUp
+	}
+	a := do(target, &c, timeout)
 	v := judge(&a, &c, d.workload.load.GetCheckAnswers())
+	if v == verdictIncomplete && a.ending == endTimeout && timeout == r.hangUp {
+		v = verdictHungUp
+	}
 	if v == verdictIncomplete && a.ending != endTimeout && a.ending != endShort && d.targets.killedSince(target, begun) {
 		v = verdictCut
 	}
--- a/demo/faults.go
+++ b/demo/faults.go
@@ -39,12 +39,12 @@
 	s.load.RequestsPerSecond = 60
 	s.load.Work = []*loadpb.Work{
 		{Name: "quote", Class: "quote", Weight: 5, Model: "counter", CompanyTokens: 256, FamilyTokens: 1024, CustomerTokens: 256,
-			OwnTokens: 64, Families: 12, Customers: 30, Zipf: 1.2, MaxTokens: 60, Chat: 0.5, Whole: 0.1},
+			OwnTokens: 64, Families: 12, Customers: 30, Zipf: 1.2, MaxTokens: 60, Chat: 0.5, Whole: 0.1, HangUp: 0.03},
 		{Name: "sort", Class: "sort", Weight: 3, Model: "counter", CompanyTokens: 256, FamilyTokens: 256, OwnTokens: 32,
-			Families: 4, Customers: 1, Zipf: 1.2, MaxTokens: 6, Whole: 0.3},
+			Families: 4, Customers: 1, Zipf: 1.2, MaxTokens: 6, Whole: 0.3, HangUp: 0.03},
 		{Name: "dispatch", Weight: 3, ServicePath: "/services/ordering/confirm", ServicePrefix: "/services/ordering/",
-			NotRepeatable: true, Resend: 0.2, OwnTokens: 64, Families: 1, Customers: 1, Zipf: 1.2, MaxTokens: 1},
-		{Name: "report", Class: "report", Weight: 2, Model: "counter", NotRepeatable: true, Resend: 0.2, CompanyTokens: 256,
+			NotRepeatable: true, Resend: 0.2, HangUp: 0.05, OwnTokens: 64, Families: 1, Customers: 1, Zipf: 1.2, MaxTokens: 1},
+		{Name: "report", Class: "report", Weight: 2, Model: "counter", NotRepeatable: true, Resend: 0.2, HangUp: 0.05, CompanyTokens: 256,
 			FamilyTokens: 256, OwnTokens: 64, Families: 4, Customers: 1, Zipf: 1.2, MaxTokens: 20, Whole: 0.5},
 	}
 	s.finish(o)
--- a/demo/verdict.go
+++ b/demo/verdict.go
@@ -16,11 +16,13 @@
 	verdictCut
 	// verdictUnsent: no instance was reached, nothing was sent.
 	verdictUnsent
+	// verdictHungUp: the caller closed the connection itself.
+	verdictHungUp
 )
 
 // String names the verdict for traces.
 func (v verdict) String() string {
-	return [...]string{"complete", "incomplete", "wrong", "not run", "unknown", "failed", "cut by kill", "not reached"}[v]
+	return [...]string{"complete", "incomplete", "wrong", "not run", "unknown", "failed", "cut by kill", "not reached", "hung up"}[v]
 }
 
 // judge decides from the answer alone.
--- a/demo/wire.go
+++ b/demo/wire.go
@@ -68,11 +68,19 @@
 		return answer{ending: endUnsent}
 	}
 	defer func() { _ = conn.Close() }()
-	_ = conn.SetDeadline(time.Now().Add(timeout))
+	deadline := time.Now().Add(timeout)
+	_ = conn.SetDeadline(deadline)
+	var a answer
 	if err := writeCall(conn, target, c); err != nil {
-		return answer{ending: endOf(err)}
+		a.ending = endOf(err)
+	} else {
+		a = readAnswer(bufio.NewReader(conn), c)
 	}
-	return readAnswer(bufio.NewReader(conn), c)
+	// fasthttp hides a timeout before the first byte.
+	if a.ending == endCut && !time.Now().Before(deadline) {
+		a.ending = endTimeout
+	}
+	return a
 }
 
 func writeCall(conn net.Conn, target string, c *call) error {
--- a/demo/workload.go
+++ b/demo/workload.go
@@ -29,8 +29,13 @@
 	key string
 	// resend: the caller sends it twice, without having seen an error.
 	resend resendKind
+	// hangUp is when the caller closes its first connection; 0 is never.
+	hangUp time.Duration
 }
 
+// longestHangUp bounds the time until a caller hangs up.
+const longestHangUp = 600 * time.Millisecond
+
 // resendKind says when a caller sends a request a second time.
 type resendKind int
 
@@ -85,6 +90,9 @@
 		r.key = fmt.Sprintf("%s-%d-%d", r.work.GetName(), w.load.GetSeed(), n)
 	}
 	r.poison = r.work.GetModel() != "" && rng.Float64() < w.poisonShare
+	if rng.Float64() < r.work.GetHangUp() {
+		r.hangUp = 1 + time.Duration(rng.Int64N(int64(longestHangUp)))
+	}
 	r.prompt = w.prompt(rng, r)
 	return r
 }
