Test a crash-causing request against whole instances

Cause: nothing tried a request that crashes engines through entry, placing and owners together. Change: instance/crash_test.go: 15 neighbours stream at five engines while one caller sends such a request nine times to one instance.

--- /dev/null
+++ b/instance/crash_test.go
@@ -0,0 +1,114 @@
+package instance
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sardinedock/sardinedock/emulator"
+	"github.com/sardinedock/sardinedock/record"
+	"github.com/sardinedock/sardinedock/schema/recordspb"
+)
+
+const crashTestKey = "crash-test-key"
+
+// crashRig is some instances before some engines that are away for a moment
+// after a crash.
+func crashRig(t *testing.T, instances, engines int) (*emulator.Emulator, []*Instance) {
+	t.Helper()
+	pool := &recordspb.EndpointPool{BlockTokens: 64, CacheBlocks: 4096, Slots: 8, PrefillTokensPerSecond: 20000, LoadsAtOnce: 1,
+		SuspectAfterMs: 1000, ExpelAfterMs: 5000}
+	for n := range engines {
+		pool.Endpoints = append(pool.Endpoints, &recordspb.Endpoint{Name: fmt.Sprint("engine-", n), Address: "127.0.0.1:0"})
+	}
+	class := &recordspb.RequestClass{MaxWaitMs: 10000, TimeoutMs: 60000}
+	org := &recordspb.Organisation{KeyHashes: []string{record.HashKey(crashTestKey)}, Weight: 1}
+	e, err := emulator.StartWith("127.0.0.1:0", []*recordspb.Record{
+		{SchemaVersion: 1, Name: "engines", Spec: &recordspb.Record_Pool{Pool: pool}},
+		{SchemaVersion: 1, Name: "quote", Spec: &recordspb.Record_Class{Class: class}},
+		{SchemaVersion: 1, Name: "counter", Spec: &recordspb.Record_Model{Model: &recordspb.Model{Version: "1", Pool: "engines", MaxTokens: 1000, DefaultClass: "quote"}}},
+		{SchemaVersion: 1, Name: "accra", Spec: &recordspb.Record_Organisation{Organisation: org}},
+	}, emulator.Config{Engine: emulator.EngineConfig{DownTime: 300 * time.Millisecond, TokenTime: 10 * time.Millisecond}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(e.Close)
+	var all []*Instance
+	for k := range instances {
+		all = append(all, startPeer(t, e.Store.Addr(), fmt.Sprint("entry-", k), all...))
+	}
+	return e, all
+}
+
+func complete(ctx context.Context, i *Instance, prompt string, tokens int) (*http.Response, error) {
+	body := fmt.Sprintf(`{"model":"counter","prompt":%q,"max_tokens":%d,"stream":true}`, prompt, tokens)
+	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+i.Callers()+"/v1/completions", strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+crashTestKey)
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	return client.Do(req)
+}
+
+// One request crashes every engine that runs it, and its caller sends it again
+// at the same instance. Two engines are what it may cost; the requests that
+// were in flight beside it, from all instances, finish elsewhere and are not
+// refused for it.
+func TestCrashCausingRequestAtOneInstance(t *testing.T) {
+	t.Parallel()
+	e, all := crashRig(t, 3, 5)
+	neighbours := make([]*http.Response, 0, 15)
+	for n := range cap(neighbours) {
+		resp, err := complete(t.Context(), all[n%len(all)], fmt.Sprint("neighbour ", n), 80)
+		if err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatal(resp, err)
+		}
+		neighbours = append(neighbours, resp)
+	}
+	for range 9 {
+		resp, err := complete(t.Context(), all[0], emulator.PoisonText, 3)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, _ := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusBadRequest {
+			t.Fatalf("status %d: %s", resp.StatusCode, body)
+		}
+	}
+	crashes := 0
+	for _, engine := range e.Engines {
+		crashes += engine.Stats().Crashes
+	}
+	if crashes != 2 {
+		t.Errorf("%d engines were lost", crashes)
+	}
+	for n, resp := range neighbours {
+		if got, want := wholeText(resp.Body), 80; got != want {
+			t.Errorf("neighbour %d: %d tokens, want %d", n, got, want)
+		}
+		_ = resp.Body.Close()
+	}
+}
+
+// wholeText counts the pieces of an answer; -1 if it has no proper end.
+func wholeText(body io.Reader) int {
+	pieces := 0
+	for lines := bufio.NewScanner(body); lines.Scan(); {
+		switch line := lines.Text(); {
+		case line == "data: [DONE]":
+			return pieces
+		case strings.HasPrefix(line, "event: error"):
+			return -1
+		case strings.HasPrefix(line, "data: "):
+			pieces++
+		}
+	}
+	return -1
+}
