--- a/place/routes.go
+++ b/place/routes.go
@@ -51,14 +51,14 @@
 func newPoolRoutes(pool *recordspb.EndpointPool, regions *regions) *poolRoutes {
 	p := &poolRoutes{record: pool, endpoints: pool.GetEndpoints(), near: make([]bool, len(pool.GetEndpoints()))}
 	names := make([]string, 0, len(p.endpoints))
-	any := false
+	anyNear := false
 	for i, e := range p.endpoints {
 		names = append(names, e.GetName())
 		p.near[i] = regions.isNear(e.GetDataCentre())
-		any = any || p.near[i]
+		anyNear = anyNear || p.near[i]
 	}
 	for i := range p.near {
-		p.near[i] = p.near[i] || !any
+		p.near[i] = p.near[i] || !anyNear
 	}
 	p.ranking = policy.NewRanking(names)
 	return p
