Answer /v1/models/{name}

Cause: ordinary clients ask what one model is and got 404. Change: entry answers it for the models that the organisation may use. Measured: the OpenAI client's Models.List and Models.Get in TestModels. Conclusion: the models' part of the interface is whole.

--- a/entry/api_test.go
+++ b/entry/api_test.go
@@ -187,3 +187,20 @@
 		t.Fatalf("status %d, cached %s: the caller's salt was used", resp.StatusCode, got)
 	}
 }
+
+// An organisation sees the models that its record allows, and no others.
+func TestModels(t *testing.T) {
+	r := newRig(t, rigConfig{engines: 1})
+	c := openai.NewClient(option.WithAPIKey(testKey), option.WithBaseURL(r.url+"/v1"), option.WithMaxRetries(0))
+	list, err := c.Models.List(context.Background())
+	if err != nil || len(list.Data) != 2 || list.Data[1].ID != "counter" {
+		t.Fatalf("%+v, %v", list, err)
+	}
+	one, err := c.Models.Get(context.Background(), "counter")
+	if err != nil || one.ID != "counter" {
+		t.Fatalf("%+v, %v", one, err)
+	}
+	if resp := r.do(t, "GET", "/v1/models/secret", nil, ""); resp.StatusCode != 404 {
+		t.Fatalf("status %d for a model of others", resp.StatusCode)
+	}
+}
--- a/entry/errors.go
+++ b/entry/errors.go
@@ -19,6 +19,10 @@
 
 var errNoRecords = fault.New(fault.Unavailable, "ask again in a second", "this instance has no records yet")
 
+func errNoModel(name string) error {
+	return fault.New(fault.NotFound, "ask /v1/models for the models there are", "no such model: %q", name)
+}
+
 func errNoPath(path string) error {
 	return fault.New(fault.NotFound, "use /v1/completions, /v1/chat/completions, /v1/models or a service's path", "no such path: %s", path)
 }
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -18,6 +18,9 @@
 	OwnedBy string `json:"owned_by"`
 }
 
+// modelsPath heads the path of one model.
+const modelsPath = "/v1/models/"
+
 type modelList struct {
 	Object string       `json:"object"`
 	Data   []modelEntry `json:"data"`
@@ -30,7 +33,20 @@
 			list.Data = append(list.Data, modelEntry{ID: name, Object: "model", OwnedBy: "sardinedock"})
 		}
 	}
-	body, _ := json.Marshal(list)
+	writeJSON(ctx, list)
+}
+
+// model answers what one model is.
+func (s *Server) model(ctx *fasthttp.RequestCtx, records *record.Snapshot, organisation, name string) {
+	if _, ok := lookupModel(records, name); !ok || !mayUse(records, organisation, name) {
+		s.refuse(ctx, errNoModel(name))
+		return
+	}
+	writeJSON(ctx, modelEntry{ID: name, Object: "model", OwnedBy: "sardinedock"})
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, v any) {
+	body, _ := json.Marshal(v)
 	ctx.SetContentType("application/json")
 	ctx.SetBody(body)
 }
--- a/entry/request.go
+++ b/entry/request.go
@@ -82,7 +82,7 @@
 	}
 	model, ok := lookupModel(records, name)
 	if !ok || !mayUse(records, organisation, name) {
-		return fault.New(fault.NotFound, "ask /v1/models for the models there are", "no such model: %q", name)
+		return errNoModel(name)
 	}
 	pool, ok := records.Pool(model.GetPool())
 	if !ok {
--- a/entry/server.go
+++ b/entry/server.go
@@ -120,6 +120,8 @@
 	switch path := string(ctx.Path()); {
 	case path == "/v1/models":
 		s.models(ctx, records, organisation)
+	case strings.HasPrefix(path, modelsPath):
+		s.model(ctx, records, organisation, path[len(modelsPath):])
 	case path == "/v1/completions" || path == "/v1/chat/completions":
 		s.generate(ctx, records, organisation)
 	case strings.HasPrefix(path, "/services/"):
