Leave out of a load's report what nobody counted

Cause: load printed zeros for hit rate and endpoints, which it cannot see. Change: dashes, and no lines for endpoints and object API.

--- a/demo/report.go
+++ b/demo/report.go
@@ -163,11 +163,7 @@
 	}
 	fmt.Fprintf(&b, "\ndoubled %d, false not-run %d, confirmed but not run %d, cut by kill %d, not reached %d, not sent %d, attempts %d\n",
 		r.DoubledNonRepeatable, r.FalseNotRun, r.ConfirmedNotRun, r.CutByKill, r.NotReached, r.NotSent, r.Attempts)
-	e := r.Endpoints
-	fmt.Fprintf(&b, "endpoints: %d engine runs, %d service runs, %d refused, %d crashes, %d stale blocks, %d late starts\n",
-		e.EngineRuns, e.ServiceRuns, e.Refused, e.Crashes, e.StaleBlocks, e.LateStarts)
-	fmt.Fprintf(&b, "object API: %d reads, %d writes, %d open watches, %d over the rate\n",
-		r.StoreCalls.Reads, r.StoreCalls.Writes, r.StoreCalls.Watches, r.StoreCalls.RateLimited)
+	writeEndpoints(&b, r)
 	writeFaults(&b, r)
 	for _, f := range r.Findings {
 		fmt.Fprintf(&b, "broken: %s\n", f)
@@ -176,6 +172,18 @@
 	return err
 }
 
+// writeEndpoints tells what the stand-ins counted, where they are ours.
+func writeEndpoints(b *strings.Builder, r *Report) {
+	e := r.Endpoints
+	if e == (EndpointCounts{}) {
+		return
+	}
+	fmt.Fprintf(b, "endpoints: %d engine runs, %d service runs, %d refused, %d crashes, %d stale blocks, %d late starts\n",
+		e.EngineRuns, e.ServiceRuns, e.Refused, e.Crashes, e.StaleBlocks, e.LateStarts)
+	fmt.Fprintf(b, "object API: %d reads, %d writes, %d open watches, %d over the rate\n",
+		r.StoreCalls.Reads, r.StoreCalls.Writes, r.StoreCalls.Watches, r.StoreCalls.RateLimited)
+}
+
 func writeFaults(b *strings.Builder, r *Report) {
 	names := make([]string, 0, len(r.Faults))
 	for name := range r.Faults {
@@ -188,8 +196,12 @@
 }
 
 func writeRow(b *strings.Builder, name string, c *Counts) {
-	fmt.Fprintf(b, "%-14s %7d %8d %10d %6d %7d %7d %6d %8.3f %6.3f %9d  %.1f %.1f %.1f\n", name, c.Sent, c.Complete, c.Incomplete, c.WrongAnswer,
-		c.RefusedNotRun, c.UnknownOutcome, c.Failed, c.PrefixHitRate, c.PrefixHitBound, c.WastedRecomputeTokens, c.TTFT.P50, c.TTFT.P95, c.TTFT.P99)
+	prefill := fmt.Sprintf("%8s %6s %9s", "-", "-", "-")
+	if c.tokens.PromptTokens > 0 {
+		prefill = fmt.Sprintf("%8.3f %6.3f %9d", c.PrefixHitRate, c.PrefixHitBound, c.WastedRecomputeTokens)
+	}
+	fmt.Fprintf(b, "%-14s %7d %8d %10d %6d %7d %7d %6d %s  %.1f %.1f %.1f\n", name, c.Sent, c.Complete, c.Incomplete, c.WrongAnswer,
+		c.RefusedNotRun, c.UnknownOutcome, c.Failed, prefill, c.TTFT.P50, c.TTFT.P95, c.TTFT.P99)
 }
 
 // finish computes what follows from the counts of the classes.
