Keep shared prefixes in the KV store and import them

Change: package kept; levels' ends are exported once, told to all instances, and imported after the grant where that is cheaper. Pools say the import's rate. Conclusion: kept; what is left is levels that an instance has not seen yet.

--- a/demo/scenario.go
+++ b/demo/scenario.go
@@ -127,6 +127,7 @@
 func (s *scenario) addPool(name string, endpoints int, p *recordspb.EndpointPool) {
 	p.BlockTokens, p.Slots, p.UrgentSlots, p.PrefillTokensPerSecond = 64, 16, proto.Int64(2), 20000
 	p.SuspectAfterMs, p.ExpelAfterMs = 1000, 5000
+	p.KvImportTokensPerSecond = 200000
 	p.Endpoints = s.servers(name, endpoints)
 	s.add(name, &recordspb.Record{Spec: &recordspb.Record_Pool{Pool: p}})
 }
--- a/instance/fleet.go
+++ b/instance/fleet.go
@@ -14,6 +14,7 @@
 	"github.com/sardinedock/sardinedock/fleet/exchange"
 	"github.com/sardinedock/sardinedock/fleet/member"
 	"github.com/sardinedock/sardinedock/fleet/transport"
+	"github.com/sardinedock/sardinedock/kept"
 	"github.com/sardinedock/sardinedock/place"
 	"github.com/sardinedock/sardinedock/record"
 	"github.com/sardinedock/sardinedock/schema/fleetpb"
@@ -43,6 +44,7 @@
 	placer    *place.Fleet
 	duty      *place.Duty
 	handOvers *place.HandOvers
+	kept      *kept.Keeper
 	client    *transport.Client
 	traffic   *transport.Traffic
 	listener  net.Listener
@@ -110,6 +112,7 @@
 		return err
 	}
 	i.admin.Register("fleet", i.bounded(func(ctx context.Context) any { return p.node.Dump(ctx) }))
+	i.admin.Register("kept", func() any { return p.kept.Dump() })
 	i.admin.Register("place", i.bounded(func(ctx context.Context) any { return p.placer.Dump(ctx) }))
 	return nil
 }
@@ -136,9 +139,10 @@
 			p.placer.Lost(endpoint, incarnation, lost)
 		},
 	})
+	p.kept = i.newKept()
 	p.placer = place.NewFleet(place.FleetConfig{
 		Caller: &fleetpb.Caller{Fleet: i.settings.GetFleet(), Instance: self.Name, Incarnation: self.Incarnation},
-		Clock:  clock.System{}, Peers: p.client, Duty: p.duty,
+		Clock:  clock.System{}, Peers: p.client, Duty: p.duty, Kept: p.kept,
 		Publish: func(ctx context.Context, key exchange.Key, value []byte, ttl time.Duration) error {
 			if key.Kind == fleetpb.ItemKind_ITEM_KIND_FINGERPRINT {
 				i.noteFingerprint(key.Name, value)
--- a/instance/fleet_run.go
+++ b/instance/fleet_run.go
@@ -20,6 +20,7 @@
 	p.open.Go(func() { p.node.Run(run) })
 	p.open.Go(func() { p.duty.Run(run) })
 	p.open.Go(func() { p.placer.Run(run) })
+	p.open.Go(func() { p.kept.Run(run) })
 	p.open.Go(func() { p.handOvers.Run(run, p.placer) })
 	p.open.Go(func() { i.runRecordsOut(run) })
 	p.open.Go(func() { i.runList(run) })
--- a/place/ask.go
+++ b/place/ask.go
@@ -114,7 +114,7 @@
 			index, list = append(index, i), append(list, offer)
 		}
 	}
-	choice := policy.Choose(t.request.PromptTokens, 0, list, t.pool.prices())
+	choice := policy.Choose(t.request.PromptTokens, t.keptTokens(), list, t.pool.prices())
 	if choice.Index < 0 {
 		return -1, shortest
 	}
--- a/place/fleet.go
+++ b/place/fleet.go
@@ -13,6 +13,7 @@
 	"github.com/sardinedock/sardinedock/fault"
 	"github.com/sardinedock/sardinedock/fleet/exchange"
 	"github.com/sardinedock/sardinedock/fleet/member"
+	"github.com/sardinedock/sardinedock/kept"
 	"github.com/sardinedock/sardinedock/owner"
 	"github.com/sardinedock/sardinedock/policy"
 	"github.com/sardinedock/sardinedock/prefix"
@@ -67,6 +68,8 @@
 	Peers  Peers
 	// Duty owns the endpoints of this instance.
 	Duty *Duty
+	// Kept has prefixes exported and imported.
+	Kept *kept.Keeper
 	// Publish shares a state with all instances, one version above the one
 	// held. It is called by one goroutine and may block.
 	Publish func(ctx context.Context, key exchange.Key, value []byte, ttl time.Duration) error
@@ -103,6 +106,10 @@
 	tries  int
 	// withdrawn counts the asks that were taken back.
 	withdrawn int
+	// kept is the longest prefix that can be imported; none if it is empty.
+	kept kept.Prefix
+	// levels are the numbers of leading blocks at which a shared level ends.
+	levels []int
 }
 
 // NewFleet returns a placer without records, which refuses all requests.
@@ -173,6 +180,7 @@
 		return Grant{}, err
 	}
 	placed.Inc()
+	f.importKept(ctx, t, g)
 	return g, nil
 }
 
@@ -201,6 +209,7 @@
 		if err != nil {
 			return Grant{}, err
 		}
+		f.findKept(t)
 		if t.tries >= maxTries {
 			return f.placeOwn(t, list)
 		}
@@ -226,7 +235,7 @@
 		e := t.pool.endpoints[i]
 		return !e.GetLeaving() && f.states.usable(e.GetName(), now) && !contains(t.request.Exclude, e.GetName())
 	}
-	key := f.key(t.request)
+	key := f.key(t)
 	var found [candidateCount]int
 	top := t.pool.ranking.Top(found[:0], key, candidateCount, func(i int) bool { return t.pool.near[i] && usable(i) })
 	if len(top) == 0 {
@@ -249,12 +258,14 @@
 
 // key is what the endpoints are ordered by: the deepest level of the prompt
 // that others share.
-func (f *Fleet) key(r Request) prefix.Hash {
+func (f *Fleet) key(t *ticket) prefix.Hash {
+	r := t.request
 	salt := prefix.Salt(r.Organisation, r.Model, r.Version)
 	f.levelsMu.Lock()
 	defer f.levelsMu.Unlock()
 	key := f.levels.Key(salt, r.Blocks, 0)
 	f.levels.Observe(salt, r.Blocks)
+	t.levels = f.levels.Ends(t.levels[:0], r.Blocks)
 	return key
 }
 
@@ -290,6 +301,7 @@
 		f.guard.crashed(now, g.Endpoint, max(res.Incarnation, g.Incarnation), []owner.Fingerprint{g.ticket.request.Fingerprint})
 	case EndDone:
 		f.guard.completed(now, g.ticket.request.Fingerprint)
+		f.keep(g)
 	}
 	if g.ID == 0 {
 		return
--- a/place/routes.go
+++ b/place/routes.go
@@ -136,9 +136,15 @@
 	return policy.Prices{
 		PrefillTokensPerSecond: p.record.GetPrefillTokensPerSecond(),
 		Recompute:              policy.DefaultRecompute,
+		ImportTokensPerSecond:  p.record.GetKvImportTokensPerSecond(),
+		ImportFixed:            importFixed,
 	}
 }
 
+// importFixed is the time that an import of any size takes: a round trip to the
+// endpoint and its own to the KV store.
+const importFixed = 10 * time.Millisecond
+
 // classWait is how long a request of the class may wait for its start.
 func classWait(class *recordspb.RequestClass) time.Duration {
 	return milliseconds(class.GetMaxWaitMs())
--- a/place/share.go
+++ b/place/share.go
@@ -111,6 +111,8 @@
 		f.guard.heard(f.cfg.Clock.Now(), it.Key.Name, it.Value, it.TTL)
 	case fleetpb.ItemKind_ITEM_KIND_USAGE:
 		f.limits.heard(it.Key.Name, it.Value)
+	case fleetpb.ItemKind_ITEM_KIND_KEPT:
+		f.heardKept(it)
 	}
 }
 
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -115,6 +115,13 @@
 	return load, gain
 }
 
+// Import is how many tokens of kept KV cache are worth importing before a
+// prompt is sent to an endpoint that has cached tokens of it; 0 for none.
+func (p Prices) Import(prompt, kept, cached int64) int64 {
+	_, imported := p.prefill(prompt, kept, cached)
+	return imported
+}
+
 // Compute prices the computation of tokens.
 func (p Prices) Compute(tokens int64) time.Duration {
 	if p.PrefillTokensPerSecond <= 0 {
--- a/prefix/levels.go
+++ b/prefix/levels.go
@@ -142,6 +142,17 @@
 	return best, bestEnd
 }
 
+// Ends appends to dst how many leading blocks of the prompt end a level that
+// other prompts were seen to share, shortest first.
+func (l *Levels) Ends(dst []int, chain []Hash) []int {
+	for i, h := range chain {
+		if l.partsAfter(h) {
+			dst = append(dst, i+1)
+		}
+	}
+	return dst
+}
+
 func (l *Levels) partsAfter(h Hash) bool {
 	b := l.find(binary.LittleEndian.Uint64(h[:8]))
 	return b != nil && b.used&1 == 1
