Judge the rate of questions over ten minutes

Cause: TestLargePoolIsAskedSlowly failed in most runs with 671 to 713 questions in a minute, its bound being 660. The duty asks 120 endpoints about every 10.9 s, with jitter; 5 or 6 rounds fall into one minute, 600 or 720. Ruled out: a rate that is too high; over ten minutes it holds. Change: the check counts ten minutes and allows one round at the edge, 6,720 in all: 11.2 a second where one minute's count had let through 11 or failed.

--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -337,11 +337,13 @@
 		p.mu.Lock()
 		before := p.asked
 		p.mu.Unlock()
-		time.Sleep(time.Minute)
+		const minutes = 10
+		time.Sleep(minutes * time.Minute)
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		if asked := p.asked - before; asked == 0 || asked > 11*60 {
-			t.Fatalf("%d questions in a minute of rest", asked)
+		// One round more than the rate gives may fall into the time.
+		if asked := p.asked - before; asked == 0 || asked > 11*60*minutes+endpoints {
+			t.Fatalf("%d questions in %d minutes of rest", asked, minutes)
 		}
 	})
 }
