--- a/fleet/core.go
+++ b/fleet/core.go
@@ -266,21 +266,12 @@
 
 // replied takes the reply to a call and returns the calls that follow.
 func (c *core) replied(o outgoing, in *fleetpb.ExchangeReply, now time.Time) []outgoing {
-	name := in.GetCaller().GetInstance()
-	o.told.Known(in.GetKnown())
-	if o.purpose == purposePull {
-		c.learn(c.store.Adopt(in.GetItems(), name, now), now)
-	} else {
-		c.learn(c.store.Take(in.GetItems(), name, now), now)
-	}
-	if in.GetRoot() == c.store.Root() {
-		c.store.Agreed(c.size())
-	}
+	c.takeReply(o, in, now)
 	if o.purpose == purposeCheck {
 		return c.checked(o.suspect, len(in.GetReached()) > 0, now)
 	}
 	var out []outgoing
-	if o.peer.Name != "" && name != o.peer.Name {
+	if o.peer.Name != "" && in.GetCaller().GetInstance() != o.peer.Name {
 		// The address has gone to another instance, so the one that had it is
 		// no more.
 		out = c.ask(o.peer, now)
@@ -288,7 +279,26 @@
 	if o.purpose == purposePull {
 		return out
 	}
-	peer := member.Peer{Name: name, Address: o.peer.Address}
+	return append(out, c.followUp(o, in, now)...)
+}
+
+// takeReply merges what a reply told.
+func (c *core) takeReply(o outgoing, in *fleetpb.ExchangeReply, now time.Time) {
+	name := in.GetCaller().GetInstance()
+	o.told.Known(in.GetKnown())
+	if o.purpose == purposePull {
+		c.learn(c.store.Adopt(in.GetItems(), name, now), now)
+	} else {
+		c.learn(c.store.Take(in.GetItems(), name, now), now)
+	}
+	if in.GetRoot() == c.store.Root() {
+		c.store.Agreed(c.size())
+	}
+}
+
+// followUp sends what the peer asked for or lacks, asks for what this instance
+// lacks, and begins a compare where one is due.
+func (c *core) followUp(o outgoing, in *fleetpb.ExchangeReply, now time.Time) []outgoing {
 	var b exchange.Bundle
 	c.store.Answer(&b, in.GetWant(), in.GetSummaries(), now)
 	c.store.Missing(&b, in.GetBuckets(), in.GetSummaries(), now)
@@ -299,19 +309,20 @@
 		c.store.Recent(&b)
 	}
 	if b.Empty() && !compare {
-		return out
+		return nil
 	}
 	if o.rounds >= followUps {
 		followUpsCut.Inc()
-		return out
+		return nil
 	}
+	peer := member.Peer{Name: in.GetCaller().GetInstance(), Address: o.peer.Address}
 	next := outgoing{peer: peer, purpose: o.purpose, request: c.request(&b), rounds: o.rounds + 1, started: now}
 	if compare {
 		compares.Inc()
 		c.lastCompare = now
 		next.request.BucketSums = c.store.BucketSums()
 	}
-	return append(out, next)
+	return []outgoing{next}
 }
 
 // pull is the first call of a starting instance: it asks a peer for all state.
