--- a/internal/slopes/owner.go
+++ b/internal/slopes/owner.go
@@ -1,10 +1,12 @@
 package slopes
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"time"
 
+	"github.com/sardinedock/sardinedock/endpoint"
 	"github.com/sardinedock/sardinedock/owner"
 	"github.com/sardinedock/sardinedock/prefix"
 )
@@ -29,7 +31,31 @@
 		tick := timed(ownerRounds, func(int) { b.Tick(now) })
 		fmt.Fprintf(out, "%14d %16.2f %14.2f %16.2f\n", blocks, request, event, tick)
 	}
-	return nil
+	decode, err := timeDecode()
+	fmt.Fprintf(out, "%.2f us to decode an event\n", decode)
+	return err
+}
+
+// timeDecode times what it takes to read one cache event from its JSON line.
+func timeDecode() (float64, error) {
+	e := endpoint.CacheEvent{Seq: 1, Incarnation: 1, Op: endpoint.CacheStore}
+	for _, h := range chain(eventBlocks, 1) {
+		e.Blocks = append(e.Blocks, h.String())
+	}
+	line, err := json.Marshal(e)
+	if err != nil {
+		return 0, err
+	}
+	took := timed(ownerRounds, func(int) {
+		var read endpoint.CacheEvent
+		if json.Unmarshal(line, &read) != nil {
+			return
+		}
+		for _, text := range read.Blocks {
+			_, _ = prefix.ParseHash(text)
+		}
+	})
+	return took, nil
 }
 
 // timed returns the microseconds of one call.
