Count a caller as unreached only after 15 s without any instance

Cause: a caller whose last attempt met a killed instance late counted as one that reached none, which is a matter of its own earlier waits.

--- a/demo/driver.go
+++ b/demo/driver.go
@@ -22,8 +22,8 @@
 	// unknownResends is how often a caller asks again what became of a request
 	// of which nobody knew.
 	unknownResends = 3
-	// reachBound is how long a caller that sends again goes on trying to reach
-	// any instance.
+	// reachBound is how long a caller that sends again goes on trying when it
+	// reaches no instance at all.
 	reachBound = 15 * time.Second
 	// maxBackoff bounds what a caller takes from Retry-After.
 	maxBackoff = 3 * time.Second
@@ -136,6 +136,7 @@
 	rng := d.rng(r, 0)
 	var tried []string
 	var last verdict
+	reached := time.Now()
 	for n := 0; ; n++ {
 		var a answer
 		var target string
@@ -146,10 +147,15 @@
 		if last == verdictComplete || ctx.Err() != nil {
 			break
 		}
-		if last == verdictUnsent && d.resends > 0 && time.Since(due) < reachBound {
+		if last != verdictUnsent {
+			reached = time.Now()
+		}
+		// Nothing was sent, so the attempt does not count.
+		unreached := last == verdictUnsent && d.resends > 0 && time.Since(reached) < reachBound
+		if unreached {
 			n--
 		}
-		if n >= d.resendsAfter(r, last) {
+		if !unreached && n >= d.resendsAfter(r, last) {
 			break
 		}
 		tried = append(tried, target)
