--- a/owner/endpoint.go
+++ b/owner/endpoint.go
@@ -108,7 +108,7 @@
 	granted     map[requestKey]uint64
 	queued      map[requestKey]*waiter
 	queue       [lanes]*fairQueue
-	lonely      []*waiter
+	aloneQueue  []*waiter
 	inUse       [lanes]int
 	pending     [ranks]int64
 	hold        [lanes]time.Duration
@@ -206,7 +206,7 @@
 // nobody of its lane or above waits, and the endpoint is not behind with what
 // it has.
 func (e *Endpoint) open(now time.Time, a Ask, r rank) bool {
-	if len(e.lonely) > 0 || e.aloneRuns {
+	if len(e.aloneQueue) > 0 || e.aloneRuns {
 		return false
 	}
 	if a.Alone {
@@ -301,7 +301,7 @@
 	w := &waiter{ask: a, tokens: p.missing, rank: p.rank}
 	e.queued[a.key()] = w
 	if a.Alone {
-		e.lonely = append(e.lonely, w)
+		e.aloneQueue = append(e.aloneQueue, w)
 		return
 	}
 	e.queue[laneOf(a)].push(w)
@@ -335,9 +335,9 @@
 	if !e.live() || e.aloneRuns {
 		return nil
 	}
-	if len(e.lonely) > 0 {
+	if len(e.aloneQueue) > 0 {
 		if len(e.grants) == 0 {
-			return e.lonely[0]
+			return e.aloneQueue[0]
 		}
 		return nil
 	}
@@ -359,9 +359,9 @@
 
 func (e *Endpoint) dequeue(w *waiter) {
 	delete(e.queued, w.ask.key())
-	for i, x := range e.lonely {
+	for i, x := range e.aloneQueue {
 		if x == w {
-			e.lonely = append(e.lonely[:i], e.lonely[i+1:]...)
+			e.aloneQueue = append(e.aloneQueue[:i], e.aloneQueue[i+1:]...)
 			return
 		}
 	}
--- a/owner/endpoint_test.go
+++ b/owner/endpoint_test.go
@@ -186,7 +186,7 @@
 }
 
 // Whatever the order of events, a request gets one grant or one refusal, slots
-// for urgent work stay free of waiting work, a lonely request has nothing
+// for urgent work stay free of waiting work, a request that has to run alone has nothing
 // beside it, nothing is granted on an endpoint that is not live, and an
 // endpoint with work waiting is never idle.
 func TestEveryRequestGetsExactlyOneEnd(t *testing.T) {
--- a/owner/estimate.go
+++ b/owner/estimate.go
@@ -78,8 +78,8 @@
 // whichever is later.
 func (e *Endpoint) wait(now time.Time, a Ask, r rank) time.Duration {
 	l := laneOf(a)
-	if a.Alone || len(e.lonely) > 0 || e.aloneRuns {
-		return e.drainTime(l, len(e.lonely))
+	if a.Alone || len(e.aloneQueue) > 0 || e.aloneRuns {
+		return e.drainTime(l, len(e.aloneQueue))
 	}
 	var own work
 	if line := e.queue[l].lines[a.Organisation]; line != nil {
--- a/owner/events.go
+++ b/owner/events.go
@@ -198,7 +198,7 @@
 			}
 		}
 	}
-	for _, w := range slices.Clone(e.lonely) {
+	for _, w := range slices.Clone(e.aloneQueue) {
 		if now.After(w.ask.Deadline) {
 			e.dequeue(w)
 			late = append(late, refuse(w.ask, ReasonDeadline, retryAfter(w.ask.RequestID, 0)))
@@ -209,7 +209,7 @@
 
 // waiters lists all that wait, in a fixed order.
 func (e *Endpoint) waiters() []*waiter {
-	list := slices.Clone(e.lonely)
+	list := slices.Clone(e.aloneQueue)
 	for _, q := range e.queue {
 		for _, l := range q.sorted() {
 			list = append(list, l.waiters...)
