Let urgent requests shift earlier

Cause: urgent requests waited for a slot at the endpoint that had their prompt cached, since computing it elsewhere was priced like a catalogue. Change: an urgent request pays a quarter of the price of recomputation.

--- a/owner/book.go
+++ b/owner/book.go
@@ -76,7 +76,9 @@
 	}
 	best := b.holder(a, names)
 	if best == nil {
-		choice := policy.Choose(a.PromptTokens, 0, offers, b.prices)
+		prices := b.prices
+		prices.Urgent = a.Urgent
+		choice := policy.Choose(a.PromptTokens, 0, offers, prices)
 		best = b.endpoints[offers[choice.Index].Endpoint]
 	}
 	d := best.Ask(now, a)
--- a/place/ask.go
+++ b/place/ask.go
@@ -114,7 +114,9 @@
 			index, list = append(index, i), append(list, offer)
 		}
 	}
-	choice := policy.Choose(t.request.PromptTokens, t.keptTokens(), list, t.pool.prices())
+	prices := t.pool.prices()
+	prices.Urgent = t.request.Class.GetUrgent()
+	choice := policy.Choose(t.request.PromptTokens, t.keptTokens(), list, prices)
 	if choice.Index < 0 {
 		return -1, shortest
 	}
--- a/policy/choose.go
+++ b/policy/choose.go
@@ -34,12 +34,21 @@
 	// there is none; ImportFixed is the cost of an import of any size.
 	ImportTokensPerSecond float64
 	ImportFixed           time.Duration
+	// Urgent says that the request may not wait.
+	Urgent bool
 }
 
 // DefaultRecompute is the price of recomputation that the measurements in
 // docs/notes/placement.md back.
 const DefaultRecompute = 2
 
+// urgentShare is the part of the price of recomputation that an urgent request
+// pays. Its prompts are short and come often: a copy at each of its candidates
+// takes little of the caches and is found again, and then the request goes to
+// whichever has a slot free, instead of waiting at the one that has it cached
+// for the end of a long answer.
+const urgentShare = 0.25
+
 // scarceWait is the wait at the least busy candidate that doubles the price of
 // recomputation. A tenth of a second is about what an endpoint is given ahead,
 // so that less is not yet a sign of saturation.
@@ -82,7 +91,7 @@
 	return best
 }
 
-// scarce raises the price of recomputation while even the least busy candidate
+// scarce sets the price of recomputation. It raises it while even the least busy candidate
 // is behind. While one of them idles, computing a prompt again costs nobody
 // else's time. In saturation it does: each shift then takes as much from the
 // pool's capacity as it computes, the waits grow, and more requests shift. That
@@ -95,6 +104,9 @@
 	for _, o := range offers {
 		least = min(least, o.Wait)
 	}
+	if p.Urgent {
+		p.Recompute *= urgentShare
+	}
 	p.Recompute *= 1 + least.Seconds()/scarceWait.Seconds()
 	return p
 }
--- a/policy/policybench/sim.go
+++ b/policy/policybench/sim.go
@@ -197,7 +197,9 @@
 		offers = append(offers, m.askOne(r, a, e).Offers...)
 	}
 	a.Mode = owner.Take
-	choice := policy.Choose(r.tokens, 0, offers, m.prices)
+	prices := m.prices
+	prices.Urgent = r.urgent
+	choice := policy.Choose(r.tokens, 0, offers, prices)
 	a.Candidate = choice.Index
 	m.take([]owner.Decision{m.askOne(r, a, m.index(offers[choice.Index].Endpoint))})
 }
--- a/policy/state_test.go
+++ b/policy/state_test.go
@@ -73,6 +73,11 @@
 	if got := Choose(10000, 0, saturated, p); got.Index != 0 {
 		t.Errorf("all are behind and the prompt is computed once more: %+v", got)
 	}
+	hurried := p
+	hurried.Urgent = true
+	if got := Choose(10000, 0, offers(700*time.Millisecond), hurried); got.Index != 1 {
+		t.Errorf("an urgent request waits where computing is quicker: %+v", got)
+	}
 	if got := Choose(1, 0, nil, p); got.Index != -1 {
 		t.Errorf("no offers: %+v", got)
 	}
