Let owners tell where the levels of a prompt end

Cause: levels were found by the entry instances. Each places a seventh of the prompts today and a 360th at the target, so it sees a catalogue with two customers late, and until then the catalogue is not kept. Change: the owner of an endpoint, which sees all prompts that go there, finds the levels' ends and tells them with the grant.

--- a/owner/book.go
+++ b/owner/book.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sardinedock/sardinedock/policy"
+	"github.com/sardinedock/sardinedock/prefix"
 	"github.com/sardinedock/sardinedock/schema/fleetpb"
 )
 
@@ -18,12 +19,16 @@
 	endpoints map[string]*Endpoint
 	callers   map[string]time.Time
 	prices    policy.Prices
+	// levels are those of all endpoints here. A prefix goes to few endpoints,
+	// so their owners see where its levels end long before any of the many
+	// instances that place it.
+	levels *prefix.Levels
 }
 
 // NewBook returns an empty book. The prices decide between several endpoints
 // that one ask names.
 func NewBook(prices policy.Prices) *Book {
-	return &Book{endpoints: map[string]*Endpoint{}, callers: map[string]time.Time{}, prices: prices}
+	return &Book{endpoints: map[string]*Endpoint{}, callers: map[string]time.Time{}, prices: prices, levels: prefix.NewLevels(prefix.DefaultLevelSets)}
 }
 
 // Add takes an endpoint in; one that is there keeps its state and gets the new
@@ -32,6 +37,7 @@
 	e, ok := b.endpoints[cfg.Name]
 	if !ok {
 		e = New(cfg)
+		e.levels = b.levels
 		b.endpoints[cfg.Name] = e
 		return e
 	}
--- a/owner/endpoint.go
+++ b/owner/endpoint.go
@@ -5,6 +5,7 @@
 
 	"github.com/sardinedock/sardinedock/invariant"
 	"github.com/sardinedock/sardinedock/policy"
+	"github.com/sardinedock/sardinedock/prefix"
 	"github.com/sardinedock/sardinedock/schema/fleetpb"
 )
 
@@ -103,18 +104,20 @@
 	incarnation uint64
 	models      []string
 	known       *knowledge
-	window      policy.Window
-	grants      map[uint64]*grant
-	granted     map[requestKey]uint64
-	queued      map[requestKey]*waiter
-	queue       [lanes]*fairQueue
-	aloneQueue  []*waiter
-	inUse       [lanes]int
-	pending     [ranks]int64
-	hold        [lanes]time.Duration
-	aloneRuns   bool
-	lastGrant   uint64
-	foreign     foreignLoad
+	// levels is shared with the book's other endpoints; nil where there is none.
+	levels     *prefix.Levels
+	window     policy.Window
+	grants     map[uint64]*grant
+	granted    map[requestKey]uint64
+	queued     map[requestKey]*waiter
+	queue      [lanes]*fairQueue
+	aloneQueue []*waiter
+	inUse      [lanes]int
+	pending    [ranks]int64
+	hold       [lanes]time.Duration
+	aloneRuns  bool
+	lastGrant  uint64
+	foreign    foreignLoad
 	// began is when this owner was first asked; cacheKnown says that what the
 	// cache held before is known: nothing, or what the former owner told.
 	began      time.Time
@@ -287,7 +290,18 @@
 	e.known.use(a.Blocks)
 	invariant.Check(e.inUse[waiting] <= max(e.cfg.Slots-e.cfg.UrgentSlots, 0) || g.lane == urgent || a.Alone, "urgent_slots_kept",
 		"%d waiting requests run on %s", e.inUse[waiting], e.cfg.Name)
-	return e.grantedDecision(g)
+	d := e.grantedDecision(g)
+	d.Levels = e.levelEnds(a.Blocks)
+	return d
+}
+
+// levelEnds learns from a prompt and returns where its shared levels end.
+func (e *Endpoint) levelEnds(chain []prefix.Hash) []int {
+	if e.levels == nil {
+		return nil
+	}
+	e.levels.Observe(prefix.Hash{}, chain)
+	return e.levels.Ends(nil, chain)
 }
 
 func (e *Endpoint) grantedDecision(g *grant) Decision {
--- a/owner/types.go
+++ b/owner/types.go
@@ -91,6 +91,9 @@
 	Offer policy.Offer
 	// Offers of the endpoints asked about, where Kind is Offered.
 	Offers []policy.Offer
+	// Levels are the numbers of the prompt's leading blocks at which this owner
+	// has seen prompts part, where Kind is Granted.
+	Levels []int
 	Reason Reason
 	// RetryAfter is when a refused request could start.
 	RetryAfter time.Duration
--- a/place/ask.go
+++ b/place/ask.go
@@ -67,6 +67,7 @@
 		switch {
 		case reply.GetGranted() != nil:
 			o := reply.GetGranted()
+			t.learnLevels(reply.GetLevelEnds())
 			return f.granted(t, Grant{
 				ID: o.GetGrantId(), Owner: instance, Endpoint: c.name, Address: c.address,
 				Incarnation: o.GetIncarnation(), CachedTokens: o.GetCachedTokens(), Alone: o.GetAlone(), Long: o.GetLong(),
--- a/place/kept.go
+++ b/place/kept.go
@@ -54,6 +54,20 @@
 	f.cfg.Kept.Used(kept.Use{Address: g.Address, Salt: t.salt(), Chain: t.request.Blocks, Levels: t.levels})
 }
 
+// learnLevels takes over the levels that the owner knows, which has seen more of
+// the prompt's kind than this instance.
+func (t *ticket) learnLevels(ends []int32) {
+	if len(ends) < len(t.levels) {
+		return
+	}
+	t.levels = t.levels[:0]
+	for _, blocks := range ends {
+		if int(blocks) <= len(t.request.Blocks) {
+			t.levels = append(t.levels, int(blocks))
+		}
+	}
+}
+
 func (t *ticket) salt() prefix.Hash {
 	return prefix.Salt(t.request.Organisation, t.request.Model, t.request.Version)
 }
--- a/place/wire.go
+++ b/place/wire.go
@@ -61,6 +61,9 @@
 	switch x.Kind {
 	case owner.Granted:
 		r.Granted = toOffer(x.Offer)
+		for _, blocks := range x.Levels {
+			r.LevelEnds = append(r.LevelEnds, int32(blocks))
+		}
 	case owner.Queued:
 		r.Queued = true
 		r.Offers = []*fleetpb.Offer{toOffer(x.Offer)}
