--- a/policy/policybench/sim.go
+++ b/policy/policybench/sim.go
@@ -320,6 +320,9 @@
 	list = append(list, e.queue...)
 	e.prefill, e.queue = nil, nil
 	for _, r := range list {
+		if o := m.held(r); o != nil {
+			m.take(o.End(m.time(), owner.End{GrantID: r.grant, Stage: owner.Failed}))
+		}
 		r.attempts++
 		r.endpoint, r.grant = -1, 0
 		m.place(r)
