--- a/policy/policybench/sim_test.go
+++ b/policy/policybench/sim_test.go
@@ -75,6 +75,7 @@
 // All branches open on the hour and ask half as much again as on average. Their
 // staff would see quotations come late and line items not sorted.
 func TestHourlyBurst(t *testing.T) {
+	t.Parallel()
 	m := run(small(), owners, 0.8, nil)
 	check(t, m, "everyone", anyone, 0.99)
 	urgent := check(t, m, "urgent", isUrgent, 0.999)
@@ -87,6 +88,7 @@
 // One organisation asks for far more than its share, for minutes. The others'
 // requests must start as if it were not there.
 func TestOneOrganisationFloods(t *testing.T) {
+	t.Parallel()
 	s := small()
 	m := newSim(s, owners, s.arrivals(1, 1.6*s.capacity()))
 	for _, r := range m.requests {
@@ -105,6 +107,7 @@
 // The catalogue that everybody reads changes without notice in the middle of
 // the run. The new one is computed once or a few times, then found again.
 func TestHotCatalogueMoves(t *testing.T) {
+	t.Parallel()
 	s := small()
 	m := run(s, owners, 0.7, nil)
 	check(t, m, "everyone", anyone, 0.99)
@@ -119,6 +122,7 @@
 // that still answers. Callers whose catalogue lives there must not be its
 // victims.
 func TestOneSlowEndpoint(t *testing.T) {
+	t.Parallel()
 	slow := func(m *sim) { m.engines[2].slow = 4 }
 	m := run(small(), owners, 0.6, slow)
 	check(t, m, "everyone", anyone, 0.99)
@@ -135,6 +139,7 @@
 // Long readings of catalogues fill the pool beyond its capacity while engineers
 // at their desks need short answers.
 func TestUrgentBesideTooMuchLongWork(t *testing.T) {
+	t.Parallel()
 	m := run(small(), owners, 1.3, nil)
 	check(t, m, "urgent", isUrgent, 0.999)
 }
@@ -143,6 +148,7 @@
 // its capacity, and who is refused must hear it when it is known, not after
 // the deadline.
 func TestTwiceTheCapacity(t *testing.T) {
+	t.Parallel()
 	s := small()
 	m := run(s, owners, 2, nil)
 	o := check(t, m, "everyone", anyone, 0)
@@ -187,6 +193,7 @@
 // after each other. Every caller still gets an answer or a refusal, and only
 // the lost catalogues are computed again.
 func TestEndpointsCrash(t *testing.T) {
+	t.Parallel()
 	s := small()
 	m := run(s, owners, 0.6, func(m *sim) {
 		for i := range s.endpoints {
@@ -203,6 +210,7 @@
 // the engines have cached must be found again by the order of the endpoints
 // alone, and nobody is refused for it.
 func TestHerdRestartInTheBurst(t *testing.T) {
+	t.Parallel()
 	s := small()
 	at := s.warm + 2*time.Second
 	m := run(s, owners, 0.7, func(m *sim) { m.after(at, m.herdRestart) })
@@ -219,6 +227,7 @@
 // The owner of several endpoints dies without a word; another instance takes
 // them over and knows nothing of what runs or waits there.
 func TestOwnerLost(t *testing.T) {
+	t.Parallel()
 	s := small()
 	m := run(s, owners, 0.7, func(m *sim) {
 		m.after(s.warm+2*time.Second, func() {
@@ -243,6 +252,7 @@
 // Half of the instances take another instance for the owner of each endpoint.
 // Each owner sees half of the work and learns of the rest by load reports.
 func TestTwoOwnersOfEachEndpoint(t *testing.T) {
+	t.Parallel()
 	s := small()
 	m := run(s, owners, 0.6, func(m *sim) {
 		m.secondOwner = true
@@ -256,6 +266,7 @@
 // A report of an answer that was granted before a restart must not end a grant
 // of the new owner.
 func TestReportToANewOwnerEndsNothing(t *testing.T) {
+	t.Parallel()
 	m := newSim(small(), owners, nil)
 	e := owner.New(m.config(0))
 	old := e.Ask(epoch, owner.Ask{Caller: "i", RequestID: "1", PromptTokens: 64, Deadline: epoch.Add(time.Second)})
