Record an engine's refusal of a keyed request

Cause: a 4xx of the engine is a whole answer, but it was not recorded, so each resend read unknown until the claim expired. Change: entry records the engine's status and body like any other answer. Measured: TestEnginesRefusalIsRecorded, go test -race ./entry passes. Conclusion: every complete answer is on record.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -8,8 +8,6 @@
 	"strconv"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"github.com/sardinedock/sardinedock/endpoint"
 	"github.com/sardinedock/sardinedock/fault"
 	"github.com/sardinedock/sardinedock/outcome"
@@ -318,15 +316,15 @@
 	a.srv.metrics.outcome(a.verdict)
 	// A complete answer is recorded by whoever has put it together.
 	if !a.verdict.Complete() {
-		a.record("", nil)
+		a.record(0, "", nil)
 	}
 }
 
 // record tells the claim's record what became of the request, with the answer's
 // body where there is one.
-func (a *answer) record(contentType string, body []byte) {
+func (a *answer) record(status int, contentType string, body []byte) {
 	a.ticket.end(a.verdict, claim.Answer{
-		Status:      fasthttp.StatusOK,
+		Status:      status,
 		ContentType: contentType,
 		Body:        body,
 		Kept:        body != nil,
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -104,6 +104,9 @@
 	if a.endpoint != "" {
 		ctx.Response.Header.Set(headerEndpoint, a.endpoint)
 	}
+	if own := endpointError(err); own != nil {
+		a.record(own.Status, own.ContentType, own.Body)
+	}
 	writeError(ctx, err, a.verdict)
 }
 
@@ -128,6 +131,6 @@
 	ctx.SetContentType("application/json")
 	ctx.Response.Header.Set(headerOutcome, a.verdict.String())
 	body := whole.encode(&a.progress)
-	a.record("application/json", body)
+	a.record(fasthttp.StatusOK, "application/json", body)
 	ctx.SetBody(body)
 }
--- a/entry/once_test.go
+++ b/entry/once_test.go
@@ -283,3 +283,14 @@
 		t.Fatalf("%d runs", got)
 	}
 }
+
+// The engine refuses what a keyed request asks for. That is its whole answer,
+// and a resend reads the same.
+func TestEnginesRefusalIsRecorded(t *testing.T) {
+	p := newPair(t, rigConfig{engines: 1})
+	body := `{"model":"counter","prompt":[1,2],"max_tokens":2}`
+	first := want(t, p.call(t, 0, "/v1/completions", "k", body), 400, "complete")
+	if got := want(t, p.untilKnown(t, "k", body), 400, "complete"); got != first {
+		t.Fatalf("got %s, want %s", got, first)
+	}
+}
--- a/entry/sse.go
+++ b/entry/sse.go
@@ -77,7 +77,7 @@
 	b.resp.Header.Set(headerOutcome, b.answer.verdict.String())
 	if errors.Is(err, io.EOF) {
 		b.piece([]byte("[DONE]"))
-		b.answer.record(eventStream, b.kept)
+		b.answer.record(fasthttp.StatusOK, eventStream, b.kept)
 		return
 	}
 	b.pending = append(append([]byte("event: error\ndata: "), errorBody(err)...), "\n\n"...)
