--- a/endpoint/conn.go
+++ b/endpoint/conn.go
@@ -100,6 +100,8 @@
 
 	mu   sync.Mutex
 	idle []*conn
+	// pruning is set while a prune is due.
+	pruning bool
 }
 
 // get returns a connection bound to ctx: an idle one, or a new one where none
@@ -169,6 +171,28 @@
 		p.idle = append(p.idle[:0], p.idle[1:]...)
 	}
 	p.idle = append(p.idle, c)
+	if !p.pruning {
+		p.pruning = true
+		time.AfterFunc(idleBound, p.prune)
+	}
+}
+
+// prune closes connections that were idle for too long to be used again. Kept
+// open, those to hundreds of endpoints would use up the file descriptors that
+// callers need.
+func (p *pool) prune() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := 0
+	for old < len(p.idle) && time.Since(p.idle[old].idleAt) >= idleBound {
+		_ = p.idle[old].Conn.Close()
+		old++
+	}
+	p.idle = append(p.idle[:0], p.idle[old:]...)
+	p.pruning = len(p.idle) > 0
+	if p.pruning {
+		time.AfterFunc(idleBound-time.Since(p.idle[0].idleAt), p.prune)
+	}
 }
 
 // drop closes a connection that can't be used again.
--- a/endpoint/conn_test.go
+++ b/endpoint/conn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"runtime"
 	"testing"
@@ -39,3 +40,31 @@
 		t.Fatal("a closed connection was taken from the pool")
 	}
 }
+
+// An instance has spoken to many endpoints. Connections that are too old to be
+// used again must not use up its file descriptors.
+func TestOldIdleConnectionsAreClosed(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	p := &pool{addr: ln.Addr().String(), dialTimeout: time.Second}
+	for range 3 {
+		c, err := p.get(context.Background(), true, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		far, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.put(c)
+		defer func() {
+			var one [1]byte
+			if _, err := far.Read(one[:]); err != io.EOF {
+				t.Errorf("got %v, want the end of the connection", err)
+			}
+		}()
+	}
+}
--- a/entry/listener.go
+++ b/entry/listener.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/VictoriaMetrics/metrics"
 )
 
 const (
@@ -23,15 +25,39 @@
 	writeTimeout time.Duration
 }
 
-// Accept implements net.Listener.
+// acceptPause is the wait before another try where no connection could be
+// accepted.
+const acceptPause = 50 * time.Millisecond
+
+var acceptFailures = metrics.GetOrCreateCounter("sardinedock_accept_failures_total")
+
+// Accept implements net.Listener. The HTTP server takes any error for the end
+// of the listener. A moment without free file descriptors would then end the
+// serving for good, while the port stays open and callers wait in its queue
+// without an answer; so such errors are waited out here.
 func (l *listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
+	for passing(err) {
+		acceptFailures.Inc()
+		time.Sleep(acceptPause)
+		c, err = l.Listener.Accept()
+	}
 	if err != nil {
 		return nil, err
 	}
 	return &callerConn{Conn: c, writeTimeout: l.writeTimeout}, nil
 }
 
+// passing reports whether an error of accept says nothing of the listener.
+func passing(err error) bool {
+	for _, e := range [...]error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
 // callerConn is a caller's connection.
 type callerConn struct {
 	net.Conn
--- a/entry/server.go
+++ b/entry/server.go
@@ -168,6 +168,9 @@
 	return nil
 }
 
+// Kill ends what the server does beside the serving, as a crash would.
+func (s *Server) Kill() { s.stop() }
+
 // endTimeout bounds the writing of the last words of a shutdown.
 const endTimeout = 2 * time.Second
 
--- a/instance/entry.go
+++ b/instance/entry.go
@@ -38,6 +38,7 @@
 		NewID:       newID,
 	})
 	i.admin.Register("callers", i.entry.Dump)
+	i.onKill = append(i.onKill, i.entry.Kill, i.clients.Close)
 }
 
 func (i *Instance) startCallers() error {
