Put a refusal on record before "not run" is said of a key

Cause: one key sent twice at once. Both attempts look and find it free. One is refused for want of a slot and its caller reads "not run"; the other takes the claim and runs. Ruled out: a look before the word (a gap is left), the claim before the wait (an instance that dies meanwhile leaves the key unknown for good). Change: claim.Refuse writes the refusal with the version it was written on. Attempts that looked no later than that get no claim. If the write fails the word is unknown. Services look before they claim, which the claim's read shares. Conclusion: the word now binds the key at the price of a write for a refusal.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -89,10 +89,10 @@
 // look finds out whether the request's key is known; see ticket.
 func (a *answer) look() error {
 	err := a.ticket.look(a.call.ctx)
-	if err != nil {
-		a.close()
+	if err == nil {
+		return nil
 	}
-	return err
+	return a.close(err)
 }
 
 // Next blocks for the next piece, which is valid until the next call. It
@@ -225,7 +225,7 @@
 
 // late is the error of a call that ended before it was placed.
 func (a *answer) late(cause error) error {
-	if errors.Is(cause, errTimeout) && a.account.Verdict().NotRun() {
+	if errors.Is(cause, errTimeout) && a.account.Unrun() {
 		return fault.New(fault.Overloaded, "send the request again later", "the request could not start before its class's timeout")
 	}
 	return cause
@@ -294,7 +294,7 @@
 func (a *answer) complete() {
 	a.run.send.Done()
 	a.leave(place.EndDone)
-	a.close()
+	_ = a.close(nil)
 }
 
 // fail ends the answer; what an engine still does for it is cancelled.
@@ -303,21 +303,23 @@
 		a.cancel()
 		a.leave(place.EndFailed)
 	}
-	a.close()
-	return err
+	return a.close(err)
 }
 
-func (a *answer) close() {
+// close settles the word and returns the error for the caller.
+func (a *answer) close(err error) error {
 	if a.closed {
-		return
+		return err
 	}
 	a.closed = true
+	err = a.ticket.settle(err)
 	a.verdict = a.account.Finish()
 	a.srv.metrics.outcome(a.verdict)
 	// A complete answer is recorded by whoever has put it together.
 	if !a.verdict.Complete() {
 		a.record(0, "", nil)
 	}
+	return err
 }
 
 // record tells the claim's record what became of the request, with the answer's
--- a/entry/once.go
+++ b/entry/once.go
@@ -19,6 +19,14 @@
 // the object API: its breaker looks again about that often.
 const storeRetryAfter = 2 * time.Second
 
+// refusedRetryAfter is when a caller may come back whose other attempt under the
+// same key was refused.
+const refusedRetryAfter = time.Second
+
+// settleWait bounds how long a refused caller waits for its refusal to be put on
+// record. It takes milliseconds; a store that takes longer is as good as away.
+const settleWait = 500 * time.Millisecond
+
 // minTakeWait is the least time that a claim may take, also where placing used
 // up the class's wait.
 const minTakeWait = 500 * time.Millisecond
@@ -29,6 +37,7 @@
 	Take(ctx context.Context, r claim.Request) (claim.Found, error)
 	Finish(r claim.Request, a claim.Answer)
 	Release(r claim.Request)
+	Refuse(ctx context.Context, r claim.Request) (claim.Found, error)
 }
 
 // ticket is a not repeatable request's way to its one send. A nil ticket is
@@ -43,6 +52,8 @@
 	// held is set while the claim is this attempt's; takenAt is from when.
 	held    bool
 	takenAt time.Time
+	// away is set once the store did not answer in time.
+	away bool
 	// unclaimed is set if the class's rule lets the request go without.
 	unclaimed bool
 }
@@ -94,7 +105,7 @@
 	if f.Taken {
 		return t.recorded(f)
 	}
-	t.account.KeyFree()
+	t.request.Seen = f.Seen
 	return nil
 }
 
@@ -120,7 +131,10 @@
 	if f.Taken {
 		return t.recorded(f)
 	}
-	t.account.KeyFree()
+	if f.Refused {
+		err := fault.New(fault.Overloaded, "send the request again", "another attempt under this %s was refused as not run", headerKey)
+		return fault.WithRetryAfter(err, refusedRetryAfter)
+	}
 	t.account.Claim()
 	t.held = true
 	return t.check()
@@ -141,6 +155,7 @@
 
 // storeDown applies the class's rule for the time without the object API.
 func (t *ticket) storeDown(err error) error {
+	t.away = true
 	if fault.Is(err, fault.Unavailable) && t.class.GetWhenStoreDown() == recordspb.StoreDownRule_STORE_DOWN_RUN_UNCLAIMED {
 		t.unclaimed = true
 		return nil
@@ -148,6 +163,29 @@
 	return fault.WithRetryAfter(err, storeRetryAfter)
 }
 
+// settle puts on record that the request did not run, so that its caller may be
+// told so: without that, another attempt under the same key that waits now
+// could still run it, and the word would be false. Where it can't be put on
+// record, the word stays unknown. It returns the error for the caller: err, or
+// what the record says where another attempt holds the key.
+func (t *ticket) settle(err error) error {
+	if t == nil || t.away || t.unclaimed || !t.account.NeedsRefusal() {
+		return err
+	}
+	ctx, stop := context.WithTimeout(context.Background(), settleWait)
+	defer stop()
+	f, failed := t.claims.Refuse(ctx, t.request)
+	switch {
+	case failed != nil:
+	case !f.Taken:
+		t.account.KeyFree()
+		t.held = false
+	case !t.held:
+		return t.recorded(f)
+	}
+	return err
+}
+
 // end records what became of the request: its answer, or that it did not run
 // and its key is free. A request of which nobody knows leaves its claim as it
 // stands.
@@ -156,7 +194,7 @@
 	case t == nil || !t.held:
 	case v.Complete():
 		t.claims.Finish(t.request, a)
-	case v.NotRun():
+	case t.account.Unrun():
 		t.claims.Release(t.request)
 	}
 }
--- a/entry/once_internal_test.go
+++ b/entry/once_internal_test.go
@@ -15,6 +15,7 @@
 type pausedClaims struct {
 	pause    time.Duration
 	released int
+	refused  int
 }
 
 func (p *pausedClaims) Look(context.Context, claim.Request) (claim.Found, error) {
@@ -30,6 +31,11 @@
 
 func (p *pausedClaims) Release(claim.Request) { p.released++ }
 
+func (p *pausedClaims) Refuse(context.Context, claim.Request) (claim.Found, error) {
+	p.refused++
+	return claim.Found{}, nil
+}
+
 // An instance is paused between its claim and the send, for so long that the
 // store may have forgotten the claim and another instance may hold the key.
 // Going on would ship twice, so it refuses, and says truly that it sent
@@ -46,10 +52,14 @@
 			if err := ticket.take(context.Background()); (err == nil) != ok {
 				t.Fatalf("after a pause of %v: %v", pause, err)
 			}
+			if account.Verdict().NotRun() {
+				t.Fatal("said not-run before that was on record")
+			}
+			_ = ticket.settle(nil)
 			verdict := account.Finish()
 			ticket.end(verdict, claim.Answer{})
-			if !verdict.NotRun() || claims.released != 1 {
-				t.Fatalf("said %s, released %d times", verdict, claims.released)
+			if !verdict.NotRun() || claims.refused != 1 || claims.released != 0 {
+				t.Fatalf("said %s, refused %d times, released %d times", verdict, claims.refused, claims.released)
 			}
 		})
 	}
--- a/entry/service.go
+++ b/entry/service.go
@@ -87,6 +87,7 @@
 
 func (c *serviceCall) answer(ctx *fasthttp.RequestCtx) {
 	name, a, err := c.send()
+	err = c.ticket.settle(err)
 	verdict := c.account.Finish()
 	c.srv.metrics.outcome(verdict)
 	c.record(verdict, name, a)
@@ -121,6 +122,9 @@
 // and no list of the busy ones is needed. A call that may have run is sent to
 // the next one only if it is repeatable.
 func (c *serviceCall) send() (name string, a *endpoint.ServiceAnswer, err error) {
+	if err = c.ticket.look(c.call.ctx); err != nil {
+		return "", nil, err
+	}
 	c.account.Admit()
 	if err = c.ticket.take(c.call.ctx); err != nil {
 		return "", nil, err
@@ -186,7 +190,7 @@
 	if cause := c.call.cause(); cause != nil {
 		return cause
 	}
-	if !c.account.Verdict().NotRun() && c.once {
+	if !c.account.Unrun() && c.once {
 		return fault.Wrap(err, fault.Unknown, "ask with the same Idempotency-Key what became of it", "a not repeatable call broke off; it may have run")
 	}
 	return err
--- a/outcome/claim/book.go
+++ b/outcome/claim/book.go
@@ -46,6 +46,15 @@
 	return b.ask(newOp(ctx, opTake, r))
 }
 
+// Refuse puts on record that the request did not run, before its caller is told
+// so. It binds all attempts that have looked at the key so far: none of them
+// gets the claim any more. Where another attempt holds the key, Found.Taken is
+// set and nothing is recorded. An attempt that has sent, and of which it is not
+// certain that it did not run, must not call it. It blocks as Take does.
+func (b *Book) Refuse(ctx context.Context, r Request) (Found, error) {
+	return b.ask(newOp(ctx, opRefuse, r))
+}
+
 func (b *Book) ask(o *op) (Found, error) {
 	if !b.shards[o.request.Key.shard()].ring.Offer(o) {
 		return Found{}, fault.New(fault.Overloaded, "ask again later", "too many claims wait for the object API")
--- a/outcome/claim/claim.go
+++ b/outcome/claim/claim.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"time"
 
+	"github.com/sardinedock/sardinedock/platform"
 	"github.com/sardinedock/sardinedock/schema/claimspb"
 )
 
@@ -73,6 +74,9 @@
 	Attempt string
 	// Timeout bounds the request; the claim outlives it by Retention.
 	Timeout time.Duration
+	// Seen is Found.Seen of the attempt's look. A refusal that was put on
+	// record after it binds the attempt.
+	Seen platform.Version
 }
 
 // Answer is a whole answer as it is kept.
@@ -93,6 +97,11 @@
 	SameBody bool
 	// Answer is what became of it; nil while nobody knows.
 	Answer *Answer
+	// Refused is set if another attempt was told, after this one's look, that
+	// the request did not run: this one must not run it either.
+	Refused bool
+	// Seen is the version of the record that a look saw.
+	Seen platform.Version
 }
 
 func found(c *claimspb.Claim, body Hash) Found {
--- a/outcome/claim/op.go
+++ b/outcome/claim/op.go
@@ -15,6 +15,7 @@
 	opTake
 	opFinish
 	opRelease
+	opRefuse
 )
 
 // op is one thing asked of a shard.
--- a/outcome/claim/shard.go
+++ b/outcome/claim/shard.go
@@ -174,7 +174,7 @@
 
 func anyTaken(results []result) bool {
 	for _, r := range results {
-		if r.found.Taken {
+		if r.found.Taken || r.found.Refused {
 			return true
 		}
 	}
@@ -189,19 +189,27 @@
 		var r result
 		switch o.kind {
 		case opLook:
-			if c, ok := t.byKey[o.request.Key]; ok {
+			if c, ok := t.byKey[o.request.Key]; ok && !c.GetRefused() {
 				r.found = found(c, o.request.Body)
 			}
+			r.found.Seen = s.version
 		case opTake:
 			var added, ok bool
 			r.found, added, ok = t.take(o.request, now)
 			if !ok {
 				refusals.Inc()
-				r.err = fault.New(fault.Overloaded, "ask again later; too many claims are kept", "shard %s is full", s.name)
+				r.err = errFull(s.name)
 			}
 			changed = changed || added
 		case opFinish:
 			changed = t.finish(o.request.Key, o.request.Attempt, o.answer) || changed
+		case opRefuse:
+			var refused, ok bool
+			r.found, refused, ok = t.refuse(o.request, uint64(s.version), now)
+			if !ok {
+				r.err = errFull(s.name)
+			}
+			changed = changed || refused
 		case opRelease:
 			changed = t.release(o.request.Key, o.request.Attempt) || changed
 		}
@@ -210,6 +218,10 @@
 	return changed, results
 }
 
+func errFull(shard string) error {
+	return fault.New(fault.Overloaded, "ask again later; too many claims are kept", "shard %s is full", shard)
+}
+
 func (s *shard) read(ctx context.Context) error {
 	if s.known {
 		return nil
--- a/outcome/claim/table.go
+++ b/outcome/claim/table.go
@@ -52,25 +52,66 @@
 
 // take adds a claim unless the key is taken. ok is false if there is no room.
 func (t *table) take(r Request, now time.Time) (f Found, added, ok bool) {
-	if c, taken := t.byKey[r.Key]; taken {
-		if c.GetAttempt() == r.Attempt {
-			return Found{}, false, true
+	c, known := t.byKey[r.Key]
+	switch {
+	case known && c.GetRefused():
+		if uint64(r.Seen) <= c.GetRefusedAt() {
+			return Found{Refused: true}, false, true
 		}
+		t.remove(func(x *claimspb.Claim) bool { return x == c })
+	case known && c.GetAttempt() == r.Attempt:
+		return Found{}, false, true
+	case known:
 		return found(c, r.Body), false, true
 	}
-	c := &claimspb.Claim{
+	added = t.add(newClaim(r, now))
+	return Found{}, added, added
+}
+
+func newClaim(r Request, now time.Time) *claimspb.Claim {
+	return &claimspb.Claim{
 		Key:         r.Key[:],
 		Body:        r.Body[:],
 		Attempt:     r.Attempt,
 		ExpiresAtMs: now.Add(r.Timeout + Retention).UnixMilli(),
 	}
+}
+
+// add adds a claim; false if there is no room.
+func (t *table) add(c *claimspb.Claim) bool {
 	if !t.makeRoom(entrySize(c)) {
-		return Found{}, false, false
+		return false
 	}
-	t.byKey[r.Key] = c
+	t.byKey[Hash(c.GetKey())] = c
 	t.shard.Claims = append(t.shard.Claims, c)
 	t.size += entrySize(c)
-	return Found{}, true, true
+	return true
+}
+
+// refuse records, on the object's given version, that the attempt's request did
+// not run, unless another attempt holds the key. ok is false if there is no
+// room.
+//
+// It is made for a key that was sent twice at once: one attempt is refused for
+// want of a slot and its caller is told "not run" while the other still waits.
+// If that one then ran, the word would have been false. So it finds the refusal
+// when it takes the key; an attempt that comes later has looked at a later
+// version, and may run.
+func (t *table) refuse(r Request, version uint64, now time.Time) (f Found, refused, ok bool) {
+	c, known := t.byKey[r.Key]
+	if known && !c.GetRefused() && c.GetAttempt() != r.Attempt {
+		return found(c, r.Body), false, true
+	}
+	if known && c.GetAnswer() != nil {
+		return found(c, r.Body), false, true
+	}
+	if known {
+		t.remove(func(x *claimspb.Claim) bool { return x == c })
+	}
+	next := newClaim(r, now)
+	next.Refused, next.RefusedAt = true, version
+	refused = t.add(next)
+	return Found{}, refused, refused
 }
 
 // makeRoom gives up kept bodies, oldest first, but never a claim: a resend
@@ -92,7 +133,7 @@
 // held returns the claim of a key if the attempt holds it and has not ended.
 func (t *table) held(key Hash, attempt string) (*claimspb.Claim, bool) {
 	c, ok := t.byKey[key]
-	return c, ok && c.GetAttempt() == attempt && c.GetAnswer() == nil
+	return c, ok && !c.GetRefused() && c.GetAttempt() == attempt && c.GetAnswer() == nil
 }
 
 // finish records an answer; it reports whether that changed the table.
--- a/outcome/state.go
+++ b/outcome/state.go
@@ -114,10 +114,14 @@
 // earlier one: until KeyFree the word is unknown even if nothing was sent.
 func (r *Request) Keyed() { r.keyed = true }
 
-// KeyFree notes that the record of claims shows the key to be free, or to
-// belong to a request for something else.
+// KeyFree notes that the record of claims says that no attempt under the key ran
+// or will, or that the key belongs to a request for something else.
 func (r *Request) KeyFree() { r.keyed = false }
 
+// NeedsRefusal reports whether the word is unknown only because of the key: as
+// soon as the record says that no other attempt ran, it is not-run.
+func (r *Request) NeedsRefusal() bool { return r.keyed && r.Unrun() }
+
 // Recorded ends the account of a request whose idempotency key another attempt
 // holds: what became of that attempt is what became of the request. It is
 // unknown unless the attempt's whole answer is on record.
@@ -133,6 +137,9 @@
 	}
 }
 
+// Unrun reports whether nothing that was sent from here can have run.
+func (r *Request) Unrun() bool { return r.state != Done && r.open == 0 }
+
 // MaySend reports whether the request may be sent now: always before the first
 // send, after that only if it is repeatable or no send can have started it.
 func (r *Request) MaySend() bool {
