Count only records' versions when instances are compared

Cause: a list's version is the object API's own, which claims and leases raise too, and it went into the keeper's version. An instance that listed later was "ahead" with the same records, so the status named all others as behind until their next list, up to five minutes: "records up to version 16 ... instance entry-2 is at version 14" with 14 records, none changed.

Change: the keeper's version is that of records and deletions alone. In package record, one line; found by running docs/OPERATING.md against three processes.

The new test gave versions 14 and 900 before, and gives 3 and 3.

--- a/record/keeper.go
+++ b/record/keeper.go
@@ -115,7 +115,6 @@
 	}
 	first := k.listedAt[kind] == 0
 	k.listedAt[kind] = max(k.listedAt[kind], version, 1)
-	k.version = max(k.version, version)
 	if taken > 0 || first {
 		k.publish()
 	}
@@ -298,7 +297,9 @@
 	return k.snapshot
 }
 
-// Version is the highest store version that was heard of.
+// Version is the highest store version of a record or deletion that was heard
+// of. The version of a list does not count: it rises with all that the object
+// API holds, and instances list at different times.
 func (k *Keeper) Version() uint64 {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/record/keeper_test.go
+++ b/record/keeper_test.go
@@ -91,6 +91,21 @@
 	}
 }
 
+// The object API counts versions over all that it holds, claims and leases too.
+// An instance that lists later than another has the same records, and is not
+// ahead: otherwise the status would name the other as behind for minutes.
+func TestListingsOfTheSameRecordsAreOneVersion(t *testing.T) {
+	early, late := complete(), complete()
+	early.OfferListing(Classes, 14, []Item{classItem("quote", 3)})
+	late.OfferListing(Classes, 900, []Item{classItem("quote", 3)})
+	if early.Version() != 3 || late.Version() != 3 {
+		t.Fatalf("versions %d and %d, want 3", early.Version(), late.Version())
+	}
+	if got := late.Snapshot().Version; got != 3 {
+		t.Fatalf("the snapshot has version %d, want 3", got)
+	}
+}
+
 // With only some kinds read, callers would hear that their key is not known.
 // So nothing is in force until every kind was listed.
 func TestNothingIsInForceBeforeAllKindsAreKnown(t *testing.T) {
