Send Retry-After where the refusal speaks of it

Cause: a request that is refused for two crashes (400) is told to come again "after the time in Retry-After", and the header was sent with 429 and 503 only. Change: it is sent whenever the error tells a time. In package entry, two lines; found by running docs/OPERATING.md against three processes.

TestCrashCausingRequestAtOneInstance asks for the header now: it failed before.

--- a/entry/errors.go
+++ b/entry/errors.go
@@ -85,7 +85,8 @@
 		return own.Status, false
 	}
 	status, _ = statusOf(fault.KindOf(err))
-	return status, status == fasthttp.StatusTooManyRequests || status == fasthttp.StatusServiceUnavailable
+	again = status == fasthttp.StatusTooManyRequests || status == fasthttp.StatusServiceUnavailable
+	return status, again || fault.RetryAfter(err) > 0
 }
 
 // errorBody is the API's error body. An endpoint's own words on the request's
--- a/instance/crash_test.go
+++ b/instance/crash_test.go
@@ -71,7 +71,7 @@
 		}
 		neighbours = append(neighbours, resp)
 	}
-	for range 9 {
+	for n := range 9 {
 		resp, err := complete(t.Context(), all[0], emulator.PoisonText, 3)
 		if err != nil {
 			t.Fatal(err)
@@ -81,6 +81,9 @@
 		if resp.StatusCode != http.StatusBadRequest {
 			t.Fatalf("status %d: %s", resp.StatusCode, body)
 		}
+		if n > 0 && resp.Header.Get("Retry-After") == "" {
+			t.Fatalf("no Retry-After, of which the body speaks: %s", body)
+		}
 	}
 	crashes := 0
 	for _, engine := range e.Engines {
