--- a/entry/once_test.go
+++ b/entry/once_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -11,7 +12,9 @@
 	"github.com/sardinedock/sardinedock/clock"
 	"github.com/sardinedock/sardinedock/emulator"
 	"github.com/sardinedock/sardinedock/entry"
+	"github.com/sardinedock/sardinedock/fault"
 	"github.com/sardinedock/sardinedock/outcome/claim"
+	"github.com/sardinedock/sardinedock/place"
 	"github.com/sardinedock/sardinedock/platform/storetest"
 	"github.com/sardinedock/sardinedock/schema/recordspb"
 )
@@ -294,3 +297,32 @@
 		t.Fatalf("got %s, want %s", got, first)
 	}
 }
+
+// slowPlacer lets another attempt run while a request waits, and refuses it.
+type slowPlacer struct {
+	place.Static
+	wait func()
+}
+
+func (p slowPlacer) Place(context.Context, place.Request) (place.Grant, error) {
+	p.wait()
+	return place.Grant{}, fault.New(fault.Overloaded, "come back", "no slot")
+}
+
+// A counter sends a confirmation twice at once. One of the two waits for a slot
+// and is refused, long after its look at the record; the other has run by then.
+func TestRefusalLooksAtTheRecordAgain(t *testing.T) {
+	p := newPair(t, rigConfig{engines: 1})
+	body := `{"model":"counter","prompt":"x","max_tokens":2}`
+	refusing := p.config
+	refusing.Claims = p.books[1]
+	refusing.Placer = slowPlacer{wait: func() { want(t, p.call(t, 0, "/v1/completions", "k", body), 200, "complete") }}
+	p.urls[1] = p.serve(t, refusing)
+	resp := p.call(t, 1, "/v1/completions", "k", body)
+	if got := resp.Header.Get("X-Sardinedock-Outcome"); got == "not-run" {
+		t.Fatalf("status %d says not-run of a request that ran", resp.StatusCode)
+	}
+	refusing.Placer = slowPlacer{wait: func() {}}
+	p.urls[1] = p.serve(t, refusing)
+	want(t, p.call(t, 1, "/v1/completions", "other", body), 503, "not-run")
+}
