Believe in the order of candidates for half a minute after a restart

Cause: a new owner took nine tenths of a prompt as cached at its first candidate for five seconds and nothing after. What had not come again by then looked cold, and since the first ask counts what is not cached, it left the endpoint that had it. Refusals after a restart of all in the burst rose with it. Change: the belief sinks evenly to nothing over 30 s.

--- a/owner/estimate.go
+++ b/owner/estimate.go
@@ -15,11 +15,12 @@
 	// doubtfulShare is what a doubtful block counts for: a gap may have hidden
 	// its eviction, but most blocks outlive a gap.
 	doubtfulShare = 0.5
-	// learnTime is how long a new owner takes to see what is in steady use: a
-	// few times the interval at which shared prompts come again.
-	learnTime = 5 * time.Second
-	// firstShare of a prompt is taken to be cached at its first candidate while
-	// the owner is learning: what most prompts share.
+	// learnTime is how long a new owner takes to see what is in use. The hot
+	// prompts come again within seconds, those that are rare within half a
+	// minute, by which time the engine has evicted what did not come.
+	learnTime = 30 * time.Second
+	// firstShare of a prompt is taken to be cached at its first candidate at the
+	// start of learning, and less and less until its end: what most prompts share.
 	firstShare = 0.9
 )
 
@@ -44,8 +45,8 @@
 	known, sure := e.known.depth(a.Blocks)
 	blocks := float64(sure) + float64(known-sure)*doubtfulShare
 	tokens := blocks * float64(e.cfg.BlockTokens)
-	if a.Candidate == 0 && e.learning(now) {
-		tokens = max(tokens, firstShare*float64(a.PromptTokens))
+	if a.Candidate == 0 {
+		tokens = max(tokens, e.believed(now)*float64(a.PromptTokens))
 	}
 	p := appraisal{depth: known, cached: min(int64(tokens), a.PromptTokens)}
 	p.missing = a.PromptTokens - p.cached
@@ -53,12 +54,18 @@
 	return p
 }
 
-// learning reports whether the owner is new and the endpoint is not.
-func (e *Endpoint) learning(now time.Time) bool {
+// believed is the share of a prompt that is taken to be cached at its first
+// candidate though this owner has not seen it: none once it has learnt what is
+// in use, or where the endpoint is as new as the owner.
+func (e *Endpoint) believed(now time.Time) float64 {
 	if e.began.IsZero() {
 		e.began = now
 	}
-	return !e.cacheKnown && now.Sub(e.began) < learnTime
+	if e.cacheKnown {
+		return 0
+	}
+	left := 1 - float64(now.Sub(e.began))/float64(learnTime)
+	return firstShare * max(left, 0)
 }
 
 // offer is what the endpoint would give the ask now.
