Take an engine's heartbeats for most polls of its state

Cause: monitor polled each endpoint four times a second over HTTP, most of what an instance sends at rest.

Change: the stream of cache events is opened with heartbeat_ms, and its lines are the sign of life. State is polled each 2 to 2.4 s, load each 4 s or so, and state at once when the stream breaks, an event shows another incarnation or an emptied cache; when the stream is quiet for half the suspicion bound, or beats too rarely for it, four times in the bound as before, over a new connection. Heartbeats do not count while polls fail or for another incarnation. The emulator keeps heartbeat_ms. Observer.Events and CacheEvents (endpoint) and the emulator's events changed for it.

Not done: a poll when placing reports a failure.

--- a/emulator/events.go
+++ b/emulator/events.go
@@ -17,6 +17,8 @@
 	keptEvents = 4096
 	// keptLoads bounds the load samples between now and the lag.
 	keptLoads = 4096
+	// leastHeartbeat bounds what readers may ask for.
+	leastHeartbeat = 10 * time.Millisecond
 )
 
 // eventLog is the newest cache events of a life.
@@ -58,15 +60,27 @@
 		writeAPIError(ctx, fasthttp.StatusBadRequest, "bad_request", "after is not a number")
 		return
 	}
+	beat := e.heartbeatOf(ctx)
 	ctx.SetContentType("application/x-ndjson")
 	conn := ctx.Conn()
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
-		e.followEvents(w, l, after)
+		e.followEvents(w, l, after, beat)
 		cutConn(conn)
 	})
 }
 
-func (e *Engine) followEvents(w *bufio.Writer, l *life, after uint64) {
+// heartbeatOf returns the time between heartbeats, before the pace: the
+// engine's own, or the shorter one that the reader asked for.
+func (e *Engine) heartbeatOf(ctx *fasthttp.RequestCtx) time.Duration {
+	ms := ctx.QueryArgs().GetUintOrZero("heartbeat_ms")
+	if ms == 0 {
+		return e.cfg.Heartbeat
+	}
+	asked := max(time.Duration(ms)*time.Millisecond, leastHeartbeat)
+	return min(e.cfg.Pace.unscale(asked), e.cfg.Heartbeat)
+}
+
+func (e *Engine) followEvents(w *bufio.Writer, l *life, after uint64, beat time.Duration) {
 	if !heartbeat(w) {
 		return
 	}
@@ -86,9 +100,9 @@
 		if wait > 0 {
 			changed = l.done
 		}
-		whole := wait == 0 || wait > e.cfg.Heartbeat
+		whole := wait == 0 || wait > beat
 		if whole {
-			wait = e.cfg.Heartbeat
+			wait = beat
 		}
 		if e.cfg.Pace.sleep(wait, changed) && whole && !heartbeat(w) {
 			return
--- a/endpoint/answer.go
+++ b/endpoint/answer.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http/httputil"
+	"strconv"
 
 	"github.com/valyala/fasthttp"
 
@@ -72,6 +73,12 @@
 	chunked, identity bool
 }
 
+// incarnation of the engine that answers; 0 if it did not say.
+func (a *answer) incarnation() uint64 {
+	n, _ := strconv.ParseUint(string(a.header.Peek("X-Engine-Incarnation")), 10, 64)
+	return n
+}
+
 // readHeader reads the head of the response. Informational ones are skipped.
 func (a *answer) readHeader(skipBody bool) error {
 	for {
--- a/endpoint/engine.go
+++ b/endpoint/engine.go
@@ -60,6 +60,9 @@
 	CacheStore CacheOp = "store"
 	CacheEvict CacheOp = "evict"
 	CacheClear CacheOp = "clear"
+	// CacheHeartbeat is no change: the engine lives and has nothing to tell.
+	// Such an event has no Seq.
+	CacheHeartbeat CacheOp = "heartbeat"
 )
 
 // CacheEvent is one event of an engine's cache. Events come late; a step of
@@ -125,8 +128,10 @@
 
 // CacheEvents is an open stream of cache events.
 type CacheEvents interface {
-	// Next blocks for the next event; an error of kind fault.Broken means that
-	// the connection ended or went silent.
+	// Incarnation of the engine that answers; 0 if it did not say.
+	Incarnation() uint64
+	// Next blocks for the next event or heartbeat; an error of kind
+	// fault.Broken means that the connection ended or went silent.
 	Next() (CacheEvent, error)
 	Close()
 }
@@ -151,8 +156,9 @@
 	// State and Load read the engine's own word.
 	State(ctx context.Context) (State, error)
 	Load(ctx context.Context) (LoadReport, error)
-	// Events follows the cache from the event after seq.
-	Events(ctx context.Context, after uint64) (CacheEvents, error)
+	// Events follows the cache from the event after seq. The engine is asked
+	// for a heartbeat at least so often; it may send fewer.
+	Events(ctx context.Context, after uint64, heartbeat time.Duration) (CacheEvents, error)
 }
 
 // Controller changes an engine.
--- a/endpoint/stream.go
+++ b/endpoint/stream.go
@@ -31,8 +31,7 @@
 
 // Incarnation implements Stream.
 func (s *httpStream) Incarnation() uint64 {
-	n, _ := strconv.ParseUint(string(s.answer.header.Peek("X-Engine-Incarnation")), 10, 64)
-	return n
+	return s.answer.incarnation()
 }
 
 // ModelVersion implements Stream.
@@ -69,32 +68,40 @@
 
 // Events follows the engine's cache; see Observer. The stream counts as broken
 // when it brings neither an event nor a heartbeat for the silence bound.
-func (c *Client) Events(ctx context.Context, after uint64) (CacheEvents, error) {
-	path := "/v1/cache/events?after=" + strconv.FormatUint(after, 10)
+func (c *Client) Events(ctx context.Context, after uint64, heartbeat time.Duration) (CacheEvents, error) {
+	path := "/v1/cache/events?after=" + strconv.FormatUint(after, 10) +
+		"&heartbeat_ms=" + strconv.FormatInt(heartbeat.Milliseconds(), 10)
 	a, err := c.open(ctx, c.request(fasthttp.MethodGet, path, nil), true)
 	if err != nil {
 		return nil, err
 	}
-	return &cacheEvents{conn: a.conn, lines: lineReader{r: bufio.NewReader(a.body)}}, nil
+	return &cacheEvents{
+		conn:        a.conn,
+		lines:       lineReader{r: bufio.NewReader(a.body)},
+		incarnation: a.incarnation(),
+	}, nil
 }
 
 // cacheEvents reads JSON lines; an empty line is a heartbeat.
 type cacheEvents struct {
-	conn  *conn
-	lines lineReader
+	conn        *conn
+	lines       lineReader
+	incarnation uint64
 }
 
+// Incarnation implements CacheEvents.
+func (c *cacheEvents) Incarnation() uint64 { return c.incarnation }
+
 // Next implements CacheEvents.
 func (c *cacheEvents) Next() (CacheEvent, error) {
-	for {
-		line, err := c.lines.next()
-		if err != nil {
-			return CacheEvent{}, broken(err)
-		}
-		if len(line) > 0 {
-			return parseCacheEvent(line)
-		}
+	line, err := c.lines.next()
+	if err != nil {
+		return CacheEvent{}, broken(err)
+	}
+	if len(line) == 0 {
+		return CacheEvent{Incarnation: c.incarnation, Op: CacheHeartbeat}, nil
 	}
+	return parseCacheEvent(line)
 }
 
 func parseCacheEvent(line []byte) (CacheEvent, error) {
--- a/monitor/monitor.go
+++ b/monitor/monitor.go
@@ -12,7 +12,8 @@
 
 // Config is what a Monitor needs.
 type Config struct {
-	// Dial returns what reads the engine at an address. Its State must use a
+	// Dial returns what reads the engine at an address. Its Events bring the
+	// heartbeats that stand for most polls. Its State must use a
 	// new connection at each call, so that an open connection which went
 	// silent for good does not pass for a dead engine.
 	Dial func(address string) endpoint.Observer
@@ -107,6 +108,8 @@
 		cancel:   cancel,
 		target:   t,
 		retarget: make(chan struct{}, 1),
+		beats:    make(chan beat, 1),
+		ask:      make(chan struct{}, 1),
 	}
 	w.dump = EndpointDump{Endpoint: t.Name, Pool: t.Pool}
 	w.done.Go(func() { w.run(ctx) })
--- a/monitor/watcher.go
+++ b/monitor/watcher.go
@@ -23,7 +23,24 @@
 	pollShare = 4
 	// leastPoll bounds the cost of following, whatever a record says.
 	leastPoll = 50 * time.Millisecond
-	// repeatEvery is how often status and load are told without a change.
+	// silentShare is the part of the suspicion bound after which a quiet stream
+	// of cache events is no sign of life any more. The other part is for asking
+	// over a new connection, so that no endpoint is suspected on a stream's
+	// word alone.
+	silentShare = 2
+	// stateEvery and stateSpread give the time between polls while the stream
+	// of cache events shows life: up to 2.4 s, so that the word of an engine
+	// that it is leaving is in force within three seconds. The spread keeps
+	// the endpoints of a fleet from being asked in step.
+	stateEvery  = 2 * time.Second
+	stateSpread = 400 * time.Millisecond
+	// loadEvery is the least time between load reports: an owner knows most of
+	// the load from its own grants.
+	loadEvery = 4 * time.Second
+	// longestHeartbeat bounds what engines are asked for: a stream must not
+	// count as silent between two heartbeats.
+	longestHeartbeat = time.Second
+	// repeatEvery is how often the status is told without a change.
 	repeatEvery = time.Second
 	// firstPause and longestPause bound the time between attempts to open the
 	// stream of cache events.
@@ -38,6 +55,12 @@
 	streamsTotal = metrics.GetOrCreateCounter("sardinedock_monitor_cache_streams_total")
 )
 
+// beat is a sign of life from a stream of cache events.
+type beat struct {
+	at          time.Time
+	incarnation uint64
+}
+
 // watcher follows one endpoint. One goroutine asks for state and load and owns
 // the health; another, for each incarnation, reads the cache events.
 type watcher struct {
@@ -50,6 +73,18 @@
 	health *policy.EndpointHealth
 	models []string
 	told   time.Time
+	loaded time.Time
+	// leaving is the engine's own word.
+	leaving bool
+	// unanswered is set while polls fail. An open stream is no sign of life
+	// then: requests need new connections.
+	unanswered bool
+	// streamHeard is when the stream of the present incarnation showed life.
+	streamHeard time.Time
+
+	// beats are the stream's signs of life, ask its word to poll at once.
+	beats chan beat
+	ask   chan struct{}
 
 	mu     sync.Mutex
 	target Target
@@ -94,12 +129,13 @@
 		t := w.current()
 		w.health.SetBounds(t.Bounds)
 		_, before := w.health.Status()
+		polled := time.Now()
 		w.poll(ctx, t)
 		if _, now := w.health.Status(); now != before {
 			stopCache()
 			stopCache = w.followCache(ctx, now)
 		}
-		w.pause(ctx, pollInterval(t))
+		w.pause(ctx, t, polled)
 	}
 }
 
@@ -107,13 +143,46 @@
 	return max(t.Bounds.SuspectAfter/pollShare, leastPoll)
 }
 
-func (w *watcher) pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-w.retarget:
-	case <-ctx.Done():
+// pause waits for the next poll: until shortly after the stream of cache
+// events went quiet, but not longer than the state may be unknown. An engine
+// that sends heartbeats too rarely for the bound, or none, is polled as often
+// as the bound needs.
+func (w *watcher) pause(ctx context.Context, t Target, polled time.Time) {
+	least := pollInterval(t)
+	next := polled.Add(stateEvery + time.Duration(rand.Float64()*float64(stateSpread)))
+	for {
+		wait := min(time.Until(next), time.Until(w.streamHeard.Add(t.Bounds.SuspectAfter/silentShare)))
+		wait = max(wait, time.Until(polled.Add(least)))
+		timer := time.NewTimer(max(wait, 0))
+		select {
+		case b := <-w.beats:
+			timer.Stop()
+			w.alive(t, b)
+			continue
+		case <-timer.C:
+		case <-w.ask:
+		case <-w.retarget:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		return
+	}
+}
+
+// alive takes a sign of life of the incarnation that was polled last.
+func (w *watcher) alive(t Target, b beat) {
+	if _, incarnation := w.health.Status(); b.incarnation != incarnation || w.unanswered {
+		return
+	}
+	w.streamHeard = b.at
+	w.mu.Lock()
+	w.dump.Failure, w.dump.HeardAt = "", b.at
+	w.mu.Unlock()
+	changed := w.health.Heard(b.at, b.incarnation, t.Leaving || w.leaving)
+	now := time.Now()
+	changed = w.health.Tick(now) || changed
+	if changed || now.Sub(w.told) >= repeatEvery {
+		w.tell(now, t, changed)
 	}
 }
 
@@ -129,7 +198,9 @@
 	}
 	now := time.Now()
 	changed := false
+	w.unanswered = err != nil
 	if err != nil {
+		w.streamHeard = time.Time{}
 		pollFailures.Inc()
 		changed = w.failed(now, err)
 	} else {
@@ -137,6 +208,9 @@
 	}
 	if changed || now.Sub(w.told) >= repeatEvery {
 		w.tell(now, t, changed)
+	}
+	if changed || now.Sub(w.loaded) >= loadEvery {
+		w.loaded = now
 		w.load(ctx, t)
 	}
 }
@@ -159,6 +233,7 @@
 	w.mu.Lock()
 	w.dump.Failure, w.dump.HeardAt = "", now
 	w.mu.Unlock()
+	w.leaving = s.Leaving
 	changed := w.health.Heard(now, s.Incarnation, t.Leaving || s.Leaving)
 	models := modelVersions(s)
 	if !slices.Equal(models, w.models) {
@@ -244,27 +319,62 @@
 // opened on a new connection where this one stood.
 func (w *watcher) readCache(ctx context.Context, incarnation, seq uint64) uint64 {
 	streamsTotal.Inc()
-	stream, err := w.observer.Events(ctx, seq)
+	t := w.current()
+	stream, err := w.observer.Events(ctx, seq, min(pollInterval(t), longestHeartbeat))
 	if err != nil {
 		return seq
 	}
+	// The end of a stream is the first that shows of a crash.
+	defer func() {
+		if ctx.Err() == nil {
+			w.askNow()
+		}
+	}()
+	newer := stream.Incarnation() > incarnation
+	if newer {
+		w.askNow()
+	}
 	defer stream.Close()
 	stop := context.AfterFunc(ctx, stream.Close)
 	defer stop()
-	name := w.current().Name
 	for {
 		e, err := stream.Next()
 		if err != nil || ctx.Err() != nil {
 			return seq
 		}
-		if e.Incarnation != incarnation {
+		// Another incarnation has to be polled, and an emptied cache may come
+		// with other weights. A stream that goes on to tell of an incarnation
+		// that the state denies has it polled once only.
+		if e.Op == endpoint.CacheClear || e.Incarnation > incarnation && !newer {
+			newer = newer || e.Incarnation > incarnation
+			w.askNow()
+		}
+		w.beat(stream.Incarnation())
+		if e.Incarnation != incarnation || e.Op == endpoint.CacheHeartbeat {
 			continue
 		}
 		seq = e.Seq
 		w.mu.Lock()
 		w.dump.CacheSeq = seq
 		w.mu.Unlock()
-		w.events.Push(CacheChanged{Endpoint: name, Event: e})
+		w.events.Push(CacheChanged{Endpoint: t.Name, Event: e})
+	}
+}
+
+// beat tells of a stream's sign of life. While one waits to be taken, newer
+// ones are given up: at worst the endpoint is polled once more.
+func (w *watcher) beat(incarnation uint64) {
+	select {
+	case w.beats <- beat{time.Now(), incarnation}:
+	default:
+	}
+}
+
+// askNow has the state polled at once.
+func (w *watcher) askNow() {
+	select {
+	case w.ask <- struct{}{}:
+	default:
 	}
 }
 
