End with the help

Cause: kingpin ends the process after a help text; told not to, it returned and the command ran. Change: the end is noted and Run returns. The script usage.txtar asks that nothing else is printed. Before: tables after the help. After: the help, code 0.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -26,7 +26,10 @@
 // Run runs one command line and returns the exit code.
 func Run(args []string, out, errs io.Writer) int {
 	app := kingpin.New("sardinedock", "A router for language-model traffic with long shared prompts.")
-	app.UsageWriter(errs).ErrorWriter(errs).Terminate(nil)
+	// Help ends the program from within Parse. Here it ends Run instead; without
+	// that, "demo --help" would print the help and then run the demo.
+	helped := false
+	app.UsageWriter(errs).ErrorWriter(errs).Terminate(func(int) { helped = true })
 	commands := map[string]command{}
 	for _, c := range []command{
 		&serveCommand{}, &checkCommand{}, &emulateCommand{}, &demoCommand{}, &loadCommand{},
@@ -36,6 +39,9 @@
 		commands[clause.FullCommand()] = c
 	}
 	name, err := app.Parse(args)
+	if helped {
+		return exitOK
+	}
 	if err != nil {
 		fmt.Fprintf(errs, "sardinedock: %v; see sardinedock --help\n", err)
 		return exitUsage
