Be ready only with records in force

Change: readiness asks conditions; records are the first. The answer names what is missing. Before: 200 without records. After: 503 "no records yet", then 200.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -21,8 +21,15 @@
 type Handler struct {
 	ready atomic.Bool
 
-	mu    sync.Mutex
-	dumps map[string]DumpFunc
+	mu       sync.Mutex
+	dumps    map[string]DumpFunc
+	required []condition
+}
+
+// condition has to hold for the process to be ready.
+type condition struct {
+	name  string
+	holds func() bool
 }
 
 // NewHandler returns a handler that is not ready yet.
@@ -33,6 +40,26 @@
 // SetReady says whether the balancer may send callers here.
 func (h *Handler) SetReady(ready bool) { h.ready.Store(ready) }
 
+// Require makes readiness depend on a condition too. The function may be called
+// by any goroutine and must not block.
+func (h *Handler) Require(name string, holds func() bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.required = append(h.required, condition{name, holds})
+}
+
+// missing names the first condition that does not hold.
+func (h *Handler) missing() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, c := range h.required {
+		if !c.holds() {
+			return c.name
+		}
+	}
+	return ""
+}
+
 // Register adds a duty's state to the dump.
 func (h *Handler) Register(duty string, dump DumpFunc) {
 	h.mu.Lock()
@@ -58,11 +85,15 @@
 }
 
 func (h *Handler) readyz(ctx *fasthttp.RequestCtx) {
-	if h.ready.Load() {
-		ctx.SetBodyString("ready\n")
+	if !h.ready.Load() {
+		ctx.Error("not ready: starting or ending\n", fasthttp.StatusServiceUnavailable)
+		return
+	}
+	if name := h.missing(); name != "" {
+		ctx.Error("not ready: no "+name+" yet\n", fasthttp.StatusServiceUnavailable)
 		return
 	}
-	ctx.Error("not ready\n", fasthttp.StatusServiceUnavailable)
+	ctx.SetBodyString("ready\n")
 }
 
 func (h *Handler) state(ctx *fasthttp.RequestCtx) {
--- a/admin/admin_test.go
+++ b/admin/admin_test.go
@@ -29,6 +29,22 @@
 	}
 }
 
+// The object API and all peers are away at the start. A balancer that was told
+// "ready" would send callers to an instance that knows no key and no model.
+func TestNotReadyWhileARequirementIsMissing(t *testing.T) {
+	h := NewHandler()
+	h.SetReady(true)
+	there := false
+	h.Require("records", func() bool { return there })
+	if status, body := get(h, "/readyz"); status != fasthttp.StatusServiceUnavailable || !strings.Contains(body, "no records yet") {
+		t.Errorf("status %d, body %q", status, body)
+	}
+	there = true
+	if status, _ := get(h, "/readyz"); status != fasthttp.StatusOK {
+		t.Errorf("status %d with all there", status)
+	}
+}
+
 func TestStateHoldsEveryDuty(t *testing.T) {
 	h := NewHandler()
 	h.Register("sample", func() any { return []int{1, 2} })
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -65,6 +65,7 @@
 		_ = i.adminLn.Close()
 		return nil, err
 	}
+	i.admin.Require("records", i.keeper.Complete)
 	i.admin.SetReady(true)
 	return i, nil
 }
