--- a/entry/faults_test.go
+++ b/entry/faults_test.go
@@ -335,7 +335,7 @@
 }
 
 // stuckPlacer places nothing.
-type stuckPlacer struct{ place.Static }
+type stuckPlacer struct{ staticPlacer }
 
 func (stuckPlacer) Place(ctx context.Context, _ place.Request) (place.Grant, error) {
 	<-ctx.Done()
--- a/entry/once_test.go
+++ b/entry/once_test.go
@@ -300,7 +300,7 @@
 
 // slowPlacer lets another attempt run while a request waits, and refuses it.
 type slowPlacer struct {
-	place.Static
+	staticPlacer
 	wait func()
 }
 
--- a/entry/overhead_bench_test.go
+++ b/entry/overhead_bench_test.go
@@ -67,7 +67,7 @@
 func BenchmarkOpenStreams(b *testing.B) {
 	limits := &settingspb.Limits{
 		HeaderBytes: 16384, BodyBytes: 1 << 20, ReadTimeoutMs: 60000, WriteTimeoutMs: 10000,
-		Connections: 10000, StreamBufferPieces: 64, SilenceMs: 60000,
+		Connections: 10000, SilenceMs: 60000,
 	}
 	for range b.N {
 		r := newRig(b, rigConfig{engines: 1, limits: limits, engine: emulator.EngineConfig{Pace: 1, TokenTime: 20 * time.Second, Queue: 4096, Heartbeat: 100 * time.Millisecond}})
--- a/entry/request.go
+++ b/entry/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"strings"
 	"time"
 
@@ -117,7 +118,7 @@
 	if !found || !ok {
 		return nil, false
 	}
-	return m, contains(m.GetAdapters(), adapter)
+	return m, slices.Contains(m.GetAdapters(), adapter)
 }
 
 // mayUse reports whether the organisation's record allows the model.
@@ -127,16 +128,7 @@
 		return ok
 	}
 	base, _, _ := strings.Cut(model, ":")
-	return contains(o.GetModels(), model) || contains(o.GetModels(), base)
-}
-
-func contains(names []string, name string) bool {
-	for _, n := range names {
-		if n == name {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(o.GetModels(), model) || slices.Contains(o.GetModels(), base)
 }
 
 // boundTokens bounds the answer by the model's record. An answer without a
--- a/entry/server_test.go
+++ b/entry/server_test.go
@@ -32,7 +32,7 @@
 
 // placer places by rendezvous order and remembers what it is told.
 type placer struct {
-	place.Static
+	staticPlacer
 	mu      sync.Mutex
 	alone   bool
 	results []place.Result
@@ -40,7 +40,7 @@
 }
 
 func (p *placer) Place(ctx context.Context, r place.Request) (place.Grant, error) {
-	g, err := p.Static.Place(ctx, r)
+	g, err := p.staticPlacer.Place(ctx, r)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	g.Alone = p.alone
@@ -150,7 +150,7 @@
 	}
 	return &settingspb.Limits{
 		HeaderBytes: 16384, BodyBytes: 1 << 20, ReadTimeoutMs: 5000, WriteTimeoutMs: 1000,
-		Connections: 100, StreamBufferPieces: 8, SilenceMs: testSilence.Milliseconds(),
+		Connections: 100, SilenceMs: testSilence.Milliseconds(),
 	}
 }
 
--- a/entry/service.go
+++ b/entry/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/url"
+	"slices"
 	"strings"
 
 	"github.com/valyala/fasthttp"
@@ -47,7 +48,7 @@
 		s.refuse(ctx, err)
 		return
 	}
-	once = once || contains(svc.GetNotRepeatableMethods(), string(ctx.Method()))
+	once = once || slices.Contains(svc.GetNotRepeatableMethods(), string(ctx.Method()))
 	c := &serviceCall{srv: s, account: outcome.New(once), service: svc, once: once}
 	c.call = &call{id: id, organisation: organisation, class: className, conn: ctx.Conn(), keepRunning: once}
 	c.request = endpoint.ServiceRequest{
--- a/entry/shutdown_test.go
+++ b/entry/shutdown_test.go
@@ -13,7 +13,7 @@
 // patient limits never end an idle connection by themselves.
 var patient = &settingspb.Limits{
 	HeaderBytes: 16384, BodyBytes: 1 << 20, ReadTimeoutMs: 600000, WriteTimeoutMs: 1000,
-	Connections: 100, StreamBufferPieces: 8, SilenceMs: testSilence.Milliseconds(),
+	Connections: 100, SilenceMs: testSilence.Milliseconds(),
 }
 
 // An operator replaces an instance while a review streams. The engineer must
--- a/place/fleet.go
+++ b/place/fleet.go
@@ -234,7 +234,7 @@
 	now := f.cfg.Clock.Now()
 	usable := func(i int) bool {
 		e := t.pool.endpoints[i]
-		return !e.GetLeaving() && f.states.usable(e.GetName(), now) && !contains(t.request.Exclude, e.GetName())
+		return !e.GetLeaving() && f.states.usable(e.GetName(), now) && !slices.Contains(t.request.Exclude, e.GetName())
 	}
 	key := f.key(t)
 	var found [candidateCount]int
--- a/place/place.go
+++ b/place/place.go
@@ -8,7 +8,6 @@
 
 	"github.com/zeebo/xxh3"
 
-	"github.com/sardinedock/sardinedock/fault"
 	"github.com/sardinedock/sardinedock/prefix"
 	"github.com/sardinedock/sardinedock/schema/recordspb"
 )
@@ -95,30 +94,6 @@
 	Done(g Grant, res Result)
 }
 
-// Static places by rendezvous order alone. It needs nothing but the list of
-// endpoints, so it is what is left when no owner answers.
-type Static struct{}
-
-// Place implements Placer.
-func (Static) Place(_ context.Context, r Request) (Grant, error) {
-	key := prefix.Salt(r.Organisation, r.Model, r.Version)
-	if len(r.Blocks) > 0 {
-		key = r.Blocks[0]
-	}
-	for _, e := range Order(key, r.Pool.GetEndpoints()) {
-		if !e.GetLeaving() && !contains(r.Exclude, e.GetName()) {
-			return Grant{Endpoint: e.GetName(), Address: e.GetAddress()}, nil
-		}
-	}
-	return Grant{}, fault.New(fault.Unavailable, "add endpoints to the pool", "no endpoint of pool %q can take the request", r.PoolName)
-}
-
-// FirstToken implements Placer.
-func (Static) FirstToken(Grant, int64, time.Duration) {}
-
-// Done implements Placer.
-func (Static) Done(Grant, Result) {}
-
 // Order sorts endpoints by rendezvous hashing: all instances find the same
 // order from the list alone, and a change of the list moves only the keys of
 // the endpoints concerned.
@@ -138,12 +113,3 @@
 	}
 	return order
 }
-
-func contains(names []string, name string) bool {
-	for _, n := range names {
-		if n == name {
-			return true
-		}
-	}
-	return false
-}
