Say idempotent for what may run twice

Cause: names and comments said "repeatable", a paraphrase; HTTP's own word is idempotent, as in Idempotency-Key. Change: fields, header (X-Sardinedock-Non-Idempotent), code, docs and examples.

--- a/demo/faults.go
+++ b/demo/faults.go
@@ -30,8 +30,8 @@
 	s := &scenario{dataCentres: []string{"accra-1", "accra-2", "accra-3"}}
 	s.addClass("quote", &recordspb.RequestClass{Priority: 10, MaxWaitMs: 8000, TimeoutMs: 20000})
 	s.addClass("sort", &recordspb.RequestClass{Urgent: true, MaxWaitMs: 2000, TimeoutMs: 10000})
-	s.addClass("dispatch", &recordspb.RequestClass{Urgent: true, MaxWaitMs: 2000, TimeoutMs: 10000, NotRepeatable: true})
-	s.addClass("report", &recordspb.RequestClass{Priority: 5, MaxWaitMs: 4000, TimeoutMs: 10000, NotRepeatable: true})
+	s.addClass("dispatch", &recordspb.RequestClass{Urgent: true, MaxWaitMs: 2000, TimeoutMs: 10000, NonIdempotent: true})
+	s.addClass("report", &recordspb.RequestClass{Priority: 5, MaxWaitMs: 4000, TimeoutMs: 10000, NonIdempotent: true})
 	s.addPool("counters", o.endpoints(9), &recordspb.EndpointPool{CacheBlocks: 512, LoadsAtOnce: 2})
 	s.addModel("counter", &recordspb.Model{Version: "2026-11", Pool: "counters", DefaultClass: "quote", MaxTokens: 4096})
 	s.addService("ordering", "dispatch", 3)
@@ -43,8 +43,8 @@
 		{Name: "sort", Class: "sort", Weight: 3, Model: "counter", CompanyTokens: 256, FamilyTokens: 256, OwnTokens: 32,
 			Families: 4, Customers: 1, Zipf: 1.2, MaxTokens: 6, Whole: 0.3, HangUp: 0.03},
 		{Name: "dispatch", Weight: 3, ServicePath: "/services/ordering/confirm", ServicePrefix: "/services/ordering/",
-			NotRepeatable: true, Resend: 0.2, HangUp: 0.05, OwnTokens: 64, Families: 1, Customers: 1, Zipf: 1.2, MaxTokens: 1},
-		{Name: "report", Class: "report", Weight: 2, Model: "counter", NotRepeatable: true, Resend: 0.2, HangUp: 0.05, CompanyTokens: 256,
+			NonIdempotent: true, Resend: 0.2, HangUp: 0.05, OwnTokens: 64, Families: 1, Customers: 1, Zipf: 1.2, MaxTokens: 1},
+		{Name: "report", Class: "report", Weight: 2, Model: "counter", NonIdempotent: true, Resend: 0.2, HangUp: 0.05, CompanyTokens: 256,
 			FamilyTokens: 256, OwnTokens: 64, Families: 4, Customers: 1, Zipf: 1.2, MaxTokens: 20, Whole: 0.5},
 	}
 	s.finish(o)
--- a/demo/scenario.go
+++ b/demo/scenario.go
@@ -62,7 +62,7 @@
 	s := &scenario{dataCentres: []string{"accra-1", "accra-2", "accra-3"}}
 	s.addClass("quote", &recordspb.RequestClass{Priority: 10, MaxWaitMs: 20000, TimeoutMs: 60000})
 	s.addClass("sort", &recordspb.RequestClass{Urgent: true, MaxWaitMs: 2000, TimeoutMs: 20000})
-	s.addClass("dispatch", &recordspb.RequestClass{Urgent: true, MaxWaitMs: 2000, TimeoutMs: 20000, NotRepeatable: true})
+	s.addClass("dispatch", &recordspb.RequestClass{Urgent: true, MaxWaitMs: 2000, TimeoutMs: 20000, NonIdempotent: true})
 	s.addPool("counters", o.endpoints(9), &recordspb.EndpointPool{CacheBlocks: 512, LoadsAtOnce: 2})
 	s.addModel("counter", &recordspb.Model{Version: "2026-11", Pool: "counters", DefaultClass: "quote", MaxTokens: 4096})
 	s.addService("ordering", "dispatch", 3)
@@ -74,7 +74,7 @@
 		{Name: "sort", Class: "sort", Weight: 3, Model: "counter", CompanyTokens: 512, FamilyTokens: 512, OwnTokens: 32,
 			Families: 4, Customers: 1, Zipf: 1.2, MaxTokens: 4, Whole: 0.5},
 		{Name: "dispatch", Weight: 2, ServicePath: "/services/ordering/confirm", ServicePrefix: "/services/ordering/",
-			NotRepeatable: true, Resend: 0.1, OwnTokens: 64, Families: 1, Customers: 1, Zipf: 1.2, MaxTokens: 1},
+			NonIdempotent: true, Resend: 0.1, OwnTokens: 64, Families: 1, Customers: 1, Zipf: 1.2, MaxTokens: 1},
 	}
 	s.finish(o)
 	return s
@@ -86,7 +86,7 @@
 	s := &scenario{dataCentres: []string{"ulaanbaatar-1", "ulaanbaatar-2", "ulaanbaatar-3"}}
 	s.addClass("review", &recordspb.RequestClass{Priority: 10, MaxWaitMs: 60000, TimeoutMs: 120000})
 	s.addClass("fin-pitch", &recordspb.RequestClass{Urgent: true, MaxWaitMs: 2000, TimeoutMs: 20000})
-	s.addClass("sizing", &recordspb.RequestClass{Urgent: true, MaxWaitMs: 2000, TimeoutMs: 20000, NotRepeatable: true})
+	s.addClass("sizing", &recordspb.RequestClass{Urgent: true, MaxWaitMs: 2000, TimeoutMs: 20000, NonIdempotent: true})
 	s.addPool("reviewers", o.endpoints(18), &recordspb.EndpointPool{CacheBlocks: 1024, LoadsAtOnce: 3})
 	s.addModel("thermal", &recordspb.Model{Version: "2026-11", Pool: "reviewers", DefaultClass: "review", MaxTokens: 4096})
 	s.addService("sizing", "sizing", 3)
@@ -98,7 +98,7 @@
 		{Name: "fin-pitch", Class: "fin-pitch", Weight: 3, Model: "thermal", CompanyTokens: 1024, FamilyTokens: 1024, OwnTokens: 32,
 			Families: 10, Customers: 1, Zipf: 1.2, MaxTokens: 4, Whole: 0.5},
 		{Name: "sizing", Weight: 2, ServicePath: "/services/sizing/report", ServicePrefix: "/services/sizing/",
-			NotRepeatable: true, Resend: 0.1, OwnTokens: 64, Families: 1, Customers: 1, Zipf: 1.2, MaxTokens: 1},
+			NonIdempotent: true, Resend: 0.1, OwnTokens: 64, Families: 1, Customers: 1, Zipf: 1.2, MaxTokens: 1},
 	}
 	s.finish(o)
 	return s
@@ -136,7 +136,7 @@
 	service := &recordspb.Service{
 		PathPrefix:           "/services/" + name + "/",
 		Class:                class,
-		NotRepeatableMethods: []string{"POST"},
+		NonIdempotentMethods: []string{"POST"},
 		Endpoints:            s.servers(name, endpoints),
 	}
 	s.add(name, &recordspb.Record{Spec: &recordspb.Record_Service{Service: service}})
--- a/demo/workload.go
+++ b/demo/workload.go
@@ -86,7 +86,7 @@
 	if rng.Float64() < r.work.GetResend() {
 		r.resend = resendAtOnce + resendKind(rng.IntN(2))
 	}
-	if r.work.GetNotRepeatable() {
+	if r.work.GetNonIdempotent() {
 		r.key = fmt.Sprintf("%s-%d-%d", r.work.GetName(), w.load.GetSeed(), n)
 	}
 	r.poison = r.work.GetModel() != "" && rng.Float64() < w.poisonShare
--- a/endpoint/answer.go
+++ b/endpoint/answer.go
@@ -166,5 +166,5 @@
 }
 
 func broken(err error) error {
-	return fault.Wrap(err, fault.Broken, "the router resumes a repeatable request by itself", "connection to endpoint")
+	return fault.Wrap(err, fault.Broken, "the router resumes an idempotent request by itself", "connection to endpoint")
 }
--- a/entry/api_test.go
+++ b/entry/api_test.go
@@ -124,7 +124,7 @@
 		{"model of others", "/v1/completions", `{"model":"secret","prompt":"x"}`, nil, 404, "invalid_request_error"},
 		{"pool without record", "/v1/completions", `{"model":"bad-pool","prompt":"x"}`, nil, 503, "server_error"},
 		{"no class", "/v1/completions", good, http.Header{"X-Sardinedock-Class": {"none"}}, 400, "invalid_request_error"},
-		{"mark", "/v1/completions", good, http.Header{"X-Sardinedock-Not-Repeatable": {"yes"}}, 400, "invalid_request_error"},
+		{"mark", "/v1/completions", good, http.Header{"X-Sardinedock-Non-Idempotent": {"yes"}}, 400, "invalid_request_error"},
 		{"long key", "/v1/completions", good, http.Header{"Idempotency-Key": {strings.Repeat("k", 256)}}, 400, "invalid_request_error"},
 		{"engine's word", "/v1/completions", `{"model":"counter","prompt":[1,2]}`, nil, 400, "invalid_request_error"},
 		{"no service", "/services/none/x", good, nil, 404, "invalid_request_error"},
@@ -169,7 +169,7 @@
 	for _, e := range r.Engines {
 		_ = e.Close()
 	}
-	resp := r.do(t, "POST", "/v1/completions", notRepeatable, `{"model":"counter","prompt":"x","max_tokens":1}`)
+	resp := r.do(t, "POST", "/v1/completions", nonIdempotent, `{"model":"counter","prompt":"x","max_tokens":1}`)
 	if resp.StatusCode != 503 || resp.Header.Get("X-Sardinedock-Outcome") != "not-run" || resp.Header.Get("Retry-After") == "" {
 		t.Fatalf("status %d, headers %v", resp.StatusCode, resp.Header)
 	}
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -33,7 +33,7 @@
 	started      time.Time
 	conn         net.Conn
 	// keepRunning calls go on when their caller goes away: they are not
-	// repeatable, so what became of them has to be found out and recorded.
+	// idempotent, so what became of them has to be found out and recorded.
 	keepRunning bool
 
 	ctx    context.Context
--- a/entry/faults_test.go
+++ b/entry/faults_test.go
@@ -17,7 +17,7 @@
 
 const prompt = "twelve M12 anchors, grade 8.8"
 
-var notRepeatable = http.Header{"X-Sardinedock-Not-Repeatable": {"true"}}
+var nonIdempotent = http.Header{"X-Sardinedock-Non-Idempotent": {"true"}}
 
 // Pieces of a stream come crossed with another's, twice, late, or not at all.
 // A caller would read another customer's words, or a text with a hole.
@@ -143,9 +143,9 @@
 
 // An engine dies under a request that may run only once. Running it again could
 // ship twice, so the caller is told that nobody knows.
-func TestCrashEndsNotRepeatable(t *testing.T) {
+func TestCrashEndsNonIdempotent(t *testing.T) {
 	r := newRig(t, rigConfig{engines: 2})
-	rd := r.askFor(t, prompt, 60, notRepeatable)
+	rd := r.askFor(t, prompt, 60, nonIdempotent)
 	rd.piece()
 	r.engineOf(rd.resp).Crash(time.Millisecond)
 	rd.rest().wantError("unknown_outcome", "unknown")
@@ -160,9 +160,9 @@
 
 // A connection breaks under a request that may run only once. The engine still
 // has it, so resuming it is no second run.
-func TestNotRepeatableIsResumed(t *testing.T) {
+func TestNonIdempotentIsResumed(t *testing.T) {
 	r := newRig(t, rigConfig{engines: 2})
-	rd := r.askFor(t, prompt, 60, notRepeatable)
+	rd := r.askFor(t, prompt, 60, nonIdempotent)
 	rd.piece()
 	r.engineOf(rd.resp).CutOpen()
 	rd.rest().wantWhole(prompt, 60)
--- a/entry/headers.go
+++ b/entry/headers.go
@@ -3,7 +3,7 @@
 // Request headers.
 const (
 	headerClass         = "X-Sardinedock-Class"
-	headerNotRepeatable = "X-Sardinedock-Not-Repeatable"
+	headerNonIdempotent = "X-Sardinedock-Non-Idempotent"
 	headerKey           = "Idempotency-Key"
 )
 
--- a/entry/once.go
+++ b/entry/once.go
@@ -40,7 +40,7 @@
 	Refuse(ctx context.Context, r claim.Request) (claim.Found, error)
 }
 
-// ticket is a not repeatable request's way to its one send. A nil ticket is
+// ticket is a non-idempotent request's way to its one send. A nil ticket is
 // that of a request without an idempotency key, which no resend can name.
 type ticket struct {
 	claims  Claims
@@ -59,7 +59,7 @@
 }
 
 func (s *Server) newTicket(account *outcome.Request, key string, r claim.Request, class *recordspb.RequestClass) *ticket {
-	if account.Repeatable() || key == "" || s.cfg.Claims == nil {
+	if account.Idempotent() || key == "" || s.cfg.Claims == nil {
 		return nil
 	}
 	account.Keyed()
--- a/entry/once_test.go
+++ b/entry/once_test.go
@@ -59,7 +59,7 @@
 func (p *pair) call(t *testing.T, instance int, path, key, body string) *http.Response {
 	t.Helper()
 	p.url = p.urls[instance]
-	header := http.Header{"Idempotency-Key": {key}, "X-Sardinedock-Not-Repeatable": {"true"}}
+	header := http.Header{"Idempotency-Key": {key}, "X-Sardinedock-Non-Idempotent": {"true"}}
 	return p.do(t, "POST", path, header, body)
 }
 
@@ -225,7 +225,7 @@
 	return err == nil
 }
 
-// A not repeatable model request: its whole answer is small enough to be kept,
+// A non-idempotent model request: its whole answer is small enough to be kept,
 // a streamed one is known to be complete.
 func TestModelAnswersAreRecorded(t *testing.T) {
 	p := newPair(t, rigConfig{engines: 1})
--- a/entry/recover.go
+++ b/entry/recover.go
@@ -64,7 +64,7 @@
 func (a *answer) elsewhere(cause error) error {
 	a.broke = cause
 	if !a.account.MaySend() {
-		return fault.Wrap(cause, fault.Unknown, "ask with the same Idempotency-Key what became of it", "a not repeatable request broke off; it may have run")
+		return fault.Wrap(cause, fault.Unknown, "ask with the same Idempotency-Key what became of it", "a non-idempotent request broke off; it may have run")
 	}
 	if a.progress.pieces > 0 && (a.progress.special || !a.req.single) {
 		return fault.Wrap(cause, fault.Broken, "send the request again", "the endpoint died and the answer's form can't be continued elsewhere")
--- a/entry/request.go
+++ b/entry/request.go
@@ -195,13 +195,13 @@
 	if len(key) > maxKeyBytes {
 		return false, "", fault.New(fault.BadRequest, "send a shorter key", "%s is over %d bytes", headerKey, maxKeyBytes)
 	}
-	switch mark := string(ctx.Request.Header.Peek(headerNotRepeatable)); strings.ToLower(mark) {
+	switch mark := string(ctx.Request.Header.Peek(headerNonIdempotent)); strings.ToLower(mark) {
 	case "", "false":
-		return class.GetNotRepeatable(), key, nil
+		return class.GetNonIdempotent(), key, nil
 	case "true":
 		return true, key, nil
 	default:
-		return false, "", fault.New(fault.BadRequest, "send true or false", "%s is %q", headerNotRepeatable, mark)
+		return false, "", fault.New(fault.BadRequest, "send true or false", "%s is %q", headerNonIdempotent, mark)
 	}
 }
 
--- a/entry/send.go
+++ b/entry/send.go
@@ -94,7 +94,7 @@
 	if a.progress.pieces > 0 && version != a.progress.version {
 		return a.giveUp(fault.New(fault.Broken, "send the request again", "the answer was begun by version %q and the endpoint runs %q", a.progress.version, version))
 	}
-	if version != r.version && a.account.Repeatable() {
+	if version != r.version && a.account.Idempotent() {
 		return a.giveUp(nil)
 	}
 	r.send.Answering()
--- a/entry/server.go
+++ b/entry/server.go
@@ -41,7 +41,7 @@
 	// endpoint.
 	Dial        func(address string) Engine
 	DialService func(address string) Service
-	// Claims of not repeatable requests; nil is for tests of other matters, and
+	// Claims of non-idempotent requests; nil is for tests of other matters, and
 	// lets each resend run.
 	Claims Claims
 	// NewID returns a request id that no other request has.
--- a/entry/server_test.go
+++ b/entry/server_test.go
@@ -159,7 +159,7 @@
 	for n := range cfg.engines {
 		pool.Endpoints = append(pool.Endpoints, &recordspb.Endpoint{Name: fmt.Sprintf("engine-%d", n), Address: "127.0.0.1:0"})
 	}
-	svc := &recordspb.Service{PathPrefix: "/services/ordering/", NotRepeatableMethods: []string{"POST"}}
+	svc := &recordspb.Service{PathPrefix: "/services/ordering/", NonIdempotentMethods: []string{"POST"}}
 	for n := range cfg.services {
 		svc.Endpoints = append(svc.Endpoints, &recordspb.Endpoint{Name: fmt.Sprintf("ordering-%d", n), Address: "127.0.0.1:0"})
 	}
--- a/entry/service.go
+++ b/entry/service.go
@@ -48,7 +48,7 @@
 		s.refuse(ctx, err)
 		return
 	}
-	once = once || slices.Contains(svc.GetNotRepeatableMethods(), string(ctx.Method()))
+	once = once || slices.Contains(svc.GetNonIdempotentMethods(), string(ctx.Method()))
 	c := &serviceCall{srv: s, account: outcome.New(once), service: svc, once: once}
 	c.call = &call{id: id, organisation: organisation, class: className, conn: ctx.Conn(), keepRunning: once}
 	c.request = endpoint.ServiceRequest{
@@ -121,7 +121,7 @@
 
 // send tries the endpoints in an order of the call's own, so that calls spread
 // and no list of the busy ones is needed. A call that may have run is sent to
-// the next one only if it is repeatable.
+// the next one only if it is idempotent.
 func (c *serviceCall) send() (name string, a *endpoint.ServiceAnswer, err error) {
 	if err = c.ticket.look(c.call.ctx); err != nil {
 		return "", nil, err
@@ -155,7 +155,7 @@
 
 // sendTo sends the call to one endpoint. On a connection that was used before,
 // silence may mean that something in between has forgotten the connection; a
-// repeatable call is then sent again on a new one.
+// idempotent call is then sent again on a new one.
 func (c *serviceCall) sendTo(address string) (*endpoint.ServiceAnswer, error) {
 	service := c.srv.cfg.DialService(address)
 	a, err := c.sendOnce(service, c.request)
@@ -192,7 +192,7 @@
 		return cause
 	}
 	if !c.account.Unrun() && c.once {
-		return fault.Wrap(err, fault.Unknown, "ask with the same Idempotency-Key what became of it", "a not repeatable call broke off; it may have run")
+		return fault.Wrap(err, fault.Unknown, "ask with the same Idempotency-Key what became of it", "a non-idempotent call broke off; it may have run")
 	}
 	return err
 }
--- a/entry/service_test.go
+++ b/entry/service_test.go
@@ -54,7 +54,7 @@
 }
 
 // The same for a call that may be repeated: another endpoint answers it.
-func TestRepeatableServiceCallGoesElsewhere(t *testing.T) {
+func TestIdempotentServiceCallGoesElsewhere(t *testing.T) {
 	r := newRig(t, rigConfig{services: 3})
 	for _, s := range r.Services[:2] {
 		s.SetFaults(emulator.ServiceFaults{CrashAfter: 1, DownMS: 1})
--- a/entry/sse.go
+++ b/entry/sse.go
@@ -84,7 +84,7 @@
 }
 
 // Close implements io.Closer; the HTTP server calls it at the end, also when
-// the caller has gone. A not repeatable answer is then read to its end, so that
+// the caller has gone. A non-idempotent answer is then read to its end, so that
 // a resend finds it on record.
 func (b *eventBody) Close() error {
 	for b.answer.req.once && !b.ended {
--- a/outcome/claim/claim.go
+++ b/outcome/claim/claim.go
@@ -1,5 +1,5 @@
 // Package claim keeps, in the object API, which idempotency keys of not
-// repeatable requests are taken and what became of the requests.
+// idempotent requests are taken and what became of the requests.
 //
 // A request is sent only by the attempt that the claim of its key names. A
 // claim is never given to another attempt: a holder that is paused or thought
--- a/outcome/claim/load_test.go
+++ b/outcome/claim/load_test.go
@@ -34,7 +34,7 @@
 	return s.Store.Put(ctx, obj, expected)
 }
 
-// Not repeatable requests come to a whole fleet at a steady rate. What they
+// Non-idempotent requests come to a whole fleet at a steady rate. What they
 // cost the object API must stay near two writes each, or a burst of
 // confirmations would take the rate that the rest of the platform lives on.
 func TestStoreLoad(t *testing.T) {
--- a/outcome/state.go
+++ b/outcome/state.go
@@ -84,15 +84,15 @@
 }
 
 // New returns the account of a request that has just arrived. A request that
-// is not repeatable is given once: it is never sent while an earlier send may
+// is non-idempotent is given once: it is never sent while an earlier send may
 // have run.
 func New(once bool) *Request { return &Request{once: once} }
 
 // State returns the stage.
 func (r *Request) State() State { return r.state }
 
-// Repeatable reports whether the request may run more than once.
-func (r *Request) Repeatable() bool { return !r.once }
+// Idempotent reports whether the request may run more than once.
+func (r *Request) Idempotent() bool { return !r.once }
 
 // Admit notes that a grant is held; a request that is sent again is granted
 // again and keeps its later state.
@@ -141,7 +141,7 @@
 func (r *Request) Unrun() bool { return r.state != Done && r.open == 0 }
 
 // MaySend reports whether the request may be sent now: always before the first
-// send, after that only if it is repeatable or no send can have started it.
+// send, after that only if it is idempotent or no send can have started it.
 func (r *Request) MaySend() bool {
 	return !r.final() && r.state >= Admitted && (!r.once || r.open == 0)
 }
--- a/outcome/state_test.go
+++ b/outcome/state_test.go
@@ -71,7 +71,7 @@
 		t.Skip("may not be sent")
 	}
 	if w.once && w.mayHaveRun > 0 {
-		t.Fatal("a not repeatable request may be sent although it may have run")
+		t.Fatal("a non-idempotent request may be sent although it may have run")
 	}
 	w.open = append(w.open, &liveSend{send: w.request.Send()})
 	w.mayHaveRun++
--- a/place/warn.go
+++ b/place/warn.go
@@ -42,7 +42,7 @@
 func (f *Fleet) warn(now time.Time, t *ticket) {
 	fingerprint := t.request.Fingerprint
 	verdict, _ := f.guard.verdict(now, fingerprint)
-	if verdict != policy.CrashRefused && !t.request.Class.GetNotRepeatable() {
+	if verdict != policy.CrashRefused && !t.request.Class.GetNonIdempotent() {
 		return
 	}
 	state, ttl := f.guard.known(now, fingerprint)
