--- a/kept/keeper_test.go
+++ b/kept/keeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"slices"
 	"sync"
 	"testing"
@@ -201,3 +202,24 @@
 		c.Deepest(now, prompt)
 	}
 }
+
+// BenchmarkCatalogBytes tells what a known prefix takes in memory.
+func BenchmarkCatalogBytes(b *testing.B) {
+	now := time.Unix(0, 0)
+	for b.Loop() {
+		before := heap()
+		c := NewCatalog()
+		for i := range catalogLimit {
+			c.Add(Prefix{prefix.Hash{byte(i), byte(i >> 8), 0, 1}, 8}, now.Add(time.Hour))
+		}
+		b.ReportMetric(float64(heap()-before)/catalogLimit, "B/prefix")
+		runtime.KeepAlive(c)
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
