Wait a moment for the end of an attempt that is under way

Cause: one confirmation in twenty of the demo is sent twice at once. The second attempt was told 409 and to ask again in a second, so its caller learnt of a dispatch of 12 ms after a second. Change: it looks three times more within 175 ms. Longer waits are not taken: each look is a read of the object API.

--- a/entry/once.go
+++ b/entry/once.go
@@ -27,6 +27,15 @@
 // record. It takes milliseconds; a store that takes longer is as good as away.
 const settleWait = 500 * time.Millisecond
 
+// A resend that meets its first attempt under way looks again after firstLook,
+// twice and four times that. Most confirmations end within that time, and the
+// caller has the answer now instead of after a second of Retry-After. Longer
+// ones are not waited for: each look is a read of the object API.
+const (
+	firstLook = 25 * time.Millisecond
+	lastLook  = 4 * firstLook
+)
+
 // minTakeWait is the least time that a claim may take, also where placing used
 // up the class's wait.
 const minTakeWait = 500 * time.Millisecond
@@ -102,13 +111,41 @@
 	if err != nil {
 		return t.storeDown(err)
 	}
-	if f.Taken {
+	if f = t.await(ctx, f); f.Taken {
 		return t.recorded(f)
 	}
 	t.request.Seen = f.Seen
 	return nil
 }
 
+// ended waits for the end of the attempt that took the key first. Where that one
+// gave it back meanwhile, the caller is told to ask again, since this attempt has waited long enough.
+func (t *ticket) ended(ctx context.Context, f claim.Found) claim.Found {
+	if later := t.await(ctx, f); later.Taken {
+		return later
+	}
+	return f
+}
+
+// await looks again while another attempt holds the key and has not ended.
+func (t *ticket) await(ctx context.Context, f claim.Found) claim.Found {
+	for pause := firstLook; pause <= lastLook && f.Taken && f.SameBody && f.Answer == nil; pause *= 2 {
+		timer := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return f
+		case <-timer.C:
+		}
+		again, err := t.claims.Look(ctx, t.request)
+		if err != nil {
+			return f
+		}
+		f = again
+	}
+	return f
+}
+
 // take claims the key. It must succeed before the first byte is sent.
 func (t *ticket) take(ctx context.Context) error {
 	if t == nil || t.unclaimed {
@@ -129,7 +166,7 @@
 		return t.storeDown(err)
 	}
 	if f.Taken {
-		return t.recorded(f)
+		return t.recorded(t.ended(ctx, f))
 	}
 	if f.Refused {
 		err := fault.New(fault.Overloaded, "send the request again", "another attempt under this %s was refused as not run", headerKey)
--- a/entry/once_internal_test.go
+++ b/entry/once_internal_test.go
@@ -64,3 +64,40 @@
 		})
 	}
 }
+
+// runningClaims tells of another attempt that ends after some looks.
+type runningClaims struct {
+	pausedClaims
+	looks, ends int
+}
+
+func (r *runningClaims) Look(context.Context, claim.Request) (claim.Found, error) {
+	r.looks++
+	f := claim.Found{Taken: true, SameBody: true}
+	if r.looks > r.ends {
+		f.Answer = &claim.Answer{Status: 200, Kept: true}
+	}
+	return f, nil
+}
+
+// A counter sends a confirmation twice at once. The second attempt meets the
+// first one a few milliseconds before its end; told only "ask again in a
+// second", the counter would learn of a dispatch a second late.
+func TestResendWaitsForAnAttemptThatEndsSoon(t *testing.T) {
+	for ends, answered := range map[int]bool{0: true, 3: true, 4: false} {
+		synctest.Test(t, func(t *testing.T) {
+			claims := &runningClaims{ends: ends}
+			s := &Server{cfg: Config{Claims: claims}}
+			account := outcome.New(true)
+			class := &recordspb.RequestClass{MaxWaitMs: 1000, TimeoutMs: 60000}
+			ticket := s.newTicket(account, "k", claim.Request{Key: claim.NewKey("accra", "k"), Attempt: "b"}, class)
+			err := ticket.look(context.Background())
+			if err == nil || account.Verdict().Complete() != answered {
+				t.Fatalf("ended after %d looks: %v, said %s", ends, err, account.Verdict())
+			}
+			if claims.looks > 4 {
+				t.Fatalf("%d looks", claims.looks)
+			}
+		})
+	}
+}
