--- a/internal/slopes/slopes.go
+++ b/internal/slopes/slopes.go
@@ -79,13 +79,13 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
-// heap is the memory in use after a collection.
-func heap() uint64 {
+// heap is the memory in use after a collection; signed, for differences.
+func heap() int64 {
 	var m runtime.MemStats
 	runtime.GC()
 	runtime.GC()
 	runtime.ReadMemStats(&m)
-	return m.HeapInuse + m.StackInuse
+	return int64(m.HeapInuse + m.StackInuse)
 }
 
 // quantile of sorted durations.
