Share the clients of endpoints with the keeper of KV cache

Cause: the keeper made a second set of clients, with connections of its own to each endpoint, which nothing closed. Change: it dials by the instance's clients, as entry does.

--- a/instance/kept.go
+++ b/instance/kept.go
@@ -5,17 +5,14 @@
 	"time"
 
 	"github.com/sardinedock/sardinedock/clock"
-	"github.com/sardinedock/sardinedock/endpoint"
 	"github.com/sardinedock/sardinedock/kept"
 )
 
 // newKept returns the duty that has shared prefixes kept in the KV store.
 func (i *Instance) newKept() *kept.Keeper {
-	silence := time.Duration(i.settings.GetLimits().GetSilenceMs()) * time.Millisecond
-	clients := endpoint.NewClients(dialTimeout, silence)
 	return kept.NewKeeper(kept.Config{
 		Clock:   clock.System{},
-		Dial:    func(address string) kept.Engine { return clients.Engine(address) },
+		Dial:    func(address string) kept.Engine { return i.clients.Engine(address) },
 		Publish: func(_ context.Context, p kept.Prefix, ttl time.Duration) { i.peers.placer.PublishKept(p, ttl) },
 	})
 }
