Sleep by one function

Change: clock.Sleep; callers that do not look at its error drop it in so many words. It also returns at once where the context has ended before.

--- a/clock/clock.go
+++ b/clock/clock.go
@@ -2,7 +2,10 @@
 // that tests can run them in virtual time.
 package clock
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // Clock tells the time.
 type Clock interface {
@@ -14,3 +17,19 @@
 
 // Now returns the current time with its monotonic reading.
 func (System) Now() time.Time { return time.Now() }
+
+// Sleep blocks for d, or until ctx ends; then it returns the cause. With a d of
+// zero or less it returns at once.
+func Sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 || ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
--- a/lease/duty.go
+++ b/lease/duty.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
+	"github.com/sardinedock/sardinedock/clock"
 	"github.com/sardinedock/sardinedock/fault"
 	"github.com/sardinedock/sardinedock/platform"
 )
@@ -109,7 +110,7 @@
 	for ctx.Err() == nil {
 		d.note()
 		if !d.busy() && !d.cfg.Candidate() {
-			wait(ctx, d.cfg.Length/pollShare)
+			_ = clock.Sleep(ctx, d.cfg.Length/pollShare)
 			continue
 		}
 		d.mu.Lock()
@@ -117,7 +118,7 @@
 		d.mu.Unlock()
 		switch s.Kind {
 		case StepWait:
-			wait(ctx, time.Until(s.At)+d.jitter())
+			_ = clock.Sleep(ctx, time.Until(s.At)+d.jitter())
 		case StepRead:
 			d.read(ctx)
 		case StepWrite:
@@ -211,12 +212,3 @@
 	lostTotal.Inc()
 	fields.Warn("lease lost")
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/monitor/watcher.go
+++ b/monitor/watcher.go
@@ -11,6 +11,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/sardinedock/sardinedock/clock"
 	"github.com/sardinedock/sardinedock/endpoint"
 	"github.com/sardinedock/sardinedock/policy"
 	"github.com/sardinedock/sardinedock/ring"
@@ -309,7 +310,7 @@
 			if seq > before {
 				pause = firstPause
 			}
-			sleep(ctx, pause/2+time.Duration(rand.Float64()*float64(pause)))
+			_ = clock.Sleep(ctx, pause/2+time.Duration(rand.Float64()*float64(pause)))
 		}
 	})
 	return cancel
@@ -378,12 +379,3 @@
 	default:
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/outcome/claim/book.go
+++ b/outcome/claim/book.go
@@ -87,7 +87,7 @@
 // Close ends the duties once all that was told is written, or ctx ends.
 func (b *Book) Close(ctx context.Context) {
 	for b.unwritten.Load() > 0 && ctx.Err() == nil {
-		sleep(ctx, firstPause)
+		_ = clock.Sleep(ctx, firstPause)
 	}
 	b.stop()
 	b.wg.Wait()
--- a/outcome/claim/shard.go
+++ b/outcome/claim/shard.go
@@ -72,20 +72,11 @@
 			pause = firstPause
 			continue
 		}
-		sleep(ctx, pause)
+		_ = clock.Sleep(ctx, pause)
 		pause = min(2*pause, maxPause)
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // receive blocks for something to do.
 func (s *shard) receive(ctx context.Context) bool {
 	select {
--- a/record/follower.go
+++ b/record/follower.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/sardinedock/sardinedock/clock"
 	"github.com/sardinedock/sardinedock/fault"
 	"github.com/sardinedock/sardinedock/platform"
 )
@@ -81,7 +82,7 @@
 }
 
 func (f *follower) run(ctx context.Context, within time.Duration) {
-	if wait(ctx, time.Duration(rand.Float64()*float64(within))) != nil {
+	if clock.Sleep(ctx, time.Duration(rand.Float64()*float64(within))) != nil {
 		return
 	}
 	for ctx.Err() == nil {
@@ -243,21 +244,10 @@
 // bounds what reaches the object API; this bounds the calls of the client.
 func (f *follower) backOff(ctx context.Context) {
 	f.pause = min(max(2*f.pause, firstPause), longestPause)
-	_ = wait(ctx, spread(f.pause))
+	_ = clock.Sleep(ctx, spread(f.pause))
 }
 
 // spread returns a random part of d between a half and the whole and a half.
 func spread(d time.Duration) time.Duration {
 	return d/2 + time.Duration(rand.Float64()*float64(d))
 }
-
-func wait(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return context.Cause(ctx)
-	}
-}
--- a/record/preserve.go
+++ b/record/preserve.go
@@ -9,6 +9,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/sardinedock/sardinedock/clock"
 	"github.com/sardinedock/sardinedock/fault"
 	"github.com/sardinedock/sardinedock/platform"
 )
@@ -80,7 +81,7 @@
 			} else {
 				p.listed = false
 			}
-			_ = wait(ctx, preserveEvery)
+			_ = clock.Sleep(ctx, preserveEvery)
 		}
 	})
 }
--- a/rollout/duty.go
+++ b/rollout/duty.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
+	"github.com/sardinedock/sardinedock/clock"
 	"github.com/sardinedock/sardinedock/endpoint"
 	"github.com/sardinedock/sardinedock/fault"
 	"github.com/sardinedock/sardinedock/record"
@@ -117,7 +118,7 @@
 	d.cancel = cancel
 	d.done.Go(func() {
 		for ctx.Err() == nil {
-			wait(ctx, d.round(ctx))
+			_ = clock.Sleep(ctx, d.round(ctx))
 		}
 	})
 }
@@ -309,12 +310,3 @@
 	}
 	d.progress = p
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/status/writer.go
+++ b/status/writer.go
@@ -9,6 +9,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/sardinedock/sardinedock/clock"
 	"github.com/sardinedock/sardinedock/fault"
 	"github.com/sardinedock/sardinedock/platform"
 )
@@ -75,7 +76,7 @@
 	w.done.Go(func() {
 		for ctx.Err() == nil {
 			w.look(ctx)
-			wait(ctx, lookEvery)
+			_ = clock.Sleep(ctx, lookEvery)
 		}
 	})
 }
@@ -194,12 +195,3 @@
 	}
 	return list[max(0, len(list)-maxDecisions):]
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
