--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -11,7 +11,7 @@
 
 	"github.com/sardinedock/sardinedock/emulator"
 	"github.com/sardinedock/sardinedock/instance"
-	"github.com/sardinedock/sardinedock/platform"
+	"github.com/sardinedock/sardinedock/objectapi"
 	"github.com/sardinedock/sardinedock/settings"
 )
 
@@ -136,9 +136,9 @@
 
 // tellPlatform writes the list of instances as the platform would.
 func (f *fleet) tellPlatform() {
-	var entries []platform.InstanceEntry
+	var entries []objectapi.InstanceEntry
 	for _, m := range f.members {
-		entries = append(entries, platform.InstanceEntry{Name: m.name, Address: m.link.Addr(), DataCentre: m.dataCentre})
+		entries = append(entries, objectapi.InstanceEntry{Name: m.name, Address: m.link.Addr(), DataCentre: m.dataCentre})
 	}
 	f.store.SetInstances(entries)
 }
--- a/emulator/store.go
+++ b/emulator/store.go
@@ -11,7 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/sardinedock/sardinedock/platform"
+	"github.com/sardinedock/sardinedock/objectapi"
 )
 
 // headerInstance names the calling instance, by which one caller's faults are
@@ -47,10 +47,10 @@
 	done chan struct{}
 
 	mu        sync.Mutex
-	version   platform.Version
-	objects   map[objectKey]platform.Object
-	history   []platform.Object
-	forgotten platform.Version
+	version   objectapi.Version
+	objects   map[objectKey]objectapi.Object
+	history   []objectapi.Object
+	forgotten objectapi.Version
 	changed   chan struct{}
 	lists     []instanceList
 	counts    StoreCounts
@@ -64,7 +64,7 @@
 // instanceList is the list of instances as it stood from a moment on.
 type instanceList struct {
 	from    time.Time
-	entries []platform.InstanceEntry
+	entries []objectapi.InstanceEntry
 }
 
 // StoreCounts says what the object API was asked for.
@@ -94,7 +94,7 @@
 	s := &Store{
 		cfg:     cfg,
 		done:    make(chan struct{}),
-		objects: map[objectKey]platform.Object{},
+		objects: map[objectKey]objectapi.Object{},
 		changed: make(chan struct{}),
 		reads:   newBucket(cfg.ReadsPerSecond),
 		writes:  newBucket(cfg.WritesPerSecond),
@@ -138,14 +138,14 @@
 }
 
 // Set stores a value without a condition, as an operator's tool would.
-func (s *Store) Set(kind, name string, value []byte) platform.Version {
+func (s *Store) Set(kind, name string, value []byte) objectapi.Version {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.put(platform.Object{Kind: kind, Name: name, Value: value})
+	return s.put(objectapi.Object{Kind: kind, Name: name, Value: value})
 }
 
 // Object returns a stored object, past all faults and counts.
-func (s *Store) Object(kind, name string) (platform.Object, bool) {
+func (s *Store) Object(kind, name string) (objectapi.Object, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	obj, ok := s.objects[objectKey{kind, name}]
@@ -153,24 +153,24 @@
 }
 
 // SetInstances replaces the list of instances; readers see it after the lag.
-func (s *Store) SetInstances(entries []platform.InstanceEntry) {
+func (s *Store) SetInstances(entries []objectapi.InstanceEntry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lists = append(s.lists, instanceList{time.Now(), append([]platform.InstanceEntry(nil), entries...)})
+	s.lists = append(s.lists, instanceList{time.Now(), append([]objectapi.InstanceEntry(nil), entries...)})
 }
 
-func (s *Store) instances() []platform.InstanceEntry {
+func (s *Store) instances() []objectapi.InstanceEntry {
 	seen := time.Now().Add(-s.cfg.Pace.Scale(s.cfg.ListLag))
 	for len(s.lists) > 1 && !s.lists[1].from.After(seen) {
 		s.lists = s.lists[1:]
 	}
 	if len(s.lists) == 0 || s.lists[0].from.After(seen) {
-		return []platform.InstanceEntry{}
+		return []objectapi.InstanceEntry{}
 	}
 	return s.lists[0].entries
 }
 
-func (s *Store) put(obj platform.Object) platform.Version {
+func (s *Store) put(obj objectapi.Object) objectapi.Version {
 	s.version++
 	obj.Version = s.version
 	s.objects[objectKey{obj.Kind, obj.Name}] = obj
@@ -181,11 +181,11 @@
 func (s *Store) remove(key objectKey) {
 	s.version++
 	delete(s.objects, key)
-	s.record(platform.Object{Kind: key.kind, Name: key.name, Version: s.version, Deleted: true})
+	s.record(objectapi.Object{Kind: key.kind, Name: key.name, Version: s.version, Deleted: true})
 }
 
 // record keeps a change for the watches and tells them.
-func (s *Store) record(obj platform.Object) {
+func (s *Store) record(obj objectapi.Object) {
 	s.history = append(s.history, obj)
 	if over := len(s.history) - s.cfg.History; over > 0 {
 		s.forgotten = s.history[over-1].Version
@@ -236,7 +236,7 @@
 
 func (s *Store) list(ctx *fasthttp.RequestCtx, kind string) {
 	s.mu.Lock()
-	listing := platform.Listing{Version: s.version, Objects: []platform.Object{}}
+	listing := objectapi.Listing{Version: s.version, Objects: []objectapi.Object{}}
 	for key, obj := range s.objects {
 		if key.kind == kind {
 			listing.Objects = append(listing.Objects, obj)
@@ -262,20 +262,20 @@
 	writeJSON(ctx, obj)
 }
 
-func (s *Store) change(ctx *fasthttp.RequestCtx, key objectKey, current platform.Version) {
+func (s *Store) change(ctx *fasthttp.RequestCtx, key objectKey, current objectapi.Version) {
 	expected, err := strconv.ParseUint(string(ctx.QueryArgs().Peek("expected")), 10, 64)
 	if err != nil {
 		ctx.Error("expected is not a version", fasthttp.StatusBadRequest)
 		return
 	}
-	var obj platform.Object
+	var obj objectapi.Object
 	if ctx.IsPut() {
 		if err := json.Unmarshal(ctx.PostBody(), &obj); err != nil {
 			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 			return
 		}
 	}
-	if len(obj.Value) > platform.MaxValueBytes {
+	if len(obj.Value) > objectapi.MaxValueBytes {
 		ctx.Error("value over the limit", fasthttp.StatusRequestEntityTooLarge)
 		return
 	}
@@ -283,7 +283,7 @@
 		ctx.Error("no such object", fasthttp.StatusNotFound)
 		return
 	}
-	if current != platform.Version(expected) {
+	if current != objectapi.Version(expected) {
 		ctx.Error("version changed", fasthttp.StatusConflict)
 		return
 	}
--- a/emulator/store_test.go
+++ b/emulator/store_test.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"github.com/sardinedock/sardinedock/emulator"
-	"github.com/sardinedock/sardinedock/platform"
+	"github.com/sardinedock/sardinedock/objectapi"
 )
 
 func startStore(t *testing.T, cfg emulator.StoreConfig) *emulator.Store {
@@ -44,7 +44,7 @@
 	return resp.StatusCode, text.String()
 }
 
-func putURL(s *emulator.Store, name string, expected platform.Version) string {
+func putURL(s *emulator.Store, name string, expected objectapi.Version) string {
 	return fmt.Sprintf("http://%s/objects/claims/%s?expected=%d", s.Addr(), name, expected)
 }
 
@@ -54,7 +54,7 @@
 	s := startStore(t, emulator.StoreConfig{})
 	steps := []struct {
 		method   string
-		expected platform.Version
+		expected objectapi.Version
 		status   int
 	}{
 		{"PUT", 0, 200}, {"PUT", 0, 409}, {"PUT", 1, 200}, {"PUT", 1, 409},
@@ -119,7 +119,7 @@
 		if len(lines.Bytes()) == 0 {
 			continue
 		}
-		var obj platform.Object
+		var obj objectapi.Object
 		if err := json.Unmarshal(lines.Bytes(), &obj); err != nil {
 			t.Fatal(err)
 		}
@@ -138,7 +138,7 @@
 // An instance is replaced while the platform's list still names the old one.
 func TestInstanceListLags(t *testing.T) {
 	s := startStore(t, emulator.StoreConfig{ListLag: time.Hour})
-	s.SetInstances([]platform.InstanceEntry{{Name: "entry-1"}})
+	s.SetInstances([]objectapi.InstanceEntry{{Name: "entry-1"}})
 	if _, body := call(t, "GET", "http://"+s.Addr()+"/instances", ""); body != "[]" {
 		t.Fatalf("list %s, want none before the lag is over", body)
 	}
--- a/emulator/storefaults.go
+++ b/emulator/storefaults.go
@@ -10,7 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/sardinedock/sardinedock/platform"
+	"github.com/sardinedock/sardinedock/objectapi"
 )
 
 // OutageKind says how a stand-in behaves while it is down.
@@ -182,7 +182,7 @@
 	case "counts":
 		writeJSON(ctx, s.Counts())
 	case "instances":
-		var entries []platform.InstanceEntry
+		var entries []objectapi.InstanceEntry
 		if readJSON(ctx, &entries) {
 			s.SetInstances(entries)
 		}
--- a/emulator/storewatch.go
+++ b/emulator/storewatch.go
@@ -9,7 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/sardinedock/sardinedock/platform"
+	"github.com/sardinedock/sardinedock/objectapi"
 )
 
 // watch streams the changes of a kind after a version, one JSON object a line.
@@ -19,7 +19,7 @@
 		ctx.Error("from is not a version", fasthttp.StatusBadRequest)
 		return
 	}
-	position := platform.Version(from)
+	position := objectapi.Version(from)
 	instance := string(ctx.Request.Header.Peek(headerInstance))
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -39,7 +39,7 @@
 
 // follow writes changes until the reader is gone, an outage begins, or the
 // position has been forgotten.
-func (s *Store) follow(w *bufio.Writer, kind, instance string, position platform.Version) {
+func (s *Store) follow(w *bufio.Writer, kind, instance string, position objectapi.Version) {
 	// The first line is a heartbeat, so that the reader gets the header at once.
 	if !heartbeat(w) {
 		return
@@ -93,7 +93,7 @@
 // since returns the changes of a kind after position, the version up to which
 // it looked, and a channel that is closed at the next change of anything. It
 // returns false where the watch ends.
-func (s *Store) since(kind, instance string, position platform.Version) ([]platform.Object, platform.Version, chan struct{}, bool) {
+func (s *Store) since(kind, instance string, position objectapi.Version) ([]objectapi.Object, objectapi.Version, chan struct{}, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	select {
@@ -105,7 +105,7 @@
 		return nil, 0, nil, false
 	}
 	i := sort.Search(len(s.history), func(i int) bool { return s.history[i].Version > position })
-	var events []platform.Object
+	var events []objectapi.Object
 	for _, obj := range s.history[i:] {
 		if obj.Kind == kind {
 			events = append(events, obj)
--- a/entry/once_test.go
+++ b/entry/once_test.go
@@ -13,23 +13,23 @@
 	"github.com/sardinedock/sardinedock/emulator"
 	"github.com/sardinedock/sardinedock/entry"
 	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/objectapi/objecttest"
 	"github.com/sardinedock/sardinedock/outcome/claim"
 	"github.com/sardinedock/sardinedock/place"
-	"github.com/sardinedock/sardinedock/platform/storetest"
 	"github.com/sardinedock/sardinedock/schema/recordspb"
 )
 
 // pair is two instances before the same store and endpoints.
 type pair struct {
 	*rig
-	store *storetest.Store
+	store *objecttest.Store
 	books [2]*claim.Book
 	urls  [2]string
 }
 
 func newPair(t *testing.T, cfg rigConfig) *pair {
 	t.Helper()
-	p := &pair{store: &storetest.Store{}}
+	p := &pair{store: &objecttest.Store{}}
 	for n := range p.books {
 		b := claim.Open(p.store, clock.System{})
 		t.Cleanup(b.Kill)
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -13,8 +13,8 @@
 	"github.com/sardinedock/sardinedock/endpoint"
 	"github.com/sardinedock/sardinedock/entry"
 	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/objectapi"
 	"github.com/sardinedock/sardinedock/outcome/claim"
-	"github.com/sardinedock/sardinedock/platform"
 	"github.com/sardinedock/sardinedock/record"
 	"github.com/sardinedock/sardinedock/schema/settingspb"
 )
@@ -22,7 +22,7 @@
 // Instance is one entry instance.
 type Instance struct {
 	settings *settingspb.Settings
-	store    *platform.Client
+	store    *objectapi.Client
 	keeper   *record.Keeper
 	provider *record.Provider
 	// tellNow wakes the duty that tells peers what is in force here.
--- a/instance/records.go
+++ b/instance/records.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/sardinedock/sardinedock/clock"
-	"github.com/sardinedock/sardinedock/platform"
+	"github.com/sardinedock/sardinedock/objectapi"
 	"github.com/sardinedock/sardinedock/record"
 )
 
@@ -16,11 +16,11 @@
 
 func (i *Instance) provisionStore() {
 	p := i.settings.GetPlatform()
-	i.store = platform.NewClient(platform.Config{
+	i.store = objectapi.NewClient(objectapi.Config{
 		Address:  p.GetAddress(),
 		Instance: i.name(),
 		Timeout:  time.Duration(p.GetTimeoutMs()) * time.Millisecond,
-		Fleet:    platform.Rates{Reads: float64(p.GetReadsPerSecond()), Writes: float64(p.GetWritesPerSecond())},
+		Fleet:    objectapi.Rates{Reads: float64(p.GetReadsPerSecond()), Writes: float64(p.GetWritesPerSecond())},
 	})
 	i.tellNow = make(chan struct{}, 1)
 	i.keeper = record.NewKeeper(clock.System{})
@@ -80,5 +80,5 @@
 		return 0
 	}
 	i.store.SetLiveInstances(len(list))
-	return platform.Spread(len(list), len(record.Kinds), float64(i.settings.GetPlatform().GetReadsPerSecond()))
+	return objectapi.Spread(len(list), len(record.Kinds), float64(i.settings.GetPlatform().GetReadsPerSecond()))
 }
--- a/instance/rollout_test.go
+++ b/instance/rollout_test.go
@@ -14,7 +14,7 @@
 	"github.com/sardinedock/sardinedock/emulator"
 	"github.com/sardinedock/sardinedock/endpoint"
 	"github.com/sardinedock/sardinedock/fault"
-	"github.com/sardinedock/sardinedock/platform"
+	"github.com/sardinedock/sardinedock/objectapi"
 	"github.com/sardinedock/sardinedock/record"
 	"github.com/sardinedock/sardinedock/schema/recordspb"
 	"github.com/sardinedock/sardinedock/status"
@@ -127,7 +127,7 @@
 
 func awaitStatus(tb testing.TB, store *emulator.Store, want string) {
 	tb.Helper()
-	c := platform.NewClient(platform.Config{Address: store.Addr(), Timeout: time.Second})
+	c := objectapi.NewClient(objectapi.Config{Address: store.Addr(), Timeout: time.Second})
 	for {
 		var b strings.Builder
 		list, err := status.Read(context.Background(), c)
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -9,7 +9,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"github.com/sardinedock/sardinedock/platform"
+	"github.com/sardinedock/sardinedock/objectapi"
 	"github.com/sardinedock/sardinedock/status"
 )
 
@@ -29,7 +29,7 @@
 }
 
 func (c *statusCommand) run(out, _ io.Writer) error {
-	store := platform.NewClient(platform.Config{Address: c.store, Timeout: c.timeout})
+	store := objectapi.NewClient(objectapi.Config{Address: c.store, Timeout: c.timeout})
 	list, err := status.Read(context.Background(), store)
 	if err != nil {
 		return err
--- a/lease/duty.go
+++ b/lease/duty.go
@@ -12,7 +12,7 @@
 
 	"github.com/sardinedock/sardinedock/clock"
 	"github.com/sardinedock/sardinedock/fault"
-	"github.com/sardinedock/sardinedock/platform"
+	"github.com/sardinedock/sardinedock/objectapi"
 )
 
 // Kind is the kind of the lease objects.
@@ -34,7 +34,7 @@
 
 // Config is what a Duty needs.
 type Config struct {
-	Store platform.Store
+	Store objectapi.Store
 	// Name of the lease object.
 	Name string
 	// Self is this instance's name.
@@ -67,7 +67,7 @@
 	if cfg.Candidate == nil {
 		cfg.Candidate = func() bool { return true }
 	}
-	return &Duty{cfg: cfg, machine: NewMachine(cfg.Length, platform.NewAttempt)}
+	return &Duty{cfg: cfg, machine: NewMachine(cfg.Length, objectapi.NewAttempt)}
 }
 
 // Start begins to try for the lease.
@@ -168,12 +168,12 @@
 	d.machine.Wrote(time.Now(), s.Attempt, version)
 }
 
-func (d *Duty) put(ctx context.Context, s Step, v Value) (platform.Version, error) {
+func (d *Duty) put(ctx context.Context, s Step, v Value) (objectapi.Version, error) {
 	value, err := json.Marshal(v)
 	if err != nil {
 		return 0, err
 	}
-	obj := platform.Object{Kind: Kind, Name: d.cfg.Name, Attempt: s.Attempt, Value: value}
+	obj := objectapi.Object{Kind: Kind, Name: d.cfg.Name, Attempt: s.Attempt, Value: value}
 	return d.cfg.Store.Put(ctx, obj, s.Expected)
 }
 
--- a/lease/duty_test.go
+++ b/lease/duty_test.go
@@ -6,10 +6,10 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/sardinedock/sardinedock/platform/storetest"
+	"github.com/sardinedock/sardinedock/objectapi/objecttest"
 )
 
-func startDuties(s *storetest.Store, n int) []*Duty {
+func startDuties(s *objecttest.Store, n int) []*Duty {
 	duties := make([]*Duty, n)
 	for i := range duties {
 		duties[i] = NewDuty(Config{Store: s, Name: "rollout", Self: fmt.Sprintf("entry-%d", i)})
@@ -31,7 +31,7 @@
 
 func TestOneOfManyHoldsAndAnotherFollows(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &storetest.Store{}
+		s := &objecttest.Store{}
 		duties := startDuties(s, 3)
 		time.Sleep(30 * time.Second)
 		first := holders(duties)
@@ -62,7 +62,7 @@
 // writes must not cost the lease.
 func TestOutageEndsTheBelief(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &storetest.Store{}
+		s := &objecttest.Store{}
 		s.LoseReplies(3)
 		duties := startDuties(s, 2)
 		time.Sleep(40 * time.Second)
@@ -87,12 +87,12 @@
 
 func TestNoCandidateMakesNoCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &storetest.Store{}
+		s := &objecttest.Store{}
 		d := NewDuty(Config{Store: s, Name: "rollout", Self: "entry-0", Candidate: func() bool { return false }})
 		d.Start()
 		time.Sleep(time.Minute)
 		d.Stop()
-		if c := s.Counts(); c != (storetest.Counts{}) {
+		if c := s.Counts(); c != (objecttest.Counts{}) {
 			t.Fatalf("calls: %+v", c)
 		}
 	})
--- a/lease/machine.go
+++ b/lease/machine.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"github.com/sardinedock/sardinedock/invariant"
-	"github.com/sardinedock/sardinedock/platform"
+	"github.com/sardinedock/sardinedock/objectapi"
 )
 
 const (
@@ -60,7 +60,7 @@
 	// At is when to ask again, of StepWait.
 	At time.Time
 	// Expected and Attempt go into the conditional write, of StepWrite.
-	Expected platform.Version
+	Expected objectapi.Version
 	Attempt  string
 }
 
@@ -73,7 +73,7 @@
 
 	// seen is the newest version that was read or written, and seenAt when it
 	// was first seen. absent says that the object is missing since then.
-	seen   platform.Version
+	seen   objectapi.Version
 	seenAt time.Time
 	absent bool
 	// mine says that the version seen is this machine's write, free that its
@@ -85,7 +85,7 @@
 	readDue    time.Time
 	writeAfter time.Time
 
-	fence   platform.Version
+	fence   objectapi.Version
 	until   time.Time
 	renewAt time.Time
 
@@ -109,7 +109,7 @@
 // Held returns the fencing number while this instance may believe that it
 // holds the lease. A goroutine may be paused after the answer, so what it does
 // must bear being late.
-func (m *Machine) Held(now time.Time) (fence platform.Version, ok bool) {
+func (m *Machine) Held(now time.Time) (fence objectapi.Version, ok bool) {
 	if m.fence == 0 || !now.Before(m.until) {
 		return 0, false
 	}
@@ -169,7 +169,7 @@
 }
 
 // Wrote says that the write has taken effect at a version.
-func (m *Machine) Wrote(now time.Time, attempt string, version platform.Version) {
+func (m *Machine) Wrote(now time.Time, attempt string, version objectapi.Version) {
 	sent, own := m.sent(attempt)
 	if !own || (version <= m.seen && m.mine) {
 		return
@@ -201,7 +201,7 @@
 }
 
 // see notes which version stands in the object.
-func (m *Machine) see(now time.Time, version platform.Version) {
+func (m *Machine) see(now time.Time, version objectapi.Version) {
 	if m.seenAt.IsZero() || m.absent || version > m.seen {
 		m.seenAt = now
 	}
@@ -224,7 +224,7 @@
 // Observed says what a read has shown. An object that does not exist has
 // version 0: nobody has held the lease, or somebody has removed the object
 // while a holder still believes in it.
-func (m *Machine) Observed(now time.Time, obj platform.Object, v Value) {
+func (m *Machine) Observed(now time.Time, obj objectapi.Object, v Value) {
 	m.readDue = now.Add(m.length / pollShare)
 	if obj.Version == 0 {
 		if m.seenAt.IsZero() || !m.absent {
--- a/lease/machine_test.go
+++ b/lease/machine_test.go
@@ -7,7 +7,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/sardinedock/sardinedock/platform"
+	"github.com/sardinedock/sardinedock/objectapi"
 )
 
 const length = 10 * time.Second
@@ -18,12 +18,12 @@
 // differ and run at slightly different rates.
 type world struct {
 	now     time.Duration
-	version platform.Version
-	object  platform.Object
+	version objectapi.Version
+	object  objectapi.Object
 	value   Value
-	olds    []platform.Object
+	olds    []objectapi.Object
 	nodes   []*node
-	fence   platform.Version
+	fence   objectapi.Version
 	holder  int
 }
 
@@ -57,13 +57,13 @@
 }
 
 // apply puts a write in the object if its condition holds.
-func (w *world) apply(s Step) (platform.Version, bool) {
+func (w *world) apply(s Step) (objectapi.Version, bool) {
 	if w.object.Version != s.Expected {
 		return 0, false
 	}
 	w.version++
 	w.olds = append(w.olds, w.object)
-	w.object = platform.Object{Version: w.version, Attempt: s.Attempt}
+	w.object = objectapi.Object{Version: w.version, Attempt: s.Attempt}
 	w.value = Value{}
 	return w.version, true
 }
@@ -163,7 +163,7 @@
 			case "remove":
 				if rapid.IntRange(0, 9).Draw(t, "removes") == 0 {
 					w.version++
-					w.object, w.value = platform.Object{}, Value{}
+					w.object, w.value = objectapi.Object{}, Value{}
 				}
 			}
 			w.check(t)
@@ -173,7 +173,7 @@
 
 // run lets the instances take turns without faults for a time, and returns who
 // holds the lease then.
-func (w *world) run(d time.Duration, nodes ...*node) (*node, platform.Version) {
+func (w *world) run(d time.Duration, nodes ...*node) (*node, objectapi.Version) {
 	for end := w.now + d; w.now < end; w.now += 100 * time.Millisecond {
 		for _, n := range nodes {
 			switch s := n.m.Next(n.clock(w.now)); s.Kind {
--- a/platform/client_test.go
+++ b/objectapi/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objectapi_test
 
 import (
 	"context"
@@ -11,24 +11,24 @@
 
 	"github.com/sardinedock/sardinedock/emulator"
 	"github.com/sardinedock/sardinedock/fault"
-	"github.com/sardinedock/sardinedock/platform"
+	"github.com/sardinedock/sardinedock/objectapi"
 )
 
 // startStore returns a store and a client that gives up soon.
-func startStore(t *testing.T, cfg emulator.StoreConfig) (*emulator.Store, *platform.Client) {
+func startStore(t *testing.T, cfg emulator.StoreConfig) (*emulator.Store, *objectapi.Client) {
 	t.Helper()
 	s, err := emulator.StartStoreWith("127.0.0.1:0", cfg)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = s.Close() })
-	return s, platform.NewClient(platform.Config{
+	return s, objectapi.NewClient(objectapi.Config{
 		Address: s.Addr(), Instance: "entry-1", Timeout: 300 * time.Millisecond, Silence: 200 * time.Millisecond,
 	})
 }
 
-func object(name, value string) platform.Object {
-	return platform.Object{Kind: "leases", Name: name, Value: []byte(value)}
+func object(name, value string) objectapi.Object {
+	return objectapi.Object{Kind: "leases", Name: name, Value: []byte(value)}
 }
 
 // The object API applies a write and the reply is lost. The writer must learn
@@ -61,7 +61,7 @@
 		ctx.SetBodyString(`{"kind":"leases","name":"a","version":2,"attempt":"other"}`)
 	}}
 	go func() { _ = server.Serve(ln) }()
-	c := platform.NewClient(platform.Config{Address: ln.Addr().String(), Timeout: time.Second})
+	c := objectapi.NewClient(objectapi.Config{Address: ln.Addr().String(), Timeout: time.Second})
 	if _, err := c.Put(context.Background(), object("a", "x"), 0); !fault.Is(err, fault.Unknown) {
 		t.Fatalf("got %v, want an unknown outcome", err)
 	}
@@ -76,7 +76,7 @@
 	var wg sync.WaitGroup
 	for i := range results {
 		wg.Go(func() {
-			_, results[i] = c.Put(context.Background(), platform.Object{Kind: "classes", Name: "quote", Value: []byte("2")}, first)
+			_, results[i] = c.Put(context.Background(), objectapi.Object{Kind: "classes", Name: "quote", Value: []byte("2")}, first)
 		})
 	}
 	wg.Wait()
@@ -124,8 +124,8 @@
 // test may take, and the object API must not pass for down.
 func TestSilentConnectionDoesNotCostTheTimeout(t *testing.T) {
 	s, _ := startStore(t, emulator.StoreConfig{})
-	c := platform.NewClient(platform.Config{Address: s.Addr(), Timeout: time.Hour})
-	for expected := platform.Version(0); expected < 4; expected++ {
+	c := objectapi.NewClient(objectapi.Config{Address: s.Addr(), Timeout: time.Hour})
+	for expected := objectapi.Version(0); expected < 4; expected++ {
 		version, err := c.Put(context.Background(), object("a", "x"), expected)
 		if err != nil || version != expected+1 {
 			t.Fatalf("version %d, %v; want %d", version, err, expected+1)
@@ -141,7 +141,7 @@
 // double its load when it can bear that least.
 func TestSlowAnswersAreWaitedFor(t *testing.T) {
 	s, _ := startStore(t, emulator.StoreConfig{})
-	c := platform.NewClient(platform.Config{Address: s.Addr(), Timeout: time.Minute})
+	c := objectapi.NewClient(objectapi.Config{Address: s.Addr(), Timeout: time.Minute})
 	s.SetFaults(emulator.StoreFaults{SlowMS: 400})
 	const calls = 4
 	for range calls {
--- a/platform/storetest/storetest.go
+++ b/objectapi/objecttest/storetest.go
@@ -1,6 +1,6 @@
-// Package storetest is the object API in memory, for tests that run in
+// Package objecttest is the object API in memory, for tests that run in
 // virtual time and so without sockets.
-package storetest
+package objecttest
 
 import (
 	"context"
@@ -8,20 +8,20 @@
 	"sync"
 
 	"github.com/sardinedock/sardinedock/fault"
-	"github.com/sardinedock/sardinedock/platform"
+	"github.com/sardinedock/sardinedock/objectapi"
 )
 
-// Store implements platform.Store. The zero value is empty and ready.
+// Store implements objectapi.Store. The zero value is empty and ready.
 type Store struct {
 	mu      sync.Mutex
-	version platform.Version
-	history []platform.Object
+	version objectapi.Version
+	history []objectapi.Object
 	changed chan struct{}
-	entries []platform.InstanceEntry
+	entries []objectapi.InstanceEntry
 
 	down      bool
 	loseNext  int
-	forgotten platform.Version
+	forgotten objectapi.Version
 	counts    Counts
 }
 
@@ -30,7 +30,7 @@
 	Gets, Lists, Puts, Watches int
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ objectapi.Store = (*Store)(nil)
 
 // SetDown starts or ends an outage, in which all calls fail and watches end.
 func (s *Store) SetDown(down bool) {
@@ -56,7 +56,7 @@
 }
 
 // SetInstances replaces the list of instances.
-func (s *Store) SetInstances(entries []platform.InstanceEntry) {
+func (s *Store) SetInstances(entries []objectapi.InstanceEntry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.entries = entries
@@ -70,20 +70,20 @@
 }
 
 // Set stores a value without a condition.
-func (s *Store) Set(kind, name string, value []byte) platform.Version {
+func (s *Store) Set(kind, name string, value []byte) objectapi.Version {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.record(platform.Object{Kind: kind, Name: name, Value: value})
+	return s.record(objectapi.Object{Kind: kind, Name: name, Value: value})
 }
 
 // Remove deletes an object without a condition.
-func (s *Store) Remove(kind, name string) platform.Version {
+func (s *Store) Remove(kind, name string) objectapi.Version {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.record(platform.Object{Kind: kind, Name: name, Deleted: true})
+	return s.record(objectapi.Object{Kind: kind, Name: name, Deleted: true})
 }
 
-func (s *Store) record(obj platform.Object) platform.Version {
+func (s *Store) record(obj objectapi.Object) objectapi.Version {
 	s.version++
 	obj.Version = s.version
 	s.history = append(s.history, obj)
@@ -106,13 +106,13 @@
 	return s.changed
 }
 
-func (s *Store) find(kind, name string) (platform.Object, bool) {
+func (s *Store) find(kind, name string) (objectapi.Object, bool) {
 	for i := len(s.history) - 1; i >= 0; i-- {
 		if obj := s.history[i]; obj.Kind == kind && obj.Name == name {
 			return obj, !obj.Deleted
 		}
 	}
-	return platform.Object{}, false
+	return objectapi.Object{}, false
 }
 
 func (s *Store) outage(ctx context.Context) error {
@@ -122,36 +122,36 @@
 	return nil
 }
 
-// Get implements platform.Store.
-func (s *Store) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+// Get implements objectapi.Store.
+func (s *Store) Get(ctx context.Context, kind, name string) (objectapi.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counts.Gets++
 	if err := s.outage(ctx); err != nil {
-		return platform.Object{}, err
+		return objectapi.Object{}, err
 	}
 	obj, ok := s.find(kind, name)
 	if !ok {
-		return platform.Object{}, fault.New(fault.NotFound, "create it", "no object %s/%s", kind, name)
+		return objectapi.Object{}, fault.New(fault.NotFound, "create it", "no object %s/%s", kind, name)
 	}
 	return obj, nil
 }
 
-// List implements platform.Store.
-func (s *Store) List(ctx context.Context, kind string) (platform.Listing, error) {
+// List implements objectapi.Store.
+func (s *Store) List(ctx context.Context, kind string) (objectapi.Listing, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counts.Lists++
 	if err := s.outage(ctx); err != nil {
-		return platform.Listing{}, err
+		return objectapi.Listing{}, err
 	}
-	last := map[string]platform.Object{}
+	last := map[string]objectapi.Object{}
 	for _, obj := range s.history {
 		if obj.Kind == kind {
 			last[obj.Name] = obj
 		}
 	}
-	listing := platform.Listing{Version: s.version}
+	listing := objectapi.Listing{Version: s.version}
 	for _, obj := range last {
 		if !obj.Deleted {
 			listing.Objects = append(listing.Objects, obj)
@@ -161,8 +161,8 @@
 	return listing, nil
 }
 
-// Put implements platform.Store.
-func (s *Store) Put(ctx context.Context, obj platform.Object, expected platform.Version) (platform.Version, error) {
+// Put implements objectapi.Store.
+func (s *Store) Put(ctx context.Context, obj objectapi.Object, expected objectapi.Version) (objectapi.Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counts.Puts++
@@ -173,22 +173,22 @@
 	return s.reply(s.record(obj))
 }
 
-// Delete implements platform.Store.
-func (s *Store) Delete(ctx context.Context, kind, name string, expected platform.Version) error {
+// Delete implements objectapi.Store.
+func (s *Store) Delete(ctx context.Context, kind, name string, expected objectapi.Version) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.condition(ctx, kind, name, expected); err != nil {
 		return err
 	}
-	_, err := s.reply(s.record(platform.Object{Kind: kind, Name: name, Deleted: true}))
+	_, err := s.reply(s.record(objectapi.Object{Kind: kind, Name: name, Deleted: true}))
 	return err
 }
 
-func (s *Store) condition(ctx context.Context, kind, name string, expected platform.Version) error {
+func (s *Store) condition(ctx context.Context, kind, name string, expected objectapi.Version) error {
 	if err := s.outage(ctx); err != nil {
 		return err
 	}
-	var current platform.Version
+	var current objectapi.Version
 	if obj, ok := s.find(kind, name); ok {
 		current = obj.Version
 	}
@@ -198,7 +198,7 @@
 	return nil
 }
 
-func (s *Store) reply(version platform.Version) (platform.Version, error) {
+func (s *Store) reply(version objectapi.Version) (objectapi.Version, error) {
 	if s.loseNext > 0 {
 		s.loseNext--
 		return 0, fault.New(fault.Unknown, "read it again", "the reply was lost")
@@ -206,15 +206,15 @@
 	return version, nil
 }
 
-// Instances implements platform.Store.
-func (s *Store) Instances(ctx context.Context) ([]platform.InstanceEntry, error) {
+// Instances implements objectapi.Store.
+func (s *Store) Instances(ctx context.Context) ([]objectapi.InstanceEntry, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.entries, s.outage(ctx)
 }
 
-// Watch implements platform.Store.
-func (s *Store) Watch(ctx context.Context, kind string, from platform.Version) (platform.Watch, error) {
+// Watch implements objectapi.Store.
+func (s *Store) Watch(ctx context.Context, kind string, from objectapi.Version) (objectapi.Watch, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.counts.Watches++
@@ -231,13 +231,13 @@
 type watch struct {
 	store  *Store
 	kind   string
-	at     platform.Version
+	at     objectapi.Version
 	ctx    context.Context
 	cancel context.CancelFunc
 }
 
-// Next implements platform.Watch.
-func (w *watch) Next() (platform.Object, error) {
+// Next implements objectapi.Watch.
+func (w *watch) Next() (objectapi.Object, error) {
 	for {
 		obj, changed, err := w.look()
 		if err != nil || changed == nil {
@@ -246,18 +246,18 @@
 		select {
 		case <-changed:
 		case <-w.ctx.Done():
-			return platform.Object{}, context.Cause(w.ctx)
+			return objectapi.Object{}, context.Cause(w.ctx)
 		}
 	}
 }
 
 // look returns the next change, or a channel that tells when to look again.
-func (w *watch) look() (platform.Object, chan struct{}, error) {
+func (w *watch) look() (objectapi.Object, chan struct{}, error) {
 	s := w.store
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.outage(w.ctx); err != nil {
-		return platform.Object{}, nil, err
+		return objectapi.Object{}, nil, err
 	}
 	for _, obj := range s.history {
 		if obj.Kind == w.kind && obj.Version > w.at {
@@ -265,8 +265,8 @@
 			return obj, nil, nil
 		}
 	}
-	return platform.Object{}, s.next(), nil
+	return objectapi.Object{}, s.next(), nil
 }
 
-// Close implements platform.Watch.
+// Close implements objectapi.Watch.
 func (w *watch) Close() { w.cancel() }
--- a/platform/store.go
+++ b/objectapi/store.go
@@ -1,6 +1,6 @@
-// Package platform is the client of the platform's object API, which holds
+// Package objectapi is the client of the platform's object API, which holds
 // operators' records, status and the system's own objects.
-package platform
+package objectapi
 
 import "context"
 
--- a/platform/watch.go
+++ b/objectapi/watch.go
@@ -1,4 +1,4 @@
-package platform
+package objectapi
 
 import (
 	"bufio"
--- a/outcome/claim/book.go
+++ b/outcome/claim/book.go
@@ -7,7 +7,7 @@
 
 	"github.com/sardinedock/sardinedock/clock"
 	"github.com/sardinedock/sardinedock/fault"
-	"github.com/sardinedock/sardinedock/platform"
+	"github.com/sardinedock/sardinedock/objectapi"
 	"github.com/sardinedock/sardinedock/ring"
 )
 
@@ -21,7 +21,7 @@
 }
 
 // Open starts the duties of the shards; Close ends them.
-func Open(store platform.Store, c clock.Clock) *Book {
+func Open(store objectapi.Store, c clock.Clock) *Book {
 	ctx, stop := context.WithCancel(context.Background())
 	b := &Book{stop: stop}
 	for n := range b.shards {
--- a/outcome/claim/claim.go
+++ b/outcome/claim/claim.go
@@ -13,7 +13,7 @@
 	"fmt"
 	"time"
 
-	"github.com/sardinedock/sardinedock/platform"
+	"github.com/sardinedock/sardinedock/objectapi"
 	"github.com/sardinedock/sardinedock/schema/claimspb"
 )
 
@@ -76,7 +76,7 @@
 	Timeout time.Duration
 	// Seen is Found.Seen of the attempt's look. A refusal that was put on
 	// record after it binds the attempt.
-	Seen platform.Version
+	Seen objectapi.Version
 }
 
 // Answer is a whole answer as it is kept.
@@ -101,7 +101,7 @@
 	// the request did not run: this one must not run it either.
 	Refused bool
 	// Seen is the version of the record that a look saw.
-	Seen platform.Version
+	Seen objectapi.Version
 }
 
 func found(c *claimspb.Claim, body Hash) Found {
--- a/outcome/claim/claim_test.go
+++ b/outcome/claim/claim_test.go
@@ -12,9 +12,9 @@
 
 	"github.com/sardinedock/sardinedock/clock"
 	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/objectapi"
+	"github.com/sardinedock/sardinedock/objectapi/objecttest"
 	"github.com/sardinedock/sardinedock/outcome/claim"
-	"github.com/sardinedock/sardinedock/platform"
-	"github.com/sardinedock/sardinedock/platform/storetest"
 )
 
 const (
@@ -33,7 +33,7 @@
 }
 
 // open returns another instance's book on the store.
-func open(t testing.TB, s platform.Store) *claim.Book {
+func open(t testing.TB, s objectapi.Store) *claim.Book {
 	b := claim.Open(s, clock.System{})
 	t.Cleanup(b.Kill)
 	return b
@@ -65,7 +65,7 @@
 // instance. Only one of the two may reach the ordering app.
 func TestOneOfTwoInstancesHolds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &storetest.Store{}
+		s := &objecttest.Store{}
 		a, b := open(t, s), open(t, s)
 		mustHold(t, a, request("k", "1"))
 		if f := mustBeTaken(t, b, request("k", "2")); f.Answer != nil || !f.SameBody {
@@ -84,7 +84,7 @@
 // confirmation would let the caller believe that the second one is on its way.
 func TestReusedKeyIsTold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &storetest.Store{}
+		s := &objecttest.Store{}
 		a := open(t, s)
 		mustHold(t, a, request("k", "1"))
 		r := request("k", "2")
@@ -103,7 +103,7 @@
 // refuse a request that nobody ran.
 func TestLostReplyIsSettled(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &storetest.Store{}
+		s := &objecttest.Store{}
 		a, b := open(t, s), open(t, s)
 		s.LoseReplies(1)
 		mustHold(t, a, request("k", "1"))
@@ -115,7 +115,7 @@
 // Nobody can say whether it has sent; the key must stay taken for good.
 func TestLostReplyAndDeadInstance(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &storetest.Store{}
+		s := &objecttest.Store{}
 		a, b := open(t, s), open(t, s)
 		s.LoseReplies(1)
 		mustHold(t, a, request("k", "1"))
@@ -133,7 +133,7 @@
 // and once the store is back its key is free.
 func TestOutageRefusesAndLeavesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &storetest.Store{}
+		s := &objecttest.Store{}
 		a, b := open(t, s), open(t, s)
 		s.SetDown(true)
 		begun := time.Now()
@@ -152,7 +152,7 @@
 // The store is down for a moment that the request can wait for.
 func TestShortOutageIsWaitedFor(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &storetest.Store{}
+		s := &objecttest.Store{}
 		a := open(t, s)
 		s.SetDown(true)
 		time.AfterFunc(wait/2, func() { s.SetDown(false) })
@@ -165,7 +165,7 @@
 // back when the store returns, so that a resend runs.
 func TestAbandonedClaimIsGivenBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &lateStore{Store: &storetest.Store{}}
+		s := &lateStore{Store: &objecttest.Store{}}
 		a, b := open(t, s), open(t, s)
 		s.downAfterPut = true
 		s.fate = []fate{lostAfter}
@@ -182,7 +182,7 @@
 // up. A claim that rises from the dead must not be left behind.
 func TestLateWriteDoesNotComeBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &lateStore{Store: &storetest.Store{}, lateness: 3 * time.Second}
+		s := &lateStore{Store: &objecttest.Store{}, lateness: 3 * time.Second}
 		a, b := open(t, s), open(t, s)
 		s.fate = []fate{late}
 		s.downAfterPut = true
@@ -199,7 +199,7 @@
 // before, or the store would fill up.
 func TestRetention(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &storetest.Store{}
+		s := &objecttest.Store{}
 		a := open(t, s)
 		mustHold(t, a, request("k", "1"))
 		time.Sleep(timeout + claim.Retention - time.Second)
@@ -213,7 +213,7 @@
 // one; a write each would go over the store's rate.
 func TestGroupCommit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &lateStore{Store: &storetest.Store{}, delay: 50 * time.Millisecond}
+		s := &lateStore{Store: &objecttest.Store{}, delay: 50 * time.Millisecond}
 		a := open(t, s)
 		const requests = 2000
 		errs := make(chan error, requests)
@@ -241,7 +241,7 @@
 // Writing over it would free keys that are taken.
 func TestForeignShardIsNotTouched(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &storetest.Store{}
+		s := &objecttest.Store{}
 		for n := range claim.Shards {
 			s.Set(claim.Kind, fmt.Sprintf("shard-%02x", n), []byte{0xff})
 		}
@@ -270,7 +270,7 @@
 
 // lateStore gives writes a fate.
 type lateStore struct {
-	*storetest.Store
+	*objecttest.Store
 	fate     []fate
 	draw     func() fate
 	delay    time.Duration
@@ -293,7 +293,7 @@
 
 var errLost = fault.New(fault.Unknown, "read back", "reply lost")
 
-func (s *lateStore) Put(ctx context.Context, obj platform.Object, expected platform.Version) (platform.Version, error) {
+func (s *lateStore) Put(ctx context.Context, obj objectapi.Object, expected objectapi.Version) (objectapi.Version, error) {
 	time.Sleep(s.delay)
 	f := s.next()
 	if s.downAfterPut {
@@ -362,7 +362,7 @@
 
 func newContest(fates []fate) *contest {
 	c := &contest{holders: map[string]string{}}
-	c.store = &lateStore{Store: &storetest.Store{}, lateness: 700 * time.Millisecond}
+	c.store = &lateStore{Store: &objecttest.Store{}, lateness: 700 * time.Millisecond}
 	var at atomic.Int64
 	c.store.draw = func() fate { return fates[int(at.Add(1))%len(fates)] }
 	for range instances {
--- a/outcome/claim/load_test.go
+++ b/outcome/claim/load_test.go
@@ -11,24 +11,24 @@
 	"time"
 
 	"github.com/sardinedock/sardinedock/clock"
+	"github.com/sardinedock/sardinedock/objectapi"
+	"github.com/sardinedock/sardinedock/objectapi/objecttest"
 	"github.com/sardinedock/sardinedock/outcome/claim"
-	"github.com/sardinedock/sardinedock/platform"
-	"github.com/sardinedock/sardinedock/platform/storetest"
 )
 
 // slowStore answers each call after a way of some milliseconds.
 type slowStore struct {
-	*storetest.Store
+	*objecttest.Store
 	way time.Duration
 }
 
-func (s *slowStore) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+func (s *slowStore) Get(ctx context.Context, kind, name string) (objectapi.Object, error) {
 	time.Sleep(s.way)
 	defer time.Sleep(s.way)
 	return s.Store.Get(ctx, kind, name)
 }
 
-func (s *slowStore) Put(ctx context.Context, obj platform.Object, expected platform.Version) (platform.Version, error) {
+func (s *slowStore) Put(ctx context.Context, obj objectapi.Object, expected objectapi.Version) (objectapi.Version, error) {
 	time.Sleep(s.way)
 	defer time.Sleep(s.way)
 	return s.Store.Put(ctx, obj, expected)
@@ -47,7 +47,7 @@
 
 func storeLoad(t *testing.T, instances, rate int) {
 	const seconds = 5
-	s := &slowStore{Store: &storetest.Store{}, way: 2 * time.Millisecond}
+	s := &slowStore{Store: &objecttest.Store{}, way: 2 * time.Millisecond}
 	books := make([]*claim.Book, instances)
 	for n := range books {
 		books[n] = claim.Open(s, clock.System{})
--- a/outcome/claim/refuse_test.go
+++ b/outcome/claim/refuse_test.go
@@ -11,8 +11,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/sardinedock/sardinedock/clock"
+	"github.com/sardinedock/sardinedock/objectapi/objecttest"
 	"github.com/sardinedock/sardinedock/outcome/claim"
-	"github.com/sardinedock/sardinedock/platform/storetest"
 )
 
 func look(t *testing.T, b *claim.Book, r claim.Request) claim.Request {
@@ -38,7 +38,7 @@
 // If that one then ran, the counter would confirm by telephone what ships anyway.
 func TestRefusalBindsAttemptsThatWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &storetest.Store{}
+		s := &objecttest.Store{}
 		a, b := open(t, s), open(t, s)
 		waiting, refused := look(t, a, request("k", "1")), look(t, b, request("k", "2"))
 		if f, err := refuse(b, refused); err != nil || f.Taken {
@@ -66,7 +66,7 @@
 // false, so the refused attempt has to hear of the holder.
 func TestRefusalYieldsToAHolder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &storetest.Store{}
+		s := &objecttest.Store{}
 		a, b := open(t, s), open(t, s)
 		refused := look(t, b, request("k", "2"))
 		mustHold(t, a, look(t, a, request("k", "1")))
@@ -81,7 +81,7 @@
 // request. Its claim must not stand in the way of the caller's next try.
 func TestHolderRefusesItself(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &storetest.Store{}
+		s := &objecttest.Store{}
 		a := open(t, s)
 		r := look(t, a, request("k", "1"))
 		mustHold(t, a, r)
@@ -160,7 +160,7 @@
 }
 
 func visitAll(visits []visit, fates []fate) []told {
-	s := &lateStore{Store: &storetest.Store{}, fate: fates, delay: 2 * time.Millisecond, lateness: 30 * time.Millisecond}
+	s := &lateStore{Store: &objecttest.Store{}, fate: fates, delay: 2 * time.Millisecond, lateness: 30 * time.Millisecond}
 	var mu sync.Mutex
 	s.draw = func() fate {
 		mu.Lock()
--- a/outcome/claim/shard.go
+++ b/outcome/claim/shard.go
@@ -8,7 +8,7 @@
 
 	"github.com/sardinedock/sardinedock/clock"
 	"github.com/sardinedock/sardinedock/fault"
-	"github.com/sardinedock/sardinedock/platform"
+	"github.com/sardinedock/sardinedock/objectapi"
 	"github.com/sardinedock/sardinedock/ring"
 )
 
@@ -38,7 +38,7 @@
 // while a write is under way goes into the next one, so the calls of a busy
 // shard are bounded by the store's own pace and not by the requests.
 type shard struct {
-	store platform.Store
+	store objectapi.Store
 	clock clock.Clock
 	name  string
 	ring  *ring.Ring[*op]
@@ -47,12 +47,12 @@
 	// value is what the object held at version and readAt, while known is set.
 	known   bool
 	readAt  time.Time
-	version platform.Version
+	version objectapi.Version
 	value   []byte
 	// doubtful is set after a write whose reply was lost, at doubtAt: it may
 	// still take effect as long as the object stands at that version.
 	doubtful bool
-	doubtAt  platform.Version
+	doubtAt  objectapi.Version
 }
 
 // run serves the shard until ctx ends.
@@ -243,7 +243,7 @@
 	}
 	commits.Inc()
 	committed.Add(len(s.pending))
-	obj := platform.Object{Kind: Kind, Name: s.name, Attempt: platform.NewAttempt(), Value: value}
+	obj := objectapi.Object{Kind: Kind, Name: s.name, Attempt: objectapi.NewAttempt(), Value: value}
 	version, err := s.store.Put(ctx, obj, s.version)
 	switch {
 	case err == nil:
--- a/record/follower.go
+++ b/record/follower.go
@@ -8,7 +8,7 @@
 
 	"github.com/sardinedock/sardinedock/clock"
 	"github.com/sardinedock/sardinedock/fault"
-	"github.com/sardinedock/sardinedock/platform"
+	"github.com/sardinedock/sardinedock/objectapi"
 )
 
 // FollowerDump is the state of the duty that follows one kind.
@@ -38,7 +38,7 @@
 	// wake tells that the duty has changed.
 	wake chan struct{}
 
-	position platform.Version
+	position objectapi.Version
 	pause    time.Duration
 
 	mu       sync.Mutex
@@ -153,7 +153,7 @@
 	return true
 }
 
-func (f *follower) item(obj platform.Object) Item {
+func (f *follower) item(obj objectapi.Object) Item {
 	return Item{Kind: f.kind, Name: obj.Name, Version: uint64(obj.Version), Value: obj.Value, Deleted: obj.Deleted}
 }
 
@@ -189,7 +189,7 @@
 }
 
 // follow offers each change and returns the error that ended the watch.
-func (f *follower) follow(w platform.Watch) error {
+func (f *follower) follow(w objectapi.Watch) error {
 	for {
 		obj, err := w.Next()
 		if err != nil {
@@ -200,7 +200,7 @@
 	}
 }
 
-func (f *follower) advance(position platform.Version) {
+func (f *follower) advance(position objectapi.Version) {
 	f.position = position
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/record/preserve.go
+++ b/record/preserve.go
@@ -11,7 +11,7 @@
 
 	"github.com/sardinedock/sardinedock/clock"
 	"github.com/sardinedock/sardinedock/fault"
-	"github.com/sardinedock/sardinedock/platform"
+	"github.com/sardinedock/sardinedock/objectapi"
 )
 
 // PreservedKind is the kind of the objects that hold accepted versions of
@@ -48,7 +48,7 @@
 // Preserver keeps, while it holds the lease, the accepted version of each
 // record whose newest version is refused, and removes what is outdated.
 type Preserver struct {
-	store  platform.Store
+	store  objectapi.Store
 	keeper *Keeper
 	lease  Lease
 	cancel context.CancelFunc
@@ -61,12 +61,12 @@
 
 // keptVersion is a stored object's version and that of the record in it.
 type keptVersion struct {
-	object platform.Version
+	object objectapi.Version
 	record uint64
 }
 
 // NewPreserver returns a duty that does nothing before Start.
-func NewPreserver(store platform.Store, keeper *Keeper, lease Lease) *Preserver {
+func NewPreserver(store objectapi.Store, keeper *Keeper, lease Lease) *Preserver {
 	return &Preserver{store: store, keeper: keeper, lease: lease}
 }
 
@@ -141,7 +141,7 @@
 		return err
 	}
 	key := entryKey{it.Kind, it.Name}
-	obj := platform.Object{Kind: PreservedKind, Name: preservedName(it.Kind, it.Name), Value: value}
+	obj := objectapi.Object{Kind: PreservedKind, Name: preservedName(it.Kind, it.Name), Value: value}
 	version, err := p.store.Put(ctx, obj, p.kept[key].object)
 	if err != nil {
 		return err
@@ -164,7 +164,7 @@
 // recall reads the accepted version of a record of which only a refused one is
 // known. It is offered after the list that showed the record, so one that was
 // deleted in between does not come back.
-func recall(ctx context.Context, store platform.Store, keeper *Keeper, kind Kind, name string) error {
+func recall(ctx context.Context, store objectapi.Store, keeper *Keeper, kind Kind, name string) error {
 	obj, err := store.Get(ctx, PreservedKind, preservedName(kind, name))
 	if fault.Is(err, fault.NotFound) {
 		return nil
--- a/record/preserve_test.go
+++ b/record/preserve_test.go
@@ -5,7 +5,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/sardinedock/sardinedock/platform/storetest"
+	"github.com/sardinedock/sardinedock/objectapi/objecttest"
 )
 
 type held bool
@@ -17,7 +17,7 @@
 // would be gone and its callers refused.
 func TestAcceptedVersionOutlivesARestartOfAll(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &storetest.Store{}
+		s := &objecttest.Store{}
 		put(s, 1)
 		k, p := startProvider(s, "entry-0", 0)
 		keep := NewPreserver(s, k, held(true))
@@ -44,7 +44,7 @@
 func TestPreservedVersionOfARemovedRecordStaysAway(t *testing.T) {
 	for _, anew := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
-			s := &storetest.Store{}
+			s := &objecttest.Store{}
 			put(s, 1)
 			k, p := startProvider(s, "entry-0", 0)
 			keep := NewPreserver(s, k, held(true))
@@ -77,7 +77,7 @@
 
 func TestOnlyTheHolderPreserves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &storetest.Store{}
+		s := &objecttest.Store{}
 		k := complete()
 		k.Offer(classItem("quote", 1), refusedItem("quote", 2))
 		keep := NewPreserver(s, k, held(false))
--- a/record/provider.go
+++ b/record/provider.go
@@ -7,7 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"github.com/sardinedock/sardinedock/platform"
+	"github.com/sardinedock/sardinedock/objectapi"
 )
 
 const (
@@ -35,7 +35,7 @@
 
 // ProviderConfig is what a Provider needs.
 type ProviderConfig struct {
-	Store  platform.Store
+	Store  objectapi.Store
 	Keeper *Keeper
 	// Self is this instance's name among the members.
 	Self string
--- a/record/provider_test.go
+++ b/record/provider_test.go
@@ -9,15 +9,15 @@
 	"time"
 
 	"github.com/sardinedock/sardinedock/clock"
-	"github.com/sardinedock/sardinedock/platform/storetest"
+	"github.com/sardinedock/sardinedock/objectapi/objecttest"
 )
 
-func put(s *storetest.Store, version int64) {
+func put(s *objecttest.Store, version int64) {
 	it := classItem("quote", uint64(version))
 	s.Set(string(Classes), "quote", it.Value)
 }
 
-func startProvider(s *storetest.Store, self string, spread time.Duration) (*Keeper, *Provider) {
+func startProvider(s *objecttest.Store, self string, spread time.Duration) (*Keeper, *Provider) {
 	k := NewKeeper(clock.System{})
 	p := NewProvider(ProviderConfig{Store: s, Keeper: k, Self: self, Spread: func(context.Context) time.Duration { return spread }})
 	p.Start()
@@ -34,7 +34,7 @@
 
 func TestChangeComesByWatch(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &storetest.Store{}
+		s := &objecttest.Store{}
 		put(s, 1)
 		k, p := startProvider(s, "entry-0", 0)
 		defer p.Stop()
@@ -51,7 +51,7 @@
 // give up, must not hammer, and must have the records soon after the end.
 func TestStartDuringAnOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &storetest.Store{}
+		s := &objecttest.Store{}
 		put(s, 1)
 		s.SetDown(true)
 		k, p := startProvider(s, "entry-0", 0)
@@ -76,7 +76,7 @@
 func TestWatchResumesAfterAnOutageAndRelistsWhenTooOld(t *testing.T) {
 	for _, forget := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
-			s := &storetest.Store{}
+			s := &objecttest.Store{}
 			put(s, 1)
 			k, p := startProvider(s, "entry-0", 0)
 			defer p.Stop()
@@ -105,7 +105,7 @@
 func TestHerdRestartListsOnceAndSpread(t *testing.T) {
 	const instances = 40
 	synctest.Test(t, func(t *testing.T) {
-		s := &storetest.Store{}
+		s := &objecttest.Store{}
 		put(s, 1)
 		for i := range instances {
 			_, p := startProvider(s, members(instances)[i].Name, 2*time.Second)
@@ -165,7 +165,7 @@
 // say so at once, so that others watch in its place, and to say when it is back.
 func TestReachabilityIsToldAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &storetest.Store{}
+		s := &objecttest.Store{}
 		put(s, 1)
 		told := make(chan bool, 64)
 		var p *Provider
--- a/status/object.go
+++ b/status/object.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"github.com/sardinedock/sardinedock/fault"
-	"github.com/sardinedock/sardinedock/platform"
+	"github.com/sardinedock/sardinedock/objectapi"
 	"github.com/sardinedock/sardinedock/record"
 	"github.com/sardinedock/sardinedock/rollout"
 )
@@ -121,7 +121,7 @@
 }
 
 // Read reads the status objects from the object API, the fleet's first.
-func Read(ctx context.Context, store platform.Store) ([]Named, error) {
+func Read(ctx context.Context, store objectapi.Store) ([]Named, error) {
 	listing, err := store.List(ctx, Kind)
 	if err != nil {
 		return nil, err
--- a/status/status_test.go
+++ b/status/status_test.go
@@ -9,7 +9,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/sardinedock/sardinedock/platform/storetest"
+	"github.com/sardinedock/sardinedock/objectapi/objecttest"
 	"github.com/sardinedock/sardinedock/record"
 	"github.com/sardinedock/sardinedock/rollout"
 )
@@ -49,14 +49,14 @@
 	return Object{Version: d.version}, true
 }
 
-func startWriter(s *storetest.Store, self string, l *lease) (*Writer, *describer) {
+func startWriter(s *objecttest.Store, self string, l *lease) (*Writer, *describer) {
 	d := &describer{version: 1}
 	w := NewWriter(Config{Store: s, Name: FleetName, Self: self, Lease: l, Describe: d.describe})
 	w.Start()
 	return w, d
 }
 
-func read(t *testing.T, s *storetest.Store) Object {
+func read(t *testing.T, s *objecttest.Store) Object {
 	t.Helper()
 	list, err := Read(context.Background(), s)
 	if err != nil || len(list) != 1 {
@@ -69,7 +69,7 @@
 // status of many pools would use up the object API's rate.
 func TestWritesAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &storetest.Store{}
+		s := &objecttest.Store{}
 		w, d := startWriter(s, "entry-0", &lease{held: true})
 		defer w.Stop()
 		for v := range uint64(600) {
@@ -91,7 +91,7 @@
 // the first one decided, and an instance without the lease writes nothing.
 func TestNextHolderKeepsTheDecisions(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &storetest.Store{}
+		s := &objecttest.Store{}
 		first, second := &lease{held: true}, &lease{}
 		a, _ := startWriter(s, "entry-0", first)
 		defer a.Stop()
@@ -119,7 +119,7 @@
 // What was decided meanwhile must reach operators in the end, and only once.
 func TestLostReplyAndOutageLoseNoDecision(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &storetest.Store{}
+		s := &objecttest.Store{}
 		w, d := startWriter(s, "entry-0", &lease{held: true})
 		defer w.Stop()
 		time.Sleep(10 * time.Second)
--- a/status/writer.go
+++ b/status/writer.go
@@ -11,7 +11,7 @@
 
 	"github.com/sardinedock/sardinedock/clock"
 	"github.com/sardinedock/sardinedock/fault"
-	"github.com/sardinedock/sardinedock/platform"
+	"github.com/sardinedock/sardinedock/objectapi"
 )
 
 const (
@@ -39,7 +39,7 @@
 
 // Config is what a Writer needs.
 type Config struct {
-	Store platform.Store
+	Store objectapi.Store
 	// Name of the object.
 	Name string
 	// Self is this instance's name.
@@ -58,7 +58,7 @@
 	done   sync.WaitGroup
 
 	known   bool
-	version platform.Version
+	version objectapi.Version
 	stands  Object
 	wrote   time.Time
 
@@ -169,7 +169,7 @@
 		return
 	}
 	writesTotal.Inc()
-	version, err := w.cfg.Store.Put(ctx, platform.Object{Kind: Kind, Name: w.cfg.Name, Value: value}, w.version)
+	version, err := w.cfg.Store.Put(ctx, objectapi.Object{Kind: Kind, Name: w.cfg.Name, Value: value}, w.version)
 	if err != nil {
 		// Another holder may have written, or the reply was lost: the next look
 		// reads what stands there. The decisions are told then.
