--- a/endpoint/conn.go
+++ b/endpoint/conn.go
@@ -40,7 +40,9 @@
 	// silence bounds each read; 0 leaves it to the context.
 	silence time.Duration
 	idleAt  time.Time
-	reused  bool
+	// keepIdle is how long the connection may stay idle.
+	keepIdle time.Duration
+	reused   bool
 	// written counts the bytes that the kernel took.
 	written int
 	// stop unties the connection from the context of its request.
@@ -97,6 +99,9 @@
 	dialTimeout time.Duration
 	// headerBytes bounds the head of an answer.
 	headerBytes int
+	// keepIdle is how long a connection may have been idle and still be used
+	// again; 0 means idleBound.
+	keepIdle time.Duration
 
 	mu   sync.Mutex
 	idle []*conn
@@ -147,7 +152,7 @@
 	for len(p.idle) > 0 {
 		c := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
-		if time.Since(c.idleAt) < idleBound && sockstate.Of(c.Conn) == sockstate.Quiet {
+		if time.Since(c.idleAt) < c.keepIdle && sockstate.Of(c.Conn) == sockstate.Quiet {
 			c.reused = true
 			return c
 		}
@@ -164,6 +169,7 @@
 	}
 	_ = c.SetReadDeadline(time.Time{})
 	c.idleAt = time.Now()
+	c.keepIdle = p.bound(c.keepIdle)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle) >= maxIdle {
@@ -173,25 +179,41 @@
 	p.idle = append(p.idle, c)
 	if !p.pruning {
 		p.pruning = true
-		time.AfterFunc(idleBound, p.prune)
+		time.AfterFunc(p.bound(0), p.prune)
 	}
 }
 
+// bound is how long a connection stays usable whose endpoint closes it after
+// stated; 0 where the endpoint does not say.
+func (p *pool) bound(stated time.Duration) time.Duration {
+	own := p.keepIdle
+	if own == 0 {
+		own = idleBound
+	}
+	if stated > 0 {
+		return min(own, stated)
+	}
+	return own
+}
+
 // prune closes connections that were idle for too long to be used again. Kept
 // open, those to hundreds of endpoints would use up the file descriptors that
 // callers need.
 func (p *pool) prune() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	old := 0
-	for old < len(p.idle) && time.Since(p.idle[old].idleAt) >= idleBound {
-		_ = p.idle[old].Conn.Close()
-		old++
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if time.Since(c.idleAt) < c.keepIdle {
+			kept = append(kept, c)
+			continue
+		}
+		_ = c.Conn.Close()
 	}
-	p.idle = append(p.idle[:0], p.idle[old:]...)
+	p.idle = kept
 	p.pruning = len(p.idle) > 0
 	if p.pruning {
-		time.AfterFunc(idleBound-time.Since(p.idle[0].idleAt), p.prune)
+		time.AfterFunc(max(p.bound(0)/4, p.bound(0)-time.Since(p.idle[0].idleAt)), p.prune)
 	}
 }
 
--- /dev/null
+++ b/route/table.go
@@ -0,0 +1,149 @@
+package route
+
+import (
+	"sort"
+	"strings"
+
+	"github.com/sardinedock/sardinedock/fault"
+)
+
+// Records are the parts of a table as operators wrote them.
+type Records struct {
+	// Version rises with every change.
+	Version       int64
+	Routes        []Route
+	Services      []Service
+	Organisations []Organisation
+	Limits        Limits
+}
+
+// Table is one version of the records. It is read-only and safe for use by any
+// goroutine.
+type Table struct {
+	version       int64
+	limits        Limits
+	byHost        map[string][]*Route
+	services      map[string]*Service
+	organisations map[string]*Organisation
+	byKey         map[string]*Organisation
+	kept          []*Service
+	routes        int
+}
+
+// NewTable checks the records and indexes them. The error is of kind
+// fault.Invalid; the table in force then stays.
+func NewTable(r Records) (*Table, error) {
+	t := &Table{
+		version:       r.Version,
+		limits:        r.Limits,
+		byHost:        map[string][]*Route{},
+		services:      map[string]*Service{},
+		organisations: map[string]*Organisation{},
+		byKey:         map[string]*Organisation{},
+		routes:        len(r.Routes),
+	}
+	for i := range r.Services {
+		s := &r.Services[i]
+		t.services[s.Name] = s
+		if s.Kept != nil {
+			t.kept = append(t.kept, s)
+		}
+	}
+	for i := range r.Organisations {
+		t.addOrganisation(&r.Organisations[i])
+	}
+	for i := range r.Routes {
+		if err := t.addRoute(&r.Routes[i]); err != nil {
+			return nil, err
+		}
+	}
+	for _, routes := range t.byHost {
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].PathPrefix) > len(routes[j].PathPrefix) })
+	}
+	return t, nil
+}
+
+func (t *Table) addOrganisation(o *Organisation) {
+	t.organisations[o.Name] = o
+	for _, key := range o.Keys {
+		t.byKey[key] = o
+	}
+}
+
+func (t *Table) addRoute(r *Route) error {
+	if len(r.Targets) == 0 {
+		return fault.New(fault.Invalid, "name a service in the route's record", "route %s leads to no service", r.Name)
+	}
+	for _, target := range r.Targets {
+		if t.services[target.Service] == nil {
+			return fault.New(fault.Invalid, "add the service's record first", "route %s leads to the unknown service %s", r.Name, target.Service)
+		}
+	}
+	if r.Timeout <= 0 {
+		return fault.New(fault.Invalid, "set a timeout above 0", "route %s has no timeout", r.Name)
+	}
+	host := strings.ToLower(r.Host)
+	t.byHost[host] = append(t.byHost[host], r)
+	return nil
+}
+
+// Version returns the version of the records.
+func (t *Table) Version() int64 { return t.version }
+
+// Limits returns the bounds on callers.
+func (t *Table) Limits() Limits { return t.limits }
+
+// Routes returns the number of routes.
+func (t *Table) Routes() int { return t.routes }
+
+// Keyed reports whether callers of routes that are not public need a key.
+func (t *Table) Keyed() bool { return len(t.organisations) > 0 }
+
+// Service returns a service by name, or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// Services calls fn for each service, in no order.
+func (t *Table) Services(fn func(*Service)) {
+	for _, s := range t.services {
+		fn(s)
+	}
+}
+
+// KeptStores returns the services that keep KV cache.
+func (t *Table) KeptStores() []*Service { return t.kept }
+
+// Organisation returns who holds a key, or nil.
+func (t *Table) Organisation(key string) *Organisation { return t.byKey[key] }
+
+// Match returns the route of a host with the longest prefix of path, or nil.
+// A port in the host is left out.
+func (t *Table) Match(host, path string) *Route {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+		host = host[:i]
+	}
+	for _, r := range t.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.PathPrefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Pick returns the service that a request of the route goes to. The same draw
+// gives the same service, so that all attempts of one request stay together.
+func (r *Route) Pick(draw uint64) string {
+	total := 0
+	for _, t := range r.Targets {
+		total += max(t.Weight, 0)
+	}
+	if total == 0 {
+		return r.Targets[0].Service
+	}
+	left := int(draw % uint64(total))
+	for _, t := range r.Targets {
+		if left -= max(t.Weight, 0); left < 0 {
+			return t.Service
+		}
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
