--- /dev/null
+++ b/balance/balance.go
@@ -0,0 +1,117 @@
+// Package balance decides which endpoint of a service runs a request, and when.
+// It does no I/O and takes the time as an argument. A State holds what is known
+// of all endpoints here: what this instance sent, what others told, and what
+// endpoints answered. Losing any of it costs speed, never correctness.
+package balance
+
+import (
+	"time"
+
+	"github.com/sardinedock/sardinedock/prefix"
+)
+
+// Endpoint is one incarnation of an endpoint, as the platform lists it.
+type Endpoint struct {
+	// ID names the incarnation; a restarted endpoint has another one.
+	ID         string
+	Address    string
+	Service    string
+	DataCentre string
+	// Slots is how many requests it runs at a time.
+	Slots int
+	// Draining endpoints take no new work.
+	Draining bool
+	// Versions of the weights that it holds, by model.
+	Versions map[string]int64
+}
+
+// Pool is what the records say of a service's endpoints.
+type Pool struct {
+	// CacheTokens is the memory of one endpoint for running requests and cached
+	// parts; 0 for plain services.
+	CacheTokens int64
+}
+
+// RunID names one send of a request; it is unique over all instances.
+type RunID uint64
+
+// Ask describes a request that wants an endpoint.
+type Ask struct {
+	Service string
+	// Model is empty for plain services.
+	Model string
+	// Wall separates organisations that share no cached parts.
+	Wall  string
+	Parts []prefix.Part
+	// PromptTokens and OutputTokens size the work.
+	PromptTokens, OutputTokens int64
+	// DataCentre of the instance that sends.
+	DataCentre string
+	// Exclude names endpoints that were tried before.
+	Exclude []string
+}
+
+// Placement is where a request goes.
+type Placement struct {
+	Endpoint Endpoint
+	// Version of the model's weights there.
+	Version int64
+	// Keys of the prompt's parts under that version.
+	Keys []prefix.PartKey
+	// Uncached is how many tokens of the prompt are read there, as far as known.
+	Uncached int64
+	// FetchFrom is the address of an endpoint that has more of the prompt; empty
+	// for none.
+	FetchFrom string
+	// Ahead is the prompt work in tokens that the endpoint has to do before.
+	Ahead int64
+	// Running is the number of requests there.
+	Running int
+}
+
+// Start says that a request was sent to an endpoint.
+type Start struct {
+	Run      RunID
+	Endpoint string
+	Model    string
+	Version  int64
+	Keys     []prefix.PartKey
+	// Tokens of each part, in the order of Keys.
+	Tokens   []int64
+	Uncached int64
+	Output   int64
+}
+
+// Stage is what became of a run.
+type Stage int
+
+// The stages.
+const (
+	// Answering: the prompt is read, tokens are being made.
+	Answering Stage = iota
+	// Done: the answer came whole.
+	Done
+	// Rejected: the endpoint did not run the request.
+	Rejected
+	// Errored: the endpoint answered with an error of its own.
+	Errored
+	// Failed: the run broke off.
+	Failed
+	// Unreachable: no connection could be made.
+	Unreachable
+	// Abandoned: the caller left, or its time was over.
+	Abandoned
+)
+
+// The times for which an endpoint is left out after it turned work away. They
+// are short because a wrong one costs a share of the pool, and each further
+// failure renews it.
+const (
+	// rejectedFor covers most of a load of new weights, half a second, without
+	// keeping an endpoint out that was only full for a moment.
+	rejectedFor = 300 * time.Millisecond
+	// brokenFor and unreachableFor bridge the time until the platform's list
+	// shows that an endpoint has gone, two or three of its heartbeats.
+	brokenFor      = 700 * time.Millisecond
+	unreachableFor = 1500 * time.Millisecond
+)
--- /dev/null
+++ b/balance/choose.go
@@ -0,0 +1,195 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/sardinedock/sardinedock/prefix"
+)
+
+const (
+	// uncachedWeight is what a token that has to be read weighs against one that
+	// the endpoint reads for others before. Reading it costs the endpoint's
+	// other requests as much as this one, so it counts twice.
+	uncachedWeight = 2.0
+	// fetchedWeight is the same for a token that can be fetched from another
+	// endpoint: it takes link time and memory, but hardly any computing.
+	fetchedWeight = 0.4
+	// farTokens is what a send into another data centre weighs, in tokens: a
+	// round trip of a few ms and the price of the bytes between them.
+	farTokens = 150.0
+	// runningTokens is what each running request weighs, since it shares the
+	// steps of all others.
+	runningTokens = 60.0
+	// overflowWeight counts tokens that do not fit into memory: they wait until
+	// other requests have ended, which takes longer than reading them.
+	overflowWeight = 4.0
+	// failureTokens is the weight of an endpoint all of whose runs fail.
+	failureTokens = 20000.0
+)
+
+// Choose returns the endpoint that a request should run on now. ok is false
+// where none can take it at this moment; it may be asked for again when Changed
+// tells, or after a pause, since times of avoidance end silently.
+//
+// Load: bursts of long prompts that share their beginnings, with a few endpoints
+// slow, loading or gone. Harm prevented: a choice by cached parts alone buries
+// the endpoint that holds a hot prefix, one by load alone has every endpoint read
+// every prefix. The sum of what waits ahead and of what would have to be read
+// weighs both in one unit, prompt tokens.
+func (s *State) Choose(now time.Time, a Ask) (Placement, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := chooser{ask: a, now: now, keys: map[int64][]prefix.PartKey{}}
+	list := s.byService[a.Service]
+	for _, e := range list {
+		c.consider(e, s.holder(&c, list, e))
+	}
+	if c.best == nil {
+		return Placement{}, false
+	}
+	return c.placement(), true
+}
+
+// Exists reports whether any endpoint of the service is listed and stays.
+func (s *State) Exists(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.byService[service] {
+		if !e.Draining {
+			return true
+		}
+	}
+	return false
+}
+
+// Version returns the newest version of a model's weights that any endpoint of
+// the service holds.
+func (s *State) Version(service, model string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var v int64
+	for _, e := range s.byService[service] {
+		v = max(v, e.Versions[model])
+	}
+	return v
+}
+
+// source is an endpoint that has read leading parts of the prompt.
+type source struct {
+	endpoint *endpoint
+	parts    int
+}
+
+// holder finds who has read most of the prompt for the version that e holds.
+func (s *State) holder(c *chooser, list []*endpoint, e *endpoint) source {
+	if len(c.ask.Parts) == 0 {
+		return source{}
+	}
+	version := e.Versions[c.ask.Model]
+	if found, ok := c.sources[version]; ok {
+		return found
+	}
+	var best source
+	for _, other := range list {
+		cache := other.caches[c.ask.Model]
+		if cache == nil || cache.version != version || c.now.Before(other.avoidUntil) {
+			continue
+		}
+		if _, read := cache.parts.leading(c.keysOf(version)); read > best.parts {
+			best = source{other, read}
+		}
+	}
+	if c.sources == nil {
+		c.sources = map[int64]source{}
+	}
+	c.sources[version] = best
+	return best
+}
+
+// chooser compares the endpoints for one ask.
+type chooser struct {
+	ask     Ask
+	now     time.Time
+	keys    map[int64][]prefix.PartKey
+	sources map[int64]source
+
+	best     *endpoint
+	bestCost float64
+	uncached int64
+	fetch    string
+}
+
+func (c *chooser) keysOf(version int64) []prefix.PartKey {
+	k, ok := c.keys[version]
+	if !ok {
+		k = prefix.PartKeys(nil, c.ask.Wall, c.ask.Model, version, c.ask.Parts)
+		c.keys[version] = k
+	}
+	return k
+}
+
+func (c *chooser) consider(e *endpoint, from source) {
+	if e.Draining || c.now.Before(e.avoidUntil) || c.now.Before(e.loadingUntil) || c.excluded(e.ID) {
+		return
+	}
+	cost, uncached, fetch := c.cost(e, from)
+	if c.best == nil || cost < c.bestCost {
+		c.best, c.bestCost, c.uncached, c.fetch = e, cost, uncached, fetch
+	}
+}
+
+func (c *chooser) excluded(id string) bool {
+	for _, x := range c.ask.Exclude {
+		if x == id {
+			return true
+		}
+	}
+	return false
+}
+
+// cost weighs an endpoint in prompt tokens. fetch is set where parts should
+// come from another endpoint.
+func (c *chooser) cost(e *endpoint, from source) (cost float64, uncached int64, fetch string) {
+	if c.ask.DataCentre != e.DataCentre {
+		cost += farTokens
+	}
+	cost += failureTokens * e.failures
+	if c.ask.Model == "" {
+		return cost + c.plainCost(e), 0, ""
+	}
+	own := 0
+	if cache := e.caches[c.ask.Model]; cache != nil && cache.version == e.Versions[c.ask.Model] {
+		own, _ = cache.parts.leading(c.keysOf(cache.version))
+	}
+	local := prefix.PartTokens(c.ask.Parts[:own])
+	var fetched int64
+	if from.parts > own && from.endpoint != e {
+		fetched = prefix.PartTokens(c.ask.Parts[own:from.parts])
+		fetch = from.endpoint.Address
+	}
+	uncached = max(c.ask.PromptTokens-local-fetched, 0)
+	cost += float64(e.reading) + uncachedWeight*float64(uncached) + fetchedWeight*float64(fetched)
+	cost += runningTokens * float64(e.running)
+	if over := e.memory + c.ask.PromptTokens - local + c.ask.OutputTokens - e.capacity; over > 0 {
+		cost += overflowWeight * float64(over)
+	}
+	return cost, uncached, fetch
+}
+
+// plainCost weighs an endpoint of a plain service by its load and usual latency.
+func (c *chooser) plainCost(e *endpoint) float64 {
+	return float64(e.running+1) / float64(max(e.Slots, 1)) * (e.latencyMs + 1) * plainTokens
+}
+
+// plainTokens puts the cost of plain calls, in ms, beside the other weights.
+const plainTokens = 50.0
+
+func (c *chooser) placement() Placement {
+	e := c.best
+	p := Placement{Endpoint: e.Endpoint, Ahead: e.reading, Running: e.running, Uncached: c.uncached, FetchFrom: c.fetch}
+	if c.ask.Model != "" {
+		p.Version = e.Versions[c.ask.Model]
+		p.Keys = c.keysOf(p.Version)
+	}
+	return p
+}
--- /dev/null
+++ b/balance/state.go
@@ -0,0 +1,359 @@
+package balance
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// forgetRunsAfter drops runs whose end nobody told, such as those of an
+	// instance that was killed.
+	forgetRunsAfter = 30 * time.Second
+	// defaultCache is the memory assumed of an endpoint whose pool states none.
+	defaultCache = 200_000
+)
+
+// State is what is known of all endpoints. Any goroutine may use it; no method
+// blocks on anything but its mutex.
+type State struct {
+	mu        sync.Mutex
+	pools     map[string]Pool
+	endpoints map[string]*endpoint
+	byService map[string][]*endpoint
+	runs      map[RunID]*run
+	// changed is closed and replaced when work may be placed that could not be.
+	changed chan struct{}
+	waiters int
+}
+
+// endpoint is what is known of one incarnation.
+type endpoint struct {
+	Endpoint
+	caches map[string]*modelCache
+	// capacity of the cache in tokens.
+	capacity int64
+	running  int
+	// reading is the prompt work in tokens of the runs that have not answered.
+	reading int64
+	// memory in tokens of the running requests.
+	memory int64
+	// avoidUntil leaves the endpoint out of choices.
+	avoidUntil time.Time
+	// loadingUntil is when new weights that were ordered should be in place.
+	loadingUntil time.Time
+	// failures is the share of late runs that failed, with the newest counting most.
+	failures float64
+	// slowness is the usual latency of plain calls in ms.
+	latencyMs float64
+}
+
+type modelCache struct {
+	version int64
+	parts   *partCache
+}
+
+type run struct {
+	Start
+	at       time.Time
+	answered bool
+	memory   int64
+}
+
+// NewState returns a state without endpoints.
+func NewState() *State {
+	return &State{
+		pools:     map[string]Pool{},
+		endpoints: map[string]*endpoint{},
+		byService: map[string][]*endpoint{},
+		runs:      map[RunID]*run{},
+		changed:   make(chan struct{}),
+	}
+}
+
+// SetPools replaces what the records say of the services.
+func (s *State) SetPools(pools map[string]Pool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pools = pools
+}
+
+// SetEndpoints replaces the list of endpoints. What is known of those that stay
+// is kept; an endpoint under a new ID has an empty cache.
+func (s *State) SetEndpoints(list []Endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := make(map[string]*endpoint, len(list))
+	byService := map[string][]*endpoint{}
+	for _, e := range list {
+		known, ok := s.endpoints[e.ID]
+		if !ok {
+			known = &endpoint{caches: map[string]*modelCache{}, capacity: s.capacityOf(e.Service)}
+		}
+		held := known.Versions
+		known.Endpoint = e
+		known.Versions = newest(held, e.Versions)
+		next[e.ID] = known
+		byService[e.Service] = append(byService[e.Service], known)
+	}
+	s.endpoints, s.byService = next, byService
+	s.wake()
+}
+
+// newest merges what two sources say of the weights; versions only rise within
+// one incarnation.
+func newest(a, b map[string]int64) map[string]int64 {
+	merged := make(map[string]int64, len(b))
+	for model, v := range b {
+		merged[model] = max(v, a[model])
+	}
+	for model, v := range a {
+		merged[model] = max(v, merged[model])
+	}
+	return merged
+}
+
+func (s *State) capacityOf(service string) int64 {
+	if p := s.pools[service]; p.CacheTokens > 0 {
+		return p.CacheTokens
+	}
+	return defaultCache
+}
+
+// Changed returns a channel that is closed when a choice may come out
+// differently than before.
+func (s *State) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiters++
+	return s.changed
+}
+
+// wake tells those who wait; the mutex is held.
+func (s *State) wake() {
+	if s.waiters == 0 {
+		return
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	s.waiters = 0
+}
+
+// Started notes a run of any instance.
+func (s *State) Started(now time.Time, st Start) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.endpoints[st.Endpoint]
+	if _, twice := s.runs[st.Run]; !ok || twice {
+		return
+	}
+	r := &run{Start: st, at: now, memory: sum(st.Tokens) + st.Output}
+	s.runs[st.Run] = r
+	e.running++
+	e.reading += st.Uncached
+	e.memory += r.memory
+	if st.Model == "" {
+		return
+	}
+	cache := e.cacheOf(st.Model, st.Version)
+	if cache == nil {
+		return
+	}
+	for i, k := range st.Keys {
+		cache.use(k, st.Tokens[i])
+	}
+}
+
+// cacheOf returns the cache of a model's version, an empty one for a newer
+// version, and nil for an older one than the endpoint holds.
+func (e *endpoint) cacheOf(model string, version int64) *partCache {
+	c := e.caches[model]
+	switch {
+	case c == nil || version > c.version:
+		c = &modelCache{version: version, parts: newPartCache(e.capacity)}
+		e.caches[model] = c
+	case version < c.version:
+		return nil
+	}
+	return c.parts
+}
+
+func sum(list []int64) int64 {
+	var n int64
+	for _, v := range list {
+		n += v
+	}
+	return n
+}
+
+// Moved notes that a run has reached a stage.
+func (s *State) Moved(now time.Time, id RunID, stage Stage) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.runs[id]
+	if !ok {
+		return
+	}
+	e := s.endpoints[r.Endpoint]
+	if stage == Answering {
+		s.answering(e, r)
+		return
+	}
+	delete(s.runs, id)
+	if e == nil {
+		return
+	}
+	s.end(now, e, r, stage)
+	s.wake()
+}
+
+// answering says that the prompt was read.
+func (s *State) answering(e *endpoint, r *run) {
+	if r.answered || e == nil {
+		return
+	}
+	r.answered = true
+	e.reading -= r.Uncached
+	if c := e.caches[r.Model]; c != nil && c.version == r.Version {
+		c.parts.markRead(r.Keys)
+	}
+	s.wake()
+}
+
+func (s *State) end(now time.Time, e *endpoint, r *run, stage Stage) {
+	e.running--
+	e.memory -= r.memory
+	if !r.answered {
+		e.reading -= r.Uncached
+	}
+	failed := 0.0
+	switch stage {
+	case Done:
+		if c := e.caches[r.Model]; c != nil && c.version == r.Version {
+			c.parts.markRead(r.Keys)
+		}
+		if r.Model == "" {
+			e.latencyMs += latencyWeight * (float64(now.Sub(r.at).Milliseconds()) - e.latencyMs)
+		}
+	case Rejected:
+		e.avoid(now.Add(rejectedFor))
+	case Errored:
+		// One request's error says little of the next one's, so the endpoint
+		// stays among the choices; its share of failures weighs against it.
+		failed = 1
+	case Failed:
+		failed = 1
+		e.avoid(now.Add(brokenFor))
+	case Unreachable:
+		failed = 1
+		e.avoid(now.Add(unreachableFor))
+	}
+	if stage != Done && r.Model != "" && !r.answered {
+		if c := e.caches[r.Model]; c != nil {
+			c.parts.forget(r.Keys)
+		}
+	}
+	if stage != Rejected && stage != Abandoned {
+		e.failures += failureWeight * (failed - e.failures)
+	}
+}
+
+const (
+	// failureWeight is the weight of the newest run in the share of failures:
+	// ten runs in a row tell a faulty endpoint from one with a single fault.
+	failureWeight = 0.1
+	// latencyWeight is the same of the latency of plain calls.
+	latencyWeight = 0.2
+)
+
+func (e *endpoint) avoid(until time.Time) {
+	if until.After(e.avoidUntil) {
+		e.avoidUntil = until
+	}
+}
+
+// Avoid leaves an endpoint out of choices for a while, as another instance or
+// the rollout tells.
+func (s *State) Avoid(id string, until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e, ok := s.endpoints[id]; ok {
+		e.avoid(until)
+	}
+}
+
+// Loading says that an endpoint takes new weights and turns requests away until
+// then.
+func (s *State) Loading(id string, until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e, ok := s.endpoints[id]; ok {
+		e.loadingUntil = until
+	}
+}
+
+// Holds says which version of a model's weights an endpoint has, by its own
+// word. What it had cached under an older one is gone.
+func (s *State) Holds(id, model string, version int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.endpoints[id]
+	if !ok || e.Versions[model] >= version {
+		return
+	}
+	e.Versions = newest(e.Versions, map[string]int64{model: version})
+	e.loadingUntil = time.Time{}
+	e.avoidUntil = time.Time{}
+	s.wake()
+}
+
+// Gone says that an incarnation has ended, before the platform's list tells.
+func (s *State) Gone(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e, ok := s.endpoints[id]; ok {
+		e.Draining = true
+	}
+}
+
+// Leaving says that an endpoint takes no new work, by its own word.
+func (s *State) Leaving(id string) { s.Gone(id) }
+
+// Sweep drops runs whose end nobody told.
+func (s *State) Sweep(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, r := range s.runs {
+		if now.Sub(r.at) < forgetRunsAfter {
+			continue
+		}
+		delete(s.runs, id)
+		if e := s.endpoints[r.Endpoint]; e != nil {
+			s.end(now, e, r, Done)
+		}
+	}
+}
+
+// View is one endpoint in the state dump.
+type View struct {
+	Endpoint
+	Running int     `json:"running"`
+	Reading int64   `json:"reading_tokens"`
+	Memory  int64   `json:"memory_tokens"`
+	Avoided bool    `json:"avoided"`
+	Fails   float64 `json:"failure_share"`
+}
+
+// Endpoints returns what is known of each endpoint of a service, or of all
+// services for an empty name.
+func (s *State) Endpoints(service string, now time.Time) []View {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []View
+	for _, e := range s.endpoints {
+		if service != "" && e.Service != service {
+			continue
+		}
+		list = append(list, View{e.Endpoint, e.running, e.reading, e.memory, now.Before(e.avoidUntil), e.failures})
+	}
+	return list
+}
--- /dev/null
+++ b/directory/follower.go
@@ -0,0 +1,331 @@
+// Package directory follows kinds of objects in the platform's store: records,
+// endpoints, weights, instances. What it has seen is never taken back by an
+// older read.
+package directory
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+
+	"github.com/sardinedock/sardinedock/clock"
+	"github.com/sardinedock/sardinedock/objectapi"
+)
+
+const (
+	// firstRetry and lastRetry bound the pauses between calls of a store that
+	// does not answer: long enough to keep a fleet of hundreds below its rates,
+	// short enough to be in step again within a fraction of the bounds on
+	// changes once it is back.
+	firstRetry = 50 * time.Millisecond
+	lastRetry  = 600 * time.Millisecond
+	// outageMemory is how long after a failed call entries that disappear are
+	// taken for lapsed, and lapsedGrace how long these are kept after the store
+	// answers again: endpoints that live have renewed them by then.
+	outageMemory = 4 * time.Second
+	lapsedGrace  = 2200 * time.Millisecond
+	// sweepEvery is how often lapsed entries are looked at.
+	sweepEvery = 200 * time.Millisecond
+)
+
+// Config is what a Follower needs.
+type Config struct {
+	Store objectapi.Store
+	// Kind of the objects.
+	Kind string
+	// CheckEvery is how often the kind is read besides the watch, which may be
+	// deaf without breaking. It is asked before each check.
+	CheckEvery func() time.Duration
+	// KeepLapsed keeps entries that disappear around an outage of the store
+	// until they can have been renewed.
+	KeepLapsed bool
+	// Changed is told of all objects after each change, by one goroutine at a
+	// time. It must not block.
+	Changed func(objects map[string]objectapi.Object)
+	// Seen is told of each newer revision; nil tells nobody.
+	Seen func(kind string, revision uint64)
+}
+
+// Follower is the duty that follows one kind. Hint may be called by any
+// goroutine.
+type Follower struct {
+	cfg  Config
+	hint chan struct{}
+
+	mu       sync.Mutex
+	revision objectapi.Version
+	listed   bool
+	objects  map[string]objectapi.Object
+	// removed remembers at which revision an object went, so that an older read
+	// does not bring it back.
+	removed map[string]objectapi.Version
+	// lapsed entries and when they were first missed.
+	lapsed     map[string]time.Time
+	failedAt   time.Time
+	backAt     time.Time
+	reachable  bool
+	everFailed bool
+}
+
+// NewFollower returns a follower that Run starts.
+func NewFollower(cfg Config) *Follower {
+	return &Follower{
+		cfg:     cfg,
+		hint:    make(chan struct{}, 1),
+		objects: map[string]objectapi.Object{},
+		removed: map[string]objectapi.Version{},
+		lapsed:  map[string]time.Time{},
+	}
+}
+
+// Hint says that a revision exists somewhere; the kind is read at once if it is
+// newer than what is known here.
+func (f *Follower) Hint(revision uint64) {
+	f.mu.Lock()
+	newer := objectapi.Version(revision) > f.revision
+	f.mu.Unlock()
+	if !newer {
+		return
+	}
+	select {
+	case f.hint <- struct{}{}:
+	default:
+	}
+}
+
+// Run follows the kind until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { f.check(ctx) })
+	if f.cfg.KeepLapsed {
+		wg.Go(func() { f.sweep(ctx) })
+	}
+	pause := firstRetry
+	for ctx.Err() == nil {
+		if !f.read(ctx) {
+			_ = clock.Sleep(ctx, pause)
+			pause = min(2*pause, lastRetry)
+			continue
+		}
+		pause = firstRetry
+		f.watch(ctx)
+	}
+	wg.Wait()
+}
+
+// check reads the kind now and then, and when a peer has seen something newer.
+func (f *Follower) check(ctx context.Context) {
+	for {
+		timer := time.NewTimer(f.cfg.CheckEvery())
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		case <-f.hint:
+		}
+		timer.Stop()
+		f.read(ctx)
+	}
+}
+
+// read takes in what the store holds now.
+func (f *Follower) read(ctx context.Context) bool {
+	l, err := f.list(ctx)
+	if err != nil {
+		f.failed(err)
+		return false
+	}
+	f.reached()
+	f.takeList(l)
+	return true
+}
+
+func (f *Follower) list(ctx context.Context) (objectapi.Listing, error) {
+	return f.cfg.Store.List(ctx, f.cfg.Kind)
+}
+
+// watch takes in changes until the watch ends.
+func (f *Follower) watch(ctx context.Context) {
+	f.mu.Lock()
+	from := f.revision
+	f.mu.Unlock()
+	w, err := f.cfg.Store.Watch(ctx, f.cfg.Kind, from)
+	if err != nil {
+		f.failed(err)
+		return
+	}
+	defer w.Close()
+	for {
+		obj, err := w.Next()
+		if err != nil {
+			if ctx.Err() == nil {
+				watchEnds.Inc()
+			}
+			return
+		}
+		f.takeEvent(obj)
+	}
+}
+
+var (
+	watchEnds = metrics.GetOrCreateCounter("sardinedock_directory_watch_ends_total")
+	readFails = metrics.GetOrCreateCounter("sardinedock_directory_read_failures_total")
+)
+
+func (f *Follower) failed(err error) {
+	readFails.Inc()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failedAt = time.Now()
+	f.everFailed = true
+	if f.reachable {
+		log.WithField("kind", f.cfg.Kind).WithField("why", err.Error()).Warn("store lost")
+	}
+	f.reachable = false
+}
+
+func (f *Follower) reached() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.reachable {
+		return
+	}
+	f.reachable = true
+	f.backAt = time.Now()
+	log.WithField("kind", f.cfg.Kind).Info("store reached")
+}
+
+// Reachable reports whether the last call was answered.
+func (f *Follower) Reachable() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reachable
+}
+
+// Revision returns the newest revision seen.
+func (f *Follower) Revision() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return uint64(f.revision)
+}
+
+// takeList merges a list; nothing newer is taken back by an older one.
+func (f *Follower) takeList(l objectapi.Listing) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	first := !f.listed
+	f.listed = true
+	changed := first
+	present := make(map[string]bool, len(l.Objects))
+	for _, obj := range l.Objects {
+		present[obj.Name] = true
+		changed = f.merge(obj) || changed
+	}
+	for name, obj := range f.objects {
+		if !present[name] && obj.Version <= l.Version {
+			changed = f.remove(name, l.Version) || changed
+		}
+	}
+	f.advance(l.Version)
+	f.tell(changed)
+}
+
+func (f *Follower) takeEvent(obj objectapi.Object) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	changed := false
+	if obj.Deleted {
+		changed = f.remove(obj.Name, obj.Version)
+	} else {
+		changed = f.merge(obj)
+	}
+	f.advance(obj.Version)
+	f.tell(changed)
+}
+
+func (f *Follower) merge(obj objectapi.Object) bool {
+	if obj.Version <= f.removed[obj.Name] {
+		return false
+	}
+	delete(f.lapsed, obj.Name)
+	if known, ok := f.objects[obj.Name]; ok && obj.Version <= known.Version {
+		return false
+	}
+	f.objects[obj.Name] = obj
+	return true
+}
+
+// remove drops an entry, unless it seems to have lapsed while its owner could
+// not renew it.
+func (f *Follower) remove(name string, at objectapi.Version) bool {
+	if _, ok := f.objects[name]; !ok {
+		return false
+	}
+	if f.cfg.KeepLapsed && f.everFailed && time.Since(f.failedAt) < outageMemory {
+		if _, ok := f.lapsed[name]; !ok {
+			f.lapsed[name] = time.Now()
+			log.WithField("kind", f.cfg.Kind).WithField("name", name).Info("entry lapsed around an outage; kept for a moment")
+		}
+		return false
+	}
+	f.drop(name, at)
+	return true
+}
+
+func (f *Follower) drop(name string, at objectapi.Version) {
+	delete(f.objects, name)
+	delete(f.lapsed, name)
+	f.removed[name] = at
+}
+
+// sweep drops lapsed entries that nobody has renewed in time.
+func (f *Follower) sweep(ctx context.Context) {
+	for clock.Sleep(ctx, sweepEvery) == nil {
+		f.mu.Lock()
+		changed := false
+		for name, since := range f.lapsed {
+			from := since
+			if f.backAt.After(from) {
+				from = f.backAt
+			}
+			if f.reachable && time.Since(from) > lapsedGrace {
+				f.drop(name, f.revision)
+				changed = true
+				log.WithField("kind", f.cfg.Kind).WithField("name", name).Info("lapsed entry gone")
+			}
+		}
+		f.tell(changed)
+		f.mu.Unlock()
+	}
+}
+
+func (f *Follower) advance(revision objectapi.Version) {
+	if revision <= f.revision {
+		return
+	}
+	f.revision = revision
+}
+
+// tell hands the objects on; the mutex is held, so that changes come in order.
+func (f *Follower) tell(changed bool) {
+	if !changed {
+		return
+	}
+	objects := make(map[string]objectapi.Object, len(f.objects))
+	var newest objectapi.Version
+	for name, obj := range f.objects {
+		objects[name] = obj
+		newest = max(newest, obj.Version)
+	}
+	for _, v := range f.removed {
+		newest = max(newest, v)
+	}
+	f.cfg.Changed(objects)
+	if f.cfg.Seen != nil {
+		f.cfg.Seen(f.cfg.Kind, uint64(newest))
+	}
+}
--- /dev/null
+++ b/gateway/attempt.go
@@ -0,0 +1,313 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/valyala/fasthttp"
+
+	"github.com/sardinedock/sardinedock/balance"
+	"github.com/sardinedock/sardinedock/endpoint"
+	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/schema/gossippb"
+)
+
+// attempt is one send of the request to one endpoint.
+type attempt struct {
+	req   *request
+	run   balance.RunID
+	place balance.Placement
+	in    *endpoint.Incoming
+	head  Answer
+	ended bool
+}
+
+// attempt sends the request once. again says that it should be placed anew;
+// otherwise the answer is written, or goes on as the stream that is returned.
+func (r *request) attempt(p balance.Placement) (stream *eventStream, again bool) {
+	a, o, err := r.send(p, "")
+	if err != nil {
+		return nil, r.sendFailed(o, err)
+	}
+	if !a.usable() {
+		return nil, r.unusable(a)
+	}
+	r.ran++
+	if a.head.Events && a.head.Status < 300 {
+		return r.beginStream(a)
+	}
+	body, err := a.in.ReadAll()
+	if err != nil {
+		a.broke(err)
+		return nil, r.sendFailed(outcomeBroken, err)
+	}
+	if a.head.Status >= 500 && r.mayTryAgain(outcomeFailed) {
+		a.finish(balance.Errored)
+		r.exclude = append(r.exclude, p.Endpoint.ID)
+		return nil, true
+	}
+	r.writeWhole(a, body)
+	return nil, false
+}
+
+// send sends the request to the endpoint and reads the head of the answer.
+// resumeAfter is the last event that the caller has, for a stream that goes on.
+func (r *request) send(p balance.Placement, resumeAfter string) (*attempt, outcome, error) {
+	a := &attempt{req: r, run: balance.RunID(rand.Uint64()), place: p}
+	r.last = p
+	r.sends++
+	a.started()
+	body := r.ctx.Request.Body()
+	head := r.srv.cfg.Dialect.AppendHead(nil, &r.ctx.Request.Header, r.outgoing(p, len(body), resumeAfter))
+	in, err := r.srv.cfg.Relay(p.Endpoint.Address).Open(r.life, endpoint.Outgoing{
+		Head: head, Body: body, Accept: r.ownAnswer, Bodiless: r.ctx.IsHead(),
+	})
+	if err != nil {
+		return nil, a.openFailed(err), err
+	}
+	a.in = in
+	a.head = r.srv.cfg.Dialect.ParseAnswer(in.Header())
+	a.learn()
+	return a, 0, nil
+}
+
+// ownAnswer reports whether an answer belongs to this request.
+func (r *request) ownAnswer(h *fasthttp.ResponseHeader) bool {
+	id := r.srv.cfg.Dialect.ParseAnswer(h).ID
+	return id == "" || id == r.call.ID
+}
+
+func (r *request) outgoing(p balance.Placement, body int, resumeAfter string) Send {
+	s := Send{
+		Call:        r.call,
+		EndpointID:  p.Endpoint.ID,
+		Left:        time.Until(r.deadline),
+		Body:        body,
+		ResumeAfter: resumeAfter,
+	}
+	if r.organisation != nil {
+		s.Organisation = r.organisation.Name
+	}
+	if r.service.Engine != nil {
+		s.Version = p.Version
+		s.CacheScope = cacheScope(r.wall(), p.Version)
+		s.FetchFrom = p.FetchFrom
+		s.Priority = r.priority()
+	}
+	return s
+}
+
+// started notes the send here and tells the others, so that their next choice
+// counts it.
+func (a *attempt) started() {
+	p, c := a.place, a.req.call
+	st := balance.Start{
+		Run: a.run, Endpoint: p.Endpoint.ID, Model: c.Model, Version: p.Version,
+		Keys: p.Keys, Uncached: p.Uncached, Output: c.OutputTokens,
+	}
+	for _, part := range c.Parts {
+		st.Tokens = append(st.Tokens, part.Tokens)
+	}
+	if a.req.service.Engine == nil {
+		st.Model, st.Tokens, st.Keys = "", nil, nil
+	}
+	a.req.srv.cfg.State.Started(time.Now(), st)
+	a.req.srv.cfg.Teller.TellStart(startMessage(st))
+}
+
+func startMessage(st balance.Start) *gossippb.RunStart {
+	m := &gossippb.RunStart{
+		Run: uint64(st.Run), Endpoint: st.Endpoint, Model: st.Model, Version: st.Version,
+		Tokens: st.Tokens, Uncached: st.Uncached, Output: st.Output,
+	}
+	for _, k := range st.Keys {
+		m.Keys = append(m.Keys, uint64(k))
+	}
+	return m
+}
+
+// moved notes a stage here and tells the others.
+func (a *attempt) moved(stage balance.Stage) {
+	a.req.srv.cfg.State.Moved(time.Now(), a.run, stage)
+	a.req.srv.cfg.Teller.TellStage(&gossippb.RunStage{Run: uint64(a.run), Stage: int32(stage)})
+}
+
+// finish ends the attempt once.
+func (a *attempt) finish(stage balance.Stage) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	if a.in != nil {
+		if stage == balance.Done || stage == balance.Errored || stage == balance.Rejected {
+			a.in.Finish()
+		} else {
+			a.in.Drop()
+		}
+	}
+	a.moved(stage)
+}
+
+// openFailed ends an attempt that brought no answer.
+func (a *attempt) openFailed(err error) outcome {
+	r := a.req
+	if r.life.Err() != nil {
+		r.ran++
+		a.finish(balance.Abandoned)
+		return outcomeBroken
+	}
+	if fault.Is(err, fault.Unavailable) {
+		a.finish(balance.Unreachable)
+		r.avoid(a.place.Endpoint.ID, unreachableTold)
+		return outcomeUnsent
+	}
+	r.ran++
+	a.crashed()
+	return outcomeBroken
+}
+
+// unreachableTold and crashedTold are how long others leave out an endpoint
+// that one instance could not reach, or that broke a connection. They are short
+// since the fault may lie between these two alone.
+const (
+	unreachableTold = 500 * time.Millisecond
+	crashedTold     = 300 * time.Millisecond
+)
+
+// broke ends an attempt whose answer broke off.
+func (a *attempt) broke(error) {
+	if a.req.life.Err() != nil {
+		a.finish(balance.Abandoned)
+		return
+	}
+	a.crashed()
+}
+
+// crashed ends an attempt whose connection the endpoint broke, which is how a
+// crash shows.
+func (a *attempt) crashed() {
+	a.finish(balance.Failed)
+	if a.req.service.Engine == nil {
+		return
+	}
+	a.req.noteCrash(a.place.Endpoint.ID)
+	a.req.avoid(a.place.Endpoint.ID, crashedTold)
+}
+
+// noteCrash tells all instances that the request was running when the endpoint
+// broke.
+func (r *request) noteCrash(endpointID string) {
+	if r.srv.cfg.Guard == nil {
+		return
+	}
+	fp := r.fingerprint()
+	r.srv.cfg.Guard.Crashed(time.Now(), fp, endpointID)
+	r.srv.cfg.Teller.TellNotice(&gossippb.Notice{Endpoint: endpointID, Crashed: fp[:]})
+}
+
+// avoid tells the others to leave an endpoint out for a while.
+func (r *request) avoid(endpointID string, d time.Duration) {
+	r.srv.cfg.Teller.TellNotice(&gossippb.Notice{Endpoint: endpointID, AvoidMs: d.Milliseconds()})
+}
+
+// learn takes in what the answer's head says of the endpoint.
+func (a *attempt) learn() {
+	cfg, id := a.req.srv.cfg, a.place.Endpoint.ID
+	switch {
+	case a.head.OtherEndpoint:
+		log.WithField("endpoint", id).WithField("address", a.place.Endpoint.Address).Info("endpoint gone: another one answers at its address")
+		cfg.State.Gone(id)
+		cfg.Teller.TellNotice(&gossippb.Notice{Endpoint: id, Leaving: true})
+	case a.head.Version > a.place.Version && a.req.service.Engine != nil:
+		cfg.State.Holds(id, a.req.call.Model, a.head.Version)
+		cfg.Teller.TellNotice(&gossippb.Notice{Endpoint: id, Model: a.req.call.Model, Version: a.head.Version})
+	}
+}
+
+// usable reports whether the answer is the endpoint's own word on a request that
+// it ran. Without its signature it may be anything that came over the
+// connection, and a caller would take it for the whole answer.
+func (a *attempt) usable() bool {
+	return a.head.Signed && !a.head.Encoded && !a.head.NotRun && !statusSaysNotRun(a.head.Status)
+}
+
+// statusSaysNotRun reports whether callers read a status as a promise that the
+// request has not run.
+func statusSaysNotRun(status int) bool {
+	switch status {
+	case fasthttp.StatusRequestTimeout, fasthttp.StatusMisdirectedRequest, fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// unusable ends an attempt whose answer is not passed on as it is. It reports
+// whether the request should be placed anew.
+func (r *request) unusable(a *attempt) (again bool) {
+	if a.head.NotRun {
+		return r.turnedAway(a)
+	}
+	r.ran++
+	err := fault.New(fault.Broken, "look at the endpoint's log", "status %d is not the endpoint's signed word", a.head.Status)
+	a.finish(balance.Failed)
+	return r.sendFailed(outcomeBroken, err)
+}
+
+// turnedAway ends an attempt that the endpoint did not run.
+func (r *request) turnedAway(a *attempt) (again bool) {
+	r.rejected++
+	r.lastErr = fault.New(fault.Overloaded, "send the request again later", "the endpoint answered %d and did not run the request", a.head.Status)
+	if _, err := a.in.ReadAll(); err != nil {
+		a.in.Drop()
+		a.in = nil
+	}
+	a.finish(balance.Rejected)
+	r.exclude = append(r.exclude, a.place.Endpoint.ID)
+	if r.mayTryAgain(outcomeRejected) {
+		return true
+	}
+	r.refuseUnsent(r.lastErr)
+	return false
+}
+
+// sendFailed decides what follows a send without a usable answer. It writes the
+// final answer unless the request should be placed anew.
+func (r *request) sendFailed(o outcome, err error) (again bool) {
+	r.lastErr = err
+	r.exclude = append(r.exclude, r.last.Endpoint.ID)
+	if r.mayTryAgain(o) {
+		return true
+	}
+	cause := context.Cause(r.life)
+	switch {
+	case errors.Is(cause, errCallerGone):
+		r.lastErr = cause
+		r.abandon()
+	case r.ran == 0:
+		r.refuseUnsent(err)
+	case errors.Is(cause, errTimeout):
+		writeRefusal(r.ctx, refusal{status: fasthttp.StatusGatewayTimeout, cause: cause})
+	default:
+		writeRefusal(r.ctx, refusal{status: fasthttp.StatusBadGateway, cause: err})
+	}
+	return false
+}
+
+// writeWhole passes on an answer that was read whole.
+func (r *request) writeWhole(a *attempt, body []byte) {
+	r.copyHead(a)
+	r.ctx.Response.SetBodyRaw(body)
+	if a.head.Status < 500 {
+		a.finish(balance.Done)
+		return
+	}
+	a.finish(balance.Errored)
+}
+
+func (r *request) copyHead(a *attempt) {
+	r.ctx.Response.SetStatusCode(a.head.Status)
+	r.srv.cfg.Dialect.CopyAnswer(&r.ctx.Response.Header, a.in.Header(), true)
+}
--- /dev/null
+++ b/gateway/errors.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"errors"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/sardinedock/sardinedock/fault"
+)
+
+// Causes for which a request ends before its answer.
+var (
+	errCallerGone = fault.New(fault.Broken, "none: the caller has gone", "the caller closed its connection")
+	errTimeout    = fault.New(fault.Unknown, "raise the route's timeout, or ask for less", "the time for the request is over")
+	errNoRecords  = fault.New(fault.Unavailable, "send the request again", "no records are in force yet")
+	errNoRoute    = fault.New(fault.NotFound, "check host and path against the routes", "no route for this host and path")
+	errNoKey      = fault.New(fault.Unauthorized, "send a key that is in force", "no organisation holds this key")
+)
+
+// refusal is a final answer of the router's own.
+type refusal struct {
+	status int
+	cause  error
+	// retryAfter is when the caller should come back; 0 leaves it open.
+	retryAfter time.Duration
+}
+
+// refusalOf maps an error that came before anything was sent.
+func refusalOf(err error) refusal {
+	switch fault.KindOf(err) {
+	case fault.BadRequest:
+		return refusal{status: fasthttp.StatusBadRequest, cause: err}
+	case fault.TooLarge:
+		return refusal{status: fasthttp.StatusRequestEntityTooLarge, cause: err}
+	case fault.Unauthorized:
+		return refusal{status: fasthttp.StatusUnauthorized, cause: err}
+	case fault.NotFound:
+		return refusal{status: fasthttp.StatusNotFound, cause: err}
+	}
+	return refusal{status: fasthttp.StatusServiceUnavailable, cause: err, retryAfter: shortRetry}
+}
+
+// shortRetry is when to come back where the reason is likely to pass at once,
+// such as records that are just being read.
+const shortRetry = 200 * time.Millisecond
+
+func isTimeout(err error) bool {
+	var t net.Error
+	return errors.As(err, &t) && t.Timeout()
+}
+
+func isClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
+
+// unreadable answers a request that could not be read, so that nothing of it ran.
+func unreadable(ctx *fasthttp.RequestCtx, err error) {
+	ctx.Response.Reset()
+	ctx.SetConnectionClose()
+	status := fasthttp.StatusBadRequest
+	var small *fasthttp.ErrSmallBuffer
+	switch {
+	case errors.As(err, &small):
+		status = fasthttp.StatusRequestHeaderFieldsTooLarge
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		status = fasthttp.StatusRequestEntityTooLarge
+	case isTimeout(err):
+		status = fasthttp.StatusRequestTimeout
+	}
+	writeRefusal(ctx, refusal{status: status, cause: fault.New(fault.BadRequest, "send a request that is whole and within the limits", "the request could not be read")})
+}
--- /dev/null
+++ b/gateway/place.go
@@ -0,0 +1,100 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/sardinedock/sardinedock/balance"
+	"github.com/sardinedock/sardinedock/fault"
+)
+
+const (
+	// lookAgain bounds the wait until a request that found no endpoint is placed
+	// once more: times of avoidance end without notice.
+	lookAgain = 25 * time.Millisecond
+	// waitShare is the part of its time that a request waits for an endpoint. A
+	// caller that is told early may still be served elsewhere or later.
+	waitShare = 3
+)
+
+// place finds the endpoint for the next send, and waits for one as long as that
+// may help.
+//
+// Load: all endpoints of a pool are loading, rejecting or gone for a moment.
+// Harm prevented: turned away at once, every caller comes back together a
+// moment later. A request that waits here has not run, can be said so, and goes
+// to whichever endpoint is free first.
+func (r *request) place() (balance.Placement, error) {
+	from := time.Now()
+	until := from.Add(time.Until(r.deadline) / waitShare)
+	defer func() {
+		r.waited += time.Since(from)
+		waitSeconds.Update(time.Since(from).Seconds())
+	}()
+	ask := r.ask()
+	for {
+		changed := r.srv.cfg.State.Changed()
+		now := time.Now()
+		if p, ok := r.srv.cfg.State.Choose(now, ask); ok {
+			return p, nil
+		}
+		if len(ask.Exclude) > 0 {
+			// All others are out of the question; those tried may have come back.
+			ask.Exclude = nil
+			continue
+		}
+		if !now.Before(until) {
+			return balance.Placement{}, fault.New(fault.Unavailable, "send the request again later", "no endpoint of %s takes work", r.service.Name)
+		}
+		if err := r.rest(changed, min(lookAgain, until.Sub(now))); err != nil {
+			return balance.Placement{}, err
+		}
+	}
+}
+
+// rest waits for news, at most for d.
+func (r *request) rest(changed <-chan struct{}, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-r.life.Done():
+		return context.Cause(r.life)
+	}
+	return nil
+}
+
+func (r *request) ask() balance.Ask {
+	a := balance.Ask{Service: r.service.Name, DataCentre: r.srv.cfg.DataCentre, Exclude: r.exclude}
+	if r.service.Engine == nil {
+		return a
+	}
+	a.Model = r.call.Model
+	a.Wall = r.wall()
+	a.Parts = r.call.Parts
+	a.PromptTokens, a.OutputTokens = r.call.PromptTokens, r.call.OutputTokens
+	return a
+}
+
+// wall names who may share the request's cached parts: nobody but the same
+// organisation where that is isolated, all others together.
+func (r *request) wall() string {
+	if r.organisation != nil && r.organisation.Isolated {
+		return "o/" + r.organisation.Name
+	}
+	return "all"
+}
+
+// priority is the request's rank at the endpoint: the organisation's goes before
+// the route's.
+func (r *request) priority() int {
+	p := r.route.Priority
+	if r.organisation != nil && r.organisation.Priority != nil {
+		p = *r.organisation.Priority
+	}
+	return min(max(p, 0), lowestPriority)
+}
+
+// lowestPriority is the last rank that endpoints know.
+const lowestPriority = 9
--- /dev/null
+++ b/gateway/server.go
@@ -0,0 +1,152 @@
+// Package gateway serves callers by host and path: it finds the route, has an
+// endpoint chosen, passes the request on unchanged and gives the caller the
+// endpoint's whole answer.
+package gateway
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/valyala/fasthttp"
+
+	"github.com/sardinedock/sardinedock/balance"
+	"github.com/sardinedock/sardinedock/endpoint"
+	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/policy"
+	"github.com/sardinedock/sardinedock/route"
+	"github.com/sardinedock/sardinedock/schema/gossippb"
+)
+
+// Teller tells the other instances what this one does. Its methods do not block.
+type Teller interface {
+	TellStart(*gossippb.RunStart)
+	TellStage(*gossippb.RunStage)
+	TellNotice(*gossippb.Notice)
+}
+
+// Config is what a Server needs.
+type Config struct {
+	// DataCentre of this instance.
+	DataCentre string
+	// Table returns the records in force, or nil.
+	Table   func() *route.Table
+	State   *balance.State
+	Budget  *policy.FleetRetries
+	Guard   *CrashGuard
+	Teller  Teller
+	Dialect Dialect
+	// Relay returns the connections to an endpoint's address.
+	Relay func(address string) *endpoint.Relay
+	// HeaderBytes and BodyBytes bound what is read of a request, whatever the
+	// records allow.
+	HeaderBytes, BodyBytes int
+}
+
+// Server serves callers until Shutdown.
+type Server struct {
+	cfg      Config
+	http     *fasthttp.Server
+	draining atomic.Bool
+	open     sync.WaitGroup
+	inFlight atomic.Int64
+}
+
+var (
+	requestsTotal  = metrics.GetOrCreateCounter("sardinedock_gateway_requests_total")
+	requestSeconds = metrics.GetOrCreateHistogram("sardinedock_gateway_request_seconds")
+	waitSeconds    = metrics.GetOrCreateHistogram("sardinedock_gateway_wait_seconds")
+	badConnections = metrics.GetOrCreateCounter("sardinedock_gateway_caller_connection_errors_total")
+)
+
+func answersTotal(status int) *metrics.Counter {
+	return metrics.GetOrCreateCounter(`sardinedock_gateway_answers_total{status="` + strconv.Itoa(status) + `"}`)
+}
+
+// NewServer returns a server that Serve starts.
+func NewServer(cfg Config) *Server {
+	s := &Server{cfg: cfg}
+	// Timeouts are the connection's own business, since the records may change
+	// them at any time; see callerConn.
+	s.http = &fasthttp.Server{
+		Handler:               s.handle,
+		ErrorHandler:          unreadable,
+		NoDefaultServerHeader: true,
+		NoDefaultDate:         true,
+		NoDefaultContentType:  true,
+		ReadBufferSize:        cfg.HeaderBytes,
+		MaxRequestBodySize:    cfg.BodyBytes,
+		ReduceMemoryUsage:     true,
+		// Header names go on as the caller wrote them.
+		DisableHeaderNamesNormalizing: false,
+		Logger:                        quietLogger{},
+	}
+	return s
+}
+
+// Serve answers the callers that ln accepts, until Shutdown.
+func (s *Server) Serve(ln net.Listener) error {
+	return s.http.Serve(&listener{Listener: ln, limits: s.limits, draining: &s.draining})
+}
+
+func (s *Server) limits() route.Limits {
+	if t := s.cfg.Table(); t != nil {
+		return t.Limits()
+	}
+	return route.Limits{}
+}
+
+// Drain closes connections after their answers. Requests are still taken.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// Draining reports whether Drain was called.
+func (s *Server) Draining() bool { return s.draining.Load() }
+
+// Open returns the number of requests that are being served.
+func (s *Server) Open() int { return int(s.inFlight.Load()) }
+
+// Shutdown stops accepting and waits for the open requests, until ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.Drain()
+	if err := s.http.ShutdownWithContext(ctx); err != nil {
+		return fault.Wrap(err, fault.Unavailable, "give the process more time to end", "requests were open when the time to drain was over")
+	}
+	return nil
+}
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	requestsTotal.Inc()
+	s.inFlight.Add(1)
+	if s.draining.Load() {
+		ctx.SetConnectionClose()
+	}
+	r := &request{srv: s, ctx: ctx, conn: ctx.Conn().(*callerConn), began: time.Now()}
+	r.serve()
+}
+
+// quietLogger counts what the HTTP library would write a line about: broken and
+// badly spoken connections, of which there may be many.
+type quietLogger struct{}
+
+// Printf implements fasthttp.Logger.
+func (quietLogger) Printf(string, ...any) { badConnections.Inc() }
+
+// writeRefusal answers with the router's own word.
+func writeRefusal(ctx *fasthttp.RequestCtx, r refusal) {
+	ctx.Response.SetStatusCode(r.status)
+	ctx.Response.Header.SetContentType("application/json")
+	if r.retryAfter > 0 {
+		ctx.Response.Header.Set("Retry-After", strconv.FormatFloat(r.retryAfter.Seconds(), 'f', 3, 64))
+	}
+	body := []byte(`{"error":{"kind":`)
+	body = strconv.AppendQuote(body, string(fault.KindOf(r.cause)))
+	body = append(body, `,"message":`...)
+	body = strconv.AppendQuote(body, r.cause.Error())
+	body = append(body, `,"remedy":`...)
+	body = strconv.AppendQuote(body, fault.Remedy(r.cause))
+	ctx.Response.SetBody(append(body, `}}`...))
+}
--- /dev/null
+++ b/gateway/stream.go
@@ -0,0 +1,206 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"strconv"
+
+	"github.com/sardinedock/sardinedock/balance"
+	"github.com/sardinedock/sardinedock/fault"
+)
+
+// maxEventBytes bounds one event, so that an endpoint gone wrong cannot make
+// the router hold an endless one.
+const maxEventBytes = 1 << 20
+
+// cacheScope is the text under which endpoints keep the parts of a request. It
+// holds the version, because endpoints do not tell under which weights a part
+// was made: parts of older weights, or of another organisation behind a wall,
+// can then never match.
+func cacheScope(wall string, version int64) string {
+	return wall + "/v" + strconv.FormatInt(version, 10)
+}
+
+// eventStream is the body of a caller's answer: whole events as they come from
+// the endpoint, each once and in order, whichever endpoints make them. The HTTP
+// server reads it and closes it at the end.
+type eventStream struct {
+	req     *request
+	attempt *attempt
+	reader  *bufio.Reader
+	// pending is what Read has still to hand out of the event read last.
+	pending []byte
+	// lastID is the id of the last event that was read whole.
+	lastID  []byte
+	events  int
+	resumes int
+	err     error
+}
+
+// beginStream waits for the first event before the caller's answer begins, so
+// that an endpoint that dies before it can still be replaced or reported.
+func (r *request) beginStream(a *attempt) (*eventStream, bool) {
+	s := &eventStream{req: r, attempt: a, reader: bufio.NewReader(a.in.Body())}
+	err := s.next()
+	if err != nil && !errors.Is(err, io.EOF) {
+		a.broke(err)
+		again := r.sendFailed(outcomeBroken, err)
+		return nil, again
+	}
+	if err != nil {
+		s.err = err
+	}
+	r.copyHead(a)
+	r.ctx.Response.ImmediateHeaderFlush = true
+	r.ctx.Response.SetBodyStream(s, -1)
+	return s, false
+}
+
+// Read implements io.Reader. Any error but io.EOF makes the HTTP server break
+// the connection, so that an answer cut short does not look complete.
+func (s *eventStream) Read(p []byte) (int, error) {
+	for len(s.pending) == 0 {
+		if s.err != nil {
+			return 0, s.err
+		}
+		if err := s.next(); err != nil {
+			s.err = s.recover(err)
+		}
+	}
+	n := copy(p, s.pending)
+	s.pending = s.pending[n:]
+	return n, nil
+}
+
+// next reads the next whole event into pending.
+func (s *eventStream) next() error {
+	s.pending = s.pending[:0]
+	var event []byte
+	var id []byte
+	for {
+		line, err := s.reader.ReadSlice('\n')
+		event = append(event, line...)
+		if len(event) > maxEventBytes {
+			return fault.New(fault.Broken, "look at the endpoint's log", "event of over %d bytes", maxEventBytes)
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if err != nil {
+			return s.cut(err, event)
+		}
+		line = bytes.TrimRight(line, "\r\n")
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			id = append(id[:0], bytes.TrimSpace(value)...)
+		}
+		if len(line) == 0 {
+			break
+		}
+	}
+	if len(id) > 0 {
+		s.lastID = id
+	}
+	s.pending = event
+	if s.events++; s.events == 1 {
+		s.attempt.moved(balance.Answering)
+	}
+	return nil
+}
+
+// cut ends the stream. What came of an event that did not end is passed on only
+// if the endpoint ended its answer there; half an event of a broken answer would
+// be joined with the next one after a resumption.
+func (s *eventStream) cut(err error, rest []byte) error {
+	if !errors.Is(err, io.EOF) {
+		return err
+	}
+	s.pending = rest
+	return io.EOF
+}
+
+// recover decides how a stream ends, or goes on with it at another endpoint.
+func (s *eventStream) recover(err error) error {
+	r := s.req
+	if errors.Is(err, io.EOF) {
+		s.attempt.finish(balance.Done)
+		return io.EOF
+	}
+	s.attempt.broke(err)
+	r.lastErr = err
+	for r.route.Resumable && len(s.lastID) > 0 && s.resumes < maxResumes && r.mayTryAgain(outcomeBroken) {
+		s.resumes++
+		if s.resume() == nil {
+			return nil
+		}
+	}
+	return r.lastErr
+}
+
+// maxResumes bounds how often one stream goes on elsewhere.
+const maxResumes = 3
+
+// resume sends the request to another endpoint, which goes on after the last
+// event.
+func (s *eventStream) resume() error {
+	r := s.req
+	r.exclude = append(r.exclude, s.attempt.place.Endpoint.ID)
+	p, err := r.place()
+	if err != nil {
+		r.lastErr = err
+		return err
+	}
+	a, _, err := r.send(p, string(s.lastID))
+	if err != nil {
+		r.lastErr = err
+		return err
+	}
+	if !a.usable() || !a.head.Events || a.head.Status >= 300 {
+		err := fault.New(fault.Broken, "look at the endpoint's log", "status %d in place of the rest of a stream", a.head.Status)
+		if a.head.NotRun {
+			r.rejected++
+			a.finish(balance.Rejected)
+		} else {
+			r.ran++
+			a.finish(balance.Failed)
+		}
+		r.lastErr = err
+		return err
+	}
+	r.ran++
+	s.attempt = a
+	s.reader.Reset(a.in.Body())
+	return nil
+}
+
+// Close implements io.Closer. The HTTP server calls it when the answer is
+// written, or can't be.
+func (s *eventStream) Close() error {
+	r := s.req
+	switch {
+	case errors.Is(s.err, io.EOF) && len(s.pending) == 0:
+		s.attempt.finish(balance.Done)
+	default:
+		// The caller left, or its time is over: the endpoint is told to stop by
+		// the end of the connection.
+		s.attempt.finish(balance.Abandoned)
+	}
+	status := s.attempt.head.Status
+	switch cause := context.Cause(r.life); {
+	case errors.Is(cause, errCallerGone):
+		status, r.lastErr = statusCallerGone, cause
+	case !errors.Is(s.err, io.EOF):
+		status = statusCut
+		if r.lastErr == nil {
+			r.lastErr = cause
+		}
+	}
+	r.ctx.Response.SetStatusCode(status)
+	r.end()
+	return nil
+}
+
+// statusCut is what logs and metrics show of a stream that broke off.
+const statusCut = 598
--- /dev/null
+++ b/gossip/gossip.go
@@ -0,0 +1,345 @@
+// Package gossip tells the other instances of a small fleet at once what this
+// one does: runs that begin and end, endpoints that turn work away, revisions
+// that were seen. It uses datagrams, so that a peer that is cut off or frozen
+// holds nobody up; what is lost costs speed only.
+package gossip
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/ring"
+	"github.com/sardinedock/sardinedock/schema/gossippb"
+)
+
+const (
+	// flushEvery is how long what is to be told is gathered. A choice made on
+	// knowledge of 10 ms ago misses under one request of an instance at 100
+	// requests a second.
+	flushEvery = 10 * time.Millisecond
+	// beatEvery is the time between datagrams of an instance that has nothing
+	// to tell; aliveFor is how long a silent peer counts as live.
+	beatEvery = 500 * time.Millisecond
+	aliveFor  = 1600 * time.Millisecond
+	// maxDatagram keeps a datagram below the usual MTU.
+	maxDatagram = 1300
+	// outRing bounds what waits to be told. The oldest is given up first.
+	outRing = 4096
+)
+
+var (
+	sentTotal     = metrics.GetOrCreateCounter("sardinedock_gossip_datagrams_sent_total")
+	receivedTotal = metrics.GetOrCreateCounter("sardinedock_gossip_datagrams_received_total")
+	badTotal      = metrics.GetOrCreateCounter("sardinedock_gossip_datagrams_bad_total")
+	failsTotal    = metrics.GetOrCreateCounter("sardinedock_gossip_send_failures_total")
+)
+
+// Handler is told what peers tell, by one goroutine, in the order of arrival.
+// It must not block.
+type Handler interface {
+	Started(*gossippb.RunStart)
+	Stage(*gossippb.RunStage)
+	Notice(from string, n *gossippb.Notice)
+	// Revision is told of the newest revision of a kind that a peer has seen.
+	Revision(kind string, revision uint64)
+}
+
+// Peer is another instance.
+type Peer struct {
+	Name    string
+	Address netip.AddrPort
+}
+
+// Node is the duty that tells and hears. Any goroutine may call its methods;
+// none blocks.
+type Node struct {
+	name        string
+	incarnation uint64
+	conn        *net.UDPConn
+	handler     Handler
+	out         *ring.Ring[item]
+
+	mu        sync.Mutex
+	peers     []Peer
+	heard     map[string]heard
+	revisions map[string]uint64
+	leaving   bool
+}
+
+// heard is what was last heard of a peer.
+type heard struct {
+	incarnation uint64
+	at          time.Time
+	leaving     bool
+}
+
+// item is one thing to tell; exactly one field is set.
+type item struct {
+	start  *gossippb.RunStart
+	stage  *gossippb.RunStage
+	notice *gossippb.Notice
+	// now asks for a datagram at once.
+	now bool
+}
+
+// New binds the address. incarnation must rise with every start.
+func New(name string, incarnation uint64, address string, h Handler) (*Node, error) {
+	bind, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "write IP:port", "address for datagrams %s", address)
+	}
+	conn, err := net.ListenUDP("udp4", bind)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Unavailable, "free the port, or name another one", "listen for datagrams")
+	}
+	return &Node{
+		name: name, incarnation: incarnation, conn: conn, handler: h,
+		out:       ring.New[item]("gossip_out", outRing),
+		heard:     map[string]heard{},
+		revisions: map[string]uint64{},
+	}, nil
+}
+
+// Run tells and hears until ctx ends.
+func (n *Node) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { n.receive(ctx) })
+	n.send(ctx)
+	_ = n.conn.Close()
+	wg.Wait()
+}
+
+// SetPeers replaces the instances that are told.
+func (n *Node) SetPeers(peers []Peer) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.peers = n.peers[:0]
+	for _, p := range peers {
+		if p.Name != n.name {
+			n.peers = append(n.peers, p)
+		}
+	}
+}
+
+// Live returns the number of instances that were heard of lately, this one
+// included.
+func (n *Node) Live(now time.Time) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	live := 1
+	for _, h := range n.heard {
+		if !h.leaving && now.Sub(h.at) < aliveFor {
+			live++
+		}
+	}
+	return live
+}
+
+// LivePeers returns the names of the live instances, this one included.
+func (n *Node) LivePeers(now time.Time) []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	names := []string{n.name}
+	for name, h := range n.heard {
+		if !h.leaving && now.Sub(h.at) < aliveFor {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// TellStart tells that a request was sent.
+func (n *Node) TellStart(s *gossippb.RunStart) { n.out.Push(item{start: s}) }
+
+// TellStage tells how far a run has come.
+func (n *Node) TellStage(s *gossippb.RunStage) { n.out.Push(item{stage: s}) }
+
+// TellNotice tells something of an endpoint, at once.
+func (n *Node) TellNotice(s *gossippb.Notice) { n.out.Push(item{notice: s, now: true}) }
+
+// TellRevision tells the newest revision seen of a kind, at once where it is new.
+func (n *Node) TellRevision(kind string, revision uint64) {
+	n.mu.Lock()
+	newer := revision > n.revisions[kind]
+	if newer {
+		n.revisions[kind] = revision
+	}
+	n.mu.Unlock()
+	if newer {
+		n.out.Push(item{now: true})
+	}
+}
+
+// TellLeaving tells that this instance ends.
+func (n *Node) TellLeaving() {
+	n.mu.Lock()
+	n.leaving = true
+	n.mu.Unlock()
+	n.out.Push(item{now: true})
+}
+
+// send gathers what is to be told and sends it.
+func (n *Node) send(ctx context.Context) {
+	beat := time.NewTicker(beatEvery)
+	defer beat.Stop()
+	var number uint64
+	for {
+		var batch []item
+		select {
+		case <-ctx.Done():
+			return
+		case <-beat.C:
+		case i := <-n.out.C():
+			batch = n.gather(ctx, i)
+		}
+		for _, d := range n.datagrams(batch) {
+			number++
+			d.Number = number
+			n.broadcast(d)
+		}
+	}
+}
+
+// gather waits a moment for more, unless the first thing has to go at once.
+func (n *Node) gather(ctx context.Context, first item) []item {
+	batch := []item{first}
+	if !first.now {
+		timer := time.NewTimer(flushEvery)
+		defer timer.Stop()
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+	}
+	for {
+		select {
+		case i := <-n.out.C():
+			batch = append(batch, i)
+		default:
+			return batch
+		}
+	}
+}
+
+// datagrams packs a batch; an empty one gives a heartbeat.
+func (n *Node) datagrams(batch []item) []*gossippb.Datagram {
+	current := n.empty()
+	list := []*gossippb.Datagram{current}
+	size := proto.Size(current)
+	for _, i := range batch {
+		add := 4 + itemSize(i)
+		if size+add > maxDatagram && size > 0 {
+			current = n.empty()
+			list = append(list, current)
+			size = proto.Size(current)
+		}
+		size += add
+		switch {
+		case i.start != nil:
+			current.Starts = append(current.Starts, i.start)
+		case i.stage != nil:
+			current.Stages = append(current.Stages, i.stage)
+		case i.notice != nil:
+			current.Notices = append(current.Notices, i.notice)
+		}
+	}
+	return list
+}
+
+func itemSize(i item) int {
+	switch {
+	case i.start != nil:
+		return proto.Size(i.start)
+	case i.stage != nil:
+		return proto.Size(i.stage)
+	case i.notice != nil:
+		return proto.Size(i.notice)
+	}
+	return 0
+}
+
+func (n *Node) empty() *gossippb.Datagram {
+	d := &gossippb.Datagram{Instance: n.name, Incarnation: n.incarnation}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	d.Leaving = n.leaving
+	for kind, revision := range n.revisions {
+		d.Revisions = append(d.Revisions, &gossippb.Revision{Kind: kind, Revision: revision})
+	}
+	return d
+}
+
+func (n *Node) broadcast(d *gossippb.Datagram) {
+	data, err := proto.Marshal(d)
+	if err != nil {
+		log.WithError(err).Error("encode a datagram")
+		return
+	}
+	n.mu.Lock()
+	peers := append([]Peer(nil), n.peers...)
+	n.mu.Unlock()
+	for _, p := range peers {
+		if _, err := n.conn.WriteToUDPAddrPort(data, p.Address); err != nil {
+			failsTotal.Inc()
+			continue
+		}
+		sentTotal.Inc()
+	}
+}
+
+func (n *Node) receive(ctx context.Context) {
+	buf := make([]byte, 64<<10)
+	for {
+		size, _, err := n.conn.ReadFromUDPAddrPort(buf)
+		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			failsTotal.Inc()
+			continue
+		}
+		var d gossippb.Datagram
+		if proto.Unmarshal(buf[:size], &d) != nil || d.GetInstance() == "" {
+			badTotal.Inc()
+			continue
+		}
+		receivedTotal.Inc()
+		if d.GetInstance() != n.name {
+			n.hear(&d)
+		}
+	}
+}
+
+// hear applies a datagram. One of an earlier incarnation of the sender is
+// thrown away.
+func (n *Node) hear(d *gossippb.Datagram) {
+	n.mu.Lock()
+	h := n.heard[d.GetInstance()]
+	if d.GetIncarnation() < h.incarnation {
+		n.mu.Unlock()
+		return
+	}
+	n.heard[d.GetInstance()] = heard{d.GetIncarnation(), time.Now(), d.GetLeaving()}
+	n.mu.Unlock()
+	for _, r := range d.GetRevisions() {
+		n.handler.Revision(r.GetKind(), r.GetRevision())
+	}
+	for _, s := range d.GetStarts() {
+		n.handler.Started(s)
+	}
+	for _, s := range d.GetStages() {
+		n.handler.Stage(s)
+	}
+	for _, s := range d.GetNotices() {
+		n.handler.Notice(d.GetInstance(), s)
+	}
+}
--- /dev/null
+++ b/hosted/beliefs.go
@@ -0,0 +1,165 @@
+package hosted
+
+import (
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/sardinedock/sardinedock/balance"
+	"github.com/sardinedock/sardinedock/objectapi"
+	"github.com/sardinedock/sardinedock/platform"
+	"github.com/sardinedock/sardinedock/prefix"
+	"github.com/sardinedock/sardinedock/route"
+	"github.com/sardinedock/sardinedock/schema/gossippb"
+)
+
+// takeRecords puts newer records in force. Records that can't be used leave the
+// ones before in force.
+func (i *Instance) takeRecords(objects map[string]objectapi.Object) {
+	obj, ok := objects[platform.RecordsName]
+	if !ok {
+		return
+	}
+	t, err := platform.Records(obj)
+	if err != nil {
+		log.WithError(err).WithField("revision", uint64(obj.Version)).Error("records refused; those before stay in force")
+		return
+	}
+	if old := i.table.Load(); old != nil && old.Version() >= t.Version() {
+		return
+	}
+	pools := map[string]balance.Pool{}
+	t.Services(func(s *route.Service) {
+		if s.Engine != nil {
+			pools[s.Name] = balance.Pool{CacheTokens: s.Engine.CacheTokens}
+		}
+	})
+	i.state.SetPools(pools)
+	i.table.Store(t)
+	log.WithField("records", t.Version()).WithField("revision", uint64(obj.Version)).WithField("routes", t.Routes()).Info("records in force")
+}
+
+// takeEndpoints replaces the list of endpoints.
+func (i *Instance) takeEndpoints(objects map[string]objectapi.Object) {
+	list := make([]balance.Endpoint, 0, len(objects))
+	for _, obj := range objects {
+		e, err := platform.Endpoint(obj)
+		if err != nil {
+			log.WithError(err).WithField("endpoint", obj.Name).Error("endpoint's entry not understood")
+			continue
+		}
+		list = append(list, e)
+	}
+	i.noteEndpoints(list)
+	i.state.SetEndpoints(list)
+	i.relays.keep(list)
+	i.endpoints.Store(true)
+}
+
+// noteEndpoints writes a line for each endpoint that comes, leaves or goes.
+func (i *Instance) noteEndpoints(list []balance.Endpoint) {
+	known := map[string]balance.View{}
+	for _, v := range i.state.Endpoints("", time.Now()) {
+		known[v.ID] = v
+	}
+	for _, e := range list {
+		old, ok := known[e.ID]
+		delete(known, e.ID)
+		line := log.WithFields(log.Fields{"endpoint": e.ID, "address": e.Address, "service": e.Service})
+		switch {
+		case !ok:
+			line.Info("endpoint listed")
+		case e.Draining && !old.Draining:
+			line.Info("endpoint drains")
+		}
+	}
+	for id, v := range known {
+		log.WithFields(log.Fields{"endpoint": id, "address": v.Address, "service": v.Service}).Info("endpoint gone from the list")
+	}
+}
+
+// takeWeights tells the rollout which versions operators want.
+func (i *Instance) takeWeights(objects map[string]objectapi.Object) {
+	for _, obj := range objects {
+		w, err := platform.Weights(obj)
+		if err != nil {
+			log.WithError(err).Error("weights not understood")
+			continue
+		}
+		i.rollout.Want(w)
+	}
+}
+
+// pools names the services with models.
+func (i *Instance) pools() map[string][]string {
+	t := i.table.Load()
+	pools := map[string][]string{}
+	if t == nil {
+		return pools
+	}
+	t.Services(func(s *route.Service) {
+		if s.Engine != nil {
+			pools[s.Name] = s.Engine.Models
+		}
+	})
+	return pools
+}
+
+func (i *Instance) tellLoading(endpointID string, d time.Duration) {
+	i.state.Loading(endpointID, time.Now().Add(d))
+	i.node.TellNotice(&gossippb.Notice{Endpoint: endpointID, LoadingMs: d.Milliseconds()})
+}
+
+func (i *Instance) tellHolds(endpointID, model string, version int64) {
+	i.state.Holds(endpointID, model, version)
+	i.node.TellNotice(&gossippb.Notice{Endpoint: endpointID, Model: model, Version: version})
+}
+
+// hearer takes in what other instances tell.
+type hearer struct{ *Instance }
+
+// Started implements gossip.Handler.
+func (h hearer) Started(m *gossippb.RunStart) {
+	st := balance.Start{
+		Run: balance.RunID(m.GetRun()), Endpoint: m.GetEndpoint(), Model: m.GetModel(), Version: m.GetVersion(),
+		Tokens: m.GetTokens(), Uncached: m.GetUncached(), Output: m.GetOutput(),
+	}
+	for _, k := range m.GetKeys() {
+		st.Keys = append(st.Keys, prefix.PartKey(k))
+	}
+	if len(st.Keys) == len(st.Tokens) {
+		h.state.Started(time.Now(), st)
+	}
+}
+
+// Stage implements gossip.Handler.
+func (h hearer) Stage(m *gossippb.RunStage) {
+	h.state.Moved(time.Now(), balance.RunID(m.GetRun()), balance.Stage(m.GetStage()))
+}
+
+// Notice implements gossip.Handler.
+func (h hearer) Notice(_ string, n *gossippb.Notice) {
+	now := time.Now()
+	if n.GetAvoidMs() > 0 {
+		h.state.Avoid(n.GetEndpoint(), now.Add(time.Duration(n.GetAvoidMs())*time.Millisecond))
+	}
+	if n.GetLoadingMs() > 0 {
+		h.state.Loading(n.GetEndpoint(), now.Add(time.Duration(n.GetLoadingMs())*time.Millisecond))
+	}
+	if n.GetModel() != "" {
+		h.state.Holds(n.GetEndpoint(), n.GetModel(), n.GetVersion())
+	}
+	if n.GetLeaving() {
+		h.state.Gone(n.GetEndpoint())
+	}
+	if len(n.GetCrashed()) == 16 {
+		h.guard.Crashed(now, [16]byte(n.GetCrashed()), n.GetEndpoint())
+	}
+}
+
+// Revision implements gossip.Handler.
+func (h hearer) Revision(kind string, revision uint64) {
+	if f, ok := h.followers[kind]; ok {
+		f.Hint(revision)
+	}
+}
--- /dev/null
+++ b/hosted/dump.go
@@ -0,0 +1,51 @@
+package hosted
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/valyala/fasthttp"
+
+	"github.com/sardinedock/sardinedock/balance"
+	"github.com/sardinedock/sardinedock/lease"
+)
+
+// dump is the state of one process, on request.
+type dump struct {
+	Instance  string           `json:"instance"`
+	Ready     bool             `json:"ready"`
+	Leaving   bool             `json:"leaving"`
+	Open      int              `json:"open_requests"`
+	Records   int64            `json:"records_version"`
+	Peers     []string         `json:"live_instances"`
+	Lease     lease.Dump       `json:"lease"`
+	Weights   map[string]int64 `json:"weights_wanted"`
+	Follows   []followed       `json:"follows"`
+	Endpoints []balance.View   `json:"endpoints"`
+}
+
+// followed is one kind of object that is followed.
+type followed struct {
+	Kind      string `json:"kind"`
+	Revision  uint64 `json:"revision"`
+	Reachable bool   `json:"reachable"`
+}
+
+func (i *Instance) writeDump(ctx *fasthttp.RequestCtx) {
+	now := time.Now()
+	d := dump{
+		Instance: i.settings.GetInstance(), Ready: i.Ready(), Leaving: i.leaving.Load(), Open: i.server.Open(),
+		Peers: i.node.LivePeers(now), Lease: i.lease.Dump(), Weights: i.rollout.Wanted(), Endpoints: i.state.Endpoints("", now),
+	}
+	if t := i.table.Load(); t != nil {
+		d.Records = t.Version()
+	}
+	for kind, f := range i.followers {
+		d.Follows = append(d.Follows, followed{kind, f.Revision(), f.Reachable()})
+	}
+	ctx.SetContentType("application/json")
+	if err := json.NewEncoder(ctx).Encode(d); err != nil {
+		log.WithError(err).Error("encode the state dump")
+	}
+}
--- /dev/null
+++ b/hosted/hosted.go
@@ -0,0 +1,198 @@
+// Package hosted puts one instance on the users' platform together, from its
+// start to its shutdown: it follows the platform's store, tells and hears the
+// other instances, rolls out weights while it holds the lease, and serves
+// callers.
+package hosted
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/valyala/fasthttp"
+
+	"github.com/sardinedock/sardinedock/balance"
+	"github.com/sardinedock/sardinedock/clock"
+	"github.com/sardinedock/sardinedock/directory"
+	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/gateway"
+	"github.com/sardinedock/sardinedock/gossip"
+	"github.com/sardinedock/sardinedock/internal/sockstate"
+	"github.com/sardinedock/sardinedock/lease"
+	"github.com/sardinedock/sardinedock/objectapi"
+	"github.com/sardinedock/sardinedock/platform"
+	"github.com/sardinedock/sardinedock/policy"
+	"github.com/sardinedock/sardinedock/rollout"
+	"github.com/sardinedock/sardinedock/route"
+	"github.com/sardinedock/sardinedock/schema/settingspb"
+)
+
+const (
+	// headerBytes and bodyBytes bound what is read of a request whatever the
+	// records say: 32 KB and 4 MiB are what operators may set.
+	headerBytes = 32 << 10
+	bodyBytes   = 4 << 20
+	// checkEvery is the time between two reads of a kind by the whole fleet,
+	// besides the watches; each instance takes its turn. A change that all
+	// watches miss is found within it.
+	checkEvery = 500 * time.Millisecond
+	// leaseName is the lease of the rollout.
+	leaseName = "weights"
+	// leaseCandidates is how many instances try for the lease. Two are enough
+	// for a holder to be replaced; each further one costs reads.
+	leaseCandidates = 2
+	// callerUserTimeout is how long bytes to a caller may stay unconfirmed.
+	callerUserTimeout = 10 * time.Second
+	// sweepEvery is how often runs that nobody ended are looked for.
+	sweepEvery = time.Second
+)
+
+// Instance is one running process.
+type Instance struct {
+	settings    *settingspb.Hosted
+	incarnation uint64
+	state       *balance.State
+	table       atomic.Pointer[route.Table]
+	budget      *policy.FleetRetries
+	guard       *gateway.CrashGuard
+	relays      *relays
+	store       *platform.Store
+	node        *gossip.Node
+	followers   map[string]*directory.Follower
+	rollout     *rollout.Hosted
+	lease       *lease.Duty
+	server      *gateway.Server
+	ready       *fasthttp.Server
+	cancel      context.CancelFunc
+	duties      sync.WaitGroup
+	endpoints   atomic.Bool
+	leaving     atomic.Bool
+}
+
+// Start starts the instance. It returns once the addresses are bound; callers
+// are served as soon as records are known.
+func Start(s *settingspb.Hosted) (*Instance, error) {
+	i := &Instance{
+		settings:    s,
+		incarnation: uint64(time.Now().UnixNano()),
+		state:       balance.NewState(),
+		guard:       gateway.NewCrashGuard(),
+		relays:      newRelays(),
+		store:       platform.NewStore(s.GetStore()),
+	}
+	b := s.GetBounds()
+	i.budget = policy.NewFleetRetries(b.GetRetryRatio(), b.GetRetrySlack(), seconds(b.GetRetryWindowSeconds()))
+	var err error
+	if i.node, err = gossip.New(s.GetInstance(), i.incarnation, s.GetListen().GetGossip(), hearer{i}); err != nil {
+		return nil, err
+	}
+	callers, err := listen(s.GetListen().GetCallers())
+	if err != nil {
+		return nil, err
+	}
+	readyAt, err := listen(s.GetListen().GetReady())
+	if err != nil {
+		return nil, err
+	}
+	metricsAt, err := listen(s.GetListen().GetMetrics())
+	if err != nil {
+		return nil, err
+	}
+	i.server = gateway.NewServer(gateway.Config{
+		DataCentre: s.GetDataCentre(), Table: i.table.Load, State: i.state, Budget: i.budget, Guard: i.guard,
+		Teller: i.node, Dialect: platform.Dialect{}, Relay: i.relays.to,
+		HeaderBytes: headerBytes, BodyBytes: bodyBytes,
+	})
+	i.run()
+	i.duties.Go(func() { i.served("callers", i.server.Serve(callers)) })
+	i.ready = &fasthttp.Server{Handler: i.answerReady, NoDefaultServerHeader: true, NoDefaultDate: true}
+	go func() { i.served("ready", i.ready.Serve(readyAt)) }()
+	go func() { i.served("metrics", fasthttp.Serve(metricsAt, i.answerMetrics)) }()
+	log.WithField("data_centre", s.GetDataCentre()).WithField("callers", s.GetListen().GetCallers()).Info("started")
+	return i, nil
+}
+
+func listen(address string) (net.Listener, error) {
+	lc := net.ListenConfig{Control: sockstate.UserTimeout(callerUserTimeout)}
+	ln, err := lc.Listen(context.Background(), "tcp4", address)
+	return ln, fault.Wrap(err, fault.Unavailable, "free the port, or name another one", "listen on %s", address)
+}
+
+func (i *Instance) served(what string, err error) {
+	if err != nil && !i.leaving.Load() {
+		log.WithError(err).WithField("listener", what).Error("serving ended")
+	}
+}
+
+// run starts the duties.
+func (i *Instance) run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	i.cancel = cancel
+	i.lease = lease.NewDuty(lease.Config{
+		Store: i.store, Name: leaseName, Self: i.settings.GetInstance(),
+		Length:    time.Duration(i.settings.GetBounds().GetLeaseMs()) * time.Millisecond,
+		Candidate: i.isCandidate,
+	})
+	i.rollout = rollout.NewHosted(rollout.HostedConfig{
+		Self: i.settings.GetInstance(), Lease: i.lease, Control: platform.NewControl(i.relays.to), State: i.state,
+		Pools: i.pools, Loading: i.tellLoading, Holds: i.tellHolds,
+	})
+	i.followers = map[string]*directory.Follower{}
+	i.follow(platform.KindRecords, false, i.takeRecords)
+	i.follow(platform.KindEndpoints, true, i.takeEndpoints)
+	i.follow(platform.KindWeights, false, i.takeWeights)
+	i.follow(kindInstances, false, i.takeInstances)
+	i.duties.Go(func() { i.node.Run(ctx) })
+	for _, f := range i.followers {
+		i.duties.Go(func() { f.Run(ctx) })
+	}
+	i.duties.Go(func() { i.register(ctx) })
+	i.duties.Go(func() { i.rollout.Run(ctx) })
+	i.duties.Go(func() { i.sweep(ctx) })
+	i.lease.Start()
+}
+
+// follow sets up the follower of a kind; run starts it.
+func (i *Instance) follow(kind string, keepLapsed bool, changed func(map[string]objectapi.Object)) {
+	i.followers[kind] = directory.NewFollower(directory.Config{
+		Store: i.store, Kind: kind, KeepLapsed: keepLapsed, Changed: changed, Seen: i.node.TellRevision,
+		CheckEvery: func() time.Duration { return i.turn(kind) },
+	})
+}
+
+// turn is how long this instance waits for its next read of a kind, so that the
+// fleet as a whole reads it every checkEvery.
+func (i *Instance) turn(kind string) time.Duration {
+	live := time.Duration(i.node.Live(time.Now()))
+	every := checkEvery
+	if kind == kindInstances {
+		every = instancesEvery
+	}
+	return every * live
+}
+
+func (i *Instance) sweep(ctx context.Context) {
+	for clock.Sleep(ctx, sweepEvery) == nil {
+		now := time.Now()
+		i.state.Sweep(now)
+		i.budget.SetInstances(i.node.Live(now))
+	}
+}
+
+// Ready reports whether callers should be sent here.
+func (i *Instance) Ready() bool {
+	return !i.leaving.Load() && i.table.Load() != nil && i.endpoints.Load()
+}
+
+func (i *Instance) answerReady(ctx *fasthttp.RequestCtx) {
+	if !i.Ready() {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
+	ctx.SetStatusCode(fasthttp.StatusOK)
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/hosted/members.go
@@ -0,0 +1,98 @@
+package hosted
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/zeebo/xxh3"
+
+	"github.com/sardinedock/sardinedock/clock"
+	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/gossip"
+	"github.com/sardinedock/sardinedock/objectapi"
+)
+
+const (
+	// kindInstances holds one object for each instance, by which they find each
+	// other.
+	kindInstances = "instances"
+	// instancesEvery is the time between two reads of the instances by the whole
+	// fleet; a new one is also seen by the watches.
+	instancesEvery = 3 * time.Second
+	// registerRetry is the pause after a failed registration, registerTimeout
+	// the bound on one.
+	registerRetry   = 300 * time.Millisecond
+	registerTimeout = 3 * time.Second
+)
+
+// member is what an instance says of itself in the store.
+type member struct {
+	Gossip string `json:"gossip"`
+}
+
+// register writes this instance's entry, once; it changes only with the address.
+func (i *Instance) register(ctx context.Context) {
+	value, err := json.Marshal(member{Gossip: i.settings.GetListen().GetGossip()})
+	if err != nil {
+		log.WithError(err).Error("encode the instance's entry")
+		return
+	}
+	for ctx.Err() == nil {
+		if err := i.putEntry(ctx, value); err == nil {
+			return
+		}
+		_ = clock.Sleep(ctx, registerRetry)
+	}
+}
+
+func (i *Instance) putEntry(ctx context.Context, value []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	name := i.settings.GetInstance()
+	old, err := i.store.Get(ctx, kindInstances, name)
+	if err != nil && !fault.Is(err, fault.NotFound) {
+		return err
+	}
+	if err == nil && string(old.Value) == string(value) {
+		return nil
+	}
+	_, err = i.store.Put(ctx, objectapi.Object{Kind: kindInstances, Name: name, Value: value}, old.Version)
+	return err
+}
+
+// takeInstances replaces the peers that are told.
+func (i *Instance) takeInstances(objects map[string]objectapi.Object) {
+	var peers []gossip.Peer
+	for _, obj := range objects {
+		var m member
+		if err := json.Unmarshal(obj.Value, &m); err != nil {
+			log.WithError(err).WithField("peer", obj.Name).Error("entry of an instance not understood")
+			continue
+		}
+		address, err := netip.ParseAddrPort(m.Gossip)
+		if err != nil {
+			log.WithError(err).WithField("peer", obj.Name).Error("address of an instance not understood")
+			continue
+		}
+		peers = append(peers, gossip.Peer{Name: obj.Name, Address: address})
+	}
+	i.node.SetPeers(peers)
+	log.WithField("peers", len(peers)).Info("instances listed")
+}
+
+// isCandidate reports whether this instance is among those that try for the
+// lease, by a hash of the names that all instances agree on.
+func (i *Instance) isCandidate() bool {
+	if i.leaving.Load() {
+		return false
+	}
+	names := i.node.LivePeers(time.Now())
+	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(xxh3.HashString(leaseName+a), xxh3.HashString(leaseName+b)) })
+	rank := slices.Index(names, i.settings.GetInstance())
+	return rank >= 0 && rank < leaseCandidates
+}
--- /dev/null
+++ b/settings/hosted.go
@@ -0,0 +1,28 @@
+package settings
+
+import (
+	"os"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/internal/yamlpb"
+	"github.com/sardinedock/sardinedock/schema/settingspb"
+)
+
+// LoadHosted reads and checks the settings file of a hosted instance. An error
+// of kind fault.Invalid lists every fault of the file, one a line.
+func LoadHosted(path string) (*settingspb.Hosted, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Invalid, "name a file that can be read", "read the settings")
+	}
+	messages, faults := yamlpb.Decode(data, func() proto.Message { return &settingspb.Hosted{} })
+	if len(messages) != 1 {
+		faults = append(faults, yamlpb.Fault{Found: "the file does not hold exactly one document", Remedy: "write one document of settings"})
+	}
+	if len(faults) > 0 {
+		return nil, fault.New(fault.Invalid, "mend the lines named above", "%s", Lines(path, faults))
+	}
+	return messages[0].(*settingspb.Hosted), nil
+}
