Give the place of an endpoint that crashes during a load back

Change: three reports without an answer, or another incarnation at the address, end the wait; endpoints that seem to be gone are ordered last.

--- a/rollout/hosted.go
+++ b/rollout/hosted.go
@@ -10,6 +10,7 @@
 
 	"github.com/sardinedock/sardinedock/balance"
 	"github.com/sardinedock/sardinedock/clock"
+	"github.com/sardinedock/sardinedock/fault"
 )
 
 const (
@@ -27,6 +28,10 @@
 	// giveUpLoad is how long an accepted order is waited for before it is given
 	// again.
 	giveUpLoad = 6 * time.Second
+	// maxMisses is after how many reports without an answer an endpoint counts as
+	// gone while it loads. It would otherwise hold one of the few places of those
+	// that may load at a time, and a crash during a rollout stop the whole pool.
+	maxMisses = 3
 	// loadTimeWeight is the weight of the newest load in the usual time.
 	loadTimeWeight = 0.3
 )
@@ -182,7 +187,7 @@
 		}
 		list = append(list, Candidate{
 			Target: Target{v.ID, v.Address}, Version: v.Versions[model], Running: v.Running, Draining: v.Draining,
-			BusyUntil: t.busyUntil, Loading: t.loading,
+			BusyUntil: t.busyUntil, Loading: t.loading, Doubtful: v.Avoided,
 		})
 		behind = behind || v.Versions[model] < want && !v.Draining
 	}
@@ -290,8 +295,14 @@
 // follow waits until the endpoint has the new weights.
 func (h *Hosted) follow(ctx context.Context, t Target, w Weights, sentAt time.Time) {
 	_ = clock.Sleep(ctx, h.usualTime()-time.Since(sentAt))
+	misses := 0
 	for ctx.Err() == nil && time.Since(sentAt) < giveUpLoad {
 		r, err := h.cfg.Control.Report(ctx, t)
+		if err != nil {
+			if misses++; misses >= maxMisses || fault.Is(err, fault.NotFound) {
+				break
+			}
+		}
 		if err == nil && r.Versions[w.Model] >= w.Version {
 			h.learn(time.Since(sentAt))
 			h.cfg.Holds(t.ID, w.Model, r.Versions[w.Model])
@@ -308,7 +319,7 @@
 		_ = clock.Sleep(ctx, pollEvery)
 	}
 	h.note(t, 0, false)
-	h.settle(t, 0)
+	h.settle(t, againAfter)
 }
 
 func (h *Hosted) usualTime() time.Duration {
--- a/rollout/weights.go
+++ b/rollout/weights.go
@@ -84,6 +84,8 @@
 	BusyUntil time.Time
 	// Loading says that it draws on the source of weights.
 	Loading bool
+	// Doubtful endpoints turned work away or could not be reached just now.
+	Doubtful bool
 }
 
 const (
@@ -100,7 +102,8 @@
 // is in place everywhere. Harm prevented: with all endpoints loading at once
 // nobody serves; one after the other, requests begin on old weights for long.
 // Only the newest version is ordered, and those with the fewest requests go
-// first, since what runs there is cut or mixed.
+// first, since what runs there is cut or mixed. Endpoints that seem to be gone
+// come last: they would take the places of those that can load.
 func PlanLoads(now time.Time, want int64, list []Candidate) []Candidate {
 	loading := 0
 	var behind []Candidate
@@ -114,6 +117,9 @@
 		}
 	}
 	sort.SliceStable(behind, func(i, j int) bool {
+		if behind[i].Doubtful != behind[j].Doubtful {
+			return !behind[i].Doubtful
+		}
 		if behind[i].Running != behind[j].Running {
 			return behind[i].Running < behind[j].Running
 		}
