Keep endpoints with old weights out of choices once the bound is near

Change: after three quarters of the bound an endpoint on older weights gets no work; after 1.4 s, when callers value such answers less, it weighs 6,000 tokens more. Test: fails without.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -23,6 +23,14 @@
 	// overflowWeight counts tokens that do not fit into memory: they wait until
 	// other requests have ended, which takes longer than reading them.
 	overflowWeight = 4.0
+	// staleAccepted is how long after a version was named callers are as content
+	// with an older one; staleTokens weighs it from then on.
+	staleAccepted = 1400 * time.Millisecond
+	staleTokens   = 6000.0
+	// staleShare is the part in percent of the bound on old weights after which
+	// an endpoint that has them gets no work, such as one that restarts with the
+	// version it had before. The rest is room for what waits at the endpoint.
+	staleShare = 75
 	// failureTokens is the weight of an endpoint all of whose runs fail.
 	failureTokens = 20000.0
 )
@@ -39,7 +47,9 @@
 func (s *State) Choose(now time.Time, a Ask) (Placement, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := chooser{ask: a, now: now, keys: map[int64][]prefix.PartKey{}}
+	c := chooser{ask: a, now: now, keys: map[int64][]prefix.PartKey{}, wanted: s.wanted[a.Model]}
+	c.wantedFor = now.Sub(c.wanted.since)
+	c.tooOld = c.wantedFor > s.staleBound*staleShare/100
 	list := s.byService[a.Service]
 	for _, e := range list {
 		c.consider(e, s.holder(&c, list, e))
@@ -112,6 +122,11 @@
 	now     time.Time
 	keys    map[int64][]prefix.PartKey
 	sources map[int64]source
+	// wanted is the version that operators have named, wantedFor how long ago;
+	// tooOld says that older ones may not serve any more.
+	wanted    wanted
+	wantedFor time.Duration
+	tooOld    bool
 
 	best     *endpoint
 	bestCost float64
@@ -132,6 +147,9 @@
 	if e.Draining || c.now.Before(e.avoidUntil) || c.now.Before(e.loadingUntil) || c.excluded(e.ID) {
 		return
 	}
+	if c.tooOld && e.Versions[c.ask.Model] < c.wanted.version {
+		return
+	}
 	cost, uncached, fetch := c.cost(e, from)
 	if c.best == nil || cost < c.bestCost {
 		c.best, c.bestCost, c.uncached, c.fetch = e, cost, uncached, fetch
@@ -170,6 +188,9 @@
 	uncached = max(c.ask.PromptTokens-local-fetched, 0)
 	cost += float64(e.reading) + uncachedWeight*float64(uncached) + fetchedWeight*float64(fetched)
 	cost += runningTokens * float64(e.running)
+	if e.Versions[c.ask.Model] < c.wanted.version && c.wantedFor > staleAccepted {
+		cost += staleTokens
+	}
 	if over := e.memory + c.ask.PromptTokens - local + c.ask.OutputTokens - e.capacity; over > 0 {
 		cost += overflowWeight * float64(over)
 	}
--- /dev/null
+++ b/balance/choose_test.go
@@ -0,0 +1,137 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/sardinedock/sardinedock/prefix"
+)
+
+const (
+	model      = "m"
+	staleBound = 8 * time.Second
+)
+
+var start = time.Unix(1000, 0)
+
+// newPool returns a state with n endpoints of one pool on the version.
+func newPool(n int, version int64) *State {
+	s := NewState(staleBound)
+	s.SetPools(map[string]Pool{"pool": {CacheTokens: 100_000}})
+	s.SetEndpoints(endpoints(n, version))
+	return s
+}
+
+func endpoints(n int, version int64) []Endpoint {
+	var list []Endpoint
+	for i := range n {
+		list = append(list, Endpoint{
+			ID: fmt.Sprintf("e%d", i), Address: fmt.Sprintf("10.0.0.%d:1", i), Service: "pool", DataCentre: "dc",
+			Slots: 8, Versions: map[string]int64{model: version},
+		})
+	}
+	return list
+}
+
+// prompt of a catalogue that callers share, and a part of the request's own.
+func prompt(catalogue, own int) Ask {
+	return Ask{
+		Service: "pool", Model: model, Wall: "all", DataCentre: "dc", OutputTokens: 50, PromptTokens: 6000,
+		Parts: []prefix.Part{{ID: fmt.Sprintf("c%d", catalogue), Tokens: 5000}, {ID: fmt.Sprintf("r%d", own), Tokens: 1000}},
+	}
+}
+
+var nextRun RunID
+
+// send places a request and notes its start.
+func send(t *testing.T, s *State, now time.Time, a Ask) (RunID, Placement) {
+	t.Helper()
+	p, ok := s.Choose(now, a)
+	if !ok {
+		t.Fatal("no endpoint for the request")
+	}
+	nextRun++
+	st := Start{Run: nextRun, Endpoint: p.Endpoint.ID, Model: a.Model, Version: p.Version, Keys: p.Keys, Uncached: p.Uncached, Output: a.OutputTokens}
+	for _, part := range a.Parts {
+		st.Tokens = append(st.Tokens, part.Tokens)
+	}
+	s.Started(now, st)
+	return nextRun, p
+}
+
+// An endpoint was dark while new weights were named and comes back with the old
+// ones, long after all others have changed. Sent there at once, callers get
+// answers of a version that operators have replaced.
+func TestReturningEndpointServesNothingOld(t *testing.T) {
+	s := newPool(2, 2)
+	s.Want(start, model, 2)
+	late := start.Add(12 * time.Second)
+	s.SetEndpoints(append(endpoints(2, 2), Endpoint{ID: "back", Service: "pool", Slots: 8, Versions: map[string]int64{model: 1}}))
+	for i := range 20 {
+		if _, p := send(t, s, late, prompt(i, i)); p.Endpoint.ID == "back" {
+			t.Fatal("a request went to the endpoint with old weights")
+		}
+	}
+	s.Holds("back", model, 2)
+	if _, p := send(t, s, late, prompt(50, 50)); p.Endpoint.ID != "back" {
+		t.Errorf("the idle endpoint on the new weights was passed over for %s", p.Endpoint.ID)
+	}
+}
+
+// A burst of requests on one hot catalogue arrives. Spread by load alone each
+// endpoint would read the catalogue anew; kept together by cache alone all
+// would queue at one endpoint while the others idle.
+func TestHotCatalogueIsReadOnceAndSpread(t *testing.T) {
+	s := newPool(4, 1)
+	first, _ := send(t, s, start, prompt(1, 0))
+	s.Moved(start, first, Answering)
+	per := map[string]int{}
+	var read int64
+	for i := 1; i <= 12; i++ {
+		_, p := send(t, s, start, prompt(1, i))
+		per[p.Endpoint.ID]++
+		read += p.Uncached
+	}
+	if want := int64(12 * 1000); read != want {
+		t.Errorf("%d tokens read, want %d: the catalogue was read again", read, want)
+	}
+	if len(per) < 3 {
+		t.Errorf("requests went to %v only", per)
+	}
+}
+
+// Endpoints turn requests away while they load. A request that was sent there
+// would come back refused.
+func TestLoadingEndpointIsLeftOut(t *testing.T) {
+	s := newPool(2, 1)
+	s.Loading("e0", start.Add(500*time.Millisecond))
+	for i := range 6 {
+		if _, p := send(t, s, start, prompt(i, i)); p.Endpoint.ID == "e0" {
+			t.Fatal("a request went to the endpoint that loads")
+		}
+	}
+	s.Loading("e1", start.Add(500*time.Millisecond))
+	if _, ok := s.Choose(start, prompt(9, 9)); ok {
+		t.Fatal("a request was placed while all endpoints load")
+	}
+	if _, ok := s.Choose(start.Add(time.Second), prompt(9, 9)); !ok {
+		t.Fatal("no endpoint after the loads")
+	}
+}
+
+// Two organisations ask about parts with the same names. What one has cached
+// must not count for the other behind a wall.
+func TestWallSeparatesCaches(t *testing.T) {
+	s := newPool(1, 1)
+	id, _ := send(t, s, start, prompt(1, 1))
+	s.Moved(start, id, Answering)
+	other := prompt(1, 2)
+	other.Wall = "o/alone"
+	if p, _ := s.Choose(start, other); p.Uncached != other.PromptTokens {
+		t.Errorf("%d of %d tokens count as uncached behind the wall", p.Uncached, other.PromptTokens)
+	}
+	if p, _ := s.Choose(start, prompt(1, 3)); p.Uncached != 1000 {
+		t.Errorf("%d tokens uncached without a wall, want 1000", p.Uncached)
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -21,6 +21,9 @@
 	endpoints map[string]*endpoint
 	byService map[string][]*endpoint
 	runs      map[RunID]*run
+	wanted    map[string]wanted
+	// staleBound is how long after a version was named older ones still serve.
+	staleBound time.Duration
 	// changed is closed and replaced when work may be placed that could not be.
 	changed chan struct{}
 	waiters int
@@ -59,14 +62,23 @@
 	memory   int64
 }
 
-// NewState returns a state without endpoints.
-func NewState() *State {
+// wanted is the version of a model's weights that operators have named.
+type wanted struct {
+	version int64
+	since   time.Time
+}
+
+// NewState returns a state without endpoints. Endpoints with older weights serve
+// for staleBound after newer ones were named.
+func NewState(staleBound time.Duration) *State {
 	return &State{
-		pools:     map[string]Pool{},
-		endpoints: map[string]*endpoint{},
-		byService: map[string][]*endpoint{},
-		runs:      map[RunID]*run{},
-		changed:   make(chan struct{}),
+		staleBound: staleBound,
+		wanted:     map[string]wanted{},
+		pools:      map[string]Pool{},
+		endpoints:  map[string]*endpoint{},
+		byService:  map[string][]*endpoint{},
+		runs:       map[RunID]*run{},
+		changed:    make(chan struct{}),
 	}
 }
 
@@ -119,6 +131,15 @@
 	return defaultCache
 }
 
+// Want says which version of a model's weights operators have named, as seen now.
+func (s *State) Want(now time.Time, model string, version int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if version > s.wanted[model].version {
+		s.wanted[model] = wanted{version, now}
+	}
+}
+
 // Changed returns a channel that is closed when a choice may come out
 // differently than before.
 func (s *State) Changed() <-chan struct{} {
--- a/hosted/beliefs.go
+++ b/hosted/beliefs.go
@@ -86,6 +86,7 @@
 			log.WithError(err).Error("weights not understood")
 			continue
 		}
+		i.state.Want(time.Now(), w.Model, w.Version)
 		i.rollout.Want(w)
 	}
 }
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -78,7 +78,7 @@
 	i := &Instance{
 		settings:    s,
 		incarnation: uint64(time.Now().UnixNano()),
-		state:       balance.NewState(),
+		state:       balance.NewState(time.Duration(s.GetBounds().GetWeightsMs()) * time.Millisecond),
 		guard:       gateway.NewCrashGuard(),
 		relays:      newRelays(),
 		store:       platform.NewStore(s.GetStore()),
--- a/rollout/weights_test.go
+++ b/rollout/weights_test.go
@@ -103,7 +103,7 @@
 func TestCrashDuringLoadsDoesNotStopTheRollout(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e := &engines{versions: map[string]int64{}, orders: map[string]uint64{}, dead: map[string]bool{}}
-		state := balance.NewState()
+		state := balance.NewState(8 * time.Second)
 		var list []balance.Endpoint
 		for _, c := range pool(18, 1) {
 			e.versions[c.ID] = 1
