Keep weights, lapsed entries and the lease within their bounds

Changes: leaving is told at once; each version's bound counts from its own naming; entries are kept until 2 s after the store's return and no longer; watches that end at once wait. Also: runs that read shared parts save them to the store of KV cache.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -60,9 +60,12 @@
 	Keys []prefix.PartKey
 	// Uncached is how many tokens of the prompt are read there, as far as known.
 	Uncached int64
-	// FetchFrom is the address of an endpoint that has more of the prompt; empty
-	// for none.
+	// FetchFrom is the address of an endpoint or a store that has more of the
+	// prompt; empty for none.
 	FetchFrom string
+	// SaveTo is the address of a store that should keep the parts once they are
+	// read; empty for none.
+	SaveTo string
 	// Ahead is the prompt work in tokens that the endpoint has to do before.
 	Ahead int64
 	// Running is the number of requests there.
@@ -80,6 +83,17 @@
 	Tokens   []int64
 	Uncached int64
 	Output   int64
+	// SaveTo is the store that keeps the parts once they are read.
+	SaveTo string
+}
+
+// KeptStore keeps cached parts beside the endpoints, such that they outlive
+// endpoints and their memory.
+type KeptStore struct {
+	Address    string
+	DataCentre string
+	// CacheTokens is how much it holds.
+	CacheTokens int64
 }
 
 // Stage is what became of a run.
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -47,9 +47,7 @@
 func (s *State) Choose(now time.Time, a Ask) (Placement, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := chooser{ask: a, now: now, keys: map[int64][]prefix.PartKey{}, wanted: s.wanted[a.Model]}
-	c.wantedFor = now.Sub(c.wanted.since)
-	c.tooOld = c.wantedFor > s.staleBound*staleShare/100
+	c := chooser{ask: a, now: now, keys: map[int64][]prefix.PartKey{}, named: s.wanted[a.Model], tooOld: s.staleBound * staleShare / 100}
 	list := s.byService[a.Service]
 	for _, e := range list {
 		c.consider(e, s.holder(&c, list, e))
@@ -57,7 +55,26 @@
 	if c.best == nil {
 		return Placement{}, false
 	}
-	return c.placement(), true
+	p := c.placement()
+	p.SaveTo = s.saveTo(&c, p)
+	return p, true
+}
+
+// saveTo returns the store that should keep what the placement reads. Only runs
+// that read parts which others ask for too are worth the transfer: the last part
+// is the request's own, and kept with it would push others out.
+func (s *State) saveTo(c *chooser, p Placement) string {
+	n := len(c.ask.Parts)
+	if n < 2 || p.Uncached <= c.ask.Parts[n-1].Tokens {
+		return ""
+	}
+	best := ""
+	for _, k := range s.kept {
+		if best == "" || k.DataCentre == p.Endpoint.DataCentre || k.Address < best {
+			best = k.Address
+		}
+	}
+	return best
 }
 
 // Exists reports whether any endpoint of the service is listed and stays.
@@ -84,10 +101,12 @@
 	return v
 }
 
-// source is an endpoint that has read leading parts of the prompt.
+// source has leading parts of the prompt.
 type source struct {
-	endpoint *endpoint
-	parts    int
+	// id of the endpoint; empty for a store.
+	id      string
+	address string
+	parts   int
 }
 
 // holder finds who has read most of the prompt for the version that e holds.
@@ -106,7 +125,12 @@
 			continue
 		}
 		if _, read := cache.parts.leading(c.keysOf(version)); read > best.parts {
-			best = source{other, read}
+			best = source{other.ID, other.Address, read}
+		}
+	}
+	for _, k := range s.kept {
+		if _, read := k.parts.leading(c.keysOf(version)); read > best.parts {
+			best = source{address: k.Address, parts: read}
 		}
 	}
 	if c.sources == nil {
@@ -122,11 +146,10 @@
 	now     time.Time
 	keys    map[int64][]prefix.PartKey
 	sources map[int64]source
-	// wanted is the version that operators have named, wantedFor how long ago;
-	// tooOld says that older ones may not serve any more.
-	wanted    wanted
-	wantedFor time.Duration
-	tooOld    bool
+	// named are the versions that operators have named; an endpoint that is
+	// behind one of them for tooOld gets no work.
+	named  []wanted
+	tooOld time.Duration
 
 	best     *endpoint
 	bestCost float64
@@ -147,7 +170,7 @@
 	if e.Draining || c.now.Before(e.avoidUntil) || c.now.Before(e.loadingUntil) || c.excluded(e.ID) {
 		return
 	}
-	if c.tooOld && e.Versions[c.ask.Model] < c.wanted.version {
+	if behindFor(c.named, e.Versions[c.ask.Model], c.now) > c.tooOld {
 		return
 	}
 	cost, uncached, fetch := c.cost(e, from)
@@ -181,14 +204,14 @@
 	}
 	local := prefix.PartTokens(c.ask.Parts[:own])
 	var fetched int64
-	if from.parts > own && from.endpoint != e {
+	if from.parts > own && from.id != e.ID {
 		fetched = prefix.PartTokens(c.ask.Parts[own:from.parts])
-		fetch = from.endpoint.Address
+		fetch = from.address
 	}
 	uncached = max(c.ask.PromptTokens-local-fetched, 0)
 	cost += float64(e.reading) + uncachedWeight*float64(uncached) + fetchedWeight*float64(fetched)
 	cost += runningTokens * float64(e.running)
-	if e.Versions[c.ask.Model] < c.wanted.version && c.wantedFor > staleAccepted {
+	if behindFor(c.named, e.Versions[c.ask.Model], c.now) > staleAccepted {
 		cost += staleTokens
 	}
 	if over := e.memory + c.ask.PromptTokens - local + c.ask.OutputTokens - e.capacity; over > 0 {
--- a/balance/choose_test.go
+++ b/balance/choose_test.go
@@ -79,6 +79,21 @@
 	}
 }
 
+// Operators name a version each few seconds, faster than the pool changes over.
+// The bound of the first one is then over while the newest was named just now,
+// and requests must not begin on what came before the first.
+func TestEachVersionHasItsOwnBound(t *testing.T) {
+	s := newPool(2, 1)
+	s.Want(start, model, 2)
+	s.Want(start.Add(4*time.Second), model, 3)
+	s.Holds("e1", model, 2)
+	for i := range 10 {
+		if _, p := send(t, s, start.Add(8*time.Second), prompt(i, i)); p.Endpoint.ID == "e0" {
+			t.Fatal("a request went to the endpoint that is two versions behind")
+		}
+	}
+}
+
 // A burst of requests on one hot catalogue arrives. Spread by load alone each
 // endpoint would read the catalogue anew; kept together by cache alone all
 // would queue at one endpoint while the others idle.
--- a/balance/state.go
+++ b/balance/state.go
@@ -21,7 +21,9 @@
 	endpoints map[string]*endpoint
 	byService map[string][]*endpoint
 	runs      map[RunID]*run
-	wanted    map[string]wanted
+	wanted    map[string][]wanted
+	// kept are the stores of cached parts by address.
+	kept map[string]*keptStore
 	// staleBound is how long after a version was named older ones still serve.
 	staleBound time.Duration
 	// changed is closed and replaced when work may be placed that could not be.
@@ -73,7 +75,8 @@
 func NewState(staleBound time.Duration) *State {
 	return &State{
 		staleBound: staleBound,
-		wanted:     map[string]wanted{},
+		wanted:     map[string][]wanted{},
+		kept:       map[string]*keptStore{},
 		pools:      map[string]Pool{},
 		endpoints:  map[string]*endpoint{},
 		byService:  map[string][]*endpoint{},
@@ -89,6 +92,28 @@
 	s.pools = pools
 }
 
+// keptStore is what is known of a store of cached parts.
+type keptStore struct {
+	KeptStore
+	parts *partCache
+}
+
+// SetKept replaces the list of stores that keep cached parts.
+func (s *State) SetKept(list []KeptStore) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := map[string]*keptStore{}
+	for _, k := range list {
+		known, ok := s.kept[k.Address]
+		if !ok {
+			known = &keptStore{parts: newPartCache(k.CacheTokens)}
+		}
+		known.KeptStore = k
+		next[k.Address] = known
+	}
+	s.kept = next
+}
+
 // SetEndpoints replaces the list of endpoints. What is known of those that stay
 // is kept; an endpoint under a new ID has an empty cache.
 func (s *State) SetEndpoints(list []Endpoint) {
@@ -135,9 +160,30 @@
 func (s *State) Want(now time.Time, model string, version int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if version > s.wanted[model].version {
-		s.wanted[model] = wanted{version, now}
+	list := s.wanted[model]
+	if n := len(list); n > 0 && version <= list[n-1].version {
+		return
+	}
+	if len(list) == maxNamed {
+		list = list[1:]
 	}
+	s.wanted[model] = append(list, wanted{version, now})
+}
+
+// maxNamed bounds the versions of one model that are remembered; the oldest go
+// first, when an endpoint that old has long been out of choices.
+const maxNamed = 64
+
+// behindFor is how long ago the first version was named that is newer than the
+// one given; 0 where there is none. Versions may be named faster than they are
+// rolled out; each one's bound counts from its own naming.
+func behindFor(named []wanted, version int64, now time.Time) time.Duration {
+	for _, w := range named {
+		if w.version > version {
+			return now.Sub(w.since)
+		}
+	}
+	return 0
 }
 
 // Changed returns a channel that is closed when a choice may come out
@@ -234,10 +280,24 @@
 	}
 	r.answered = true
 	e.reading -= r.Uncached
+	s.read(e, r)
+	s.wake()
+}
+
+// read notes that the parts of a run are in the endpoint's memory, and in the
+// store that it sends them to.
+func (s *State) read(e *endpoint, r *run) {
 	if c := e.caches[r.Model]; c != nil && c.version == r.Version {
 		c.parts.markRead(r.Keys)
 	}
-	s.wake()
+	k := s.kept[r.SaveTo]
+	if k == nil {
+		return
+	}
+	for i, key := range r.Keys {
+		k.parts.use(key, r.Tokens[i])
+	}
+	k.parts.markRead(r.Keys)
 }
 
 func (s *State) end(now time.Time, e *endpoint, r *run, stage Stage) {
@@ -249,8 +309,8 @@
 	failed := 0.0
 	switch stage {
 	case Done:
-		if c := e.caches[r.Model]; c != nil && c.version == r.Version {
-			c.parts.markRead(r.Keys)
+		if !r.answered {
+			s.read(e, r)
 		}
 		if r.Model == "" {
 			e.latencyMs += latencyWeight * (float64(now.Sub(r.at).Milliseconds()) - e.latencyMs)
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -22,13 +22,15 @@
 	// changes once it is back.
 	firstRetry = 50 * time.Millisecond
 	lastRetry  = 600 * time.Millisecond
-	// outageMemory is how long after a failed call entries that disappear are
-	// taken for lapsed, and lapsedGrace how long these are kept after the store
-	// answers again: endpoints that live have renewed them by then.
-	outageMemory = 4 * time.Second
-	lapsedGrace  = 2200 * time.Millisecond
+	// lapsedGrace is how long after the store answers again an entry that is
+	// missing may have lapsed in the outage: endpoints that live have renewed
+	// theirs by then, and what is still missing has gone.
+	lapsedGrace = 2 * time.Second
+	// shortWatch is a watch that ended at once, such as one that the store
+	// refuses while it answers reads; the next one then waits for a pause.
+	shortWatch = 200 * time.Millisecond
 	// sweepEvery is how often lapsed entries are looked at.
-	sweepEvery = 200 * time.Millisecond
+	sweepEvery = 100 * time.Millisecond
 )
 
 // Config is what a Follower needs.
@@ -62,12 +64,12 @@
 	// removed remembers at which revision an object went, so that an older read
 	// does not bring it back.
 	removed map[string]objectapi.Version
-	// lapsed entries and when they were first missed.
-	lapsed     map[string]time.Time
-	failedAt   time.Time
-	backAt     time.Time
-	reachable  bool
-	everFailed bool
+	// lapsed entries are missing in the store but kept for now.
+	lapsed    map[string]bool
+	backAt    time.Time
+	reachable bool
+	// lost says that the store was reached and then was not.
+	lost bool
 }
 
 // NewFollower returns a follower that Run starts.
@@ -77,7 +79,7 @@
 		hint:    make(chan struct{}, 1),
 		objects: map[string]objectapi.Object{},
 		removed: map[string]objectapi.Version{},
-		lapsed:  map[string]time.Time{},
+		lapsed:  map[string]bool{},
 	}
 }
 
@@ -110,8 +112,14 @@
 			pause = min(2*pause, lastRetry)
 			continue
 		}
-		pause = firstRetry
+		began := time.Now()
 		f.watch(ctx)
+		if time.Since(began) < shortWatch {
+			_ = clock.Sleep(ctx, pause)
+			pause = min(2*pause, lastRetry)
+			continue
+		}
+		pause = firstRetry
 	}
 	wg.Wait()
 }
@@ -180,9 +188,8 @@
 	readFails.Inc()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.failedAt = time.Now()
-	f.everFailed = true
 	if f.reachable {
+		f.lost = true
 		log.WithField("kind", f.cfg.Kind).WithField("why", err.Error()).Warn("store lost")
 	}
 	f.reachable = false
@@ -265,9 +272,9 @@
 	if _, ok := f.objects[name]; !ok {
 		return false
 	}
-	if f.cfg.KeepLapsed && f.everFailed && time.Since(f.failedAt) < outageMemory {
-		if _, ok := f.lapsed[name]; !ok {
-			f.lapsed[name] = time.Now()
+	if f.cfg.KeepLapsed && f.mayHaveLapsed() {
+		if !f.lapsed[name] {
+			f.lapsed[name] = true
 			log.WithField("kind", f.cfg.Kind).WithField("name", name).Info("entry lapsed around an outage; kept for a moment")
 		}
 		return false
@@ -276,6 +283,12 @@
 	return true
 }
 
+// mayHaveLapsed reports whether an entry that is missing now may be one whose
+// owner lives and could not renew it.
+func (f *Follower) mayHaveLapsed() bool {
+	return f.lost && (!f.reachable || time.Since(f.backAt) < lapsedGrace)
+}
+
 func (f *Follower) drop(name string, at objectapi.Version) {
 	delete(f.objects, name)
 	delete(f.lapsed, name)
@@ -287,12 +300,8 @@
 	for clock.Sleep(ctx, sweepEvery) == nil {
 		f.mu.Lock()
 		changed := false
-		for name, since := range f.lapsed {
-			from := since
-			if f.backAt.After(from) {
-				from = f.backAt
-			}
-			if f.reachable && time.Since(from) > lapsedGrace {
+		if !f.mayHaveLapsed() {
+			for name := range f.lapsed {
 				f.drop(name, f.revision)
 				changed = true
 				log.WithField("kind", f.cfg.Kind).WithField("name", name).Info("lapsed entry gone")
--- /dev/null
+++ b/directory/follower_test.go
@@ -0,0 +1,228 @@
+package directory
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/objectapi"
+)
+
+// fakeStore holds one kind. Watches hear changes unless it is deaf or down.
+type fakeStore struct {
+	objectapi.Store
+	mu      sync.Mutex
+	version objectapi.Version
+	objects map[string]objectapi.Object
+	events  []objectapi.Object
+	down    bool
+	deaf    bool
+	noWatch bool
+	changed chan struct{}
+	reads   int
+	watches int
+}
+
+func newFakeStore(names ...string) *fakeStore {
+	s := &fakeStore{objects: map[string]objectapi.Object{}, changed: make(chan struct{})}
+	for _, n := range names {
+		s.put(n)
+	}
+	return s
+}
+
+func (s *fakeStore) change(fn func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fn()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *fakeStore) put(name string) {
+	s.change(func() {
+		s.version++
+		s.objects[name] = objectapi.Object{Name: name, Version: s.version}
+		s.events = append(s.events, s.objects[name])
+	})
+}
+
+func (s *fakeStore) remove(name string) {
+	s.change(func() {
+		s.version++
+		delete(s.objects, name)
+		s.events = append(s.events, objectapi.Object{Name: name, Version: s.version, Deleted: true})
+	})
+}
+
+func (s *fakeStore) setDown(down bool) { s.change(func() { s.down = down }) }
+
+var errDown = fault.New(fault.Unavailable, "wait", "down")
+
+func (s *fakeStore) List(context.Context, string) (objectapi.Listing, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	if s.down {
+		return objectapi.Listing{}, errDown
+	}
+	l := objectapi.Listing{Version: s.version}
+	for _, o := range s.objects {
+		l.Objects = append(l.Objects, o)
+	}
+	return l, nil
+}
+
+func (s *fakeStore) Watch(ctx context.Context, _ string, from objectapi.Version) (objectapi.Watch, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watches++
+	if s.noWatch {
+		return nil, errDown
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	return &fakeWatch{s, ctx, cancel, from}, nil
+}
+
+type fakeWatch struct {
+	s      *fakeStore
+	ctx    context.Context
+	cancel context.CancelFunc
+	from   objectapi.Version
+}
+
+func (w *fakeWatch) Close() { w.cancel() }
+
+func (w *fakeWatch) Next() (objectapi.Object, error) {
+	for {
+		w.s.mu.Lock()
+		changed, down, deaf := w.s.changed, w.s.down, w.s.deaf
+		for _, e := range w.s.events {
+			if e.Version > w.from && !down && !deaf {
+				w.from = e.Version
+				w.s.mu.Unlock()
+				return e, nil
+			}
+		}
+		w.s.mu.Unlock()
+		if down {
+			return objectapi.Object{}, errDown
+		}
+		select {
+		case <-changed:
+		case <-w.ctx.Done():
+			return objectapi.Object{}, errors.New("closed")
+		}
+	}
+}
+
+// follow runs a follower over the store and returns what it believes.
+func follow(t *testing.T, s *fakeStore, check time.Duration) func(name string) bool {
+	t.Helper()
+	var mu sync.Mutex
+	var now map[string]objectapi.Object
+	f := NewFollower(Config{
+		Store: s, Kind: "endpoints", KeepLapsed: true,
+		CheckEvery: func() time.Duration { return check },
+		Changed: func(objects map[string]objectapi.Object) {
+			mu.Lock()
+			defer mu.Unlock()
+			now = objects
+		},
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	var done sync.WaitGroup
+	done.Go(func() { f.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		done.Wait()
+	})
+	return func(name string) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		_, ok := now[name]
+		return ok
+	}
+}
+
+// The store is away for some seconds, and the entries of endpoints that live
+// lapse meanwhile, since they cannot renew them. If a router believes the empty
+// list, it turns every caller away although all endpoints serve.
+func TestEntriesThatLapsedInAnOutageAreKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore("a", "b")
+		has := follow(t, s, time.Second)
+		time.Sleep(time.Second)
+		s.setDown(true)
+		time.Sleep(4 * time.Second)
+		s.remove("a")
+		s.remove("b")
+		s.setDown(false)
+		time.Sleep(1500 * time.Millisecond)
+		if !has("a") || !has("b") {
+			t.Error("entries were dropped right after the outage")
+		}
+		s.put("a")
+		time.Sleep(2 * time.Second)
+		if !has("a") || has("b") {
+			t.Errorf("two seconds after the return: renewed entry kept %v, missing entry kept %v", has("a"), has("b"))
+		}
+	})
+}
+
+// An endpoint leaves without a word three seconds after an outage: its entry is
+// removed, and it stops soon after. A router that still takes entries for lapsed
+// then sends requests to an endpoint that is about to go.
+func TestEntryRemovedAfterAnOutageIsGoneAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore("a", "b")
+		has := follow(t, s, time.Second)
+		time.Sleep(time.Second)
+		s.setDown(true)
+		time.Sleep(4 * time.Second)
+		s.setDown(false)
+		time.Sleep(3500 * time.Millisecond)
+		s.remove("a")
+		time.Sleep(100 * time.Millisecond)
+		if has("a") {
+			t.Error("the entry is still believed")
+		}
+	})
+}
+
+// A watch stays open and hears nothing while an endpoint is removed. Callers are
+// sent to an endpoint that has gone unless the kind is read besides.
+func TestDeafWatchIsFoundOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore("a", "b")
+		has := follow(t, s, 500*time.Millisecond)
+		time.Sleep(time.Second)
+		s.change(func() { s.deaf = true })
+		s.remove("a")
+		time.Sleep(700 * time.Millisecond)
+		if has("a") {
+			t.Error("the entry is still believed 700 ms after its removal")
+		}
+	})
+}
+
+// The store answers reads and refuses watches, as it does when its history is
+// gone. A router that tries again at once makes thousands of calls, each of
+// which its operators pay for.
+func TestRefusedWatchesAreNotHammered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore("a")
+		s.noWatch = true
+		follow(t, s, time.Second)
+		time.Sleep(10 * time.Second)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.watches > 30 || s.reads > 45 {
+			t.Errorf("%d watches and %d reads within 10 s", s.watches, s.reads)
+		}
+	})
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -94,7 +94,7 @@
 	if r.service.Engine != nil {
 		s.Version = p.Version
 		s.CacheScope = cacheScope(r.wall(), p.Version)
-		s.FetchFrom = p.FetchFrom
+		s.FetchFrom, s.SaveTo = p.FetchFrom, p.SaveTo
 		s.Priority = r.priority()
 	}
 	return s
@@ -106,7 +106,7 @@
 	p, c := a.place, a.req.call
 	st := balance.Start{
 		Run: a.run, Endpoint: p.Endpoint.ID, Model: c.Model, Version: p.Version,
-		Keys: p.Keys, Uncached: p.Uncached, Output: c.OutputTokens,
+		Keys: p.Keys, Uncached: p.Uncached, Output: c.OutputTokens, SaveTo: p.SaveTo,
 	}
 	for _, part := range c.Parts {
 		st.Tokens = append(st.Tokens, part.Tokens)
@@ -121,7 +121,7 @@
 func startMessage(st balance.Start) *gossippb.RunStart {
 	m := &gossippb.RunStart{
 		Run: uint64(st.Run), Endpoint: st.Endpoint, Model: st.Model, Version: st.Version,
-		Tokens: st.Tokens, Uncached: st.Uncached, Output: st.Output,
+		Tokens: st.Tokens, Uncached: st.Uncached, Output: st.Output, SaveTo: st.SaveTo,
 	}
 	for _, k := range st.Keys {
 		m.Keys = append(m.Keys, uint64(k))
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -275,6 +275,9 @@
 	if r.sends > 0 {
 		f["endpoint"], f["address"] = r.last.Endpoint.ID, r.last.Endpoint.Address
 		f["version"], f["uncached"], f["ahead"], f["running"] = r.last.Version, r.last.Uncached, r.last.Ahead, r.last.Running
+		if n := len(r.call.Parts); n > 1 {
+			f["shared_read"] = max(0, r.last.Uncached-r.call.Parts[n-1].Tokens)
+		}
 		if r.last.FetchFrom != "" {
 			f["fetch"] = r.last.FetchFrom
 		}
--- a/hosted/beliefs.go
+++ b/hosted/beliefs.go
@@ -35,10 +35,19 @@
 		}
 	})
 	i.state.SetPools(pools)
+	i.state.SetKept(keptStores(t))
 	i.table.Store(t)
 	log.WithField("records", t.Version()).WithField("revision", uint64(obj.Version)).WithField("routes", t.Routes()).Info("records in force")
 }
 
+func keptStores(t *route.Table) []balance.KeptStore {
+	var list []balance.KeptStore
+	for _, s := range t.KeptStores() {
+		list = append(list, balance.KeptStore{Address: s.Kept.Address, DataCentre: s.Kept.DataCentre, CacheTokens: s.Kept.CacheTokens})
+	}
+	return list
+}
+
 // takeEndpoints replaces the list of endpoints.
 func (i *Instance) takeEndpoints(objects map[string]objectapi.Object) {
 	list := make([]balance.Endpoint, 0, len(objects))
@@ -123,7 +132,7 @@
 func (h hearer) Started(m *gossippb.RunStart) {
 	st := balance.Start{
 		Run: balance.RunID(m.GetRun()), Endpoint: m.GetEndpoint(), Model: m.GetModel(), Version: m.GetVersion(),
-		Tokens: m.GetTokens(), Uncached: m.GetUncached(), Output: m.GetOutput(),
+		Tokens: m.GetTokens(), Uncached: m.GetUncached(), Output: m.GetOutput(), SaveTo: m.GetSaveTo(),
 	}
 	for _, k := range m.GetKeys() {
 		st.Keys = append(st.Keys, prefix.PartKey(k))
--- a/hosted/shutdown.go
+++ b/hosted/shutdown.go
@@ -28,6 +28,9 @@
 	i.leaving.Store(true)
 	log.WithField("grace_ms", grace.Milliseconds()).WithField("open", i.server.Open()).Info("stopping")
 	i.server.Drain()
+	// Told at once, so that others count themselves among the candidates for the
+	// lease that is given up here.
+	i.node.TellLeaving()
 	i.lease.Stop()
 	i.lease.Release()
 	_ = clock.Sleep(context.Background(), min(outOfRotation, grace/2))
@@ -36,15 +39,10 @@
 	if err := i.server.Shutdown(ctx); err != nil {
 		log.WithError(err).WithField("open", i.server.Open()).Warn("requests cut at the end of the grace")
 	}
-	i.node.TellLeaving()
-	_ = clock.Sleep(context.Background(), leavingHeard)
 	i.cancel()
 	log.WithField("took_ms", time.Since(began).Milliseconds()).Info("stopped")
 }
 
-// leavingHeard is the time for the last datagrams to go out.
-const leavingHeard = 20 * time.Millisecond
-
 // answerMetrics serves counters and histograms, and the state dump.
 func (i *Instance) answerMetrics(ctx *fasthttp.RequestCtx) {
 	switch string(ctx.Path()) {
