--- a/gateway/server.go
+++ b/gateway/server.go
@@ -7,7 +7,6 @@
 	"context"
 	"net"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -52,7 +51,6 @@
 	cfg      Config
 	http     *fasthttp.Server
 	draining atomic.Bool
-	open     sync.WaitGroup
 	inFlight atomic.Int64
 }
 
--- a/internal/docs/metrics_test.go
+++ b/internal/docs/metrics_test.go
@@ -13,17 +13,17 @@
 
 var (
 	// metricName is a whole name; the object API's client puts its own
-	// together from platformPrefix and the word that it passes to counter.
-	metricName      = regexp.MustCompile(`sardinedock_[a-z_]*_total`)
-	platformPrefix  = "sardinedock_platform_"
-	platformCounter = regexp.MustCompile(`\bcounter\("([a-z_]+)"`)
-	quotedMetric    = regexp.MustCompile("[\"`](sardinedock_[a-z_]*)")
+	// together from apiPrefix and the word that it passes to counter.
+	metricName   = regexp.MustCompile(`sardinedock_[a-z_]*_(total|seconds)`)
+	apiPrefix    = "sardinedock_objectapi_"
+	apiCounter   = regexp.MustCompile(`\bcounter\("([a-z_]+)"`)
+	quotedMetric = regexp.MustCompile("[\"`](sardinedock_[a-z_]*)")
 )
 
 // An alert is written from the page. A metric that has another name there than
 // in the program never rises, and nobody notices.
 func TestOperatingPageNamesEveryMetric(t *testing.T) {
-	page, err := os.ReadFile("../../docs/OPERATING.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -37,12 +37,12 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(counted)) {
 		if !told[name] {
-			t.Errorf("%s of %s is missing in docs/OPERATING.md", name, counted[name])
+			t.Errorf("%s of %s is missing in docs/OPERATIONS.md", name, counted[name])
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(told)) {
 		if counted[name] == "" {
-			t.Errorf("docs/OPERATING.md names %s, which no code counts", name)
+			t.Errorf("docs/OPERATIONS.md names %s, which no code counts", name)
 		}
 	}
 }
@@ -59,13 +59,13 @@
 			return err
 		}
 		for _, m := range quotedMetric.FindAllStringSubmatch(string(source), -1) {
-			if m[1] != platformPrefix {
+			if m[1] != apiPrefix {
 				counted[m[1]] = path
 			}
 		}
-		if filepath.Base(filepath.Dir(path)) == "platform" {
-			for _, m := range platformCounter.FindAllStringSubmatch(string(source), -1) {
-				counted[platformPrefix+m[1]+"_total"] = path
+		if filepath.Base(filepath.Dir(path)) == "objectapi" {
+			for _, m := range apiCounter.FindAllStringSubmatch(string(source), -1) {
+				counted[apiPrefix+m[1]+"_total"] = path
 			}
 		}
 		return nil
--- a/objectapi/client.go
+++ b/objectapi/client.go
@@ -343,7 +343,7 @@
 }
 
 func counter(what, op string) *metrics.Counter {
-	return metrics.GetOrCreateCounter(fmt.Sprintf("sardinedock_platform_%s_total{op=%q}", what, op))
+	return metrics.GetOrCreateCounter(fmt.Sprintf("sardinedock_objectapi_%s_total{op=%q}", what, op))
 }
 
 // ClientDump is the client's part of the state dump.
