Weigh endpoints that load next

Change: the holder tells which endpoints load next, and these weigh 8,000 tokens more for the usual time of a load, so that their runs end before.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -31,6 +31,9 @@
 	// an endpoint that has them gets no work, such as one that restarts with the
 	// version it had before. The rest is room for what waits at the endpoint.
 	staleShare = 75
+	// soonTokens weighs an endpoint that is among the next to take new weights:
+	// what a run makes after the change is of no use to its caller.
+	soonTokens = 8000.0
 	// failureTokens is the weight of an endpoint all of whose runs fail.
 	failureTokens = 20000.0
 )
@@ -211,6 +214,9 @@
 	uncached = max(c.ask.PromptTokens-local-fetched, 0)
 	cost += float64(e.reading) + uncachedWeight*float64(uncached) + fetchedWeight*float64(fetched)
 	cost += runningTokens * float64(e.running)
+	if c.now.Before(e.soonUntil) {
+		cost += soonTokens
+	}
 	if behindFor(c.named, e.Versions[c.ask.Model], c.now) > staleAccepted {
 		cost += staleTokens
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -46,6 +46,8 @@
 	avoidUntil time.Time
 	// loadingUntil is when new weights that were ordered should be in place.
 	loadingUntil time.Time
+	// soonUntil is until when the endpoint counts as next to load.
+	soonUntil time.Time
 	// failures is the share of late runs that failed, with the newest counting most.
 	failures float64
 	// slowness is the usual latency of plain calls in ms.
@@ -372,6 +374,15 @@
 	}
 }
 
+// Soon says that an endpoint is among the next to take new weights, until then.
+func (s *State) Soon(id string, until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e, ok := s.endpoints[id]; ok {
+		e.soonUntil = until
+	}
+}
+
 // Holds says which version of a model's weights an endpoint has, by its own
 // word. What it had cached under an older one is gone.
 func (s *State) Holds(id, model string, version int64) {
--- a/hosted/beliefs.go
+++ b/hosted/beliefs.go
@@ -115,6 +115,11 @@
 	return pools
 }
 
+func (i *Instance) tellSoon(endpointID string, d time.Duration) {
+	i.state.Soon(endpointID, time.Now().Add(d))
+	i.node.TellNotice(&gossippb.Notice{Endpoint: endpointID, SoonMs: d.Milliseconds()})
+}
+
 func (i *Instance) tellLoading(endpointID string, d time.Duration) {
 	i.state.Loading(endpointID, time.Now().Add(d))
 	i.node.TellNotice(&gossippb.Notice{Endpoint: endpointID, LoadingMs: d.Milliseconds()})
@@ -156,6 +161,9 @@
 	if n.GetLoadingMs() > 0 {
 		h.state.Loading(n.GetEndpoint(), now.Add(time.Duration(n.GetLoadingMs())*time.Millisecond))
 	}
+	if n.GetSoonMs() > 0 {
+		h.state.Soon(n.GetEndpoint(), now.Add(time.Duration(n.GetSoonMs())*time.Millisecond))
+	}
 	if n.GetModel() != "" {
 		h.state.Holds(n.GetEndpoint(), n.GetModel(), n.GetVersion())
 	}
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -138,7 +138,7 @@
 	})
 	i.rollout = rollout.NewHosted(rollout.HostedConfig{
 		Self: i.settings.GetInstance(), Lease: i.lease, Control: platform.NewControl(i.relays.to), State: i.state,
-		Pools: i.pools, Loading: i.tellLoading, Holds: i.tellHolds,
+		Pools: i.pools, Soon: i.tellSoon, Loading: i.tellLoading, Holds: i.tellHolds,
 	})
 	i.followers = map[string]*directory.Follower{}
 	i.follow(platform.KindRecords, false, i.takeRecords)
--- a/rollout/hosted.go
+++ b/rollout/hosted.go
@@ -51,6 +51,8 @@
 	State   *balance.State
 	// Pools returns the services with models, and these models.
 	Pools func() map[string][]string
+	// Soon is told which endpoint loads next, after about d.
+	Soon func(endpointID string, d time.Duration)
 	// Loading is told which endpoint loads, and for how much longer; Holds which
 	// version an endpoint has. They must not block.
 	Loading func(endpointID string, d time.Duration)
@@ -166,10 +168,14 @@
 			}
 			list, behind := h.candidates(now, service, model, want)
 			open = open || behind
-			for _, c := range PlanLoads(now, want, list) {
+			load, next := PlanLoads(now, want, list)
+			for _, c := range load {
 				h.begin(c)
 				h.orders.Go(func() { h.order(ctx, c.Target, Weights{model, want}, fence) })
 			}
+			if len(load) > 0 {
+				h.announce(next)
+			}
 		}
 	}
 	return open
@@ -194,6 +200,14 @@
 	return list, behind
 }
 
+// announce tells which endpoints load next.
+func (h *Hosted) announce(next []Candidate) {
+	usual := h.usualTime()
+	for _, c := range next {
+		h.cfg.Soon(c.ID, usual)
+	}
+}
+
 // begin counts the endpoint as loading before its order leaves.
 func (h *Hosted) begin(c Candidate) {
 	h.mu.Lock()
--- a/rollout/weights.go
+++ b/rollout/weights.go
@@ -96,7 +96,8 @@
 	minLoads  = 2
 )
 
-// PlanLoads returns the endpoints to order to the version now.
+// PlanLoads returns the endpoints to order to the version now, and those that
+// come next.
 //
 // Load: a new version is named while the pool is busy, often before the last one
 // is in place everywhere. Harm prevented: with all endpoints loading at once
@@ -104,7 +105,7 @@
 // Only the newest version is ordered, and those with the fewest requests go
 // first, since what runs there is cut or mixed. Endpoints that seem to be gone
 // come last: they would take the places of those that can load.
-func PlanLoads(now time.Time, want int64, list []Candidate) []Candidate {
+func PlanLoads(now time.Time, want int64, list []Candidate) (load, next []Candidate) {
 	loading := 0
 	var behind []Candidate
 	for _, c := range list {
@@ -125,6 +126,7 @@
 		}
 		return behind[i].ID < behind[j].ID
 	})
-	free := max(minLoads, len(list)/loadShare) - loading
-	return behind[:max(0, min(free, len(behind)))]
+	most := max(minLoads, len(list)/loadShare)
+	n := max(0, min(most-loading, len(behind)))
+	return behind[:n], behind[n:min(n+most, len(behind))]
 }
--- a/rollout/weights_test.go
+++ b/rollout/weights_test.go
@@ -42,10 +42,13 @@
 			}
 		}
 		most := max(minLoads, len(list)/loadShare)
-		got := PlanLoads(now, 3, list)
+		got, next := PlanLoads(now, 3, list)
 		if want := max(0, min(most-loading, behind)); len(got) != want {
 			t.Fatalf("%d orders, want %d", len(got), want)
 		}
+		if len(next) > most || len(got)+len(next) > behind {
+			t.Fatalf("%d come next, %d may load at a time, %d are behind", len(next), most, behind)
+		}
 		for _, c := range got {
 			if c.Version >= 3 || c.Draining || c.Loading {
 				t.Fatalf("ordered %+v", c)
@@ -113,6 +116,7 @@
 		h := NewHosted(HostedConfig{
 			Self: "a", Lease: heldLease{}, Control: e, State: state,
 			Pools:   func() map[string][]string { return map[string][]string{"pool": {"m"}} },
+			Soon:    func(string, time.Duration) {},
 			Loading: func(string, time.Duration) {}, Holds: state.Holds,
 		})
 		ctx, cancel := context.WithCancel(t.Context())
