Let three instances watch the endpoints and tell the others

Change: three instances, by rank among those that live and reach the store, watch that kind; they hand each change on by datagram with the revision of the one before, so that a receiver notices a gap and reads.

--- a/directory/follower.go
+++ b/directory/follower.go
@@ -49,6 +49,14 @@
 	Changed func(objects map[string]objectapi.Object)
 	// Seen is told of each newer revision; nil tells nobody.
 	Seen func(kind string, revision uint64)
+	// Watches tells whether this instance watches the kind itself; nil means
+	// yes. Where it does not, it lives by what Take is given and by its reads.
+	Watches func() bool
+	// Heard is told of each change that the watch brings, and of the revision of
+	// the one before; nil tells nobody.
+	Heard func(obj objectapi.Object, before uint64)
+	// Reached is told when the store is lost or answers again; nil tells nobody.
+	Reached func(bool)
 }
 
 // Follower is the duty that follows one kind. Hint may be called by any
@@ -57,10 +65,13 @@
 	cfg  Config
 	hint chan struct{}
 
-	mu       sync.Mutex
-	revision objectapi.Version
-	listed   bool
-	objects  map[string]objectapi.Object
+	mu sync.Mutex
+	// revision up to which all changes are known, and lastChange the newest of
+	// the kind that was seen.
+	revision   objectapi.Version
+	lastChange objectapi.Version
+	listed     bool
+	objects    map[string]objectapi.Object
 	// removed remembers at which revision an object went, so that an older read
 	// does not bring it back.
 	removed map[string]objectapi.Version
@@ -87,17 +98,35 @@
 // newer than what is known here.
 func (f *Follower) Hint(revision uint64) {
 	f.mu.Lock()
-	newer := objectapi.Version(revision) > f.revision
+	newer := objectapi.Version(revision) > max(f.revision, f.lastChange)
 	f.mu.Unlock()
-	if !newer {
-		return
+	if newer {
+		f.readSoon()
 	}
+}
+
+func (f *Follower) readSoon() {
 	select {
 	case f.hint <- struct{}{}:
 	default:
 	}
 }
 
+// Take takes in a change that another instance's watch has heard of. before is
+// the revision of the kind's last change before it; if that one is not known
+// here, the kind is read.
+func (f *Follower) Take(obj objectapi.Object, before uint64) {
+	f.mu.Lock()
+	missed := objectapi.Version(before) > max(f.revision, f.lastChange)
+	if f.listed {
+		f.apply(obj)
+	}
+	f.mu.Unlock()
+	if missed {
+		f.readSoon()
+	}
+}
+
 // Run follows the kind until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	var wg sync.WaitGroup
@@ -112,6 +141,10 @@
 			pause = min(2*pause, lastRetry)
 			continue
 		}
+		if !f.watches() {
+			f.waitForTurn(ctx)
+			continue
+		}
 		began := time.Now()
 		f.watch(ctx)
 		if time.Since(began) < shortWatch {
@@ -124,6 +157,18 @@
 	wg.Wait()
 }
 
+func (f *Follower) watches() bool { return f.cfg.Watches == nil || f.cfg.Watches() }
+
+// turnEvery is how often an instance looks whether it has to watch: often enough
+// that the watch of one that died is taken over within the bounds on changes.
+const turnEvery = 100 * time.Millisecond
+
+// waitForTurn blocks while others watch the kind.
+func (f *Follower) waitForTurn(ctx context.Context) {
+	for !f.watches() && clock.Sleep(ctx, turnEvery) == nil {
+	}
+}
+
 // check reads the kind now and then, and when a peer has seen something newer.
 func (f *Follower) check(ctx context.Context) {
 	for {
@@ -161,6 +206,11 @@
 	f.mu.Lock()
 	from := f.revision
 	f.mu.Unlock()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if f.cfg.Watches != nil {
+		go f.endWithTurn(ctx, cancel)
+	}
 	w, err := f.cfg.Store.Watch(ctx, f.cfg.Kind, from)
 	if err != nil {
 		f.failed(err)
@@ -179,6 +229,15 @@
 	}
 }
 
+// endWithTurn ends the watch when others have taken it over.
+func (f *Follower) endWithTurn(ctx context.Context, cancel context.CancelFunc) {
+	for clock.Sleep(ctx, turnEvery) == nil {
+		if !f.watches() {
+			cancel()
+		}
+	}
+}
+
 var (
 	watchEnds = metrics.GetOrCreateCounter("sardinedock_directory_watch_ends_total")
 	readFails = metrics.GetOrCreateCounter("sardinedock_directory_read_failures_total")
@@ -192,9 +251,18 @@
 		f.lost = true
 		log.WithField("kind", f.cfg.Kind).WithField("why", err.Error()).Warn("store lost")
 	}
+	if f.reachable {
+		f.tellReached(false)
+	}
 	f.reachable = false
 }
 
+func (f *Follower) tellReached(reached bool) {
+	if f.cfg.Reached != nil {
+		f.cfg.Reached(reached)
+	}
+}
+
 func (f *Follower) reached() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -203,6 +271,7 @@
 	}
 	f.reachable = true
 	f.backAt = time.Now()
+	f.tellReached(true)
 	log.WithField("kind", f.cfg.Kind).Info("store reached")
 }
 
@@ -244,13 +313,23 @@
 func (f *Follower) takeEvent(obj objectapi.Object) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	before := f.lastChange
+	f.apply(obj)
+	f.advance(obj.Version)
+	if f.cfg.Heard != nil {
+		f.cfg.Heard(obj, uint64(before))
+	}
+}
+
+// apply takes in one change; the mutex is held.
+func (f *Follower) apply(obj objectapi.Object) {
 	changed := false
 	if obj.Deleted {
 		changed = f.remove(obj.Name, obj.Version)
 	} else {
 		changed = f.merge(obj)
 	}
-	f.advance(obj.Version)
+	f.lastChange = max(f.lastChange, obj.Version)
 	f.tell(changed)
 }
 
@@ -293,6 +372,7 @@
 	delete(f.objects, name)
 	delete(f.lapsed, name)
 	f.removed[name] = at
+	f.lastChange = max(f.lastChange, at)
 }
 
 // sweep drops lapsed entries that nobody has renewed in time.
@@ -325,16 +405,12 @@
 		return
 	}
 	objects := make(map[string]objectapi.Object, len(f.objects))
-	var newest objectapi.Version
 	for name, obj := range f.objects {
 		objects[name] = obj
-		newest = max(newest, obj.Version)
-	}
-	for _, v := range f.removed {
-		newest = max(newest, v)
+		f.lastChange = max(f.lastChange, obj.Version)
 	}
 	f.cfg.Changed(objects)
 	if f.cfg.Seen != nil {
-		f.cfg.Seen(f.cfg.Kind, uint64(newest))
+		f.cfg.Seen(f.cfg.Kind, uint64(f.lastChange))
 	}
 }
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -28,8 +28,8 @@
 	flushEvery = 10 * time.Millisecond
 	// beatEvery is the time between datagrams of an instance that has nothing
 	// to tell; aliveFor is how long a silent peer counts as live.
-	beatEvery = 500 * time.Millisecond
-	aliveFor  = 1600 * time.Millisecond
+	beatEvery = 300 * time.Millisecond
+	aliveFor  = 1100 * time.Millisecond
 	// maxDatagram keeps a datagram below the usual MTU.
 	maxDatagram = 1300
 	// outRing bounds what waits to be told. The oldest is given up first.
@@ -49,6 +49,8 @@
 	Started(*gossippb.RunStart)
 	Stage(*gossippb.RunStage)
 	Notice(from string, n *gossippb.Notice)
+	// Entry is told of a change that a peer's watch has heard of.
+	Entry(e *gossippb.Entry)
 	// Revision is told of the newest revision of a kind that a peer has seen.
 	Revision(kind string, revision uint64)
 }
@@ -73,6 +75,7 @@
 	heard     map[string]heard
 	revisions map[string]uint64
 	leaving   bool
+	storeLost bool
 }
 
 // heard is what was last heard of a peer.
@@ -80,6 +83,7 @@
 	incarnation uint64
 	at          time.Time
 	leaving     bool
+	storeLost   bool
 }
 
 // item is one thing to tell; exactly one field is set.
@@ -87,6 +91,7 @@
 	start  *gossippb.RunStart
 	stage  *gossippb.RunStage
 	notice *gossippb.Notice
+	entry  *gossippb.Entry
 	// now asks for a datagram at once.
 	now bool
 }
@@ -146,11 +151,21 @@
 
 // LivePeers returns the names of the live instances, this one included.
 func (n *Node) LivePeers(now time.Time) []string {
+	return n.live(now, func(heard) bool { return true })
+}
+
+// WithStore returns the names of the live instances that reach the platform's
+// store, and this one's in any case.
+func (n *Node) WithStore(now time.Time) []string {
+	return n.live(now, func(h heard) bool { return !h.storeLost })
+}
+
+func (n *Node) live(now time.Time, counts func(heard) bool) []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	names := []string{n.name}
 	for name, h := range n.heard {
-		if !h.leaving && now.Sub(h.at) < aliveFor {
+		if !h.leaving && now.Sub(h.at) < aliveFor && counts(h) {
 			names = append(names, name)
 		}
 	}
@@ -179,6 +194,17 @@
 	}
 }
 
+// TellEntry tells a change that this instance's watch has heard of, at once.
+func (n *Node) TellEntry(e *gossippb.Entry) { n.out.Push(item{entry: e, now: true}) }
+
+// TellStore tells whether this instance reaches the platform's store.
+func (n *Node) TellStore(reached bool) {
+	n.mu.Lock()
+	n.storeLost = !reached
+	n.mu.Unlock()
+	n.out.Push(item{now: true})
+}
+
 // TellLeaving tells that this instance ends.
 func (n *Node) TellLeaving() {
 	n.mu.Lock()
@@ -250,6 +276,8 @@
 			current.Stages = append(current.Stages, i.stage)
 		case i.notice != nil:
 			current.Notices = append(current.Notices, i.notice)
+		case i.entry != nil:
+			current.Entries = append(current.Entries, i.entry)
 		}
 	}
 	return list
@@ -263,6 +291,8 @@
 		return proto.Size(i.stage)
 	case i.notice != nil:
 		return proto.Size(i.notice)
+	case i.entry != nil:
+		return proto.Size(i.entry)
 	}
 	return 0
 }
@@ -271,7 +301,7 @@
 	d := &gossippb.Datagram{Instance: n.name, Incarnation: n.incarnation}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	d.Leaving = n.leaving
+	d.Leaving, d.StoreLost = n.leaving, n.storeLost
 	for kind, revision := range n.revisions {
 		d.Revisions = append(d.Revisions, &gossippb.Revision{Kind: kind, Revision: revision})
 	}
@@ -328,8 +358,11 @@
 		n.mu.Unlock()
 		return
 	}
-	n.heard[d.GetInstance()] = heard{d.GetIncarnation(), time.Now(), d.GetLeaving()}
+	n.heard[d.GetInstance()] = heard{d.GetIncarnation(), time.Now(), d.GetLeaving(), d.GetStoreLost()}
 	n.mu.Unlock()
+	for _, e := range d.GetEntries() {
+		n.handler.Entry(e)
+	}
 	for _, r := range d.GetRevisions() {
 		n.handler.Revision(r.GetKind(), r.GetRevision())
 	}
--- a/hosted/beliefs.go
+++ b/hosted/beliefs.go
@@ -130,6 +130,13 @@
 	i.node.TellNotice(&gossippb.Notice{Endpoint: endpointID, Model: model, Version: version})
 }
 
+// tellEntry tells the others a change that this instance's watch has heard of.
+func (i *Instance) tellEntry(obj objectapi.Object, before uint64) {
+	i.node.TellEntry(&gossippb.Entry{
+		Kind: obj.Kind, Name: obj.Name, Revision: uint64(obj.Version), Deleted: obj.Deleted, Value: obj.Value, Before: before,
+	})
+}
+
 // hearer takes in what other instances tell.
 type hearer struct{ *Instance }
 
@@ -175,6 +182,17 @@
 	}
 }
 
+// Entry implements gossip.Handler.
+func (h hearer) Entry(e *gossippb.Entry) {
+	f, ok := h.followers[e.GetKind()]
+	if !ok {
+		return
+	}
+	f.Take(objectapi.Object{
+		Kind: e.GetKind(), Name: e.GetName(), Version: objectapi.Version(e.GetRevision()), Deleted: e.GetDeleted(), Value: e.GetValue(),
+	}, e.GetBefore())
+}
+
 // Revision implements gossip.Handler.
 func (h hearer) Revision(kind string, revision uint64) {
 	if f, ok := h.followers[kind]; ok {
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -39,6 +39,9 @@
 	// besides the watches; each instance takes its turn. A change that all
 	// watches miss is found within it.
 	checkEvery = 500 * time.Millisecond
+	// watchers is how many instances watch the endpoints for all. With three, two
+	// may be killed or cut off at once, and changes are still heard.
+	watchers = 3
 	// leaseName is the lease of the rollout.
 	leaseName = "weights"
 	// leaseCandidates is how many instances try for the lease. Two are enough
@@ -157,10 +160,18 @@
 
 // follow sets up the follower of a kind; run starts it.
 func (i *Instance) follow(kind string, keepLapsed bool, changed func(map[string]objectapi.Object)) {
-	i.followers[kind] = directory.NewFollower(directory.Config{
+	cfg := directory.Config{
 		Store: i.store, Kind: kind, KeepLapsed: keepLapsed, Changed: changed, Seen: i.node.TellRevision,
 		CheckEvery: func() time.Duration { return i.turn(kind) },
-	})
+	}
+	if kind == platform.KindEndpoints {
+		// Endpoints' entries change most, and each change costs each watch a
+		// call of the store; a few watch, and tell the others.
+		cfg.Watches = func() bool { return i.isAmongFirst(kind, i.node.WithStore(time.Now()), watchers) }
+		cfg.Heard = i.tellEntry
+		cfg.Reached = i.node.TellStore
+	}
+	i.followers[kind] = directory.NewFollower(cfg)
 }
 
 // turn is how long this instance waits for its next read of a kind, so that the
--- a/hosted/members.go
+++ b/hosted/members.go
@@ -91,8 +91,13 @@
 	if i.leaving.Load() {
 		return false
 	}
-	names := i.node.LivePeers(time.Now())
-	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(xxh3.HashString(leaseName+a), xxh3.HashString(leaseName+b)) })
+	return i.isAmongFirst(leaseName, i.node.LivePeers(time.Now()), leaseCandidates)
+}
+
+// isAmongFirst reports whether this instance is among the first n of the names,
+// in an order by hash that all instances agree on.
+func (i *Instance) isAmongFirst(what string, names []string, n int) bool {
+	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(xxh3.HashString(what+a), xxh3.HashString(what+b)) })
 	rank := slices.Index(names, i.settings.GetInstance())
-	return rank >= 0 && rank < leaseCandidates
+	return rank >= 0 && rank < n
 }
