--- a/balance/cache.go
+++ b/balance/cache.go
@@ -2,10 +2,19 @@
 
 import (
 	"container/list"
+	"strconv"
 
 	"github.com/sardinedock/sardinedock/prefix"
 )
 
+// Scope is the text under which endpoints keep the parts of a request. It holds
+// the version, because endpoints do not tell under which weights a part was made:
+// parts of older weights, or of another organisation behind a wall, can then never
+// match.
+func Scope(wall string, version int64) string {
+	return wall + "/v" + strconv.FormatInt(version, 10)
+}
+
 // partCache models which prompt parts one endpoint holds: the least recently
 // used go first when the memory is full, as in the endpoint itself.
 type partCache struct {
@@ -82,3 +91,33 @@
 	}
 	return held, read
 }
+
+// set notes that the endpoint says it has the part.
+func (c *partCache) set(key prefix.PartKey, tokens int64) {
+	if e, ok := c.parts[key]; ok {
+		e.Value.(*cachedPart).read = true
+		return
+	}
+	c.use(key, tokens)
+	if e, ok := c.parts[key]; ok {
+		e.Value.(*cachedPart).read = true
+	}
+}
+
+// remove notes that the endpoint says it has the part no more.
+func (c *partCache) remove(key prefix.PartKey) {
+	if e, ok := c.parts[key]; ok {
+		c.drop(e)
+	}
+}
+
+// held returns the parts that are in memory, the one used last first.
+func (c *partCache) held() []CachedPart {
+	var list []CachedPart
+	for e := c.order.Front(); e != nil; e = e.Next() {
+		if p := e.Value.(*cachedPart); p.read {
+			list = append(list, CachedPart{Key: p.key, Tokens: p.tokens})
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/balance/cached.go
@@ -0,0 +1,86 @@
+package balance
+
+import "github.com/sardinedock/sardinedock/prefix"
+
+// CachedPart is a part that an endpoint or a store holds.
+type CachedPart struct {
+	Key    prefix.PartKey
+	Tokens int64
+}
+
+// CacheNews is what an endpoint says of its cache of one model, or a store of its
+// parts.
+type CacheNews struct {
+	// Holder is the endpoint's ID or the store's address.
+	Holder string
+	Model  string
+	// Whole says that Added is all there is.
+	Whole   bool
+	Added   []CachedPart
+	Removed []prefix.PartKey
+}
+
+// Cached takes in what an endpoint or a store says of its cache. It goes before
+// what was inferred from requests.
+func (s *State) Cached(n CacheNews) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	cache := s.cacheFor(n)
+	if cache == nil {
+		return
+	}
+	for _, key := range n.Removed {
+		cache.remove(key)
+	}
+	// The part used last comes first, and has to be in front at the end.
+	for i := len(n.Added) - 1; i >= 0; i-- {
+		cache.set(n.Added[i].Key, n.Added[i].Tokens)
+	}
+}
+
+func (s *State) cacheFor(n CacheNews) *partCache {
+	if k := s.kept[n.Holder]; k != nil {
+		if n.Whole {
+			k.parts = newPartCache(k.CacheTokens)
+		}
+		return k.parts
+	}
+	e := s.endpoints[n.Holder]
+	if e == nil {
+		return nil
+	}
+	cache := e.cacheOf(n.Model, max(e.Versions[n.Model], e.cacheVersion(n.Model)))
+	if n.Whole {
+		keep := newPartCache(e.capacity)
+		for _, el := range cache.parts {
+			// What is being read is not yet in the endpoint's word.
+			if p := el.Value.(*cachedPart); !p.read {
+				keep.use(p.key, p.tokens)
+			}
+		}
+		e.caches[n.Model].parts = keep
+		return keep
+	}
+	return cache
+}
+
+func (e *endpoint) cacheVersion(model string) int64 {
+	if c := e.caches[model]; c != nil {
+		return c.version
+	}
+	return 0
+}
+
+// CachedParts returns the parts that an endpoint's cache of a model, or a store, is
+// known to hold.
+func (s *State) CachedParts(holder, model string) []CachedPart {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if k := s.kept[holder]; k != nil {
+		return k.parts.held()
+	}
+	if e := s.endpoints[holder]; e != nil && e.caches[model] != nil {
+		return e.caches[model].parts.held()
+	}
+	return nil
+}
--- /dev/null
+++ b/balance/cached_test.go
@@ -0,0 +1,50 @@
+package balance
+
+import (
+	"testing"
+
+	"github.com/sardinedock/sardinedock/prefix"
+)
+
+// All routers are killed together and come back a second later. The endpoints
+// still hold every catalogue, but a router that knows nothing of it has them all
+// read again, and callers wait for seconds at the worst moment.
+func TestNewInstanceUsesWhatEndpointsHold(t *testing.T) {
+	old, fresh := newPool(3, 1), newPool(3, 1)
+	id, p := send(t, old, start, prompt(1, 1))
+	old.Moved(start, id, Answering)
+	holder := p.Endpoint.ID
+	fresh.Cached(CacheNews{Holder: holder, Model: model, Whole: true, Added: old.CachedParts(holder, model)})
+	got, _ := fresh.Choose(start, prompt(1, 2))
+	if got.Uncached != 1000 {
+		t.Errorf("%d tokens count as uncached, want the request's own 1000", got.Uncached)
+	}
+}
+
+// An endpoint evicts a catalogue that the router still counts on. Requests that
+// are sent there to use it read it again, one after the other.
+func TestEvictedPartsAreForgotten(t *testing.T) {
+	s := newPool(1, 1)
+	id, p := send(t, s, start, prompt(1, 1))
+	s.Moved(start, id, Answering)
+	s.Cached(CacheNews{Holder: p.Endpoint.ID, Model: model, Removed: []prefix.PartKey{p.Keys[0]}})
+	if got, _ := s.Choose(start, prompt(1, 2)); got.Uncached != 6000 {
+		t.Errorf("%d tokens count as uncached after the eviction, want 6000", got.Uncached)
+	}
+}
+
+// The store of kept cache restarts empty. Requests that are told to fetch from it
+// read everything all the same, after a vain try.
+func TestEmptyStoreIsNotFetchedFrom(t *testing.T) {
+	s := newPool(2, 1)
+	s.SetKept([]KeptStore{{Address: "kept:1", DataCentre: "dc", CacheTokens: 1_000_000}})
+	keys := prefix.PartKeys(nil, Scope("all", 1), model, prompt(1, 1).Parts)
+	s.Cached(CacheNews{Holder: "kept:1", Added: []CachedPart{{keys[0], 5000}}})
+	if got, _ := s.Choose(start, prompt(1, 2)); got.FetchFrom != "kept:1" {
+		t.Fatalf("fetched from %q, want the store", got.FetchFrom)
+	}
+	s.Cached(CacheNews{Holder: "kept:1", Whole: true})
+	if got, _ := s.Choose(start, prompt(1, 3)); got.FetchFrom != "" {
+		t.Errorf("fetched from %q though the store is empty", got.FetchFrom)
+	}
+}
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -53,6 +53,7 @@
 	c := chooser{ask: a, now: now, keys: map[int64][]prefix.PartKey{}, named: s.wanted[a.Model], tooOld: s.staleBound * staleShare / 100}
 	list := s.byService[a.Service]
 	for _, e := range list {
+		c.slowness = s.slowness(e)
 		c.consider(e, s.holder(&c, list, e))
 	}
 	if c.best == nil {
@@ -60,9 +61,17 @@
 	}
 	p := c.placement()
 	p.SaveTo = s.saveTo(&c, p)
+	rate := s.rateOf(c.best)
+	p.Backlog = tokenTime(p.Ahead, rate)
+	p.First = p.Backlog + tokenTime(p.Uncached, rate) + fixedTime
 	return p, true
 }
 
+// tokenTime is how long it takes to read tokens at a rate in tokens a ms.
+func tokenTime(tokens int64, rate float64) time.Duration {
+	return time.Duration(float64(tokens) / rate * float64(time.Millisecond))
+}
+
 // saveTo returns the store that should keep what the placement reads. Only runs
 // that read parts which others ask for too are worth the transfer: the last part
 // is the request's own, and kept with it would push others out.
@@ -80,6 +89,19 @@
 	return best
 }
 
+// evenShare is how far the measured rate of an endpoint may lie from its pool's
+// to count as even: measurements of equal endpoints differ by as much.
+const evenShare = 0.08
+
+// slowness is how much longer an endpoint reads than its pool does.
+func (s *State) slowness(e *endpoint) float64 {
+	ratio := s.poolRate(e.Service) / s.rateOf(e)
+	if ratio > 1-evenShare && ratio < 1+evenShare {
+		return 1
+	}
+	return ratio
+}
+
 // Exists reports whether any endpoint of the service is listed and stays.
 func (s *State) Exists(service string) bool {
 	s.mu.Lock()
@@ -154,6 +176,9 @@
 	named  []wanted
 	tooOld time.Duration
 
+	// slowness of the endpoint that is looked at, against its pool.
+	slowness float64
+
 	best     *endpoint
 	bestCost float64
 	uncached int64
@@ -163,7 +188,7 @@
 func (c *chooser) keysOf(version int64) []prefix.PartKey {
 	k, ok := c.keys[version]
 	if !ok {
-		k = prefix.PartKeys(nil, c.ask.Wall, c.ask.Model, version, c.ask.Parts)
+		k = prefix.PartKeys(nil, Scope(c.ask.Wall, version), c.ask.Model, c.ask.Parts)
 		c.keys[version] = k
 	}
 	return k
@@ -212,7 +237,7 @@
 		fetch = from.address
 	}
 	uncached = max(c.ask.PromptTokens-local-fetched, 0)
-	cost += float64(e.reading) + uncachedWeight*float64(uncached) + fetchedWeight*float64(fetched)
+	cost += c.slowness*(float64(e.reading)+uncachedWeight*float64(uncached)) + fetchedWeight*float64(fetched)
 	cost += runningTokens * float64(e.running)
 	if c.now.Before(e.soonUntil) {
 		cost += soonTokens
--- a/balance/state.go
+++ b/balance/state.go
@@ -22,6 +22,8 @@
 	byService map[string][]*endpoint
 	runs      map[RunID]*run
 	wanted    map[string][]wanted
+	// rates at which the endpoints of a pool read prompts, in tokens a ms.
+	rates map[string]float64
 	// kept are the stores of cached parts by address.
 	kept map[string]*keptStore
 	// staleBound is how long after a version was named older ones still serve.
@@ -50,8 +52,11 @@
 	soonUntil time.Time
 	// failures is the share of late runs that failed, with the newest counting most.
 	failures float64
-	// slowness is the usual latency of plain calls in ms.
+	// latencyMs is the usual latency of plain calls.
 	latencyMs float64
+	// rate at which it reads prompts, in tokens a ms, as measured so often.
+	rate     float64
+	measured int
 }
 
 type modelCache struct {
@@ -64,6 +69,8 @@
 	at       time.Time
 	answered bool
 	memory   int64
+	// ahead is the prompt work that the endpoint had before this run's.
+	ahead int64
 }
 
 // wanted is the version of a model's weights that operators have named.
@@ -79,6 +86,7 @@
 		staleBound: staleBound,
 		wanted:     map[string][]wanted{},
 		kept:       map[string]*keptStore{},
+		rates:      map[string]float64{},
 		pools:      map[string]Pool{},
 		endpoints:  map[string]*endpoint{},
 		byService:  map[string][]*endpoint{},
@@ -215,7 +223,7 @@
 	if _, twice := s.runs[st.Run]; !ok || twice {
 		return
 	}
-	r := &run{Start: st, at: now, memory: sum(st.Tokens) + st.Output}
+	r := &run{Start: st, at: now, memory: sum(st.Tokens) + st.Output, ahead: e.reading}
 	s.runs[st.Run] = r
 	e.running++
 	e.reading += st.Uncached
@@ -264,7 +272,7 @@
 	}
 	e := s.endpoints[r.Endpoint]
 	if stage == Answering {
-		s.answering(e, r)
+		s.answering(now, e, r)
 		return
 	}
 	delete(s.runs, id)
@@ -276,16 +284,58 @@
 }
 
 // answering says that the prompt was read.
-func (s *State) answering(e *endpoint, r *run) {
+func (s *State) answering(now time.Time, e *endpoint, r *run) {
 	if r.answered || e == nil {
 		return
 	}
+	s.measure(e, r, now.Sub(r.at))
 	r.answered = true
 	e.reading -= r.Uncached
 	s.read(e, r)
 	s.wake()
 }
 
+const (
+	// firstRate is the guess of how fast an endpoint reads, in tokens a ms, until
+	// it was measured.
+	firstRate = 40.0
+	// fixedTime is the part of the time to a first token that does not depend on
+	// the prompt: two ways over the network, and a step of the engine.
+	fixedTime = 30 * time.Millisecond
+	// measuredTokens is the least prompt whose time tells the rate. Before
+	// enoughMeasured an endpoint counts as its pool; rateWeight is the weight of the
+	// newest measurement: single ones differ by half, with what else runs there.
+	measuredTokens = 2000
+	enoughMeasured = 10
+	rateWeight     = 0.03
+)
+
+// measure learns how fast the endpoint reads prompts. Runs behind much other work
+// are left out: the endpoint may have taken them before it.
+func (s *State) measure(e *endpoint, r *run, took time.Duration) {
+	if r.Uncached < measuredTokens || r.ahead > r.Uncached || took <= fixedTime {
+		return
+	}
+	rate := float64(r.ahead+r.Uncached) / float64((took-fixedTime).Milliseconds()+1)
+	e.measured++
+	e.rate += max(rateWeight, 1/float64(e.measured)) * (rate - e.rate)
+	s.rates[e.Service] = s.poolRate(e.Service) + rateWeight*(rate-s.poolRate(e.Service))
+}
+
+func (s *State) poolRate(service string) float64 {
+	if r, ok := s.rates[service]; ok {
+		return r
+	}
+	return firstRate
+}
+
+func (s *State) rateOf(e *endpoint) float64 {
+	if e.measured >= enoughMeasured {
+		return e.rate
+	}
+	return s.poolRate(e.Service)
+}
+
 // read notes that the parts of a run are in the endpoint's memory, and in the
 // store that it sends them to.
 func (s *State) read(e *endpoint, r *run) {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -93,7 +93,7 @@
 	}
 	if r.service.Engine != nil {
 		s.Version = p.Version
-		s.CacheScope = cacheScope(r.wall(), p.Version)
+		s.CacheScope = balance.Scope(r.wall(), p.Version)
 		s.FetchFrom, s.SaveTo = p.FetchFrom, p.SaveTo
 		s.Priority = r.priority()
 	}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/sardinedock/sardinedock/balance"
@@ -35,9 +36,16 @@
 	for {
 		changed := r.srv.cfg.State.Changed()
 		now := time.Now()
-		if p, ok := r.srv.cfg.State.Choose(now, ask); ok {
+		p, ok := r.srv.cfg.State.Choose(now, ask)
+		if ok && r.sendNow(now, p) {
 			return p, nil
 		}
+		if ok {
+			if err := r.rest(changed, lateLook()); err != nil {
+				return balance.Placement{}, err
+			}
+			continue
+		}
 		if len(ask.Exclude) > 0 {
 			// All others are out of the question; those tried may have come back.
 			ask.Exclude = nil
@@ -52,6 +60,26 @@
 	}
 }
 
+// sendNow decides whether the request is sent to the endpoint chosen, or waits.
+func (r *request) sendNow(now time.Time, p balance.Placement) bool {
+	if r.service.Engine == nil || r.route.TargetLatency <= 0 {
+		return true
+	}
+	return balance.SendNow(balance.Timing{
+		Target: r.route.TargetLatency, Elapsed: now.Sub(r.began), Patience: r.deadline.Sub(r.began),
+		Backlog: p.Backlog, First: p.First,
+	})
+}
+
+// lateLook is the wait until a late request looks again. It is drawn, so that the
+// instances of a fleet, which see the same endpoint idle, do not all send at once.
+func lateLook() time.Duration {
+	return lateLookLeast + rand.N(lateLookLeast)
+}
+
+// lateLookLeast is a fifth of the backlog that late requests are sent at.
+const lateLookLeast = 12 * time.Millisecond
+
 // rest waits for news, at most for d.
 func (r *request) rest(changed <-chan struct{}, d time.Duration) error {
 	timer := time.NewTimer(d)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"io"
-	"strconv"
 	"time"
 
 	"github.com/sardinedock/sardinedock/balance"
@@ -17,14 +16,6 @@
 // the router hold an endless one.
 const maxEventBytes = 1 << 20
 
-// cacheScope is the text under which endpoints keep the parts of a request. It
-// holds the version, because endpoints do not tell under which weights a part
-// was made: parts of older weights, or of another organisation behind a wall,
-// can then never match.
-func cacheScope(wall string, version int64) string {
-	return wall + "/v" + strconv.FormatInt(version, 10)
-}
-
 // eventStream is the body of a caller's answer: whole events as they come from
 // the endpoint, each once and in order, whichever endpoints make them. The HTTP
 // server reads it and closes it at the end.
--- a/prefix/part.go
+++ b/prefix/part.go
@@ -1,10 +1,6 @@
 package prefix
 
-import (
-	"encoding/binary"
-
-	"github.com/zeebo/xxh3"
-)
+import "github.com/zeebo/xxh3"
 
 // Part is one named part of a prompt, as callers describe prompts whose text
 // the router does not see. Parts stand in order; an endpoint that has cached a
@@ -23,24 +19,27 @@
 	return sum
 }
 
-// PartKey names a cached part: equal keys mean that the part and all parts
-// before it agree, for the same wall, model and version of the weights.
+// PartKey names a cached part within the scope that it may be used in.
 type PartKey uint64
 
-// PartKeys appends the key of each part. The wall separates organisations that
-// must not share what is cached.
-func PartKeys(dst []PartKey, wall, model string, version int64, parts []Part) []PartKey {
-	var number [8]byte
-	binary.LittleEndian.PutUint64(number[:], uint64(version))
+// KeyOf returns the key of one part. The scope separates what must not be shared:
+// organisations behind a wall, and versions of the weights.
+func KeyOf(scope, model, id string) PartKey {
 	var h xxh3.Hasher
-	_, _ = h.WriteString(wall)
-	_, _ = h.Write([]byte{0})
+	_, _ = h.WriteString(scope)
+	_, _ = h.Write(separator)
 	_, _ = h.WriteString(model)
-	_, _ = h.Write(number[:])
+	_, _ = h.Write(separator)
+	_, _ = h.WriteString(id)
+	return PartKey(h.Sum64())
+}
+
+var separator = []byte{0}
+
+// PartKeys appends the key of each part.
+func PartKeys(dst []PartKey, scope, model string, parts []Part) []PartKey {
 	for _, p := range parts {
-		_, _ = h.WriteString(p.ID)
-		_, _ = h.Write([]byte{0})
-		dst = append(dst, PartKey(h.Sum64()))
+		dst = append(dst, KeyOf(scope, model, p.ID))
 	}
 	return dst
 }
