Follow what endpoints and stores say of their caches

Change: each endpoint and store is followed by one instance, which tells the others, and tells everything again to peers that have started.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -51,6 +51,10 @@
 	Notice(from string, n *gossippb.Notice)
 	// Entry is told of a change that a peer's watch has heard of.
 	Entry(e *gossippb.Entry)
+	// Cache is told of what an endpoint or a store says of its cache.
+	Cache(n *gossippb.CacheNews)
+	// PeerStarted is told of a peer that was not known, or has started anew.
+	PeerStarted(name string)
 	// Revision is told of the newest revision of a kind that a peer has seen.
 	Revision(kind string, revision uint64)
 }
@@ -92,6 +96,7 @@
 	stage  *gossippb.RunStage
 	notice *gossippb.Notice
 	entry  *gossippb.Entry
+	cache  *gossippb.CacheNews
 	// now asks for a datagram at once.
 	now bool
 }
@@ -197,6 +202,10 @@
 // TellEntry tells a change that this instance's watch has heard of, at once.
 func (n *Node) TellEntry(e *gossippb.Entry) { n.out.Push(item{entry: e, now: true}) }
 
+// TellCache tells what an endpoint or a store says of its cache. It has to fit
+// into a datagram.
+func (n *Node) TellCache(c *gossippb.CacheNews) { n.out.Push(item{cache: c}) }
+
 // TellStore tells whether this instance reaches the platform's store.
 func (n *Node) TellStore(reached bool) {
 	n.mu.Lock()
@@ -278,6 +287,8 @@
 			current.Notices = append(current.Notices, i.notice)
 		case i.entry != nil:
 			current.Entries = append(current.Entries, i.entry)
+		case i.cache != nil:
+			current.Caches = append(current.Caches, i.cache)
 		}
 	}
 	return list
@@ -293,6 +304,8 @@
 		return proto.Size(i.notice)
 	case i.entry != nil:
 		return proto.Size(i.entry)
+	case i.cache != nil:
+		return proto.Size(i.cache)
 	}
 	return 0
 }
@@ -360,6 +373,12 @@
 	}
 	n.heard[d.GetInstance()] = heard{d.GetIncarnation(), time.Now(), d.GetLeaving(), d.GetStoreLost()}
 	n.mu.Unlock()
+	if d.GetIncarnation() > h.incarnation {
+		n.handler.PeerStarted(d.GetInstance())
+	}
+	for _, c := range d.GetCaches() {
+		n.handler.Cache(c)
+	}
 	for _, e := range d.GetEntries() {
 		n.handler.Entry(e)
 	}
--- /dev/null
+++ b/hosted/caches.go
@@ -0,0 +1,80 @@
+package hosted
+
+import (
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/sardinedock/sardinedock/balance"
+	"github.com/sardinedock/sardinedock/cachefeed"
+	"github.com/sardinedock/sardinedock/prefix"
+	"github.com/sardinedock/sardinedock/route"
+	"github.com/sardinedock/sardinedock/schema/gossippb"
+)
+
+// ownedHolders returns the endpoints and stores whose cache this instance follows:
+// those for which it comes first among the live instances, by a hash.
+func (i *Instance) ownedHolders() []cachefeed.Holder {
+	t := i.table.Load()
+	if t == nil || i.leaving.Load() {
+		return nil
+	}
+	now := time.Now()
+	names := i.node.LivePeers(now)
+	var owned []cachefeed.Holder
+	t.Services(func(s *route.Service) {
+		if s.Kept != nil && i.owns(s.Kept.Address, names) {
+			owned = append(owned, cachefeed.Holder{Address: s.Kept.Address})
+		}
+		if s.Engine == nil || len(s.Engine.Models) == 0 {
+			return
+		}
+		for _, e := range i.state.Endpoints(s.Name, now) {
+			if i.owns(e.ID, names) {
+				owned = append(owned, cachefeed.Holder{ID: e.ID, Address: e.Address, Model: s.Engine.Models[0]})
+			}
+		}
+	})
+	return owned
+}
+
+// owns reports whether this instance comes first among the names for a holder.
+func (i *Instance) owns(holder string, names []string) bool {
+	best, first := uint64(0), ""
+	for _, name := range names {
+		if score := xxh3.HashString(holder + "/" + name); first == "" || score > best {
+			best, first = score, name
+		}
+	}
+	return first == i.settings.GetInstance()
+}
+
+func (i *Instance) tellCache(n balance.CacheNews) {
+	m := &gossippb.CacheNews{Holder: n.Holder, Model: n.Model, Whole: n.Whole}
+	for _, p := range n.Added {
+		m.Added = append(m.Added, uint64(p.Key))
+		m.Tokens = append(m.Tokens, p.Tokens)
+	}
+	for _, k := range n.Removed {
+		m.Removed = append(m.Removed, uint64(k))
+	}
+	i.node.TellCache(m)
+}
+
+// Cache implements gossip.Handler.
+func (h hearer) Cache(m *gossippb.CacheNews) {
+	if len(m.GetAdded()) != len(m.GetTokens()) {
+		return
+	}
+	n := balance.CacheNews{Holder: m.GetHolder(), Model: m.GetModel(), Whole: m.GetWhole()}
+	for k, key := range m.GetAdded() {
+		n.Added = append(n.Added, balance.CachedPart{Key: prefix.PartKey(key), Tokens: m.GetTokens()[k]})
+	}
+	for _, key := range m.GetRemoved() {
+		n.Removed = append(n.Removed, prefix.PartKey(key))
+	}
+	h.state.Cached(n)
+}
+
+// PeerStarted implements gossip.Handler.
+func (h hearer) PeerStarted(string) { h.feed.TellWhole() }
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/sardinedock/sardinedock/balance"
+	"github.com/sardinedock/sardinedock/cachefeed"
 	"github.com/sardinedock/sardinedock/clock"
 	"github.com/sardinedock/sardinedock/directory"
 	"github.com/sardinedock/sardinedock/fault"
@@ -66,6 +67,7 @@
 	node        *gossip.Node
 	followers   map[string]*directory.Follower
 	rollout     *rollout.Hosted
+	feed        *cachefeed.Feed
 	lease       *lease.Duty
 	server      *gateway.Server
 	ready       *fasthttp.Server
@@ -143,6 +145,10 @@
 		Self: i.settings.GetInstance(), Lease: i.lease, Control: platform.NewControl(i.relays.to), State: i.state,
 		Pools: i.pools, Soon: i.tellSoon, Loading: i.tellLoading, Holds: i.tellHolds,
 	})
+	i.feed = cachefeed.New(cachefeed.Config{
+		Source: platform.NewControl(i.relays.to), Owned: i.ownedHolders,
+		Take: i.state.Cached, Tell: i.tellCache, Held: i.state.CachedParts,
+	})
 	i.followers = map[string]*directory.Follower{}
 	i.follow(platform.KindRecords, false, i.takeRecords)
 	i.follow(platform.KindEndpoints, true, i.takeEndpoints)
@@ -155,6 +161,7 @@
 	i.duties.Go(func() { i.register(ctx) })
 	i.duties.Go(func() { i.rollout.Run(ctx) })
 	i.duties.Go(func() { i.sweep(ctx) })
+	i.duties.Go(func() { i.feed.Run(ctx) })
 	i.lease.Start()
 }
 
