Keep endpoints that failed as the last choice; test hosted instances on stand-ins

Cause, found by the new tests: an endpoint that broke one connection was left out for 0.7 s, so that with one endpoint, or after a fault of the network, callers were refused though the endpoints served, and idempotent requests got no second attempt.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -120,15 +120,16 @@
 	Abandoned
 )
 
-// The times for which an endpoint is left out after it turned work away. They
-// are short because a wrong one costs a share of the pool, and each further
+// The times for which an endpoint is left out after it turned work away, or in
+// doubt after it failed. They are short because a wrong one costs a share of the pool, and each further
 // failure renews it.
 const (
 	// rejectedFor covers most of a load of new weights, half a second, without
 	// keeping an endpoint out that was only full for a moment.
 	rejectedFor = 300 * time.Millisecond
-	// brokenFor and unreachableFor bridge the time until the platform's list
-	// shows that an endpoint has gone, two or three of its heartbeats.
+	// brokenFor and unreachableFor bridge part of the time until the platform's
+	// list shows that an endpoint has gone, three of its heartbeats; what fails
+	// then renews them.
 	brokenFor      = 700 * time.Millisecond
 	unreachableFor = 1500 * time.Millisecond
 )
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -34,6 +34,11 @@
 	// soonTokens weighs an endpoint that is among the next to take new weights:
 	// what a run makes after the change is of no use to its caller.
 	soonTokens = 8000.0
+	// doubtTokens weighs an endpoint that broke a connection or could not be reached
+	// just now: more than any load, so that it is the last choice but still one.
+	// With all endpoints in doubt, after a network's fault, callers would otherwise
+	// be turned away though the endpoints serve.
+	doubtTokens = 1e7
 	// failureTokens is the weight of an endpoint all of whose runs fail.
 	failureTokens = 20000.0
 )
@@ -146,7 +151,7 @@
 	var best source
 	for _, other := range list {
 		cache := other.caches[c.ask.Model]
-		if cache == nil || cache.version != version || c.now.Before(other.avoidUntil) {
+		if cache == nil || cache.version != version || c.now.Before(other.doubtUntil) {
 			continue
 		}
 		if _, read := cache.parts.leading(c.keysOf(version)); read > best.parts {
@@ -223,6 +228,9 @@
 		cost += farTokens
 	}
 	cost += failureTokens * e.failures
+	if c.now.Before(e.doubtUntil) {
+		cost += doubtTokens
+	}
 	if c.ask.Model == "" {
 		return cost + c.plainCost(e), 0, ""
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -44,8 +44,10 @@
 	reading int64
 	// memory in tokens of the running requests.
 	memory int64
-	// avoidUntil leaves the endpoint out of choices.
+	// avoidUntil leaves the endpoint out of choices; until doubtUntil it is chosen
+	// only where there is no other.
 	avoidUntil time.Time
+	doubtUntil time.Time
 	// loadingUntil is when new weights that were ordered should be in place.
 	loadingUntil time.Time
 	// soonUntil is until when the endpoint counts as next to load.
@@ -375,10 +377,10 @@
 		failed = 1
 	case Failed:
 		failed = 1
-		e.avoid(now.Add(brokenFor))
+		e.doubt(now.Add(brokenFor))
 	case Unreachable:
 		failed = 1
-		e.avoid(now.Add(unreachableFor))
+		e.doubt(now.Add(unreachableFor))
 	}
 	if stage != Done && r.Model != "" && !r.answered {
 		if c := e.caches[r.Model]; c != nil {
@@ -404,13 +406,19 @@
 	}
 }
 
-// Avoid leaves an endpoint out of choices for a while, as another instance or
-// the rollout tells.
-func (s *State) Avoid(id string, until time.Time) {
+func (e *endpoint) doubt(until time.Time) {
+	if until.After(e.doubtUntil) {
+		e.doubtUntil = until
+	}
+}
+
+// Doubt has an endpoint chosen only where there is no other for a while, as
+// another instance tells that it broke a connection or could not be reached.
+func (s *State) Doubt(id string, until time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if e, ok := s.endpoints[id]; ok {
-		e.avoid(until)
+		e.doubt(until)
 	}
 }
 
@@ -444,7 +452,7 @@
 	}
 	e.Versions = newest(e.Versions, map[string]int64{model: version})
 	e.loadingUntil = time.Time{}
-	e.avoidUntil = time.Time{}
+	e.avoidUntil, e.doubtUntil = time.Time{}, time.Time{}
 	s.wake()
 }
 
@@ -478,10 +486,12 @@
 // View is one endpoint in the state dump.
 type View struct {
 	Endpoint
-	Running int     `json:"running"`
-	Reading int64   `json:"reading_tokens"`
-	Memory  int64   `json:"memory_tokens"`
+	Running int   `json:"running"`
+	Reading int64 `json:"reading_tokens"`
+	Memory  int64 `json:"memory_tokens"`
+	// Avoided endpoints get no work now, doubted ones only if there is no other.
 	Avoided bool    `json:"avoided"`
+	Doubted bool    `json:"doubted"`
 	Fails   float64 `json:"failure_share"`
 }
 
@@ -495,7 +505,7 @@
 		if service != "" && e.Service != service {
 			continue
 		}
-		list = append(list, View{e.Endpoint, e.running, e.reading, e.memory, now.Before(e.avoidUntil), e.failures})
+		list = append(list, View{e.Endpoint, e.running, e.reading, e.memory, now.Before(e.avoidUntil), now.Before(e.doubtUntil), e.failures})
 	}
 	return list
 }
--- a/hosted/beliefs.go
+++ b/hosted/beliefs.go
@@ -163,7 +163,7 @@
 func (h hearer) Notice(_ string, n *gossippb.Notice) {
 	now := time.Now()
 	if n.GetAvoidMs() > 0 {
-		h.state.Avoid(n.GetEndpoint(), now.Add(time.Duration(n.GetAvoidMs())*time.Millisecond))
+		h.state.Doubt(n.GetEndpoint(), now.Add(time.Duration(n.GetAvoidMs())*time.Millisecond))
 	}
 	if n.GetLoadingMs() > 0 {
 		h.state.Loading(n.GetEndpoint(), now.Add(time.Duration(n.GetLoadingMs())*time.Millisecond))
--- /dev/null
+++ b/hosted/change_test.go
@@ -0,0 +1,155 @@
+package hosted
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sardinedock/sardinedock/platform/platformtest"
+)
+
+func ok(x *platformtest.Exchange) bool { x.Answer(200, "ok"); return true }
+
+// An operator drops a key. An instance that misses the change goes on serving whom
+// the operator has locked out.
+func TestChangedRecordsAreInForceEverywhere(t *testing.T) {
+	f := newFixture(t, 3)
+	f.endpoint("e1", "orders", ok)
+	f.serve(1, nil)
+	f.serve(1, func(r map[string]any) {
+		r["tenants"] = []any{map[string]any{"name": "tema", "apiKeys": []string{"other"}}}
+	})
+	for n := range f.instances {
+		req := f.request("GET", "/stock/1", "")
+		req.URL.Host = f.callers[n]
+		if a := f.do(req); a.status != 401 {
+			t.Errorf("instance %d: status %d for a key that was dropped", n, a.status)
+		}
+	}
+}
+
+// Records come that lead a route to a service nobody declared. Taken as they are,
+// they would end the service for all; the ones before stay in force.
+func TestUnusableRecordsLeaveTheOldOnesInForce(t *testing.T) {
+	f := newFixture(t, 1)
+	f.endpoint("e1", "orders", ok)
+	f.serve(1, nil)
+	f.store.Put("config", "main", map[string]any{"version": 99, "routes": []any{newRoute("x", "/x/", "safe", "lost", 1)}})
+	time.Sleep(200 * time.Millisecond)
+	if a := f.do(f.request("GET", "/stock/1", "")); a.status != 200 {
+		t.Errorf("status %d", a.status)
+	}
+}
+
+// An endpoint says that it leaves. Requests that are sent there afterwards die
+// with it.
+func TestLeavingEndpointGetsNoNewRequests(t *testing.T) {
+	f := newFixture(t, 2)
+	leaving := f.endpoint("e1", "orders", ok)
+	f.endpoint("e2", "orders", ok)
+	f.serve(2, nil)
+	f.store.Put("servers", "e1", leaving.Entry("orders", "draining", nil))
+	f.eventually("the leaving seen by all", func() bool {
+		for _, i := range f.instances {
+			for _, v := range i.state.Endpoints("orders", time.Now()) {
+				if v.ID == "e1" && !v.Draining {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	before := leaving.Served()
+	for range 10 {
+		if a := f.do(f.request("GET", "/stock/1", "")); a.status != 200 {
+			t.Fatalf("status %d", a.status)
+		}
+	}
+	if leaving.Served() != before {
+		t.Errorf("%d requests after it left", leaving.Served()-before)
+	}
+}
+
+// The store drops its history and refuses all calls for a while. Changes made then
+// have to be found when it is back, and requests served all the while.
+func TestChangesDuringAnOutageAreFoundAfterIt(t *testing.T) {
+	f := newFixture(t, 2)
+	f.endpoint("e1", "orders", ok)
+	f.serve(1, nil)
+	f.store.Refuse(503)
+	f.endpoint("e2", "orders", ok)
+	if a := f.do(f.request("GET", "/stock/1", "")); a.status != 200 {
+		t.Errorf("status %d during the outage", a.status)
+	}
+	f.store.Forget()
+	f.store.Refuse(0)
+	f.serve(2, nil)
+}
+
+// Two instances share what they know: a confirmation that one of them sends is
+// counted by the other, so that both do not send to the same endpoint.
+func TestInstancesKnowEachOthersRequests(t *testing.T) {
+	f := newFixture(t, 2)
+	release := make(chan struct{})
+	var busy atomic.Int64
+	f.endpoint("e1", "orders", func(x *platformtest.Exchange) bool {
+		busy.Add(1)
+		<-release
+		return ok(x)
+	})
+	f.serve(1, nil)
+	f.eventually("the instances know each other", func() bool {
+		return f.instances[0].node.Live(time.Now()) == 2 && f.instances[1].node.Live(time.Now()) == 2
+	})
+	done := make(chan answer)
+	go func() { done <- f.do(f.request("POST", "/confirm/1", "x")) }()
+	f.eventually("the request known at the other instance", func() bool {
+		list := f.instances[1].state.Endpoints("orders", time.Now())
+		return len(list) == 1 && list[0].Running == 1
+	})
+	close(release)
+	if a := <-done; a.status != 200 {
+		t.Errorf("status %d", a.status)
+	}
+	f.eventually("its end known too", func() bool {
+		return f.instances[1].state.Endpoints("orders", time.Now())[0].Running == 0
+	})
+}
+
+// An instance is told to end while it answers a stream and callers still come. The
+// stream is finished, and who comes before the balancer has noticed is served.
+func TestShutdownCutsNobody(t *testing.T) {
+	f := newFixture(t, 1)
+	started, release := make(chan struct{}), make(chan struct{})
+	f.endpoint("e1", "pool", func(x *platformtest.Exchange) bool {
+		x.StreamHead()
+		x.Event(1)
+		close(started)
+		<-release
+		x.Event(2)
+		x.End()
+		return true
+	})
+	f.endpoint("e2", "orders", ok)
+	f.serve(2, nil)
+	done, ended := make(chan answer), make(chan struct{})
+	go func() { done <- f.do(prompt(f.request("POST", "/draft/1", "p"))) }()
+	<-started
+	go func() {
+		f.instances[0].Shutdown()
+		close(ended)
+	}()
+	f.eventually("not ready", func() bool { return f.readyStatus(0) == 503 })
+	if a := f.do(f.request("GET", "/stock/1", "")); a.status != 200 {
+		t.Errorf("status %d for a request that came while the instance ends", a.status)
+	}
+	close(release)
+	if a := <-done; a.cut || a.body != events(2) {
+		t.Errorf("stream %+v", a)
+	}
+	select {
+	case <-ended:
+	case <-time.After(2 * wait):
+		t.Error("the instance does not end")
+	}
+}
--- /dev/null
+++ b/hosted/fixture_test.go
@@ -0,0 +1,208 @@
+package hosted
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sardinedock/sardinedock/platform/platformtest"
+	"github.com/sardinedock/sardinedock/schema/settingspb"
+)
+
+// fixture is a store, endpoints and instances on loopback.
+type fixture struct {
+	t         *testing.T
+	store     *platformtest.Store
+	instances []*Instance
+	callers   []string
+	ready     []string
+	client    *http.Client
+	version   int64
+	records   map[string]any
+	nextID    int
+	mu        sync.Mutex
+}
+
+const (
+	deskHost = "desk.example"
+	deskKey  = "key-one"
+	wait     = 5 * time.Second
+)
+
+// newFixture starts n instances and a store without records.
+func newFixture(t *testing.T, n int) *fixture {
+	t.Helper()
+	store, err := platformtest.NewStore()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(store.Close)
+	f := &fixture{t: t, store: store, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}}
+	for k := range n {
+		f.start(fmt.Sprintf("instance-%d", k))
+	}
+	return f
+}
+
+func (f *fixture) start(name string) *Instance {
+	f.t.Helper()
+	// A free port may be taken by another process before it is bound.
+	const tries = 10
+	var i *Instance
+	var listen *settingspb.HostedListen
+	for try := 1; i == nil; try++ {
+		listen = &settingspb.HostedListen{Callers: freeAddress(f.t), Ready: freeAddress(f.t), Gossip: freeAddress(f.t), Metrics: freeAddress(f.t)}
+		var err error
+		i, err = Start(&settingspb.Hosted{
+			Instance: name, DataCentre: "dc-1", Store: f.store.Address(), Listen: listen,
+			Bounds: &settingspb.HostedBounds{GraceSeconds: 4, LeaseMs: 1000, RetryRatio: 0.2, RetrySlack: 50, RetryWindowSeconds: 10, WeightsMs: 8000},
+		})
+		if err != nil && try == tries {
+			f.t.Fatal(err)
+		}
+	}
+	f.t.Cleanup(i.Kill)
+	f.instances = append(f.instances, i)
+	f.callers = append(f.callers, listen.GetCallers())
+	f.ready = append(f.ready, listen.GetReady())
+	return i
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String()
+}
+
+// endpoint adds an endpoint to a service.
+func (f *fixture) endpoint(id, service string, handler func(*platformtest.Exchange) bool) *platformtest.Endpoint {
+	f.t.Helper()
+	e, err := platformtest.NewEndpoint(id, handler)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(e.Close)
+	versions := map[string]int64{}
+	if service == "pool" {
+		versions["m"] = 1
+	}
+	f.store.Put("servers", id, e.Entry(service, "ready", versions))
+	return e
+}
+
+func newRoute(name, path, kind, service string, attempts int) map[string]any {
+	return map[string]any{
+		"name": name, "host": deskHost, "pathPrefix": path, "kind": kind, "timeoutMs": 2000, "targetLatencyMs": 500,
+		"priority": 0, "service": service, "maxAttempts": attempts, "gapAimMs": 400,
+	}
+}
+
+// serve writes the records and waits until all instances have them and see n
+// endpoints.
+func (f *fixture) serve(n int, change func(records map[string]any)) {
+	f.t.Helper()
+	resumable := newRoute("check", "/check/", "stream", "pool", 2)
+	resumable["resumable"] = true
+	f.version += 3
+	f.records = map[string]any{
+		"version": f.version,
+		"routes": []any{
+			newRoute("stock", "/stock/", "safe", "orders", 2), newRoute("confirm", "/confirm/", "non_idempotent", "orders", 1),
+			newRoute("draft", "/draft/", "stream", "pool", 1), resumable,
+		},
+		"services": []any{
+			map[string]any{"name": "orders", "healthCheck": "/health", "maxConnections": 100},
+			map[string]any{"name": "pool", "healthCheck": "/health", "maxConnections": 100,
+				"engine": map[string]any{"slots": 8, "kvCapacityTokens": 100000, "kvTokenBytes": 1, "models": []any{map[string]any{"name": "m"}}}},
+		},
+		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 1000, "idleTimeoutMs": 5000},
+		"tenants": []any{map[string]any{"name": "kumasi", "apiKeys": []string{deskKey}, "priority": 0, "isolated": true}},
+	}
+	if change != nil {
+		change(f.records)
+	}
+	f.store.Put("config", "main", f.records)
+	f.eventually("records and endpoints at all instances", func() bool {
+		for _, i := range f.instances {
+			if t := i.table.Load(); t == nil || t.Version() != f.version || len(i.state.Endpoints("", time.Now())) != n {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// eventually waits for something that takes a moment on a busy machine.
+func (f *fixture) eventually(what string, ok func() bool) {
+	f.t.Helper()
+	for until := time.Now().Add(wait); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	f.t.Fatalf("not within %v: %s", wait, what)
+}
+
+// request of a caller.
+func (f *fixture) request(method, path, body string) *http.Request {
+	f.t.Helper()
+	f.mu.Lock()
+	f.nextID++
+	id := fmt.Sprintf("id-%d", f.nextID)
+	f.mu.Unlock()
+	req, err := http.NewRequest(method, "http://"+f.callers[0]+path, strings.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	req.Host = deskHost
+	req.Header.Set("Sardinedock-Request-Id", id)
+	req.Header.Set("Sardinedock-Deadline-Ms", "3000")
+	req.Header.Set("Authorization", "Bearer "+deskKey)
+	return req
+}
+
+// prompt makes a model request of it.
+func prompt(req *http.Request) *http.Request {
+	req.Header.Set("Sardinedock-Model", "m")
+	req.Header.Set("Sardinedock-Token-Usage", "1500,40")
+	req.Header.Set("Sardinedock-Prompt-Prefix", "c1:1000,own:500")
+	return req
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	// cut says that the answer broke off.
+	cut bool
+}
+
+func (f *fixture) do(req *http.Request) answer {
+	f.t.Helper()
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return answer{cut: true}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return answer{resp.StatusCode, resp.Header, string(body), err != nil}
+}
+
+func (f *fixture) readyStatus(n int) int {
+	resp, err := f.client.Get("http://" + f.ready[n] + "/")
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -75,6 +75,8 @@
 	duties      sync.WaitGroup
 	endpoints   atomic.Bool
 	leaving     atomic.Bool
+	killed      atomic.Bool
+	listeners   []net.Listener
 }
 
 // Start starts the instance. It returns once the addresses are bound; callers
@@ -90,22 +92,10 @@
 	}
 	b := s.GetBounds()
 	i.budget = policy.NewFleetRetries(b.GetRetryRatio(), b.GetRetrySlack(), seconds(b.GetRetryWindowSeconds()))
-	var err error
-	if i.node, err = gossip.New(s.GetInstance(), i.incarnation, s.GetListen().GetGossip(), hearer{i}); err != nil {
-		return nil, err
-	}
-	callers, err := listen(s.GetListen().GetCallers())
-	if err != nil {
-		return nil, err
-	}
-	readyAt, err := listen(s.GetListen().GetReady())
-	if err != nil {
-		return nil, err
-	}
-	metricsAt, err := listen(s.GetListen().GetMetrics())
-	if err != nil {
+	if err := i.bind(); err != nil {
 		return nil, err
 	}
+	callers, readyAt, metricsAt := i.listeners[0], i.listeners[1], i.listeners[2]
 	i.server = gateway.NewServer(gateway.Config{
 		DataCentre: s.GetDataCentre(), Table: i.table.Load, State: i.state, Budget: i.budget, Guard: i.guard,
 		Teller: i.node, Dialect: platform.Dialect{}, Relay: i.relays.to,
@@ -120,6 +110,32 @@
 	return i, nil
 }
 
+// bind takes all addresses, or none.
+func (i *Instance) bind() error {
+	l := i.settings.GetListen()
+	for _, address := range []string{l.GetCallers(), l.GetReady(), l.GetMetrics()} {
+		ln, err := listen(address)
+		if err != nil {
+			i.closeListeners()
+			return err
+		}
+		i.listeners = append(i.listeners, ln)
+	}
+	node, err := gossip.New(i.settings.GetInstance(), i.incarnation, l.GetGossip(), hearer{i})
+	if err != nil {
+		i.closeListeners()
+		return err
+	}
+	i.node = node
+	return nil
+}
+
+func (i *Instance) closeListeners() {
+	for _, ln := range i.listeners {
+		_ = ln.Close()
+	}
+}
+
 func listen(address string) (net.Listener, error) {
 	lc := net.ListenConfig{Control: sockstate.UserTimeout(callerUserTimeout)}
 	ln, err := lc.Listen(context.Background(), "tcp4", address)
--- a/hosted/relays.go
+++ b/hosted/relays.go
@@ -52,3 +52,11 @@
 		}
 	}
 }
+
+func (r *relays) closeAll() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, relay := range r.byAt {
+		relay.Close()
+	}
+}
--- a/hosted/shutdown.go
+++ b/hosted/shutdown.go
@@ -43,6 +43,18 @@
 	log.WithField("took_ms", time.Since(began).Milliseconds()).Info("stopped")
 }
 
+// Kill ends the instance as a crash would: nothing is finished and nobody told.
+func (i *Instance) Kill() {
+	if i.killed.Swap(true) {
+		return
+	}
+	i.leaving.Store(true)
+	i.cancel()
+	i.lease.Stop()
+	i.closeListeners()
+	i.relays.closeAll()
+}
+
 // answerMetrics serves counters and histograms, and the state dump.
 func (i *Instance) answerMetrics(ctx *fasthttp.RequestCtx) {
 	switch string(ctx.Path()) {
