Watch weights and instances by three, read endpoints and weights each second

Change: three instances watch these kinds for all; the fleet reads endpoints and weights once a second in place of twice.

--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -36,10 +36,12 @@
 	// records say: 32 KB and 4 MiB are what operators may set.
 	headerBytes = 32 << 10
 	bodyBytes   = 4 << 20
-	// checkEvery is the time between two reads of a kind by the whole fleet,
+	// checkEvery is the time between two reads of the records by the whole fleet,
 	// besides the watches; each instance takes its turn. A change that all
 	// watches miss is found within it.
 	checkEvery = 500 * time.Millisecond
+	// slowCheck is the same for endpoints and weights, whose bounds are wider.
+	slowCheck = time.Second
 	// watchers is how many instances watch the endpoints for all. With three, two
 	// may be killed or cut off at once, and changes are still heard.
 	watchers = 3
@@ -187,11 +189,14 @@
 		Store: i.store, Kind: kind, KeepLapsed: keepLapsed, Changed: changed, Seen: i.node.TellRevision,
 		CheckEvery: func() time.Duration { return i.turn(kind) },
 	}
-	if kind == platform.KindEndpoints {
-		// Endpoints' entries change most, and each change costs each watch a
-		// call of the store; a few watch, and tell the others.
+	if kind != platform.KindRecords {
+		// Each change costs each watch a call of the store; a few watch, and tell
+		// the others. Records have the tightest bound, change rarely and do not
+		// fit into datagrams; all watch them.
 		cfg.Watches = func() bool { return i.isAmongFirst(kind, i.node.WithStore(time.Now()), watchers) }
 		cfg.Heard = i.tellEntry
+	}
+	if kind == platform.KindEndpoints {
 		cfg.Reached = i.node.TellStore
 	}
 	i.followers[kind] = directory.NewFollower(cfg)
@@ -201,8 +206,11 @@
 // fleet as a whole reads it every checkEvery.
 func (i *Instance) turn(kind string) time.Duration {
 	live := time.Duration(i.node.Live(time.Now()))
-	every := checkEvery
-	if kind == kindInstances {
+	every := slowCheck
+	switch kind {
+	case platform.KindRecords:
+		every = checkEvery
+	case kindInstances:
 		every = instancesEvery
 	}
 	return every * live
