Look two rounds of loads ahead, by the run's output

Change: endpoints of the next two rounds weigh up to 16,000 tokens more, in proportion to the output that the run may have.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -33,7 +33,9 @@
 	staleShare = 75
 	// soonTokens weighs an endpoint that is among the next to take new weights:
 	// what a run makes after the change is of no use to its caller.
-	soonTokens = 8000.0
+	// Runs with little output end before.
+	soonTokens = 16000.0
+	soonOutput = 200.0
 	// doubtTokens weighs an endpoint that broke a connection or could not be reached
 	// just now: more than any load, so that it is the last choice but still one.
 	// With all endpoints in doubt, after a network's fault, callers would otherwise
@@ -248,7 +250,7 @@
 	cost += c.slowness*(float64(e.reading)+uncachedWeight*float64(uncached)) + fetchedWeight*float64(fetched)
 	cost += runningTokens * float64(e.running)
 	if c.now.Before(e.soonUntil) {
-		cost += soonTokens
+		cost += soonTokens * min(1, float64(c.ask.OutputTokens)/soonOutput)
 	}
 	if behindFor(c.named, e.Versions[c.ask.Model], c.now) > staleAccepted {
 		cost += staleTokens
--- a/rollout/weights.go
+++ b/rollout/weights.go
@@ -94,6 +94,9 @@
 	// what loads serves nobody. With a fifth, a pool is through in five rounds.
 	loadShare = 5
 	minLoads  = 2
+	// nextRounds is how many rounds ahead endpoints are told to come next: runs
+	// with much output last for about two loads.
+	nextRounds = 2
 )
 
 // PlanLoads returns the endpoints to order to the version now, and those that
@@ -128,5 +131,5 @@
 	})
 	most := max(minLoads, len(list)/loadShare)
 	n := max(0, min(most-loading, len(behind)))
-	return behind[:n], behind[n:min(n+most, len(behind))]
+	return behind[:n], behind[n:min(n+nextRounds*most, len(behind))]
 }
