Count a stream's patience to its first event; refuse the hopeless at once

Change: Admit counts that patience; a request whose first token would come later is refused with the time that the endpoints are behind as Retry-After, at most a quarter of what the caller has left.

--- a/balance/admit.go
+++ b/balance/admit.go
@@ -2,43 +2,64 @@
 
 import "time"
 
-// Timing is what decides whether a model request is sent now or waits here.
+// Timing is what decides whether a model request is sent now.
 type Timing struct {
-	// Target is the time to the first token that the caller is content with.
-	Target time.Duration
-	// Elapsed since the request came, and Patience in all.
-	Elapsed, Patience time.Duration
+	// Target is the time to the first token that the caller is content with, and
+	// Patience the time without a first token after which it gives up.
+	Target, Patience time.Duration
+	// Elapsed since the request came.
+	Elapsed time.Duration
 	// Backlog of the endpoint chosen, and First, the time to the first token if
 	// the request is sent now.
 	Backlog, First time.Duration
 }
 
+// Admission is what becomes of a model request for now.
+type Admission int
+
+// The decisions.
+const (
+	// Send: it goes to the endpoint.
+	Send Admission = iota
+	// Wait: it waits here and is looked at again.
+	Wait
+	// Refuse: it can't be served in its time; the caller should come back after
+	// Backlog.
+	Refuse
+)
+
 const (
 	// lateBacklog is the work that an endpoint may have before it when a request
 	// is sent there that is late in any case.
 	lateBacklog = 60 * time.Millisecond
 	// agingShare is the share of its patience after which a late request is sent
-	// whatever the backlog. The rest has to suffice for its run.
+	// whatever the backlog. The rest has to suffice for its turn at the endpoint.
 	agingShare = 0.3
 )
 
-// SendNow decides whether a model request goes to its endpoint now.
+// Admit decides whether a model request goes to its endpoint now.
 //
 // Load: more prompt work arrives than the pool reads, for seconds. Harm prevented:
 // in one queue in order of arrival, the wait soon exceeds what callers are content
-// with, and then every request is late although the pool works at its limit. A
-// request that can still be on time goes at once. One that is late in any case
-// waits here until its endpoint has little to do, since a little later is as good
-// to its caller; it waits less strictly the older it is, so that neither the
-// longest prompts, which are late from the start, nor a long burst starve it.
-func SendNow(t Timing) bool {
-	if t.Elapsed+t.First <= t.Target {
-		return true
+// with, and then every request is late although the pool works at its limit; soon
+// after, endpoints read prompts whose callers have given up. A request that can
+// still be on time goes at once. One that is late in any case waits here until its
+// endpoint has little to do, since a little later is as good to its caller; it
+// waits less strictly the older it is, so that neither the longest prompts, which
+// are late from the start, nor a long burst starve it. One whose caller would have
+// given up before its first token is refused at once.
+func Admit(t Timing) Admission {
+	first := t.Elapsed + t.First
+	if first <= t.Target {
+		return Send
 	}
-	aged := float64(t.Elapsed) / (agingShare * float64(t.Patience))
-	if aged >= 1 {
-		return true
+	if t.Backlog > lateBacklog && first > t.Patience {
+		return Refuse
 	}
+	aged := float64(t.Elapsed) / (agingShare * float64(t.Patience))
 	allowed := lateBacklog + time.Duration(aged*float64(t.Target))
-	return t.Backlog <= allowed
+	if aged >= 1 || t.Backlog <= allowed {
+		return Send
+	}
+	return Wait
 }
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -37,11 +37,15 @@
 		changed := r.srv.cfg.State.Changed()
 		now := time.Now()
 		p, ok := r.srv.cfg.State.Choose(now, ask)
-		if ok && r.sendNow(now, p) {
-			return p, nil
-		}
 		if ok {
-			if err := r.rest(changed, lateLook()); err != nil {
+			switch r.admission(now, p) {
+			case balance.Send:
+				return p, nil
+			case balance.Refuse:
+				err := fault.New(fault.Overloaded, "send the request again later", "the endpoints of %s are %v behind", r.service.Name, p.Backlog)
+				return balance.Placement{}, fault.WithRetryAfter(err, p.Backlog)
+			}
+			if err := r.rest(nil, lateLook()); err != nil {
 				return balance.Placement{}, err
 			}
 			continue
@@ -60,14 +64,14 @@
 	}
 }
 
-// sendNow decides whether the request is sent to the endpoint chosen, or waits.
-func (r *request) sendNow(now time.Time, p balance.Placement) bool {
+// admission decides whether the request is sent to the endpoint chosen.
+func (r *request) admission(now time.Time, p balance.Placement) balance.Admission {
 	if r.service.Engine == nil || r.route.TargetLatency <= 0 {
-		return true
+		return balance.Send
 	}
-	return balance.SendNow(balance.Timing{
-		Target: r.route.TargetLatency, Elapsed: now.Sub(r.began), Patience: r.deadline.Sub(r.began),
-		Backlog: p.Backlog, First: p.First,
+	return balance.Admit(balance.Timing{
+		Target: r.route.TargetLatency, Patience: min(r.deadline.Sub(r.began), r.route.SilenceBound()),
+		Elapsed: now.Sub(r.began), Backlog: p.Backlog, First: p.First,
 	})
 }
 
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -237,18 +237,30 @@
 		writeRefusal(r.ctx, refusal{status: fasthttp.StatusBadGateway, cause: err})
 		return
 	}
-	writeRefusal(r.ctx, refusal{status: fasthttp.StatusServiceUnavailable, cause: err, retryAfter: r.comeBack()})
+	writeRefusal(r.ctx, refusal{status: fasthttp.StatusServiceUnavailable, cause: err, retryAfter: r.comeBack(fault.RetryAfter(err))})
 }
 
 // comeBack is when a caller that was turned away should try again: soon enough
 // to be served in its time, and later the less time it has used, so that those
 // turned away together do not come back together.
-func (r *request) comeBack() time.Duration {
+//
+// behind is how far the endpoints are behind; 0 where they say nothing.
+func (r *request) comeBack(behind time.Duration) time.Duration {
 	left := time.Until(r.patience)
-	spread := time.Duration(xxh3.HashString(r.call.ID) % uint64(200*time.Millisecond))
-	return max(min(200*time.Millisecond+spread, left/4), 10*time.Millisecond)
+	spread := time.Duration(xxh3.HashString(r.call.ID) % uint64(returnSpread))
+	return max(min(max(behind, shortRetry)+spread, left/returnShare), leastReturn)
 }
 
+const (
+	// returnSpread keeps callers that were turned away together apart.
+	returnSpread = 200 * time.Millisecond
+	// returnShare is the part of its time that a caller is asked to wait at the
+	// most; callers heed up to a third.
+	returnShare = 4
+	// leastReturn keeps a caller whose time is nearly over from coming back at once.
+	leastReturn = 10 * time.Millisecond
+)
+
 // abandon ends a request whose caller has gone: nobody reads an answer.
 func (r *request) abandon() {
 	r.ctx.Response.Reset()
--- a/route/route.go
+++ b/route/route.go
@@ -58,6 +58,21 @@
 // have run, without a resumption.
 func (r *Route) Repeatable() bool { return r.Kind == Idempotent }
 
+// silenceLeast, silenceTargets and silenceGaps make up how long callers of a stream
+// wait without an event, as the users state it: the longest of two seconds, four
+// times the target latency and eight times the target gap.
+const (
+	silenceLeast   = 2 * time.Second
+	silenceTargets = 4
+	silenceGaps    = 8
+)
+
+// SilenceBound is how long callers of a stream wait for its first or next event
+// before they give up.
+func (r *Route) SilenceBound() time.Duration {
+	return max(silenceLeast, silenceTargets*r.TargetLatency, silenceGaps*r.TargetGap)
+}
+
 // Target is a service and its share of a route's requests.
 type Target struct {
 	Service string
