--- a/hosted/change_test.go
+++ b/hosted/change_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/sardinedock/sardinedock/platform"
 	"github.com/sardinedock/sardinedock/platform/platformtest"
 )
 
@@ -28,6 +29,22 @@
 	}
 }
 
+// Something between the instances and the store forgets all open connections. They
+// stay open and bring nothing, the watches too. A router that uses them again for
+// its reads misses a dropped key for seconds.
+func TestSilentConnectionsToTheStoreAreNotUsedAgain(t *testing.T) {
+	f := newFixture(t, 2)
+	f.endpoint("e1", "orders", ok)
+	f.serve(1, nil)
+	f.store.SilenceOpen()
+	time.Sleep(platform.IdleBound)
+	began := time.Now()
+	f.serve(1, nil)
+	if took := time.Since(began); took > 1900*time.Millisecond {
+		t.Errorf("records in force after %v", took)
+	}
+}
+
 // Records come that lead a route to a service nobody declared. Taken as they are,
 // they would end the service for all; the ones before stay in force.
 func TestUnusableRecordsLeaveTheOldOnesInForce(t *testing.T) {
