Keep the counts of an endpoint that is missing for a moment

Cause: lost heartbeats take an endpoint off the list and back. Change: a run keeps the endpoint it started on, endpoints that return keep what was known, and work whose end nobody told is forgotten after 4 s.

--- a/balance/choose_test.go
+++ b/balance/choose_test.go
@@ -150,3 +150,43 @@
 		t.Errorf("%d tokens uncached without a wall, want 1000", p.Uncached)
 	}
 }
+
+// The store loses an endpoint's heartbeats, and its entry goes and comes back while
+// requests run there. If their ends are taken off what counts as another endpoint,
+// the counts drift: it looks idle or behind for ever, and in the end callers are
+// refused by a pool that idles.
+func TestEndpointThatIsMissingForAMomentKeepsItsCounts(t *testing.T) {
+	s := newPool(2, 1)
+	var runs []RunID
+	for i := range 6 {
+		id, _ := send(t, s, start, prompt(i, i))
+		runs = append(runs, id)
+	}
+	s.SetEndpoints(endpoints(2, 1)[:1])
+	more, _ := send(t, s, start, prompt(9, 9))
+	s.SetEndpoints(endpoints(2, 1))
+	for _, id := range append(runs, more) {
+		s.Moved(start, id, Answering)
+		s.Moved(start, id, Done)
+	}
+	for _, v := range s.Endpoints("pool", start) {
+		if v.Running != 0 || v.Reading != 0 || v.Memory != 0 {
+			t.Errorf("%s counts %d running, %d tokens to read, %d of memory after all have ended", v.ID, v.Running, v.Reading, v.Memory)
+		}
+	}
+}
+
+// The datagram that tells of a run's first token is lost. The work must not count
+// as waiting for ever.
+func TestLostWordOfAFirstTokenIsForgotten(t *testing.T) {
+	s := newPool(1, 1)
+	send(t, s, start, prompt(1, 1))
+	s.Sweep(start.Add(5 * time.Second))
+	if got := s.Endpoints("pool", start)[0].Reading; got != 0 {
+		t.Errorf("%d tokens still count as to be read after 5 s", got)
+	}
+	s.Sweep(start.Add(time.Minute))
+	if got := s.Endpoints("pool", start)[0].Running; got != 0 {
+		t.Errorf("%d requests still count as running after a minute", got)
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -9,6 +9,12 @@
 	// forgetRunsAfter drops runs whose end nobody told, such as those of an
 	// instance that was killed.
 	forgetRunsAfter = 30 * time.Second
+	// forgetReadingAfter is how long a prompt counts as being read. Callers give up
+	// after some 3 s without a first token.
+	forgetReadingAfter = 4 * time.Second
+	// forgetDepartedAfter is how long an endpoint that is not listed is remembered:
+	// longer than any run there.
+	forgetDepartedAfter = 60 * time.Second
 	// defaultCache is the memory assumed of an endpoint whose pool states none.
 	defaultCache = 200_000
 )
@@ -19,6 +25,8 @@
 	mu        sync.Mutex
 	pools     map[string]Pool
 	endpoints map[string]*endpoint
+	// departed are endpoints that are not listed any more, in case they return.
+	departed  map[string]*endpoint
 	byService map[string][]*endpoint
 	runs      map[RunID]*run
 	wanted    map[string][]wanted
@@ -52,6 +60,8 @@
 	loadingUntil time.Time
 	// soonUntil is until when the endpoint counts as next to load.
 	soonUntil time.Time
+	// departedAt is when a sweep first found the endpoint missing.
+	departedAt time.Time
 	// failures is the share of late runs that failed, with the newest counting most.
 	failures float64
 	// latencyMs is the usual latency of plain calls.
@@ -68,6 +78,9 @@
 
 type run struct {
 	Start
+	// on is the endpoint, also when it is not listed any more: its counts would
+	// drift if the end of a run were taken off another object than its start.
+	on       *endpoint
 	at       time.Time
 	answered bool
 	memory   int64
@@ -91,6 +104,7 @@
 		rates:      map[string]float64{},
 		pools:      map[string]Pool{},
 		endpoints:  map[string]*endpoint{},
+		departed:   map[string]*endpoint{},
 		byService:  map[string][]*endpoint{},
 		runs:       map[RunID]*run{},
 		changed:    make(chan struct{}),
@@ -127,20 +141,26 @@
 }
 
 // SetEndpoints replaces the list of endpoints. What is known of those that stay
-// is kept; an endpoint under a new ID has an empty cache.
+// is kept, also of one that was missing for a moment, such as when its heartbeats
+// were lost; an endpoint under a new ID has an empty cache.
 func (s *State) SetEndpoints(list []Endpoint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	next := make(map[string]*endpoint, len(list))
 	byService := map[string][]*endpoint{}
+	for id, e := range s.endpoints {
+		s.departed[id] = e
+	}
 	for _, e := range list {
-		known, ok := s.endpoints[e.ID]
+		known, ok := s.departed[e.ID]
 		if !ok {
 			known = &endpoint{caches: map[string]*modelCache{}, capacity: s.capacityOf(e.Service)}
 		}
 		held := known.Versions
 		known.Endpoint = e
 		known.Versions = newest(held, e.Versions)
+		delete(s.departed, e.ID)
+		known.departedAt = time.Time{}
 		next[e.ID] = known
 		byService[e.Service] = append(byService[e.Service], known)
 	}
@@ -225,7 +245,7 @@
 	if _, twice := s.runs[st.Run]; !ok || twice {
 		return
 	}
-	r := &run{Start: st, at: now, memory: sum(st.Tokens) + st.Output, ahead: e.reading}
+	r := &run{Start: st, on: e, at: now, memory: sum(st.Tokens) + st.Output, ahead: e.reading}
 	s.runs[st.Run] = r
 	e.running++
 	e.reading += st.Uncached
@@ -272,22 +292,18 @@
 	if !ok {
 		return
 	}
-	e := s.endpoints[r.Endpoint]
 	if stage == Answering {
-		s.answering(now, e, r)
+		s.answering(now, r.on, r)
 		return
 	}
 	delete(s.runs, id)
-	if e == nil {
-		return
-	}
-	s.end(now, e, r, stage)
+	s.end(now, r.on, r, stage)
 	s.wake()
 }
 
 // answering says that the prompt was read.
 func (s *State) answering(now time.Time, e *endpoint, r *run) {
-	if r.answered || e == nil {
+	if r.answered {
 		return
 	}
 	s.measure(e, r, now.Sub(r.at))
@@ -468,17 +484,31 @@
 // Leaving says that an endpoint takes no new work, by its own word.
 func (s *State) Leaving(id string) { s.Gone(id) }
 
-// Sweep drops runs whose end nobody told.
+// Sweep drops what nobody told the end of.
+//
+// Load: datagrams are lost, or an instance is killed in the middle of its requests.
+// Harm prevented: prompt work that is counted for ever makes an endpoint look
+// behind, and in the end all requests are refused though the endpoints idle.
 func (s *State) Sweep(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, r := range s.runs {
-		if now.Sub(r.at) < forgetRunsAfter {
-			continue
+		age := now.Sub(r.at)
+		if age > forgetReadingAfter && !r.answered {
+			r.answered = true
+			r.on.reading -= r.Uncached
+		}
+		if age > forgetRunsAfter {
+			delete(s.runs, id)
+			s.end(now, r.on, r, Abandoned)
 		}
-		delete(s.runs, id)
-		if e := s.endpoints[r.Endpoint]; e != nil {
-			s.end(now, e, r, Done)
+	}
+	for id, e := range s.departed {
+		switch {
+		case e.departedAt.IsZero():
+			e.departedAt = now
+		case now.Sub(e.departedAt) > forgetDepartedAfter:
+			delete(s.departed, id)
 		}
 	}
 }
