Tell other weights from a reused address

Cause: an endpoint that holds other weights than expected answers 421 with its own id. Change: only another id means another endpoint; otherwise the newest named version is assumed, or the one before if that was expected, and the endpoint stays a choice. Tests fail before.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -112,6 +112,9 @@
 	Rejected
 	// Errored: the endpoint answered with an error of its own.
 	Errored
+	// Misdirected: the endpoint did not run the request, since it is not the one, or
+	// does not hold the weights, that were expected.
+	Misdirected
 	// Failed: the run broke off.
 	Failed
 	// Unreachable: no connection could be made.
--- a/balance/choose_test.go
+++ b/balance/choose_test.go
@@ -190,3 +190,21 @@
 		t.Errorf("%d requests still count as running after a minute", got)
 	}
 }
+
+// The holder of the rollout is cut off right after an endpoint has taken its order.
+// Everybody goes on to expect the old weights there, and the endpoint turns all of
+// that away: a pool in the middle of a rollout refuses its callers.
+func TestEndpointOnUnexpectedWeightsIsUsedAgain(t *testing.T) {
+	s := newPool(1, 1)
+	s.Want(start, model, 2)
+	if got := s.Mismatch("e0", model, 1); got != 2 {
+		t.Fatalf("version %d assumed, want the named one", got)
+	}
+	if p, ok := s.Choose(start, prompt(1, 1)); !ok || p.Version != 2 {
+		t.Errorf("placed %v expecting version %d", ok, p.Version)
+	}
+	// The guess was wrong as well: it has started anew with the old weights.
+	if got := s.Mismatch("e0", model, 2); got != 1 {
+		t.Errorf("version %d assumed, want the one before", got)
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -403,7 +403,7 @@
 			c.parts.forget(r.Keys)
 		}
 	}
-	if stage != Rejected && stage != Abandoned {
+	if stage != Rejected && stage != Misdirected && stage != Abandoned {
 		e.failures += failureWeight * (failed - e.failures)
 	}
 }
@@ -472,6 +472,35 @@
 	s.wake()
 }
 
+// Mismatch says that an endpoint does not hold the version that a request
+// expected, without saying which it holds, and returns the one that is assumed from
+// now on: the newest that operators have named, which it may have taken while nobody
+// could tell; or, if that was expected, the one named before, since its load has not
+// ended yet or it has started anew.
+func (s *State) Mismatch(id, model string, expected int64) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.endpoints[id]
+	named := s.wanted[model]
+	if !ok || len(named) == 0 {
+		return expected
+	}
+	if e.Versions[model] != expected {
+		// Somebody has found out meanwhile.
+		return e.Versions[model]
+	}
+	newest := named[len(named)-1].version
+	assumed := newest
+	if expected >= newest {
+		assumed = newest - 1
+		if len(named) > 1 {
+			assumed = named[len(named)-2].version
+		}
+	}
+	e.Versions[model] = assumed
+	return assumed
+}
+
 // Gone says that an incarnation has ended, before the platform's list tells.
 func (s *State) Gone(id string) {
 	s.mu.Lock()
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -142,7 +142,7 @@
 	}
 	a.ended = true
 	if a.in != nil {
-		if stage == balance.Done || stage == balance.Errored || stage == balance.Rejected {
+		if readWhole(stage) {
 			a.in.Finish()
 		} else {
 			a.in.Drop()
@@ -151,6 +151,15 @@
 	a.moved(stage)
 }
 
+// readWhole reports whether the answer was read to its end at a stage.
+func readWhole(stage balance.Stage) bool {
+	switch stage {
+	case balance.Done, balance.Errored, balance.Rejected, balance.Misdirected:
+		return true
+	}
+	return false
+}
+
 // openFailed ends an attempt that brought no answer.
 func (a *attempt) openFailed(err error) outcome {
 	r := a.req
@@ -217,10 +226,16 @@
 func (a *attempt) learn() {
 	cfg, id := a.req.srv.cfg, a.place.Endpoint.ID
 	switch {
-	case a.head.OtherEndpoint:
+	case a.head.Mismatch && a.head.Answerer != "" && a.head.Answerer != id:
 		log.WithField("endpoint", id).WithField("address", a.place.Endpoint.Address).Info("endpoint gone: another one answers at its address")
 		cfg.State.Gone(id)
 		cfg.Teller.TellNotice(&gossippb.Notice{Endpoint: id, Leaving: true})
+	case a.head.Mismatch && a.req.service.Engine != nil:
+		v := cfg.State.Mismatch(id, a.req.call.Model, a.place.Version)
+		log.WithField("endpoint", id).WithField("expected", a.place.Version).WithField("assumed", v).Info("endpoint holds other weights")
+		if v > a.place.Version {
+			cfg.Teller.TellNotice(&gossippb.Notice{Endpoint: id, Model: a.req.call.Model, Version: v})
+		}
 	case a.head.Version > a.place.Version && a.req.service.Engine != nil:
 		cfg.State.Holds(id, a.req.call.Model, a.head.Version)
 		cfg.Teller.TellNotice(&gossippb.Notice{Endpoint: id, Model: a.req.call.Model, Version: a.head.Version})
@@ -264,8 +279,14 @@
 		a.in.Drop()
 		a.in = nil
 	}
-	a.finish(balance.Rejected)
-	r.exclude = append(r.exclude, a.place.Endpoint.ID)
+	if a.head.Mismatch {
+		// What is known of the endpoint was put right; it may be the best choice
+		// still.
+		a.finish(balance.Misdirected)
+	} else {
+		a.finish(balance.Rejected)
+		r.exclude = append(r.exclude, a.place.Endpoint.ID)
+	}
 	if r.mayTryAgain(outcomeRejected) {
 		return true
 	}
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -60,8 +60,10 @@
 	Signed bool
 	// NotRun says that the endpoint did not run the request and never will.
 	NotRun bool
-	// OtherEndpoint says that another incarnation answered.
-	OtherEndpoint bool
+	// Mismatch says that the incarnation, or the version of its weights, is not
+	// the one that the request expects. Answerer is the incarnation, where it tells.
+	Mismatch bool
+	Answerer string
 	// Version of the model's weights; 0 where the endpoint does not say.
 	Version int64
 	// Leaving says that the endpoint closes its connections.
--- a/hosted/serve_test.go
+++ b/hosted/serve_test.go
@@ -229,6 +229,26 @@
 	}
 }
 
+// An endpoint turns a request away because its weights have changed, and names
+// itself. Taken for an address that another endpoint has, it would get no work until
+// its entry changes, and a small pool would refuse its callers.
+func TestChangedWeightsAreNotAReusedAddress(t *testing.T) {
+	f := newFixture(t, 1)
+	f.endpoint("e1", "pool", func(x *platformtest.Exchange) bool {
+		if x.Header("Sardinedock-Expect-Version") != "2" {
+			x.Write("HTTP/1.1 421 X\r\nSardinedock-Not-Executed: 1\r\nSardinedock-Instance-Id: e1\r\nContent-Length: 0\r\n\r\n")
+			return true
+		}
+		return stream(2)(x)
+	})
+	f.serve(1, nil)
+	f.store.Put("versions", "m", map[string]any{"model": "m", "version": 2})
+	f.eventually("the version named", func() bool { return f.instances[0].rollout.Wanted()["m"] == 2 })
+	if a := f.do(prompt(f.request("POST", "/draft/1", "p"))); a.status != 200 || a.body != events(2) {
+		t.Errorf("answer %+v", a)
+	}
+}
+
 // stream answers with events from one on, or after the one that the request names.
 func stream(events int) func(*platformtest.Exchange) bool {
 	return func(x *platformtest.Exchange) bool {
