--- a/directory/follower.go
+++ b/directory/follower.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -29,6 +30,10 @@
 	// shortWatch is a watch that ended at once, such as one that the store
 	// refuses while it answers reads; the next one then waits for a pause.
 	shortWatch = 200 * time.Millisecond
+	// hintPause is the least time from the word of a newer revision to a read for
+	// it, and as much again is drawn. Changes reach all within some ms, and the
+	// tightest bound on them is seconds.
+	hintPause = 100 * time.Millisecond
 	// sweepEvery is how often lapsed entries are looked at.
 	sweepEvery = 100 * time.Millisecond
 )
@@ -66,6 +71,10 @@
 	hint chan struct{}
 
 	mu sync.Mutex
+	// hinted is the newest revision that anybody has told of.
+	hinted objectapi.Version
+	// missed says that a change was told of whose predecessor is not known here.
+	missed bool
 	// revision up to which all changes are known, and lastChange the newest of
 	// the kind that was seen.
 	revision   objectapi.Version
@@ -98,7 +107,33 @@
 // newer than what is known here.
 func (f *Follower) Hint(revision uint64) {
 	f.mu.Lock()
-	newer := objectapi.Version(revision) > max(f.revision, f.lastChange)
+	f.hinted = max(f.hinted, objectapi.Version(revision))
+	newer := f.behind()
+	f.mu.Unlock()
+	if newer {
+		f.readSoon()
+	}
+}
+
+// behind reports whether somebody has told of a newer revision; the mutex is held.
+func (f *Follower) behind() bool { return f.hinted > max(f.revision, f.lastChange) }
+
+// awaitHinted waits for the change that a hint tells of. It reports whether the
+// change has come by itself.
+func (f *Follower) awaitHinted(ctx context.Context) bool {
+	f.mu.Lock()
+	told := f.hinted
+	f.mu.Unlock()
+	_ = clock.Sleep(ctx, hintPause+rand.N(hintPause))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.missed && told <= max(f.revision, f.lastChange)
+}
+
+// again looks after newer hints that came during the wait for one.
+func (f *Follower) again() {
+	f.mu.Lock()
+	newer := f.behind()
 	f.mu.Unlock()
 	if newer {
 		f.readSoon()
@@ -118,6 +153,7 @@
 func (f *Follower) Take(obj objectapi.Object, before uint64) {
 	f.mu.Lock()
 	missed := objectapi.Version(before) > max(f.revision, f.lastChange)
+	f.missed = f.missed || missed
 	if f.listed {
 		f.apply(obj)
 	}
@@ -184,6 +220,14 @@
 			return
 		case <-timer.C:
 		case <-f.hint:
+			// The change itself is mostly on its way, by this instance's watch or
+			// by another one's word. Without the pause, each instance of a large
+			// fleet would read the kind for each change of it.
+			if f.awaitHinted(ctx) {
+				timer.Stop()
+				f.again()
+				continue
+			}
 		}
 		timer.Stop()
 		if f.read(ctx) {
@@ -304,7 +348,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	first := !f.listed
-	f.listed = true
+	f.listed, f.missed = true, false
 	changed := first
 	present := make(map[string]bool, len(l.Objects))
 	for _, obj := range l.Objects {
