--- a/balance/cached.go
+++ b/balance/cached.go
@@ -84,3 +84,25 @@
 	}
 	return nil
 }
+
+// keptStore is what is known of a store of cached parts.
+type keptStore struct {
+	KeptStore
+	parts *partCache
+}
+
+// SetKept replaces the list of stores that keep cached parts.
+func (s *State) SetKept(list []KeptStore) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := map[string]*keptStore{}
+	for _, k := range list {
+		known, ok := s.kept[k.Address]
+		if !ok {
+			known = &keptStore{parts: newPartCache(k.CacheTokens)}
+		}
+		known.KeptStore = k
+		next[k.Address] = known
+	}
+	s.kept = next
+}
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -103,66 +102,6 @@
 	}
 }
 
-// Hint says that a revision exists somewhere; the kind is read at once if it is
-// newer than what is known here.
-func (f *Follower) Hint(revision uint64) {
-	f.mu.Lock()
-	f.hinted = max(f.hinted, objectapi.Version(revision))
-	newer := f.behind()
-	f.mu.Unlock()
-	if newer {
-		f.readSoon()
-	}
-}
-
-// behind reports whether somebody has told of a newer revision; the mutex is held.
-func (f *Follower) behind() bool { return f.hinted > max(f.revision, f.lastChange) }
-
-// awaitHinted waits for the change that a hint tells of. It reports whether the
-// change has come by itself.
-func (f *Follower) awaitHinted(ctx context.Context) bool {
-	f.mu.Lock()
-	told := f.hinted
-	f.mu.Unlock()
-	_ = clock.Sleep(ctx, hintPause+rand.N(hintPause))
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return !f.missed && told <= max(f.revision, f.lastChange)
-}
-
-// again looks after newer hints that came during the wait for one.
-func (f *Follower) again() {
-	f.mu.Lock()
-	newer := f.behind()
-	f.mu.Unlock()
-	if newer {
-		f.readSoon()
-	}
-}
-
-func (f *Follower) readSoon() {
-	select {
-	case f.hint <- struct{}{}:
-	default:
-	}
-}
-
-// Take takes in a change that another instance's watch has heard of. before is
-// the revision of the kind's last change before it; if that one is not known
-// here, the kind is read.
-func (f *Follower) Take(obj objectapi.Object, before uint64) {
-	f.mu.Lock()
-	missed := objectapi.Version(before) > max(f.revision, f.lastChange)
-	f.missed = f.missed || missed
-	if f.listed {
-		f.apply(obj)
-	}
-	f.mu.Unlock()
-	if missed {
-		f.readSoon()
-	}
-}
-
 // Run follows the kind until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	var wg sync.WaitGroup
@@ -416,12 +355,6 @@
 	return true
 }
 
-// mayHaveLapsed reports whether an entry that is missing now may be one whose
-// owner lives and could not renew it.
-func (f *Follower) mayHaveLapsed() bool {
-	return f.lost && (!f.reachable || time.Since(f.backAt) < lapsedGrace)
-}
-
 func (f *Follower) drop(name string, at objectapi.Version) {
 	delete(f.objects, name)
 	delete(f.lapsed, name)
@@ -429,23 +362,6 @@
 	f.lastChange = max(f.lastChange, at)
 }
 
-// sweep drops lapsed entries that nobody has renewed in time.
-func (f *Follower) sweep(ctx context.Context) {
-	for clock.Sleep(ctx, sweepEvery) == nil {
-		f.mu.Lock()
-		changed := false
-		if !f.mayHaveLapsed() {
-			for name := range f.lapsed {
-				f.drop(name, f.revision)
-				changed = true
-				log.WithField("kind", f.cfg.Kind).WithField("name", name).Info("lapsed entry gone")
-			}
-		}
-		f.tell(changed)
-		f.mu.Unlock()
-	}
-}
-
 func (f *Follower) advance(revision objectapi.Version) {
 	if revision <= f.revision {
 		return
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -265,62 +265,6 @@
 	}
 }
 
-// datagrams packs a batch; an empty one gives a heartbeat.
-func (n *Node) datagrams(batch []item) []*gossippb.Datagram {
-	current := n.empty()
-	list := []*gossippb.Datagram{current}
-	size := proto.Size(current)
-	for _, i := range batch {
-		add := 4 + itemSize(i)
-		if size+add > maxDatagram && size > 0 {
-			current = n.empty()
-			list = append(list, current)
-			size = proto.Size(current)
-		}
-		size += add
-		switch {
-		case i.start != nil:
-			current.Starts = append(current.Starts, i.start)
-		case i.stage != nil:
-			current.Stages = append(current.Stages, i.stage)
-		case i.notice != nil:
-			current.Notices = append(current.Notices, i.notice)
-		case i.entry != nil:
-			current.Entries = append(current.Entries, i.entry)
-		case i.cache != nil:
-			current.Caches = append(current.Caches, i.cache)
-		}
-	}
-	return list
-}
-
-func itemSize(i item) int {
-	switch {
-	case i.start != nil:
-		return proto.Size(i.start)
-	case i.stage != nil:
-		return proto.Size(i.stage)
-	case i.notice != nil:
-		return proto.Size(i.notice)
-	case i.entry != nil:
-		return proto.Size(i.entry)
-	case i.cache != nil:
-		return proto.Size(i.cache)
-	}
-	return 0
-}
-
-func (n *Node) empty() *gossippb.Datagram {
-	d := &gossippb.Datagram{Instance: n.name, Incarnation: n.incarnation}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	d.Leaving, d.StoreLost = n.leaving, n.storeLost
-	for kind, revision := range n.revisions {
-		d.Revisions = append(d.Revisions, &gossippb.Revision{Kind: kind, Revision: revision})
-	}
-	return d
-}
-
 func (n *Node) broadcast(d *gossippb.Datagram) {
 	data, err := proto.Marshal(d)
 	if err != nil {
