Read all cache events of a holder before any counts; wait for them after a start

Changes: events are read to the end before any counts; an instance waits 60 ms for its peers before it follows anybody; model requests wait up to 400 ms after a start until all endpoints have told. Test fails before.

--- a/balance/cached.go
+++ b/balance/cached.go
@@ -29,6 +29,9 @@
 	if cache == nil {
 		return
 	}
+	if e := s.endpoints[n.Holder]; e != nil && n.Whole {
+		e.told = true
+	}
 	for _, key := range n.Removed {
 		cache.remove(key)
 	}
@@ -38,6 +41,19 @@
 	}
 }
 
+// Warm reports whether all endpoints of a service have told what they hold, since
+// this instance has started.
+func (s *State) Warm(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.byService[service] {
+		if !e.told && !e.Draining {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *State) cacheFor(n CacheNews) *partCache {
 	if k := s.kept[n.Holder]; k != nil {
 		if n.Whole {
--- a/balance/cached_test.go
+++ b/balance/cached_test.go
@@ -21,6 +21,23 @@
 	}
 }
 
+// Requests wait for a moment after a start until endpoints have told what they hold;
+// an endpoint that leaves must not make them wait.
+func TestWarmOnceAllEndpointsHaveTold(t *testing.T) {
+	s := newPool(2, 1)
+	if s.Warm("pool") {
+		t.Error("warm before any endpoint has told")
+	}
+	s.Cached(CacheNews{Holder: "e0", Model: model, Whole: true})
+	if s.Warm("pool") {
+		t.Error("warm with one endpoint missing")
+	}
+	s.Leaving("e1")
+	if !s.Warm("pool") {
+		t.Error("not warm though the only endpoint that stays has told")
+	}
+}
+
 // An endpoint evicts a catalogue that the router still counts on. Requests that
 // are sent there to use it read it again, one after the other.
 func TestEvictedPartsAreForgotten(t *testing.T) {
--- a/balance/state.go
+++ b/balance/state.go
@@ -47,7 +47,9 @@
 	caches map[string]*modelCache
 	// capacity of the cache in tokens.
 	capacity int64
-	running  int
+	// told says that the endpoint's own word on its cache has come.
+	told    bool
+	running int
 	// reading is the prompt work in tokens of the runs that have not answered.
 	reading int64
 	// memory in tokens of the running requests.
--- a/cachefeed/cachefeed.go
+++ b/cachefeed/cachefeed.go
@@ -32,6 +32,15 @@
 	// wholeAfter is how long the word that peers have started is gathered before
 	// everything is told again.
 	wholeAfter = 150 * time.Millisecond
+	// fewEvents in an answer mean that no more are there: less than a holder gives
+	// out at a time, and more than come during a call.
+	fewEvents = 100
+	// catchUpWait is how long a call waits that may find nothing more.
+	catchUpWait = 200 * time.Millisecond
+	// settleTime is how long a starting instance waits before it takes anything on:
+	// it would count itself alone, and each of a fleet that starts together would
+	// follow everything at first.
+	settleTime = 60 * time.Millisecond
 	// partsPerMessage keeps a message within a datagram.
 	partsPerMessage = 80
 )
@@ -127,6 +136,7 @@
 	defer wg.Wait()
 	ticker := time.NewTicker(ownersEvery)
 	defer ticker.Stop()
+	_ = clock.Sleep(ctx, settleTime)
 	for {
 		f.assign(ctx, &wg)
 		select {
@@ -174,8 +184,7 @@
 func (f *Feed) follow(ctx context.Context, h Holder) {
 	var since, epoch uint64
 	for ctx.Err() == nil {
-		callsTotal.Inc()
-		b, err := f.cfg.Source.Events(ctx, h, since, waitTime)
+		b, err := f.read(ctx, h, since)
 		if ctx.Err() != nil {
 			return
 		}
@@ -201,6 +210,31 @@
 	}
 }
 
+// read returns the next events, or all that there are where since is 0. A holder
+// gives out a few hundred at a time, the oldest first; what the first of them say
+// of a part may long be past.
+func (f *Feed) read(ctx context.Context, h Holder, since uint64) (Batch, error) {
+	callsTotal.Inc()
+	b, err := f.cfg.Source.Events(ctx, h, since, waitTime)
+	if err != nil || since > 0 {
+		return b, err
+	}
+	for n := len(b.Changes); n >= fewEvents && ctx.Err() == nil; {
+		callsTotal.Inc()
+		more, err := f.cfg.Source.Events(ctx, h, b.Next, catchUpWait)
+		if err != nil {
+			return Batch{}, err
+		}
+		if more.Epoch != b.Epoch || more.Lost {
+			return Batch{}, fault.New(fault.Broken, "the events are read anew", "events went while they were read")
+		}
+		n = len(more.Changes)
+		b.Changes = append(b.Changes, more.Changes...)
+		b.Next = more.Next
+	}
+	return b, nil
+}
+
 // news hands on what a batch comes to in the end: of a part that came and went
 // only the last counts.
 func (f *Feed) news(h Holder, whole bool, changes []Change) {
--- a/cachefeed/cachefeed_test.go
+++ b/cachefeed/cachefeed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -11,6 +12,9 @@
 	"github.com/sardinedock/sardinedock/prefix"
 )
 
+// atATime is how many events a holder gives out in one answer.
+const atATime = 300
+
 // script is a holder whose events are given by the test.
 type script struct {
 	mu     sync.Mutex
@@ -29,7 +33,8 @@
 		s.mu.Lock()
 		b := Batch{Epoch: s.epoch, Next: uint64(len(s.events)) + 1, Lost: s.lost && since > 0}
 		if from := max(since, 1) - 1; from < uint64(len(s.events)) {
-			b.Changes = append(b.Changes, s.events[from:]...)
+			to := min(from+atATime, uint64(len(s.events)))
+			b.Changes, b.Next = append(b.Changes, s.events[from:to]...), to+1
 		}
 		s.lost = s.lost && since == 0
 		s.mu.Unlock()
@@ -133,6 +138,25 @@
 	})
 }
 
+// A holder has thousands of events to tell and gives out the oldest ones first. An
+// instance that goes by the first answer alone counts on parts that are long gone,
+// for as long as it takes to read on.
+func TestAllEventsAreReadBeforeAnyCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{epoch: 1}
+		s.add(part("old", true))
+		for i := range 1000 {
+			s.add(part(strconv.Itoa(i), true), part(strconv.Itoa(i), false))
+		}
+		s.add(part("old", false), part("new", true))
+		has, _, _ := run(t, s)
+		time.Sleep(settleTime + catchUpWait + 50*time.Millisecond)
+		if has("old") || !has("new") {
+			t.Errorf("right after the start: evicted part known %v, newest part known %v", has("old"), has("new"))
+		}
+	})
+}
+
 // Peers that have just started know of no cache; they are told everything, once
 // for however many of them start together.
 func TestStartedPeersAreToldEverything(t *testing.T) {
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -33,6 +33,9 @@
 		waitSeconds.Update(time.Since(from).Seconds())
 	}()
 	ask := r.ask()
+	if err := r.warmUp(); err != nil {
+		return balance.Placement{}, err
+	}
 	for {
 		changed := r.srv.cfg.State.Changed()
 		now := time.Now()
@@ -64,6 +67,29 @@
 	}
 }
 
+// warmBound is how long after its start an instance has model requests wait for
+// what endpoints hold. Endpoints tell within a tenth of a second; callers are
+// content with several.
+const warmBound = 400 * time.Millisecond
+
+// warmUp waits until it is known what is cached where.
+//
+// Load: all instances restart together while callers go on sending. Harm prevented:
+// the requests of the first moments find nothing known, and each prompt that
+// endpoints hold is read again, which keeps the pool behind for seconds.
+func (r *request) warmUp() error {
+	until := r.srv.cfg.Started.Add(warmBound)
+	for r.service.Engine != nil && time.Now().Before(until) && !r.srv.cfg.State.Warm(r.service.Name) {
+		if err := r.rest(nil, warmLook); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// warmLook is the time between two looks during warmUp.
+const warmLook = 10 * time.Millisecond
+
 // admission decides whether the request is sent to the endpoint chosen.
 func (r *request) admission(now time.Time, p balance.Placement) balance.Admission {
 	if r.service.Engine == nil || r.route.TargetLatency <= 0 {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -41,6 +41,8 @@
 	Dialect Dialect
 	// Relay returns the connections to an endpoint's address.
 	Relay func(address string) *endpoint.Relay
+	// Started is when the process began; see warmBound.
+	Started time.Time
 	// HeaderBytes and BodyBytes bound what is read of a request, whatever the
 	// records allow.
 	HeaderBytes, BodyBytes int
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -101,7 +101,7 @@
 	i.server = gateway.NewServer(gateway.Config{
 		DataCentre: s.GetDataCentre(), Table: i.table.Load, State: i.state, Budget: i.budget, Guard: i.guard,
 		Teller: i.node, Dialect: platform.Dialect{}, Relay: i.relays.to,
-		HeaderBytes: headerBytes, BodyBytes: bodyBytes,
+		Started: time.Now(), HeaderBytes: headerBytes, BodyBytes: bodyBytes,
 	})
 	i.run()
 	i.duties.Go(func() { i.served("callers", i.server.Serve(callers)) })
