Tell a removal from a lapse by how long the store was away, and by steady peers

Changes: only an outage of two heartbeats can lapse entries; a peer that has reached the store all the while says so with each change, and its word on a removal counts at once. Tests for both fail before.

--- a/directory/follower.go
+++ b/directory/follower.go
@@ -45,9 +45,10 @@
 	// CheckEvery is how often the kind is read besides the watch, which may be
 	// deaf without breaking. It is asked before each check.
 	CheckEvery func() time.Duration
-	// KeepLapsed keeps entries that disappear around an outage of the store
-	// until they can have been renewed.
-	KeepLapsed bool
+	// LapseAfter is the shortest outage of the store in which entries can lapse
+	// though their owners live; those that disappear around one are kept until they
+	// can have been renewed. 0 means that entries do not lapse.
+	LapseAfter time.Duration
 	// Changed is told of all objects after each change, by one goroutine at a
 	// time. It must not block.
 	Changed func(objects map[string]objectapi.Object)
@@ -57,8 +58,9 @@
 	// yes. Where it does not, it lives by what Take is given and by its reads.
 	Watches func() bool
 	// Heard is told of each change that the watch brings, and of the revision of
-	// the one before; nil tells nobody.
-	Heard func(obj objectapi.Object, before uint64)
+	// the one before; steady says that no outage here makes a removal doubtful. Nil
+	// tells nobody.
+	Heard func(obj objectapi.Object, before uint64, steady bool)
 	// Reached is told when the store is lost or answers again; nil tells nobody.
 	Reached func(bool)
 }
@@ -87,8 +89,10 @@
 	lapsed    map[string]bool
 	backAt    time.Time
 	reachable bool
-	// lost says that the store was reached and then was not.
-	lost bool
+	// lostAt is when the store was reached and then was not, outage how long the
+	// last such time was.
+	lostAt time.Time
+	outage time.Duration
 }
 
 // NewFollower returns a follower that Run starts.
@@ -106,7 +110,7 @@
 func (f *Follower) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	wg.Go(func() { f.check(ctx) })
-	if f.cfg.KeepLapsed {
+	if f.cfg.LapseAfter > 0 {
 		wg.Go(func() { f.sweep(ctx) })
 	}
 	pause := firstRetry
@@ -241,7 +245,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.reachable {
-		f.lost = true
+		f.lostAt = time.Now()
 		log.WithField("kind", f.cfg.Kind).WithField("why", err.Error()).Warn("store lost")
 	}
 	if f.reachable {
@@ -264,6 +268,9 @@
 	}
 	f.reachable = true
 	f.backAt = time.Now()
+	if !f.lostAt.IsZero() {
+		f.outage = f.backAt.Sub(f.lostAt)
+	}
 	f.tellReached(true)
 	log.WithField("kind", f.cfg.Kind).Info("store reached")
 }
@@ -310,7 +317,7 @@
 	f.apply(obj)
 	f.advance(obj.Version)
 	if f.cfg.Heard != nil {
-		f.cfg.Heard(obj, uint64(before))
+		f.cfg.Heard(obj, uint64(before), !f.mayHaveLapsed())
 	}
 }
 
@@ -344,7 +351,7 @@
 	if _, ok := f.objects[name]; !ok {
 		return false
 	}
-	if f.cfg.KeepLapsed && f.mayHaveLapsed() {
+	if f.mayHaveLapsed() {
 		if !f.lapsed[name] {
 			f.lapsed[name] = true
 			log.WithField("kind", f.cfg.Kind).WithField("name", name).Info("entry lapsed around an outage; kept for a moment")
--- a/directory/follower_test.go
+++ b/directory/follower_test.go
@@ -132,7 +132,7 @@
 	var mu sync.Mutex
 	var now map[string]objectapi.Object
 	f := NewFollower(Config{
-		Store: s, Kind: "endpoints", KeepLapsed: true,
+		Store: s, Kind: "endpoints", LapseAfter: 2400 * time.Millisecond,
 		CheckEvery: func() time.Duration { return check },
 		Changed: func(objects map[string]objectapi.Object) {
 			mu.Lock()
@@ -212,7 +212,7 @@
 		s.change(func() { s.deaf = true })
 		s.remove("a")
 		s.put("c")
-		f.Take(objectapi.Object{Name: "c", Version: 4}, 3)
+		f.Take(objectapi.Object{Name: "c", Version: 4}, 3, true)
 		time.Sleep(300 * time.Millisecond)
 		if has("a") || !has("c") {
 			t.Errorf("removed entry believed: %v, new one: %v", has("a"), has("c"))
@@ -265,6 +265,43 @@
 	})
 }
 
+// One call of the store fails, and a moment later an endpoint leaves without a word.
+// Taken for lapsed, it would get requests for two seconds more, while it ends.
+func TestFailedCallIsNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore("a", "b")
+		has := follow(t, s, 200*time.Millisecond)
+		time.Sleep(time.Second)
+		s.setDown(true)
+		time.Sleep(300 * time.Millisecond)
+		s.setDown(false)
+		time.Sleep(700 * time.Millisecond)
+		s.remove("a")
+		time.Sleep(100 * time.Millisecond)
+		if has("a") {
+			t.Error("the entry is still believed")
+		}
+	})
+}
+
+// The store turned this instance away for seconds and serves it again, and just then
+// an endpoint leaves. An instance that was served all the while tells that the entry
+// was removed. Taken for lapsed all the same, it would get requests while it ends.
+func TestRemovalThatASteadyPeerTellsIsNoLapse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore("a", "b")
+		has, f := followHinted(t, s, time.Second)
+		time.Sleep(time.Second)
+		s.setDown(true)
+		time.Sleep(6 * time.Second)
+		f.Take(objectapi.Object{Name: "a", Version: 3, Deleted: true}, 2, true)
+		f.Take(objectapi.Object{Name: "b", Version: 4, Deleted: true}, 3, false)
+		if has("a") || !has("b") {
+			t.Errorf("removed entry believed %v; entry that may have lapsed kept %v", has("a"), has("b"))
+		}
+	})
+}
+
 // A watch stays open and hears nothing while an endpoint is removed. Callers are
 // sent to an endpoint that has gone unless the kind is read besides.
 func TestDeafWatchIsFoundOut(t *testing.T) {
--- a/directory/hints.go
+++ b/directory/hints.go
@@ -54,12 +54,18 @@
 
 // Take takes in a change that another instance's watch has heard of. before is
 // the revision of the kind's last change before it; if that one is not known
-// here, the kind is read.
-func (f *Follower) Take(obj objectapi.Object, before uint64) {
+// here, the kind is read. steady says that the other instance knows a removal from a
+// lapse, whatever outage there was here.
+func (f *Follower) Take(obj objectapi.Object, before uint64, steady bool) {
 	f.mu.Lock()
 	missed := objectapi.Version(before) > max(f.revision, f.lastChange)
 	f.missed = f.missed || missed
-	if f.listed {
+	switch {
+	case !f.listed:
+	case obj.Deleted && steady:
+		f.drop(obj.Name, obj.Version)
+		f.tell(true)
+	default:
 		f.apply(obj)
 	}
 	f.mu.Unlock()
--- a/directory/lapsed.go
+++ b/directory/lapsed.go
@@ -10,9 +10,16 @@
 )
 
 // mayHaveLapsed reports whether an entry that is missing now may be one whose
-// owner lives and could not renew it.
+// owner lives and could not renew it. A call or two that failed are no outage: an
+// entry that goes then has been removed, and its owner is about to end.
 func (f *Follower) mayHaveLapsed() bool {
-	return f.lost && (!f.reachable || time.Since(f.backAt) < lapsedGrace)
+	switch {
+	case f.cfg.LapseAfter == 0 || f.lostAt.IsZero():
+		return false
+	case !f.reachable:
+		return time.Since(f.lostAt) >= f.cfg.LapseAfter
+	}
+	return f.outage >= f.cfg.LapseAfter && time.Since(f.backAt) < lapsedGrace
 }
 
 // sweep drops lapsed entries that nobody has renewed in time.
--- a/hosted/beliefs.go
+++ b/hosted/beliefs.go
@@ -131,9 +131,9 @@
 }
 
 // tellEntry tells the others a change that this instance's watch has heard of.
-func (i *Instance) tellEntry(obj objectapi.Object, before uint64) {
+func (i *Instance) tellEntry(obj objectapi.Object, before uint64, steady bool) {
 	i.node.TellEntry(&gossippb.Entry{
-		Kind: obj.Kind, Name: obj.Name, Revision: uint64(obj.Version), Deleted: obj.Deleted, Value: obj.Value, Before: before,
+		Kind: obj.Kind, Name: obj.Name, Revision: uint64(obj.Version), Deleted: obj.Deleted, Value: obj.Value, Before: before, Steady: steady,
 	})
 }
 
@@ -190,7 +190,7 @@
 	}
 	f.Take(objectapi.Object{
 		Kind: e.GetKind(), Name: e.GetName(), Version: objectapi.Version(e.GetRevision()), Deleted: e.GetDeleted(), Value: e.GetValue(),
-	}, e.GetBefore())
+	}, e.GetBefore(), e.GetSteady())
 }
 
 // Revision implements gossip.Handler.
--- a/hosted/fixture_test.go
+++ b/hosted/fixture_test.go
@@ -60,7 +60,7 @@
 		var err error
 		i, err = Start(&settingspb.Hosted{
 			Instance: name, DataCentre: "dc-1", Store: f.store.Address(), Listen: listen,
-			Bounds: &settingspb.HostedBounds{GraceSeconds: 4, LeaseMs: 1000, RetryRatio: 0.2, RetrySlack: 50, RetryWindowSeconds: 10, WeightsMs: 8000},
+			Bounds: &settingspb.HostedBounds{GraceSeconds: 4, LeaseMs: 1000, RetryRatio: 0.2, RetrySlack: 50, RetryWindowSeconds: 10, WeightsMs: 8000, HeartbeatMs: 300},
 		})
 		if err != nil && try == tries {
 			f.t.Fatal(err)
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -168,10 +168,10 @@
 		Take: i.state.Cached, Tell: i.tellCache, Held: i.state.CachedParts,
 	})
 	i.followers = map[string]*directory.Follower{}
-	i.follow(platform.KindRecords, false, i.takeRecords)
-	i.follow(platform.KindEndpoints, true, i.takeEndpoints)
-	i.follow(platform.KindWeights, false, i.takeWeights)
-	i.follow(kindInstances, false, i.takeInstances)
+	i.follow(platform.KindRecords, i.takeRecords)
+	i.follow(platform.KindEndpoints, i.takeEndpoints)
+	i.follow(platform.KindWeights, i.takeWeights)
+	i.follow(kindInstances, i.takeInstances)
 	i.duties.Go(func() { i.node.Run(ctx) })
 	for _, f := range i.followers {
 		i.duties.Go(func() { f.Run(ctx) })
@@ -184,9 +184,9 @@
 }
 
 // follow sets up the follower of a kind; run starts it.
-func (i *Instance) follow(kind string, keepLapsed bool, changed func(map[string]objectapi.Object)) {
+func (i *Instance) follow(kind string, changed func(map[string]objectapi.Object)) {
 	cfg := directory.Config{
-		Store: i.store, Kind: kind, KeepLapsed: keepLapsed, Changed: changed, Seen: i.node.TellRevision,
+		Store: i.store, Kind: kind, Changed: changed, Seen: i.node.TellRevision,
 		CheckEvery: func() time.Duration { return i.turn(kind) },
 	}
 	if kind != platform.KindRecords {
@@ -198,6 +198,9 @@
 	}
 	if kind == platform.KindEndpoints {
 		cfg.Reached = i.node.TellStore
+		// Entries go after three heartbeats of silence; the last one before the
+		// outage may be nearly one old.
+		cfg.LapseAfter = 2 * time.Duration(i.settings.GetBounds().GetHeartbeatMs()) * time.Millisecond
 	}
 	i.followers[kind] = directory.NewFollower(cfg)
 }
