Pass the word on within data centres of more than eight instances

Change: one live instance of each other data centre, in turn, passes the word on; small fleets go on telling each one.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/apex/log"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/sardinedock/sardinedock/fault"
@@ -39,6 +38,7 @@
 var (
 	sentTotal     = metrics.GetOrCreateCounter("sardinedock_gossip_datagrams_sent_total")
 	receivedTotal = metrics.GetOrCreateCounter("sardinedock_gossip_datagrams_received_total")
+	relayedTotal  = metrics.GetOrCreateCounter("sardinedock_gossip_datagrams_relayed_total")
 	badTotal      = metrics.GetOrCreateCounter("sardinedock_gossip_datagrams_bad_total")
 	failsTotal    = metrics.GetOrCreateCounter("sardinedock_gossip_send_failures_total")
 )
@@ -61,14 +61,16 @@
 
 // Peer is another instance.
 type Peer struct {
-	Name    string
-	Address netip.AddrPort
+	Name       string
+	Address    netip.AddrPort
+	DataCentre string
 }
 
 // Node is the duty that tells and hears. Any goroutine may call its methods;
 // none blocks.
 type Node struct {
 	name        string
+	dataCentre  string
 	incarnation uint64
 	conn        *net.UDPConn
 	handler     Handler
@@ -102,7 +104,7 @@
 }
 
 // New binds the address. incarnation must rise with every start.
-func New(name string, incarnation uint64, address string, h Handler) (*Node, error) {
+func New(name, dataCentre string, incarnation uint64, address string, h Handler) (*Node, error) {
 	bind, err := net.ResolveUDPAddr("udp4", address)
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Invalid, "write IP:port", "address for datagrams %s", address)
@@ -112,7 +114,7 @@
 		return nil, fault.Wrap(err, fault.Unavailable, "free the port, or name another one", "listen for datagrams")
 	}
 	return &Node{
-		name: name, incarnation: incarnation, conn: conn, handler: h,
+		name: name, dataCentre: dataCentre, incarnation: incarnation, conn: conn, handler: h,
 		out:       ring.New[item]("gossip_out", outRing),
 		heard:     map[string]heard{},
 		revisions: map[string]uint64{},
@@ -265,24 +267,6 @@
 	}
 }
 
-func (n *Node) broadcast(d *gossippb.Datagram) {
-	data, err := proto.Marshal(d)
-	if err != nil {
-		log.WithError(err).Error("encode a datagram")
-		return
-	}
-	n.mu.Lock()
-	peers := append([]Peer(nil), n.peers...)
-	n.mu.Unlock()
-	for _, p := range peers {
-		if _, err := n.conn.WriteToUDPAddrPort(data, p.Address); err != nil {
-			failsTotal.Inc()
-			continue
-		}
-		sentTotal.Inc()
-	}
-}
-
 func (n *Node) receive(ctx context.Context) {
 	buf := make([]byte, 64<<10)
 	for {
@@ -300,9 +284,13 @@
 			continue
 		}
 		receivedTotal.Inc()
-		if d.GetInstance() != n.name {
-			n.hear(&d)
+		if d.GetInstance() == n.name {
+			continue
+		}
+		if d.GetRelay() {
+			n.relay(&d)
 		}
+		n.hear(&d)
 	}
 }
 
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -123,7 +123,7 @@
 		}
 		i.listeners = append(i.listeners, ln)
 	}
-	node, err := gossip.New(i.settings.GetInstance(), i.incarnation, l.GetGossip(), hearer{i})
+	node, err := gossip.New(i.settings.GetInstance(), i.settings.GetDataCentre(), i.incarnation, l.GetGossip(), hearer{i})
 	if err != nil {
 		i.closeListeners()
 		return err
--- a/hosted/members.go
+++ b/hosted/members.go
@@ -32,12 +32,13 @@
 
 // member is what an instance says of itself in the store.
 type member struct {
-	Gossip string `json:"gossip"`
+	Gossip     string `json:"gossip"`
+	DataCentre string `json:"data_centre"`
 }
 
 // register writes this instance's entry, once; it changes only with the address.
 func (i *Instance) register(ctx context.Context) {
-	value, err := json.Marshal(member{Gossip: i.settings.GetListen().GetGossip()})
+	value, err := json.Marshal(member{Gossip: i.settings.GetListen().GetGossip(), DataCentre: i.settings.GetDataCentre()})
 	if err != nil {
 		log.WithError(err).Error("encode the instance's entry")
 		return
@@ -79,7 +80,7 @@
 			log.WithError(err).WithField("peer", obj.Name).Error("address of an instance not understood")
 			continue
 		}
-		peers = append(peers, gossip.Peer{Name: obj.Name, Address: address})
+		peers = append(peers, gossip.Peer{Name: obj.Name, Address: address, DataCentre: m.DataCentre})
 	}
 	i.node.SetPeers(peers)
 	log.WithField("peers", len(peers)).Info("instances listed")
