Tell how many log lines were dropped when the telling line is dropped too

Cause, found by the new test: a line that carried the count of lines dropped before it and found the ring full took that count with it (12,288 lines at a stuck reader: 1 told as dropped of 7,462). Change: the count goes on to the next line.

--- a/logline/logline.go
+++ b/logline/logline.go
@@ -75,7 +75,8 @@
 	select {
 	case h.lines <- append(data, '\n'):
 	default:
-		h.drop()
+		// The line would have told of those dropped before it.
+		h.drop(dropped + 1)
 	}
 	return nil
 }
@@ -100,10 +101,10 @@
 	return dropped, true
 }
 
-func (h *Handler) drop() {
+func (h *Handler) drop(n int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.dropped++
+	h.dropped += n
 	droppedTotal.Inc()
 }
 
