Let retries be saved up over a window

Change: what requests pay in is kept for a window; half of the ratio is given out for each of two windows, so that the bound of the fleet holds (property test). Test: 40 broken streams at one instance, 3 resumed before, 20 or more now.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -147,6 +147,7 @@
 	}
 	a, _, err := r.send(p, string(s.lastID))
 	if err != nil {
+		r.exclude = append(r.exclude, p.Endpoint.ID)
 		r.lastErr = err
 		return err
 	}
--- a/policy/fleetretry.go
+++ b/policy/fleetretry.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -9,11 +10,14 @@
 	// useOfRatio and useOfSlack are the parts of what the fleet may send again
 	// that instances give out. The rest covers requests that are counted in
 	// another window than their retries, and shares that are out of date.
-	useOfRatio = 0.6
+	//
+	// Half of the ratio is given out twice: for the requests of the window that goes
+	// on, and saved up from those of the one before.
+	useOfRatio = 0.5
 	useOfSlack = 0.7
 	// burstOfSlack is the part of an instance's slack that may be used at once;
 	// the rest comes back over the window.
-	burstOfSlack = 0.5
+	burstOfSlack = 0.7
 )
 
 // FleetRetries bounds the sends beyond the first of each request, by service,
@@ -38,6 +42,8 @@
 type retryBucket struct {
 	tokens float64
 	last   time.Time
+	// accepted is about how many requests came within the last window.
+	accepted float64
 }
 
 // NewFleetRetries returns full budgets. ratio, slack and window are those of the
@@ -58,7 +64,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	b := f.bucket(now, service)
-	b.tokens = min(b.tokens+f.ratio*useOfRatio, f.burst()+1)
+	b.accepted++
+	b.tokens = min(b.tokens+f.ratio*useOfRatio, f.most(b))
 }
 
 // Retry takes one send out; false means that the request has to end.
@@ -77,14 +84,21 @@
 
 func (f *FleetRetries) burst() float64 { return max(f.share()*burstOfSlack, 1) }
 
+// most is what may be saved up: a crash of several endpoints fails in one moment
+// what a window's requests pay for.
+func (f *FleetRetries) most(b *retryBucket) float64 {
+	return f.burst() + f.ratio*useOfRatio*b.accepted
+}
+
 func (f *FleetRetries) bucket(now time.Time, service string) *retryBucket {
 	b, ok := f.services[service]
 	if !ok {
 		b = &retryBucket{tokens: f.burst(), last: now}
 		f.services[service] = b
 	}
-	refill := now.Sub(b.last).Seconds() / f.window.Seconds() * f.share() * (1 - burstOfSlack)
-	b.tokens = min(b.tokens+max(refill, 0), f.burst()+1)
+	windows := max(now.Sub(b.last).Seconds()/f.window.Seconds(), 0)
+	b.accepted *= math.Exp(-windows)
+	b.tokens = min(b.tokens+windows*f.share()*(1-burstOfSlack), f.most(b))
 	b.last = now
 	return b
 }
--- a/policy/fleetretry_test.go
+++ b/policy/fleetretry_test.go
@@ -49,3 +49,26 @@
 		}
 	})
 }
+
+// Three of nine endpoints crash in one moment at a busy time, and forty streams that
+// may be resumed break at one instance. With a budget that cannot save up, nearly all
+// of them fail although the fleet may send far more again.
+func TestCrashIsPaidForByTheWindowBefore(t *testing.T) {
+	f := NewFleetRetries(0.2, 56, 10*time.Second)
+	f.SetInstances(8)
+	now := time.Unix(1000, 0)
+	for range 600 {
+		now = now.Add(50 * time.Millisecond)
+		f.Accepted(now, "pool")
+	}
+	resumed := 0
+	for range 40 {
+		if f.Retry(now, "pool") {
+			resumed++
+		}
+	}
+	// 200 requests of the last window pay for 20, and the slack for 3.
+	if resumed < 20 {
+		t.Errorf("%d of 40 broken streams may be resumed", resumed)
+	}
+}
