--- a/lease/machine.go
+++ b/lease/machine.go
@@ -21,9 +21,10 @@
 	driftShare = 10
 	// renewShare and pollShare are the parts of the length after which the
 	// holder writes and the others read again. Two writes may fail before
-	// the lease is lost.
+	// the lease is lost. Others see a write late by up to a poll and look again
+	// late by another, so rare polls add to the time without a holder.
 	renewShare = 3
-	pollShare  = 2
+	pollShare  = 6
 	// retryShare is the part of the length after which a failed call is made
 	// again.
 	retryShare = 12
