Bound what is remembered of removed objects and of former peers

Cause, found by reading: both grew with every endpoint and instance that ever was. Change: the older half of removed objects is forgotten beyond 4,096; peers that are not listed any more are forgotten. Test fails before.

--- a/directory/follower.go
+++ b/directory/follower.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,6 +35,8 @@
 	// it, and as much again is drawn. Changes reach all within some ms, and the
 	// tightest bound on them is seconds.
 	hintPause = 100 * time.Millisecond
+	// maxRemoved bounds what is remembered of removed objects.
+	maxRemoved = 4096
 	// sweepEvery is how often lapsed entries are looked at.
 	sweepEvery = 100 * time.Millisecond
 )
@@ -366,9 +370,21 @@
 	delete(f.objects, name)
 	delete(f.lapsed, name)
 	f.removed[name] = at
+	if len(f.removed) > maxRemoved {
+		f.forgetRemoved()
+	}
 	f.lastChange = max(f.lastChange, at)
 }
 
+// forgetRemoved drops the older half of what is remembered of removed objects. It
+// guards against reads that were under way when an object went, which are seconds
+// old; without a bound it would grow with every endpoint that ever was.
+func (f *Follower) forgetRemoved() {
+	revisions := slices.Sorted(maps.Values(f.removed))
+	middle := revisions[len(revisions)/2]
+	maps.DeleteFunc(f.removed, func(_ string, at objectapi.Version) bool { return at < middle })
+}
+
 func (f *Follower) advance(revision objectapi.Version) {
 	if revision <= f.revision {
 		return
--- a/directory/follower_test.go
+++ b/directory/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -334,3 +335,23 @@
 		}
 	})
 }
+
+// Endpoints come and go for months. What a router remembers of those that went must
+// not grow with them, or it runs out of memory one day.
+func TestMemoryOfRemovedObjectsIsBounded(t *testing.T) {
+	f := NewFollower(Config{Kind: "endpoints", Changed: func(map[string]objectapi.Object) {}})
+	f.takeList(objectapi.Listing{Version: 1})
+	for i := range 4 * maxRemoved {
+		name := strconv.Itoa(i)
+		f.takeEvent(objectapi.Object{Name: name, Version: objectapi.Version(2*i + 2)})
+		f.takeEvent(objectapi.Object{Name: name, Version: objectapi.Version(2*i + 3), Deleted: true})
+	}
+	if len(f.removed) > maxRemoved || len(f.objects) > 0 {
+		t.Errorf("%d removed objects remembered, %d objects held", len(f.removed), len(f.objects))
+	}
+	last := strconv.Itoa(4*maxRemoved - 1)
+	f.takeEvent(objectapi.Object{Name: last, Version: 3})
+	if len(f.objects) > 0 {
+		t.Error("an old read brought back what was removed last")
+	}
+}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/netip"
 	"sync"
@@ -135,11 +136,17 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.peers = n.peers[:0]
+	listed := map[string]bool{}
 	for _, p := range peers {
+		listed[p.Name] = true
 		if p.Name != n.name {
 			n.peers = append(n.peers, p)
 		}
 	}
+	// Instances are replaced under new names; what was heard of old ones would
+	// grow for ever.
+	now := time.Now()
+	maps.DeleteFunc(n.heard, func(name string, h heard) bool { return !listed[name] && now.Sub(h.at) > aliveFor })
 }
 
 // Live returns the number of instances that were heard of lately, this one
