--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -47,8 +47,8 @@
 	return nil
 }
 
-// checkFile tells records by their schema_version, and loads by their work,
-// which no settings file has.
+// checkFile tells records by their schema_version, loads by their work and the
+// settings of hosted instances by their store, which no other settings file has.
 func checkFile(data []byte) []yamlpb.Fault {
 	if bytes.Contains(data, []byte("schema_version:")) {
 		_, faults := record.ParseYAML(data)
@@ -58,6 +58,10 @@
 		_, faults := demo.ParseLoad(data)
 		return faults
 	}
+	if bytes.Contains(data, []byte("\nstore:")) {
+		_, faults := settings.ParseHosted(data)
+		return faults
+	}
 	_, faults := settings.Parse(data)
 	return faults
 }
--- a/settings/hosted.go
+++ b/settings/hosted.go
@@ -17,12 +17,19 @@
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Invalid, "name a file that can be read", "read the settings")
 	}
-	messages, faults := yamlpb.Decode(data, func() proto.Message { return &settingspb.Hosted{} })
-	if len(messages) != 1 {
-		faults = append(faults, yamlpb.Fault{Found: "the file does not hold exactly one document", Remedy: "write one document of settings"})
-	}
+	h, faults := ParseHosted(data)
 	if len(faults) > 0 {
 		return nil, fault.New(fault.Invalid, "mend the lines named above", "%s", Lines(path, faults))
 	}
-	return messages[0].(*settingspb.Hosted), nil
+	return h, nil
+}
+
+// ParseHosted reads the settings of a hosted instance, fills in the defaults and
+// returns what is wrong.
+func ParseHosted(data []byte) (*settingspb.Hosted, []yamlpb.Fault) {
+	messages, faults := yamlpb.Decode(data, func() proto.Message { return &settingspb.Hosted{} })
+	if len(messages) != 1 {
+		return nil, append(faults, yamlpb.Fault{Found: "the file does not hold exactly one document", Remedy: "write one document of settings"})
+	}
+	return messages[0].(*settingspb.Hosted), faults
 }
--- /dev/null
+++ b/settings/hosted_test.go
@@ -0,0 +1,51 @@
+package settings
+
+import (
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// filled is what the platform puts into the template of the settings.
+var filled = map[string]string{
+	"nodeName|json": `"front-tema-hall-1"`, "zone|json": `"tema-hall"`, "provider.address|json": `"10.200.1.7:8784"`,
+	"listen.front|json": `"10.1.0.30:8782"`, "listen.ready|json": `"10.1.0.30:8789"`, "ip": "10.1.0.30",
+	"internalPorts.0": "7340", "internalPorts.1": "7355", "bounds.graceS": "8", "bounds.leaseMs": "3000",
+	"bounds.retryBudgetRatio": "0.2", "bounds.retrySlack": "56", "bounds.budgetWindowS": "10", "bounds.versionMs": "8000",
+	"heartbeatMs": "1200",
+}
+
+// The template names a field that the settings do not have, or leaves one out. The
+// platform fills it in at every start, and no instance comes up.
+func TestDeployedTemplateIsValid(t *testing.T) {
+	template, err := os.ReadFile("../deploy/settings.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := regexp.MustCompile(`\{\{(.*?)\}\}`).ReplaceAllStringFunc(string(template), func(m string) string {
+		value, ok := filled[strings.Trim(m, "{}")]
+		if !ok {
+			t.Errorf("%s is not filled in", m)
+		}
+		return value
+	})
+	h, faults := ParseHosted([]byte(text))
+	if len(faults) > 0 {
+		t.Fatal(Lines("deploy/settings.yaml", faults))
+	}
+	if h.GetInstance() != "front-tema-hall-1" || h.GetListen().GetGossip() != "10.1.0.30:7340" || h.GetBounds().GetRetrySlack() != 56 || h.GetBounds().GetHeartbeatMs() != 1200 {
+		t.Errorf("filled in as %v", h)
+	}
+}
+
+// An operator mistypes a field. The message names the line and what to write.
+func TestHostedFaultsNameTheirRemedy(t *testing.T) {
+	_, faults := ParseHosted([]byte("instance: a\ndata_centre: d\nstore: somewhere\nlisten: {callers: \"127.0.0.1:1\", ready: \"127.0.0.1:2\", gossip: \"127.0.0.1:3\", metrics: \"127.0.0.1:4\"}\nbounds: {lease_ms: 1}\n"))
+	text := Lines("f", faults)
+	for _, want := range []string{"store: found somewhere; write the store as IP:port", "bounds.lease_ms: found 1; write a value that satisfies min=500"} {
+		if !strings.Contains(text, want) {
+			t.Errorf("%q is missing in\n%s", want, text)
+		}
+	}
+}
