Bound the headers by the records

The limit on headers was the read buffer's alone. Change: headers over the records' limit get 431, nothing was sent. Tests of 413, 431 and 400 on a whole instance.

--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -16,6 +16,7 @@
 	errTimeout    = fault.New(fault.Unknown, "raise the route's timeout, or ask for less", "the time for the request is over")
 	errNoRecords  = fault.New(fault.Unavailable, "send the request again", "no records are in force yet")
 	errNoRoute    = fault.New(fault.NotFound, "check host and path against the routes", "no route for this host and path")
+	errLongHead   = fault.New(fault.TooLarge, "send fewer or shorter headers", "the headers are over the limit of the records")
 	errNoKey      = fault.New(fault.Unauthorized, "send a key that is in force", "no organisation holds this key")
 )
 
@@ -29,6 +30,9 @@
 
 // refusalOf maps an error that came before anything was sent.
 func refusalOf(err error) refusal {
+	if errors.Is(err, errLongHead) {
+		return refusal{status: fasthttp.StatusRequestHeaderFieldsTooLarge, cause: err}
+	}
 	switch fault.KindOf(err) {
 	case fault.BadRequest:
 		return refusal{status: fasthttp.StatusBadRequest, cause: err}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -70,6 +70,9 @@
 	if r.table == nil {
 		return errNoRecords
 	}
+	if limit := r.table.Limits().HeaderBytes; limit > 0 && len(h.RawHeaders()) > limit {
+		return errLongHead
+	}
 	call, err := r.srv.cfg.Dialect.ParseCall(h)
 	if err != nil {
 		return err
--- a/hosted/serve_test.go
+++ b/hosted/serve_test.go
@@ -96,6 +96,18 @@
 	if a := f.do(f.request("POST", "/confirm/1", strings.Repeat("x", 70_000))); a.status != 413 {
 		t.Errorf("large body: status %d", a.status)
 	}
+	for _, size := range []int{17_000, 40_000} {
+		req := f.request("GET", "/stock/1", "")
+		req.Header.Set("X-Long", strings.Repeat("x", size))
+		if a := f.do(req); a.status != 431 {
+			t.Errorf("headers of %d bytes: status %d", size, a.status)
+		}
+	}
+	bad := f.request("GET", "/stock/1", "")
+	bad.Header.Set("Sardinedock-Deadline-Ms", "soon")
+	if a := f.do(bad); a.status != 400 || !strings.Contains(a.body, "Sardinedock-Deadline-Ms") {
+		t.Errorf("bad header: status %d, %s", a.status, a.body)
+	}
 }
 
 // An endpoint is full and says that it did not run a confirmation. Another one has
