Hear a peer that has started again with its clock set back

Cause, found by reading: incarnations are start times; after a step back of the time of day a restarted instance had a smaller one, and all it said was thrown away for the life of its process. Test fails before.

--- /dev/null
+++ b/gossip/admit_test.go
@@ -0,0 +1,29 @@
+package gossip
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sardinedock/sardinedock/schema/gossippb"
+)
+
+// A machine's time of day jumps back by seconds, and its process starts again. Its
+// new incarnation has a smaller number than the old one; if peers throw away all it
+// says, they count it among the dead and know nothing of the requests it sends.
+func TestRestartUnderAClockSetBackIsHeard(t *testing.T) {
+	n := &Node{name: "self", heard: map[string]heard{}}
+	say := func(incarnation uint64, at time.Time) (counts, anew bool) {
+		return n.admit(&gossippb.Datagram{Instance: "peer", Incarnation: incarnation}, at)
+	}
+	start := time.Unix(1000, 0)
+	say(500, start)
+	if counts, _ := say(400, start.Add(100*time.Millisecond)); counts {
+		t.Error("a datagram that was late on the way counts")
+	}
+	if counts, anew := say(400, start.Add(2*time.Second)); !counts || !anew {
+		t.Errorf("after 2 s of silence: counts %v, started anew %v", counts, anew)
+	}
+	if counts, anew := say(400, start.Add(2100*time.Millisecond)); !counts || anew {
+		t.Errorf("the next one: counts %v, started anew %v", counts, anew)
+	}
+}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -301,18 +301,29 @@
 	}
 }
 
-// hear applies a datagram. One of an earlier incarnation of the sender is
-// thrown away.
-func (n *Node) hear(d *gossippb.Datagram) {
+// admit notes that a datagram came, and reports whether it counts and whether its
+// sender has started anew. One of an earlier incarnation is thrown away while the
+// later one is heard of: it was late on the way. Once that one has fallen silent,
+// the sender has started again with its clock set back, and would otherwise be
+// unheard for the life of its process.
+func (n *Node) admit(d *gossippb.Datagram, now time.Time) (counts, anew bool) {
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	h := n.heard[d.GetInstance()]
-	if d.GetIncarnation() < h.incarnation {
-		n.mu.Unlock()
+	if d.GetIncarnation() < h.incarnation && now.Sub(h.at) < aliveFor {
+		return false, false
+	}
+	n.heard[d.GetInstance()] = heard{d.GetIncarnation(), now, d.GetLeaving(), d.GetStoreLost()}
+	return true, d.GetIncarnation() != h.incarnation
+}
+
+// hear applies a datagram.
+func (n *Node) hear(d *gossippb.Datagram) {
+	counts, anew := n.admit(d, time.Now())
+	if !counts {
 		return
 	}
-	n.heard[d.GetInstance()] = heard{d.GetIncarnation(), time.Now(), d.GetLeaving(), d.GetStoreLost()}
-	n.mu.Unlock()
-	if d.GetIncarnation() > h.incarnation {
+	if anew {
 		n.handler.PeerStarted(d.GetInstance())
 	}
 	for _, c := range d.GetCaches() {
