Call what stands already, and clear away what nothing uses

Gone are a flag that connections carried and nobody read, a branch of Accept that no error reached, a wait group that nobody waited for, a wrapper of one call. Behaviour and the tests' assertions are as before; tests of the packages concerned pass.

--- a/balance/cached_test.go
+++ b/balance/cached_test.go
@@ -32,7 +32,7 @@
 	if s.Warm("pool") {
 		t.Error("warm with one endpoint missing")
 	}
-	s.Leaving("e1")
+	s.Gone("e1")
 	if !s.Warm("pool") {
 		t.Error("not warm though the only endpoint that stays has told")
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -250,7 +250,8 @@
 	}
 }
 
-// Gone says that an incarnation has ended, before the platform's list tells.
+// Gone says that an incarnation has ended or takes no new work, before the
+// platform's list tells.
 func (s *State) Gone(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -259,9 +260,6 @@
 	}
 }
 
-// Leaving says that an endpoint takes no new work, by its own word.
-func (s *State) Leaving(id string) { s.Gone(id) }
-
 // View is one endpoint in the state dump.
 type View struct {
 	Endpoint
--- a/demo/settings.go
+++ b/demo/settings.go
@@ -3,8 +3,6 @@
 import (
 	"os"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/sardinedock/sardinedock/fault"
 	"github.com/sardinedock/sardinedock/internal/yamlpb"
 	"github.com/sardinedock/sardinedock/schema/loadpb"
@@ -27,12 +25,10 @@
 
 // ParseLoad reads a load, fills in the defaults and returns what is wrong.
 func ParseLoad(data []byte) (*loadpb.Load, []yamlpb.Fault) {
-	messages, faults := yamlpb.Decode(data, func() proto.Message { return &loadpb.Load{} })
-	if len(messages) != 1 {
-		one := yamlpb.Fault{Found: "the file does not hold exactly one document", Remedy: "write one document"}
-		return nil, append(faults, one)
+	l, faults := yamlpb.DecodeOne(data, func() *loadpb.Load { return &loadpb.Load{} }, "write one document")
+	if l == nil {
+		return nil, faults
 	}
-	l := messages[0].(*loadpb.Load)
 	for _, w := range l.GetWork() {
 		if (w.GetModel() == "") == (w.GetServicePath() == "") {
 			faults = append(faults, yamlpb.Fault{
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -188,7 +188,7 @@
 
 // read takes in what the store holds now.
 func (f *Follower) read(ctx context.Context) bool {
-	l, err := f.list(ctx)
+	l, err := f.cfg.Store.List(ctx, f.cfg.Kind)
 	if err != nil {
 		f.failed(err)
 		return false
@@ -198,10 +198,6 @@
 	return true
 }
 
-func (f *Follower) list(ctx context.Context) (objectapi.Listing, error) {
-	return f.cfg.Store.List(ctx, f.cfg.Kind)
-}
-
 // watch takes in changes until the watch ends.
 func (f *Follower) watch(ctx context.Context) {
 	f.mu.Lock()
--- a/endpoint/service.go
+++ b/endpoint/service.go
@@ -104,9 +104,16 @@
 // connectionHeader reports whether a header is between the caller and the
 // router only.
 func connectionHeader(name string) bool {
-	switch strings.ToLower(name) {
+	name = strings.ToLower(name)
+	return HopHeader(name) || name == "authorization" || name == "x-request-id"
+}
+
+// HopHeader reports whether a header, in lower case, belongs to one connection only
+// and is not passed on.
+func HopHeader(name string) bool {
+	switch name {
 	case "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection", "te", "trailer",
-		"transfer-encoding", "upgrade", "content-length", "host", "authorization", "expect", "x-request-id":
+		"transfer-encoding", "upgrade", "content-length", "host", "expect":
 		return true
 	}
 	return false
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/sardinedock/sardinedock/route"
@@ -13,8 +13,7 @@
 // listener wraps accepted connections, so that the limits in force bound them.
 type listener struct {
 	net.Listener
-	limits   func() route.Limits
-	draining *atomic.Bool
+	limits func() route.Limits
 }
 
 // acceptPause is the wait before another try where no connection could be
@@ -22,17 +21,15 @@
 const acceptPause = 20 * time.Millisecond
 
 // Accept implements net.Listener. The HTTP server takes any error for the end of
-// the listener, so errors that pass are waited out here.
+// the listener, so all but its closing are waited out here.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
 		c, err := l.Listener.Accept()
 		if err == nil {
-			return &callerConn{Conn: c, limits: l.limits, draining: l.draining}, nil
+			return &callerConn{Conn: c, limits: l.limits}, nil
 		}
-		if ne, ok := err.(net.Error); !ok || !ne.Timeout() {
-			if _, open := l.Addr().(*net.TCPAddr); !open || isClosed(err) {
-				return nil, err
-			}
+		if errors.Is(err, net.ErrClosed) {
+			return nil, err
 		}
 		time.Sleep(acceptPause)
 	}
@@ -42,8 +39,7 @@
 // one goroutine; while a request is served, watch reads it from another.
 type callerConn struct {
 	net.Conn
-	limits   func() route.Limits
-	draining *atomic.Bool
+	limits func() route.Limits
 	// started says that bytes of the next request have come.
 	started bool
 	// ahead holds what watch read of the next request.
--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -55,8 +55,6 @@
 	return errors.As(err, &t) && t.Timeout()
 }
 
-func isClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
-
 // unreadable answers a request that could not be read, so that nothing of it ran.
 func unreadable(ctx *fasthttp.RequestCtx, err error) {
 	ctx.Response.Reset()
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"time"
@@ -78,8 +79,8 @@
 		return err
 	}
 	r.call = call
-	path, _, _ := cutQuery(h.RequestURI())
-	r.route = r.table.Match(string(h.Host()), path)
+	path, _, _ := bytes.Cut(h.RequestURI(), []byte("?"))
+	r.route = r.table.Match(string(h.Host()), string(path))
 	if r.route == nil {
 		return errNoRoute
 	}
@@ -115,15 +116,6 @@
 	return h.Sum128().Bytes()
 }
 
-func cutQuery(uri []byte) (path, query string, found bool) {
-	for i, b := range uri {
-		if b == '?' {
-			return string(uri[:i]), string(uri[i+1:]), true
-		}
-	}
-	return string(uri), "", false
-}
-
 // start opens the request's life, which ends with the caller, its patience or
 // the route's timeout.
 func (r *request) start() {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -90,7 +90,7 @@
 
 // Serve answers the callers that ln accepts, until Shutdown.
 func (s *Server) Serve(ln net.Listener) error {
-	return s.http.Serve(&listener{Listener: ln, limits: s.limits, draining: &s.draining})
+	return s.http.Serve(&listener{Listener: ln, limits: s.limits})
 }
 
 func (s *Server) limits() route.Limits {
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -72,9 +71,7 @@
 	feed        *cachefeed.Feed
 	lease       *lease.Duty
 	server      *gateway.Server
-	ready       *fasthttp.Server
 	cancel      context.CancelFunc
-	duties      sync.WaitGroup
 	endpoints   atomic.Bool
 	leaving     atomic.Bool
 	killed      atomic.Bool
@@ -104,9 +101,9 @@
 		Started: time.Now(), HeaderBytes: headerBytes, BodyBytes: bodyBytes,
 	})
 	i.run()
-	i.duties.Go(func() { i.served("callers", i.server.Serve(callers)) })
-	i.ready = &fasthttp.Server{Handler: i.answerReady, NoDefaultServerHeader: true, NoDefaultDate: true}
-	go func() { i.served("ready", i.ready.Serve(readyAt)) }()
+	go func() { i.served("callers", i.server.Serve(callers)) }()
+	ready := &fasthttp.Server{Handler: i.answerReady, NoDefaultServerHeader: true, NoDefaultDate: true}
+	go func() { i.served("ready", ready.Serve(readyAt)) }()
 	go func() { i.served("metrics", fasthttp.Serve(metricsAt, i.answerMetrics)) }()
 	log.WithField("data_centre", s.GetDataCentre()).WithField("callers", s.GetListen().GetCallers()).Info("started")
 	return i, nil
@@ -172,14 +169,14 @@
 	i.follow(platform.KindEndpoints, i.takeEndpoints)
 	i.follow(platform.KindWeights, i.takeWeights)
 	i.follow(kindInstances, i.takeInstances)
-	i.duties.Go(func() { i.node.Run(ctx) })
+	go i.node.Run(ctx)
 	for _, f := range i.followers {
-		i.duties.Go(func() { f.Run(ctx) })
+		go f.Run(ctx)
 	}
-	i.duties.Go(func() { i.register(ctx) })
-	i.duties.Go(func() { i.rollout.Run(ctx) })
-	i.duties.Go(func() { i.sweep(ctx) })
-	i.duties.Go(func() { i.feed.Run(ctx) })
+	go i.register(ctx)
+	go i.rollout.Run(ctx)
+	go i.sweep(ctx)
+	go i.feed.Run(ctx)
 	i.lease.Start()
 }
 
--- a/internal/cli/host.go
+++ b/internal/cli/host.go
@@ -41,7 +41,7 @@
 	}
 	for sig := range signals {
 		if sig == syscall.SIGHUP {
-			c.reload(s.GetInstance())
+			c.reload()
 			continue
 		}
 		i.Shutdown()
@@ -52,10 +52,10 @@
 
 // reload checks the settings file again. Addresses and bounds hold for the life
 // of a process, so a change is put off until its next start, and said so.
-func (c *hostCommand) reload(instance string) {
+func (c *hostCommand) reload() {
 	if _, err := settings.LoadHosted(c.settings); err != nil {
 		log.WithError(err).Error("settings refused; those before stay in force")
 		return
 	}
-	log.WithField("instance", instance).Info("settings read again; changes take effect at the next start")
+	log.Info("settings read again; changes take effect at the next start")
 }
--- a/internal/yamlpb/yamlpb.go
+++ b/internal/yamlpb/yamlpb.go
@@ -38,6 +38,17 @@
 	return b.String()
 }
 
+// DecodeOne reads a YAML file that has to hold one document, and returns nil with
+// the faults, for which remedy says what to write, where it does not.
+func DecodeOne[M proto.Message](data []byte, newMessage func() M, remedy string) (M, []Fault) {
+	documents, faults := Decode(data, func() proto.Message { return newMessage() })
+	if len(documents) != 1 {
+		var none M
+		return none, append(faults, Fault{Found: "the file does not hold exactly one document", Remedy: remedy})
+	}
+	return documents[0].(M), faults
+}
+
 // Decode reads the documents of a YAML file. For each document newMessage
 // makes the message to fill. Messages are returned also where there are
 // faults; they are then not to be used.
--- a/settings/hosted.go
+++ b/settings/hosted.go
@@ -3,8 +3,6 @@
 import (
 	"os"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/sardinedock/sardinedock/fault"
 	"github.com/sardinedock/sardinedock/internal/yamlpb"
 	"github.com/sardinedock/sardinedock/schema/settingspb"
@@ -27,9 +25,5 @@
 // ParseHosted reads the settings of a hosted instance, fills in the defaults and
 // returns what is wrong.
 func ParseHosted(data []byte) (*settingspb.Hosted, []yamlpb.Fault) {
-	messages, faults := yamlpb.Decode(data, func() proto.Message { return &settingspb.Hosted{} })
-	if len(messages) != 1 {
-		return nil, append(faults, yamlpb.Fault{Found: "the file does not hold exactly one document", Remedy: "write one document of settings"})
-	}
-	return messages[0].(*settingspb.Hosted), faults
+	return yamlpb.DecodeOne(data, func() *settingspb.Hosted { return &settingspb.Hosted{} }, oneDocument)
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -5,8 +5,6 @@
 	"os"
 	"strings"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/sardinedock/sardinedock/fault"
 	"github.com/sardinedock/sardinedock/internal/yamlpb"
 	"github.com/sardinedock/sardinedock/schema/settingspb"
@@ -26,14 +24,15 @@
 	return s, nil
 }
 
+// oneDocument is the remedy for a file of none or several documents.
+const oneDocument = "write one document of settings"
+
 // Parse reads settings, fills in the defaults and returns what is wrong.
 func Parse(data []byte) (*settingspb.Settings, []yamlpb.Fault) {
-	messages, faults := yamlpb.Decode(data, func() proto.Message { return &settingspb.Settings{} })
-	if len(messages) != 1 {
-		one := yamlpb.Fault{Found: "the file does not hold exactly one document", Remedy: "write one document of settings"}
-		return nil, append(faults, one)
+	s, faults := yamlpb.DecodeOne(data, func() *settingspb.Settings { return &settingspb.Settings{} }, oneDocument)
+	if s == nil {
+		return nil, faults
 	}
-	s := messages[0].(*settingspb.Settings)
 	return s, append(faults, checkTLS(s.GetFleetTls())...)
 }
 
