Play the real program under random faults in a soak of our own

Cause: the promises were proved one fault at a time, inside one process. Change: several instances as processes, links that delay, cut, silence and reset, signals, a store and endpoints that misbehave; callers and endpoints judge what they see. The stand-in of an engine takes orders by the platform's rules.

--- /dev/null
+++ b/soak/faults_test.go
@@ -0,0 +1,236 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"syscall"
+	"time"
+)
+
+// fault is one thing that goes wrong, or one piece of planned work.
+type fault struct {
+	name string
+	// do carries it out and returns when it is over. lasts is how long it is to
+	// take where that is free.
+	do func(s *soak, rng *rand.Rand, lasts time.Duration)
+}
+
+// faults are all kinds that a run draws from.
+var faults = []fault{
+	{"instance killed", func(s *soak, rng *rand.Rand, lasts time.Duration) {
+		s.harmInstance(rng, func(i *instance) {
+			if !i.cycle.TryLock() {
+				return
+			}
+			defer i.cycle.Unlock()
+			i.signal(syscall.SIGKILL)
+			i.waitEnd(5 * time.Second)
+			time.Sleep(lasts / 4)
+			i.start()
+		})
+	}},
+	{"instance told to end", func(s *soak, rng *rand.Rand, _ time.Duration) { s.restart(s.pick(rng)) }},
+	{"all instances told to end in turn", func(s *soak, _ *rand.Rand, lasts time.Duration) {
+		for _, i := range s.instances {
+			go s.restart(i)
+			time.Sleep(lasts / 8)
+		}
+	}},
+	{"all instances killed", func(s *soak, _ *rand.Rand, lasts time.Duration) {
+		var struck []*instance
+		var ends []func()
+		for _, i := range s.instances {
+			if !i.cycle.TryLock() {
+				continue
+			}
+			struck, ends = append(struck, i), append(ends, i.disturb())
+			i.signal(syscall.SIGKILL)
+		}
+		for _, i := range struck {
+			i.waitEnd(5 * time.Second)
+		}
+		time.Sleep(lasts / 8)
+		for k, i := range struck {
+			i.start()
+			i.cycle.Unlock()
+			ends[k]()
+		}
+	}},
+	{"instance paused", func(s *soak, rng *rand.Rand, lasts time.Duration) {
+		s.harmInstance(rng, func(i *instance) {
+			i.signal(syscall.SIGSTOP)
+			time.Sleep(lasts)
+			i.signal(syscall.SIGCONT)
+		})
+	}},
+	{"instance told to reload", func(s *soak, rng *rand.Rand, _ time.Duration) { s.pick(rng).signal(syscall.SIGHUP) }},
+	{"callers' connections reset", func(s *soak, rng *rand.Rand, _ time.Duration) {
+		s.harmInstance(rng, func(i *instance) { i.callers.reset(1 + rng.IntN(2)) })
+	}},
+	{"callers' connections silent", func(s *soak, rng *rand.Rand, _ time.Duration) {
+		s.harmInstance(rng, func(i *instance) { i.callers.silence() })
+	}},
+	{"callers far away", func(s *soak, rng *rand.Rand, lasts time.Duration) {
+		s.harmInstance(rng, func(i *instance) { s.during(i.callers, harm{delay: 40 * time.Millisecond}, lasts) })
+	}},
+	{"instance cut from the store", func(s *soak, rng *rand.Rand, lasts time.Duration) {
+		s.harmInstance(rng, func(i *instance) { s.during(i.store, harm{cutUp: true, cutDown: true}, lasts) })
+	}},
+	{"instance hears nothing from the store", func(s *soak, rng *rand.Rand, lasts time.Duration) {
+		s.harmInstance(rng, func(i *instance) { s.during(i.store, harm{cutDown: true}, lasts) })
+	}},
+	{"store slow for an instance", func(s *soak, rng *rand.Rand, lasts time.Duration) {
+		s.harmInstance(rng, func(i *instance) { s.during(i.store, harm{delay: 150 * time.Millisecond}, lasts) })
+	}},
+	{"connections to the store silent", func(s *soak, _ *rand.Rand, _ time.Duration) {
+		s.harmStore(func() { s.store.SilenceOpen() })
+	}},
+	{"connections to the store reset", func(s *soak, rng *rand.Rand, _ time.Duration) {
+		s.harmInstance(rng, func(i *instance) { i.store.reset(1) })
+	}},
+	{"store down", func(s *soak, rng *rand.Rand, lasts time.Duration) {
+		s.harmStore(func() {
+			s.store.Refuse([]int{503, 429}[rng.IntN(2)])
+			time.Sleep(lasts)
+			s.store.Refuse(0)
+		})
+	}},
+	{"store forgets its history", func(s *soak, _ *rand.Rand, _ time.Duration) { s.harmStore(s.store.Forget) }},
+	{"answers of the store lost", func(s *soak, rng *rand.Rand, _ time.Duration) {
+		s.harmStore(func() { s.store.LoseWrites(1 + rng.IntN(4)) })
+	}},
+	{"endpoint crashes", func(s *soak, rng *rand.Rand, lasts time.Duration) {
+		s.harmServer(rng, func(x *server) {
+			x.remove()
+			time.Sleep(lasts / 4)
+			s.addServer(x.service)
+			time.Sleep(3 * heartbeatMs * time.Millisecond)
+			s.store.Remove("servers", x.ID)
+		})
+	}},
+	{"endpoint replaced", func(s *soak, rng *rand.Rand, _ time.Duration) {
+		x := s.pickServer(rng)
+		s.addServer(x.service)
+		x.leave()
+	}},
+	{"endpoint cut off", func(s *soak, rng *rand.Rand, lasts time.Duration) {
+		s.harmServer(rng, func(x *server) { s.during(x.link, harm{cutUp: true, cutDown: true}, lasts) })
+	}},
+	{"endpoint heard by nobody", func(s *soak, rng *rand.Rand, lasts time.Duration) {
+		s.harmServer(rng, func(x *server) { s.during(x.link, harm{cutDown: true}, lasts) })
+	}},
+	{"endpoint slow to reach", func(s *soak, rng *rand.Rand, lasts time.Duration) {
+		s.harmServer(rng, func(x *server) { s.during(x.link, harm{delay: 60 * time.Millisecond}, lasts) })
+	}},
+	{"connections to an endpoint silent", func(s *soak, rng *rand.Rand, _ time.Duration) {
+		s.harmServer(rng, func(x *server) { x.link.silence() })
+	}},
+	{"connections to an endpoint reset", func(s *soak, rng *rand.Rand, _ time.Duration) {
+		s.harmServer(rng, func(x *server) { x.link.reset(1 + rng.IntN(2)) })
+	}},
+	{"endpoint misbehaves", func(s *soak, rng *rand.Rand, lasts time.Duration) {
+		s.harmServer(rng, func(x *server) {
+			x.mood.Store(int32(1 + rng.IntN(int(moods)-1)))
+			time.Sleep(lasts)
+			x.mood.Store(int32(sound))
+		})
+	}},
+	{"records change", func(s *soak, rng *rand.Rand, _ time.Duration) { s.changeRecords(rng.IntN(2) == 0) }},
+	{"weights named", func(s *soak, _ *rand.Rand, _ time.Duration) {
+		v := s.named.Add(1)
+		s.store.Put("versions", model, map[string]any{"model": model, "version": v})
+	}},
+}
+
+func (s *soak) pick(rng *rand.Rand) *instance { return s.instances[rng.IntN(len(s.instances))] }
+
+// harmInstance does something to one instance, and notes that it is disturbed.
+func (s *soak) harmInstance(rng *rand.Rand, do func(*instance)) {
+	i := s.pick(rng)
+	over := i.disturb()
+	do(i)
+	over()
+}
+
+// harmStore does something to the store, which disturbs all instances.
+func (s *soak) harmStore(do func()) {
+	var ends []func()
+	for _, i := range s.instances {
+		ends = append(ends, i.disturb())
+	}
+	do()
+	for _, over := range ends {
+		over()
+	}
+}
+
+// harmServer does something to one endpoint.
+func (s *soak) harmServer(rng *rand.Rand, do func(*server)) {
+	over := s.disturbEndpoints()
+	do(s.pickServer(rng))
+	over()
+}
+
+// disturbEndpoints notes a fault at an endpoint; the returned function notes its
+// end.
+func (s *soak) disturbEndpoints() func() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endpointFaults = append(s.endpointFaults, span{time.Now(), time.Now().Add(time.Hour)})
+	k := len(s.endpointFaults) - 1
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.endpointFaults[k].to = time.Now()
+	}
+}
+
+func (s *soak) during(l *link, h harm, lasts time.Duration) {
+	l.set(h)
+	time.Sleep(lasts)
+	l.set(harm{})
+}
+
+// restart ends an instance as planned work does, and starts it again.
+func (s *soak) restart(i *instance) {
+	if !i.cycle.TryLock() {
+		return
+	}
+	defer i.cycle.Unlock()
+	i.signal(syscall.SIGTERM)
+	if !i.waitEnd(graceSeconds*time.Second + 500*time.Millisecond) {
+		s.ledger.breach("GRACE: %s has not ended %d s after SIGTERM", i.name, graceSeconds)
+		i.signal(syscall.SIGKILL)
+		i.waitEnd(5 * time.Second)
+	}
+	i.start()
+}
+
+// event of a run's schedule.
+type event struct {
+	at    time.Duration
+	lasts time.Duration
+	fault fault
+	// seed of the fault's own choices.
+	seed uint64
+}
+
+// schedule draws what goes wrong when. Faults overlap, and some come in series.
+func schedule(rng *rand.Rand, length time.Duration) []event {
+	var list []event
+	for range 5 + rng.IntN(10) {
+		e := event{
+			at: time.Duration(rng.Int64N(int64(length))), lasts: time.Duration(200+rng.IntN(2500)) * time.Millisecond,
+			fault: faults[rng.IntN(len(faults))], seed: rng.Uint64(),
+		}
+		list = append(list, e)
+		if rng.IntN(4) > 0 {
+			continue
+		}
+		for range 1 + rng.IntN(3) {
+			e.at += time.Duration(100+rng.IntN(900)) * time.Millisecond
+			e.seed = rng.Uint64()
+			list = append(list, e)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/soak/pool_test.go
@@ -0,0 +1,253 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sardinedock/sardinedock/platform/platformtest"
+)
+
+const (
+	model = "m0"
+	// drainMs is how long after its leaving was acknowledged an endpoint may
+	// still get requests, and lingerFor how long it serves.
+	drainMs   = 2000
+	lingerFor = 3 * time.Second
+	// draftEvents and checkEvents are the lengths of streams, eventPause the time
+	// between two events.
+	draftEvents = 25
+	checkEvents = 6
+	eventPause  = 15 * time.Millisecond
+	// goneBound is how long an endpoint may work on for a caller that has left.
+	goneBound = 700 * time.Millisecond
+	// loadTime of new weights.
+	loadTime = 250 * time.Millisecond
+)
+
+// mood is how an endpoint treats requests.
+type mood int32
+
+const (
+	sound mood = iota
+	// failing endpoints answer with an error of their own.
+	failing
+	// full endpoints reject.
+	full
+	// losing endpoints run a request and close the connection.
+	losing
+	// garbling endpoints send bytes that are no whole answer.
+	garbling
+	// doubling endpoints send a second answer after the first.
+	doubling
+	moods
+)
+
+// server is one incarnation of an endpoint, behind a link.
+type server struct {
+	*platformtest.Endpoint
+	soak    *soak
+	service string
+	link    *link
+	engine  *platformtest.Engine
+	mood    atomic.Int32
+	nextRun atomic.Int64
+
+	mu sync.Mutex
+	// leftAt is when its leaving was acknowledged.
+	leftAt time.Time
+}
+
+// addServer starts an endpoint and lists it.
+func (s *soak) addServer(service string) *server {
+	id := fmt.Sprintf("%s-%d", service, s.nextServer.Add(1))
+	x := &server{soak: s, service: service}
+	e, err := platformtest.NewEndpoint(id, x.handle)
+	if err != nil {
+		s.ledger.breach("start %s: %v", id, err)
+		return nil
+	}
+	x.Endpoint = e
+	if x.link, err = newLink(e.Address()); err != nil {
+		s.ledger.breach("start %s: %v", id, err)
+		return nil
+	}
+	if service == "pool" {
+		x.engine = platformtest.NewEngine(model, s.named.Load(), loadTime, func(v int64) bool { return v <= s.named.Load() })
+		e.HandleControl(x.engine.Control)
+	}
+	s.mu.Lock()
+	s.servers[id] = x
+	s.mu.Unlock()
+	x.list("ready")
+	return x
+}
+
+// list writes the endpoint's entry.
+func (x *server) list(state string) {
+	versions := map[string]int64{}
+	if x.engine != nil {
+		versions[model], _ = x.engine.Version()
+	}
+	x.soak.store.Put("servers", x.ID, platformtest.EntryAt(x.link.address(), x.service, state, versions))
+}
+
+// remove takes the endpoint out of the run.
+func (x *server) remove() {
+	x.soak.mu.Lock()
+	delete(x.soak.servers, x.ID)
+	x.soak.mu.Unlock()
+	x.Close()
+	x.link.close()
+}
+
+// leave has the endpoint go as planned work does.
+func (x *server) leave() {
+	x.list("draining")
+	x.mu.Lock()
+	x.leftAt = time.Now()
+	x.mu.Unlock()
+	time.Sleep(lingerFor)
+	x.soak.store.Remove("servers", x.ID)
+	x.remove()
+}
+
+// handle answers one request as an endpoint of the platform does.
+func (x *server) handle(e *platformtest.Exchange) bool {
+	c := x.soak.ledger.arrived(e.ID())
+	if c == nil {
+		e.Reject(503)
+		return true
+	}
+	x.judge(c, e)
+	mood := mood(x.mood.Load())
+	if mood == full {
+		e.Reject(503)
+		return true
+	}
+	if x.engine != nil {
+		version, loading := x.engine.Version()
+		if expect := e.Header("Sardinedock-Expect-Version"); expect != "" && expect != strconv.FormatInt(version, 10) {
+			e.Write("HTTP/1.1 421 X\r\nSardinedock-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", x.ID)
+			return true
+		}
+		if loading {
+			e.Reject(503)
+			return true
+		}
+		x.cached(c, e, version)
+	}
+	x.soak.ledger.ran(c, x.ID)
+	if mood == losing {
+		return false
+	}
+	if x.engine != nil && mood != failing {
+		return x.stream(c, e, mood)
+	}
+	return x.whole(c, e, mood)
+}
+
+// judge looks at what the router has made of a request.
+func (x *server) judge(c *call, e *platformtest.Exchange) {
+	l := x.soak.ledger
+	if got := string(e.Request.Header.RequestURI()); got != c.path {
+		l.breach("UNASKED: %s arrives with path %q, sent with %q", c.id, got, c.path)
+	}
+	if got := string(e.Request.Body()); got != c.body {
+		l.breach("UNASKED: %s arrives with body %q, sent with %q", c.id, got, c.body)
+	}
+	if got := e.Header("Sardinedock-Tenant-Id"); got != c.organisation {
+		l.breach("UNASKED: %s arrives for organisation %q, the key is of %q", c.id, got, c.organisation)
+	}
+	if got := e.Header("Authorization"); got != "" {
+		l.breach("UNASKED: %s arrives with its key", c.id)
+	}
+	if got := e.Header("Sardinedock-Prompt-Prefix"); got != c.parts {
+		l.breach("UNASKED: %s arrives with parts %q, sent with %q", c.id, got, c.parts)
+	}
+	for _, name := range []string{"Sardinedock-Hold", "Sardinedock-Kv-Backup", "Kv-From"} {
+		if e.Header(name) == forged {
+			l.breach("UNASKED: %s arrives with %s of the caller", c.id, name)
+		}
+	}
+	x.mu.Lock()
+	leftAt := x.leftAt
+	x.mu.Unlock()
+	if late := time.Since(leftAt); !leftAt.IsZero() && late > drainMs*time.Millisecond && x.soak.calm(c.instance, leftAt.Add(-contact), time.Now()) {
+		l.breach("DRAIN: %s reaches %s %v after its leaving was acknowledged", c.id, x.ID, late)
+	}
+	x.soak.judgeKey(c)
+}
+
+// cached notes under which text the request's parts are kept.
+func (x *server) cached(c *call, e *platformtest.Exchange, version int64) {
+	scope := e.Header("Sardinedock-Cache-Salt")
+	use := scopeUse{version: version}
+	if c.organisation == isolated {
+		use.wall = isolated
+	}
+	x.soak.ledger.scoped(scope, use)
+	for entry := range strings.SplitSeq(c.parts, ",") {
+		part, tokens, _ := strings.Cut(entry, ":")
+		n, _ := strconv.ParseInt(tokens, 10, 64)
+		x.engine.Cached(scope, part, n)
+	}
+}
+
+func (x *server) signature() string { return fmt.Sprintf("%s.%d", x.ID, x.nextRun.Add(1)) }
+
+// whole answers with a body at once.
+func (x *server) whole(c *call, e *platformtest.Exchange, m mood) bool {
+	time.Sleep(time.Duration(5+rand.N(25)) * time.Millisecond)
+	status, signature := 200, x.signature()
+	if m == failing {
+		status = 500
+	}
+	body := fmt.Sprintf("answer to %s by %s", c.id, signature)
+	x.soak.ledger.made(c, signature, body, status)
+	head := fmt.Sprintf("HTTP/1.1 %d X\r\nSardinedock-Request-Id: %s\r\nSardinedock-Response-Signature: %s\r\nContent-Length: %d\r\n\r\n", status, c.id, signature, len(body))
+	if m == garbling {
+		e.Write("%s%s", head, body[:len(body)/2])
+		return false
+	}
+	e.Write("%s%s", head, body)
+	if m == doubling {
+		e.Write("%s%s", head, body)
+	}
+	return true
+}
+
+// stream answers with events, after the one that the caller has.
+func (x *server) stream(c *call, e *platformtest.Exchange, m mood) bool {
+	last, _ := strconv.Atoi(e.Header("Last-Event-Id"))
+	signature := x.signature()
+	x.soak.ledger.made(c, signature, "", 200)
+	e.Write("HTTP/1.1 200 OK\r\nSardinedock-Request-Id: %s\r\nSardinedock-Response-Signature: %s\r\n"+
+		"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", c.id, signature)
+	for n := last + 1; n <= eventsOf(c.kind); n++ {
+		if e.CallerGone(eventPause) {
+			return false
+		}
+		x.soak.judgeGone(c)
+		if m == garbling && n > 2 {
+			e.Chunk(eventText(c.id, n)[:5])
+			return false
+		}
+		e.Chunk(eventText(c.id, n))
+	}
+	e.End()
+	return true
+}
+
+func eventsOf(k kind) int {
+	if k == draft {
+		return draftEvents
+	}
+	return checkEvents
+}
+
+func eventText(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s/%d\n\n", n, id, n) }
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,291 @@
+package soak
+
+import (
+	"bufio"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sardinedock/sardinedock/platform/platformtest"
+)
+
+var (
+	firstSeed = flag.Uint64("seed", 0, "first seed; 0 plays those of testdata/seeds.txt")
+	seeds     = flag.Int("seeds", 1, "how many seeds")
+	jobs      = flag.Int("jobs", 1, "how many runs at a time")
+	keep      = flag.Bool("keep", false, "keep the logs of all runs, and tell of each fault")
+	size      = flag.Int("instances", 5, "how many instances")
+)
+
+const (
+	warmUp      = 1500 * time.Millisecond
+	faultsFor   = 8 * time.Second
+	calmDown    = 6 * time.Second
+	judgedAtEnd = 2 * time.Second
+	callers     = 16
+	engines     = 4
+	plain       = 3
+	// breachesTold bounds what is printed of one run.
+	breachesTold = 20
+	// servedAtEnd is the least share of requests that succeed once all is calm.
+	servedAtEnd = 0.9
+)
+
+// soak is one run.
+type soak struct {
+	ledger    *ledger
+	store     *platformtest.Store
+	instances []*instance
+	named     atomic.Int64
+	over      atomic.Bool
+
+	nextServer atomic.Int64
+	mu         sync.Mutex
+	servers    map[string]*server
+	records    records
+	// endpointFaults are the spans of faults at any endpoint.
+	endpointFaults []span
+}
+
+// Instances, endpoints, the store and the ways between them fail in random order,
+// together and in series, while callers go on. Whatever happens, a caller gets its
+// own whole answer or a word that is true, and once it is over all are served.
+func TestSoak(t *testing.T) {
+	binary := build(t)
+	list := chosen(t)
+	slots := make(chan struct{}, *jobs)
+	for _, seed := range list {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			if *jobs > 1 {
+				t.Parallel()
+			}
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			play(t, binary, seed)
+		})
+	}
+}
+
+// chosen returns the seeds that the flags ask for.
+func chosen(t *testing.T) []uint64 {
+	var list []uint64
+	if *firstSeed > 0 {
+		for n := range *seeds {
+			list = append(list, *firstSeed+uint64(n))
+		}
+		return list
+	}
+	f, err := os.Open("testdata/seeds.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = f.Close() }()
+	for sc := bufio.NewScanner(f); sc.Scan(); {
+		word, _, _ := strings.Cut(sc.Text(), " ")
+		if seed, err := strconv.ParseUint(word, 10, 64); err == nil {
+			list = append(list, seed)
+		}
+	}
+	return list
+}
+
+// build builds the program under test.
+func build(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "sardinedock")
+	if out, err := exec.Command("go", "build", "-o", binary, "../cmd/sardinedock").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return binary
+}
+
+func play(t *testing.T, binary string, seed uint64) {
+	dir, err := os.MkdirTemp("", "soak-")
+	if err != nil {
+		t.Fatal(err)
+	}
+	rng := rand.New(rand.NewPCG(seed, 0))
+	s := &soak{ledger: newLedger(), servers: map[string]*server{}, records: newRecords()}
+	s.named.Store(1)
+	s.setUp(t, binary, dir)
+	stop := s.callAll(seed)
+	time.Sleep(warmUp)
+	s.harm(t, rng)
+	time.Sleep(calmDown)
+	settledAt := time.Now().Add(-judgedAtEnd)
+	s.over.Store(true)
+	stop()
+	s.judgeEnd(settledAt)
+	s.tearDown()
+	t.Logf("seed %d: %v", seed, s.ledger.counts)
+	for _, b := range s.ledger.broken[:min(len(s.ledger.broken), breachesTold)] {
+		t.Error(b)
+	}
+	if t.Failed() || *keep {
+		t.Logf("logs in %s", dir)
+		return
+	}
+	_ = os.RemoveAll(dir)
+}
+
+func (s *soak) setUp(t *testing.T, binary, dir string) {
+	var err error
+	if s.store, err = platformtest.NewStore(); err != nil {
+		t.Fatal(err)
+	}
+	s.store.Put("versions", model, map[string]any{"model": model, "version": 1})
+	for range engines {
+		s.addServer("pool")
+	}
+	for range plain {
+		s.addServer("orders")
+	}
+	s.writeRecords()
+	for n := range *size {
+		i := newInstance(t, n, binary, dir, s.store.Address(), s.ledger)
+		s.instances = append(s.instances, i)
+		i.start()
+	}
+}
+
+// callAll starts the callers; the function returned waits for their end.
+func (s *soak) callAll(seed uint64) (wait func()) {
+	var wg sync.WaitGroup
+	for n := range callers {
+		c := &caller{soak: s, n: n, rng: rand.New(rand.NewPCG(seed, uint64(n)+1))}
+		wg.Go(c.run)
+	}
+	return wg.Wait
+}
+
+// harm plays the schedule and waits until all faults are over.
+func (s *soak) harm(t *testing.T, rng *rand.Rand) {
+	began := time.Now()
+	var wg sync.WaitGroup
+	for _, e := range schedule(rng, faultsFor) {
+		wg.Go(func() {
+			time.Sleep(time.Until(began.Add(e.at)))
+			if *keep {
+				t.Logf("%s %s for %v", time.Now().Format("05.000"), e.fault.name, e.lasts)
+			}
+			s.ledger.count("fault")
+			e.fault.do(s, rand.New(rand.NewPCG(e.seed, 0)), e.lasts)
+		})
+	}
+	wg.Wait()
+}
+
+// judgeEnd judges what has to hold once all is calm.
+func (s *soak) judgeEnd(settledAt time.Time) {
+	l := s.ledger
+	served, sent, extra, left, worked := 0, 0, 0, 0, 0
+	for _, c := range s.ledger.settled() {
+		if c.sentAt.After(settledAt) && c.leftAt.IsZero() {
+			sent++
+			if len(c.answers) > 0 {
+				served++
+			}
+		}
+		extra += max(0, c.arrivals-1)
+		if !c.leftAt.IsZero() {
+			left++
+		}
+		if c.workedOn {
+			worked++
+		}
+	}
+	if float64(served) < servedAtEnd*float64(sent) || sent == 0 {
+		l.breach("RECOVER: %d of %d requests served once all was calm", served, sent)
+	}
+	windows := (warmUp+faultsFor+calmDown).Seconds()/retryWindow + 1
+	if most := retryRatio*float64(len(l.calls)) + retrySlack*windows; float64(extra) > most {
+		l.breach("BUDGET: %d repeats, %.0f are allowed", extra, most)
+	}
+	if worked > 3 && worked*4 > left {
+		l.breach("GONE: of %d requests whose callers left, endpoints worked on for %d", left, worked)
+	}
+	for _, x := range s.liveServers() {
+		if x.engine == nil {
+			continue
+		}
+		if v, _ := x.engine.Version(); v < s.named.Load() {
+			l.breach("VERSION: %s holds version %d at the end, %d is named", x.ID, v, s.named.Load())
+		}
+		if n := x.engine.TwoHolders(); n > 0 {
+			l.breach("ONE: %s got %d orders of a second holder under one fence", x.ID, n)
+		}
+	}
+}
+
+func (s *soak) tearDown() {
+	for _, i := range s.instances {
+		i.close()
+	}
+	for _, x := range s.liveServers() {
+		x.remove()
+	}
+	s.store.Close()
+}
+
+func (s *soak) liveServers() []*server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []*server
+	for n := int64(1); n <= s.nextServer.Load(); n++ {
+		for _, service := range []string{"pool", "orders"} {
+			if x := s.servers[fmt.Sprintf("%s-%d", service, n)]; x != nil {
+				list = append(list, x)
+			}
+		}
+	}
+	return list
+}
+
+// pickServer returns an endpoint that is not leaving.
+func (s *soak) pickServer(rng *rand.Rand) *server {
+	list := s.liveServers()
+	for range list {
+		x := list[rng.IntN(len(list))]
+		x.mu.Lock()
+		leaving := !x.leftAt.IsZero()
+		x.mu.Unlock()
+		if !leaving {
+			return x
+		}
+	}
+	return list[len(list)-1]
+}
+
+func (s *soak) calm(instance int, from, to time.Time) bool {
+	return s.instances[instance].calm(from, to)
+}
+
+// endpointsDisturbed reports whether any endpoint failed in a span.
+func (s *soak) endpointsDisturbed(from, to time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.endpointFaults {
+		if p.meets(from, to) {
+			return true
+		}
+	}
+	return false
+}
+
+// judgeGone notes an endpoint that still works for a caller that has left.
+func (s *soak) judgeGone(c *call) {
+	s.ledger.mu.Lock()
+	defer s.ledger.mu.Unlock()
+	if !c.leftAt.IsZero() && time.Since(c.leftAt) > goneBound && s.calm(c.instance, c.leftAt.Add(-contact), time.Now()) {
+		c.workedOn = true
+	}
+}
