Keep each prompt's parts in one store, chosen by hash

Change: a prompt belongs to the store that a hash of its last shared part names. A site with one store is not touched by it.

--- a/balance/cached.go
+++ b/balance/cached.go
@@ -1,6 +1,10 @@
 package balance
 
-import "github.com/sardinedock/sardinedock/prefix"
+import (
+	"github.com/zeebo/xxh3"
+
+	"github.com/sardinedock/sardinedock/prefix"
+)
 
 // CachedPart is a part that an endpoint or a store holds.
 type CachedPart struct {
@@ -107,6 +111,11 @@
 	parts *partCache
 }
 
+// score ranks the stores for a part: the one with the highest keeps it.
+func (k *keptStore) score(key prefix.PartKey) uint64 {
+	return xxh3.HashSeed([]byte(k.Address), uint64(key))
+}
+
 // SetKept replaces the list of stores that keep cached parts.
 func (s *State) SetKept(list []KeptStore) {
 	s.mu.Lock()
--- a/balance/cached_test.go
+++ b/balance/cached_test.go
@@ -65,3 +65,30 @@
 		t.Errorf("fetched from %q though the store is empty", got.FetchFrom)
 	}
 }
+
+// More catalogues are in use than one of three stores holds. With one store
+// preferred to the others, it forgets what was read a moment ago while they stay
+// empty, and callers wait until engines have read it again.
+func TestCataloguesAreSpreadOverTheStores(t *testing.T) {
+	s := newPool(4, 1)
+	var stores []KeptStore
+	for _, address := range []string{"kept:1", "kept:2", "kept:3"} {
+		stores = append(stores, KeptStore{Address: address, DataCentre: "dc", CacheTokens: 1_000_000})
+	}
+	s.SetKept(stores)
+	const catalogues = 60
+	saved := map[string]int{}
+	for i := range catalogues {
+		run, p := send(t, s, start, prompt(i, i))
+		s.Moved(start, run, Done)
+		saved[p.SaveTo]++
+		if again := s.saveTo(&chooser{ask: prompt(i, 1000+i)}, p); again != p.SaveTo {
+			t.Errorf("catalogue %d is kept by %s and by %s", i, p.SaveTo, again)
+		}
+	}
+	for _, k := range stores {
+		if n := saved[k.Address]; n < catalogues/6 {
+			t.Errorf("%s keeps %d of %d catalogues: %v", k.Address, n, catalogues, saved)
+		}
+	}
+}
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -82,15 +82,21 @@
 // saveTo returns the store that should keep what the placement reads. Only runs
 // that read parts which others ask for too are worth the transfer: the last part
 // is the request's own, and kept with it would push others out.
+//
+// Load: more catalogues are in use than one store holds, and there are several. Harm
+// prevented: with one store preferred it forgets parts within seconds while the
+// others stay empty, and what engines have forgotten too is read again. Each prompt
+// belongs to one store by a hash of its last shared part, so that all of them are
+// filled and none holds what another one does.
 func (s *State) saveTo(c *chooser, p Placement) string {
 	n := len(c.ask.Parts)
 	if n < 2 || p.Uncached <= c.ask.Parts[n-1].Tokens {
 		return ""
 	}
-	best := ""
+	best, bestScore := "", uint64(0)
 	for _, k := range s.kept {
-		if best == "" || k.DataCentre == p.Endpoint.DataCentre || k.Address < best {
-			best = k.Address
+		if score := k.score(p.Keys[n-2]); best == "" || score > bestScore {
+			best, bestScore = k.Address, score
 		}
 	}
 	return best
