Note a trial without gain: parts that shrink count for what is left

Tried: the tokens in memory, in place of whole parts, for own caches and sources. Conclusion: reverted. What is left of a part goes within half a second.

--- a/cachefeed/cachefeed.go
+++ b/cachefeed/cachefeed.go
@@ -68,7 +68,10 @@
 	return h.ID
 }
 
-// Change is one event of a cache.
+// Change is one event of a cache. A part that is given up shrinks in several steps
+// from its end; it counts as gone from the first, since the rest follows within half
+// a second, before a request that is sent for it arrives. Counting on what is left
+// for the moment had more parts read again.
 type Change struct {
 	Added  bool
 	Scope  string
