Let prompts wait here while engines have no memory for them

Admission looked at prompt work only, and counted a shared catalogue once for each request. Change: running requests' memory counts a shared part once; a prompt that does not fit waits at the router until it does, or until a third of its time is over.

--- a/balance/admit.go
+++ b/balance/admit.go
@@ -12,6 +12,9 @@
 	// Backlog of the endpoint chosen, and First, the time to the first token if
 	// the request is sent now.
 	Backlog, First time.Duration
+	// Full says that the endpoint's memory does not hold the request beside those
+	// that run there.
+	Full bool
 }
 
 // Admission is what becomes of a model request for now.
@@ -47,10 +50,13 @@
 // endpoint has little to do, since a little later is as good to its caller; it
 // waits less strictly the older it is, so that neither the longest prompts, which
 // are late from the start, nor a long burst starve it. One whose caller would have
-// given up before its first token is refused at once.
+// given up before its first token is refused at once. One that an endpoint's memory
+// does not hold waits too: sent all the same, it drives out a request in the middle
+// of its answer, whose prompt is then read a second time (worth on 16 busy days of
+// memory-bound pools 0.550 -> 0.558).
 func Admit(t Timing) Admission {
 	first := t.Elapsed + t.First
-	if first <= t.Target {
+	if first <= t.Target && !t.Full {
 		return Send
 	}
 	if t.Backlog > lateBacklog && first > t.Patience {
@@ -58,7 +64,7 @@
 	}
 	aged := float64(t.Elapsed) / (agingShare * float64(t.Patience))
 	allowed := lateBacklog + time.Duration(aged*float64(t.Target))
-	if aged >= 1 || t.Backlog <= allowed {
+	if aged >= 1 || t.Backlog <= allowed && !t.Full {
 		return Send
 	}
 	return Wait
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -70,6 +70,9 @@
 	Ahead int64
 	// Running is the number of requests there.
 	Running int
+	// Full says that the endpoint's memory does not hold the request beside those
+	// that run there.
+	Full bool
 	// Backlog is the time that the endpoint needs for Ahead, and First the time
 	// to the request's first token.
 	Backlog, First time.Duration
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -261,12 +261,19 @@
 	if behindFor(c.named, e.Versions[c.ask.Model], c.now) > staleAccepted {
 		cost += staleTokens
 	}
-	if over := e.memory + c.ask.PromptTokens - local + c.ask.OutputTokens - e.capacity; over > 0 {
+	if over := -c.room(e); over > 0 {
 		cost += overflowWeight * float64(over)
 	}
 	return cost, uncached, fetch
 }
 
+// room is how much of an endpoint's memory, in tokens, is left once the request
+// runs there too; less than 0 where it does not fit.
+func (c *chooser) room(e *endpoint) int64 {
+	need := c.ask.PromptTokens + c.ask.OutputTokens - e.shared(c.keysOf(e.Versions[c.ask.Model]), c.ask.Parts)
+	return e.capacity - e.memory - need
+}
+
 // plainCost weighs an endpoint of a plain service by its load and usual latency.
 func (c *chooser) plainCost(e *endpoint) float64 {
 	return float64(e.running+1) / float64(max(e.Slots, 1)) * (e.latencyMs + 1) * plainTokens
@@ -279,6 +286,7 @@
 	e := c.best
 	p := Placement{Endpoint: e.Endpoint, Ahead: e.reading, Running: e.running, Uncached: c.uncached, FetchFrom: c.fetch}
 	if c.ask.Model != "" {
+		p.Full = c.room(e) < 0
 		p.Version = e.Versions[c.ask.Model]
 		p.Keys = c.keysOf(p.Version)
 	}
--- a/balance/choose_test.go
+++ b/balance/choose_test.go
@@ -208,3 +208,40 @@
 		t.Errorf("version %d assumed, want the one before", got)
 	}
 }
+
+// Long answers fill the memory of a pool while more prompts come. Sent all the same,
+// a prompt drives out the request that came last, whose caller sees its answer stop
+// until the prompt was read again. Waiting here costs nobody, and a prompt whose
+// catalogue runs there already needs room for its own part alone.
+func TestPromptWaitsForMemory(t *testing.T) {
+	s := newPool(1, 1)
+	const fits = 16
+	var runs []RunID
+	for i := range fits {
+		run, p := send(t, s, start, prompt(i, i))
+		s.Moved(start, run, Answering)
+		runs = append(runs, run)
+		if p.Full {
+			t.Fatalf("no room for prompt %d of %d that fit", i+1, fits)
+		}
+	}
+	p, _ := s.Choose(start, prompt(fits, fits))
+	if !p.Full {
+		t.Fatal("a prompt that does not fit beside those that run counts as fitting")
+	}
+	if shared, _ := s.Choose(start, prompt(3, 100)); shared.Full {
+		t.Error("a prompt whose catalogue is in use there counts as not fitting")
+	}
+	timing := Timing{Target: 800 * time.Millisecond, Patience: 3200 * time.Millisecond, First: 100 * time.Millisecond, Full: true}
+	if got := Admit(timing); got != Wait {
+		t.Errorf("decision %v while memory is full, want to wait", got)
+	}
+	timing.Elapsed = time.Second
+	if got := Admit(timing); got != Send {
+		t.Errorf("decision %v for one that has waited a third of its time, want to send", got)
+	}
+	s.Moved(start, runs[0], Done)
+	if p, _ := s.Choose(start, prompt(fits+1, fits+1)); p.Full {
+		t.Error("no room after a request has ended")
+	}
+}
--- a/balance/runs.go
+++ b/balance/runs.go
@@ -10,11 +10,11 @@
 	if _, twice := s.runs[st.Run]; !ok || twice {
 		return
 	}
-	r := &run{Start: st, on: e, at: now, memory: sum(st.Tokens) + st.Output, ahead: e.reading}
+	r := &run{Start: st, on: e, at: now, ahead: e.reading}
 	s.runs[st.Run] = r
 	e.running++
 	e.reading += st.Uncached
-	e.memory += r.memory
+	e.take(r)
 	if st.Model == "" {
 		return
 	}
@@ -74,7 +74,7 @@
 
 func (s *State) end(now time.Time, e *endpoint, r *run, stage Stage) {
 	e.running--
-	e.memory -= r.memory
+	e.give(r)
 	if !r.answered {
 		e.reading -= r.Uncached
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/sardinedock/sardinedock/prefix"
 )
 
 const (
@@ -52,8 +54,10 @@
 	running int
 	// reading is the prompt work in tokens of the runs that have not answered.
 	reading int64
-	// memory in tokens of the running requests.
+	// memory in tokens of the running requests; a part that several of them share
+	// counts once.
 	memory int64
+	users  map[prefix.PartKey]int
 	// avoidUntil leaves the endpoint out of choices; until doubtUntil it is chosen
 	// only where there is no other.
 	avoidUntil time.Time
@@ -85,7 +89,6 @@
 	on       *endpoint
 	at       time.Time
 	answered bool
-	memory   int64
 	// ahead is the prompt work that the endpoint had before this run's.
 	ahead int64
 }
@@ -134,7 +137,7 @@
 	for _, e := range list {
 		known, ok := s.departed[e.ID]
 		if !ok {
-			known = &endpoint{caches: map[string]*modelCache{}, capacity: s.capacityOf(e.Service)}
+			known = &endpoint{caches: map[string]*modelCache{}, users: map[prefix.PartKey]int{}, capacity: s.capacityOf(e.Service)}
 		}
 		held := known.Versions
 		known.Endpoint = e
@@ -201,10 +204,34 @@
 	return c.parts
 }
 
-func sum(list []int64) int64 {
+// take counts the memory of a run.
+func (e *endpoint) take(r *run) {
+	e.memory += r.Output
+	for i, k := range r.Keys {
+		if e.users[k]++; e.users[k] == 1 {
+			e.memory += r.Tokens[i]
+		}
+	}
+}
+
+// give counts the memory that is free once a run has ended.
+func (e *endpoint) give(r *run) {
+	e.memory -= r.Output
+	for i, k := range r.Keys {
+		if e.users[k]--; e.users[k] == 0 {
+			e.memory -= r.Tokens[i]
+			delete(e.users, k)
+		}
+	}
+}
+
+// shared returns how many tokens of a prompt's parts running requests hold already.
+func (e *endpoint) shared(keys []prefix.PartKey, parts []prefix.Part) int64 {
 	var n int64
-	for _, v := range list {
-		n += v
+	for i, k := range keys {
+		if e.users[k] > 0 {
+			n += parts[i].Tokens
+		}
 	}
 	return n
 }
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -97,7 +97,7 @@
 	}
 	return balance.Admit(balance.Timing{
 		Target: r.route.TargetLatency, Patience: min(r.deadline.Sub(r.began), r.route.SilenceBound()),
-		Elapsed: now.Sub(r.began), Backlog: p.Backlog, First: p.First,
+		Elapsed: now.Sub(r.began), Backlog: p.Backlog, First: p.First, Full: p.Full,
 	})
 }
 
