--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -30,8 +30,11 @@
 
 // refusalOf maps an error that came before anything was sent.
 func refusalOf(err error) refusal {
-	if errors.Is(err, errLongHead) {
+	switch {
+	case errors.Is(err, errLongHead):
 		return refusal{status: fasthttp.StatusRequestHeaderFieldsTooLarge, cause: err}
+	case errors.Is(err, errNoRecords):
+		return refusal{status: fasthttp.StatusServiceUnavailable, cause: err, retryAfter: recordsRetry}
 	}
 	switch fault.KindOf(err) {
 	case fault.BadRequest:
@@ -46,8 +49,13 @@
 	return refusal{status: fasthttp.StatusServiceUnavailable, cause: err, retryAfter: shortRetry}
 }
 
+// recordsRetry is when to come back to a router that has no records: the store is
+// away then, for longer than the request has waited, and most callers come back just
+// once.
+const recordsRetry = time.Second
+
 // shortRetry is when to come back where the reason is likely to pass at once,
-// such as records that are just being read.
+// such as an endpoint that is full for a moment.
 const shortRetry = 200 * time.Millisecond
 
 func isTimeout(err error) bool {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -67,8 +67,7 @@
 // returns an error.
 func (r *request) admit() error {
 	h := &r.ctx.Request.Header
-	r.table = r.srv.cfg.Table()
-	if r.table == nil {
+	if r.table = r.srv.awaitRecords(); r.table == nil {
 		return errNoRecords
 	}
 	if limit := r.table.Limits().HeaderBytes; limit > 0 && len(h.RawHeaders()) > limit {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -100,6 +100,27 @@
 	return route.Limits{}
 }
 
+const (
+	// recordsWait is how long a request waits for the first records. A read of the
+	// store takes a tenth of that; one that fails is tried again within it.
+	recordsWait = 300 * time.Millisecond
+	// recordsLook is the time between two looks.
+	recordsLook = 10 * time.Millisecond
+)
+
+// awaitRecords returns the records in force, or nil where there are none yet.
+//
+// Load: all instances start again together, and callers come before the first read
+// of the store is answered. Harm prevented: all of them are turned away at once and
+// come back at once, to be turned away for good.
+func (s *Server) awaitRecords() *route.Table {
+	t := s.cfg.Table()
+	for until := time.Now().Add(recordsWait); t == nil && time.Now().Before(until); t = s.cfg.Table() {
+		time.Sleep(recordsLook)
+	}
+	return t
+}
+
 // Drain closes connections after their answers. Requests are still taken.
 func (s *Server) Drain() { s.draining.Store(true) }
 
--- a/hosted/serve_test.go
+++ b/hosted/serve_test.go
@@ -110,6 +110,24 @@
 	}
 }
 
+// Callers come to an instance that has started a moment ago, before it has read the
+// records. Turned away at once they come back at once, to be turned away for good.
+func TestFirstRequestsWaitForTheRecords(t *testing.T) {
+	f := newFixture(t, 1)
+	a := f.do(f.request("GET", "/stock/1", ""))
+	if after, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64); a.status != 503 || err != nil || after < 0.5 {
+		t.Errorf("status %d, Retry-After %q without records", a.status, a.header.Get("Retry-After"))
+	}
+	done := make(chan answer)
+	go func() { done <- f.do(f.request("GET", "/stock/1", "")) }()
+	f.eventually("the request read", func() bool { return f.instances[0].server.Open() == 1 })
+	f.endpoint("e1", "orders", func(x *platformtest.Exchange) bool { x.Answer(200, "ok"); return true })
+	f.serve(1, nil)
+	if a := <-done; a.status != 200 {
+		t.Errorf("status %d for a request that came just before the records", a.status)
+	}
+}
+
 // An endpoint is full and says that it did not run a confirmation. Another one has
 // room; a caller that is refused all the same orders elsewhere.
 func TestRejectedRequestGoesToAnotherEndpoint(t *testing.T) {
