--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -142,10 +142,7 @@
 		})
 	}},
 	{"records change", func(s *soak, rng *rand.Rand, _ time.Duration) { s.changeRecords(rng.IntN(2) == 0) }},
-	{"weights named", func(s *soak, _ *rand.Rand, _ time.Duration) {
-		v := s.named.Add(1)
-		s.store.Put("versions", model, map[string]any{"model": model, "version": v})
-	}},
+	{"weights named", func(s *soak, _ *rand.Rand, _ time.Duration) { s.nameWeights() }},
 }
 
 func (s *soak) pick(rng *rand.Rand) *instance { return s.instances[rng.IntN(len(s.instances))] }
--- a/soak/pool_test.go
+++ b/soak/pool_test.go
@@ -116,6 +116,12 @@
 	x.remove()
 }
 
+func (x *server) isLeaving() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return !x.leftAt.IsZero()
+}
+
 // handle answers one request as an endpoint of the platform does.
 func (x *server) handle(e *platformtest.Exchange) bool {
 	c := x.soak.ledger.arrived(e.ID())
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -27,9 +27,11 @@
 )
 
 const (
-	warmUp      = 1500 * time.Millisecond
-	faultsFor   = 8 * time.Second
-	calmDown    = 6 * time.Second
+	warmUp    = 1500 * time.Millisecond
+	faultsFor = 8 * time.Second
+	// calmDown is enough for planned work that begins once all instances are in
+	// touch again, and for its bounds.
+	calmDown    = contact + 5*time.Second
 	judgedAtEnd = 2 * time.Second
 	callers     = 16
 	engines     = 4
@@ -120,7 +122,7 @@
 	stop := s.callAll(seed)
 	time.Sleep(warmUp)
 	s.harm(t, rng)
-	time.Sleep(calmDown)
+	s.workAtPeace()
 	settledAt := time.Now().Add(-judgedAtEnd)
 	s.over.Store(true)
 	stop()
@@ -184,6 +186,42 @@
 	wg.Wait()
 }
 
+// workAtPeace has planned work done once all faults are over, when each bound holds:
+// endpoints leave, the records change, and weights are named.
+func (s *soak) workAtPeace() {
+	began := time.Now()
+	time.Sleep(contact + 200*time.Millisecond)
+	var wg sync.WaitGroup
+	for _, service := range []string{"pool", "orders"} {
+		wg.Go(func() { s.replace(service) })
+	}
+	s.changeRecords(true)
+	s.nameWeights()
+	wg.Wait()
+	time.Sleep(time.Until(began.Add(calmDown)))
+}
+
+// replace has one endpoint of a service leave once another one is there.
+func (s *soak) replace(service string) {
+	var leaving *server
+	for _, x := range s.liveServers() {
+		if x.service == service && !x.isLeaving() {
+			leaving = x
+			break
+		}
+	}
+	s.addServer(service)
+	if leaving != nil {
+		leaving.leave()
+	}
+}
+
+// nameWeights names the next version.
+func (s *soak) nameWeights() {
+	v := s.named.Add(1)
+	s.store.Put("versions", model, map[string]any{"model": model, "version": v})
+}
+
 // judgeEnd judges what has to hold once all is calm.
 func (s *soak) judgeEnd(settledAt time.Time) {
 	l := s.ledger
@@ -255,10 +293,7 @@
 	list := s.liveServers()
 	for range list {
 		x := list[rng.IntN(len(list))]
-		x.mu.Lock()
-		leaving := !x.leftAt.IsZero()
-		x.mu.Unlock()
-		if !leaving {
+		if !x.isLeaving() {
 			return x
 		}
 	}
