Share the turns of reading the store, so that deaf watches cost a second

Cause: each instance read endpoints and weights every second times the number of instances, records every half, by a timer of its own. In a fleet that started together the turns fall together; when all watches went deaf at once (connections forgotten on the way), a change stayed unseen for up to as many seconds as there are instances. Change: whoever reads tells the others at once; the first in an order by hash reads an interval after the last read of anybody, the next ones 60 ms later each. A turn that fails is left out six times.

--- a/directory/follower.go
+++ b/directory/follower.go
@@ -35,6 +35,11 @@
 	// it, and as much again is drawn. Changes reach all within some ms, and the
 	// tightest bound on them is seconds.
 	hintPause = 100 * time.Millisecond
+	// checkLook is how often it is looked whether the kind has to be read: who is
+	// there, and so whose turn it is, changes meanwhile.
+	checkLook = 100 * time.Millisecond
+	// failedTurns is how many turns are left out after a read that failed.
+	failedTurns = 6
 	// maxRemoved bounds what is remembered of removed objects.
 	maxRemoved = 4096
 	// sweepEvery is how often lapsed entries are looked at.
@@ -46,9 +51,11 @@
 	Store objectapi.Store
 	// Kind of the objects.
 	Kind string
-	// CheckEvery is how often the kind is read besides the watch, which may be
-	// deaf without breaking. It is asked before each check.
+	// CheckEvery is how long after the last read by any instance this one reads the
+	// kind, besides the watch, which may be deaf without breaking.
 	CheckEvery func() time.Duration
+	// Read is told of each read, so that others need not read too; nil tells nobody.
+	Read func(kind string)
 	// LapseAfter is the shortest outage of the store in which entries can lapse
 	// though their owners live; those that disappear around one are kept until they
 	// can have been renewed. 0 means that entries do not lapse.
@@ -85,7 +92,11 @@
 	revision   objectapi.Version
 	lastChange objectapi.Version
 	listed     bool
-	objects    map[string]objectapi.Object
+	// readAt is when any instance has read the kind last, as far as known here.
+	readAt time.Time
+	// notBefore puts the next turn off after one that failed.
+	notBefore time.Time
+	objects   map[string]objectapi.Object
 	// removed remembers at which revision an object went, so that an older read
 	// does not bring it back.
 	removed map[string]objectapi.Version
@@ -160,12 +171,15 @@
 func (f *Follower) check(ctx context.Context) {
 	pause := firstRetry
 	for {
-		timer := time.NewTimer(f.cfg.CheckEvery())
+		timer := time.NewTimer(min(f.untilCheck(), checkLook))
 		select {
 		case <-ctx.Done():
 			timer.Stop()
 			return
 		case <-timer.C:
+			if f.untilCheck() > 0 {
+				continue
+			}
 		case <-f.hint:
 			// The change itself is mostly on its way, by this instance's watch or
 			// by another one's word. Without the pause, each instance of a large
@@ -181,19 +195,50 @@
 			pause = firstRetry
 			continue
 		}
+		f.putOff()
 		_ = clock.Sleep(ctx, pause)
 		pause = min(2*pause, lastRetry)
 	}
 }
 
+// untilCheck is how long it is until the kind has to be read.
+func (f *Follower) untilCheck() time.Duration {
+	f.mu.Lock()
+	at, notBefore := f.readAt, f.notBefore
+	f.mu.Unlock()
+	return max(f.cfg.CheckEvery()-time.Since(at), time.Until(notBefore), 0)
+}
+
+// putOff has the next turn wait after one that failed: with the store away, each
+// instance's turn comes, and each call is paid for. Watches are tried all the while.
+func (f *Follower) putOff() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.notBefore = time.Now().Add(failedTurns * f.cfg.CheckEvery())
+}
+
+// Checked says when another instance has read the kind; its revisions are told apart.
+func (f *Follower) Checked(at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at.After(f.readAt) {
+		f.readAt = at
+	}
+}
+
 // read takes in what the store holds now.
 func (f *Follower) read(ctx context.Context) bool {
+	began := time.Now()
 	l, err := f.cfg.Store.List(ctx, f.cfg.Kind)
 	if err != nil {
 		f.failed(err)
 		return false
 	}
 	f.reached()
+	f.Checked(began)
+	if f.cfg.Read != nil {
+		f.cfg.Read(f.cfg.Kind)
+	}
 	f.takeList(l)
 	return true
 }
--- a/directory/follower_test.go
+++ b/directory/follower_test.go
@@ -60,6 +60,12 @@
 	})
 }
 
+func (s *fakeStore) readCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
+}
+
 func (s *fakeStore) setDown(down bool) { s.change(func() { s.down = down }) }
 
 var errDown = fault.New(fault.Unavailable, "wait", "down")
@@ -319,6 +325,31 @@
 	})
 }
 
+// One instance of a fleet reads a kind in turn and tells the others. Each of them
+// reading too would cost a fleet of hundreds as many calls a second; none of them
+// reading once it has gone would leave all of them deaf.
+func TestReadsOfPeersStandForOwn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore("a", "b")
+		has, f := followHinted(t, s, 500*time.Millisecond)
+		time.Sleep(time.Second)
+		s.change(func() { s.deaf = true })
+		before := s.readCount()
+		for range 20 {
+			f.Checked(time.Now())
+			time.Sleep(400 * time.Millisecond)
+		}
+		if n := s.readCount() - before; n > 0 {
+			t.Errorf("%d reads while a peer reads", n)
+		}
+		s.remove("a")
+		time.Sleep(700 * time.Millisecond)
+		if has("a") {
+			t.Error("nobody reads once the peer has gone")
+		}
+	})
+}
+
 // The store answers reads and refuses watches, as it does when its history is
 // gone. A router that tries again at once makes thousands of calls, each of
 // which its operators pay for.
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -56,8 +56,9 @@
 	Cache(n *gossippb.CacheNews)
 	// PeerStarted is told of a peer that was not known, or has started anew.
 	PeerStarted(name string)
-	// Revision is told of the newest revision of a kind that a peer has seen.
-	Revision(kind string, revision uint64)
+	// Revision is told of the newest revision of a kind that a peer has seen, and of
+	// when any instance that it knows of has read the kind last; zero if none has.
+	Revision(kind string, revision uint64, readAt time.Time)
 }
 
 // Peer is another instance.
@@ -81,6 +82,8 @@
 	peers     []Peer
 	heard     map[string]heard
 	revisions map[string]uint64
+	// reads has for each kind when an instance has read it last.
+	reads     map[string]time.Time
 	leaving   bool
 	storeLost bool
 }
@@ -119,6 +122,7 @@
 		out:       ring.New[item]("gossip_out", outRing),
 		heard:     map[string]heard{},
 		revisions: map[string]uint64{},
+		reads:     map[string]time.Time{},
 	}, nil
 }
 
@@ -208,6 +212,21 @@
 	}
 }
 
+// TellRead tells at once that this instance has read a kind from the store, so that
+// the others need not do the same.
+func (n *Node) TellRead(kind string) {
+	n.noteRead(kind, time.Now())
+	n.out.Push(item{now: true})
+}
+
+func (n *Node) noteRead(kind string, at time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if at.After(n.reads[kind]) {
+		n.reads[kind] = at
+	}
+}
+
 // TellEntry tells a change that this instance's watch has heard of, at once.
 func (n *Node) TellEntry(e *gossippb.Entry) { n.out.Push(item{entry: e, now: true}) }
 
@@ -317,6 +336,16 @@
 	return true, d.GetIncarnation() != h.incarnation
 }
 
+// heardRead returns when a kind was read last, by a peer's word.
+func (n *Node) heardRead(r *gossippb.Revision) time.Time {
+	if r.GetReadMsAgo() < 0 {
+		return time.Time{}
+	}
+	at := time.Now().Add(-time.Duration(r.GetReadMsAgo()) * time.Millisecond)
+	n.noteRead(r.GetKind(), at)
+	return at
+}
+
 // hear applies a datagram.
 func (n *Node) hear(d *gossippb.Datagram) {
 	counts, anew := n.admit(d, time.Now())
@@ -333,7 +362,7 @@
 		n.handler.Entry(e)
 	}
 	for _, r := range d.GetRevisions() {
-		n.handler.Revision(r.GetKind(), r.GetRevision())
+		n.handler.Revision(r.GetKind(), r.GetRevision(), n.heardRead(r))
 	}
 	for _, s := range d.GetStarts() {
 		n.handler.Started(s)
--- a/gossip/pack.go
+++ b/gossip/pack.go
@@ -1,6 +1,8 @@
 package gossip
 
 import (
+	"time"
+
 	"google.golang.org/protobuf/proto"
 
 	"github.com/sardinedock/sardinedock/schema/gossippb"
@@ -56,8 +58,18 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	d.Leaving, d.StoreLost = n.leaving, n.storeLost
+	now := time.Now()
 	for kind, revision := range n.revisions {
-		d.Revisions = append(d.Revisions, &gossippb.Revision{Kind: kind, Revision: revision})
+		d.Revisions = append(d.Revisions, &gossippb.Revision{Kind: kind, Revision: revision, ReadMsAgo: n.readAgo(kind, now)})
 	}
 	return d
 }
+
+// readAgo is how long ago a kind was read, in ms; the mutex is held.
+func (n *Node) readAgo(kind string, now time.Time) int64 {
+	at, ok := n.reads[kind]
+	if !ok {
+		return -1
+	}
+	return now.Sub(at).Milliseconds()
+}
--- a/hosted/beliefs.go
+++ b/hosted/beliefs.go
@@ -194,8 +194,9 @@
 }
 
 // Revision implements gossip.Handler.
-func (h hearer) Revision(kind string, revision uint64) {
+func (h hearer) Revision(kind string, revision uint64, readAt time.Time) {
 	if f, ok := h.followers[kind]; ok {
 		f.Hint(revision)
+		f.Checked(readAt)
 	}
 }
--- a/hosted/change_test.go
+++ b/hosted/change_test.go
@@ -170,3 +170,41 @@
 		t.Error("the instance does not end")
 	}
 }
+
+// Something between a fleet and the store forgets all open connections, and the
+// watches of all instances hear nothing from then on. An endpoint leaves. Requests that
+// are sent to it for as many seconds as there are instances die with it.
+func TestLeavingIsSeenThoughAllWatchesAreDeaf(t *testing.T) {
+	const instances, bound = 5, 1700 * time.Millisecond
+	f := newFixture(t, instances)
+	leaving := f.endpoint("e1", "orders", ok)
+	f.endpoint("e2", "orders", ok)
+	f.serve(2, nil)
+	f.eventually("the instances know each other", func() bool {
+		for _, i := range f.instances {
+			if i.node.Live(time.Now()) != instances {
+				return false
+			}
+		}
+		return true
+	})
+	for round := range 3 {
+		state := []string{"draining", "ready"}[round%2]
+		f.store.SilenceOpen()
+		f.store.Put("servers", "e1", leaving.Entry("orders", state, nil))
+		from := time.Now()
+		f.eventually("the endpoint's state seen by all", func() bool {
+			for _, i := range f.instances {
+				for _, v := range i.state.Endpoints("orders", time.Now()) {
+					if v.ID == "e1" && v.Draining != (state == "draining") {
+						return false
+					}
+				}
+			}
+			return true
+		})
+		if took := time.Since(from); took > bound {
+			t.Errorf("%s seen by all after %v", state, took)
+		}
+	}
+}
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -41,6 +41,9 @@
 	checkEvery = 500 * time.Millisecond
 	// slowCheck is the same for endpoints and weights, whose bounds are wider.
 	slowCheck = time.Second
+	// turnStagger is how much later the next instance in order reads a kind: the word
+	// of a read reaches the others within 10 ms, and some more where they are busy.
+	turnStagger = 60 * time.Millisecond
 	// watchers is how many instances watch the endpoints for all. With three, two
 	// may be killed or cut off at once, and changes are still heard.
 	watchers = 3
@@ -185,7 +188,7 @@
 func (i *Instance) follow(kind string, changed func(map[string]objectapi.Object)) {
 	cfg := directory.Config{
 		Store: i.store, Kind: kind, Changed: changed, Seen: i.node.TellRevision,
-		CheckEvery: func() time.Duration { return i.turn(kind) },
+		CheckEvery: func() time.Duration { return i.turn(kind) }, Read: i.node.TellRead,
 	}
 	if kind != platform.KindRecords {
 		// Each change costs each watch a call of the store; a few watch, and tell
@@ -203,10 +206,15 @@
 	i.followers[kind] = directory.NewFollower(cfg)
 }
 
-// turn is how long this instance waits for its next read of a kind, so that the
-// fleet as a whole reads it every checkEvery.
+// turn is how long after the last read of a kind by any instance this one reads it.
+// The first in an order by hash reads it; the next ones wait a little longer, and so
+// read only where those before them fail to.
+//
+// Load: all watches go deaf at once, such as when what stands between the fleet and
+// the store has forgotten its connections. Harm prevented: with a timer of its own at
+// each instance, the turns of a fleet that has started together fall together, and a
+// change stays unseen for as many seconds as there are instances.
 func (i *Instance) turn(kind string) time.Duration {
-	live := time.Duration(i.node.Live(time.Now()))
 	every := slowCheck
 	switch kind {
 	case platform.KindRecords:
@@ -214,7 +222,7 @@
 	case kindInstances:
 		every = instancesEvery
 	}
-	return every * live
+	return every + time.Duration(i.rank(kind, i.node.WithStore(time.Now())))*turnStagger
 }
 
 func (i *Instance) sweep(ctx context.Context) {
--- a/hosted/members.go
+++ b/hosted/members.go
@@ -95,10 +95,14 @@
 	return i.isAmongFirst(leaseName, i.node.LivePeers(time.Now()), leaseCandidates)
 }
 
-// isAmongFirst reports whether this instance is among the first n of the names,
-// in an order by hash that all instances agree on.
+// isAmongFirst reports whether this instance is among the first n of the names.
 func (i *Instance) isAmongFirst(what string, names []string, n int) bool {
+	return i.rank(what, names) < n
+}
+
+// rank is this instance's place among the names, which hold its own, in an order by
+// hash that all instances agree on.
+func (i *Instance) rank(what string, names []string) int {
 	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(xxh3.HashString(what+a), xxh3.HashString(what+b)) })
-	rank := slices.Index(names, i.settings.GetInstance())
-	return rank >= 0 && rank < n
+	return slices.Index(names, i.settings.GetInstance())
 }
