Keep a guess of an engine's weights to the instance that guesses

Cause: told 421 without a version, an instance guesses which weights the engine holds, and told the guess to all as a fact. Change: guesses stand beside what is known, for requests of that instance alone; what the engine tells goes before a guess.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -134,7 +134,7 @@
 	defer s.mu.Unlock()
 	var v int64
 	for _, e := range s.byService[service] {
-		v = max(v, e.Versions[model])
+		v = max(v, e.version(model))
 	}
 	return v
 }
@@ -152,7 +152,7 @@
 	if len(c.ask.Parts) == 0 {
 		return source{}
 	}
-	version := e.Versions[c.ask.Model]
+	version := e.version(c.ask.Model)
 	if found, ok := c.sources[version]; ok {
 		return found
 	}
@@ -211,7 +211,7 @@
 	if e.Draining || c.now.Before(e.avoidUntil) || c.now.Before(e.loadingUntil) || c.excluded(e.ID) {
 		return
 	}
-	if behindFor(c.named, e.Versions[c.ask.Model], c.now) > c.tooOld {
+	if behindFor(c.named, e.version(c.ask.Model), c.now) > c.tooOld {
 		return
 	}
 	cost, uncached, fetch := c.cost(e, from)
@@ -243,7 +243,7 @@
 		return cost + c.plainCost(e), 0, ""
 	}
 	own := 0
-	if cache := e.caches[c.ask.Model]; cache != nil && cache.version == e.Versions[c.ask.Model] {
+	if cache := e.caches[c.ask.Model]; cache != nil && cache.version == e.version(c.ask.Model) {
 		own, _ = cache.parts.leading(c.keysOf(cache.version))
 	}
 	local := prefix.PartTokens(c.ask.Parts[:own])
@@ -258,7 +258,7 @@
 	if c.now.Before(e.soonUntil) {
 		cost += soonTokens * min(1, float64(c.ask.OutputTokens)/soonOutput)
 	}
-	if behindFor(c.named, e.Versions[c.ask.Model], c.now) > staleAccepted {
+	if behindFor(c.named, e.version(c.ask.Model), c.now) > staleAccepted {
 		cost += staleTokens
 	}
 	if over := -c.room(e); over > 0 {
@@ -270,7 +270,7 @@
 // room is how much of an endpoint's memory, in tokens, is left once the request
 // runs there too; less than 0 where it does not fit.
 func (c *chooser) room(e *endpoint) int64 {
-	need := c.ask.PromptTokens + c.ask.OutputTokens - e.shared(c.keysOf(e.Versions[c.ask.Model]), c.ask.Parts)
+	need := c.ask.PromptTokens + c.ask.OutputTokens - e.shared(c.keysOf(e.version(c.ask.Model)), c.ask.Parts)
 	return e.capacity - e.memory - need
 }
 
@@ -287,7 +287,7 @@
 	p := Placement{Endpoint: e.Endpoint, Ahead: e.reading, Running: e.running, Uncached: c.uncached, FetchFrom: c.fetch}
 	if c.ask.Model != "" {
 		p.Full = c.room(e) < 0
-		p.Version = e.Versions[c.ask.Model]
+		p.Version = e.version(c.ask.Model)
 		p.Keys = c.keysOf(p.Version)
 	}
 	return p
--- a/balance/state.go
+++ b/balance/state.go
@@ -46,7 +46,9 @@
 // endpoint is what is known of one incarnation.
 type endpoint struct {
 	Endpoint
-	caches map[string]*modelCache
+	// assumed are versions that were guessed, by model; see Mismatch.
+	assumed map[string]int64
+	caches  map[string]*modelCache
 	// capacity of the cache in tokens.
 	capacity int64
 	// told says that the endpoint's own word on its cache has come.
@@ -137,9 +139,14 @@
 	for _, e := range list {
 		known, ok := s.departed[e.ID]
 		if !ok {
-			known = &endpoint{caches: map[string]*modelCache{}, users: map[prefix.PartKey]int{}, capacity: s.capacityOf(e.Service)}
+			known = &endpoint{assumed: map[string]int64{}, caches: map[string]*modelCache{}, users: map[prefix.PartKey]int{}, capacity: s.capacityOf(e.Service)}
 		}
 		held := known.Versions
+		for model, v := range e.Versions {
+			if v > held[model] {
+				delete(known.assumed, model)
+			}
+		}
 		known.Endpoint = e
 		known.Versions = newest(held, e.Versions)
 		delete(s.departed, e.ID)
--- a/balance/weights.go
+++ b/balance/weights.go
@@ -42,17 +42,22 @@
 		return
 	}
 	e.Versions = newest(e.Versions, map[string]int64{model: version})
+	delete(e.assumed, model)
 	e.loadingUntil = time.Time{}
 	e.avoidUntil, e.doubtUntil = time.Time{}, time.Time{}
 	s.wake()
 }
 
 // Mismatch says that an endpoint does not hold the version that a request
-// expected, without saying which it holds, and returns the one that is assumed from
-// now on: the newest that operators have named, which it may have taken while nobody
-// could tell; or, if that was expected, the one named before, since its load has not
-// ended yet or it has started anew.
-func (s *State) Mismatch(id, model string, expected int64) int64 {
+// expected, and returns the one to expect from now on: what it told that it holds, or,
+// where told is 0, a guess. The guess is the newest that operators have named, which it may have taken
+// while nobody could tell; or, if that was expected, the one named before, since its
+// load has not ended yet or it has started anew.
+//
+// It is a guess of this instance alone. Told to others, or kept as what the endpoint
+// holds, a guess that is too high would end the endpoint's rollout: its holder would
+// never give the order.
+func (s *State) Mismatch(id, model string, expected, told int64) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e, ok := s.endpoints[id]
@@ -60,9 +65,13 @@
 	if !ok || len(named) == 0 {
 		return expected
 	}
-	if e.Versions[model] != expected {
+	if v := e.version(model); v != expected {
 		// Somebody has found out meanwhile.
-		return e.Versions[model]
+		return v
+	}
+	if told > 0 {
+		e.assumed[model] = told
+		return told
 	}
 	newest := named[len(named)-1].version
 	assumed := newest
@@ -72,6 +81,14 @@
 			assumed = named[len(named)-2].version
 		}
 	}
-	e.Versions[model] = assumed
+	e.assumed[model] = assumed
 	return assumed
 }
+
+// version is what requests expect of an endpoint's weights.
+func (e *endpoint) version(model string) int64 {
+	if v, ok := e.assumed[model]; ok {
+		return v
+	}
+	return e.Versions[model]
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -252,11 +252,8 @@
 		cfg.State.Gone(id)
 		cfg.Teller.TellNotice(&gossippb.Notice{Endpoint: id, Leaving: true})
 	case a.head.Mismatch && a.req.service.Engine != nil:
-		v := cfg.State.Mismatch(id, a.req.call.Model, a.place.Version)
+		v := cfg.State.Mismatch(id, a.req.call.Model, a.place.Version, a.head.Version)
 		log.WithField("endpoint", id).WithField("expected", a.place.Version).WithField("assumed", v).Info("endpoint holds other weights")
-		if v > a.place.Version {
-			cfg.Teller.TellNotice(&gossippb.Notice{Endpoint: id, Model: a.req.call.Model, Version: v})
-		}
 	case a.head.Version > a.place.Version && a.req.service.Engine != nil:
 		cfg.State.Holds(id, a.req.call.Model, a.head.Version)
 		cfg.Teller.TellNotice(&gossippb.Notice{Endpoint: id, Model: a.req.call.Model, Version: a.head.Version})
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -200,9 +200,13 @@
 		return
 	}
 	defer i.cycle.Unlock()
+	told := time.Now()
 	i.signal(syscall.SIGTERM)
 	if !i.waitEnd(graceSeconds*time.Second + 500*time.Millisecond) {
-		s.ledger.breach("GRACE: %s has not ended %d s after SIGTERM", i.name, graceSeconds)
+		// A process that was paused meanwhile has lost that time.
+		if i.calm(told, time.Now()) {
+			s.ledger.breach("GRACE: %s has not ended %d s after SIGTERM", i.name, graceSeconds)
+		}
 		i.signal(syscall.SIGKILL)
 		i.waitEnd(5 * time.Second)
 	}
