--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -195,8 +195,8 @@
 		}
 		return
 	}
-	if !c.instance.calm(r.sentAt.Add(-contact), now) || c.soak.endpointsDisturbed(r.sentAt.Add(-contact), now) {
+	if !c.instance.calm(r.sentAt.Add(-contact), now) || c.soak.endpointFaults.meets(r.sentAt.Add(-contact), now) {
 		return
 	}
-	l.cutAtPeace(r, c.instance.stopping(r.sentAt, now))
+	l.cutAtPeace(r, c.instance.terms.meets(r.sentAt, now))
 }
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -42,7 +42,7 @@
 			if !i.cycle.TryLock() {
 				continue
 			}
-			struck, ends = append(struck, i), append(ends, i.disturb())
+			struck, ends = append(struck, i), append(ends, i.faults.begin())
 			i.signal(syscall.SIGKILL)
 		}
 		for _, i := range struck {
@@ -150,7 +150,7 @@
 // harmInstance does something to one instance, and notes that it is disturbed.
 func (s *soak) harmInstance(rng *rand.Rand, do func(*instance)) {
 	i := s.pick(rng)
-	over := i.disturb()
+	over := i.faults.begin()
 	do(i)
 	over()
 }
@@ -159,7 +159,7 @@
 func (s *soak) harmStore(do func()) {
 	var ends []func()
 	for _, i := range s.instances {
-		ends = append(ends, i.disturb())
+		ends = append(ends, i.faults.begin())
 	}
 	do()
 	for _, over := range ends {
@@ -169,25 +169,11 @@
 
 // harmServer does something to one endpoint.
 func (s *soak) harmServer(rng *rand.Rand, do func(*server)) {
-	over := s.disturbEndpoints()
+	over := s.endpointFaults.begin()
 	do(s.pickServer(rng))
 	over()
 }
 
-// disturbEndpoints notes a fault at an endpoint; the returned function notes its
-// end.
-func (s *soak) disturbEndpoints() func() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.endpointFaults = append(s.endpointFaults, span{time.Now(), time.Now().Add(time.Hour)})
-	k := len(s.endpointFaults) - 1
-	return func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.endpointFaults[k].to = time.Now()
-	}
-}
-
 func (s *soak) during(l *link, h harm, lasts time.Duration) {
 	l.set(h)
 	time.Sleep(lasts)
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -48,16 +48,47 @@
 	incarnation int
 	// ending says that the process was told to end or killed.
 	ending bool
-	// disturbed are the spans of faults at this instance.
-	disturbed []span
-	// terms are the moments of SIGTERM.
-	terms []span
+
+	// faults at this instance or its links, and the time from each SIGTERM on.
+	faults, terms timeline
+}
+
+// calm reports whether nothing disturbed the instance in a span.
+func (i *instance) calm(from, to time.Time) bool { return !i.faults.meets(from, to) }
+
+// timeline is when something went on. Any goroutine may use it.
+type timeline struct {
+	mu    sync.Mutex
+	spans []span
 }
 
-// span is a time from and to.
 type span struct{ from, to time.Time }
 
-func (s span) meets(from, to time.Time) bool { return s.from.Before(to) && from.Before(s.to) }
+// begin notes that it goes on from now; the returned function notes its end.
+func (t *timeline) begin() (end func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	const untilTold = time.Hour
+	k := len(t.spans)
+	t.spans = append(t.spans, span{time.Now(), time.Now().Add(untilTold)})
+	return func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.spans[k].to = time.Now()
+	}
+}
+
+// meets reports whether it went on at any moment of a span.
+func (t *timeline) meets(from, to time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.spans {
+		if s.from.Before(to) && from.Before(s.to) {
+			return true
+		}
+	}
+	return false
+}
 
 // The ports of instances lie below those that the system gives out itself: a link or
 // a caller would otherwise take the port of an instance while that is down.
@@ -155,7 +186,7 @@
 		i.ending = true
 	}
 	if s == syscall.SIGTERM {
-		i.terms = append(i.terms, span{time.Now(), time.Now().Add(graceSeconds * time.Second)})
+		time.AfterFunc(graceSeconds*time.Second, i.terms.begin())
 	}
 	if i.cmd != nil {
 		_ = i.cmd.Process.Signal(s)
@@ -175,43 +206,6 @@
 	}
 }
 
-// disturb notes a fault at the instance; the returned function notes its end.
-func (i *instance) disturb() func() {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.disturbed = append(i.disturbed, span{time.Now(), time.Now().Add(time.Hour)})
-	k := len(i.disturbed) - 1
-	return func() {
-		i.mu.Lock()
-		defer i.mu.Unlock()
-		i.disturbed[k].to = time.Now()
-	}
-}
-
-// calm reports whether nothing disturbed the instance in a span.
-func (i *instance) calm(from, to time.Time) bool {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	for _, s := range i.disturbed {
-		if s.meets(from, to) {
-			return false
-		}
-	}
-	return true
-}
-
-// stopping reports whether the process was told to end in a span.
-func (i *instance) stopping(from, to time.Time) bool {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	for _, s := range i.terms {
-		if s.meets(from, to) {
-			return true
-		}
-	}
-	return false
-}
-
 func (i *instance) life() int {
 	i.mu.Lock()
 	defer i.mu.Unlock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -54,8 +54,8 @@
 	mu         sync.Mutex
 	servers    map[string]*server
 	records    records
-	// endpointFaults are the spans of faults at any endpoint.
-	endpointFaults []span
+	// endpointFaults are faults at any endpoint.
+	endpointFaults timeline
 }
 
 // Instances, endpoints, the store and the ways between them fail in random order,
@@ -304,18 +304,6 @@
 	return s.instances[instance].calm(from, to)
 }
 
-// endpointsDisturbed reports whether any endpoint failed in a span.
-func (s *soak) endpointsDisturbed(from, to time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, p := range s.endpointFaults {
-		if p.meets(from, to) {
-			return true
-		}
-	}
-	return false
-}
-
 // judgeGone notes an endpoint that still works for a caller that has left.
 func (s *soak) judgeGone(c *call) {
 	s.ledger.mu.Lock()
