Tell why a request was not sent again, and how its first send failed

Cause: of twenty failed requests three could not be explained from their lines: two were not sent once more since the fleet's budget was used up, one kept its last error alone. Change: fields retries and first_why.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -292,7 +292,7 @@
 // turnedAway ends an attempt that the endpoint did not run.
 func (r *request) turnedAway(a *attempt) (again bool) {
 	r.rejected++
-	r.lastErr = fault.New(fault.Overloaded, "send the request again later", "the endpoint answered %d and did not run the request", a.head.Status)
+	r.failedWith(fault.New(fault.Overloaded, "send the request again later", "the endpoint answered %d and did not run the request", a.head.Status))
 	if _, err := a.in.ReadAll(); err != nil {
 		a.in.Drop()
 		a.in = nil
@@ -315,7 +315,7 @@
 // sendFailed decides what follows a send without a usable answer. It writes the
 // final answer unless the request should be placed anew.
 func (r *request) sendFailed(o outcome, err error) (again bool) {
-	r.lastErr = err
+	r.failedWith(err)
 	r.exclude = append(r.exclude, r.last.Endpoint.ID)
 	if r.mayTryAgain(o) {
 		return true
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -45,9 +45,13 @@
 	rejected   int
 	waited     time.Duration
 	// first is the time to a stream's first event.
-	first   time.Duration
-	last    balance.Placement
-	lastErr error
+	first time.Duration
+	last  balance.Placement
+	// firstErr is how the first send failed, lastErr why the request ended so.
+	firstErr, lastErr error
+	// outOfRetries says that it was not sent once more since the fleet's budget of
+	// retries was used up.
+	outOfRetries bool
 }
 
 func (r *request) serve() {
@@ -216,7 +220,16 @@
 			return false
 		}
 	}
-	return r.srv.cfg.Budget.Retry(time.Now(), r.service.Name)
+	r.outOfRetries = !r.srv.cfg.Budget.Retry(time.Now(), r.service.Name)
+	return !r.outOfRetries
+}
+
+// failedWith notes how a send failed.
+func (r *request) failedWith(err error) {
+	if r.firstErr == nil {
+		r.firstErr = err
+	}
+	r.lastErr = err
 }
 
 // refuseUnsent answers where no endpoint could be found any more.
@@ -297,5 +310,11 @@
 	if r.lastErr != nil {
 		f["why"] = r.lastErr.Error()
 	}
+	if r.firstErr != nil && r.firstErr.Error() != f["why"] {
+		f["first_why"] = r.firstErr.Error()
+	}
+	if r.outOfRetries {
+		f["retries"] = "used up"
+	}
 	log.WithFields(f).Info("request")
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -123,7 +123,7 @@
 		return io.EOF
 	}
 	s.attempt.broke(err)
-	r.lastErr = err
+	r.failedWith(err)
 	for r.route.Resumable && len(s.lastID) > 0 && s.resumes < maxResumes && r.mayTryAgain(outcomeBroken) {
 		s.resumes++
 		if s.resume() == nil {
--- a/hosted/fixture_test.go
+++ b/hosted/fixture_test.go
@@ -26,6 +26,8 @@
 	records   map[string]any
 	nextID    int
 	mu        sync.Mutex
+	// retrySlack is the fleet's budget of retries.
+	retrySlack float64
 }
 
 const (
@@ -36,13 +38,20 @@
 
 // newFixture starts n instances and a store without records.
 func newFixture(t *testing.T, n int) *fixture {
+	t.Helper()
+	const manyRetries = 50
+	return newFixtureWith(t, n, manyRetries)
+}
+
+// newFixtureWith is the same with another budget of retries.
+func newFixtureWith(t *testing.T, n int, retrySlack float64) *fixture {
 	t.Helper()
 	store, err := platformtest.NewStore()
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(store.Close)
-	f := &fixture{t: t, store: store, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}}
+	f := &fixture{t: t, store: store, retrySlack: retrySlack, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}}
 	for k := range n {
 		f.start(fmt.Sprintf("instance-%d", k))
 	}
@@ -60,7 +69,7 @@
 		var err error
 		i, err = Start(&settingspb.Hosted{
 			Instance: name, DataCentre: "dc-1", Store: f.store.Address(), Listen: listen,
-			Bounds: &settingspb.HostedBounds{GraceSeconds: 4, LeaseMs: 1000, RetryRatio: 0.2, RetrySlack: 50, RetryWindowSeconds: 10, WeightsMs: 8000, HeartbeatMs: 300},
+			Bounds: &settingspb.HostedBounds{GraceSeconds: 4, LeaseMs: 1000, RetryRatio: 0.2, RetrySlack: f.retrySlack, RetryWindowSeconds: 10, WeightsMs: 8000, HeartbeatMs: 300},
 		})
 		if err != nil && try == tries {
 			f.t.Fatal(err)
