Tell only own reads of the store as reads

Cause: seen when reading the change over: an instance told on what it had heard of others' reads, each time counted from a little later by the delay on the way.

--- a/gossip/admit_test.go
+++ b/gossip/admit_test.go
@@ -27,3 +27,18 @@
 		t.Errorf("the next one: counts %v, started anew %v", counts, anew)
 	}
 }
+
+// Peers tell each other many times a second when they have read the store. Told on as
+// one's own, a read would count from a little later each time, by the delay on the way.
+// It would never grow old, nobody would read any more, and changes that deaf watches
+// miss would stay unseen for good.
+func TestReadsOfOthersAreNotToldOn(t *testing.T) {
+	n := &Node{revisions: map[string]uint64{"servers": 7}, reads: map[string]time.Time{}}
+	peer := &gossippb.Revision{Kind: "servers", Revision: 7, ReadMsAgo: 500}
+	if ago := time.Since(heardRead(peer)); ago < 500*time.Millisecond || ago > 600*time.Millisecond {
+		t.Errorf("a read of 500 ms ago counts as %v ago", ago)
+	}
+	if got := n.empty().GetRevisions()[0].GetReadMsAgo(); got != -1 {
+		t.Errorf("told that it has read %d ms ago; it has not read at all", got)
+	}
+}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -57,7 +57,7 @@
 	// PeerStarted is told of a peer that was not known, or has started anew.
 	PeerStarted(name string)
 	// Revision is told of the newest revision of a kind that a peer has seen, and of
-	// when any instance that it knows of has read the kind last; zero if none has.
+	// when that peer has read the kind last; zero if it has not.
 	Revision(kind string, revision uint64, readAt time.Time)
 }
 
@@ -82,7 +82,7 @@
 	peers     []Peer
 	heard     map[string]heard
 	revisions map[string]uint64
-	// reads has for each kind when an instance has read it last.
+	// reads has for each kind when this instance has read it last.
 	reads     map[string]time.Time
 	leaving   bool
 	storeLost bool
@@ -215,16 +215,10 @@
 // TellRead tells at once that this instance has read a kind from the store, so that
 // the others need not do the same.
 func (n *Node) TellRead(kind string) {
-	n.noteRead(kind, time.Now())
-	n.out.Push(item{now: true})
-}
-
-func (n *Node) noteRead(kind string, at time.Time) {
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	if at.After(n.reads[kind]) {
-		n.reads[kind] = at
-	}
+	n.reads[kind] = time.Now()
+	n.mu.Unlock()
+	n.out.Push(item{now: true})
 }
 
 // TellEntry tells a change that this instance's watch has heard of, at once.
@@ -336,14 +330,15 @@
 	return true, d.GetIncarnation() != h.incarnation
 }
 
-// heardRead returns when a kind was read last, by a peer's word.
-func (n *Node) heardRead(r *gossippb.Revision) time.Time {
+// heardRead returns when a peer has read a kind last, by its own word. It is not told
+// on: each time it would count from a little later, by the delay on the way, and with
+// peers that tell each other many times a second a read would never grow old; in the
+// end nobody would read.
+func heardRead(r *gossippb.Revision) time.Time {
 	if r.GetReadMsAgo() < 0 {
 		return time.Time{}
 	}
-	at := time.Now().Add(-time.Duration(r.GetReadMsAgo()) * time.Millisecond)
-	n.noteRead(r.GetKind(), at)
-	return at
+	return time.Now().Add(-time.Duration(r.GetReadMsAgo()) * time.Millisecond)
 }
 
 // hear applies a datagram.
@@ -362,7 +357,7 @@
 		n.handler.Entry(e)
 	}
 	for _, r := range d.GetRevisions() {
-		n.handler.Revision(r.GetKind(), r.GetRevision(), n.heardRead(r))
+		n.handler.Revision(r.GetKind(), r.GetRevision(), heardRead(r))
 	}
 	for _, s := range d.GetStarts() {
 		n.handler.Started(s)
