--- a/instance/records_test.go
+++ b/instance/records_test.go
@@ -21,12 +21,14 @@
 // seed.
 func startFleet(tb testing.TB, store *emulator.Store, n int) []*Instance {
 	tb.Helper()
-	fleet := []*Instance{startInstance(tb, store, "entry-0", 10000)}
+	first := startInstance(tb, store, "entry-0", 10000)
+	seed := first.Fleet()
+	fleet := []*Instance{first}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	for k := 1; k < n; k++ {
 		wg.Go(func() {
-			i := startInstance(tb, store, fmt.Sprintf("entry-%d", k), 10000, fleet[0].Fleet())
+			i := startInstance(tb, store, fmt.Sprintf("entry-%d", k), 10000, seed)
 			mu.Lock()
 			defer mu.Unlock()
 			fleet = append(fleet, i)
