Choose by rendezvous hashing in one place

Cause: who watches, reads, follows a holder or tries for a lease was chosen by three pieces of code: owner.Of, record.Chosen, and two loops in hosted. The one for turns of reading sorted all names, with two hashes a comparison, eighty times a second. Change: package rendezvous; owner, record and hosted call it. A rank is counted without sorting. Which instance a hash falls on differs; how it is chosen does not.

--- a/hosted/caches.go
+++ b/hosted/caches.go
@@ -3,11 +3,10 @@
 import (
 	"time"
 
-	"github.com/zeebo/xxh3"
-
 	"github.com/sardinedock/sardinedock/balance"
 	"github.com/sardinedock/sardinedock/cachefeed"
 	"github.com/sardinedock/sardinedock/prefix"
+	"github.com/sardinedock/sardinedock/rendezvous"
 	"github.com/sardinedock/sardinedock/route"
 	"github.com/sardinedock/sardinedock/schema/gossippb"
 )
@@ -38,15 +37,9 @@
 	return owned
 }
 
-// owns reports whether this instance comes first among the names for a holder.
+// owns reports whether this instance follows a holder.
 func (i *Instance) owns(holder string, names []string) bool {
-	best, first := uint64(0), ""
-	for _, name := range names {
-		if score := xxh3.HashString(holder + "/" + name); first == "" || score > best {
-			best, first = score, name
-		}
-	}
-	return first == i.settings.GetInstance()
+	return rendezvous.First(holder, names) == i.settings.GetInstance()
 }
 
 func (i *Instance) tellCache(n balance.CacheNews) {
--- a/hosted/members.go
+++ b/hosted/members.go
@@ -1,20 +1,18 @@
 package hosted
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/zeebo/xxh3"
 
 	"github.com/sardinedock/sardinedock/clock"
 	"github.com/sardinedock/sardinedock/fault"
 	"github.com/sardinedock/sardinedock/gossip"
 	"github.com/sardinedock/sardinedock/objectapi"
+	"github.com/sardinedock/sardinedock/rendezvous"
 )
 
 const (
@@ -100,9 +98,8 @@
 	return i.rank(what, names) < n
 }
 
-// rank is this instance's place among the names, which hold its own, in an order by
-// hash that all instances agree on.
+// rank is this instance's place among the names, in an order by hash that all
+// instances agree on.
 func (i *Instance) rank(what string, names []string) int {
-	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(xxh3.HashString(what+a), xxh3.HashString(what+b)) })
-	return slices.Index(names, i.settings.GetInstance())
+	return rendezvous.Rank(what, i.settings.GetInstance(), names)
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -4,22 +4,10 @@
 // goroutine. One goroutine may use a Book and its endpoints.
 package owner
 
-import (
-	"github.com/zeebo/xxh3"
-)
+import "github.com/sardinedock/sardinedock/rendezvous"
 
 // Of returns the owner of an endpoint among the members, by rendezvous hashing
 // of the names alone, so that instances agree as soon as their lists do. Two
 // owners of one endpoint, or none, cost accuracy and nothing else. Without
 // members it returns an empty string.
-func Of(endpoint string, members []string) string {
-	seed := xxh3.HashString(endpoint)
-	owner, best := "", uint64(0)
-	for _, m := range members {
-		score := xxh3.HashStringSeed(m, seed)
-		if owner == "" || score > best || score == best && m < owner {
-			owner, best = m, score
-		}
-	}
-	return owner
-}
+func Of(endpoint string, members []string) string { return rendezvous.First(endpoint, members) }
--- a/record/duty.go
+++ b/record/duty.go
@@ -1,6 +1,6 @@
 package record
 
-import "github.com/zeebo/xxh3"
+import "github.com/sardinedock/sardinedock/rendezvous"
 
 // WatchersPerKind is how many instances watch one kind of record. Three of
 // them outlive the loss of any two; the others hear from peers.
@@ -31,7 +31,7 @@
 // during an outage the same few go on trying and not all. An instance that is
 // not among the members counts as one that is answered.
 func Chosen(members []Member, self, duty string, n int) bool {
-	own := candidate{reachable: true, score: dutyScore(duty, self), name: self}
+	own := candidate{reachable: true, score: rendezvous.Score(duty, self), name: self}
 	for _, m := range members {
 		if m.Name == self {
 			own.reachable = m.StoreReachable
@@ -39,7 +39,7 @@
 	}
 	ahead := 0
 	for _, m := range members {
-		other := candidate{m.StoreReachable, dutyScore(duty, m.Name), m.Name}
+		other := candidate{m.StoreReachable, rendezvous.Score(duty, m.Name), m.Name}
 		if m.Name != self && other.before(own) {
 			ahead++
 		}
@@ -63,7 +63,3 @@
 	}
 	return c.name < other.name
 }
-
-func dutyScore(duty, name string) uint64 {
-	return xxh3.HashString(duty + "/" + name)
-}
