Decode an object of the store once a version

A log entry was built for each endpoint at each change, logged or not. Change: what objects say is kept by their version; the two lines on entries that are not understood are one.

--- a/hosted/beliefs.go
+++ b/hosted/beliefs.go
@@ -50,15 +50,7 @@
 
 // takeEndpoints replaces the list of endpoints.
 func (i *Instance) takeEndpoints(objects map[string]objectapi.Object) {
-	list := make([]balance.Endpoint, 0, len(objects))
-	for _, obj := range objects {
-		e, err := platform.Endpoint(obj)
-		if err != nil {
-			log.WithError(err).WithField("endpoint", obj.Name).Error("endpoint's entry not understood")
-			continue
-		}
-		list = append(list, e)
-	}
+	list := i.entries.all(objects, platform.Endpoint)
 	i.noteEndpoints(list)
 	i.state.SetEndpoints(list)
 	i.relays.keep(list)
@@ -74,19 +66,22 @@
 	for _, e := range list {
 		old, ok := known[e.ID]
 		delete(known, e.ID)
-		line := log.WithFields(log.Fields{"endpoint": e.ID, "address": e.Address, "service": e.Service})
 		switch {
 		case !ok:
-			line.Info("endpoint listed")
+			aboutEndpoint(e).Info("endpoint listed")
 		case e.Draining && !old.Draining:
-			line.Info("endpoint drains")
+			aboutEndpoint(e).Info("endpoint drains")
 		}
 	}
-	for id, v := range known {
-		log.WithFields(log.Fields{"endpoint": id, "address": v.Address, "service": v.Service}).Info("endpoint gone from the list")
+	for _, v := range known {
+		aboutEndpoint(v.Endpoint).Info("endpoint gone from the list")
 	}
 }
 
+func aboutEndpoint(e balance.Endpoint) *log.Entry {
+	return log.WithFields(log.Fields{"endpoint": e.ID, "address": e.Address, "service": e.Service})
+}
+
 // takeWeights tells the rollout which versions operators want.
 func (i *Instance) takeWeights(objects map[string]objectapi.Object) {
 	for _, obj := range objects {
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -75,10 +75,13 @@
 	lease       *lease.Duty
 	server      *gateway.Server
 	cancel      context.CancelFunc
-	endpoints   atomic.Bool
-	leaving     atomic.Bool
-	killed      atomic.Bool
-	listeners   []net.Listener
+	// entries and peers are what the store's objects say, owned by their followers.
+	entries   decoded[balance.Endpoint]
+	peers     decoded[gossip.Peer]
+	endpoints atomic.Bool
+	leaving   atomic.Bool
+	killed    atomic.Bool
+	listeners []net.Listener
 }
 
 // Start starts the instance. It returns once the addresses are bound; callers
--- a/hosted/members.go
+++ b/hosted/members.go
@@ -66,24 +66,23 @@
 
 // takeInstances replaces the peers that are told.
 func (i *Instance) takeInstances(objects map[string]objectapi.Object) {
-	var peers []gossip.Peer
-	for _, obj := range objects {
-		var m member
-		if err := json.Unmarshal(obj.Value, &m); err != nil {
-			log.WithError(err).WithField("peer", obj.Name).Error("entry of an instance not understood")
-			continue
-		}
-		address, err := netip.ParseAddrPort(m.Gossip)
-		if err != nil {
-			log.WithError(err).WithField("peer", obj.Name).Error("address of an instance not understood")
-			continue
-		}
-		peers = append(peers, gossip.Peer{Name: obj.Name, Address: address, DataCentre: m.DataCentre})
-	}
+	peers := i.peers.all(objects, decodePeer)
 	i.node.SetPeers(peers)
 	log.WithField("peers", len(peers)).Info("instances listed")
 }
 
+func decodePeer(obj objectapi.Object) (gossip.Peer, error) {
+	var m member
+	if err := json.Unmarshal(obj.Value, &m); err != nil {
+		return gossip.Peer{}, fault.Wrap(err, fault.Broken, "look at the entry of the instance", "decode it")
+	}
+	address, err := netip.ParseAddrPort(m.Gossip)
+	if err != nil {
+		return gossip.Peer{}, fault.Wrap(err, fault.Broken, "look at the entry of the instance", "decode its address")
+	}
+	return gossip.Peer{Name: obj.Name, Address: address, DataCentre: m.DataCentre}, nil
+}
+
 // isCandidate reports whether this instance is among those that try for the
 // lease, by a hash of the names that all instances agree on.
 func (i *Instance) isCandidate() bool {
