Compute a choice's version and room once, and tell alike things in one place

Cause: for each endpoint a choice looked up the version five times and the room twice; whether a peer lives stood in three places of gossip; an attempt that broke off was sorted twice, and a loop with a ticker stood beside clock.Sleep. Change: one value, one method, one function each.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -60,7 +60,7 @@
 	c := chooser{ask: a, now: now, keys: map[int64][]prefix.PartKey{}, named: s.wanted[a.Model], tooOld: s.staleBound * staleShare / 100}
 	list := s.byService[a.Service]
 	for _, e := range list {
-		c.slowness = s.slowness(e)
+		c.slowness, c.version = s.slowness(e), e.version(a.Model)
 		c.consider(e, s.holder(&c, list, e))
 	}
 	if c.best == nil {
@@ -152,7 +152,7 @@
 	if len(c.ask.Parts) == 0 {
 		return source{}
 	}
-	version := e.version(c.ask.Model)
+	version := c.version
 	if found, ok := c.sources[version]; ok {
 		return found
 	}
@@ -189,13 +189,18 @@
 	named  []wanted
 	tooOld time.Duration
 
-	// slowness of the endpoint that is looked at, against its pool.
+	// slowness of the endpoint that is looked at, against its pool, the version of
+	// its weights, and whether its memory does not hold the request.
 	slowness float64
+	version  int64
+	full     bool
 
-	best     *endpoint
-	bestCost float64
-	uncached int64
-	fetch    string
+	best        *endpoint
+	bestCost    float64
+	bestVersion int64
+	bestFull    bool
+	uncached    int64
+	fetch       string
 }
 
 func (c *chooser) keysOf(version int64) []prefix.PartKey {
@@ -211,12 +216,13 @@
 	if e.Draining || c.now.Before(e.avoidUntil) || c.now.Before(e.loadingUntil) || c.excluded(e.ID) {
 		return
 	}
-	if behindFor(c.named, e.version(c.ask.Model), c.now) > c.tooOld {
+	if behindFor(c.named, c.version, c.now) > c.tooOld {
 		return
 	}
 	cost, uncached, fetch := c.cost(e, from)
 	if c.best == nil || cost < c.bestCost {
 		c.best, c.bestCost, c.uncached, c.fetch = e, cost, uncached, fetch
+		c.bestVersion, c.bestFull = c.version, c.full
 	}
 }
 
@@ -243,7 +249,7 @@
 		return cost + c.plainCost(e), 0, ""
 	}
 	own := 0
-	if cache := e.caches[c.ask.Model]; cache != nil && cache.version == e.version(c.ask.Model) {
+	if cache := e.caches[c.ask.Model]; cache != nil && cache.version == c.version {
 		own, _ = cache.parts.leading(c.keysOf(cache.version))
 	}
 	local := prefix.PartTokens(c.ask.Parts[:own])
@@ -258,10 +264,11 @@
 	if c.now.Before(e.soonUntil) {
 		cost += soonTokens * min(1, float64(c.ask.OutputTokens)/soonOutput)
 	}
-	if behindFor(c.named, e.version(c.ask.Model), c.now) > staleAccepted {
+	if behindFor(c.named, c.version, c.now) > staleAccepted {
 		cost += staleTokens
 	}
-	if over := -c.room(e); over > 0 {
+	over := -c.room(e)
+	if c.full = over > 0; c.full {
 		cost += overflowWeight * float64(over)
 	}
 	return cost, uncached, fetch
@@ -270,7 +277,7 @@
 // room is how much of an endpoint's memory, in tokens, is left once the request
 // runs there too; less than 0 where it does not fit.
 func (c *chooser) room(e *endpoint) int64 {
-	need := c.ask.PromptTokens + c.ask.OutputTokens - e.shared(c.keysOf(e.version(c.ask.Model)), c.ask.Parts)
+	need := c.ask.PromptTokens + c.ask.OutputTokens - e.shared(c.keysOf(c.version), c.ask.Parts)
 	return e.capacity - e.memory - need
 }
 
@@ -286,8 +293,7 @@
 	e := c.best
 	p := Placement{Endpoint: e.Endpoint, Ahead: e.reading, Running: e.running, Uncached: c.uncached, FetchFrom: c.fetch}
 	if c.ask.Model != "" {
-		p.Full = c.room(e) < 0
-		p.Version = e.version(c.ask.Model)
+		p.Version, p.Full = c.bestVersion, c.bestFull
 		p.Keys = c.keysOf(p.Version)
 	}
 	return p
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -171,13 +171,14 @@
 func (f *Follower) check(ctx context.Context) {
 	pause := firstRetry
 	for {
-		timer := time.NewTimer(min(f.untilCheck(), checkLook))
+		due := f.untilCheck()
+		timer := time.NewTimer(min(due, checkLook))
 		select {
 		case <-ctx.Done():
 			timer.Stop()
 			return
 		case <-timer.C:
-			if f.untilCheck() > 0 {
+			if due > checkLook || f.untilCheck() > 0 {
 				continue
 			}
 		case <-f.hint:
@@ -289,14 +290,13 @@
 	readFails.Inc()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.reachable {
-		f.lostAt = time.Now()
-		log.WithField("kind", f.cfg.Kind).WithField("why", err.Error()).Warn("store lost")
-	}
-	if f.reachable {
-		f.tellReached(false)
+	if !f.reachable {
+		return
 	}
 	f.reachable = false
+	f.lostAt = time.Now()
+	log.WithField("kind", f.cfg.Kind).WithField("why", err.Error()).Warn("store lost")
+	f.tellReached(false)
 }
 
 func (f *Follower) tellReached(reached bool) {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -44,7 +44,7 @@
 	}
 	body, err := a.in.ReadAll()
 	if err != nil {
-		a.broke(err)
+		a.broke()
 		return nil, r.sendFailed(outcomeBroken, err)
 	}
 	if a.head.Status >= 500 && r.mayTryAgain(outcomeFailed) {
@@ -171,23 +171,13 @@
 // openFailed ends an attempt that brought no answer.
 func (a *attempt) openFailed(err error) outcome {
 	r := a.req
-	if r.life.Err() != nil {
-		r.ran++
-		a.finish(balance.Abandoned)
-		return outcomeBroken
-	}
-	if a.givenUp() {
-		r.ran++
-		a.finish(balance.Unreachable)
-		return outcomeBroken
-	}
-	if fault.Is(err, fault.Unavailable) {
+	if a.life.Err() == nil && fault.Is(err, fault.Unavailable) {
 		a.finish(balance.Unreachable)
 		r.avoid(a.place.Endpoint.ID, unreachableTold)
 		return outcomeUnsent
 	}
 	r.ran++
-	a.crashed()
+	a.broke()
 	return outcomeBroken
 }
 
@@ -203,17 +193,17 @@
 	crashedTold     = 300 * time.Millisecond
 )
 
-// broke ends an attempt whose answer broke off.
-func (a *attempt) broke(error) {
-	if a.req.life.Err() != nil {
+// broke ends an attempt that broke off: the request's time is over, the endpoint was
+// given up, or it broke the connection.
+func (a *attempt) broke() {
+	switch {
+	case a.req.life.Err() != nil:
 		a.finish(balance.Abandoned)
-		return
-	}
-	if a.givenUp() {
+	case a.givenUp():
 		a.finish(balance.Unreachable)
-		return
+	default:
+		a.crashed()
 	}
-	a.crashed()
 }
 
 // crashed ends an attempt whose connection the endpoint broke, which is how a
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
+	"github.com/sardinedock/sardinedock/clock"
 	"github.com/sardinedock/sardinedock/fault"
 )
 
@@ -128,14 +129,7 @@
 
 // WatchSilence looks for silent endpoints until ctx ends.
 func (s *Server) WatchSilence(ctx context.Context) {
-	ticker := time.NewTicker(silenceLook)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	for clock.Sleep(ctx, silenceLook) == nil {
 		for _, a := range s.silence.silent(time.Now()) {
 			go s.look(ctx, a)
 		}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -38,7 +38,7 @@
 	s := &eventStream{req: r, attempt: a, reader: bufio.NewReader(a.in.Body())}
 	err := s.next()
 	if err != nil && !errors.Is(err, io.EOF) {
-		a.broke(err)
+		a.broke()
 		again := r.sendFailed(outcomeBroken, err)
 		return nil, again
 	}
@@ -122,7 +122,7 @@
 		s.attempt.finish(balance.Done)
 		return io.EOF
 	}
-	s.attempt.broke(err)
+	s.attempt.broke()
 	r.failedWith(err)
 	for r.route.Resumable && len(s.lastID) > 0 && s.resumes < maxResumes && r.mayTryAgain(outcomeBroken) {
 		s.resumes++
--- a/gossip/fanout.go
+++ b/gossip/fanout.go
@@ -61,10 +61,8 @@
 func (n *Node) broadcast(d *gossippb.Datagram) {
 	n.mu.Lock()
 	now := time.Now()
-	live := func(name string) bool {
-		h, ok := n.heard[name]
-		return ok && !h.leaving && now.Sub(h.at) < aliveFor
-	}
+	// Of a peer that was never heard of, the zero value is long ago.
+	live := func(name string) bool { return n.heard[name].alive(now) }
 	list := fanout(n.dataCentre, n.peers, live, d.GetNumber())
 	n.mu.Unlock()
 	plain := n.encode(d, false)
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -96,6 +96,9 @@
 	storeLost   bool
 }
 
+// alive reports whether a peer counts as live.
+func (h heard) alive(now time.Time) bool { return !h.leaving && now.Sub(h.at) < aliveFor }
+
 // item is one thing to tell; exactly one field is set.
 type item struct {
 	start  *gossippb.RunStart
@@ -155,17 +158,7 @@
 
 // Live returns the number of instances that were heard of lately, this one
 // included.
-func (n *Node) Live(now time.Time) int {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	live := 1
-	for _, h := range n.heard {
-		if !h.leaving && now.Sub(h.at) < aliveFor {
-			live++
-		}
-	}
-	return live
-}
+func (n *Node) Live(now time.Time) int { return len(n.LivePeers(now)) }
 
 // LivePeers returns the names of the live instances, this one included.
 func (n *Node) LivePeers(now time.Time) []string {
@@ -183,7 +176,7 @@
 	defer n.mu.Unlock()
 	names := []string{n.name}
 	for name, h := range n.heard {
-		if !h.leaving && now.Sub(h.at) < aliveFor && counts(h) {
+		if h.alive(now) && counts(h) {
 			names = append(names, name)
 		}
 	}
