Share the stand-ins' records and answers between the soak and hosted tests

Cause: the records of both, the heads of answers and the 421 stood two and three times; the soak drew how long requests take from an unseeded source, though its page says that all choices come from the seed. Change: platformtest has Records, Route, Head, Misdirect; a request's times come from the run's seed and its id. No check is changed.

--- a/hosted/change_test.go
+++ b/hosted/change_test.go
@@ -51,7 +51,7 @@
 	f := newFixture(t, 1)
 	f.endpoint("e1", "orders", ok)
 	f.serve(1, nil)
-	f.store.Put("config", "main", map[string]any{"version": 99, "routes": []any{newRoute("x", "/x/", "safe", "lost", 1)}})
+	f.store.Put("config", "main", map[string]any{"version": 99, "routes": []any{platformtest.Route(deskHost, "x", "/x/", "safe", "lost", 1)}})
 	time.Sleep(200 * time.Millisecond)
 	if a := f.do(f.request("GET", "/stock/1", "")); a.status != 200 {
 		t.Errorf("status %d", a.status)
--- a/hosted/fixture_test.go
+++ b/hosted/fixture_test.go
@@ -108,34 +108,13 @@
 	return e
 }
 
-func newRoute(name, path, kind, service string, attempts int) map[string]any {
-	return map[string]any{
-		"name": name, "host": deskHost, "pathPrefix": path, "kind": kind, "timeoutMs": 2000, "targetLatencyMs": 500,
-		"priority": 0, "service": service, "maxAttempts": attempts, "gapAimMs": 400,
-	}
-}
-
 // serve writes the records and waits until all instances have them and see n
 // endpoints.
 func (f *fixture) serve(n int, change func(records map[string]any)) {
 	f.t.Helper()
-	resumable := newRoute("check", "/check/", "stream", "pool", 2)
-	resumable["resumable"] = true
 	f.version += 3
-	f.records = map[string]any{
-		"version": f.version,
-		"routes": []any{
-			newRoute("stock", "/stock/", "safe", "orders", 2), newRoute("confirm", "/confirm/", "non_idempotent", "orders", 1),
-			newRoute("draft", "/draft/", "stream", "pool", 1), resumable,
-		},
-		"services": []any{
-			map[string]any{"name": "orders", "healthCheck": "/health", "maxConnections": 100},
-			map[string]any{"name": "pool", "healthCheck": "/health", "maxConnections": 100,
-				"engine": map[string]any{"slots": 8, "kvCapacityTokens": 100000, "kvTokenBytes": 1, "models": []any{map[string]any{"name": "m"}}}},
-		},
-		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 1000, "idleTimeoutMs": 5000},
-		"tenants": []any{map[string]any{"name": "kumasi", "apiKeys": []string{deskKey}, "priority": 0, "isolated": true}},
-	}
+	f.records = platformtest.Records(f.version, deskHost, "m")
+	f.records["tenants"] = []any{map[string]any{"name": "kumasi", "apiKeys": []string{deskKey}, "priority": 0, "isolated": true}}
 	if change != nil {
 		change(f.records)
 	}
--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/sardinedock/sardinedock/platform/platformtest"
 )
 
 const (
@@ -20,8 +22,6 @@
 	open     = "kumasi"
 	// patience is the callers' own bound, in their requests too.
 	patience = 3 * time.Second
-	// routeBound is the timeout of all routes.
-	routeBound = 2 * time.Second
 	// lateBound is how much later than its timeout a final answer may come.
 	lateBound = 700 * time.Millisecond
 )
@@ -80,7 +80,7 @@
 	if c.rng.IntN(3) == 0 {
 		r.organisation = isolated
 	}
-	r.key, r.addedIn, r.droppedIn = c.soak.keyFor(c.rng, r.organisation)
+	r.key, r.droppedIn = c.soak.keyFor(c.rng, r.organisation)
 	r.path = fmt.Sprintf("%s%d?x=%d", paths[k], c.rng.IntN(50), c.sent)
 	if v := c.soak.addedRoute(c.rng); k == lookup && v > 0 {
 		r.path, r.addedIn = fmt.Sprintf("/added-%d/x", v), v
@@ -171,7 +171,7 @@
 // late judges whether a final answer came in time.
 func (c *caller) late(r *call, status int) {
 	took := time.Since(r.sentAt)
-	if took > routeBound+lateBound && c.instance.calm(r.sentAt.Add(-contact), time.Now()) {
+	if took > platformtest.RouteTimeout+lateBound && c.instance.calm(r.sentAt.Add(-contact), time.Now()) {
 		c.soak.ledger.breach("LATE: %s got %d after %v", r.id, status, took)
 	}
 }
@@ -195,7 +195,7 @@
 		}
 		return
 	}
-	if now.Sub(r.sentAt) > routeBound-lateBound/2 {
+	if now.Sub(r.sentAt) > platformtest.RouteTimeout-lateBound/2 {
 		// The route's time was over, or all but.
 		return
 	}
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -128,18 +128,10 @@
 		s.harmServer(rng, func(x *server) { x.link.reset(1 + rng.IntN(2)) })
 	}},
 	{"endpoint loses answers", func(s *soak, rng *rand.Rand, lasts time.Duration) {
-		s.harmServer(rng, func(x *server) {
-			x.mood.Store(int32(losing))
-			time.Sleep(lasts)
-			x.mood.Store(int32(sound))
-		})
+		s.harmServer(rng, func(x *server) { x.feel(losing, lasts) })
 	}},
 	{"endpoint misbehaves", func(s *soak, rng *rand.Rand, lasts time.Duration) {
-		s.harmServer(rng, func(x *server) {
-			x.mood.Store(int32(1 + rng.IntN(int(moods)-1)))
-			time.Sleep(lasts)
-			x.mood.Store(int32(sound))
-		})
+		s.harmServer(rng, func(x *server) { x.feel(mood(1+rng.IntN(int(moods)-1)), lasts) })
 	}},
 	{"records change", func(s *soak, rng *rand.Rand, _ time.Duration) { s.changeRecords(rng.IntN(2) == 0) }},
 	{"weights named", func(s *soak, _ *rand.Rand, _ time.Duration) { s.nameWeights() }},
--- a/soak/pool_test.go
+++ b/soak/pool_test.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	"github.com/sardinedock/sardinedock/platform/platformtest"
 )
 
@@ -116,6 +118,13 @@
 	x.remove()
 }
 
+// feel has the endpoint treat requests so for a while.
+func (x *server) feel(m mood, lasts time.Duration) {
+	x.mood.Store(int32(m))
+	time.Sleep(lasts)
+	x.mood.Store(int32(sound))
+}
+
 func (x *server) isLeaving() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -138,7 +147,7 @@
 	if x.engine != nil {
 		version, loading := x.engine.Version()
 		if expect := e.Header("Sardinedock-Expect-Version"); expect != "" && expect != strconv.FormatInt(version, 10) {
-			e.Write("HTTP/1.1 421 X\r\nSardinedock-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", x.ID)
+			e.Misdirect()
 			return true
 		}
 		if loading {
@@ -206,33 +215,43 @@
 
 func (x *server) signature() string { return fmt.Sprintf("%s.%d", x.ID, x.nextRun.Add(1)) }
 
+// longOnes is how many requests there are to one that takes long.
+const longOnes = 6
+
 // workTime of a plain request: short as a rule, long now and then, so that faults
 // meet requests that run.
-func workTime() time.Duration {
-	const longOnes = 6
-	if rand.N(longOnes) == 0 {
-		return 50*time.Millisecond + rand.N(250*time.Millisecond)
+func (s *soak) workTime(c *call) time.Duration {
+	rng := s.chances(c)
+	least, more := 5*time.Millisecond, 25*time.Millisecond
+	if rng.IntN(longOnes) == 0 {
+		least, more = 50*time.Millisecond, 250*time.Millisecond
 	}
-	return 5*time.Millisecond + rand.N(25*time.Millisecond)
+	return least + time.Duration(rng.Int64N(int64(more)))
+}
+
+// chances of one request come from the run's seed, whichever endpoint gets it.
+func (s *soak) chances(c *call) *rand.Rand {
+	return rand.New(rand.NewPCG(s.seed, xxh3.HashString(c.id)))
 }
 
 // whole answers with a body at once.
 func (x *server) whole(c *call, e *platformtest.Exchange, m mood) bool {
-	time.Sleep(workTime())
+	time.Sleep(x.soak.workTime(c))
 	status, signature := 200, x.signature()
 	if m == failing {
 		status = 500
 	}
 	body := fmt.Sprintf("answer to %s by %s", c.id, signature)
 	x.soak.ledger.made(c, signature, body, status)
-	head := fmt.Sprintf("HTTP/1.1 %d X\r\nSardinedock-Request-Id: %s\r\nSardinedock-Response-Signature: %s\r\nContent-Length: %d\r\n\r\n", status, c.id, signature, len(body))
+	e.Head(status, signature, len(body))
 	if m == garbling {
-		e.Write("%s%s", head, body[:len(body)/2])
+		e.Write("%s", body[:len(body)/2])
 		return false
 	}
-	e.Write("%s%s", head, body)
+	e.Write("%s", body)
 	if m == doubling {
-		e.Write("%s%s", head, body)
+		e.Head(status, signature, len(body))
+		e.Write("%s", body)
 	}
 	return true
 }
@@ -241,8 +260,8 @@
 // meanwhile, so a caller that leaves then is noticed by its close alone. It reports
 // whether the sender is still there.
 func (x *server) readPrompt(c *call, e *platformtest.Exchange) bool {
-	const longOnes, longSteps = 6, 60
-	if rand.N(longOnes) > 0 {
+	const longSteps = 60
+	if x.soak.chances(c).IntN(longOnes) > 0 {
 		return true
 	}
 	x.soak.ledger.readsLong(c)
@@ -263,8 +282,7 @@
 	last, _ := strconv.Atoi(e.Header("Last-Event-Id"))
 	signature := x.signature()
 	x.soak.ledger.made(c, signature, "", 200)
-	e.Write("HTTP/1.1 200 OK\r\nSardinedock-Request-Id: %s\r\nSardinedock-Response-Signature: %s\r\n"+
-		"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", c.id, signature)
+	e.SignedStreamHead(signature)
 	for n := last + 1; n <= eventsOf(c.kind); n++ {
 		if e.CallerGone(eventPause) {
 			return false
--- a/soak/records_test.go
+++ b/soak/records_test.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/sardinedock/sardinedock/platform/platformtest"
 )
 
 // applyBound is how long after its acknowledgement a change of the records is in
@@ -36,7 +38,7 @@
 	at      time.Time
 }
 
-// keptKeys are never dropped; each organisation has one, and three that may go.
+// newRecords has four keys for each organisation; the first is never dropped.
 func newRecords() records {
 	r := records{version: 1, dropped: map[string]int64{}, keys: map[string][]string{}, seen: map[string]effect{}}
 	for _, o := range []string{open, isolated} {
@@ -47,26 +49,16 @@
 	return r
 }
 
-func route(name, path, kind, service string, attempts int) map[string]any {
-	return map[string]any{
-		"name": name, "host": host, "pathPrefix": path, "kind": kind, "timeoutMs": routeBound.Milliseconds(), "targetLatencyMs": 500,
-		"priority": 0, "service": service, "maxAttempts": attempts, "gapAimMs": 400,
-	}
-}
-
-// write puts the records into the store and notes the acknowledgement.
+// writeRecords puts the records into the store and notes the acknowledgement.
 func (s *soak) writeRecords() {
 	s.mu.Lock()
 	r := &s.records
-	resumable := route("check", "/check/", "stream", "pool", 2)
-	resumable["resumable"] = true
-	routes := []any{
-		route("stock", "/stock/", "safe", "orders", 2), route("confirm", "/confirm/", "non_idempotent", "orders", 1),
-		route("draft", "/draft/", "stream", "pool", 1), resumable,
-	}
+	value := platformtest.Records(r.version, host, model)
+	routes := value["routes"].([]any)
 	for _, v := range r.added {
-		routes = append(routes, route(fmt.Sprintf("added-%d", v), fmt.Sprintf("/added-%d/", v), "safe", "orders", 2))
+		routes = append(routes, platformtest.Route(host, fmt.Sprintf("added-%d", v), fmt.Sprintf("/added-%d/", v), "safe", "orders", 2))
 	}
+	value["routes"] = routes
 	var tenants []any
 	for _, o := range []string{open, isolated} {
 		var keys []string
@@ -77,15 +69,7 @@
 		}
 		tenants = append(tenants, map[string]any{"name": o, "apiKeys": keys, "priority": 1, "isolated": o == isolated})
 	}
-	value := map[string]any{
-		"version": r.version, "routes": routes, "tenants": tenants,
-		"services": []any{
-			map[string]any{"name": "orders", "healthCheck": "/health", "maxConnections": 100},
-			map[string]any{"name": "pool", "healthCheck": "/health", "maxConnections": 100,
-				"engine": map[string]any{"slots": 8, "kvCapacityTokens": 100000, "kvTokenBytes": 1, "models": []any{map[string]any{"name": model}}}},
-		},
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 1000, "idleTimeoutMs": 5000},
-	}
+	value["tenants"] = tenants
 	version := r.version
 	s.mu.Unlock()
 	s.store.Put("config", "main", value)
@@ -125,15 +109,15 @@
 }
 
 // keyFor returns a key of the organisation, a dropped one now and then.
-func (s *soak) keyFor(rng *rand.Rand, organisation string) (key string, addedIn, droppedIn int64) {
+func (s *soak) keyFor(rng *rand.Rand, organisation string) (key string, droppedIn int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	keys := s.records.keys[organisation]
 	if rng.IntN(10) > 0 {
-		return keys[0], 0, 0
+		return keys[0], 0
 	}
 	k := keys[1+rng.IntN(len(keys)-1)]
-	return k, 0, s.records.dropped[k]
+	return k, s.records.dropped[k]
 }
 
 // addedRoute returns a version whose route is tried now and then, or 0.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -44,6 +44,7 @@
 
 // soak is one run.
 type soak struct {
+	seed      uint64
 	ledger    *ledger
 	store     *platformtest.Store
 	instances []*instance
@@ -116,10 +117,10 @@
 		t.Fatal(err)
 	}
 	rng := rand.New(rand.NewPCG(seed, 0))
-	s := &soak{ledger: newLedger(), servers: map[string]*server{}, records: newRecords()}
+	s := &soak{seed: seed, ledger: newLedger(), servers: map[string]*server{}, records: newRecords()}
 	s.named.Store(1)
 	s.setUp(t, binary, dir)
-	stop := s.callAll(seed)
+	stop := s.callAll()
 	time.Sleep(warmUp)
 	s.harm(t, rng)
 	s.workAtPeace()
@@ -160,10 +161,10 @@
 }
 
 // callAll starts the callers; the function returned waits for their end.
-func (s *soak) callAll(seed uint64) (wait func()) {
+func (s *soak) callAll() (wait func()) {
 	var wg sync.WaitGroup
 	for n := range callers {
-		c := &caller{soak: s, n: n, rng: rand.New(rand.NewPCG(seed, uint64(n)+1))}
+		c := &caller{soak: s, n: n, rng: rand.New(rand.NewPCG(s.seed, uint64(n)+1))}
 		wg.Go(c.run)
 	}
 	return wg.Wait
