--- a/balance/choose.go
+++ b/balance/choose.go
@@ -115,30 +115,6 @@
 	return ratio
 }
 
-// Exists reports whether any endpoint of the service is listed and stays.
-func (s *State) Exists(service string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, e := range s.byService[service] {
-		if !e.Draining {
-			return true
-		}
-	}
-	return false
-}
-
-// Version returns the newest version of a model's weights that any endpoint of
-// the service holds.
-func (s *State) Version(service, model string) int64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var v int64
-	for _, e := range s.byService[service] {
-		v = max(v, e.version(model))
-	}
-	return v
-}
-
 // source has leading parts of the prompt.
 type source struct {
 	// id of the endpoint; empty for a store.
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -125,9 +125,6 @@
 // Drain closes connections after their answers. Requests are still taken.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// Draining reports whether Drain was called.
-func (s *Server) Draining() bool { return s.draining.Load() }
-
 // Open returns the number of requests that are being served.
 func (s *Server) Open() int { return int(s.inFlight.Load()) }
 
