Use clock.Sleep where two waits wrote it again

Cause: waits for a time or the end of a context stood in entry's await and gossip's gather beside clock.Sleep. Change: both call it.

--- a/entry/once.go
+++ b/entry/once.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/sardinedock/sardinedock/clock"
 	"github.com/sardinedock/sardinedock/fault"
 	"github.com/sardinedock/sardinedock/outcome"
 	"github.com/sardinedock/sardinedock/outcome/claim"
@@ -130,12 +131,8 @@
 // await looks again while another attempt holds the key and has not ended.
 func (t *ticket) await(ctx context.Context, f claim.Found) claim.Found {
 	for pause := firstLook; pause <= lastLook && f.Taken && f.SameBody && f.Answer == nil; pause *= 2 {
-		timer := time.NewTimer(pause)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if clock.Sleep(ctx, pause) != nil {
 			return f
-		case <-timer.C:
 		}
 		again, err := t.claims.Look(ctx, t.request)
 		if err != nil {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -16,6 +16,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/sardinedock/sardinedock/clock"
 	"github.com/sardinedock/sardinedock/fault"
 	"github.com/sardinedock/sardinedock/ring"
 	"github.com/sardinedock/sardinedock/schema/gossippb"
@@ -263,12 +264,7 @@
 func (n *Node) gather(ctx context.Context, first item) []item {
 	batch := []item{first}
 	if !first.now {
-		timer := time.NewTimer(flushEvery)
-		defer timer.Stop()
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
+		_ = clock.Sleep(ctx, flushEvery)
 	}
 	for {
 		select {
