Tell on only what own watch and reads bring; bring revisions ten times a second

Cause: each instance that heard of a change, by whatever way, told all others at once that it had seen something newer. With 62 instances that is 3,800 datagrams for each change of an endpoint; 140 endpoints that take new weights change twice each. Each datagram also brought all revisions, half of its bytes. Change: what a peer told goes along with the next datagram, and revisions come with every datagram only when they change, else each 0.1 s. What is left is runs told by each to all, one item a datagram.

--- a/directory/follower.go
+++ b/directory/follower.go
@@ -63,7 +63,12 @@
 	// Changed is told of all objects after each change, by one goroutine at a
 	// time. It must not block.
 	Changed func(objects map[string]objectapi.Object)
-	// Seen is told of each newer revision; nil tells nobody.
+	// Seen is told of each newer revision that this instance's own reads and watch
+	// bring, but for those that Heard is told of; nil tells nobody.
+	//
+	// What a peer has told is not told on: of a fleet of 62, each would tell the 61
+	// others of each change of an endpoint, 3,800 datagrams a change. That was a
+	// third of all datagrams while 140 endpoints took new weights.
 	Seen func(kind string, revision uint64)
 	// Watches tells whether this instance watches the kind itself; nil means
 	// yes. Where it does not, it lives by what Take is given and by its reads.
@@ -353,6 +358,9 @@
 	}
 	f.advance(l.Version)
 	f.tell(changed)
+	if changed {
+		f.seen()
+	}
 }
 
 func (f *Follower) takeEvent(obj objectapi.Object) {
@@ -361,8 +369,17 @@
 	before := f.lastChange
 	f.apply(obj)
 	f.advance(obj.Version)
-	if f.cfg.Heard != nil {
-		f.cfg.Heard(obj, uint64(before), !f.mayHaveLapsed())
+	if f.cfg.Heard == nil {
+		f.seen()
+		return
+	}
+	f.cfg.Heard(obj, uint64(before), !f.mayHaveLapsed())
+}
+
+// seen tells the newest change known; the mutex is held.
+func (f *Follower) seen() {
+	if f.cfg.Seen != nil {
+		f.cfg.Seen(f.cfg.Kind, uint64(f.lastChange))
 	}
 }
 
@@ -444,7 +461,4 @@
 		f.lastChange = max(f.lastChange, obj.Version)
 	}
 	f.cfg.Changed(objects)
-	if f.cfg.Seen != nil {
-		f.cfg.Seen(f.cfg.Kind, uint64(f.lastChange))
-	}
 }
--- a/directory/follower_test.go
+++ b/directory/follower_test.go
@@ -386,3 +386,36 @@
 		t.Error("an old read brought back what was removed last")
 	}
 }
+
+// A fleet of 62 instances hears of each change from the three that watch. If each of
+// them tells all others at once that it has seen something newer, every change costs
+// thousands of datagrams, and while a pool takes new weights callers wait behind these.
+func TestWhatPeersTellIsNotToldOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore("a")
+		var mu sync.Mutex
+		var told []uint64
+		f := NewFollower(Config{
+			Store: s, Kind: "endpoints", CheckEvery: func() time.Duration { return time.Minute },
+			Watches: func() bool { return false },
+			Changed: func(map[string]objectapi.Object) {},
+			Seen: func(_ string, revision uint64) {
+				mu.Lock()
+				defer mu.Unlock()
+				told = append(told, revision)
+			},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		var done sync.WaitGroup
+		done.Go(func() { f.Run(ctx) })
+		time.Sleep(time.Second)
+		f.Take(objectapi.Object{Name: "b", Version: 2}, 1, true)
+		f.Take(objectapi.Object{Name: "c", Version: 3}, 2, true)
+		time.Sleep(time.Second)
+		if f.Revision() == 0 || len(told) != 1 || told[0] != 1 {
+			t.Errorf("told of revisions %v, want only 1, which the own read brought", told)
+		}
+		cancel()
+		done.Wait()
+	})
+}
--- a/gossip/admit_test.go
+++ b/gossip/admit_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/sardinedock/sardinedock/ring"
 	"github.com/sardinedock/sardinedock/schema/gossippb"
 )
 
@@ -42,3 +43,39 @@
 		t.Errorf("told that it has read %d ms ago; it has not read at all", got)
 	}
 }
+
+// A peer has told of a change, and the change then comes by this instance's own read
+// too. Told at once all the same, the word would go round the fleet as many times as
+// there are instances.
+func TestRevisionThatAPeerToldGoesAlongOnly(t *testing.T) {
+	n := &Node{
+		name: "self", heard: map[string]heard{}, revisions: map[string]uint64{}, reads: map[string]time.Time{},
+		out: ring.New[item]("gossip_test", 4), handler: deafHandler{},
+	}
+	n.hear(&gossippb.Datagram{Instance: "peer", Incarnation: 1, Revisions: []*gossippb.Revision{{Kind: "servers", Revision: 7, ReadMsAgo: -1}}})
+	n.TellRevision("servers", 7)
+	if n.out.Len() != 0 {
+		t.Error("a revision that a peer has told is told at once")
+	}
+	if got := n.empty().GetRevisions(); len(got) != 1 || got[0].GetRevision() != 7 {
+		t.Errorf("the next datagram brings %v", got)
+	}
+	if got := n.empty().GetRevisions(); len(got) != 0 {
+		t.Errorf("the one right after it brings %v again", got)
+	}
+	n.TellRevision("servers", 8)
+	if n.out.Len() != 1 {
+		t.Error("a revision that is new to the fleet is not told at once")
+	}
+}
+
+// deafHandler takes in nothing.
+type deafHandler struct{}
+
+func (deafHandler) Started(*gossippb.RunStart)         {}
+func (deafHandler) Stage(*gossippb.RunStage)           {}
+func (deafHandler) Notice(string, *gossippb.Notice)    {}
+func (deafHandler) Entry(*gossippb.Entry)              {}
+func (deafHandler) Cache(*gossippb.CacheNews)          {}
+func (deafHandler) PeerStarted(string)                 {}
+func (deafHandler) Revision(string, uint64, time.Time) {}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -33,6 +33,11 @@
 	aliveFor  = 1100 * time.Millisecond
 	// maxDatagram keeps a datagram below the usual MTU.
 	maxDatagram = 1300
+	// revisionsEvery is the time between two datagrams that bring all revisions
+	// though none has changed. A receiver that missed the change itself waits for
+	// 0.1 s before it reads, so it loses as much again; brought in each datagram they
+	// were half of its bytes.
+	revisionsEvery = 100 * time.Millisecond
 	// outRing bounds what waits to be told. The oldest is given up first.
 	outRing = 4096
 )
@@ -85,8 +90,10 @@
 	revisions map[string]uint64
 	// reads has for each kind when this instance has read it last.
 	reads     map[string]time.Time
-	leaving   bool
-	storeLost bool
+	// revisionsDue is when the next datagram has to bring the revisions.
+	revisionsDue time.Time
+	leaving      bool
+	storeLost    bool
 }
 
 // heard is what was last heard of a peer.
@@ -195,28 +202,40 @@
 
 // TellRevision tells the newest revision seen of a kind, at once where it is new.
 func (n *Node) TellRevision(kind string, revision uint64) {
-	n.mu.Lock()
-	newer := revision > n.revisions[kind]
-	if newer {
-		n.revisions[kind] = revision
-	}
-	n.mu.Unlock()
-	if newer {
+	if n.knows(kind, revision) {
 		n.out.Push(item{now: true})
 	}
 }
 
+// knows notes a revision and reports whether it is the newest known here. One that a
+// peer has told goes along with the next datagram, so that it also reaches those whom
+// the peer's own datagram did not.
+func (n *Node) knows(kind string, revision uint64) (newest bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if revision <= n.revisions[kind] {
+		return false
+	}
+	n.revisions[kind] = revision
+	n.revisionsDue = time.Time{}
+	return true
+}
+
 // TellRead tells at once that this instance has read a kind from the store, so that
 // the others need not do the same.
 func (n *Node) TellRead(kind string) {
 	n.mu.Lock()
 	n.reads[kind] = time.Now()
+	n.revisionsDue = time.Time{}
 	n.mu.Unlock()
 	n.out.Push(item{now: true})
 }
 
 // TellEntry tells a change that this instance's watch has heard of, at once.
-func (n *Node) TellEntry(e *gossippb.Entry) { n.out.Push(item{entry: e, now: true}) }
+func (n *Node) TellEntry(e *gossippb.Entry) {
+	n.knows(e.GetKind(), e.GetRevision())
+	n.out.Push(item{entry: e, now: true})
+}
 
 // TellCache tells what an endpoint or a store says of its cache. It has to fit
 // into a datagram.
@@ -343,9 +362,11 @@
 		n.handler.Cache(c)
 	}
 	for _, e := range d.GetEntries() {
+		n.knows(e.GetKind(), e.GetRevision())
 		n.handler.Entry(e)
 	}
 	for _, r := range d.GetRevisions() {
+		n.knows(r.GetKind(), r.GetRevision())
 		n.handler.Revision(r.GetKind(), r.GetRevision(), heardRead(r))
 	}
 	for _, s := range d.GetStarts() {
--- a/gossip/pack.go
+++ b/gossip/pack.go
@@ -59,6 +59,10 @@
 	defer n.mu.Unlock()
 	d.Leaving, d.StoreLost = n.leaving, n.storeLost
 	now := time.Now()
+	if now.Before(n.revisionsDue) {
+		return d
+	}
+	n.revisionsDue = now.Add(revisionsEvery)
 	for kind, revision := range n.revisions {
 		d.Revisions = append(d.Revisions, &gossippb.Revision{Kind: kind, Revision: revision, ReadMsAgo: n.readAgo(kind, now)})
 	}
--- /dev/null
+++ b/hosted/fleetcost_test.go
@@ -0,0 +1,137 @@
+package hosted
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sardinedock/sardinedock/balance"
+	"github.com/sardinedock/sardinedock/gossip"
+	"github.com/sardinedock/sardinedock/prefix"
+	"github.com/sardinedock/sardinedock/schema/gossippb"
+)
+
+// fleet is instances that decide and tell each other on loopback, without callers'
+// and endpoints' connections.
+type fleet struct {
+	instances []*Instance
+	endpoints int
+}
+
+func newFleet(b *testing.B, instances, endpoints int) *fleet {
+	b.Helper()
+	f := &fleet{endpoints: endpoints}
+	var peers []gossip.Peer
+	for k := range instances {
+		i := &Instance{state: balance.NewState(8 * time.Second)}
+		i.state.SetPools(map[string]balance.Pool{"pool": {CacheTokens: 80_000}})
+		i.state.SetEndpoints(fleetEndpoints(endpoints))
+		address := freeDatagramAddress(b)
+		dataCentre := fmt.Sprintf("dc-%d", k%3)
+		node, err := gossip.New(fmt.Sprintf("instance-%d", k), dataCentre, 1, address, fleetHearer{i.state})
+		if err != nil {
+			b.Fatal(err)
+		}
+		i.node = node
+		f.instances = append(f.instances, i)
+		peers = append(peers, gossip.Peer{Name: fmt.Sprintf("instance-%d", k), Address: netip.MustParseAddrPort(address), DataCentre: dataCentre})
+	}
+	for _, i := range f.instances {
+		i.node.SetPeers(peers)
+		go i.node.Run(b.Context())
+	}
+	return f
+}
+
+func freeDatagramAddress(b *testing.B) string {
+	b.Helper()
+	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	return conn.LocalAddr().String()
+}
+
+func fleetEndpoints(n int) []balance.Endpoint {
+	var list []balance.Endpoint
+	for k := range n {
+		list = append(list, balance.Endpoint{
+			ID: fmt.Sprintf("i-%08x", k), Address: fmt.Sprintf("10.0.0.%d:8280", k), Service: "pool",
+			DataCentre: fmt.Sprintf("dc-%d", k%3), Slots: 12, Versions: map[string]int64{"model": 1},
+		})
+	}
+	return list
+}
+
+// fleetHearer takes in what peers tell of runs.
+type fleetHearer struct{ state *balance.State }
+
+func (h fleetHearer) Started(m *gossippb.RunStart)     { hearer{&Instance{state: h.state}}.Started(m) }
+func (h fleetHearer) Stage(m *gossippb.RunStage)       { hearer{&Instance{state: h.state}}.Stage(m) }
+func (fleetHearer) Notice(string, *gossippb.Notice)    {}
+func (fleetHearer) Entry(*gossippb.Entry)              {}
+func (fleetHearer) Cache(*gossippb.CacheNews)          {}
+func (fleetHearer) PeerStarted(string)                 {}
+func (fleetHearer) Revision(string, uint64, time.Time) {}
+
+// request decides on one request, tells of it and of its stages.
+func (f *fleet) request(i *Instance, n int) {
+	ask := balance.Ask{
+		Service: "pool", Model: "model", Wall: "all", DataCentre: "dc-0", PromptTokens: 6000, OutputTokens: 40,
+		Parts: []prefix.Part{{ID: fmt.Sprint("company", n%4), Tokens: 2000}, {ID: fmt.Sprint("history", n%900), Tokens: 3000}, {ID: fmt.Sprint("own", n), Tokens: 1000}},
+	}
+	p, ok := i.state.Choose(time.Now(), ask)
+	if !ok {
+		return
+	}
+	run := balance.RunID(rand.Uint64())
+	start := &gossippb.RunStart{Run: uint64(run), Endpoint: p.Endpoint.ID, Model: "model", Version: 1, Uncached: p.Uncached, Output: 40}
+	for k, key := range p.Keys {
+		start.Keys = append(start.Keys, uint64(key))
+		start.Tokens = append(start.Tokens, ask.Parts[k].Tokens)
+	}
+	hearer{i}.Started(start)
+	i.node.TellStart(start)
+	for _, s := range []balance.Stage{balance.Answering, balance.Done} {
+		time.Sleep(50 * time.Millisecond)
+		i.state.Moved(time.Now(), run, s)
+		i.node.TellStage(&gossippb.RunStage{Run: uint64(run), Stage: int32(s)})
+	}
+}
+
+// BenchmarkFleet tells what one request costs a fleet, in processor time of all its
+// instances, at 15 requests a second an instance. Each instance tells all others, so
+// that the figure grows with the fleet.
+func BenchmarkFleet(b *testing.B) {
+	for _, size := range []struct{ instances, endpoints int }{{8, 12}, {62, 144}} {
+		b.Run(fmt.Sprintf("instances=%d", size.instances), func(b *testing.B) {
+			f := newFleet(b, size.instances, size.endpoints)
+			time.Sleep(time.Second)
+			pause := time.Second / time.Duration(15*size.instances)
+			before := processorTime()
+			n := 0
+			for b.Loop() {
+				go f.request(f.instances[n%size.instances], n)
+				n++
+				time.Sleep(pause)
+			}
+			time.Sleep(200 * time.Millisecond)
+			b.ReportMetric(float64((processorTime()-before).Microseconds())/float64(n), "cpu-µs/request")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// processorTime used by this process.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
