Count the work before a request by its urgency

Change: an endpoint's backlog is kept by rank, told with each start; a request counts what is as urgent or more, and 0.3 of the rest.

--- /dev/null
+++ b/balance/backlog_test.go
@@ -0,0 +1,56 @@
+package balance
+
+import (
+	"testing"
+	"time"
+)
+
+// Long prompts of a batch fill the pool while somebody asks a short urgent question.
+// Endpoints take the urgent one first; refused for the long ones' sake, the caller is
+// told to come back although it would have been on time.
+func TestUrgentRequestDoesNotCountLessUrgentWork(t *testing.T) {
+	s := newPool(1, 1)
+	for i := range 6 {
+		long := prompt(i, i)
+		long.Rank = 4
+		send(t, s, start, long)
+	}
+	short := Ask{Service: "pool", Model: model, Wall: "all", DataCentre: "dc", PromptTokens: 600, OutputTokens: 20}
+	decide := func(rank int) Admission {
+		short.Rank = rank
+		p, ok := s.Choose(start, short)
+		if !ok {
+			t.Fatal("no endpoint")
+		}
+		return Admit(Timing{Target: 500 * time.Millisecond, Patience: 2 * time.Second, Backlog: p.Backlog, First: p.First})
+	}
+	if got := decide(1); got != Send {
+		t.Errorf("decision %v for an urgent request behind long ones", got)
+	}
+	if got := decide(4); got != Refuse {
+		t.Errorf("decision %v for one of their own rank, 36,000 tokens behind", got)
+	}
+}
+
+// Whatever begins and ends, in any order, an endpoint without work has no backlog.
+func TestBacklogEndsWithItsWork(t *testing.T) {
+	s := newPool(1, 1)
+	var runs []RunID
+	for i := range 12 {
+		a := prompt(i, i)
+		a.Rank = i - 1
+		id, _ := send(t, s, start, a)
+		runs = append(runs, id)
+	}
+	for i, id := range runs {
+		if i%2 == 0 {
+			s.Moved(start, id, Answering)
+		}
+		s.Moved(start, id, Done)
+	}
+	for rank := range ranks {
+		if n := s.endpoints["e0"].reading.ahead(rank); n != 0 {
+			t.Errorf("%d tokens ahead of rank %d at an idle endpoint", n, rank)
+		}
+	}
+}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -51,6 +51,8 @@
 	Parts []prefix.Part
 	// PromptTokens and OutputTokens size the work.
 	PromptTokens, OutputTokens int64
+	// Rank is the request's priority at the endpoint; 0 goes first.
+	Rank int
 	// DataCentre of the instance that sends.
 	DataCentre string
 	// Exclude names endpoints that were tried before.
@@ -72,8 +74,9 @@
 	// SaveTo is the address of a store that should keep the parts once they are
 	// read; empty for none.
 	SaveTo string
-	// Ahead is the prompt work in tokens that the endpoint has to do before.
-	Ahead int64
+	// Ahead is the prompt work in tokens that the endpoint has to do before, and
+	// Queued all that it has, also of less urgent requests.
+	Ahead, Queued int64
 	// Running is the number of requests there.
 	Running int
 	// Full says that the endpoint's memory does not hold the request beside those
@@ -90,7 +93,9 @@
 	Endpoint string
 	Model    string
 	Version  int64
-	Keys     []prefix.PartKey
+	// Rank is the request's priority at the endpoint.
+	Rank int
+	Keys []prefix.PartKey
 	// Tokens of each part, in the order of Keys.
 	Tokens   []int64
 	Uncached int64
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -235,7 +235,7 @@
 		fetch = from.address
 	}
 	uncached = max(c.ask.PromptTokens-local-fetched, 0)
-	cost += c.slowness*(float64(e.reading)+uncachedWeight*float64(uncached)) + fetchedWeight*float64(fetched)
+	cost += c.slowness*(float64(e.reading.ahead(c.ask.Rank))+uncachedWeight*float64(uncached)) + fetchedWeight*float64(fetched)
 	cost += runningTokens * float64(e.running)
 	if c.now.Before(e.soonUntil) {
 		cost += soonTokens * min(1, float64(c.ask.OutputTokens)/soonOutput)
@@ -267,7 +267,7 @@
 
 func (c *chooser) placement() Placement {
 	e := c.best
-	p := Placement{Endpoint: e.Endpoint, Ahead: e.reading, Running: e.running, Uncached: c.uncached, FetchFrom: c.fetch}
+	p := Placement{Endpoint: e.Endpoint, Ahead: e.reading.ahead(c.ask.Rank), Queued: e.reading.total(), Running: e.running, Uncached: c.uncached, FetchFrom: c.fetch}
 	if c.ask.Model != "" {
 		p.Version, p.Full = c.bestVersion, c.bestFull
 		p.Keys = c.keysOf(p.Version)
--- a/balance/runs.go
+++ b/balance/runs.go
@@ -10,10 +10,10 @@
 	if _, twice := s.runs[st.Run]; !ok || twice {
 		return
 	}
-	r := &run{Start: st, on: e, at: now, ahead: e.reading}
+	r := &run{Start: st, on: e, at: now, ahead: e.reading.ahead(st.Rank)}
 	s.runs[st.Run] = r
 	e.running++
-	e.reading += st.Uncached
+	e.reading.add(st.Rank, st.Uncached)
 	e.take(r)
 	if st.Model == "" {
 		return
@@ -51,7 +51,7 @@
 	}
 	s.measure(e, r, now.Sub(r.at))
 	r.answered = true
-	e.reading -= r.Uncached
+	e.reading.add(r.Rank, -r.Uncached)
 	s.read(e, r)
 	s.wake()
 }
@@ -76,7 +76,7 @@
 	e.running--
 	e.give(r)
 	if !r.answered {
-		e.reading -= r.Uncached
+		e.reading.add(r.Rank, -r.Uncached)
 	}
 	failed := 0.0
 	switch stage {
@@ -130,7 +130,7 @@
 		age := now.Sub(r.at)
 		if age > forgetReadingAfter && !r.answered {
 			r.answered = true
-			r.on.reading -= r.Uncached
+			r.on.reading.add(r.Rank, -r.Uncached)
 		}
 		if age > forgetRunsAfter {
 			delete(s.runs, id)
--- a/balance/state.go
+++ b/balance/state.go
@@ -56,7 +56,7 @@
 	told    bool
 	running int
 	// reading is the prompt work in tokens of the runs that have not answered.
-	reading int64
+	reading backlog
 	// memory in tokens of the running requests; a part that several of them share
 	// counts once.
 	memory int64
@@ -342,7 +342,7 @@
 		if service != "" && e.Service != service {
 			continue
 		}
-		list = append(list, View{e.Endpoint, e.running, e.reading, e.memory, now.Before(e.avoidUntil), now.Before(e.doubtUntil), e.failures})
+		list = append(list, View{e.Endpoint, e.running, e.reading.total(), e.memory, now.Before(e.avoidUntil), now.Before(e.doubtUntil), e.failures})
 	}
 	return list
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -111,7 +111,7 @@
 func (a *attempt) started() {
 	p, c := a.place, a.req.call
 	st := balance.Start{
-		Run: a.run, Endpoint: p.Endpoint.ID, Model: c.Model, Version: p.Version,
+		Run: a.run, Endpoint: p.Endpoint.ID, Model: c.Model, Version: p.Version, Rank: a.req.priority(),
 		Keys: p.Keys, Uncached: p.Uncached, Output: c.OutputTokens, SaveTo: p.SaveTo,
 	}
 	for _, part := range c.Parts {
@@ -126,7 +126,7 @@
 
 func startMessage(st balance.Start) *gossippb.RunStart {
 	m := &gossippb.RunStart{
-		Run: uint64(st.Run), Endpoint: st.Endpoint, Model: st.Model, Version: st.Version,
+		Run: uint64(st.Run), Endpoint: st.Endpoint, Model: st.Model, Version: st.Version, Rank: int32(st.Rank),
 		Tokens: st.Tokens, Uncached: st.Uncached, Output: st.Output, SaveTo: st.SaveTo,
 	}
 	for _, k := range st.Keys {
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -48,7 +48,12 @@
 				err := fault.New(fault.Overloaded, "send the request again later", "the endpoints of %s are %v behind", r.service.Name, p.Backlog)
 				return balance.Placement{}, fault.WithRetryAfter(err, p.Backlog)
 			}
-			if err := r.rest(nil, lateLook()); err != nil {
+			looked := time.Now()
+			err := r.rest(nil, lateLook())
+			if p.Full {
+				r.waitedMemory += time.Since(looked)
+			}
+			if err != nil {
 				return balance.Placement{}, err
 			}
 			continue
@@ -131,6 +136,7 @@
 	a.Model = r.call.Model
 	a.Wall = r.wall()
 	a.Parts = r.call.Parts
+	a.Rank = r.priority()
 	a.PromptTokens, a.OutputTokens = r.call.PromptTokens, r.call.OutputTokens
 	return a
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -44,6 +44,8 @@
 	sends, ran int
 	rejected   int
 	waited     time.Duration
+	// waitedMemory is the part of waited in which no endpoint's memory held it.
+	waitedMemory time.Duration
 	// first is the time to a stream's first event.
 	first time.Duration
 	last  balance.Placement
@@ -284,6 +286,9 @@
 		"request": r.call.ID, "status": status, "ms": time.Since(r.began).Milliseconds(),
 		"waited_ms": r.waited.Milliseconds(), "sends": r.sends, "ran": r.ran, "rejected": r.rejected,
 	}
+	if r.waitedMemory > 0 {
+		f["waited_memory_ms"] = r.waitedMemory.Milliseconds()
+	}
 	if r.table != nil {
 		f["records"] = r.table.Version()
 	}
@@ -299,6 +304,7 @@
 	if r.sends > 0 {
 		f["endpoint"], f["address"] = r.last.Endpoint.ID, r.last.Endpoint.Address
 		f["version"], f["uncached"], f["ahead"], f["running"] = r.last.Version, r.last.Uncached, r.last.Ahead, r.last.Running
+		f["queued"], f["priority"] = r.last.Queued, r.priority()
 		if n := len(r.call.Parts); n > 1 {
 			f["prompt"], f["own"] = r.call.PromptTokens, r.call.Parts[n-1].Tokens
 			f["shared_read"] = max(0, r.last.Uncached-r.call.Parts[n-1].Tokens)
--- a/hosted/beliefs.go
+++ b/hosted/beliefs.go
@@ -111,7 +111,7 @@
 // Started implements gossip.Handler.
 func (h hearer) Started(m *gossippb.RunStart) {
 	st := balance.Start{
-		Run: balance.RunID(m.GetRun()), Endpoint: m.GetEndpoint(), Model: m.GetModel(), Version: m.GetVersion(),
+		Run: balance.RunID(m.GetRun()), Endpoint: m.GetEndpoint(), Model: m.GetModel(), Version: m.GetVersion(), Rank: int(m.GetRank()),
 		Tokens: m.GetTokens(), Uncached: m.GetUncached(), Output: m.GetOutput(), SaveTo: m.GetSaveTo(),
 	}
 	for _, k := range m.GetKeys() {
