--- /dev/null
+++ b/internal/account/table.go
@@ -0,0 +1,138 @@
+package account
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+)
+
+// Options of a table.
+type Options struct {
+	// Window is the length of one row of time.
+	Window time.Duration
+	// Slow is from when on a first token, or an answer without tokens, counts as
+	// late; 0 counts none.
+	Slow time.Duration
+	// Worst is how many windows are told, the worst first.
+	Worst int
+}
+
+// Row counts requests by reason.
+type Row struct {
+	Count  [Reasons]int
+	Tokens int64
+	// Shared tokens were read of parts that others ask for too.
+	Shared int64
+	// Waited and WaitedMemory are sums over all requests.
+	Waited, WaitedMemory time.Duration
+}
+
+func (r *Row) add(q Request, slow time.Duration) {
+	r.Count[q.reason(slow)]++
+	r.Tokens += q.Uncached
+	r.Shared += q.Shared
+	r.Waited += q.Waited
+	r.WaitedMemory += q.WaitedMemory
+}
+
+// owed is how many requests should have been served.
+func (r *Row) owed() int {
+	n := 0
+	for reason, count := range r.Count {
+		if Reason(reason) != NotAllowed && Reason(reason) != CallerGone {
+			n += count
+		}
+	}
+	return n
+}
+
+// lost is the share of those owed that were not served as they should.
+func (r *Row) lost() float64 {
+	if r.owed() == 0 {
+		return 0
+	}
+	return 1 - float64(r.Count[Served])/float64(r.owed())
+}
+
+// Window is one row of time.
+type Window struct {
+	From time.Duration
+	Row
+}
+
+// ByRoute counts requests by route.
+func (l *Log) ByRoute(o Options) map[string]*Row {
+	rows := map[string]*Row{}
+	for _, q := range l.Requests {
+		if rows[q.Route] == nil {
+			rows[q.Route] = &Row{}
+		}
+		rows[q.Route].add(q, o.Slow)
+	}
+	return rows
+}
+
+// ByWindow counts requests by the time at which they came.
+func (l *Log) ByWindow(o Options) []Window {
+	var list []Window
+	for _, q := range l.Requests {
+		from := q.Began().Sub(l.Requests[0].Began()).Truncate(o.Window)
+		if len(list) == 0 || list[len(list)-1].From != from {
+			list = append(list, Window{From: from})
+		}
+		list[len(list)-1].add(q, o.Slow)
+	}
+	return list
+}
+
+// Write prints what is missing in the logs, the requests by route, and the worst
+// windows.
+func (l *Log) Write(out io.Writer, o Options) {
+	fmt.Fprintf(out, "%d requests in %d lines", len(l.Requests), l.Lines)
+	if l.Broken > 0 {
+		fmt.Fprintf(out, "; %d lines break off", l.Broken)
+	}
+	if l.Dropped > 0 {
+		fmt.Fprintf(out, "; %d lines were dropped by the instances", l.Dropped)
+	}
+	fmt.Fprintln(out)
+	if len(l.Unfinished) > 0 {
+		fmt.Fprintf(out, "no word of the end of: %v\n", l.Unfinished)
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	defer func() { _ = w.Flush() }()
+	header(w, "route")
+	routes := l.ByRoute(o)
+	names := make([]string, 0, len(routes))
+	for name := range routes {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, func(a, b string) int { return routes[b].owed() - routes[a].owed() })
+	for _, name := range names {
+		routes[name].write(w, name)
+	}
+	header(w, "from second")
+	windows := l.ByWindow(o)
+	slices.SortStableFunc(windows, func(a, b Window) int { return int(1e6*b.lost()) - int(1e6*a.lost()) })
+	for _, x := range windows[:min(o.Worst, len(windows))] {
+		x.write(w, fmt.Sprintf("%.1f", x.From.Seconds()))
+	}
+}
+
+func header(w io.Writer, first string) {
+	fmt.Fprintf(w, "\n%s\tlost\t", first)
+	for _, name := range reasonNames {
+		fmt.Fprintf(w, "%s\t", name)
+	}
+	fmt.Fprintln(w, "tokens read\tshared\twaited s\tfor memory s\t")
+}
+
+func (r *Row) write(w io.Writer, name string) {
+	fmt.Fprintf(w, "%s\t%.3f\t", name, r.lost())
+	for _, n := range r.Count {
+		fmt.Fprintf(w, "%d\t", n)
+	}
+	fmt.Fprintf(w, "%d\t%d\t%.1f\t%.1f\t\n", r.Tokens, r.Shared, r.Waited.Seconds(), r.WaitedMemory.Seconds())
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -32,7 +32,7 @@
 	app.UsageWriter(errs).ErrorWriter(errs).Terminate(func(int) { helped = true })
 	commands := map[string]command{}
 	for _, c := range []command{
-		&serveCommand{}, &hostCommand{}, &explainCommand{}, &checkCommand{}, &emulateCommand{}, &demoCommand{}, &loadCommand{},
+		&serveCommand{}, &hostCommand{}, &explainCommand{}, &accountCommand{}, &checkCommand{}, &emulateCommand{}, &demoCommand{}, &loadCommand{},
 		&dumpCommand{}, &statusCommand{}, &slopesCommand{}, &versionCommand{},
 	} {
 		clause := c.declare(app)
