Soak: endpoints that start again under their ids, entries of other writers; the account page

From seed 8000 on endpoints tell when they started, start again once or twice under their ids and addresses, and other writers spoil entries or write some of no endpoint. Seeds before it draw what they drew.

--- a/internal/account/plot.go
+++ b/internal/account/plot.go
@@ -13,6 +13,7 @@
 const (
 	plotWidth  = 1100
 	plotHeight = 500
+	plotMargin = 40
 )
 
 // Plot draws requests, refusals, the prompt work before them and the time to the first
@@ -20,16 +21,17 @@
 func (l *Log) Plot(out io.Writer, name string) error {
 	windows := l.ByWindow(Options{Window: time.Second})
 	var seconds, came, refused, ahead, first []float64
-	for n, w := range windows {
+	for _, w := range windows {
 		seconds = append(seconds, w.From.Seconds())
 		came = append(came, float64(w.owed()))
 		refused = append(refused, float64(w.Count[RefusedForWork]+w.Count[RefusedForMemory]+w.Count[RefusedElse]))
-		a, f := l.medians(windows, n)
+		a, f := l.pace(w.From)
 		ahead = append(ahead, a)
 		first = append(first, f)
 	}
 	graph := chart.Chart{
 		Width: plotWidth, Height: plotHeight,
+		Background:     chart.Style{Padding: chart.Box{Top: plotMargin, Left: plotMargin, Right: plotMargin, Bottom: plotMargin}},
 		XAxis:          chart.XAxis{Name: "second"},
 		YAxis:          chart.YAxis{Name: "requests a second; first token, ms"},
 		YAxisSecondary: chart.YAxis{Name: "prompt work before, tokens"},
@@ -50,13 +52,13 @@
 // firstShare is which of the times to a first token is drawn.
 const firstShare = 0.95
 
-// medians returns the mean prompt work before the requests of a window, and the time
+// pace returns the mean prompt work before the requests of a second, and the time
 // to the first token that firstShare of them had, in ms.
-func (l *Log) medians(windows []Window, n int) (ahead, first float64) {
+func (l *Log) pace(from time.Duration) (ahead, first float64) {
 	var sum, sent int64
 	var firsts []time.Duration
 	for _, q := range l.Requests {
-		if q.Began().Sub(l.Requests[0].Began()).Truncate(time.Second) != windows[n].From {
+		if q.Began().Sub(l.Requests[0].Began()).Truncate(time.Second) != from {
 			continue
 		}
 		if q.Sends > 0 {
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -1,9 +1,13 @@
 package soak
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
+
+	"github.com/sardinedock/sardinedock/platform/platformtest"
 )
 
 // fault is one thing that goes wrong, or one piece of planned work.
@@ -137,6 +141,55 @@
 	{"weights named", func(s *soak, _ *rand.Rand, _ time.Duration) { s.nameWeights() }},
 }
 
+// firstWithStarts is the first seed whose endpoints tell when they started, start again
+// under their ids and meet entries of other writers; those before it draw what they
+// always drew.
+const firstWithStarts = 8000
+
+// startFaults are drawn too from firstWithStarts on.
+var startFaults = []fault{
+	{"endpoint starts again", func(s *soak, rng *rand.Rand, _ time.Duration) {
+		s.harmServer(rng, func(x *server) { x.restart() })
+	}},
+	{"endpoint starts again twice", func(s *soak, rng *rand.Rand, _ time.Duration) {
+		s.harmServer(rng, func(x *server) {
+			x.restart()
+			time.Sleep(time.Duration(rng.IntN(400)) * time.Millisecond)
+			x.restart()
+		})
+	}},
+	{"entry spoiled by another writer", func(s *soak, rng *rand.Rand, _ time.Duration) {
+		s.harmServer(rng, func(x *server) {
+			entry := platformtest.EntryAt(x.link.address(), x.service, "ready", nil)
+			switch rng.IntN(4) {
+			case 0:
+				entry["state"] = "fenced"
+			case 1:
+				delete(entry, "address")
+			case 2:
+				entry["slots"] = "many"
+			case 3:
+				entry["born"] = 1.5
+			}
+			x.spoil(entry)
+		})
+	}},
+	{"entry of no endpoint", func(s *soak, rng *rand.Rand, lasts time.Duration) {
+		ghost := fmt.Sprintf("ghost-%d", rng.Uint64())
+		s.store.Put("servers", ghost, map[string]any{"service": s.pickServer(rng).service, "state": "ready", "address": 7})
+		time.Sleep(lasts)
+		s.store.Remove("servers", ghost)
+	}},
+}
+
+// faultsOf returns what a seed draws from.
+func faultsOf(seed uint64) []fault {
+	if seed < firstWithStarts {
+		return faults
+	}
+	return slices.Concat(faults, startFaults)
+}
+
 func (s *soak) pick(rng *rand.Rand) *instance { return s.instances[rng.IntN(len(s.instances))] }
 
 // harmInstance does something to one instance, and notes that it is disturbed.
@@ -208,13 +261,13 @@
 	moreFaults  = 12
 )
 
-// schedule draws what goes wrong when. Faults overlap, and some come in series.
-func schedule(rng *rand.Rand, length time.Duration) []event {
+// schedule draws from the faults what goes wrong when. Faults overlap, and some come in series.
+func schedule(rng *rand.Rand, drawn []fault, length time.Duration) []event {
 	var list []event
 	for range leastFaults + rng.IntN(moreFaults) {
 		e := event{
 			at: time.Duration(rng.Int64N(int64(length))), lasts: time.Duration(200+rng.IntN(2500)) * time.Millisecond,
-			fault: faults[rng.IntN(len(faults))], seed: rng.Uint64(),
+			fault: drawn[rng.IntN(len(drawn))], seed: rng.Uint64(),
 		}
 		list = append(list, e)
 		if rng.IntN(4) > 0 {
--- a/soak/pool_test.go
+++ b/soak/pool_test.go
@@ -57,6 +57,8 @@
 	link    *link
 	engine  *platformtest.Engine
 	mood    atomic.Int32
+	// born is when it started, in ms since 1970; 0 tells nobody.
+	born    atomic.Int64
 	nextRun atomic.Int64
 
 	mu sync.Mutex
@@ -82,6 +84,9 @@
 		x.engine = platformtest.NewEngine(model, s.named.Load(), loadTime, func(v int64) bool { return v <= s.named.Load() })
 		e.HandleControl(x.engine.Control)
 	}
+	if s.seed >= firstWithStarts {
+		x.start()
+	}
 	s.mu.Lock()
 	s.servers[id] = x
 	s.mu.Unlock()
@@ -89,13 +94,42 @@
 	return x
 }
 
+// start notes when the endpoint starts, or starts again.
+func (x *server) start() {
+	x.born.Store(max(time.Now().UnixMilli(), x.born.Load()+1))
+	if x.engine != nil {
+		x.engine.Restart(x.born.Load())
+	}
+}
+
+// restart has the endpoint lose its power and be back under its id and address.
+func (x *server) restart() {
+	x.start()
+	x.link.reset(1)
+	x.list("ready")
+}
+
+// spoil has another writer put something else where the endpoint's entry stands, until
+// its next heartbeat.
+func (x *server) spoil(entry map[string]any) {
+	x.soak.store.Put("servers", x.ID, entry)
+	time.Sleep(heartbeatMs * time.Millisecond)
+	if !x.isLeaving() {
+		x.list("ready")
+	}
+}
+
 // list writes the endpoint's entry.
 func (x *server) list(state string) {
 	versions := map[string]int64{}
 	if x.engine != nil {
 		versions[model], _ = x.engine.Version()
 	}
-	x.soak.store.Put("servers", x.ID, platformtest.EntryAt(x.link.address(), x.service, state, versions))
+	entry := platformtest.EntryAt(x.link.address(), x.service, state, versions)
+	if born := x.born.Load(); born > 0 {
+		entry["born"] = born
+	}
+	x.soak.store.Put("servers", x.ID, entry)
 }
 
 // remove takes the endpoint out of the run.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -174,7 +174,7 @@
 func (s *soak) harm(t *testing.T, rng *rand.Rand) {
 	began := time.Now()
 	var wg sync.WaitGroup
-	for _, e := range schedule(rng, faultsFor) {
+	for _, e := range schedule(rng, faultsOf(s.seed), faultsFor) {
 		wg.Go(func() {
 			time.Sleep(time.Until(began.Add(e.at)))
 			if *keep {
