Log the prefix of a prompt only where its parts were keyed

Cause, found on reading the change: a request with a described prompt on a plain route, or without a model, has no keys, and the log line's look for one ended the process. Test: it panicked before.

--- a/balance/admit.go
+++ b/balance/admit.go
@@ -65,10 +65,9 @@
 // no endpoint's memory has held for half of its target: sent in the end all the same, it
 // drives out others, and what they had read is read again (8 days of overload of a
 // memory-bound pool: worth 0.505 -> 0.556, parts read again 0.070 -> 0.061 of worth).
-// Until then one that an endpoint's memory
-// does not hold waits too: sent all the same, it drives out a request in the middle
-// of its answer, whose prompt is then read a second time (worth on 16 busy days of
-// memory-bound pools 0.550 -> 0.558).
+// Until then one that an endpoint's memory does not hold waits too: sent all the same,
+// it drives out a request in the middle of its answer, whose prompt is then read a second
+// time (worth on 16 busy days of memory-bound pools 0.550 -> 0.558).
 func Admit(t Timing) Admission {
 	first := t.Elapsed + t.First
 	if first <= t.Target && !t.Full {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -309,7 +309,9 @@
 		if n := len(r.call.Parts); n > 1 {
 			f["prompt"], f["own"] = r.call.PromptTokens, r.call.Parts[n-1].Tokens
 			f["shared_read"] = max(0, r.last.Uncached-r.call.Parts[n-1].Tokens)
-			f["prefix"] = strconv.FormatUint(uint64(r.last.Keys[n-2]), 16)
+			if len(r.last.Keys) == n {
+				f["prefix"] = strconv.FormatUint(uint64(r.last.Keys[n-2]), 16)
+			}
 		}
 		if r.last.FetchFrom != "" {
 			f["fetch"] = r.last.FetchFrom
--- a/hosted/serve_test.go
+++ b/hosted/serve_test.go
@@ -460,3 +460,24 @@
 		}
 	}
 }
+
+// A caller describes a prompt on a route to a plain service, or names no model. The log
+// line of the request must not look for cached parts that there are none of: the process
+// would end, and all its callers' requests with it.
+func TestPromptOnAPlainRouteIsServed(t *testing.T) {
+	f := newFixture(t, 1)
+	f.endpoint("e1", "orders", func(x *platformtest.Exchange) bool { x.Answer(200, "done"); return true })
+	f.endpoint("e2", "pool", stream(2))
+	f.serve(2, nil)
+	if a := f.do(prompt(f.request("POST", "/confirm/1", "x"))); a.status != 200 || a.body != "done" {
+		t.Errorf("a prompt on a plain route: %+v", a)
+	}
+	req := prompt(f.request("POST", "/draft/1", "x"))
+	req.Header.Del("Sardinedock-Model")
+	if a := f.do(req); a.status != 200 {
+		t.Errorf("a prompt without a model: %+v", a)
+	}
+	if a := f.do(f.request("POST", "/confirm/1", "x")); a.status != 200 {
+		t.Errorf("the next request: %+v", a)
+	}
+}
