--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -62,9 +62,17 @@
 // Instances, endpoints, the store and the ways between them fail in random order,
 // together and in series, while callers go on. Whatever happens, a caller gets its
 // own whole answer or a word that is true, and once it is over all are served.
-func TestSoak(t *testing.T) {
+func TestSoak(t *testing.T) { playAll(t, chosen(t)) }
+
+// All instances are told to end one after the other while callers keep their connections.
+// A request that a draining instance takes near the end of its grace is cut there, and
+// its caller does not learn what became of it.
+func TestOpenSeeds(t *testing.T) { playAll(t, listed(t, "testdata/open.txt")) }
+
+// playAll plays seeds, as many at a time as the flags say.
+func playAll(t *testing.T, list []uint64) {
+	t.Helper()
 	binary := build(t)
-	list := chosen(t)
 	slots := make(chan struct{}, *jobs)
 	for _, seed := range list {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
@@ -87,7 +95,14 @@
 		}
 		return list
 	}
-	f, err := os.Open("testdata/seeds.txt")
+	return listed(t, "testdata/seeds.txt")
+}
+
+// listed returns the seeds that a file lists, each at the start of a line.
+func listed(t *testing.T, name string) []uint64 {
+	t.Helper()
+	var list []uint64
+	f, err := os.Open(name)
 	if err != nil {
 		t.Fatal(err)
 	}
