Join a fleet before watching for it

Change: the check waits for the first read; an instance that registers for the first time lists the others 0.35 s later and watches after 0.8 s; one that was registered before does so at once. Records are watched by schedulers, which tell of newer ones. Schedulers that reach the store are added where the others do not.

--- a/directory/follower.go
+++ b/directory/follower.go
@@ -213,8 +213,12 @@
 // untilCheck is how long it is until the kind has to be read.
 func (f *Follower) untilCheck() time.Duration {
 	f.mu.Lock()
-	at, notBefore := f.readAt, f.notBefore
+	at, notBefore, listed := f.readAt, f.notBefore, f.listed
 	f.mu.Unlock()
+	if !listed {
+		// The first read is Run's own; a second one beside it would bring the same.
+		return 2 * checkLook
+	}
 	return max(f.cfg.CheckEvery()-time.Since(at), time.Until(notBefore), 0)
 }
 
--- a/gossip/admit_test.go
+++ b/gossip/admit_test.go
@@ -39,7 +39,7 @@
 	if ago := time.Since(heardRead(peer)); ago < 500*time.Millisecond || ago > 600*time.Millisecond {
 		t.Errorf("a read of 500 ms ago counts as %v ago", ago)
 	}
-	if got := n.empty().GetRevisions()[0].GetReadMsAgo(); got != -1 {
+	if got := revisionsOf(n)[0].GetReadMsAgo(); got != -1 {
 		t.Errorf("told that it has read %d ms ago; it has not read at all", got)
 	}
 }
@@ -57,10 +57,10 @@
 	if n.out.Len() != 0 {
 		t.Error("a revision that a peer has told is told at once")
 	}
-	if got := n.empty().GetRevisions(); len(got) != 1 || got[0].GetRevision() != 7 {
+	if got := revisionsOf(n); len(got) != 1 || got[0].GetRevision() != 7 {
 		t.Errorf("the next datagram brings %v", got)
 	}
-	if got := n.empty().GetRevisions(); len(got) != 0 {
+	if got := revisionsOf(n); len(got) != 0 {
 		t.Errorf("the one right after it brings %v again", got)
 	}
 	n.TellRevision("servers", 8)
@@ -82,3 +82,6 @@
 func (deafHandler) Asked(a *gossippb.Ask) *gossippb.Verdict {
 	return &gossippb.Verdict{Run: a.GetRun(), Endpoint: "chosen"}
 }
+
+// revisionsOf returns the revisions that the next heartbeat brings.
+func revisionsOf(n *Node) []*gossippb.Revision { return n.datagrams(nil, true)[0].GetRevisions() }
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -164,6 +164,7 @@
 		heard:     map[string]heard{},
 		revisions: map[string]uint64{},
 		reads:     map[string]time.Time{},
+		roles:     roles{small: true, self: true, live: 1},
 	}, nil
 }
 
--- a/gossip/pack.go
+++ b/gossip/pack.go
@@ -8,9 +8,13 @@
 	"github.com/sardinedock/sardinedock/schema/gossippb"
 )
 
-// datagrams packs a batch; an empty one gives a heartbeat.
-func (n *Node) datagrams(batch []item) []*gossippb.Datagram {
+// datagrams packs a batch; an empty one gives a heartbeat. The first one brings the
+// revisions where they are due and asked for.
+func (n *Node) datagrams(batch []item, revisions bool) []*gossippb.Datagram {
 	current := n.empty()
+	if revisions {
+		n.addRevisions(current)
+	}
 	list := []*gossippb.Datagram{current}
 	size := proto.Size(current)
 	for _, i := range batch {
@@ -53,6 +57,7 @@
 	return 0
 }
 
+// empty returns a datagram that says how this instance is.
 func (n *Node) empty() *gossippb.Datagram {
 	d := &gossippb.Datagram{Instance: n.name, Incarnation: n.incarnation}
 	n.mu.Lock()
@@ -61,15 +66,22 @@
 	if d.Scheduler = n.roles.self; d.Scheduler {
 		d.Live = uint32(n.roles.live)
 	}
+	return d
+}
+
+// addRevisions adds the newest revisions known, and when this instance has read each
+// kind, where they are due.
+func (n *Node) addRevisions(d *gossippb.Datagram) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	now := time.Now()
 	if now.Before(n.revisionsDue) {
-		return d
+		return
 	}
 	n.revisionsDue = now.Add(revisionsEvery)
 	for kind, revision := range n.revisions {
 		d.Revisions = append(d.Revisions, &gossippb.Revision{Kind: kind, Revision: revision, ReadMsAgo: n.readAgo(kind, now)})
 	}
-	return d
 }
 
 // readAgo is how long ago a kind was read, in ms; the mutex is held.
--- a/gossip/roles.go
+++ b/gossip/roles.go
@@ -19,6 +19,9 @@
 	// five, two may be lost at once and the others carry half as much again. Each
 	// further one hears the words of all requests once more.
 	schedulerCount = 5
+	// leastWithStore is how many schedulers have to reach the store: one may be lost, and
+	// another one still hears of changes.
+	leastWithStore = 2
 	// takeoverStep is how much later the next instance in order takes a vacant place:
 	// the word of the one before it, sent at once, has come by then.
 	takeoverStep = 150 * time.Millisecond
@@ -82,37 +85,55 @@
 	scheduling int
 }
 
-// serves reports whether an instance is to be a scheduler. ahead says of each instance
-// before it in the order whether it is a live scheduler, behind is how many live
-// schedulers come after it, and was says that it is one now.
+// field is what an instance sees of the schedulers when it decides on its own role.
+type field struct {
+	// ahead says of each instance before it in the order whether it is a live scheduler.
+	ahead []bool
+	// behind is how many live schedulers come after it.
+	behind int
+	// withStore is how many of the live schedulers reach the platform's store, hasStore
+	// whether this instance does.
+	withStore int
+	hasStore  bool
+	// was says that it is a scheduler now.
+	was bool
+}
+
+// serves reports whether an instance is to be a scheduler.
 //
 // Failure: schedulers die, or are cut off from a part of the fleet, which then has to
 // find others without anybody's word. Each instance of that part sees the same places
 // vacant. The next ones in the order take them one after the other, so that a hundred
 // instances do not all become schedulers at once; one that is dead costs takeoverStep.
-func (v *vacancy) serves(now time.Time, ahead []bool, behind int, was bool) bool {
+//
+// Failure: the store turns all schedulers away and serves others. Nobody would hear of
+// changes for the fleet, nor roll out weights; so some of those that it serves become
+// schedulers too.
+func (v *vacancy) serves(now time.Time, f field) bool {
 	// missing are those right before this one that could take the place.
 	scheduling, missing := 0, 0
-	for _, s := range ahead {
+	for _, s := range f.ahead {
 		if missing++; s {
 			scheduling++
 			missing = 0
 		}
 	}
-	if scheduling >= schedulerCount {
+	needed := f.hasStore && f.withStore < leastWithStore
+	if scheduling >= schedulerCount && !needed {
 		v.since = time.Time{}
 		return false
 	}
-	if was {
+	if f.was {
 		return true
 	}
-	if scheduling+behind >= schedulerCount && len(ahead) >= schedulerCount {
+	all := scheduling + f.behind
+	if all >= schedulerCount && len(f.ahead) >= schedulerCount && !needed {
 		v.since = time.Time{}
 		return false
 	}
-	if v.since.IsZero() || v.scheduling != scheduling+behind {
+	if v.since.IsZero() || v.scheduling != all {
 		// Others are taking the places; the wait begins anew with each of them.
-		v.since, v.scheduling = now, scheduling+behind
+		v.since, v.scheduling = now, all
 	}
 	return now.Sub(v.since) >= time.Duration(missing)*takeoverStep
 }
@@ -127,8 +148,8 @@
 		h, ok := n.heard[name]
 		return ok && h.scheduler && h.alive(now)
 	}
-	var ahead []bool
-	behind, found := 0, false
+	f := field{hasStore: !n.storeLost, was: old.self && !old.small}
+	found := false
 	for i, p := range n.order {
 		if p.Name == n.name {
 			next.position, found = i, true
@@ -138,10 +159,13 @@
 		if s || next.small && n.heard[p.Name].alive(now) {
 			next.others = append(next.others, p)
 		}
+		if s && !n.heard[p.Name].storeLost {
+			f.withStore++
+		}
 		if !found {
-			ahead = append(ahead, s)
+			f.ahead = append(f.ahead, s)
 		} else if s {
-			behind++
+			f.behind++
 		}
 	}
 	switch {
@@ -149,7 +173,7 @@
 		next.self = true
 	case n.leaving:
 	default:
-		next.self = n.vacancy.serves(now, ahead, behind, old.self && !old.small)
+		next.self = n.vacancy.serves(now, f)
 	}
 	next.live = n.liveCount(now, next.self)
 	n.roles = next
--- a/gossip/tell.go
+++ b/gossip/tell.go
@@ -84,7 +84,7 @@
 // the scheduler that has placed it, so that its end does not overtake its start.
 func (n *Node) tellWords(r roles, via string, batch []item) {
 	if r.self {
-		n.sendTo(r.others, gossippb.Audience_RECEIVER, batch)
+		n.sendPacked(r.others, gossippb.Audience_RECEIVER, batch, false)
 		return
 	}
 	if len(r.others) == 0 {
@@ -96,7 +96,7 @@
 			to = p
 		}
 	}
-	n.sendTo([]Peer{to}, gossippb.Audience_SCHEDULERS, batch)
+	n.sendPacked([]Peer{to}, gossippb.Audience_SCHEDULERS, batch, false)
 }
 
 // usual is the scheduler through which this instance tells what has no other way; there
@@ -140,12 +140,19 @@
 	return n.peers
 }
 
-// sendTo packs a batch and sends it to each of the peers.
+// sendTo packs a batch and sends it to each of the peers, with the revisions where they
+// are due.
 func (n *Node) sendTo(peers []Peer, relayTo gossippb.Audience, batch []item) {
+	n.sendPacked(peers, relayTo, batch, true)
+}
+
+// sendPacked is sendTo with or without revisions. Words of runs go without: sent to the
+// schedulers alone, the revisions would count as told to all.
+func (n *Node) sendPacked(peers []Peer, relayTo gossippb.Audience, batch []item, revisions bool) {
 	if len(peers) == 0 {
 		return
 	}
-	for _, d := range n.datagrams(batch) {
+	for _, d := range n.datagrams(batch, revisions) {
 		n.number++
 		d.Number, d.RelayTo = n.number, relayTo
 		data := encode(d)
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -81,6 +81,8 @@
 	entries   entries
 	peers     decoded[gossip.Peer]
 	endpoints atomic.Bool
+	// settled says that this instance knows enough of the others to watch for them.
+	settled atomic.Bool
 	leaving   atomic.Bool
 	killed    atomic.Bool
 	listeners []net.Listener
@@ -189,10 +191,12 @@
 	i.follow(platform.KindWeights, i.takeWeights)
 	i.follow(kindInstances, i.takeInstances)
 	go i.node.Run(ctx)
-	for _, f := range i.followers {
-		go f.Run(ctx)
+	for kind, f := range i.followers {
+		if kind != kindInstances {
+			go f.Run(ctx)
+		}
 	}
-	go i.register(ctx)
+	go i.join(ctx)
 	go i.rollout.Run(ctx)
 	go i.sweep(ctx)
 	go i.server.WatchSilence(ctx)
@@ -206,10 +210,14 @@
 		Store: i.store, Kind: kind, Changed: changed, Seen: i.node.TellRevision,
 		CheckEvery: func() time.Duration { return i.turn(kind) }, Read: i.node.TellRead,
 	}
-	if kind != platform.KindRecords {
+	switch kind {
+	case platform.KindRecords:
+		// They have the tightest bound, change rarely and do not fit into datagrams.
+		// All schedulers watch them and tell the others that there are newer ones.
+		cfg.Watches = i.node.IsScheduler
+	default:
 		// Each change costs each watch a call of the store; a few watch, and tell
-		// the others. Records have the tightest bound, change rarely and do not
-		// fit into datagrams; all watch them.
+		// the others.
 		cfg.Watches = func() bool { return i.watches(kind) }
 		cfg.Heard = i.tellEntry
 	}
--- a/hosted/members.go
+++ b/hosted/members.go
@@ -36,34 +36,56 @@
 	LinkMbps float64 `json:"link_mbps,omitempty"`
 }
 
-// register writes this instance's entry, once; it changes only with the address.
-func (i *Instance) register(ctx context.Context) {
+// join registers this instance, and then follows who else is there.
+//
+// Load: all machines of a fleet are started for the first time, within 0.3 s. Harm
+// prevented: each reads the list while hardly anybody is on it, takes itself for one of
+// a few and watches every kind, and is told by the store of each of the others: 29 calls
+// an instance. One that was registered before finds the others listed.
+func (i *Instance) join(ctx context.Context) {
+	created := i.register(ctx)
+	if created {
+		_ = clock.Sleep(ctx, joinTime)
+	}
+	go i.followers[kindInstances].Run(ctx)
+	if created {
+		_ = clock.Sleep(ctx, settleTime-joinTime)
+	}
+	i.settled.Store(true)
+}
+
+// register writes this instance's entry, once; it changes only with the address. It
+// reports whether there was none before.
+func (i *Instance) register(ctx context.Context) (created bool) {
 	value, err := json.Marshal(member{Gossip: i.settings.GetListen().GetGossip(), DataCentre: i.settings.GetDataCentre(), LinkMbps: i.settings.GetLinkMbps()})
 	if err != nil {
 		log.WithError(err).Error("encode the instance's entry")
-		return
+		return false
 	}
 	for ctx.Err() == nil {
-		if err := i.putEntry(ctx, value); err == nil {
-			return
+		if created, err := i.putEntry(ctx, value); err == nil {
+			return created
 		}
 		_ = clock.Sleep(ctx, registerRetry)
 	}
+	return false
 }
 
-func (i *Instance) putEntry(ctx context.Context, value []byte) error {
+func (i *Instance) putEntry(ctx context.Context, value []byte) (created bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
 	name := i.settings.GetInstance()
-	old, err := i.store.Get(ctx, kindInstances, name)
-	if err != nil && !fault.Is(err, fault.NotFound) {
-		return err
+	// Most instances that start are new, or have their entry; so it is created first.
+	_, err = i.store.Put(ctx, objectapi.Object{Kind: kindInstances, Name: name, Value: value}, 0)
+	if !fault.Is(err, fault.Conflict) {
+		return true, err
 	}
-	if err == nil && string(old.Value) == string(value) {
-		return nil
+	old, err := i.store.Get(ctx, kindInstances, name)
+	if err != nil || string(old.Value) == string(value) {
+		return false, err
 	}
 	_, err = i.store.Put(ctx, objectapi.Object{Kind: kindInstances, Name: name, Value: value}, old.Version)
-	return err
+	return false, err
 }
 
 // takeInstances replaces the peers that are told.
@@ -95,17 +117,18 @@
 }
 
 // watches reports whether this instance watches a kind for all.
-//
-// Load: all instances start in the same moment, and each knows of no other yet. Harm
-// prevented: each takes itself for the first and watches every kind, and each is told
-// by the store of every other one that registers: 29 calls an instance.
 func (i *Instance) watches(kind string) bool {
-	return time.Since(i.placer.started) > settleTime && i.isAmongFirst(kind, watchers)
+	return i.settled.Load() && i.isAmongFirst(kind, watchers)
 }
 
-// settleTime is how long an instance that has started listens for others before it
-// watches for them. What changes meanwhile is found by the first watch.
-const settleTime = 400 * time.Millisecond
+const (
+	// joinTime is how long after it has registered for the first time an instance reads
+	// who else is there: machines that are started together are so within 0.3 s.
+	joinTime = 350 * time.Millisecond
+	// settleTime is how long after it has registered for the first time an instance
+	// watches for others too. What changes meanwhile is found by the first watch.
+	settleTime = 800 * time.Millisecond
+)
 
 // isAmongFirst reports whether this instance is among the first n schedulers that reach
 // the store.
@@ -119,13 +142,18 @@
 	return rendezvous.Rank(what, i.settings.GetInstance(), i.node.SchedulersWithStore())
 }
 
+// aloneTurns spreads the reads of instances that nobody reads for over a second.
+const aloneTurns = 16
+
 // turnOf is this instance's place among those that read a kind in turn: schedulers that
-// reach the store first, then all others, which read only while no scheduler can. One
-// that hears of no scheduler reads by itself.
+// reach the store first, then all others. One that hears of no scheduler that does reads
+// by itself.
 func (i *Instance) turnOf(kind string) int {
-	schedulers := i.node.Schedulers()
-	if i.node.IsScheduler() || len(schedulers) == 0 {
+	if i.node.IsScheduler() {
 		return i.rank(kind)
 	}
-	return len(schedulers) + i.node.Position()
+	if len(i.node.SchedulersWithStore()) == 0 {
+		return i.node.Position() % aloneTurns
+	}
+	return len(i.node.Schedulers()) + i.node.Position()
 }
