Tell the words of a run in the order in which they came

Cause: a scheduler told its own starts and passed on others' ends by two queues that gather for 10 ms each; an end could overtake its start, and the run counted at the other schedulers for 30 s. TestSchedulersPlaceTheRequestsOfOthers failed so in one of three plays. Change: words that are passed on join the scheduler's own queue. After: three plays of three with the race detector.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -6,7 +6,6 @@
 package gossip
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"maps"
@@ -338,9 +337,9 @@
 		if d.GetInstance() == n.name {
 			continue
 		}
-		if to := d.GetRelayTo(); to != gossippb.Audience_RECEIVER {
+		if d.GetRelayTo() != gossippb.Audience_RECEIVER {
 			relayedTotal.Inc()
-			n.relays.Push(relayed{bytes.Clone(buf[:size]), to, isUrgent(&d), isHeartbeat(&d)})
+			n.relay(&d, buf[:size])
 		}
 		n.answerAsks(&d, from)
 		for _, v := range d.GetVerdicts() {
--- a/gossip/tell.go
+++ b/gossip/tell.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"bytes"
 	"context"
 	"net/netip"
 	"time"
@@ -14,11 +15,8 @@
 )
 
 const (
-	// relayEvery is how long a scheduler gathers what it passes on. It bounds the
-	// datagrams that reach another one to a hundred a second from each.
-	relayEvery = 10 * time.Millisecond
-	// relayBeats is the same while there are only heartbeats, of which three may be
-	// lost before an instance counts as dead.
+	// relayBeats is how long a scheduler gathers the heartbeats that it passes on, of
+	// which three may be lost before an instance counts as dead.
 	relayBeats = 100 * time.Millisecond
 	// relaySoon is the same for what has to go at once: the entries of a rollout come
 	// in bursts, from several watches.
@@ -35,8 +33,28 @@
 type relayed struct {
 	data []byte
 	to   gossippb.Audience
-	// soon says that it brings news that should not wait, beat that it brings none.
-	soon, beat bool
+	// soon says that it brings news that should not wait.
+	soon bool
+}
+
+// relay takes in a datagram that is to be passed on. Words of runs join those of this
+// instance, in the order in which they came: the end of a run that another instance has
+// sent would else overtake its start, which this one tells, and the run would count at
+// the other schedulers until it is swept.
+func (n *Node) relay(d *gossippb.Datagram, data []byte) {
+	if d.GetRelayTo() == gossippb.Audience_SCHEDULERS && !isHeartbeat(d) {
+		for _, s := range d.GetStarts() {
+			n.out.Push(item{start: s})
+		}
+		for _, s := range d.GetStages() {
+			n.out.Push(item{stage: s})
+		}
+		for _, c := range d.GetCaches() {
+			n.out.Push(item{cache: c})
+		}
+		return
+	}
+	n.relays.Push(relayed{bytes.Clone(data), d.GetRelayTo(), isUrgent(d)})
 }
 
 // route sends a batch to those whom it concerns.
@@ -174,9 +192,10 @@
 
 // passOn gathers what others have asked to pass on, and tells those whom it is for.
 //
-// Load: hundreds of requests a second at dozens of instances, three words each. Harm
-// prevented: passed on one by one, each scheduler is woken thousands of times a second,
-// which costs it more than serving its callers.
+// Load: hundreds of instances that each tell three times a second that they are alive,
+// and a rollout of which several watches tell. Harm prevented: passed on one by one, each
+// scheduler is woken thousands of times a second, which costs it more than serving its
+// callers.
 func (n *Node) passOn(ctx context.Context) {
 	for {
 		var batch []relayed
@@ -214,22 +233,16 @@
 // gatherRelayed waits a moment for more.
 func (n *Node) gatherRelayed(ctx context.Context, first relayed) []relayed {
 	batch := []relayed{first}
-	began := time.Now()
-	wait := relayTime(first)
-	for wait > relaySoon {
-		timer := time.NewTimer(time.Until(began.Add(wait)))
+	timer := time.NewTimer(relayBeats)
+	defer timer.Stop()
+	for soon := first.soon; !soon; {
 		select {
 		case r := <-n.relays.C():
-			timer.Stop()
 			batch = append(batch, r)
-			wait = min(wait, time.Since(began)+relayTime(r))
-			if r.soon {
-				wait = relaySoon
-			}
+			soon = r.soon
 		case <-timer.C:
 			return batch
 		case <-ctx.Done():
-			timer.Stop()
 			return batch
 		}
 	}
@@ -240,17 +253,6 @@
 	return batch
 }
 
-// relayTime is how long a datagram may wait to be passed on.
-func relayTime(r relayed) time.Duration {
-	switch {
-	case r.soon:
-		return relaySoon
-	case r.beat:
-		return relayBeats
-	}
-	return relayEvery
-}
-
 // packRelayed puts datagrams of others into as few as will do.
 func (n *Node) packRelayed(batch []relayed) []*gossippb.Datagram {
 	current := n.empty()
