Look at roles at once when a peer starts or the list changes

Cause: an instance that had started again counted its peers at the next look, up to 0.1 s later, after its cache feed had begun: it took itself for alone, followed every endpoint and told everybody anew what they held, read only in part.

--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -179,6 +179,11 @@
 
 // SetPeers replaces the instances that are told.
 func (n *Node) SetPeers(peers []Peer) {
+	n.setPeers(peers)
+	n.updateRoles(time.Now())
+}
+
+func (n *Node) setPeers(peers []Peer) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.peers = nil
@@ -421,6 +426,9 @@
 		return
 	}
 	if anew {
+		// A peer that is not yet counted would leave this instance alone, and it would
+		// take on what others do.
+		n.updateRoles(time.Now())
 		n.welcome(d.GetInstance())
 		n.handler.PeerStarted(d.GetInstance(), d.GetScheduler())
 	}
--- a/hosted/caches.go
+++ b/hosted/caches.go
@@ -16,7 +16,7 @@
 // to know what is cached where.
 func (i *Instance) ownedHolders() []cachefeed.Holder {
 	t := i.table.Load()
-	if t == nil || i.leaving.Load() || !i.node.IsScheduler() {
+	if t == nil || i.leaving.Load() || !i.settled.Load() || !i.node.IsScheduler() {
 		return nil
 	}
 	now := time.Now()
