--- a/hosted/endpoints.go
+++ b/hosted/endpoints.go
@@ -1,6 +1,9 @@
 package hosted
 
 import (
+	"sync"
+	"time"
+
 	"github.com/apex/log"
 
 	"github.com/sardinedock/sardinedock/balance"
@@ -71,40 +74,67 @@
 	l.last[name] = e
 }
 
-// detailedChanges is how many changes of endpoints that come together have a line each.
-// A first list, or one after an outage, may have thousands, and is told in one line: with
-// a line each, a fleet of 195 wrote 25,000 at its start.
-const detailedChanges = 10
-
 // takeEndpoints takes in changed entries of endpoints.
 func (i *Instance) takeEndpoints(changes []objectapi.Object) {
-	var updates []update
 	for _, obj := range changes {
 		u := i.entries.change(obj)
 		i.takeEndpoint(u)
-		if u.kind() != unchanged {
-			updates = append(updates, u)
-		}
+		i.changeLog.note(time.Now(), u)
 	}
 	i.endpoints.Store(true)
-	logUpdates(updates, len(i.entries.byName))
 }
 
-// logUpdates tells of endpoints that came, left or went.
-func logUpdates(updates []update, listed int) {
-	if len(updates) <= detailedChanges {
-		for _, u := range updates {
-			u.log()
-		}
+const (
+	// detailedChanges is how many changes of endpoints have a line of their own in each
+	// changeWindow; the others are counted in one. Thousands may come together, such as
+	// at the start or after an outage: with a line each, a fleet of 195 instances wrote
+	// 25,000 before its first request.
+	detailedChanges = 5
+	changeWindow    = time.Second
+)
+
+// changeLog tells of endpoints that came, left or went, in a bounded number of lines.
+// Any goroutine may use it.
+type changeLog struct {
+	mu       sync.Mutex
+	since    time.Time
+	detailed int
+	counted  map[updateKind]int
+}
+
+// note tells of one change, or counts it.
+func (l *changeLog) note(now time.Time, u update) {
+	kind := u.kind()
+	if kind == unchanged {
+		return
+	}
+	l.flush(now)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.detailed < detailedChanges {
+		l.detailed++
+		u.log()
+		return
+	}
+	if l.counted == nil {
+		l.counted = map[updateKind]int{}
+	}
+	l.counted[kind]++
+}
+
+// flush begins a new window where the last one is over, and tells what it counted.
+func (l *changeLog) flush(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.since) < changeWindow {
 		return
 	}
-	count := map[updateKind]int{}
-	for _, u := range updates {
-		count[u.kind()]++
+	if len(l.counted) > 0 {
+		log.WithFields(log.Fields{
+			"new": l.counted[added], "gone": l.counted[gone], "draining": l.counted[draining], "started_again": l.counted[restarted],
+		}).Info("more endpoints changed")
 	}
-	log.WithFields(log.Fields{
-		"listed": listed, "new": count[added], "gone": count[gone], "draining": count[draining], "started_again": count[restarted],
-	}).Info("endpoints changed")
+	l.since, l.detailed, l.counted = now, 0, nil
 }
 
 // updateKind is what a change of an entry means for requests.
--- a/hosted/endpoints_test.go
+++ b/hosted/endpoints_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+
+	"github.com/sardinedock/sardinedock/balance"
 	"github.com/sardinedock/sardinedock/objectapi"
 	"github.com/sardinedock/sardinedock/platform/platformtest"
 )
@@ -100,3 +105,34 @@
 		t.Errorf("the next request: %+v", a)
 	}
 }
+
+// A store that was away comes back, and all 140 endpoints of a pool are listed anew. With
+// a line for each at each of hundreds of instances, the lines that tell of callers'
+// requests are lost among them, or are not written for lack of time.
+func TestLinesOfManyChangesAreBounded(t *testing.T) {
+	lines := &lineCounter{}
+	log.SetHandler(lines)
+	t.Cleanup(func() { log.SetHandler(discard.New()) })
+	var l changeLog
+	now := time.Unix(1000, 0)
+	const endpoints = 140
+	for n := range endpoints {
+		l.note(now.Add(time.Duration(n)*time.Millisecond), update{now: balance.Endpoint{ID: strconv.Itoa(n)}, has: true})
+	}
+	l.flush(now.Add(2 * changeWindow))
+	if n := len(lines.events); n != detailedChanges+1 {
+		t.Fatalf("%d lines, want %d", n, detailedChanges+1)
+	}
+	if got := lines.events[detailedChanges].Fields["new"]; got != endpoints-detailedChanges {
+		t.Errorf("the last line counts %v of the others, want %d", got, endpoints-detailedChanges)
+	}
+}
+
+// lineCounter keeps all lines.
+type lineCounter struct{ events []*log.Entry }
+
+// HandleLog implements log.Handler.
+func (c *lineCounter) HandleLog(e *log.Entry) error {
+	c.events = append(c.events, e)
+	return nil
+}
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -79,6 +79,7 @@
 	cancel      context.CancelFunc
 	// entries and peers are what the store's objects say, owned by their followers.
 	entries   entries
+	changeLog changeLog
 	peers     decoded[gossip.Peer]
 	endpoints atomic.Bool
 	// settled says that this instance knows enough of the others to watch for them.
@@ -253,6 +254,7 @@
 	for clock.Sleep(ctx, sweepEvery) == nil {
 		now := time.Now()
 		i.state.Sweep(now)
+		i.changeLog.flush(now)
 		i.budget.SetInstances(i.node.Live())
 	}
 }
