Tell schedulers why a run was turned away, and new ones what is cached

Cause: who meets an endpoint with other weights learns it from the answer and keeps it to itself; the scheduler that had placed the request would place the next ones there as well. An instance that becomes a scheduler later was never told what endpoints hold. Change: the word of such a run brings the version that the endpoint told; a peer that turns scheduler is told the caches, as one that starts is. A placement at an endpoint that is known here to leave is not taken.

--- a/balance/decide.go
+++ b/balance/decide.go
@@ -61,12 +61,12 @@
 
 // Resolve completes a placement that another instance has made, from the endpoint's
 // ID and version, with what is known of the endpoint here. ok is false where it is not
-// listed here.
+// listed here, or is known to leave.
 func (s *State) Resolve(a Ask, p Placement) (Placement, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e, ok := s.endpoints[p.Endpoint.ID]
-	if !ok {
+	if !ok || e.Draining {
 		return p, false
 	}
 	p.Endpoint = e.Endpoint
--- a/balance/weights.go
+++ b/balance/weights.go
@@ -85,6 +85,18 @@
 	return assumed
 }
 
+// Misdirected says that a run of any instance met an endpoint that holds another version
+// than was expected, by the endpoint's own word. Without it, a scheduler would go on
+// placing requests there that are all turned away.
+func (s *State) Misdirected(id RunID, told int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.runs[id]
+	if ok && told > 0 && r.on.version(r.Model) == r.Version {
+		r.on.assumed[r.Model] = told
+	}
+}
+
 // version is what requests expect of an endpoint's weights.
 func (e *endpoint) version(model string) int64 {
 	if v, ok := e.assumed[model]; ok {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -105,11 +105,13 @@
 }
 
 // moved notes a stage here and tells the others.
-func (a *attempt) moved(stage balance.Stage) { a.req.moved(a.run, a.place.PlacedBy, stage) }
-
-func (r *request) moved(run balance.RunID, placedBy string, stage balance.Stage) {
-	r.srv.cfg.State.Moved(time.Now(), run, stage)
-	r.srv.cfg.Teller.TellStage(&gossippb.RunStage{Run: uint64(run), Stage: int32(stage)}, placedBy)
+func (a *attempt) moved(stage balance.Stage) {
+	m := &gossippb.RunStage{Run: uint64(a.run), Stage: int32(stage)}
+	if stage == balance.Misdirected && a.req.service.Engine != nil {
+		m.Version = a.head.Version
+	}
+	a.req.srv.cfg.State.Moved(time.Now(), a.run, stage)
+	a.req.srv.cfg.Teller.TellStage(m, a.place.PlacedBy)
 }
 
 // finish ends the attempt once.
@@ -262,6 +264,10 @@
 		// What is known of the endpoint was put right; it may be the best choice
 		// still.
 		a.finish(balance.Misdirected)
+		if a.place.PlacedBy != "" && a.head.Version == 0 {
+			// Who placed it does not learn of what was put right here.
+			r.exclude = append(r.exclude, a.place.Endpoint.ID)
+		}
 	} else {
 		a.finish(balance.Rejected)
 		r.exclude = append(r.exclude, a.place.Endpoint.ID)
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -7,6 +7,7 @@
 
 	"github.com/sardinedock/sardinedock/balance"
 	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/schema/gossippb"
 )
 
 const (
@@ -77,9 +78,11 @@
 
 // unplace gives back what was placed for a request that has ended meanwhile.
 func (r *request) unplace(run balance.RunID, v balance.Verdict) {
-	if v.Admission == balance.Send {
-		r.moved(run, v.Placement.PlacedBy, balance.Abandoned)
+	if v.Admission != balance.Send {
+		return
 	}
+	r.srv.cfg.State.Moved(time.Now(), run, balance.Abandoned)
+	r.srv.cfg.Teller.TellStage(&gossippb.RunStage{Run: uint64(run), Stage: int32(balance.Abandoned)}, v.Placement.PlacedBy)
 }
 
 // warmBound is how long after its start an instance has model requests wait for
--- a/gossip/admit_test.go
+++ b/gossip/admit_test.go
@@ -14,7 +14,8 @@
 func TestRestartUnderAClockSetBackIsHeard(t *testing.T) {
 	n := &Node{name: "self", heard: map[string]heard{}}
 	say := func(incarnation uint64, at time.Time) (counts, anew bool) {
-		return n.admit(&gossippb.Datagram{Instance: "peer", Incarnation: incarnation}, at)
+		a := n.admit(&gossippb.Datagram{Instance: "peer", Incarnation: incarnation}, at)
+		return a.counts, a.anew
 	}
 	start := time.Unix(1000, 0)
 	say(500, start)
@@ -87,11 +88,30 @@
 func (deafHandler) Notice(string, *gossippb.Notice)    {}
 func (deafHandler) Entry(*gossippb.Entry)              {}
 func (deafHandler) Cache(*gossippb.CacheNews)          {}
-func (deafHandler) PeerStarted(string, bool)           {}
+func (deafHandler) SchedulerStarted(string)            {}
 func (deafHandler) Revision(string, uint64, time.Time) {}
 func (deafHandler) Asked(a *gossippb.Ask) *gossippb.Verdict {
 	return &gossippb.Verdict{Run: a.GetRun(), Endpoint: "chosen"}
 }
 
+// A scheduler dies, and another instance, which runs for hours already, takes its place.
+// It was never told what endpoints have cached. Unless the others tell it then, it has
+// prompts read again that endpoints hold.
+func TestInstanceThatBecomesASchedulerIsNoticed(t *testing.T) {
+	n := &Node{name: "self", heard: map[string]heard{}}
+	say := func(scheduler bool) admission {
+		return n.admit(&gossippb.Datagram{Instance: "peer", Incarnation: 1, Scheduler: scheduler}, time.Unix(1000, 0))
+	}
+	if a := say(false); !a.anew || a.scheduler {
+		t.Errorf("a new instance counts as %+v", a)
+	}
+	if a := say(true); a.anew || !a.scheduler {
+		t.Errorf("one that becomes a scheduler counts as %+v", a)
+	}
+	if a := say(true); a.scheduler {
+		t.Errorf("one that goes on as a scheduler counts as %+v", a)
+	}
+}
+
 // revisionsOf returns the revisions that the next heartbeat brings.
 func revisionsOf(n *Node) []*gossippb.Revision { return n.datagrams(nil, true)[0].GetRevisions() }
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -64,9 +64,9 @@
 	Entry(e *gossippb.Entry)
 	// Cache is told of what an endpoint or a store says of its cache.
 	Cache(n *gossippb.CacheNews)
-	// PeerStarted is told of a peer that was not known, or has started anew;
-	// scheduler says whether it is one.
-	PeerStarted(name string, scheduler bool)
+	// SchedulerStarted is told of a scheduler that was not known, has started anew or
+	// has become one: it knows nothing of what is cached where.
+	SchedulerStarted(name string)
 	// Asked decides where a peer's request goes.
 	Asked(a *gossippb.Ask) *gossippb.Verdict
 	// Revision is told of the newest revision of a kind that a peer has seen, and of
@@ -371,19 +371,27 @@
 	}
 }
 
-// admit notes that a datagram came, and reports whether it counts and whether its
-// sender has started anew. One of an earlier incarnation is thrown away while the
+// admission is what becomes of a datagram.
+type admission struct {
+	// counts says that it is taken in, anew that its sender has started anew.
+	counts, anew bool
+	// scheduler says that its sender has just become a scheduler, or started as one.
+	scheduler bool
+}
+
+// admit notes that a datagram came, and reports whether it counts and what is new of its
+// sender. One of an earlier incarnation is thrown away while the
 // later one is heard of: it was late on the way. Once that one has fallen silent,
 // the sender has started again with its clock set back, and would otherwise be
 // unheard for the life of its process.
-func (n *Node) admit(d *gossippb.Datagram, now time.Time) (counts, anew bool) {
+func (n *Node) admit(d *gossippb.Datagram, now time.Time) admission {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	h := n.heard[d.GetInstance()]
 	if d.GetIncarnation() < h.incarnation && now.Sub(h.at) < aliveFor {
-		return false, false
+		return admission{}
 	}
-	anew = d.GetIncarnation() != h.incarnation
+	anew := d.GetIncarnation() != h.incarnation
 	next := heard{d.GetIncarnation(), now, d.GetLeaving(), d.GetStoreLost(), d.GetScheduler(), int(d.GetLive())}
 	if len(d.GetAsks())+len(d.GetVerdicts()) > 0 && !anew {
 		// Asks and verdicts say nothing else of their sender.
@@ -391,7 +399,7 @@
 		next.at = now
 	}
 	n.heard[d.GetInstance()] = next
-	return true, anew
+	return admission{counts: true, anew: anew, scheduler: next.scheduler && (anew || !h.scheduler)}
 }
 
 // welcome tells a peer that has started that this instance is a scheduler, so that it
@@ -421,16 +429,20 @@
 
 // hear applies a datagram.
 func (n *Node) hear(d *gossippb.Datagram) {
-	counts, anew := n.admit(d, time.Now())
-	if !counts {
+	a := n.admit(d, time.Now())
+	if !a.counts {
 		return
 	}
-	if anew {
-		// A peer that is not yet counted would leave this instance alone, and it would
-		// take on what others do.
+	if a.anew || a.scheduler {
+		// Where a scheduler is not yet counted, this instance would take on what that
+		// one does.
 		n.updateRoles(time.Now())
+	}
+	if a.anew {
 		n.welcome(d.GetInstance())
-		n.handler.PeerStarted(d.GetInstance(), d.GetScheduler())
+	}
+	if a.scheduler {
+		n.handler.SchedulerStarted(d.GetInstance())
 	}
 	for _, c := range d.GetCaches() {
 		n.handler.Cache(c)
--- a/hosted/beliefs.go
+++ b/hosted/beliefs.go
@@ -124,6 +124,9 @@
 
 // Stage implements gossip.Handler.
 func (h hearer) Stage(m *gossippb.RunStage) {
+	if m.GetVersion() > 0 {
+		h.state.Misdirected(balance.RunID(m.GetRun()), m.GetVersion())
+	}
 	h.state.Moved(time.Now(), balance.RunID(m.GetRun()), balance.Stage(m.GetStage()))
 }
 
--- a/hosted/caches.go
+++ b/hosted/caches.go
@@ -70,9 +70,5 @@
 	h.state.Cached(n)
 }
 
-// PeerStarted implements gossip.Handler.
-func (h hearer) PeerStarted(_ string, scheduler bool) {
-	if scheduler {
-		h.feed.TellWhole()
-	}
-}
+// SchedulerStarted implements gossip.Handler.
+func (h hearer) SchedulerStarted(string) { h.feed.TellWhole() }
--- a/hosted/fleetcost_test.go
+++ b/hosted/fleetcost_test.go
@@ -93,7 +93,7 @@
 func (fleetHearer) Notice(string, *gossippb.Notice)    {}
 func (fleetHearer) Entry(*gossippb.Entry)              {}
 func (fleetHearer) Cache(*gossippb.CacheNews)          {}
-func (fleetHearer) PeerStarted(string, bool)           {}
+func (fleetHearer) SchedulerStarted(string)            {}
 func (fleetHearer) Revision(string, uint64, time.Time) {}
 func (h fleetHearer) Asked(a *gossippb.Ask) *gossippb.Verdict {
 	return hearer{h.Instance}.decide(a)
