--- a/gossip/roles_test.go
+++ b/gossip/roles_test.go
@@ -155,6 +155,65 @@
 	}
 }
 
+// Half of the fleet has not heard of the machines that were added last, which come first
+// in the order. Each instance still needs schedulers that it knows the address of, and
+// the two halves may not make more than both would have alone.
+func TestFleetsWithDifferentListsHaveFewSchedulers(t *testing.T) {
+	list := largeFleet(5, 12)
+	m := newFleetModel(list)
+	var older []Peer
+	for _, p := range list {
+		if p.Name[len(p.Name)-2:] != "-0" {
+			older = append(older, p)
+		}
+	}
+	for i, n := range m.nodes {
+		if i%2 == 1 {
+			n.SetPeers(older)
+		}
+	}
+	m.run(4 * time.Second)
+	if n := len(m.schedulers(0)); n < schedulerCount || n > 2*schedulerCount {
+		t.Errorf("%d schedulers, want %d to %d", n, schedulerCount, 2*schedulerCount)
+	}
+	for _, n := range m.nodes {
+		if len(n.Schedulers()) == 0 {
+			t.Errorf("%s knows of no scheduler", n.name)
+		}
+	}
+}
+
+// The store turns away the machines of all schedulers, and serves the others. Without any
+// scheduler that reaches it, nobody hears of changes for the fleet or rolls out weights;
+// with all others as schedulers, each would hear the words of all requests.
+func TestSchedulersAreAddedWhereTheStoreServes(t *testing.T) {
+	m := newFleetModel(largeFleet(5, 39))
+	m.run(2 * time.Second)
+	turnAway := func(away bool) {
+		for _, n := range m.nodes {
+			if n.IsScheduler() {
+				n.storeLost = away
+			}
+		}
+	}
+	turnAway(true)
+	m.run(2 * time.Second)
+	withStore := 0
+	for _, n := range m.nodes {
+		if n.IsScheduler() && !n.storeLost {
+			withStore++
+		}
+	}
+	if withStore < leastWithStore || m.most > schedulerCount+leastWithStore {
+		t.Errorf("%d schedulers reach the store, want %d; %d in all", withStore, leastWithStore, m.most)
+	}
+	turnAway(false)
+	m.run(2 * time.Second)
+	if n := len(m.schedulers(0)); n != schedulerCount {
+		t.Errorf("%d schedulers once the store serves all, want %d", n, schedulerCount)
+	}
+}
+
 // Instances are killed and come back in any order. Whoever lives, there have to be
 // schedulers among them soon, and not many more than needed.
 func TestAnyLiveInstancesHaveSchedulers(t *testing.T) {
