--- a/balance/admit.go
+++ b/balance/admit.go
@@ -43,8 +43,7 @@
 	// 0 a request would be turned away for a backlog that ends while it is told so.
 	behindShare = 25
 	// memoryShare is the part in percent of a request's target that it may wait for
-	// memory. Told then, its caller may still come back in time; with all of the
-	// target, worth on overload days was 0.02 lower.
+	// memory. Told then, its caller may still come back in time.
 	memoryShare = 50
 )
 
@@ -57,17 +56,22 @@
 // still be on time goes at once. One that is late in any case waits here until its
 // endpoint has little to do, since a little later is as good to its caller; it
 // waits less strictly the older it is, so that neither the longest prompts, which
-// are late from the start, nor a long burst starve it. One whose caller would have
-// given up before its first token is refused at once, and so is one that is late only
-// for the work before it: served late it would make the next ones late, while told at
-// once its caller comes back when the burst may be over (16 busy days of two fleets:
-// worth 0.600 -> 0.609, failed requests 2.9 -> 2.7 %). The same holds for one that
-// no endpoint's memory has held for half of its target: sent in the end all the same, it
-// drives out others, and what they had read is read again (8 days of overload of a
-// memory-bound pool: worth 0.505 -> 0.556, parts read again 0.070 -> 0.061 of worth).
-// Until then one that an endpoint's memory does not hold waits too: sent all the same,
-// it drives out a request in the middle of its answer, whose prompt is then read a second
-// time (worth on 16 busy days of memory-bound pools 0.550 -> 0.558).
+// are late from the start, nor a long burst starve it. In a burst of ten seconds at 1.4
+// times what an endpoint reads, 391 of 400 requests have their first token in time, 270
+// if all are sent at once (replay TestBurstLeavesMostOnTime).
+//
+// One whose caller would have given up before its first token is refused at once, and so
+// is one that is late only for the work before it: served late it would make the next
+// ones late, while told at once its caller comes back when the burst may be over. With
+// callers who come back, 387 of 400 are on time, 302 if these wait
+// (TestLateInABurstIsToldAtOnce).
+//
+// The same holds for one that no endpoint's memory has held for half of its target: sent
+// in the end all the same, it drives out others, and what they had read is read again.
+// Under a pool bound by memory 269 of 400 are on time, 26 if the late ones are sent in
+// the end (TestLateForMemoryLeavesRoomToOthers). Until then one that an endpoint's memory
+// does not hold waits too: sent all the same, it drives out a request in the middle of
+// its answer, whose prompt is then read a second time.
 func Admit(t Timing) Admission {
 	first := t.Elapsed + t.First
 	if first <= t.Target && !t.Full {
--- a/balance/admit_test.go
+++ b/balance/admit_test.go
@@ -132,6 +132,7 @@
 // on time and wastes nothing.
 func TestBurstLeavesMostOnTime(t *testing.T) {
 	before, after := replay(burst(), false, always), replay(burst(), false, Admit)
+	t.Logf("on time %d -> %d, served %d -> %d of 400", before.onTime, after.onTime, before.served, after.served)
 	if after.onTime < before.onTime+20 {
 		t.Errorf("%d on time, %d without waiting", after.onTime, before.onTime)
 	}
@@ -157,6 +158,7 @@
 		return Wait
 	}
 	before, after := replay(burst(), true, waits), replay(burst(), true, Admit)
+	t.Logf("on time %d -> %d, refused for good %d -> %d of 400", before.onTime, after.onTime, before.refused, after.refused)
 	if after.onTime < before.onTime+15 {
 		t.Errorf("%d on time, %d where they wait", after.onTime, before.onTime)
 	}
@@ -277,6 +279,7 @@
 		return Wait
 	}
 	before, after := replayMemory(list, sendsInTheEnd), replayMemory(list, Admit)
+	t.Logf("on time %d -> %d of 400", before, after)
 	if after < before+30 {
 		t.Errorf("%d of 400 on time, %d where the late ones are sent in the end", after, before)
 	}
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -88,9 +88,7 @@
 // whole prompts, and the last part is the request's own: nobody asks for it again, and
 // in the store it pushes out what others ask for. So only a prompt most of which is
 // worth keeping is sent. With every prompt sent that reads any shared part, parts left
-// the store within 8 s, and 0.042, 0.036 and 0.028 of the worth of three fleets went
-// into reading them again; it is 0.024, 0.025 and 0.022 so (10 busy days each, worth
-// 0.656 -> 0.684, 0.680 -> 0.697, 0.578 -> 0.591).
+// the store within 8 s, and callers waited for them to be read again.
 //
 // Load: more catalogues are in use than one store holds, and there are several. Harm
 // prevented: with one store preferred it forgets parts within seconds while the
--- a/balance/state.go
+++ b/balance/state.go
@@ -242,9 +242,8 @@
 //
 // Load: a pool that is bound by memory in a burst. Harm prevented: with the whole
 // answer counted from the first token on, requests wait for room that is free, and are
-// refused for it: on eight days of overload of a memory-bound pool worth rose from
-// 0.454 to 0.505 with half. A quarter is too little (0.465): running requests are
-// driven out.
+// refused for it. With much less than half, running requests are driven out in the
+// middle of their answers.
 func outputRoom(tokens int64) int64 { return tokens / 2 }
 
 // take counts the memory of a run.
