--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -161,15 +161,20 @@
 	wg.Wait()
 }
 
-// SetPeers replaces the instances that are told.
+// SetPeers replaces the instances that are told. The first ones are told at once that
+// this one is there: schedulers answer that they are.
 func (n *Node) SetPeers(peers []Peer) {
-	n.setPeers(peers)
+	first := n.setPeers(peers)
 	n.updateRoles(time.Now())
+	if first {
+		n.out.Push(item{now: true})
+	}
 }
 
-func (n *Node) setPeers(peers []Peer) {
+func (n *Node) setPeers(peers []Peer) (first bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	first = len(n.peers) == 0
 	n.peers = nil
 	listed := map[string]bool{}
 	all := []Peer{{Name: n.name, DataCentre: n.dataCentre, LinkMbps: n.linkMbps}}
@@ -185,6 +190,7 @@
 	// grow for ever.
 	now := time.Now()
 	maps.DeleteFunc(n.heard, func(name string, h heard) bool { return !listed[name] && now.Sub(h.at) > aliveFor })
+	return first && len(n.peers) > 0
 }
 
 // TellStart tells that a request was sent that this instance has placed.
--- a/hosted/placing.go
+++ b/hosted/placing.go
@@ -138,9 +138,13 @@
 	log.WithField("scheduler", scheduler).WithField("why", why.Error()).Warn("scheduler silent; not asked for a while")
 }
 
-// Warm implements gateway.Placer. A scheduler that is asked says itself whether it is.
+// Warm implements gateway.Placer. A scheduler that is asked says itself whether it is;
+// while none is known, one will be soon, since all have started together.
 func (p *placer) Warm(service string) bool {
-	return !p.node.IsScheduler() || p.state.Warm(service)
+	if p.node.IsScheduler() {
+		return p.state.Warm(service)
+	}
+	return len(p.node.Schedulers()) > 0
 }
 
 // Asked implements gossip.Handler.
