--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -161,20 +161,15 @@
 	wg.Wait()
 }
 
-// SetPeers replaces the instances that are told. The first ones are told at once that
-// this one is there: schedulers answer that they are.
+// SetPeers replaces the instances that are told.
 func (n *Node) SetPeers(peers []Peer) {
-	first := n.setPeers(peers)
+	n.setPeers(peers)
 	n.updateRoles(time.Now())
-	if first {
-		n.out.Push(item{now: true})
-	}
 }
 
-func (n *Node) setPeers(peers []Peer) (first bool) {
+func (n *Node) setPeers(peers []Peer) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	first = len(n.peers) == 0
 	n.peers = nil
 	listed := map[string]bool{}
 	all := []Peer{{Name: n.name, DataCentre: n.dataCentre, LinkMbps: n.linkMbps}}
@@ -190,7 +185,6 @@
 	// grow for ever.
 	now := time.Now()
 	maps.DeleteFunc(n.heard, func(name string, h heard) bool { return !listed[name] && now.Sub(h.at) > aliveFor })
-	return first && len(n.peers) > 0
 }
 
 // TellStart tells that a request was sent that this instance has placed.
--- a/gossip/roles.go
+++ b/gossip/roles.go
@@ -123,14 +123,11 @@
 		v.since = time.Time{}
 		return false
 	}
-	if f.was || len(f.ahead) < schedulerCount {
-		// One of the first in order need not wait for those before it. After a loss of
-		// power everywhere, each step of waiting is one in which nobody places requests
-		// on any knowledge.
+	if f.was {
 		return true
 	}
 	all := scheduling + f.behind
-	if all >= schedulerCount && !needed {
+	if all >= schedulerCount && len(f.ahead) >= schedulerCount && !needed {
 		v.since = time.Time{}
 		return false
 	}
--- a/hosted/placing.go
+++ b/hosted/placing.go
@@ -138,13 +138,9 @@
 	log.WithField("scheduler", scheduler).WithField("why", why.Error()).Warn("scheduler silent; not asked for a while")
 }
 
-// Warm implements gateway.Placer. A scheduler that is asked says itself whether it is;
-// while none is known, one will be soon, since all have started together.
+// Warm implements gateway.Placer. A scheduler that is asked says itself whether it is.
 func (p *placer) Warm(service string) bool {
-	if p.node.IsScheduler() {
-		return p.state.Warm(service)
-	}
-	return len(p.node.Schedulers()) > 0
+	return !p.node.IsScheduler() || p.state.Warm(service)
 }
 
 // Asked implements gossip.Handler.
