--- a/gossip/roles.go
+++ b/gossip/roles.go
@@ -16,7 +16,7 @@
 	// instance hears is less than what it does for its callers.
 	SmallFleet = 16
 	// schedulerCount is how many instances of a larger fleet are schedulers. With
-	// five, two may be lost at once and the others carry half as much again. Each
+	// five, two may be lost at once, and each of the others carries two thirds more. Each
 	// further one hears the words of all requests once more.
 	schedulerCount = 5
 	// leastWithStore is how many schedulers have to reach the store: one may be lost, and
