Tests, failing: an instance that ends takes what it can't end, and cuts without a word

The second test holds a request at the end of the grace: it gets no answer, and no line of the log has its id.

--- a/hosted/drain_test.go
+++ b/hosted/drain_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/sardinedock/sardinedock/platform/platformtest"
 )
 
@@ -66,3 +68,75 @@
 		t.Error("the instance does not end")
 	}
 }
+
+// An instance is told to end while its callers go on over open connections. A request
+// that comes then gets a long answer, which is cut in the middle when the time to end is
+// over: it has run, and its caller can't tell. The log of the instance shows `stopping`,
+// and a second or two later `requests cut at the end of the grace`. It has to be refused
+// at once, as not run, so that another instance takes it; a short one still fits and is
+// served.
+func TestEndingInstanceTakesOnlyWhatItCanEnd(t *testing.T) {
+	const (
+		// sentAfter the order to end, while the balancer still sends callers here.
+		sentAfter = 1300 * time.Millisecond
+		// takes longer than what is left of the grace of 4 s, and less than the
+		// route's timeout.
+		takes = 2700 * time.Millisecond
+	)
+	f := newFixture(t, 1)
+	var ran atomic.Int64
+	f.endpoint("e1", "pool", func(x *platformtest.Exchange) bool {
+		ran.Add(1)
+		x.StreamHead()
+		x.Event(1)
+		x.CallerGone(takes)
+		x.Event(2)
+		x.End()
+		return true
+	})
+	f.endpoint("e2", "orders", func(x *platformtest.Exchange) bool { x.Answer(200, "done"); return true })
+	f.serve(2, func(r map[string]any) { r["routes"].([]any)[2].(map[string]any)["timeoutMs"] = 3000 })
+	go f.instances[0].Shutdown()
+	time.Sleep(sentAfter)
+	a := f.do(prompt(f.request("POST", "/draft/1", "p")))
+	if a.cut || a.status != http.StatusServiceUnavailable || a.header.Get("Retry-After") == "" || ran.Load() != 0 {
+		t.Errorf("long answer: cut %v, status %d, Retry-After %q, ran %d times; want a refusal that says when to return",
+			a.cut, a.status, a.header.Get("Retry-After"), ran.Load())
+	}
+	if a := f.do(f.request("POST", "/confirm/1", "x")); a.status != http.StatusOK {
+		t.Errorf("short answer: %+v, want it served", a)
+	}
+}
+
+// The time to end is over and an answer is still under way. Its caller gets the word that
+// nothing is known of its request, in place of a connection that breaks; and on-call finds
+// a line with the request's id, its endpoint and why it ended so.
+func TestCutRequestsAreAnsweredAndLogged(t *testing.T) {
+	lines := recordLines(t)
+	f := newFixture(t, 1)
+	release := make(chan struct{})
+	t.Cleanup(func() { close(release) })
+	var reached atomic.Int64
+	f.endpoint("e1", "orders", func(*platformtest.Exchange) bool { reached.Add(1); <-release; return false })
+	f.serve(1, func(r map[string]any) { r["routes"].([]any)[1].(map[string]any)["timeoutMs"] = 20000 })
+	req := f.request("POST", "/confirm/1", "x")
+	req.Header.Set("Sardinedock-Deadline-Ms", "20000")
+	answers := make(chan answer, 1)
+	go func() { answers <- f.do(req) }()
+	f.eventually("the request at the endpoint", func() bool { return reached.Load() == 1 })
+	f.instances[0].Shutdown()
+	select {
+	case a := <-answers:
+		if a.cut || a.status != http.StatusBadGateway {
+			t.Errorf("cut %v, status %d, want 502", a.cut, a.status)
+		}
+	case <-time.After(wait):
+		t.Error("no answer")
+	}
+	told := lines.any(func(l log.Fields) bool {
+		return l["request"] == "id-1" && l["status"] == http.StatusBadGateway && l["endpoint"] == "e1" && l["why"] != nil
+	})
+	if !told {
+		t.Error("no line tells what became of the request")
+	}
+}
