An instance that ends takes only what it can end

Change: policy.Drain decides, before each send of what has not run yet, whether the request is expected to end before the cut: by its deadline, or by what nineteen of twenty of the last 64 answers of its route took. What does not fit is refused at once, truly not run; so is what waits for room when the drain begins.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -62,7 +62,11 @@
 	a.life, a.cancel = context.WithCancelCause(r.life)
 	r.last = p
 	r.sends++
-	r.srv.silence.begin(a, time.Now())
+	now := time.Now()
+	if r.sentAt.IsZero() {
+		r.sentAt = now
+	}
+	r.srv.silence.begin(a, now)
 	body := r.ctx.Request.Body()
 	head := r.srv.cfg.Dialect.AppendHead(nil, &r.ctx.Request.Header, r.outgoing(p, len(body), resumeAfter))
 	in, err := r.srv.cfg.Relay(p.Endpoint.Address).Open(a.life, endpoint.Outgoing{
--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -17,7 +17,6 @@
 	errNoRecords  = fault.New(fault.Unavailable, "send the request again", "no records are in force yet")
 	errNoRoute    = fault.New(fault.NotFound, "check host and path against the routes", "no route for this host and path")
 	errLongHead   = fault.New(fault.TooLarge, "send fewer or shorter headers", "the headers are over the limit of the records")
-	errEnding     = fault.New(fault.Unavailable, "send the request again; another instance takes it", "this instance ends")
 	errNoKey      = fault.New(fault.Unauthorized, "send a key that is in force", "no organisation holds this key")
 )
 
@@ -37,9 +36,6 @@
 	case errors.Is(err, errNoRecords):
 		return refusal{status: fasthttp.StatusServiceUnavailable, cause: err, retryAfter: recordsRetry}
 	}
-	if errors.Is(err, errEnding) {
-		return refusal{status: fasthttp.StatusServiceUnavailable, cause: err, retryAfter: leastReturn}
-	}
 	switch fault.KindOf(err) {
 	case fault.BadRequest:
 		return refusal{status: fasthttp.StatusBadRequest, cause: err}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -40,6 +40,9 @@
 	for {
 		changed := r.srv.cfg.State.Changed()
 		now := time.Now()
+		if err := r.mayStart(now); err != nil {
+			return balance.Placement{}, err
+		}
 		q.Elapsed = now.Sub(r.began)
 		run, v := r.srv.cfg.Placer.Place(r.life, q)
 		if r.life.Err() != nil {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -44,7 +44,9 @@
 	// sends counts all sends, ran those of which an endpoint may have begun.
 	sends, ran int
 	rejected   int
-	waited     time.Duration
+	// sentAt is when it was sent first.
+	sentAt time.Time
+	waited time.Duration
 	// waitedMemory is the part of waited in which no endpoint's memory held it.
 	waitedMemory time.Duration
 	// first is the time to a stream's first event.
@@ -61,7 +63,11 @@
 
 func (r *request) serve() {
 	if err := r.admit(); err != nil {
-		r.refuse(refusalOf(err))
+		f := refusalOf(err)
+		if errors.Is(err, errEnding) {
+			f.retryAfter = r.returnElsewhere(time.Now())
+		}
+		r.refuse(f)
 		return
 	}
 	r.start()
@@ -148,6 +154,7 @@
 // end closes the life of the request; the answer is decided.
 func (r *request) end() {
 	r.conn.stopWatch()
+	r.timed()
 	r.stop()
 	r.cancel(context.Canceled)
 	r.srv.inFlight.Add(-1)
@@ -252,7 +259,11 @@
 		writeRefusal(r.ctx, refusal{status: fasthttp.StatusBadGateway, cause: err})
 		return
 	}
-	writeRefusal(r.ctx, refusal{status: fasthttp.StatusServiceUnavailable, cause: err, retryAfter: r.comeBack(fault.RetryAfter(err))})
+	after := r.comeBack(fault.RetryAfter(err))
+	if errors.Is(err, errEnding) {
+		after = r.returnElsewhere(time.Now())
+	}
+	writeRefusal(r.ctx, refusal{status: fasthttp.StatusServiceUnavailable, cause: err, retryAfter: after})
 }
 
 // comeBack is when a caller that was turned away should try again: soon enough
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -40,6 +40,13 @@
 	Warm(service string) bool
 }
 
+// Peers tells what callers that are turned away because this instance ends can hope for.
+type Peers interface {
+	// TakesAgainIn returns how long it is until some other instance takes requests; 0
+	// where one does now.
+	TakesAgainIn(now time.Time) time.Duration
+}
+
 // Config is what a Server needs.
 type Config struct {
 	// DataCentre of this instance.
@@ -51,6 +58,7 @@
 	Guard   *CrashGuard
 	Teller  Teller
 	Placer  Placer
+	Peers   Peers
 	Dialect Dialect
 	// Relay returns the connections to an endpoint's address.
 	Relay func(address string) *endpoint.Relay
@@ -63,12 +71,14 @@
 
 // Server serves callers until Shutdown.
 type Server struct {
-	cfg      Config
-	http     *fasthttp.Server
-	draining atomic.Bool
+	cfg  Config
+	http *fasthttp.Server
+	// drain is set once the instance was told to end.
+	drain atomic.Pointer[policy.Drain]
 	// ending says that the listener is closed and open requests are being finished.
 	ending   atomic.Bool
 	inFlight atomic.Int64
+	times    answerTimes
 	silence  *silenceWatch
 }
 
@@ -137,8 +147,9 @@
 	return t
 }
 
-// Drain closes connections after their answers. Requests are still taken.
-func (s *Server) Drain() { s.draining.Store(true) }
+// Drain closes connections after their answers, and has only requests taken that are
+// expected to end before cutAt.
+func (s *Server) Drain(cutAt time.Time) { s.drain.Store(&policy.Drain{CutAt: cutAt}) }
 
 // Ending reports whether Shutdown has begun.
 func (s *Server) Ending() bool { return s.ending.Load() }
@@ -154,7 +165,6 @@
 // for it, and another instance takes it at once. Taken, it could be cut at ctx's end,
 // and its caller would not learn whether it has run.
 func (s *Server) Shutdown(ctx context.Context) error {
-	s.Drain()
 	s.ending.Store(true)
 	if err := s.http.ShutdownWithContext(ctx); err != nil {
 		return fault.Wrap(err, fault.Unavailable, "give the process more time to end", "requests were open when the time to drain was over")
@@ -165,12 +175,12 @@
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	requestsTotal.Inc()
 	s.inFlight.Add(1)
-	if s.draining.Load() {
+	if s.drain.Load() != nil {
 		ctx.SetConnectionClose()
 	}
 	r := &request{srv: s, ctx: ctx, conn: ctx.Conn().(*callerConn), began: time.Now()}
 	r.serve()
-	if s.draining.Load() {
+	if s.drain.Load() != nil {
 		// Drain may have come while the request was served.
 		ctx.SetConnectionClose()
 	}
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -259,6 +259,23 @@
 	n.out.Push(item{now: true})
 }
 
+// Staying reports whether a peer is alive that does not end. Where none is,
+// firstLeaving is when the first of those that were told to end since a time was; zero if
+// none was heard of.
+func (n *Node) Staying(now, since time.Time) (staying bool, firstLeaving time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, h := range n.heard {
+		if h.alive(now) {
+			return true, time.Time{}
+		}
+		if h.leaving && h.leavingSince.After(since) && (firstLeaving.IsZero() || h.leavingSince.Before(firstLeaving)) {
+			firstLeaving = h.leavingSince
+		}
+	}
+	return false, firstLeaving
+}
+
 // send gathers what is to be told and sends it.
 func (n *Node) send(ctx context.Context) {
 	look := time.NewTicker(roleEvery)
--- a/gossip/hear.go
+++ b/gossip/hear.go
@@ -16,8 +16,10 @@
 	incarnation uint64
 	at          time.Time
 	leaving     bool
-	storeLost   bool
-	scheduler   bool
+	// leavingSince is when it was first heard that the peer ends.
+	leavingSince time.Time
+	storeLost    bool
+	scheduler    bool
 	// live is how many instances the peer, a scheduler, has heard of.
 	live int
 }
@@ -96,7 +98,16 @@
 		return admission{}
 	}
 	anew := d.GetIncarnation() != h.incarnation
-	next := heard{d.GetIncarnation(), now, d.GetLeaving(), d.GetStoreLost(), d.GetScheduler(), int(d.GetLive())}
+	next := heard{
+		incarnation: d.GetIncarnation(), at: now, leaving: d.GetLeaving(), storeLost: d.GetStoreLost(),
+		scheduler: d.GetScheduler(), live: int(d.GetLive()),
+	}
+	if next.leaving {
+		next.leavingSince = now
+		if h.leaving && !anew {
+			next.leavingSince = h.leavingSince
+		}
+	}
 	if len(d.GetAsks())+len(d.GetVerdicts()) > 0 && !anew {
 		// Asks and verdicts say nothing else of their sender.
 		next = h
--- a/hosted/drain_test.go
+++ b/hosted/drain_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -108,6 +109,39 @@
 	}
 }
 
+// All instances are told to end at once, as when a rollout of the fleet goes too fast. A
+// caller that is turned away by one and sent on at once meets the next one that ends, and
+// has used up its tries while none takes anything. It has to be told when one is back; with
+// one that stays, it has to come back at once.
+func TestRefusedAtTheEndComeBackWhenSomebodyTakesThem(t *testing.T) {
+	const sentAfter = 1300 * time.Millisecond
+	retryAfter := func(ending int) time.Duration {
+		f := newFixture(t, 2)
+		f.endpoint("e1", "pool", stream(2))
+		f.serve(1, func(r map[string]any) { r["routes"].([]any)[2].(map[string]any)["timeoutMs"] = 3000 })
+		f.eventually("the instances know each other", func() bool {
+			staying, _ := f.instances[0].node.Staying(time.Now(), time.Now())
+			return staying
+		})
+		for _, i := range f.instances[:ending] {
+			go i.Shutdown()
+		}
+		time.Sleep(sentAfter)
+		a := f.do(prompt(f.request("POST", "/draft/1", "p")))
+		after, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+		if a.status != http.StatusServiceUnavailable || err != nil {
+			t.Errorf("with %d of 2 ending: %+v", ending, a)
+		}
+		return time.Duration(after * float64(time.Second))
+	}
+	if d := retryAfter(1); d > 50*time.Millisecond {
+		t.Errorf("come back in %v though another instance stays", d)
+	}
+	if d := retryAfter(2); d < 500*time.Millisecond || d > time.Second {
+		t.Errorf("come back in %v, want to wait for the first that is back within a third of the patience of 3s", d)
+	}
+}
+
 // The time to end is over and an answer is still under way. Its caller gets the word that
 // nothing is known of its request, in place of a connection that breaks; and on-call finds
 // a line with the request's id, its endpoint and why it ended so.
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -83,8 +83,10 @@
 	peers     decoded[gossip.Peer]
 	endpoints atomic.Bool
 	// settled says that this instance knows enough of the others to watch for them.
-	settled   atomic.Bool
-	leaving   atomic.Bool
+	settled atomic.Bool
+	leaving atomic.Bool
+	// toldToEnd is when Shutdown began.
+	toldToEnd atomic.Pointer[time.Time]
 	killed    atomic.Bool
 	listeners []net.Listener
 }
@@ -109,7 +111,7 @@
 	callers, readyAt, metricsAt := i.listeners[0], i.listeners[1], i.listeners[2]
 	i.server = gateway.NewServer(gateway.Config{
 		DataCentre: s.GetDataCentre(), Table: i.table.Load, State: i.state, Budget: i.budget, Guard: i.guard,
-		Teller: i.node, Placer: i.placer, Dialect: platform.Dialect{}, Relay: i.relays.to,
+		Teller: i.node, Placer: i.placer, Peers: i, Dialect: platform.Dialect{}, Relay: i.relays.to,
 		Started: time.Now(), HeaderBytes: headerBytes, BodyBytes: bodyBytes,
 	})
 	i.run()
--- a/hosted/shutdown.go
+++ b/hosted/shutdown.go
@@ -18,22 +18,25 @@
 	outOfRotation = 3 * time.Second
 	// endRoom is kept of the grace for closing what is left.
 	endRoom = 400 * time.Millisecond
+	// restartTime is how long a process that has ended takes until it serves again.
+	restartTime = time.Second
 )
 
 // Shutdown ends the instance: it is not ready at once, serves callers until the
 // balancer sends none, and finishes what is open within the grace.
 func (i *Instance) Shutdown() {
 	began := time.Now()
-	grace := seconds(i.settings.GetBounds().GetGraceSeconds())
+	grace := i.grace()
 	i.leaving.Store(true)
 	log.WithField("grace_ms", grace.Milliseconds()).WithField("open", i.server.Open()).Info("stopping")
-	i.server.Drain()
+	i.toldToEnd.Store(&began)
+	i.server.Drain(began.Add(grace - endRoom))
 	// Told at once, so that others count themselves among the candidates for the
 	// lease that is given up here.
 	i.node.TellLeaving()
 	i.lease.Stop()
 	i.lease.Release()
-	_ = clock.Sleep(context.Background(), min(outOfRotation, grace/2))
+	_ = clock.Sleep(context.Background(), i.listensOn())
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-endRoom))
 	defer cancel()
 	if err := i.server.Shutdown(ctx); err != nil {
@@ -43,6 +46,29 @@
 	log.WithField("took_ms", time.Since(began).Milliseconds()).Info("stopped")
 }
 
+// grace is how long the platform lets a process go on that it has told to end.
+func (i *Instance) grace() time.Duration { return seconds(i.settings.GetBounds().GetGraceSeconds()) }
+
+// listensOn is how long after it was told to end an instance takes new connections.
+func (i *Instance) listensOn() time.Duration {
+	return min(outOfRotation, i.grace()/2)
+}
+
+// TakesAgainIn implements gateway.Peers. An instance with nothing left to finish ends once
+// it takes no more connections, and serves again soon after.
+func (i *Instance) TakesAgainIn(now time.Time) time.Duration {
+	// What was told to end longer ago and is not back does not come back soon.
+	most := i.grace() + restartTime
+	staying, first := i.node.Staying(now, now.Add(-most))
+	if staying {
+		return 0
+	}
+	if own := i.toldToEnd.Load(); own != nil && (first.IsZero() || own.Before(first)) {
+		first = *own
+	}
+	return max(first.Add(i.listensOn()+restartTime).Sub(now), 0)
+}
+
 // Kill ends the instance as a crash would: nothing is finished and nobody told.
 func (i *Instance) Kill() {
 	if i.killed.Swap(true) {
