What is cut at the end of the grace gets a last word and a line

Cause: the process ended while the requests were open; their lines are written when they end. Change: when the time to drain is over, the lives of all open requests end; what has not run is refused as such, what may have run gets 502, a stream breaks off, and each writes its line with why 'cut: this instance has ended'. A release of the lease that waits for a store does not put off the end of listening any more.

Why it holds: every request is in the set from its head to its line, and one that starts after the cut ends at once. Before: TestCutRequestsAreAnsweredAndLogged gets no answer in 5 s and finds no line; after: 502 and its line.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -300,6 +300,9 @@
 		r.refuseUnsent(err)
 	case errors.Is(cause, errTimeout):
 		writeRefusal(r.ctx, refusal{status: fasthttp.StatusGatewayTimeout, cause: cause})
+	case errors.Is(cause, errCut):
+		r.lastErr = cause
+		writeRefusal(r.ctx, refusal{status: fasthttp.StatusBadGateway, cause: cause})
 	default:
 		writeRefusal(r.ctx, refusal{status: fasthttp.StatusBadGateway, cause: err})
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -145,7 +145,7 @@
 		}
 	}
 	life, cancel := context.WithCancelCause(context.Background())
-	r.cancel = cancel
+	r.srv.open.started(r, cancel)
 	r.life, r.stop = context.WithDeadlineCause(life, r.deadline, errTimeout)
 	r.conn.watchClose(cancel)
 	r.srv.cfg.Budget.Accepted(r.began, r.service.Name)
@@ -157,7 +157,7 @@
 	r.timed()
 	r.stop()
 	r.cancel(context.Canceled)
-	r.srv.inFlight.Add(-1)
+	r.srv.open.remove(r)
 	requestSeconds.UpdateDuration(r.began)
 	answersTotal(r.ctx.Response.StatusCode()).Inc()
 	r.log(r.ctx.Response.StatusCode())
@@ -167,7 +167,7 @@
 func (r *request) refuse(f refusal) {
 	writeRefusal(r.ctx, f)
 	r.conn.started = false
-	r.srv.inFlight.Add(-1)
+	r.srv.open.remove(r)
 	answersTotal(f.status).Inc()
 	r.lastErr = f.cause
 	r.log(f.status)
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -76,10 +76,10 @@
 	// drain is set once the instance was told to end.
 	drain atomic.Pointer[policy.Drain]
 	// ending says that the listener is closed and open requests are being finished.
-	ending   atomic.Bool
-	inFlight atomic.Int64
-	times    answerTimes
-	silence  *silenceWatch
+	ending  atomic.Bool
+	open    openRequests
+	times   answerTimes
+	silence *silenceWatch
 }
 
 var (
@@ -158,27 +158,49 @@
 func (s *Server) Connections() int { return int(s.http.GetOpenConnectionsCount()) }
 
 // Open returns the number of requests that are being served.
-func (s *Server) Open() int { return int(s.inFlight.Load()) }
+func (s *Server) Open() int { return s.open.count() }
 
 // Shutdown stops accepting and waits for the open requests, until ctx ends. A request
 // that still comes on a kept connection is refused: the time that is left may not do
 // for it, and another instance takes it at once. Taken, it could be cut at ctx's end,
 // and its caller would not learn whether it has run.
+//
+// What is open when ctx ends is cut, and its callers and the log are told, for lastWords
+// at the most.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.ending.Store(true)
-	if err := s.http.ShutdownWithContext(ctx); err != nil {
-		return fault.Wrap(err, fault.Unavailable, "give the process more time to end", "requests were open when the time to drain was over")
+	err := s.http.ShutdownWithContext(ctx)
+	if err == nil {
+		return nil
+	}
+	cut := s.open.cancelAll(errCut)
+	s.awaitLastWords()
+	return fault.Wrap(err, fault.Unavailable, "give the process more time to end",
+		"%d requests were open when the time to drain was over, %d could not be told", cut, s.Open())
+}
+
+const (
+	// lastWords bounds how long answers that were cut are written.
+	lastWords = 200 * time.Millisecond
+	// lastWordsLook is the time between two looks at whether they are.
+	lastWordsLook = 5 * time.Millisecond
+)
+
+// awaitLastWords waits until the answers to requests that were cut are written, each of
+// which closes its connection.
+func (s *Server) awaitLastWords() {
+	for until := time.Now().Add(lastWords); s.Connections() > 0 && time.Now().Before(until); {
+		time.Sleep(lastWordsLook)
 	}
-	return nil
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	requestsTotal.Inc()
-	s.inFlight.Add(1)
 	if s.drain.Load() != nil {
 		ctx.SetConnectionClose()
 	}
 	r := &request{srv: s, ctx: ctx, conn: ctx.Conn().(*callerConn), began: time.Now()}
+	s.open.add(r)
 	r.serve()
 	if s.drain.Load() != nil {
 		// Drain may have come while the request was served.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -188,7 +188,7 @@
 		status, r.lastErr = statusCallerGone, cause
 	case !errors.Is(s.err, io.EOF):
 		status = statusCut
-		if r.lastErr == nil {
+		if r.lastErr == nil || errors.Is(cause, errCut) {
 			r.lastErr = cause
 		}
 	}
--- a/hosted/shutdown.go
+++ b/hosted/shutdown.go
@@ -36,11 +36,12 @@
 	i.node.TellLeaving()
 	i.lease.Stop()
 	i.lease.Release()
-	_ = clock.Sleep(context.Background(), i.listensOn())
+	// The lease's release may have waited for a store that is away.
+	_ = clock.Sleep(context.Background(), time.Until(began.Add(i.listensOn())))
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(grace-endRoom))
 	defer cancel()
 	if err := i.server.Shutdown(ctx); err != nil {
-		log.WithError(err).WithField("open", i.server.Open()).Warn("requests cut at the end of the grace")
+		log.WithError(err).Warn("requests cut at the end of the grace")
 	}
 	i.cancel()
 	log.WithField("took_ms", time.Since(began).Milliseconds()).Info("stopped")
