A line that is logged after the close does not panic

What would be seen: a process that ends in time writes a stack trace, and the last words to its callers break off. Cause: Close closed the channel that HandleLog sends on, while requests and duties may still write. Change: a channel of its own says that the handler is closed.

--- a/logline/logline.go
+++ b/logline/logline.go
@@ -35,8 +35,9 @@
 type Handler struct {
 	instance string
 	lines    chan []byte
-	done     chan struct{}
-	closing  sync.Once
+	// closed tells the writer to end, done that it has.
+	closed, done chan struct{}
+	closing      sync.Once
 
 	mu      sync.Mutex
 	tokens  float64
@@ -46,7 +47,7 @@
 
 // New returns a handler that writes to out until Close.
 func New(out io.Writer, instance string) *Handler {
-	h := &Handler{instance: instance, lines: make(chan []byte, ringSize), done: make(chan struct{}), tokens: burst, last: time.Now()}
+	h := &Handler{instance: instance, lines: make(chan []byte, ringSize), closed: make(chan struct{}), done: make(chan struct{}), tokens: burst, last: time.Now()}
 	go h.write(out)
 	return h
 }
@@ -112,25 +113,46 @@
 func (h *Handler) write(out io.Writer) {
 	defer close(h.done)
 	w := bufio.NewWriterSize(out, 64<<10)
-	for line := range h.lines {
-		h.put(w, line)
-		timer := time.NewTimer(flushEvery)
-		for gathering := true; gathering; {
-			select {
-			case line, open := <-h.lines:
-				if !open {
-					gathering = false
-					break
-				}
-				h.put(w, line)
-			case <-timer.C:
-				gathering = false
-			}
+	for {
+		select {
+		case line := <-h.lines:
+			h.put(w, line)
+			h.gather(w)
+			_ = w.Flush()
+		case <-h.closed:
+			h.drain(w)
+			_ = w.Flush()
+			return
+		}
+	}
+}
+
+// gather adds the lines that come within flushEvery.
+func (h *Handler) gather(w *bufio.Writer) {
+	timer := time.NewTimer(flushEvery)
+	defer timer.Stop()
+	for {
+		select {
+		case line := <-h.lines:
+			h.put(w, line)
+		case <-timer.C:
+			return
+		case <-h.closed:
+			return
+		}
+	}
+}
+
+// drain adds the lines that wait.
+func (h *Handler) drain(w *bufio.Writer) {
+	for {
+		select {
+		case line := <-h.lines:
+			h.put(w, line)
+		default:
+			return
 		}
-		timer.Stop()
-		_ = w.Flush()
 	}
-	_ = w.Flush()
 }
 
 func (h *Handler) put(w *bufio.Writer, line []byte) {
@@ -138,10 +160,10 @@
 	_, _ = w.Write(line)
 }
 
-// Close writes what waits, for a second at the most. No line may be logged
-// afterwards.
+// Close writes what waits, for a second at the most. Lines that are logged afterwards are
+// thrown away: requests and duties may outlast it by a moment.
 func (h *Handler) Close() {
-	h.closing.Do(func() { close(h.lines) })
+	h.closing.Do(func() { close(h.closed) })
 	select {
 	case <-h.done:
 	case <-time.After(time.Second):
--- a/logline/logline_test.go
+++ b/logline/logline_test.go
@@ -94,6 +94,30 @@
 	})
 }
 
+// A process ends while a request that was cut, or a duty, still writes its line. Were that
+// to panic, callers' last answers would break off, and on-call would find a stack trace
+// where the reason for the end should be.
+func TestLineAfterTheCloseIsThrownAway(t *testing.T) {
+	var out bytes.Buffer
+	h := New(&out, "one")
+	logger := &log.Logger{Handler: h, Level: log.InfoLevel}
+	logger.Info("stopped")
+	var wg sync.WaitGroup
+	const writers = 8
+	for range writers {
+		wg.Go(func() {
+			for range 100 {
+				logger.Warn("request")
+			}
+		})
+	}
+	h.Close()
+	wg.Wait()
+	if !strings.Contains(out.String(), `"stopped"`) {
+		t.Errorf("the line before the close is lost: %q", out.String())
+	}
+}
+
 // The cost of one line, for the page on what a request costs.
 func BenchmarkLine(b *testing.B) {
 	h := New(&bytes.Buffer{}, "one")
