Each way in which a request can end without its line is closed or told

On-call could not start from the id of a request. An early line for long requests was weighed and left out: every long answer would cost a second line, and explain names the killed process and the moment.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/sardinedock/sardinedock/route"
 )
 
@@ -42,6 +44,9 @@
 	limits func() route.Limits
 	// started says that bytes of the next request have come.
 	started bool
+	// request is the id of the one that is being answered; empty once a failure to
+	// write that answer was told.
+	request string
 	// ahead holds what watch read of the next request.
 	ahead []byte
 	watch watch
@@ -99,10 +104,25 @@
 // Write implements net.Conn. A caller that stops reading fills its buffers; the
 // next write then ends after the bound, and the endpoint's work with it.
 func (c *callerConn) Write(p []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return 0, err
+	err := c.SetWriteDeadline(time.Now().Add(writeTimeout))
+	n := 0
+	if err == nil {
+		n, err = c.Conn.Write(p)
+	}
+	if err != nil {
+		c.undelivered(err)
+	}
+	return n, err
+}
+
+// undelivered tells once that an answer could not be written. The request's own line tells
+// what was decided; that the caller did not get it shows here alone.
+func (c *callerConn) undelivered(err error) {
+	if c.request == "" {
+		return
 	}
-	return c.Conn.Write(p)
+	log.WithField("request", c.request).WithField("caller", c.RemoteAddr().String()).WithField("why", err.Error()).Info("answer not delivered")
+	c.request = ""
 }
 
 // watchClose calls gone when the caller closes its connection. stopWatch has to
--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/valyala/fasthttp"
 
 	"github.com/sardinedock/sardinedock/fault"
@@ -63,19 +64,23 @@
 	return errors.As(err, &t) && t.Timeout()
 }
 
-// unreadable answers a request that could not be read, so that nothing of it ran.
+// unreadable answers a request that could not be read, so that nothing of it ran. Its id
+// is not known, so its line has the caller's address and the time.
 func unreadable(ctx *fasthttp.RequestCtx, err error) {
 	ctx.Response.Reset()
 	ctx.SetConnectionClose()
-	status := fasthttp.StatusBadRequest
+	status, why := fasthttp.StatusBadRequest, "not a request"
 	var small *fasthttp.ErrSmallBuffer
 	switch {
 	case errors.As(err, &small):
-		status = fasthttp.StatusRequestHeaderFieldsTooLarge
+		status, why = fasthttp.StatusRequestHeaderFieldsTooLarge, "the headers are too large"
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		status = fasthttp.StatusRequestEntityTooLarge
+		status, why = fasthttp.StatusRequestEntityTooLarge, "the body is too large"
 	case isTimeout(err):
-		status = fasthttp.StatusRequestTimeout
+		status, why = fasthttp.StatusRequestTimeout, "it did not come whole in time"
 	}
+	answersTotal(status).Inc()
+	// The library's error may quote the bytes, and with them the caller's key.
+	log.WithField("status", status).WithField("caller", ctx.RemoteAddr().String()).WithField("why", why).Info("request unreadable")
 	writeRefusal(ctx, refusal{status: status, cause: fault.New(fault.BadRequest, "send a request that is whole and within the limits", "the request could not be read")})
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -96,6 +96,7 @@
 		return err
 	}
 	r.call = call
+	r.conn.request = call.ID
 	path, _, _ := bytes.Cut(h.RequestURI(), []byte("?"))
 	r.route = r.table.Match(string(h.Host()), string(path))
 	if r.route == nil {
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -63,6 +63,9 @@
 	slices.SortStableFunc(all, func(a, b logEntry) int { return a.at.Compare(b.at) })
 	i := slices.IndexFunc(all, func(e logEntry) bool { return e.word("event") == "request" && e.word("request") == c.id })
 	if i < 0 {
+		for _, text := range withoutLine(all) {
+			fmt.Fprintln(out, text)
+		}
 		return fault.New(fault.NotFound, "check the id, and give the logs of all instances", "no line tells of request %s", c.id)
 	}
 	for _, e := range story(all, all[i]) {
@@ -71,6 +74,29 @@
 	return nil
 }
 
+// withoutLine tells why the logs may hold no line of a request that an instance has had:
+// the process was killed, lines were dropped, or the request could not be read.
+func withoutLine(all []logEntry) []string {
+	var list []string
+	last := map[string]logEntry{}
+	for _, e := range all {
+		name := e.word("instance")
+		before, known := last[name]
+		if e.word("event") == "started" && known && before.word("event") != "stopped" {
+			list = append(list, fmt.Sprintf("%s ended without a word between %s and %s; what it served then has no line",
+				name, before.word("at"), e.word("at")))
+		}
+		if n, _ := e.fields["dropped_before"].(float64); n > 0 {
+			list = append(list, fmt.Sprintf("%s dropped %.0f lines before %s", name, n, e.word("at")))
+		}
+		if e.word("event") == "request unreadable" {
+			list = append(list, e.text)
+		}
+		last[name] = e
+	}
+	return list
+}
+
 // story returns the request's line and those that may explain it, in order.
 func story(all []logEntry, request logEntry) []logEntry {
 	ms, _ := request.fields["ms"].(float64)
@@ -100,6 +126,9 @@
 		}
 	}
 	about := e.word("event")
+	if e.word("request") != "" {
+		return e.word("request") == request.word("request")
+	}
 	own := e.word("instance") == request.word("instance")
 	return own && slices.ContainsFunc([]string{"records", "store", "lease", "stopp", "start"}, func(p string) bool { return strings.HasPrefix(about, p) })
 }
