Changed bounds are in force at once, by SIGHUP or without

What callers would see: the platform grants less time to end, and a process that goes by the old grace is killed with answers open. Cause: all bounds were read once at the start.

Change: Reload puts bounds in force; the file is looked at every 2 s.

--- a/balance/state.go
+++ b/balance/state.go
@@ -119,6 +119,13 @@
 	}
 }
 
+// SetStaleBound replaces what NewState was given.
+func (s *State) SetStaleBound(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.staleBound = d
+}
+
 // SetPools replaces what the records say of the services.
 func (s *State) SetPools(pools map[string]Pool) {
 	s.mu.Lock()
--- a/directory/follower.go
+++ b/directory/follower.go
@@ -129,11 +129,25 @@
 	}
 }
 
+// SetLapseAfter replaces the setting of that name.
+func (f *Follower) SetLapseAfter(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cfg.LapseAfter = d
+}
+
+// lapses reports whether entries of the kind can lapse.
+func (f *Follower) lapses() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cfg.LapseAfter > 0
+}
+
 // Run follows the kind until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	wg.Go(func() { f.check(ctx) })
-	if f.cfg.LapseAfter > 0 {
+	if f.lapses() {
 		wg.Go(func() { f.sweep(ctx) })
 	}
 	pause := firstRetry
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -61,7 +61,9 @@
 
 // Instance is one running process.
 type Instance struct {
+	// settings of the start; bounds are those in force.
 	settings    *settingspb.Hosted
+	bounds      atomic.Pointer[settingspb.HostedBounds]
 	incarnation uint64
 	state       *balance.State
 	table       atomic.Pointer[route.Table]
@@ -97,12 +99,13 @@
 	i := &Instance{
 		settings:    s,
 		incarnation: uint64(time.Now().UnixNano()),
-		state:       balance.NewState(time.Duration(s.GetBounds().GetWeightsMs()) * time.Millisecond),
+		state:       balance.NewState(milliseconds(s.GetBounds().GetWeightsMs())),
 		guard:       gateway.NewCrashGuard(),
 		relays:      newRelays(),
 		store:       platform.NewStore(s.GetStore()),
 	}
 	b := s.GetBounds()
+	i.bounds.Store(b)
 	i.budget = policy.NewFleetRetries(b.GetRetryRatio(), b.GetRetrySlack(), seconds(b.GetRetryWindowSeconds()))
 	if err := i.bind(); err != nil {
 		return nil, err
@@ -177,7 +180,7 @@
 	i.cancel = cancel
 	i.lease = lease.NewDuty(lease.Config{
 		Store: i.store, Name: leaseName, Self: i.settings.GetInstance(),
-		Length:    time.Duration(i.settings.GetBounds().GetLeaseMs()) * time.Millisecond,
+		Length:    milliseconds(i.settings.GetBounds().GetLeaseMs()),
 		Candidate: i.isCandidate,
 	})
 	i.rollout = rollout.NewHosted(rollout.HostedConfig{
@@ -226,9 +229,7 @@
 	}
 	if kind == platform.KindEndpoints {
 		cfg.Reached = i.node.TellStore
-		// Entries go after three heartbeats of silence; the last one before the
-		// outage may be nearly one old.
-		cfg.LapseAfter = 2 * time.Duration(i.settings.GetBounds().GetHeartbeatMs()) * time.Millisecond
+		cfg.LapseAfter = lapseAfter(i.bounds.Load())
 	}
 	i.followers[kind] = directory.NewFollower(cfg)
 }
--- a/hosted/shutdown.go
+++ b/hosted/shutdown.go
@@ -48,7 +48,7 @@
 }
 
 // grace is how long the platform lets a process go on that it has told to end.
-func (i *Instance) grace() time.Duration { return seconds(i.settings.GetBounds().GetGraceSeconds()) }
+func (i *Instance) grace() time.Duration { return seconds(i.bounds.Load().GetGraceSeconds()) }
 
 // listensOn is how long after it was told to end an instance takes new connections.
 func (i *Instance) listensOn() time.Duration {
--- a/internal/cli/host.go
+++ b/internal/cli/host.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/apex/log"
@@ -14,6 +15,10 @@
 	"github.com/sardinedock/sardinedock/settings"
 )
 
+// settingsLook is the time between two looks at whether the settings file has changed,
+// which it may without any signal.
+const settingsLook = 2 * time.Second
+
 // hostCommand runs one instance on the users' platform until it is told to end.
 type hostCommand struct {
 	settings string
@@ -26,6 +31,7 @@
 }
 
 func (c *hostCommand) run(out, _ io.Writer) error {
+	file := newWatchedFile(c.settings)
 	s, err := settings.LoadHosted(c.settings)
 	if err != nil {
 		return err
@@ -39,23 +45,57 @@
 	if err != nil {
 		return err
 	}
-	for sig := range signals {
-		if sig == syscall.SIGHUP {
-			c.reload()
-			continue
+	look := time.NewTicker(settingsLook)
+	defer look.Stop()
+	for {
+		select {
+		case <-look.C:
+			if file.changed() {
+				c.reload(i)
+			}
+		case sig := <-signals:
+			if sig != syscall.SIGHUP {
+				i.Shutdown()
+				return nil
+			}
+			file.changed()
+			c.reload(i)
 		}
-		i.Shutdown()
-		return nil
 	}
-	return nil
 }
 
-// reload checks the settings file again. Addresses and bounds hold for the life
-// of a process, so a change is put off until its next start, and said so.
-func (c *hostCommand) reload() {
-	if _, err := settings.LoadHosted(c.settings); err != nil {
+// reload reads the settings file again and has the instance take it in.
+func (c *hostCommand) reload(i *hosted.Instance) {
+	s, err := settings.LoadHosted(c.settings)
+	if err != nil {
 		log.WithError(err).Error("settings refused; those before stay in force")
 		return
 	}
-	log.Info("settings read again; changes take effect at the next start")
+	log.Info("settings read again")
+	i.Reload(s)
+}
+
+// watchedFile notices that a file has been written.
+type watchedFile struct {
+	path string
+	at   time.Time
+	size int64
+}
+
+func newWatchedFile(path string) *watchedFile {
+	f := &watchedFile{path: path}
+	f.changed()
+	return f
+}
+
+// changed reports whether the file is another one than at the last call. One that is
+// missing, as in the middle of its replacement, has not changed yet.
+func (f *watchedFile) changed() bool {
+	info, err := os.Stat(f.path)
+	if err != nil {
+		return false
+	}
+	changed := !info.ModTime().Equal(f.at) || info.Size() != f.size
+	f.at, f.size = info.ModTime(), info.Size()
+	return changed
 }
--- a/policy/fleetretry.go
+++ b/policy/fleetretry.go
@@ -29,11 +29,10 @@
 // left. Sends that an endpoint rejects count too, since it has to read them.
 // Any goroutine may use it.
 type FleetRetries struct {
-	ratio  float64
-	slack  float64
-	window time.Duration
-
 	mu        sync.Mutex
+	ratio     float64
+	slack     float64
+	window    time.Duration
 	instances int
 	services  map[string]*retryBucket
 }
@@ -52,6 +51,13 @@
 	return &FleetRetries{ratio: ratio, slack: slack, window: window, instances: 1, services: map[string]*retryBucket{}}
 }
 
+// SetLimits replaces ratio, slack and window; what is left of the budgets stays.
+func (f *FleetRetries) SetLimits(ratio, slack float64, window time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ratio, f.slack, f.window = ratio, slack, window
+}
+
 // SetInstances tells how many instances share the budget.
 func (f *FleetRetries) SetInstances(n int) {
 	f.mu.Lock()
