--- a/hosted/fixture_test.go
+++ b/hosted/fixture_test.go
@@ -16,7 +16,7 @@
 
 // fixture is a store, endpoints and instances on loopback.
 type fixture struct {
-	t         *testing.T
+	t         testing.TB
 	store     *platformtest.Store
 	instances []*Instance
 	callers   []string
@@ -37,14 +37,14 @@
 )
 
 // newFixture starts n instances and a store without records.
-func newFixture(t *testing.T, n int) *fixture {
+func newFixture(t testing.TB, n int) *fixture {
 	t.Helper()
 	const manyRetries = 50
 	return newFixtureWith(t, n, manyRetries)
 }
 
 // newFixtureWith is the same with another budget of retries.
-func newFixtureWith(t *testing.T, n int, retrySlack float64) *fixture {
+func newFixtureWith(t testing.TB, n int, retrySlack float64) *fixture {
 	t.Helper()
 	store, err := platformtest.NewStore()
 	if err != nil {
@@ -82,7 +82,7 @@
 	return i
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
