An instance with few answers behind it expects twice the longest

Found by reading: with 1.2 long requests a second an instance, as on the large site, twenty answers take 17 s, and an instance that is told to end before that would turn away every caller with more patience than its grace. Refused callers are served elsewhere, but most have a single try left. Now one answer is enough to expect something, twice the longest until twenty are known.

--- a/policy/drain.go
+++ b/policy/drain.go
@@ -37,6 +37,10 @@
 	// answersTail is one in how many answers may take longer than what is usual. Such an
 	// answer may be cut, and to refuse costs a caller no more than another connection.
 	answersTail = 20
+	// fewTimes is how many times the longest answer counts where fewer than answersTail
+	// are known: the next one may well be longer than all of them. An instance that has
+	// just started would else turn away all patient callers while it ends.
+	fewTimes = 2
 )
 
 // AnswerTimes keeps how long the last answers of one route took from their send to their
@@ -56,16 +60,19 @@
 	a.count++
 }
 
-// Usual returns the time within which all but one in answersTail of the last answers
-// ended. known is false before there were that many.
+// Usual returns the time within which the next answer is expected to end, as all but one
+// in answersTail of the last ones did. known is false before the first one.
 func (a *AnswerTimes) Usual() (d time.Duration, known bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.count < answersTail {
+	n := min(a.count, answersKept)
+	if n == 0 {
 		return 0, false
 	}
-	n := min(a.count, answersKept)
 	times := a.last
 	slices.Sort(times[:n])
+	if n < answersTail {
+		return fewTimes * times[n-1], true
+	}
 	return times[n-1-n/answersTail], true
 }
