--- a/instance/fleet_test.go
+++ b/instance/fleet_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -116,3 +117,42 @@
 		}
 	}
 }
+
+// All instances are killed at once while the object API is away. One of them starts when
+// no peer has all records, and hears them later, one by one, from a peer that has. Its state
+// dump shows them with a newest version and none in force ("complete": false). It may not go
+// on like that for as long as the object API is away: it refuses all its callers, and the
+// endpoints that it should own are followed by nobody, so that one that leaves gets new work
+// for seconds.
+func TestInstanceThatStartedBeforeItsPeersTakesOverTheirRecords(t *testing.T) {
+	store := startObjectAPI(t)
+	at := nobody(t)
+	early := startAt(t, nobody(t), "entry-1", "127.0.0.1:0", at)
+	if status, _ := modelsStatus(t, early); status == fasthttp.StatusOK {
+		t.Fatal("the instance serves without records")
+	}
+	startAt(t, store.Addr(), "entry-2", at, early.Fleet())
+	const within = 5 * time.Second
+	for until := time.Now().Add(within); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		if status, _ := modelsStatus(t, early); status == fasthttp.StatusOK {
+			return
+		}
+	}
+	t.Errorf("no records in force %v after a peer has all of them: %+v", within, early.keeper.Dump())
+}
+
+// startAt starts an instance that peers reach at an address.
+func startAt(tb testing.TB, objectAPI, name, at, seed string) *Instance {
+	tb.Helper()
+	s, faults := settings.Parse(fmt.Appendf(nil, "fleet: test\ninstance: %s\ndata_centre: accra-1\nplatform: {address: %q}\nseeds: [%q]\n"+
+		"listen: {callers: \"127.0.0.1:0\", admin: \"127.0.0.1:0\", fleet: %q}\n", name, objectAPI, seed, at))
+	if len(faults) > 0 {
+		tb.Fatal(settings.Lines(name, faults))
+	}
+	i, err := Start(context.Background(), s)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(func() { _ = i.Stop(context.Background()) })
+	return i
+}
