Instances ask peers for all records until they have them

Callers saw (own interface): after all instances were killed while the object API was away, some refused everybody although they held every record, and an engine that said it leaves got new work for 5.4 s. Cause: a starting instance asked its seeds once, within 0.6 s; with no peer complete by then, nobody ever told it that nothing is missing, and it waited for the object API. As a member it still owned endpoints, which nobody followed.

Change: until the records are known, peers are asked again every second. Why it holds: the first peer that lists them from the object API, or has got them from one that did, hands them over within a second or two; before that nobody serves, so nothing is placed.

--- a/instance/fleet.go
+++ b/instance/fleet.go
@@ -26,6 +26,8 @@
 	listEvery = time.Minute
 	// pullWithin bounds the search for a peer's state at start.
 	pullWithin = 600 * time.Millisecond
+	// pullEvery is the time between two such searches while records are missing.
+	pullEvery = time.Second
 	// tellEvery is how often this instance tells what is in force here. Each
 	// member beyond tellFrom adds tellEachMember, so that an instance hears of
 	// one such change in two seconds whatever the fleet's size.
--- a/instance/fleet_run.go
+++ b/instance/fleet_run.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/sardinedock/sardinedock/clock"
 	"github.com/sardinedock/sardinedock/fleet/exchange"
 	"github.com/sardinedock/sardinedock/fleet/member"
 	"github.com/sardinedock/sardinedock/record"
@@ -30,6 +31,30 @@
 	defer cancel()
 	if p.node.Pull(bounded, i.settings.GetSeeds()) {
 		i.keeper.SetComplete()
+		return
+	}
+	p.open.Go(func() { i.runPull(run) })
+}
+
+// runPull asks peers for all records until they are known.
+//
+// Failure: all instances start while the object API is away, and this one asks before
+// any peer has all records. Those that it hears of later come one by one, and it can't
+// know that none is missing. It would refuse its callers, and leave the endpoints that it
+// owns unfollowed, until the object API is back.
+func (i *Instance) runPull(ctx context.Context) {
+	for clock.Sleep(ctx, pullEvery) == nil && !i.keeper.Complete() {
+		var addresses []string
+		for _, m := range i.peers.node.View().Members {
+			if m.Owns() {
+				addresses = append(addresses, m.Address)
+			}
+		}
+		bounded, cancel := context.WithTimeout(ctx, pullWithin)
+		if i.peers.node.Pull(bounded, addresses) {
+			i.keeper.SetComplete()
+		}
+		cancel()
 	}
 }
 
