--- a/hosted/drain_test.go
+++ b/hosted/drain_test.go
@@ -142,6 +142,30 @@
 	}
 }
 
+// A request waits for an endpoint when the instance is told to end. Kept waiting, it is sent
+// when hardly any time is left, or it is turned away seconds later; its caller could have
+// been served by another instance meanwhile.
+func TestWaitingRequestIsRefusedOnceItDoesNotFit(t *testing.T) {
+	f := newFixture(t, 1)
+	f.serve(0, func(r map[string]any) { r["routes"].([]any)[1].(map[string]any)["timeoutMs"] = 20000 })
+	req := f.request("POST", "/confirm/1", "x")
+	req.Header.Set("Sardinedock-Deadline-Ms", "20000")
+	answers := make(chan answer, 1)
+	go func() { answers <- f.do(req) }()
+	f.eventually("the request waits", func() bool { return f.instances[0].server.Open() == 1 })
+	go f.instances[0].Shutdown()
+	// Without the end it would wait for a third of its time.
+	const soon = 2 * time.Second
+	select {
+	case a := <-answers:
+		if a.status != http.StatusServiceUnavailable || a.header.Get("Retry-After") == "" {
+			t.Errorf("%+v, want a refusal that says when to return", a)
+		}
+	case <-time.After(soon):
+		t.Errorf("still waiting %v after the order to end", soon)
+	}
+}
+
 // The time to end is over and an answer is still under way. Its caller gets the word that
 // nothing is known of its request, in place of a connection that breaks; and on-call finds
 // a line with the request's id, its endpoint and why it ended so.
