--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -142,6 +142,7 @@
 	s.over.Store(true)
 	stop()
 	s.judgeEnd(settledAt)
+	s.judgeLines(settledAt)
 	s.tearDown()
 	t.Logf("seed %d: %v", seed, s.ledger.counts)
 	for _, b := range s.ledger.broken[:min(len(s.ledger.broken), breachesTold)] {
