--- a/hosted/drain_test.go
+++ b/hosted/drain_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/sardinedock/sardinedock/logline/logtest"
 	"github.com/sardinedock/sardinedock/platform/platformtest"
 )
 
@@ -170,7 +171,7 @@
 // nothing is known of its request, in place of a connection that breaks; and on-call finds
 // a line with the request's id, its endpoint and why it ended so.
 func TestCutRequestsAreAnsweredAndLogged(t *testing.T) {
-	lines := recordLines(t)
+	lines := logtest.Record(t)
 	f := newFixture(t, 1)
 	release := make(chan struct{})
 	t.Cleanup(func() { close(release) })
@@ -191,7 +192,7 @@
 	case <-time.After(wait):
 		t.Error("no answer")
 	}
-	told := lines.any(func(l log.Fields) bool {
+	told := lines.Any("request", func(l log.Fields) bool {
 		return l["request"] == "id-1" && l["status"] == http.StatusBadGateway && l["endpoint"] == "e1" && l["why"] != nil
 	})
 	if !told {
--- a/hosted/endpoints_test.go
+++ b/hosted/endpoints_test.go
@@ -7,10 +7,8 @@
 	"testing"
 	"time"
 
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
-
 	"github.com/sardinedock/sardinedock/balance"
+	"github.com/sardinedock/sardinedock/logline/logtest"
 	"github.com/sardinedock/sardinedock/objectapi"
 	"github.com/sardinedock/sardinedock/platform/platformtest"
 )
@@ -110,9 +108,7 @@
 // a line for each at each of hundreds of instances, the lines that tell of callers'
 // requests are lost among them, or are not written for lack of time.
 func TestLinesOfManyChangesAreBounded(t *testing.T) {
-	lines := &lineCounter{}
-	log.SetHandler(lines)
-	t.Cleanup(func() { log.SetHandler(discard.New()) })
+	lines := logtest.Record(t)
 	var l changeLog
 	now := time.Unix(1000, 0)
 	const endpoints = 140
@@ -120,19 +116,11 @@
 		l.note(now.Add(time.Duration(n)*time.Millisecond), update{now: balance.Endpoint{ID: strconv.Itoa(n)}, has: true})
 	}
 	l.flush(now.Add(2 * changeWindow))
-	if n := len(lines.events); n != detailedChanges+1 {
+	all := lines.All()
+	if n := len(all); n != detailedChanges+1 {
 		t.Fatalf("%d lines, want %d", n, detailedChanges+1)
 	}
-	if got := lines.events[detailedChanges].Fields["new"]; got != endpoints-detailedChanges {
+	if got := all[detailedChanges].Fields["new"]; got != endpoints-detailedChanges {
 		t.Errorf("the last line counts %v of the others, want %d", got, endpoints-detailedChanges)
 	}
 }
-
-// lineCounter keeps all lines.
-type lineCounter struct{ events []*log.Entry }
-
-// HandleLog implements log.Handler.
-func (c *lineCounter) HandleLog(e *log.Entry) error {
-	c.events = append(c.events, e)
-	return nil
-}
