Demo: a refusal of a request that crashes engines is judged by its own attempt

All attempts of such a request share a marker, and the check took an earlier attempt's run for the refused one's. No fault of the product.

In its place: engines count runs by the id of the attempt, and these refusals are judged by that at the end of the run. Stricter in one point: a run after the refusal counts now.

--- a/demo/checks.go
+++ b/demo/checks.go
@@ -48,8 +48,8 @@
 	defer d.mu.Unlock()
 	counts := d.classes[r.work.GetName()]
 	counts.Attempts++
-	if v == verdictNotRun && r.key == "" && !r.poison {
-		d.refuse(r, marker, before)
+	if v == verdictNotRun && r.key == "" {
+		d.refuseAttempt(r, marker, before, a.requestID)
 	}
 	if r.key != "" {
 		d.keys[r.key].traced(begun, v, target, &a, after)
@@ -60,8 +60,9 @@
 		counts.Incomplete++
 		d.find("incomplete: %s, status %d, ending %d after %q", at, a.status, a.ending, clip(a.text))
 	// A request with a key is one and the same in all attempts: not-run is
-	// false if any of them has run.
-	case d.runs != nil && v == verdictNotRun && (r.key != "" && after > 0 || r.poison && after > before):
+	// false if any of them has run. Without one it is said of this attempt, and
+	// judged at the end.
+	case d.runs != nil && v == verdictNotRun && r.key != "" && after > 0:
 		counts.FalseNotRun++
 		d.find("false not-run: %s, status %d, code %s, %d runs; %s", at, a.status, a.errorCode, after, d.traceOf(r.key))
 	case v == verdictComplete && r.key != "":
@@ -93,9 +94,33 @@
 // refuse remembers a word of "not run", to see at the end whether the request
 // ran after all: a piece of it may have been on its way.
 func (d *driver) refuse(r *request, marker string, runs int) {
+	d.remember(refusal{class: r.work.GetName(), marker: marker, key: r.key, runs: runs})
+}
+
+// refuseAttempt does so for a request without a key. Attempts that crash engines share a
+// marker, so only the runs of the attempt itself show that its refusal was false.
+func (d *driver) refuseAttempt(r *request, marker string, runs int, id string) {
+	f := refusal{class: r.work.GetName(), marker: marker, runs: runs}
+	if r.poison {
+		f.attempt = id
+	}
+	d.remember(f)
+}
+
+func (d *driver) remember(f refusal) {
 	if len(d.refusals) < maxRefusals {
-		d.refusals = append(d.refusals, refusal{r.work.GetName(), marker, r.key, runs})
+		d.refusals = append(d.refusals, f)
+	}
+}
+
+// becameFalse reports whether a request has run after it was refused.
+func (d *driver) becameFalse(f refusal) (runs int, ran bool) {
+	if f.attempt != "" {
+		runs = d.runs.ByAttempt(f.attempt)
+		return runs, runs > 0
 	}
+	runs = max(d.runs.ByMarker(f.marker), d.runs.ByKey(f.key))
+	return runs, runs > f.runs
 }
 
 // settleRefusals counts, at the end of a run, the refusals that have become
@@ -107,7 +132,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, r := range d.refusals {
-		if runs := max(d.runs.ByMarker(r.marker), d.runs.ByKey(r.key)); runs > r.runs {
+		if runs, ran := d.becameFalse(r); ran {
 			d.classes[r.class].FalseNotRun++
 			d.find("false not-run: %s ran after its refusal, %d runs; %s", r.marker, runs, d.traceOf(r.key))
 		}
--- a/demo/driver.go
+++ b/demo/driver.go
@@ -60,6 +60,9 @@
 type refusal struct {
 	class, marker, key string
 	runs               int
+	// attempt is the id of the attempt that was refused, where only its own runs count;
+	// else empty.
+	attempt string
 }
 
 func newDriver(w *workload, t targets, runs *emulator.Ledger) *driver {
--- a/emulator/ledger.go
+++ b/emulator/ledger.go
@@ -38,15 +38,17 @@
 // Ledger counts the runs of requests at all endpoints that share it. It
 // remembers a bounded number of them. Any goroutine may use it.
 type Ledger struct {
-	mu      sync.Mutex
-	ids     runCounter
-	markers runCounter
-	keys    runCounter
+	mu  sync.Mutex
+	ids runCounter
+	// attempts counts by the id of the caller's attempt, whatever number its sends have.
+	attempts runCounter
+	markers  runCounter
+	keys     runCounter
 }
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{ids: runCounter{}, markers: runCounter{}, keys: runCounter{}}
+	return &Ledger{ids: runCounter{}, attempts: runCounter{}, markers: runCounter{}, keys: runCounter{}}
 }
 
 // runCounter counts by name. Once it is full, new names are not counted.
@@ -66,6 +68,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.ids.add(id)
+	attempt, _, _ := strings.Cut(id, ".")
+	l.attempts.add(attempt)
 	l.markers.add(marker)
 	l.keys.add(key)
 }
@@ -77,6 +81,14 @@
 	return l.ids[id]
 }
 
+// ByAttempt returns how often a caller's attempt was started, by the id that the router
+// gave it. Its second send and later ones have that id and a number.
+func (l *Ledger) ByAttempt(id string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.attempts[id]
+}
+
 // ByMarker returns how often a caller's request was started.
 func (l *Ledger) ByMarker(name string) int {
 	l.mu.Lock()
