A process that is starting survives SIGHUP, and heeds SIGTERM

Cause: signals were asked for after the settings were read. Change: before anything else, each kind in a channel of its own, since a series of SIGHUPs in a shared one of four pushed out the SIGTERM after it (found by reading; the second test shows it). serve ignores SIGHUP, which ended it at any time.

Both tests fail before ('signal: hangup'); 30 times in a row after it.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -8,7 +8,14 @@
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
+// hostEnv names the settings file for which the test binary runs the command host, as
+// a process that tests send signals to.
+const hostEnv = "SARDINEDOCK_TEST_HOST"
+
 func TestMain(m *testing.M) {
+	if path := os.Getenv(hostEnv); path != "" {
+		os.Exit(Run([]string{"host", "--settings", path}, os.Stdout, os.Stderr))
+	}
 	testscript.Main(m, map[string]func(){
 		"sardinedock": func() { os.Exit(Run(os.Args[1:], os.Stdout, os.Stderr)) },
 	})
--- a/internal/cli/host.go
+++ b/internal/cli/host.go
@@ -31,6 +31,13 @@
 }
 
 func (c *hostCommand) run(out, _ io.Writer) error {
+	// First of all: a process that is not prepared for a signal dies of it, and the
+	// platform may change the settings, or end the process, while it is starting. Each
+	// kind has a channel of its own, where one signal may wait: a series of one kind is
+	// as good as its last, and must not push out another kind.
+	end, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(end, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(reload, syscall.SIGHUP)
 	file := newWatchedFile(c.settings)
 	s, err := settings.LoadHosted(c.settings)
 	if err != nil {
@@ -39,8 +46,12 @@
 	lines := logline.New(out, s.GetInstance())
 	defer lines.Close()
 	log.SetHandler(lines)
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	select {
+	case <-end:
+		log.Info("told to end before the start")
+		return nil
+	default:
+	}
 	i, err := hosted.Start(s)
 	if err != nil {
 		return err
@@ -49,17 +60,16 @@
 	defer look.Stop()
 	for {
 		select {
+		case <-end:
+			i.Shutdown()
+			return nil
+		case <-reload:
+			file.changed()
+			c.reload(i)
 		case <-look.C:
 			if file.changed() {
 				c.reload(i)
 			}
-		case sig := <-signals:
-			if sig != syscall.SIGHUP {
-				i.Shutdown()
-				return nil
-			}
-			file.changed()
-			c.reload(i)
 		}
 	}
 }
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -26,6 +26,9 @@
 }
 
 func (c *serveCommand) run(out, _ io.Writer) error {
+	// There is nothing to reload, since records are followed and settings hold for the
+	// life of a process; unheeded, the signal would end it with its callers' requests.
+	signal.Ignore(syscall.SIGHUP)
 	s, err := settings.Load(c.settings)
 	if err != nil {
 		return err
