SIGHUP is ignored from before the program's first line

Cause: a Go program asks for signals once its packages are initialised, 10 ms after its start on an idle machine, more beside load; until then SIGHUP ends it. Change: internal/startsignal, a constructor in C, has the signal ignored from the process's start; the command host asks for it as before, and demo, load and emulate end by it as before.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -2,12 +2,17 @@
 package cli
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/sardinedock/sardinedock/fault"
+	_ "github.com/sardinedock/sardinedock/internal/startsignal" // instances are told to reload while they start
 )
 
 // Exit codes.
@@ -56,6 +61,11 @@
 	return exitOK
 }
 
+// untilTold returns a context that ends when the user or the terminal ends the command.
+func untilTold() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+}
+
 // report prints an error with its remedy and returns the exit code.
 func report(errs io.Writer, err error) int {
 	fmt.Fprintf(errs, "sardinedock: %v\n", err)
--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -1,11 +1,7 @@
 package cli
 
 import (
-	"context"
 	"io"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -30,7 +26,7 @@
 }
 
 func (c *demoCommand) run(out, errs io.Writer) error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	ctx, stop := untilTold()
 	defer stop()
 	r, err := demo.Run(ctx, c.options, errs)
 	if err != nil {
--- a/internal/cli/emulate.go
+++ b/internal/cli/emulate.go
@@ -1,12 +1,9 @@
 package cli
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -65,7 +62,7 @@
 	}
 	defer e.Close()
 	fmt.Fprintf(out, "object API on %s, %d engines, %d service endpoints\n", e.Store.Addr(), len(e.Engines), len(e.Services))
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	ctx, stop := untilTold()
 	defer stop()
 	<-ctx.Done()
 	return nil
--- a/internal/cli/host_test.go
+++ b/internal/cli/host_test.go
@@ -14,59 +14,117 @@
 const wholeSettings = "instance: one\ndata_centre: dc\nstore: 127.0.0.1:9\n" +
 	"listen: {callers: \"127.0.0.1:0\", ready: \"127.0.0.1:0\", gossip: \"127.0.0.1:0\", metrics: \"127.0.0.1:0\"}\n"
 
-// startHost starts the command host as a process of its own whose settings file is a pipe,
-// and returns once it has come to read them. The test decides what it reads, and when.
-func startHost(t *testing.T) (cmd *exec.Cmd, settings *os.File) {
-	t.Helper()
-	path := filepath.Join(t.TempDir(), "settings.yaml")
-	if err := syscall.Mkfifo(path, 0o600); err != nil {
-		t.Fatal(err)
+// holdEnv names a pipe that the test binary reads to its end while its packages are being
+// initialised.
+const holdEnv = "SARDINEDOCK_TEST_HOLD"
+
+var _ = holdStart()
+
+func holdStart() error {
+	path := os.Getenv(holdEnv)
+	if path == "" {
+		return nil
 	}
+	_, err := os.ReadFile(path)
+	return err
+}
+
+// process is the command host, run as a process of its own.
+type process struct {
+	*exec.Cmd
+	dir string
+}
+
+// startHost starts a process whose settings file is a pipe, so that the test decides what it
+// reads, and when. It is held while its packages are initialised if hold is set.
+func startHost(t *testing.T, hold bool) process {
+	t.Helper()
 	self, err := os.Executable()
 	if err != nil {
 		t.Fatal(err)
 	}
-	cmd = exec.Command(self)
-	cmd.Env = append(os.Environ(), hostEnv+"="+path)
-	if err := cmd.Start(); err != nil {
+	p := process{exec.Command(self), t.TempDir()}
+	p.Env = append(os.Environ(), hostEnv+"="+p.pipe(t, "settings.yaml"))
+	if hold {
+		p.Env = append(p.Env, holdEnv+"="+p.pipe(t, "hold"))
+	}
+	if err := p.Start(); err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = cmd.Process.Kill() })
+	t.Cleanup(func() { _ = p.Process.Kill() })
+	return p
+}
+
+func (p process) pipe(t *testing.T, name string) string {
+	t.Helper()
+	path := filepath.Join(p.dir, name)
+	if err := syscall.Mkfifo(path, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// reads waits until the process reads a pipe, and returns the end to write to.
+func (p process) reads(t *testing.T, name string) *os.File {
+	t.Helper()
 	const within = 20 * time.Second
 	for until := time.Now().Add(within); time.Now().Before(until); time.Sleep(time.Millisecond) {
 		// There is nobody to write to before the process has opened the pipe.
-		settings, err = os.OpenFile(path, os.O_WRONLY|syscall.O_NONBLOCK, 0)
+		f, err := os.OpenFile(filepath.Join(p.dir, name), os.O_WRONLY|syscall.O_NONBLOCK, 0)
 		if err == nil {
-			return cmd, settings
+			return f
 		}
 	}
-	t.Fatalf("the process does not read its settings within %v: %v", within, err)
-	return nil, nil
+	t.Fatalf("the process does not read %s within %v", name, within)
+	return nil
 }
 
-// The platform tells a process that its settings have changed while it is still starting, as
-// when instances are restarted and their settings changed in one go. A process that does not
-// expect the signal yet dies of it; its log just stops, and callers lose it for the time of
-// one more start.
-func TestReloadDuringTheStartDoesNotEndTheProcess(t *testing.T) {
-	cmd, settings := startHost(t)
-	if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+// told sends a signal.
+func (p process) told(t *testing.T, s syscall.Signal) {
+	t.Helper()
+	if err := p.Process.Signal(s); err != nil {
 		t.Fatal(err)
 	}
-	// Settings that are refused end the process with a word and a code.
+}
+
+// refuse has the process read settings that end it with a word and a code, and judges that
+// it ended so.
+func (p process) refuse(t *testing.T, settings *os.File) {
+	t.Helper()
 	_, _ = settings.WriteString("instance: 1\n")
 	_ = settings.Close()
 	var ended *exec.ExitError
-	if err := cmd.Wait(); !errors.As(err, &ended) || !ended.Exited() {
+	if err := p.Wait(); !errors.As(err, &ended) || !ended.Exited() {
 		t.Errorf("the process ended by %v, want its own end", err)
 	}
 }
 
+// The platform tells a process that its settings have changed while it is still starting, as
+// when instances are restarted and their settings changed in one go. A process that does not
+// expect the signal yet dies of it; its log just stops, and callers lose it for the time of
+// one more start.
+func TestReloadDuringTheStartDoesNotEndTheProcess(t *testing.T) {
+	p := startHost(t, false)
+	settings := p.reads(t, "settings.yaml")
+	p.told(t, syscall.SIGHUP)
+	p.refuse(t, settings)
+}
+
+// The same some ms sooner: the program has not come to its first line yet.
+func TestReloadBeforeTheFirstLineDoesNotEndTheProcess(t *testing.T) {
+	p := startHost(t, true)
+	held := p.reads(t, "hold")
+	p.told(t, syscall.SIGHUP)
+	_ = held.Close()
+	p.refuse(t, p.reads(t, "settings.yaml"))
+}
+
 // An instance that is starting is told to reload again and again, and then to end. The word
 // to end must not be lost among the others: the platform would kill the process later, with
 // callers' requests open.
 func TestEndDuringTheStartIsHeeded(t *testing.T) {
-	cmd, settings := startHost(t)
+	p := startHost(t, false)
+	settings := p.reads(t, "settings.yaml")
 	// What it reads again is an ordinary file, which does not hold it up.
 	if err := os.Remove(settings.Name()); err != nil {
 		t.Fatal(err)
@@ -74,22 +132,19 @@
 	if err := os.WriteFile(settings.Name(), []byte(wholeSettings), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	for range 3 * 4 {
-		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
-			t.Fatal(err)
-		}
+	const reloads = 12
+	for range reloads {
+		p.told(t, syscall.SIGHUP)
 		// Signals of one kind that come at once count as one.
 		time.Sleep(2 * time.Millisecond)
 	}
-	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
-	}
+	p.told(t, syscall.SIGTERM)
 	_, _ = settings.WriteString(wholeSettings)
 	_ = settings.Close()
 	const within = 20 * time.Second
-	stop := time.AfterFunc(within, func() { _ = cmd.Process.Kill() })
+	stop := time.AfterFunc(within, func() { _ = p.Process.Kill() })
 	defer stop.Stop()
-	if err := cmd.Wait(); err != nil {
+	if err := p.Wait(); err != nil {
 		t.Errorf("the process ended by %v, want code 0 within %v", err, within)
 	}
 }
--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -1,12 +1,8 @@
 package cli
 
 import (
-	"context"
 	"encoding/json"
 	"io"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -34,7 +30,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	ctx, stop := untilTold()
 	defer stop()
 	return writeReport(out, demo.RunLoad(ctx, c.target, l, errs), c.report)
 }
