--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -182,12 +182,23 @@
 	}},
 }
 
+// firstOfPlannedWork is the first seed that draws planned work alone: instances are ended and
+// told to reload, one by one and in turn, records and weights change. Nothing excuses what
+// callers lose then.
+const firstOfPlannedWork = 70000
+
+// plannedWork are the names of the faults that are none.
+var plannedWork = []string{"instance told to end", "all instances told to end in turn", "instance told to reload", "records change", "weights named"}
+
 // faultsOf returns what a seed draws from.
 func faultsOf(seed uint64) []fault {
-	if seed < firstWithStarts {
-		return faults
+	switch {
+	case seed >= firstOfPlannedWork:
+		return slices.DeleteFunc(slices.Clone(faults), func(f fault) bool { return !slices.Contains(plannedWork, f.name) })
+	case seed >= firstWithStarts:
+		return slices.Concat(faults, startFaults)
 	}
-	return slices.Concat(faults, startFaults)
+	return faults
 }
 
 func (s *soak) pick(rng *rand.Rand) *instance { return s.instances[rng.IntN(len(s.instances))] }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -64,13 +64,15 @@
 // own whole answer or a word that is true, and once it is over all are served.
 func TestSoak(t *testing.T) { playAll(t, chosen(t)) }
 
-// Callers leave in the middle of long answers while instances and links fail. In one play
-// of this seed two endpoints of three worked on for callers that had gone.
+// Seeds whose fault is not mended yet; the file tells what each shows.
 func TestOpenSeeds(t *testing.T) { playAll(t, listed(t, "testdata/open.txt")) }
 
 // playAll plays seeds, as many at a time as the flags say.
 func playAll(t *testing.T, list []uint64) {
 	t.Helper()
+	if len(list) == 0 {
+		return
+	}
 	binary := build(t)
 	slots := make(chan struct{}, *jobs)
 	for _, seed := range list {
