--- a/emulator/ledger.go
+++ b/emulator/ledger.go
@@ -75,32 +75,23 @@
 }
 
 // ByID returns how often requests of the router's id were started.
-func (l *Ledger) ByID(id string) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.ids[id]
-}
+func (l *Ledger) ByID(id string) int { return l.runs(l.ids, id) }
 
 // ByAttempt returns how often a caller's attempt was started, by the id that the router
 // gave it. Its second send and later ones have that id and a number.
-func (l *Ledger) ByAttempt(id string) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.attempts[id]
-}
+func (l *Ledger) ByAttempt(id string) int { return l.runs(l.attempts, id) }
 
 // ByMarker returns how often a caller's request was started.
-func (l *Ledger) ByMarker(name string) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.markers[name]
-}
+func (l *Ledger) ByMarker(name string) int { return l.runs(l.markers, name) }
 
 // ByKey returns how often requests with the Idempotency-Key were started.
-func (l *Ledger) ByKey(key string) int {
+func (l *Ledger) ByKey(key string) int { return l.runs(l.keys, key) }
+
+// runs reads one of the counters.
+func (l *Ledger) runs(c runCounter, name string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.keys[key]
+	return c[name]
 }
 
 func (l *Ledger) copyIDs() map[string]int {
