--- a/directory/follower_test.go
+++ b/directory/follower_test.go
@@ -333,7 +333,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newFakeStore("a", "b")
 		has, f := followHinted(t, s, 500*time.Millisecond)
-		time.Sleep(time.Second)
+		// Its own turns come each half second; between two of them, it is certain which
+		// reads came before the peer's.
+		time.Sleep(1250 * time.Millisecond)
 		s.change(func() { s.deaf = true })
 		before := s.readCount()
 		for range 20 {
