An instance that ends waits for the last word on its only open request

Cause: at the end of the grace open requests are cut, and the process waits until their connections are closed. It asked the HTTP library for their number. The library takes one off for its own listening, which has ended by then, so that one connection counts as none: the process ended in the same moment, before the answer and the line were written. With more open it waited for all but one.

Mend: connections are counted where they are accepted and closed, so the number does not depend on whether the library still listens.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -12,10 +13,12 @@
 	"github.com/sardinedock/sardinedock/route"
 )
 
-// listener wraps accepted connections, so that the limits in force bound them.
+// listener wraps accepted connections, so that the limits in force bound them and those
+// that are open are counted.
 type listener struct {
 	net.Listener
 	limits func() route.Limits
+	open   *atomic.Int64
 }
 
 // acceptPause is the wait before another try where no connection could be
@@ -28,7 +31,8 @@
 	for {
 		c, err := l.Listener.Accept()
 		if err == nil {
-			return &callerConn{Conn: c, limits: l.limits}, nil
+			l.open.Add(1)
+			return &callerConn{Conn: c, limits: l.limits, open: l.open}, nil
 		}
 		if errors.Is(err, net.ErrClosed) {
 			return nil, err
@@ -42,6 +46,9 @@
 type callerConn struct {
 	net.Conn
 	limits func() route.Limits
+	// open counts all connections until they are closed; closing says that this one is.
+	open    *atomic.Int64
+	closing sync.Once
 	// started says that bytes of the next request have come.
 	started bool
 	// request is the id of the one that is being answered; empty once a failure to
@@ -115,6 +122,14 @@
 	return n, err
 }
 
+// Close implements net.Conn. The HTTP server calls it once the last answer is written, and
+// sooner where nothing is being answered.
+func (c *callerConn) Close() error {
+	err := c.Conn.Close()
+	c.closing.Do(func() { c.open.Add(-1) })
+	return err
+}
+
 // undelivered tells once that an answer could not be written. The request's own line tells
 // what was decided; that the caller did not get it shows here alone.
 func (c *callerConn) undelivered(err error) {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -76,10 +76,13 @@
 	// drain is set once the instance was told to end.
 	drain atomic.Pointer[policy.Drain]
 	// ending says that the listener is closed and open requests are being finished.
-	ending  atomic.Bool
-	open    openRequests
-	times   answerTimes
-	silence *silenceWatch
+	ending atomic.Bool
+	open   openRequests
+	// connections counts those of callers. The HTTP library's own count is one too low
+	// once it has stopped listening, so that an instance would end before its last answer.
+	connections atomic.Int64
+	times       answerTimes
+	silence     *silenceWatch
 }
 
 var (
@@ -116,7 +119,7 @@
 
 // Serve answers the callers that ln accepts, until Shutdown.
 func (s *Server) Serve(ln net.Listener) error {
-	return s.http.Serve(&listener{Listener: ln, limits: s.limits})
+	return s.http.Serve(&listener{Listener: ln, limits: s.limits, open: &s.connections})
 }
 
 func (s *Server) limits() route.Limits {
@@ -155,7 +158,7 @@
 func (s *Server) Ending() bool { return s.ending.Load() }
 
 // Connections returns the number of callers' connections.
-func (s *Server) Connections() int { return int(s.http.GetOpenConnectionsCount()) }
+func (s *Server) Connections() int { return int(s.connections.Load()) }
 
 // Open returns the number of requests that are being served.
 func (s *Server) Open() int { return s.open.count() }
--- a/hosted/drain_test.go
+++ b/hosted/drain_test.go
@@ -199,3 +199,37 @@
 		t.Error("no line tells what became of the request")
 	}
 }
+
+// The time to end is over and one answer is still under way; the machine is busy, so that
+// its last word and its line come some ms late. The process ended before them: `requests cut
+// at the end of the grace`, then `stopped` at once. The caller's connection breaks without a
+// word, and no log has the request's id. With two answers under way it waited for the first.
+func TestInstanceEndsAfterTheLineOfItsOnlyCutRequest(t *testing.T) {
+	const busy = 50 * time.Millisecond
+	lines := logtest.Record(t)
+	log.SetHandler(log.HandlerFunc(func(e *log.Entry) error {
+		if e.Message == "request" {
+			time.Sleep(busy)
+		}
+		return lines.HandleLog(e)
+	}))
+	f := newFixture(t, 1)
+	release := make(chan struct{})
+	t.Cleanup(func() { close(release) })
+	e := f.endpoint("e1", "orders", func(*platformtest.Exchange) bool { <-release; return false })
+	f.serve(1, func(r map[string]any) { r["routes"].([]any)[1].(map[string]any)["timeoutMs"] = 20000 })
+	req := f.request("POST", "/confirm/1", "x")
+	req.Header.Set("Sardinedock-Deadline-Ms", "20000")
+	answers := make(chan answer, 1)
+	go func() { answers <- f.do(req) }()
+	f.eventually("the request at the endpoint", func() bool { return e.Served() == 1 })
+	f.instances[0].Shutdown()
+	told := lines.Any("request", func(l log.Fields) bool { return l["request"] == "id-1" })
+	if !told {
+		t.Error("the instance has ended, and no line has the request's id")
+	}
+	if n := f.instances[0].server.Connections(); n != 0 {
+		t.Errorf("%d connections at the end, want none", n)
+	}
+	<-answers
+}
