A refused request's line has its id, whatever it is refused for

On-call is told an id and found nothing: the line of a request that is refused before records are known, or once the listener has closed, had an empty id, since the head was read after these two refusals. On a kept connection 'answer not delivered' could then name the request before it.

The head is read first; where it can't be read, what is told of its answer names no request.

Three tests, each fails without its part of the change: a refusal before the records, one after the listener has closed, an undelivered refusal of what can't be read.

--- a/gateway/conn_test.go
+++ b/gateway/conn_test.go
@@ -40,3 +40,19 @@
 		t.Errorf("lines %v", told)
 	}
 }
+
+// The next request on a kept connection can't be read, and the caller has gone when it is told
+// so. A line that names the request before would send on-call to one that was answered well.
+func TestUndeliveredRefusalIsNotToldOfTheRequestBefore(t *testing.T) {
+	lines := logtest.Record(t)
+	caller, router := net.Pipe()
+	c := &callerConn{Conn: router, request: "before"}
+	var ctx fasthttp.RequestCtx
+	ctx.Init2(c, quietLogger{}, false)
+	unreadable(&ctx, fasthttp.ErrBodyTooLarge)
+	_ = caller.Close()
+	_, _ = c.Write([]byte("HTTP/1.1 413 Request Entity Too Large\r\n"))
+	if told := lines.Lines("answer not delivered"); len(told) != 0 {
+		t.Errorf("lines %v, want none", told)
+	}
+}
--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -69,6 +69,10 @@
 func unreadable(ctx *fasthttp.RequestCtx, err error) {
 	ctx.Response.Reset()
 	ctx.SetConnectionClose()
+	if c, ok := ctx.Conn().(*callerConn); ok {
+		// What goes wrong with this answer must not be told of the request before it.
+		c.request = ""
+	}
 	status, why := fasthttp.StatusBadRequest, "not a request"
 	var small *fasthttp.ErrSmallBuffer
 	switch {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -82,6 +82,11 @@
 // returns an error.
 func (r *request) admit() error {
 	h := &r.ctx.Request.Header
+	// Before anything is refused: on-call has only the id that a caller tells, and each
+	// refusal's line has to bear it.
+	call, unreadable := r.srv.cfg.Dialect.ParseCall(h)
+	r.call = call
+	r.conn.request = call.ID
 	if r.srv.ending.Load() {
 		return errEnding
 	}
@@ -91,12 +96,9 @@
 	if limit := r.table.Limits().HeaderBytes; limit > 0 && len(h.RawHeaders()) > limit {
 		return errLongHead
 	}
-	call, err := r.srv.cfg.Dialect.ParseCall(h)
-	if err != nil {
-		return err
+	if unreadable != nil {
+		return unreadable
 	}
-	r.call = call
-	r.conn.request = call.ID
 	path, _, _ := bytes.Cut(h.RequestURI(), []byte("?"))
 	r.route = r.table.Match(string(h.Host()), string(path))
 	if r.route == nil {
--- a/hosted/logs_test.go
+++ b/hosted/logs_test.go
@@ -1,6 +1,10 @@
 package hosted
 
 import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
 	"sync/atomic"
 	"testing"
 
@@ -52,3 +56,58 @@
 		t.Error("no line keeps how the first send failed")
 	}
 }
+
+// A caller is turned away by an instance that has just started and knows no records yet. The
+// line of that refusal had no id, so that on-call, who is told the request's id, found
+// nothing of it in any log.
+func TestRefusalBeforeTheRecordsHasTheRequestsID(t *testing.T) {
+	lines := logtest.Record(t)
+	f := newFixture(t, 1)
+	if a := f.do(f.request("GET", "/stock/1", "")); a.status != http.StatusServiceUnavailable {
+		t.Fatalf("%+v, want a refusal", a)
+	}
+	if !lines.Any("request", func(l log.Fields) bool { return l["request"] == "id-1" && l["why"] != nil }) {
+		t.Errorf("lines %v, want one with the request's id", lines.Lines("request"))
+	}
+}
+
+// A request on a kept connection comes when its instance has stopped listening, and is
+// refused. The line had no id, and what went wrong with its answer would have been told
+// under the id of the request before it.
+func TestRefusalAfterTheListenerHasClosedHasTheRequestsID(t *testing.T) {
+	lines := logtest.Record(t)
+	f := newFixture(t, 1)
+	f.endpoint("e1", "orders", func(x *platformtest.Exchange) bool { x.Answer(200, "done"); return true })
+	f.serve(1, func(r map[string]any) { r["limits"].(map[string]any)["headerTimeoutMs"] = 8000 })
+	conn, err := net.Dial("tcp4", f.callers[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	const head = "POST /confirm/1 HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nContent-Length: 1\r\nSardinedock-Request-Id: "
+	_, _ = fmt.Fprintf(conn, head+"before\r\n\r\nx", deskHost, deskKey)
+	reader := bufio.NewReader(conn)
+	read(t, reader)
+	_, _ = fmt.Fprintf(conn, head, deskHost, deskKey)
+	f.eventually("the first half is being read", func() bool { return f.instances[0].server.Connections() == 1 })
+	go f.instances[0].Shutdown()
+	f.eventually("the listener closed", f.instances[0].server.Ending)
+	_, _ = fmt.Fprint(conn, "refused\r\n\r\nx")
+	if status := read(t, reader); status != http.StatusServiceUnavailable {
+		t.Fatalf("status %d, want a refusal", status)
+	}
+	if !lines.Any("request", func(l log.Fields) bool { return l["request"] == "refused" && l["why"] != nil }) {
+		t.Errorf("lines %v, want one with the id of the refused request", lines.Lines("request"))
+	}
+}
+
+// read reads one answer and returns its status.
+func read(t *testing.T, r *bufio.Reader) int {
+	t.Helper()
+	answer, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = answer.Body.Close()
+	return answer.StatusCode
+}
