--- a/entry/answer.go
+++ b/entry/answer.go
@@ -300,7 +300,9 @@
 // fail ends the answer; what an engine still does for it is cancelled.
 func (a *answer) fail(err error) error {
 	if a.run != nil {
-		a.cancel()
+		if !errors.Is(a.call.cause(), errKilled) {
+			a.cancel()
+		}
 		a.leave(place.EndFailed)
 	}
 	return a.close(err)
--- a/entry/calls.go
+++ b/entry/calls.go
@@ -22,6 +22,7 @@
 var (
 	errGone     = fault.New(fault.Broken, "none: the caller has gone", "the caller closed its connection")
 	errTimeout  = fault.New(fault.Unknown, "raise timeout_ms in the class's record, or ask for less", "the class's timeout has passed")
+	errKilled   = fault.New(fault.Broken, "send the request again", "this instance was killed")
 	errDraining = fault.New(fault.Broken, "send the request again", "this instance ends and its time to drain is over")
 )
 
--- a/entry/server.go
+++ b/entry/server.go
@@ -168,8 +168,16 @@
 	return nil
 }
 
-// Kill ends what the server does beside the serving, as a crash would.
-func (s *Server) Kill() { s.stop() }
+// Kill ends all work at once, as a crash would: what is open sends nothing any more, not even
+// an order to cancel.
+//
+// Failure: a request of a killed instance that waits for an endpoint would go on to wait, with
+// what the instance knew before, and reach an endpoint seconds later. That is seen as new work
+// at one that leaves, and as an attempt that runs beside its caller's next one.
+func (s *Server) Kill() {
+	s.calls.close(errKilled)
+	s.stop()
+}
 
 // endTimeout bounds the writing of the last words of a shutdown.
 const endTimeout = 2 * time.Second
--- a/instance/kill.go
+++ b/instance/kill.go
@@ -8,9 +8,8 @@
 )
 
 // Kill ends the instance as a crash does: its listeners and its callers'
-// connections are closed at once, nothing is drained and nobody is told. Work
-// that is under way may carry on for a moment without a caller, like that of a
-// process that was thought to be dead.
+// connections are closed at once, nothing is drained and nobody is told. Requests
+// that are open send nothing any more.
 func (i *Instance) Kill() {
 	i.admin.SetReady(false)
 	i.callers.cut()
