--- a/demo/checks.go
+++ b/demo/checks.go
@@ -49,7 +49,7 @@
 	counts := d.classes[r.work.GetName()]
 	counts.Attempts++
 	if v == verdictNotRun && r.key == "" {
-		d.refuseAttempt(r, marker, before, a.requestID)
+		d.refuseAttempt(r, marker, target, before, a)
 	}
 	if r.key != "" {
 		d.keys[r.key].traced(begun, v, target, &a, after)
@@ -94,15 +94,16 @@
 // refuse remembers a word of "not run", to see at the end whether the request
 // ran after all: a piece of it may have been on its way.
 func (d *driver) refuse(r *request, marker string, runs int) {
-	d.remember(refusal{class: r.work.GetName(), marker: marker, key: r.key, runs: runs})
+	d.remember(refusal{class: r.work.GetName(), marker: marker, key: r.key, runs: runs, said: "by its key"})
 }
 
 // refuseAttempt does so for a request without a key. Attempts that crash engines share a
 // marker, so only the runs of the attempt itself show that its refusal was false.
-func (d *driver) refuseAttempt(r *request, marker string, runs int, id string) {
+func (d *driver) refuseAttempt(r *request, marker, target string, runs int, a answer) {
 	f := refusal{class: r.work.GetName(), marker: marker, runs: runs}
+	f.said = fmt.Sprintf("to attempt %q at %s at %s, status %d, code %s, %d runs before", a.requestID, target, time.Now().Format(traceTime), a.status, a.errorCode, runs)
 	if r.poison {
-		f.attempt = id
+		f.attempt = a.requestID
 	}
 	d.remember(f)
 }
@@ -134,7 +135,7 @@
 	for _, r := range d.refusals {
 		if runs, ran := d.becameFalse(r); ran {
 			d.classes[r.class].FalseNotRun++
-			d.find("false not-run: %s ran after its refusal, %d runs; %s", r.marker, runs, d.traceOf(r.key))
+			d.find("false not-run: %s ran after its refusal %s, %d runs; %s", r.marker, r.said, runs, d.traceOf(r.key))
 		}
 	}
 }
--- a/demo/driver.go
+++ b/demo/driver.go
@@ -63,6 +63,8 @@
 	// attempt is the id of the attempt that was refused, where only its own runs count;
 	// else empty.
 	attempt string
+	// said tells of the refusal in a finding: to whom, when and why.
+	said string
 }
 
 func newDriver(w *workload, t targets, runs *emulator.Ledger) *driver {
--- a/entry/api_test.go
+++ b/entry/api_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -14,6 +15,7 @@
 	"github.com/openai/openai-go/v3/option"
 
 	"github.com/sardinedock/sardinedock/emulator"
+	"github.com/sardinedock/sardinedock/entry"
 )
 
 func bodyOf(prompt string, tokens int) io.Reader {
@@ -204,3 +206,31 @@
 		t.Fatalf("status %d for a model of others", resp.StatusCode)
 	}
 }
+
+// Instances start together and a caller comes before any has records. Its refusal bore no
+// request id, so that nobody could tell which attempt was refused: a run with all faults took
+// a later attempt of the same request, which ran, for the refused one, and called a true "not
+// run" false.
+func TestEachRefusalNamesItsAttempt(t *testing.T) {
+	r := newRig(t, rigConfig{engines: 1})
+	without := entry.NewServer(r.config)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = without.Serve(ln) }()
+	t.Cleanup(without.Kill)
+	ids := map[string]bool{}
+	for _, url := range []string{"http://" + ln.Addr().String() + "/v1/completions", r.url + "/nowhere", r.url + "/v1/completions"} {
+		resp, err := http.Post(url, "application/json", strings.NewReader("{"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		id := resp.Header.Get("X-Request-Id")
+		if resp.StatusCode < 400 || id == "" || ids[id] {
+			t.Errorf("%s: status %d, id %q, want a refusal with an id of its own", url, resp.StatusCode, id)
+		}
+		ids[id] = true
+	}
+}
--- a/entry/generate.go
+++ b/entry/generate.go
@@ -53,9 +53,7 @@
 
 // generate answers a model request. It reads the first piece before it answers
 // at all, so that what goes wrong before that gets a status of its own.
-func (s *Server) generate(ctx *fasthttp.RequestCtx, records *record.Snapshot, organisation string) {
-	id := s.cfg.NewID()
-	ctx.Response.Header.Set(headerRequestID, id)
+func (s *Server) generate(ctx *fasthttp.RequestCtx, records *record.Snapshot, organisation, id string) {
 	if !ctx.IsPost() {
 		s.refuse(ctx, errMethod)
 		ctx.SetStatusCode(fasthttp.StatusMethodNotAllowed)
--- a/entry/server.go
+++ b/entry/server.go
@@ -104,6 +104,10 @@
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	// Before anything is refused: a refusal without an id can't be told from one of the same
+	// caller's other attempts.
+	id := s.cfg.NewID()
+	ctx.Response.Header.Set(headerRequestID, id)
 	if s.draining.Load() {
 		ctx.SetConnectionClose()
 	}
@@ -123,9 +127,9 @@
 	case strings.HasPrefix(path, modelsPath):
 		s.model(ctx, records, organisation, path[len(modelsPath):])
 	case path == "/v1/completions" || path == "/v1/chat/completions":
-		s.generate(ctx, records, organisation)
+		s.generate(ctx, records, organisation, id)
 	case strings.HasPrefix(path, "/services/"):
-		s.service(ctx, records, organisation)
+		s.service(ctx, records, organisation, id)
 	default:
 		s.refuse(ctx, errNoPath(path))
 	}
--- a/entry/service.go
+++ b/entry/service.go
@@ -29,10 +29,8 @@
 }
 
 // service routes a call by its path's prefix. Any method and body pass.
-func (s *Server) service(ctx *fasthttp.RequestCtx, records *record.Snapshot, organisation string) {
+func (s *Server) service(ctx *fasthttp.RequestCtx, records *record.Snapshot, organisation, id string) {
 	path := string(ctx.Path())
-	id := s.cfg.NewID()
-	ctx.Response.Header.Set(headerRequestID, id)
 	_, svc, ok := records.ServiceByPath(path)
 	if !ok {
 		s.refuse(ctx, errNoPath(path))
