Whoever places without an owner asks the engine whether it leaves

What callers see: an instance is lost for good, and an engine that it owned begins to leave; the engine gets new work for 6.1 to 7.1 s, and whoever takes it away when its time is over breaks their answers.

Cause: an engine's leaving is seen by its owner alone, and an owner that is silent counts as dead after 6 s. Until then the others place from their own view, by a state that does not age.

Ruled out: a shorter bound for silent owners (each pause would move caches), and states that age (none is left to use after a common restart).

--- a/instance/fleet.go
+++ b/instance/fleet.go
@@ -149,6 +149,10 @@
 	p.placer = place.NewFleet(place.FleetConfig{
 		Caller: &fleetpb.Caller{Fleet: i.settings.GetFleet(), Instance: self.Name, Incarnation: self.Incarnation},
 		Clock:  clock.System{}, Peers: p.client, Duty: p.duty, Kept: p.kept,
+		AsksLeaving: func(ctx context.Context, address string) (bool, error) {
+			s, err := i.clients.Engine(address).State(ctx)
+			return s.Leaving, err
+		},
 		Publish: func(ctx context.Context, key exchange.Key, value []byte, ttl time.Duration) error {
 			if key.Kind == fleetpb.ItemKind_ITEM_KIND_FINGERPRINT {
 				i.noteFingerprint(key.Name, value)
--- /dev/null
+++ b/instance/leaving_test.go
@@ -0,0 +1,77 @@
+package instance
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+// An instance is killed for good, and an engine that it owned says in the same moment that it
+// leaves. Nobody asks that engine for its state until the owner counts as dead, six seconds
+// later; meanwhile the others decide by what they were told before, and go on sending to it.
+// The operator takes it away when the time to leave is over, and its callers' answers break.
+func TestLeavingEngineOfAKilledOwnerGetsNoLateWork(t *testing.T) {
+	t.Parallel()
+	const (
+		// bound is how long after its word a leaving engine may get new work.
+		bound = 3 * time.Second
+		// sendFor is longer than it takes until the owner counts as dead.
+		sendFor = 8 * time.Second
+	)
+	e, all := crashRig(t, 3, 2)
+	engine := e.Engines[0]
+	owns := func(i *Instance) bool { return slices.Contains(i.peers.placer.Owned(), engine.Name()) }
+	await(t, "one owner that all agree on", func() bool {
+		for _, i := range all {
+			if len(i.peers.node.View().Owners) != len(all) {
+				return false
+			}
+		}
+		return slices.ContainsFunc(all, owns)
+	})
+	at := slices.IndexFunc(all, owns)
+	survivors := slices.Delete(slices.Clone(all), at, at+1)
+	ask := func(n int) {
+		// Prompts that begin alike would all go to one engine.
+		prompt := strings.Repeat(fmt.Sprint("valve ", n, " "), 100)
+		resp, err := complete(t.Context(), survivors[n%len(survivors)], prompt, 1)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+	}
+	const warmUp = 40
+	for n := range warmUp {
+		ask(n)
+	}
+	if engine.Stats().Runs == 0 {
+		t.Fatal("the engine gets no work before it leaves")
+	}
+	all[at].Kill()
+	engine.SetLeaving(true)
+	began := time.Now()
+	for n := 0; time.Since(began) < sendFor; n++ {
+		ask(1000 + n)
+		time.Sleep(20 * time.Millisecond)
+	}
+	if late := engine.Stats().LastStartAfterLeaving; late > bound {
+		t.Errorf("the engine got new work %v after it said that it leaves, allowed are %v", late, bound)
+	}
+}
+
+// await waits for something that takes a moment on a busy machine.
+func await(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	const within = 10 * time.Second
+	for until := time.Now().Add(within); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("not within %v: %s", within, what)
+}
--- a/place/ask.go
+++ b/place/ask.go
@@ -50,7 +50,7 @@
 	if err := callerGone(ctx); err != nil {
 		return Grant{}, false, err
 	}
-	g, err := f.placeOwn(t, list)
+	g, err := f.placeOwn(ctx, t, list)
 	return g, false, err
 }
 
--- a/place/fallback.go
+++ b/place/fallback.go
@@ -1,6 +1,8 @@
 package place
 
 import (
+	"context"
+	"slices"
 	"time"
 
 	"github.com/sardinedock/sardinedock/fault"
@@ -43,8 +45,9 @@
 	return best
 }
 
-// placeOwn grants the request without an owner.
-func (f *Fleet) placeOwn(t *ticket, list []candidate) (Grant, error) {
+// placeOwn grants the request without an owner, at an endpoint that does not say that it
+// leaves.
+func (f *Fleet) placeOwn(ctx context.Context, t *ticket, list []candidate) (Grant, error) {
 	if t.alone {
 		// Nobody can tell what else runs on an endpoint, so a request that
 		// may crash it cannot be put where it hurts least.
@@ -54,13 +57,19 @@
 	for i := range list {
 		list[i].running = f.states.running(list[i].name)
 	}
-	i := chooseOwn(list, int(t.pool.record.GetSlots()), len(t.routes.view.Owners))
-	if i < 0 {
-		return Grant{}, overloaded(ownRetryAfter)
+	for len(list) > 0 {
+		i := chooseOwn(list, int(t.pool.record.GetSlots()), len(t.routes.view.Owners))
+		if i < 0 {
+			return Grant{}, overloaded(ownRetryAfter)
+		}
+		c := list[i]
+		if !f.looks.saysLeaving(ctx, c, f.cfg.Clock.Now()) {
+			fallbacks.Inc()
+			return f.granted(t, Grant{Endpoint: c.name, Address: c.address, Incarnation: f.states.incarnation(c.name)}), nil
+		}
+		list = slices.Delete(list, i, i+1)
 	}
-	fallbacks.Inc()
-	c := list[i]
-	return f.granted(t, Grant{Endpoint: c.name, Address: c.address, Incarnation: f.states.incarnation(c.name)}), nil
+	return Grant{}, errNoEndpoint(t.request.PoolName)
 }
 
 func overloaded(after time.Duration) error {
--- a/place/fleet.go
+++ b/place/fleet.go
@@ -69,6 +69,8 @@
 	Peers  Peers
 	// Duty owns the endpoints of this instance.
 	Duty *Duty
+	// AsksLeaving asks the endpoint at an address whether it leaves; nil asks none.
+	AsksLeaving func(ctx context.Context, address string) (leaving bool, err error)
 	// Kept has prefixes exported and imported.
 	Kept *kept.Keeper
 	// Publish shares a state with all instances, one version above the one
@@ -81,6 +83,7 @@
 	cfg     FleetConfig
 	routes  atomic.Pointer[routes]
 	states  *states
+	looks   *looks
 	guard   *guard
 	limits  *limits
 	reports *reporter
@@ -118,6 +121,7 @@
 	f := &Fleet{
 		cfg:    cfg,
 		states: newStates(),
+		looks:  newLooks(cfg.AsksLeaving),
 		inbox:  ring.New[[]exchange.Item]("place_inbox", shareRing),
 		outbox: ring.New[publication]("place_outbox", shareRing),
 		levels: prefix.NewLevels(prefix.DefaultLevelSets),
@@ -146,6 +150,7 @@
 func (f *Fleet) setRoutes(ctx context.Context, r *routes) {
 	f.routes.Store(r)
 	f.states.keep(r.owners)
+	f.looks.keep(r.owners)
 	f.limits.setMembers(f.cfg.Clock.Now(), r.view, r.records)
 	members := make([]string, 0, len(r.view.Members))
 	for _, m := range r.view.Members {
@@ -212,7 +217,7 @@
 		}
 		f.findKept(t)
 		if t.tries >= maxTries {
-			return f.placeOwn(t, list)
+			return f.placeOwn(ctx, t, list)
 		}
 		g, again, err := f.placeOnce(ctx, t, list)
 		if !again {
@@ -234,7 +239,7 @@
 	now := f.cfg.Clock.Now()
 	usable := func(i int) bool {
 		e := t.pool.endpoints[i]
-		return !e.GetLeaving() && f.states.usable(e.GetName(), now) && !slices.Contains(t.request.Exclude, e.GetName())
+		return !e.GetLeaving() && f.states.usable(e.GetName(), now) && !f.looks.saidLeaving(e.GetName(), now) && !slices.Contains(t.request.Exclude, e.GetName())
 	}
 	key := f.key(t)
 	var found [candidateCount]int
