--- a/soak/ledger_test.go
+++ b/soak/ledger_test.go
@@ -42,6 +42,8 @@
 	// answers that endpoints made, by signature.
 	answers  map[string]string
 	statuses map[string]int
+	// answered says that the caller got a whole answer, an endpoint's or the router's own.
+	answered bool
 	// refused is the status of a promise that it has not run and never will.
 	refused int
 	// leftAt is when the caller closed its connection.
@@ -133,11 +135,8 @@
 	to time.Time
 }
 
-// endedBy reports whether the work had ended by a moment, or its connection was closed
-// before it was looked up.
-func (w *work) endedBy(t time.Time) bool {
-	return w.pair == nil || !w.to.IsZero() && !w.to.After(t)
-}
+// endedBy reports whether the work had ended by a moment.
+func (w *work) endedBy(t time.Time) bool { return !w.to.IsZero() && !w.to.After(t) }
 
 // begins notes that an endpoint works on a request; ends has to follow.
 func (l *ledger) begins(c *call, w *work) {
@@ -184,6 +183,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.counts[fmt.Sprintf("status %d", status)]++
+	c.answered = true
 	switch {
 	case promisesNotRun(status):
 		c.refused = status
--- a/soak/link_test.go
+++ b/soak/link_test.go
@@ -15,6 +15,9 @@
 
 	mu    sync.Mutex
 	pairs map[*pair]bool
+	// seen are all connections there were, by the address that the target sees. An address
+	// that is used again names the newest.
+	seen map[string]*pair
 	// harm is what befalls bytes and new connections now.
 	harm harm
 }
@@ -52,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &link{ln: ln, target: target, pairs: map[*pair]bool{}}
+	l := &link{ln: ln, target: target, pairs: map[*pair]bool{}, seen: map[string]*pair{}}
 	go l.accept()
 	return l, nil
 }
@@ -102,17 +105,12 @@
 	_ = c.Close()
 }
 
-// pairTo returns the connection that the target sees as coming from an address; nil if
-// there is none.
-func (l *link) pairTo(address string) (p *pair) {
+// pairTo returns the connection that the target sees as coming from an address, also once it
+// has ended; nil if there was none.
+func (l *link) pairTo(address string) *pair {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for p := range l.pairs {
-		if p.target.LocalAddr().String() == address {
-			return p
-		}
-	}
-	return nil
+	return l.seen[address]
 }
 
 func (l *link) accept() {
@@ -136,6 +134,7 @@
 	p := &pair{caller: caller, target: target}
 	l.mu.Lock()
 	l.pairs[p] = true
+	l.seen[target.LocalAddr().String()] = p
 	l.mu.Unlock()
 	var wg sync.WaitGroup
 	wg.Go(func() { l.pump(p, caller, target, true) })
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -328,6 +328,10 @@
 			continue
 		}
 		s.ledger.count("left at work")
+		if w.pair == nil {
+			s.ledger.breach("GONE: %s worked on %s over a connection that its link has not seen", w.at.ID, c.id)
+			continue
+		}
 		if closed := w.pair.callerClosed(); closed.IsZero() || closed.After(bound) {
 			s.ledger.breach("GONE: %s left front-%d at %s; %s works on it from %s, the router closed at %s", c.id, c.instance,
 				stamp(c.leftAt), w.at.ID, stamp(w.from), stamp(closed))
