A starting fleet gives a leaving engine no work

What callers see: an engine has said 3.2 s ago that it leaves; all instances start again, and the first callers' requests go to it, up to 3.35 s after its word, when it may be taken away.

Cause: an instance follows the engines that it owns from some tenths of a second after its start, and as their owner grants their use meanwhile, by no word of theirs.

Mend: a grant tells whether its owner has heard the engine (its incarnation). Where it has not, the engine is asked whether it leaves, the grant is given back and the request placed anew. Once the owner has heard it, nothing is asked.

--- a/instance/leaving_test.go
+++ b/instance/leaving_test.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"io"
+	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -75,3 +77,39 @@
 	}
 	t.Fatalf("not within %v: %s", within, what)
 }
+
+// An engine has said seconds ago that it leaves, and the operator's record does not say so. All
+// instances are started again, and callers send at once. An owner follows its engines only some
+// tenths of a second later and takes them for usable until then: the engine that leaves gets
+// work of the first callers, long after its time.
+func TestLeavingEngineGetsNoWorkOfAStartingFleet(t *testing.T) {
+	t.Parallel()
+	// left is longer than a leaving engine may get new work.
+	const left = 3200 * time.Millisecond
+	e, all := crashRig(t, 1, 2)
+	engine := e.Engines[0]
+	all[0].Kill()
+	engine.SetLeaving(true)
+	time.Sleep(left)
+	started := startPeer(t, e.Store.Addr(), "entry-0")
+	const requests = 60
+	var wg sync.WaitGroup
+	for n := range requests {
+		wg.Go(func() {
+			resp, err := complete(t.Context(), started, strings.Repeat(fmt.Sprint("valve ", n, " "), 100), 1)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+			if resp.StatusCode != http.StatusOK {
+				t.Errorf("status %d, want to be served by the other engine", resp.StatusCode)
+			}
+		})
+	}
+	wg.Wait()
+	if late := engine.Stats().LastStartAfterLeaving; late > 0 {
+		t.Errorf("the engine got new work %v after it said that it leaves", late)
+	}
+}
--- a/place/ask.go
+++ b/place/ask.go
@@ -67,6 +67,13 @@
 		switch {
 		case reply.GetGranted() != nil:
 			o := reply.GetGranted()
+			if o.GetIncarnation() == 0 && f.looks.saysLeaving(ctx, c, f.cfg.Clock.Now()) {
+				// An owner that has just started, or taken the endpoint over, has not heard it
+				// yet and takes it for usable. After a common restart a leaving endpoint would
+				// get the work of the first callers, however long ago it said so.
+				f.reports.withdraw(t, instance, c.name)
+				return f.exclude(t, c.name)
+			}
 			t.learnLevels(reply.GetLevelEnds())
 			return f.granted(t, Grant{
 				ID: o.GetGrantId(), Owner: instance, Endpoint: c.name, Address: c.address,
--- a/place/look.go
+++ b/place/look.go
@@ -24,7 +24,8 @@
 //
 // Failure: an owner is killed, and nobody follows its endpoints until it counts as dead. One
 // that begins to leave meanwhile goes on to get work, for six seconds and more, from all who
-// decide without an owner by what they were told before. So these ask the endpoint first.
+// decide without an owner by what they were told before. So these ask the endpoint first; and
+// so do those whom an owner answers that has not heard of the endpoint yet.
 type looks struct {
 	// ask asks an endpoint whether it leaves; nil asks none.
 	ask func(ctx context.Context, address string) (leaving bool, err error)
