A question to an engine outlives the caller that asked it first

Found on reading the change: where that caller goes, its question ends without an answer, which counts as "stays" for a second, and the requests that wait for it go to an engine that leaves. The question is bounded by its 100 ms alone. The test fails without it.

--- a/place/look.go
+++ b/place/look.go
@@ -55,7 +55,8 @@
 	x, first := l.begin(c.name, now)
 	if first {
 		looksTotal.Inc()
-		bounded, cancel := context.WithTimeout(ctx, lookBound)
+		// Not ended with the caller that happens to ask first: the others wait for the answer.
+		bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), lookBound)
 		defer cancel()
 		leaving, err := l.ask(bounded, c.address)
 		x.leaving = leaving && err == nil
--- a/place/look_test.go
+++ b/place/look_test.go
@@ -25,6 +25,9 @@
 		}
 		l := newLooks(func(ctx context.Context, address string) (bool, error) {
 			asked.Add(1)
+			if ctx.Err() != nil {
+				return false, ctx.Err()
+			}
 			return answers[address](ctx)
 		})
 		for name := range answers {
@@ -46,6 +49,14 @@
 				t.Errorf("%s: not remembered as it said", name)
 			}
 		}
+		// The first caller has gone while it asked; the next one counts on the answer.
+		gone, leave := context.WithCancel(t.Context())
+		leave()
+		l.last = map[string]*look{}
+		_ = l.saysLeaving(gone, candidate{name: "leaves", address: "leaves"}, time.Now())
+		if !l.saysLeaving(t.Context(), candidate{name: "leaves", address: "leaves"}, time.Now()) {
+			t.Error("a caller that has gone made a leaving endpoint usable")
+		}
 		// An endpoint that was to leave and stays gets work again.
 		if l.saidLeaving("leaves", time.Now().Add(lookEvery)) {
 			t.Error("what an endpoint said holds for good")
