Names that tell asking from knowing: askLeaving, knownLeaving

saysLeaving and saidLeaving differed in a tense alone, though one of them sends a question to the endpoint and blocks. No behaviour changes.

--- a/instance/fleet.go
+++ b/instance/fleet.go
@@ -149,7 +149,7 @@
 	p.placer = place.NewFleet(place.FleetConfig{
 		Caller: &fleetpb.Caller{Fleet: i.settings.GetFleet(), Instance: self.Name, Incarnation: self.Incarnation},
 		Clock:  clock.System{}, Peers: p.client, Duty: p.duty, Kept: p.kept,
-		AsksLeaving: func(ctx context.Context, address string) (bool, error) {
+		AskLeaving: func(ctx context.Context, address string) (bool, error) {
 			s, err := i.clients.Engine(address).State(ctx)
 			return s.Leaving, err
 		},
--- a/place/ask.go
+++ b/place/ask.go
@@ -67,7 +67,7 @@
 		switch {
 		case reply.GetGranted() != nil:
 			o := reply.GetGranted()
-			if o.GetIncarnation() == 0 && f.looks.saysLeaving(ctx, c, f.cfg.Clock.Now()) {
+			if o.GetIncarnation() == 0 && f.looks.askLeaving(ctx, c, f.cfg.Clock.Now()) {
 				// An owner that has just started, or taken the endpoint over, has not heard it
 				// yet and takes it for usable. After a common restart a leaving endpoint would
 				// get the work of the first callers, however long ago it said so.
--- a/place/fallback.go
+++ b/place/fallback.go
@@ -63,7 +63,7 @@
 			return Grant{}, overloaded(ownRetryAfter)
 		}
 		c := list[i]
-		if !f.looks.saysLeaving(ctx, c, f.cfg.Clock.Now()) {
+		if !f.looks.askLeaving(ctx, c, f.cfg.Clock.Now()) {
 			fallbacks.Inc()
 			return f.granted(t, Grant{Endpoint: c.name, Address: c.address, Incarnation: f.states.incarnation(c.name)}), nil
 		}
--- a/place/fleet.go
+++ b/place/fleet.go
@@ -69,8 +69,8 @@
 	Peers  Peers
 	// Duty owns the endpoints of this instance.
 	Duty *Duty
-	// AsksLeaving asks the endpoint at an address whether it leaves; nil asks none.
-	AsksLeaving func(ctx context.Context, address string) (leaving bool, err error)
+	// AskLeaving asks the endpoint at an address whether it leaves; nil asks none.
+	AskLeaving func(ctx context.Context, address string) (leaving bool, err error)
 	// Kept has prefixes exported and imported.
 	Kept *kept.Keeper
 	// Publish shares a state with all instances, one version above the one
@@ -121,7 +121,7 @@
 	f := &Fleet{
 		cfg:    cfg,
 		states: newStates(),
-		looks:  newLooks(cfg.AsksLeaving),
+		looks:  newLooks(cfg.AskLeaving),
 		inbox:  ring.New[[]exchange.Item]("place_inbox", shareRing),
 		outbox: ring.New[publication]("place_outbox", shareRing),
 		levels: prefix.NewLevels(prefix.DefaultLevelSets),
@@ -239,7 +239,7 @@
 	now := f.cfg.Clock.Now()
 	usable := func(i int) bool {
 		e := t.pool.endpoints[i]
-		return !e.GetLeaving() && f.states.usable(e.GetName(), now) && !f.looks.saidLeaving(e.GetName(), now) && !slices.Contains(t.request.Exclude, e.GetName())
+		return !e.GetLeaving() && f.states.usable(e.GetName(), now) && !f.looks.knownLeaving(e.GetName(), now) && !slices.Contains(t.request.Exclude, e.GetName())
 	}
 	key := f.key(t)
 	var found [candidateCount]int
--- a/place/look.go
+++ b/place/look.go
@@ -45,10 +45,10 @@
 	return &looks{ask: ask, last: map[string]*look{}}
 }
 
-// saysLeaving reports whether the endpoint says that it leaves. Requests that come together
-// ask once. An endpoint that does not answer says nothing: a starting fleet has to serve, and
-// a pause is no leaving.
-func (l *looks) saysLeaving(ctx context.Context, c candidate, now time.Time) bool {
+// askLeaving asks the endpoint whether it leaves. Requests that come together ask once. An
+// endpoint that does not answer says nothing: a starting fleet has to serve, and a pause is no
+// leaving.
+func (l *looks) askLeaving(ctx context.Context, c candidate, now time.Time) bool {
 	if l.ask == nil {
 		return false
 	}
@@ -82,8 +82,8 @@
 	return x, true
 }
 
-// saidLeaving reports whether the endpoint has lately said that it leaves, without asking it.
-func (l *looks) saidLeaving(endpoint string, now time.Time) bool {
+// knownLeaving reports whether the endpoint, when it was asked lately, said that it leaves.
+func (l *looks) knownLeaving(endpoint string, now time.Time) bool {
 	l.mu.Lock()
 	x := l.last[endpoint]
 	l.mu.Unlock()
--- a/place/look_test.go
+++ b/place/look_test.go
@@ -36,7 +36,7 @@
 			var wg sync.WaitGroup
 			for range requests {
 				wg.Go(func() {
-					if got, want := l.saysLeaving(t.Context(), candidate{name: name, address: name}, began), name == "leaves"; got != want {
+					if got, want := l.askLeaving(t.Context(), candidate{name: name, address: name}, began), name == "leaves"; got != want {
 						t.Errorf("%s: leaving %v, want %v", name, got, want)
 					}
 				})
@@ -45,7 +45,7 @@
 			if took := time.Since(began); took > lookBound || asked.Load() != 1 {
 				t.Errorf("%s: %d questions and %v for %d requests, want 1 within %v", name, asked.Load(), took, requests, lookBound)
 			}
-			if l.saidLeaving(name, began) != (name == "leaves") {
+			if l.knownLeaving(name, began) != (name == "leaves") {
 				t.Errorf("%s: not remembered as it said", name)
 			}
 		}
@@ -53,12 +53,12 @@
 		gone, leave := context.WithCancel(t.Context())
 		leave()
 		l.last = map[string]*look{}
-		_ = l.saysLeaving(gone, candidate{name: "leaves", address: "leaves"}, time.Now())
-		if !l.saysLeaving(t.Context(), candidate{name: "leaves", address: "leaves"}, time.Now()) {
+		_ = l.askLeaving(gone, candidate{name: "leaves", address: "leaves"}, time.Now())
+		if !l.askLeaving(t.Context(), candidate{name: "leaves", address: "leaves"}, time.Now()) {
 			t.Error("a caller that has gone made a leaving endpoint usable")
 		}
 		// An endpoint that was to leave and stays gets work again.
-		if l.saidLeaving("leaves", time.Now().Add(lookEvery)) {
+		if l.knownLeaving("leaves", time.Now().Add(lookEvery)) {
 			t.Error("what an endpoint said holds for good")
 		}
 	})
