--- a/gateway/request.go
+++ b/gateway/request.go
@@ -84,7 +84,7 @@
 	h := &r.ctx.Request.Header
 	// Before anything is refused: on-call has only the id that a caller tells, and each
 	// refusal's line has to bear it.
-	call, unreadable := r.srv.cfg.Dialect.ParseCall(h)
+	call, parseErr := r.srv.cfg.Dialect.ParseCall(h)
 	r.call = call
 	r.conn.request = call.ID
 	if r.srv.ending.Load() {
@@ -96,8 +96,8 @@
 	if limit := r.table.Limits().HeaderBytes; limit > 0 && len(h.RawHeaders()) > limit {
 		return errLongHead
 	}
-	if unreadable != nil {
-		return unreadable
+	if parseErr != nil {
+		return parseErr
 	}
 	path, _, _ := bytes.Cut(h.RequestURI(), []byte("?"))
 	r.route = r.table.Match(string(h.Host()), string(path))
