Tests: one way to open a request, one way to ask once

Found on reading the change once more: two tests of the end of the grace set up the same open request line by line, and two of leaving engines sent and read a request alike. Assertions and bounds are as they were.

--- a/hosted/drain_test.go
+++ b/hosted/drain_test.go
@@ -167,22 +167,29 @@
 	}
 }
 
-// The time to end is over and an answer is still under way. Its caller gets the word that
-// nothing is known of its request, in place of a connection that breaks; and on-call finds
-// a line with the request's id, its endpoint and why it ended so.
-func TestCutRequestsAreAnsweredAndLogged(t *testing.T) {
-	lines := logtest.Record(t)
-	f := newFixture(t, 1)
+// openRequest sends a request that its endpoint, e1, does not answer before the test ends. It
+// returns once the endpoint has it; the answer comes over the channel.
+func (f *fixture) openRequest() <-chan answer {
+	f.t.Helper()
 	release := make(chan struct{})
-	t.Cleanup(func() { close(release) })
-	var reached atomic.Int64
-	f.endpoint("e1", "orders", func(*platformtest.Exchange) bool { reached.Add(1); <-release; return false })
+	f.t.Cleanup(func() { close(release) })
+	e := f.endpoint("e1", "orders", func(*platformtest.Exchange) bool { <-release; return false })
 	f.serve(1, func(r map[string]any) { r["routes"].([]any)[1].(map[string]any)["timeoutMs"] = 20000 })
 	req := f.request("POST", "/confirm/1", "x")
 	req.Header.Set("Sardinedock-Deadline-Ms", "20000")
 	answers := make(chan answer, 1)
 	go func() { answers <- f.do(req) }()
-	f.eventually("the request at the endpoint", func() bool { return reached.Load() == 1 })
+	f.eventually("the request at the endpoint", func() bool { return e.Served() == 1 })
+	return answers
+}
+
+// The time to end is over and an answer is still under way. Its caller gets the word that
+// nothing is known of its request, in place of a connection that breaks; and on-call finds
+// a line with the request's id, its endpoint and why it ended so.
+func TestCutRequestsAreAnsweredAndLogged(t *testing.T) {
+	lines := logtest.Record(t)
+	f := newFixture(t, 1)
+	answers := f.openRequest()
 	f.instances[0].Shutdown()
 	select {
 	case a := <-answers:
@@ -214,15 +221,7 @@
 		return lines.HandleLog(e)
 	}))
 	f := newFixture(t, 1)
-	release := make(chan struct{})
-	t.Cleanup(func() { close(release) })
-	e := f.endpoint("e1", "orders", func(*platformtest.Exchange) bool { <-release; return false })
-	f.serve(1, func(r map[string]any) { r["routes"].([]any)[1].(map[string]any)["timeoutMs"] = 20000 })
-	req := f.request("POST", "/confirm/1", "x")
-	req.Header.Set("Sardinedock-Deadline-Ms", "20000")
-	answers := make(chan answer, 1)
-	go func() { answers <- f.do(req) }()
-	f.eventually("the request at the endpoint", func() bool { return e.Served() == 1 })
+	answers := f.openRequest()
 	f.instances[0].Shutdown()
 	told := lines.Any("request", func(l log.Fields) bool { return l["request"] == "id-1" })
 	if !told {
--- a/instance/leaving_test.go
+++ b/instance/leaving_test.go
@@ -36,17 +36,7 @@
 	})
 	at := slices.IndexFunc(all, owns)
 	survivors := slices.Delete(slices.Clone(all), at, at+1)
-	ask := func(n int) {
-		// Prompts that begin alike would all go to one engine.
-		prompt := strings.Repeat(fmt.Sprint("valve ", n, " "), 100)
-		resp, err := complete(t.Context(), survivors[n%len(survivors)], prompt, 1)
-		if err != nil {
-			t.Error(err)
-			return
-		}
-		_, _ = io.Copy(io.Discard, resp.Body)
-		_ = resp.Body.Close()
-	}
+	ask := func(n int) { askOnce(t, survivors[n%len(survivors)], n) }
 	const warmUp = 40
 	for n := range warmUp {
 		ask(n)
@@ -96,15 +86,8 @@
 	var wg sync.WaitGroup
 	for n := range requests {
 		wg.Go(func() {
-			resp, err := complete(t.Context(), started, strings.Repeat(fmt.Sprint("valve ", n, " "), 100), 1)
-			if err != nil {
-				t.Error(err)
-				return
-			}
-			_, _ = io.Copy(io.Discard, resp.Body)
-			_ = resp.Body.Close()
-			if resp.StatusCode != http.StatusOK {
-				t.Errorf("status %d, want to be served by the other engine", resp.StatusCode)
+			if status := askOnce(t, started, n); status != http.StatusOK {
+				t.Errorf("status %d, want to be served by the other engine", status)
 			}
 		})
 	}
@@ -113,3 +96,17 @@
 		t.Errorf("the engine got new work %v after it said that it leaves", late)
 	}
 }
+
+// askOnce sends the n-th request and returns the status of its answer; 0 where none came.
+func askOnce(t *testing.T, i *Instance, n int) (status int) {
+	// Prompts that begin alike would all go to one engine.
+	prompt := strings.Repeat(fmt.Sprint("valve ", n, " "), 100)
+	resp, err := complete(t.Context(), i, prompt, 1)
+	if err != nil {
+		t.Error(err)
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
