directory: log lines tell how a change came, and why a removal is held back

Change: each change carries its source (watch, peer, read), which stands with the revision in the lines about endpoints. Removals that are held back share a line that names the revision, the source, and what is believed of the store; a counter and the dump count them. "store reached" tells for how long the store was lost.

--- a/directory/follower.go
+++ b/directory/follower.go
@@ -63,7 +63,7 @@
 	// Changed is told of the objects that have changed, in order, by one goroutine at
 	// a time; the first call comes with the first list, also if that is empty. It must
 	// not block.
-	Changed func(changes []objectapi.Object)
+	Changed func(changes []Change)
 	// Seen is told of each newer revision that this instance's own reads and watch
 	// bring, but for those that Heard is told of; nil tells nobody.
 	//
@@ -103,12 +103,14 @@
 	notBefore time.Time
 	objects   map[string]objectapi.Object
 	// changes have not been handed on yet.
-	changes []objectapi.Object
+	changes []Change
 	// removed remembers at which revision an object went, so that an older read
 	// does not bring it back.
 	removed map[string]objectapi.Version
-	// lapsed entries are missing in the store but kept for now.
+	// lapsed entries are missing in the store but kept for now; held are those of them
+	// that no line has told of yet.
 	lapsed    map[string]bool
+	held      held
 	backAt    time.Time
 	reachable bool
 	// lostAt is when the store was reached and then was not, outage how long the
@@ -347,7 +349,7 @@
 		f.outage = f.backAt.Sub(f.lostAt)
 	}
 	f.tellReached(true)
-	log.WithField("kind", f.cfg.Kind).Info("store reached")
+	log.WithField("kind", f.cfg.Kind).WithField("lost_ms", f.outage.Milliseconds()).Info("store reached")
 }
 
 // Reachable reports whether the last call was answered.
@@ -374,11 +376,11 @@
 	present := make(map[string]bool, len(l.Objects))
 	for _, obj := range l.Objects {
 		present[obj.Name] = true
-		changed = f.merge(obj) || changed
+		changed = f.merge(obj, FromRead) || changed
 	}
 	for name, obj := range f.objects {
 		if !present[name] && obj.Version <= l.Version {
-			changed = f.remove(name, l.Version) || changed
+			changed = f.remove(name, l.Version, FromRead) || changed
 		}
 	}
 	f.advance(l.Version)
@@ -392,7 +394,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	before := f.lastChange
-	f.apply(obj)
+	f.apply(obj, FromWatch)
 	f.advance(obj.Version)
 	if f.cfg.Heard == nil {
 		f.seen()
@@ -409,18 +411,18 @@
 }
 
 // apply takes in one change; the mutex is held.
-func (f *Follower) apply(obj objectapi.Object) {
+func (f *Follower) apply(obj objectapi.Object, by Source) {
 	changed := false
 	if obj.Deleted {
-		changed = f.remove(obj.Name, obj.Version)
+		changed = f.remove(obj.Name, obj.Version, by)
 	} else {
-		changed = f.merge(obj)
+		changed = f.merge(obj, by)
 	}
 	f.lastChange = max(f.lastChange, obj.Version)
 	f.tell(changed)
 }
 
-func (f *Follower) merge(obj objectapi.Object) bool {
+func (f *Follower) merge(obj objectapi.Object, by Source) bool {
 	if obj.Version <= f.removed[obj.Name] {
 		return false
 	}
@@ -429,30 +431,30 @@
 		return false
 	}
 	f.objects[obj.Name] = obj
-	f.changes = append(f.changes, obj)
+	f.changes = append(f.changes, Change{obj, by})
 	return true
 }
 
 // remove drops an entry, unless it seems to have lapsed while its owner could
 // not renew it.
-func (f *Follower) remove(name string, at objectapi.Version) bool {
+func (f *Follower) remove(name string, at objectapi.Version, by Source) bool {
 	if _, ok := f.objects[name]; !ok {
 		return false
 	}
 	if f.mayHaveLapsed() {
 		if !f.lapsed[name] {
 			f.lapsed[name] = true
-			log.WithField("kind", f.cfg.Kind).WithField("name", name).Info("entry lapsed around an outage; kept for a moment")
+			f.held.note(name, at, by)
 		}
 		return false
 	}
-	f.drop(name, at)
+	f.drop(name, at, by)
 	return true
 }
 
-func (f *Follower) drop(name string, at objectapi.Version) {
+func (f *Follower) drop(name string, at objectapi.Version, by Source) {
 	if _, ok := f.objects[name]; ok {
-		f.changes = append(f.changes, objectapi.Object{Kind: f.cfg.Kind, Name: name, Version: at, Deleted: true})
+		f.changes = append(f.changes, Change{objectapi.Object{Kind: f.cfg.Kind, Name: name, Version: at, Deleted: true}, by})
 	}
 	delete(f.objects, name)
 	delete(f.lapsed, name)
--- a/directory/follower_test.go
+++ b/directory/follower_test.go
@@ -141,7 +141,7 @@
 	f := NewFollower(Config{
 		Store: s, Kind: "endpoints", LapseAfter: 2400 * time.Millisecond,
 		CheckEvery: func() time.Duration { return check },
-		Changed: func(changes []objectapi.Object) {
+		Changed: func(changes []Change) {
 			mu.Lock()
 			defer mu.Unlock()
 			for _, obj := range changes {
@@ -373,7 +373,7 @@
 // Endpoints come and go for months. What a router remembers of those that went must
 // not grow with them, or it runs out of memory one day.
 func TestMemoryOfRemovedObjectsIsBounded(t *testing.T) {
-	f := NewFollower(Config{Kind: "endpoints", Changed: func([]objectapi.Object) {}})
+	f := NewFollower(Config{Kind: "endpoints", Changed: func([]Change) {}})
 	f.takeList(objectapi.Listing{Version: 1})
 	for i := range 4 * maxRemoved {
 		name := strconv.Itoa(i)
@@ -401,7 +401,7 @@
 		f := NewFollower(Config{
 			Store: s, Kind: "endpoints", CheckEvery: func() time.Duration { return time.Minute },
 			Watches: func() bool { return false },
-			Changed: func([]objectapi.Object) {},
+			Changed: func([]Change) {},
 			Seen: func(_ string, revision uint64) {
 				mu.Lock()
 				defer mu.Unlock()
--- a/directory/hints.go
+++ b/directory/hints.go
@@ -63,10 +63,10 @@
 	switch {
 	case !f.listed:
 	case obj.Deleted && steady:
-		f.drop(obj.Name, obj.Version)
+		f.drop(obj.Name, obj.Version, FromPeer)
 		f.tell(len(f.changes) > 0)
 	default:
-		f.apply(obj)
+		f.apply(obj, FromPeer)
 	}
 	f.mu.Unlock()
 	if missed {
--- a/hosted/dump.go
+++ b/hosted/dump.go
@@ -34,6 +34,8 @@
 	Kind      string `json:"kind"`
 	Revision  uint64 `json:"revision"`
 	Reachable bool   `json:"reachable"`
+	// Held is how many removed entries are still used, since they may have lapsed.
+	Held int `json:"removals_held"`
 }
 
 func (i *Instance) writeDump(ctx *fasthttp.RequestCtx) {
@@ -46,7 +48,7 @@
 		d.Records = t.Version()
 	}
 	for kind, f := range i.followers {
-		d.Follows = append(d.Follows, followed{kind, f.Revision(), f.Reachable()})
+		d.Follows = append(d.Follows, followed{kind, f.Revision(), f.Reachable(), f.Held()})
 	}
 	ctx.SetContentType("application/json")
 	if err := json.NewEncoder(ctx).Encode(d); err != nil {
--- a/hosted/endpoints.go
+++ b/hosted/endpoints.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log"
 
 	"github.com/sardinedock/sardinedock/balance"
+	"github.com/sardinedock/sardinedock/directory"
 	"github.com/sardinedock/sardinedock/objectapi"
 	"github.com/sardinedock/sardinedock/platform"
 )
@@ -29,6 +30,8 @@
 	// any.
 	before, now balance.Endpoint
 	had, has    bool
+	// cause is the changed entry.
+	cause directory.Change
 }
 
 // change takes in one changed entry.
@@ -75,10 +78,11 @@
 }
 
 // takeEndpoints takes in changed entries of endpoints.
-func (i *Instance) takeEndpoints(changes []objectapi.Object) {
-	for _, obj := range changes {
-		u := i.entries.change(obj)
+func (i *Instance) takeEndpoints(changes []directory.Change) {
+	for _, c := range changes {
+		u := i.entries.change(c.Object)
 		i.takeEndpoint(u)
+		u.cause = c
 		i.changeLog.note(time.Now(), u)
 	}
 	i.endpoints.Store(true)
@@ -163,16 +167,21 @@
 	return unchanged
 }
 
+// log writes the line of a change. The revision and its source tell, from the logs of all
+// instances, when and how each of them has learned of it.
 func (u update) log() {
+	about := func(e balance.Endpoint) *log.Entry {
+		return aboutEndpoint(e).WithField("revision", uint64(u.cause.Version)).WithField("source", u.cause.Source)
+	}
 	switch u.kind() {
 	case added:
-		aboutEndpoint(u.now).Info("endpoint listed")
+		about(u.now).Info("endpoint listed")
 	case gone:
-		aboutEndpoint(u.before).Info("endpoint gone from the list")
+		about(u.before).Info("endpoint gone from the list")
 	case draining:
-		aboutEndpoint(u.now).Info("endpoint drains")
+		about(u.now).Info("endpoint drains")
 	case restarted:
-		aboutEndpoint(u.now).WithField("before", u.before.ID).Info("endpoint has started again")
+		about(u.now).WithField("before", u.before.ID).Info("endpoint has started again")
 	}
 }
 
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -23,7 +23,6 @@
 	"github.com/sardinedock/sardinedock/gossip"
 	"github.com/sardinedock/sardinedock/internal/sockstate"
 	"github.com/sardinedock/sardinedock/lease"
-	"github.com/sardinedock/sardinedock/objectapi"
 	"github.com/sardinedock/sardinedock/platform"
 	"github.com/sardinedock/sardinedock/policy"
 	"github.com/sardinedock/sardinedock/quota"
@@ -219,7 +218,7 @@
 }
 
 // follow sets up the follower of a kind; run starts it.
-func (i *Instance) follow(kind string, changed func([]objectapi.Object)) {
+func (i *Instance) follow(kind string, changed func([]directory.Change)) {
 	cfg := directory.Config{
 		Store: i.store, Kind: kind, Changed: changed, Seen: i.node.BroadcastRevision,
 		CheckEvery: func() time.Duration { return i.turn(kind) }, Read: i.node.BroadcastRead,
--- a/hosted/members.go
+++ b/hosted/members.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 
 	"github.com/sardinedock/sardinedock/clock"
+	"github.com/sardinedock/sardinedock/directory"
 	"github.com/sardinedock/sardinedock/fault"
 	"github.com/sardinedock/sardinedock/gossip"
 	"github.com/sardinedock/sardinedock/objectapi"
@@ -130,10 +131,10 @@
 
 // takeInstances replaces the peers that messages are sent to. An instance whose own entry
 // was removed, since it was out of reach for long, registers again.
-func (i *Instance) takeInstances(changes []objectapi.Object) {
-	for _, obj := range changes {
-		i.peers.take(obj, decodePeer)
-		if obj.Deleted && obj.Name == i.settings.GetInstance() && !i.leaving.Load() {
+func (i *Instance) takeInstances(changes []directory.Change) {
+	for _, c := range changes {
+		i.peers.take(c.Object, decodePeer)
+		if c.Deleted && c.Name == i.settings.GetInstance() && !i.leaving.Load() {
 			select {
 			case i.unlisted <- struct{}{}:
 			default:
--- a/hosted/updates.go
+++ b/hosted/updates.go
@@ -6,6 +6,7 @@
 	"github.com/apex/log"
 
 	"github.com/sardinedock/sardinedock/balance"
+	"github.com/sardinedock/sardinedock/directory"
 	"github.com/sardinedock/sardinedock/objectapi"
 	"github.com/sardinedock/sardinedock/platform"
 	"github.com/sardinedock/sardinedock/prefix"
@@ -15,10 +16,10 @@
 
 // takeRecords puts newer records in force. Records that can't be used leave the
 // ones before in force.
-func (i *Instance) takeRecords(changes []objectapi.Object) {
-	for _, obj := range changes {
-		if obj.Name == platform.RecordsName && !obj.Deleted {
-			i.putInForce(obj)
+func (i *Instance) takeRecords(changes []directory.Change) {
+	for _, c := range changes {
+		if c.Name == platform.RecordsName && !c.Deleted {
+			i.putInForce(c.Object)
 		}
 	}
 }
@@ -54,12 +55,12 @@
 }
 
 // takeWeights passes to the rollout which versions operators want.
-func (i *Instance) takeWeights(changes []objectapi.Object) {
-	for _, obj := range changes {
-		if obj.Deleted {
+func (i *Instance) takeWeights(changes []directory.Change) {
+	for _, c := range changes {
+		if c.Deleted {
 			continue
 		}
-		w, err := platform.Weights(obj)
+		w, err := platform.Weights(c.Object)
 		if err != nil {
 			log.WithError(err).Error("weights not understood")
 			continue
