--- a/directory/follower_test.go
+++ b/directory/follower_test.go
@@ -22,6 +22,8 @@
 	events  []objectapi.Object
 	down    bool
 	deaf    bool
+	// hangs says that an outage keeps waiting watches waiting; else it breaks them.
+	hangs   bool
 	noWatch bool
 	changed chan struct{}
 	reads   int
@@ -107,7 +109,7 @@
 func (w *fakeWatch) Next() (objectapi.Object, error) {
 	for {
 		w.s.mu.Lock()
-		changed, down, deaf := w.s.changed, w.s.down, w.s.deaf
+		changed, down, deaf, hangs := w.s.changed, w.s.down, w.s.deaf, w.s.hangs
 		for _, e := range w.s.events {
 			if e.Version > w.from && !down && !deaf {
 				w.from = e.Version
@@ -116,7 +118,7 @@
 			}
 		}
 		w.s.mu.Unlock()
-		if down {
+		if down && !hangs {
 			return objectapi.Object{}, errDown
 		}
 		select {
@@ -273,6 +275,30 @@
 	})
 }
 
+// Guards against a removal being held back as a lapse for as long as no list has been answered
+// since an outage, though the watch brings changes again.
+func TestRemovalIsTakenWhereTheWatchHasOutlivedAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore("a", "b")
+		s.hangs = true
+		has := follow(t, s, time.Second)
+		time.Sleep(time.Second)
+		s.setDown(true)
+		// The list that fails last does so right before the store returns.
+		time.Sleep(8500 * time.Millisecond)
+		s.remove("a")
+		s.setDown(false)
+		time.Sleep(500 * time.Millisecond)
+		s.put("a")
+		time.Sleep(2700 * time.Millisecond)
+		s.remove("a")
+		time.Sleep(100 * time.Millisecond)
+		if has("a") || !has("b") {
+			t.Errorf("removed entry believed %v, the other one %v", has("a"), has("b"))
+		}
+	})
+}
+
 // One call of the store fails, and a moment later an endpoint leaves without a word.
 // Taken for lapsed, it would get requests for two seconds more, while it ends.
 func TestFailedCallIsNoOutage(t *testing.T) {
