directory: any answer of the store ends an outage, not only an answered list (known red, mended)

Cause: an entry that disappears around an outage of the store is kept, since its owner may not have been able to renew it. The outage ended for an instance only when a list of the kind was answered. After a failed list the next one waits six turns; the watch had outlived the outage and brought changes for 3.3 s, peers and other kinds were answered too, and all eight instances still held the removal back as a lapse. The same for one failed call long ago, at an instance whose peers read in its place.

Change: an outage is a time in which the store has answered nobody: this instance's lists and watches, and what peers report of theirs, end it. Answers reported late do not undo a later failure. That is a type of its own, without clock and I/O (outages). A watch's answer also counts as the store being reached, for the roles of schedulers.

--- a/directory/follower.go
+++ b/directory/follower.go
@@ -24,10 +24,6 @@
 	// changes once it is back.
 	firstRetry = 50 * time.Millisecond
 	lastRetry  = 600 * time.Millisecond
-	// lapsedGrace is how long after the store answers again an entry that is
-	// missing may have lapsed in the outage: endpoints that live have renewed
-	// theirs by then, and what is still missing has gone.
-	lapsedGrace = 2 * time.Second
 	// shortWatch is a watch that ended at once, such as one that the store
 	// refuses while it answers reads; the next one then waits for a pause.
 	shortWatch = 200 * time.Millisecond
@@ -109,14 +105,13 @@
 	removed map[string]objectapi.Version
 	// lapsed entries are missing in the store but kept for now; held are those of them
 	// that no line has told of yet.
-	lapsed    map[string]bool
-	held      held
-	backAt    time.Time
+	lapsed  map[string]bool
+	held    held
+	outages outages
+	// reachable says that this instance's last call was answered, lostAt since when none
+	// was.
 	reachable bool
-	// lostAt is when the store was reached and then was not, outage how long the
-	// last such time was.
-	lostAt time.Time
-	outage time.Duration
+	lostAt    time.Time
 }
 
 // NewFollower returns a follower that Run starts.
@@ -254,6 +249,11 @@
 func (f *Follower) Checked(at time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.checked(at)
+}
+
+func (f *Follower) checked(at time.Time) {
+	f.outages.answered(at, f.cfg.LapseAfter)
 	if at.After(f.readAt) {
 		f.readAt = at
 	}
@@ -267,7 +267,7 @@
 		f.failed(err)
 		return false
 	}
-	f.reached()
+	f.answered(FromRead)
 	f.Checked(began)
 	if f.cfg.Read != nil {
 		f.cfg.Read(f.cfg.Kind)
@@ -322,6 +322,7 @@
 	readFails.Inc()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.outages.failed(time.Now())
 	if !f.reachable {
 		return
 	}
@@ -337,19 +338,27 @@
 	}
 }
 
-func (f *Follower) reached() {
+// answered notes that the store has answered a call of this instance.
+func (f *Follower) answered(by Source) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.reached(by)
+}
+
+// reached is answered; the mutex is held.
+func (f *Follower) reached(by Source) {
+	now := time.Now()
+	f.outages.answered(now, f.cfg.LapseAfter)
 	if f.reachable {
 		return
 	}
 	f.reachable = true
-	f.backAt = time.Now()
+	f.tellReached(true)
+	line := log.WithField("kind", f.cfg.Kind).WithField("source", by)
 	if !f.lostAt.IsZero() {
-		f.outage = f.backAt.Sub(f.lostAt)
+		line = line.WithField("lost_ms", now.Sub(f.lostAt).Milliseconds())
 	}
-	f.tellReached(true)
-	log.WithField("kind", f.cfg.Kind).WithField("lost_ms", f.outage.Milliseconds()).Info("store reached")
+	line.Info("store reached")
 }
 
 // Reachable reports whether the last call was answered.
@@ -393,6 +402,7 @@
 func (f *Follower) takeEvent(obj objectapi.Object) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.reached(FromWatch)
 	before := f.lastChange
 	f.apply(obj, FromWatch)
 	f.advance(obj.Version)
--- a/directory/follower_test.go
+++ b/directory/follower_test.go
@@ -137,10 +137,16 @@
 }
 
 func followHinted(t *testing.T, s *fakeStore, check time.Duration) (func(name string) bool, *Follower) {
+	t.Helper()
+	return followWith(t, s, check, func(*Config) {})
+}
+
+// followWith is followHinted with other settings.
+func followWith(t *testing.T, s *fakeStore, check time.Duration, change func(*Config)) (func(name string) bool, *Follower) {
 	t.Helper()
 	var mu sync.Mutex
 	now := map[string]bool{}
-	f := NewFollower(Config{
+	cfg := Config{
 		Store: s, Kind: "endpoints", LapseAfter: 2400 * time.Millisecond,
 		CheckEvery: func() time.Duration { return check },
 		Changed: func(changes []Change) {
@@ -150,7 +156,9 @@
 				now[obj.Name] = !obj.Deleted
 			}
 		},
-	})
+	}
+	change(&cfg)
+	f := NewFollower(cfg)
 	ctx, cancel := context.WithCancel(t.Context())
 	var done sync.WaitGroup
 	done.Go(func() { f.Run(ctx) })
@@ -299,6 +307,30 @@
 	})
 }
 
+// Guards against an instance whose only failed call was long ago, and whose peers read in its
+// place, holding the next removal back as a lapse.
+func TestRemovalIsTakenWherePeersWereAnsweredAllTheWhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore("a", "b")
+		has, f := followWith(t, s, 1500*time.Millisecond, func(cfg *Config) { cfg.Watches = func() bool { return false } })
+		time.Sleep(time.Second)
+		s.setDown(true)
+		f.Hint(3)
+		time.Sleep(300 * time.Millisecond)
+		s.setDown(false)
+		for range 20 {
+			f.Checked(time.Now())
+			time.Sleep(500 * time.Millisecond)
+		}
+		s.remove("a")
+		f.Hint(4)
+		time.Sleep(500 * time.Millisecond)
+		if has("a") || !has("b") {
+			t.Errorf("removed entry believed %v, the other one %v", has("a"), has("b"))
+		}
+	})
+}
+
 // One call of the store fails, and a moment later an endpoint leaves without a word.
 // Taken for lapsed, it would get requests for two seconds more, while it ends.
 func TestFailedCallIsNoOutage(t *testing.T) {
--- a/directory/hints.go
+++ b/directory/hints.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"time"
 
 	"github.com/sardinedock/sardinedock/clock"
 	"github.com/sardinedock/sardinedock/objectapi"
@@ -58,6 +59,7 @@
 // lapse, whatever outage there was here.
 func (f *Follower) Take(obj objectapi.Object, before uint64, steady bool) {
 	f.mu.Lock()
+	f.outages.answered(time.Now(), f.cfg.LapseAfter)
 	missed := objectapi.Version(before) > max(f.revision, f.lastChange)
 	f.missed = f.missed || missed
 	switch {
--- a/directory/lapsed.go
+++ b/directory/lapsed.go
@@ -41,7 +41,7 @@
 	}
 	log.WithFields(log.Fields{
 		"kind": f.cfg.Kind, "entries": f.held.names, "count": f.held.count, "revision": uint64(f.held.revision), "source": f.held.source,
-		"store_reached": f.reachable, "store_lost_ms_ago": time.Since(f.lostAt).Milliseconds(), "outage_ms": f.outage.Milliseconds(),
+		"outage_ms": f.outages.length.Milliseconds(), "ended_ms_ago": time.Since(f.outages.endedAt).Milliseconds(),
 	}).Info("removals held back: entries may have lapsed in an outage of the store")
 	f.held = held{}
 }
@@ -53,17 +53,9 @@
 	return len(f.lapsed)
 }
 
-// mayHaveLapsed reports whether an entry that is missing now may be one whose
-// owner lives and could not renew it. A call or two that failed are no outage: an
-// entry that goes then has been removed, and its owner is about to end.
+// mayHaveLapsed reports whether a removal may be a lapse; the mutex is held.
 func (f *Follower) mayHaveLapsed() bool {
-	switch {
-	case f.cfg.LapseAfter == 0 || f.lostAt.IsZero():
-		return false
-	case !f.reachable:
-		return time.Since(f.lostAt) >= f.cfg.LapseAfter
-	}
-	return f.outage >= f.cfg.LapseAfter && time.Since(f.backAt) < lapsedGrace
+	return f.cfg.LapseAfter > 0 && f.outages.mayHaveLapsed(time.Now(), f.cfg.LapseAfter)
 }
 
 // sweep drops lapsed entries that nobody has renewed in time.
