--- a/directory/follower.go
+++ b/directory/follower.go
@@ -47,9 +47,12 @@
 	Store objectapi.Store
 	// Kind of the objects.
 	Kind string
-	// CheckEvery is how long after the last read by any instance this one reads the
-	// kind, besides the watch, which may be deaf without breaking.
-	CheckEvery func() time.Duration
+	// Every is the time between two reads of the kind by the whole fleet, besides the
+	// watches, which may be deaf without breaking.
+	Every time.Duration
+	// Place is this instance's place among those that read the kind in turn; nil means the
+	// first. The next one reads only where those before it fail to.
+	Place func() int
 	// Read is told of each read, so that others need not read too; nil tells nobody.
 	Read func(kind string)
 	// LapseAfter is the shortest outage of the store in which entries can lapse
@@ -234,7 +237,15 @@
 		// The first read is Run's own; a second one beside it would bring the same.
 		return 2 * checkLook
 	}
-	return max(f.cfg.CheckEvery()-time.Since(at), time.Until(notBefore), 0)
+	return max(f.turn()-time.Since(at), time.Until(notBefore), 0)
+}
+
+// turn is how long after the last read by any instance this one reads the kind.
+func (f *Follower) turn() time.Duration {
+	if f.cfg.Place == nil {
+		return f.cfg.Every
+	}
+	return f.cfg.Every + time.Duration(f.cfg.Place())*turnStagger
 }
 
 // putOff has the next turn wait after one that failed: with the store away, each
@@ -242,7 +253,7 @@
 func (f *Follower) putOff() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.notBefore = time.Now().Add(failedTurns * f.cfg.CheckEvery())
+	f.notBefore = time.Now().Add(failedTurns * f.turn())
 }
 
 // Checked says when another instance has read the kind; its revisions are told apart.
--- a/directory/follower_test.go
+++ b/directory/follower_test.go
@@ -148,7 +148,7 @@
 	now := map[string]bool{}
 	cfg := Config{
 		Store: s, Kind: "endpoints", LapseAfter: 2400 * time.Millisecond,
-		CheckEvery: func() time.Duration { return check },
+		Every: check,
 		Changed: func(changes []Change) {
 			mu.Lock()
 			defer mu.Unlock()
@@ -457,7 +457,7 @@
 		var mu sync.Mutex
 		var told []uint64
 		f := NewFollower(Config{
-			Store: s, Kind: "endpoints", CheckEvery: func() time.Duration { return time.Minute },
+			Store: s, Kind: "endpoints", Every: time.Minute,
 			Watches: func() bool { return false },
 			Changed: func([]Change) {},
 			Seen: func(_ string, revision uint64) {
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -42,9 +42,6 @@
 	checkEvery = 500 * time.Millisecond
 	// slowCheck is the same for endpoints and weights, whose bounds are wider.
 	slowCheck = time.Second
-	// turnStagger is how much later the next instance in order reads a kind: the word
-	// of a read reaches the others within 10 ms, and some more where they are busy.
-	turnStagger = 60 * time.Millisecond
 	// watchers is how many schedulers watch the endpoints for all. With three, two
 	// may be killed or cut off at once, and changes are still heard.
 	watchers = 3
@@ -221,7 +218,7 @@
 func (i *Instance) follow(kind string, changed func([]directory.Change)) {
 	cfg := directory.Config{
 		Store: i.store, Kind: kind, Changed: changed, Seen: i.node.BroadcastRevision,
-		CheckEvery: func() time.Duration { return i.turn(kind) }, Read: i.node.BroadcastRead,
+		Every: readEvery(kind), Place: func() int { return i.standing().Place(kind) }, Read: i.node.BroadcastRead,
 	}
 	switch kind {
 	case platform.KindRecords:
@@ -241,23 +238,15 @@
 	i.followers[kind] = directory.NewFollower(cfg)
 }
 
-// turn is how long after the last read of a kind by any instance this one reads it.
-// The first in an order by hash reads it; the next ones wait a little longer, and so
-// read only where those before them fail to.
-//
-// Load: all watches go deaf at once, such as when what stands between the fleet and
-// the store has forgotten its connections. Harm prevented: with a timer of its own at
-// each instance, the turns of a fleet that has started together fall together, and a
-// change stays unseen for as many seconds as there are instances.
-func (i *Instance) turn(kind string) time.Duration {
-	every := slowCheck
+// readEvery is the time between two reads of a kind by the whole fleet.
+func readEvery(kind string) time.Duration {
 	switch kind {
 	case platform.KindRecords:
-		every = checkEvery
+		return checkEvery
 	case kindInstances:
-		every = instancesEvery
+		return instancesEvery
 	}
-	return every + time.Duration(i.turnOf(kind))*turnStagger
+	return slowCheck
 }
 
 func (i *Instance) sweep(ctx context.Context) {
--- a/hosted/members.go
+++ b/hosted/members.go
@@ -13,7 +13,6 @@
 	"github.com/sardinedock/sardinedock/fault"
 	"github.com/sardinedock/sardinedock/gossip"
 	"github.com/sardinedock/sardinedock/objectapi"
-	"github.com/sardinedock/sardinedock/rendezvous"
 )
 
 const (
@@ -183,27 +182,14 @@
 // isAmongFirst reports whether this instance is among the first n schedulers that reach
 // the store.
 func (i *Instance) isAmongFirst(what string, n int) bool {
-	return i.node.IsScheduler() && i.rank(what) < n
+	s := i.standing()
+	return s.Scheduler && s.Rank(what) < n
 }
 
-// rank is how many of the schedulers that reach the store come before this instance, in
-// an order by hash that all instances agree on.
-func (i *Instance) rank(what string) int {
-	return rendezvous.Rank(what, i.settings.GetInstance(), i.node.SchedulersWithStore())
-}
-
-// aloneTurns spreads the reads of instances that nobody reads for over a second.
-const aloneTurns = 16
-
-// turnOf is this instance's place among those that read a kind in turn: schedulers that
-// reach the store first, then all others. One that hears of no scheduler that does reads
-// by itself.
-func (i *Instance) turnOf(kind string) int {
-	if i.node.IsScheduler() {
-		return i.rank(kind)
-	}
-	if len(i.node.SchedulersWithStore()) == 0 {
-		return i.node.Position() % aloneTurns
+// standing is what this instance knows of those that read and watch the store for all.
+func (i *Instance) standing() directory.Standing {
+	return directory.Standing{
+		Self: i.settings.GetInstance(), Scheduler: i.node.IsScheduler(),
+		Schedulers: i.node.Schedulers(), Reaching: i.node.SchedulersWithStore(), Position: i.node.Position(),
 	}
-	return len(i.node.Schedulers()) + i.node.Position()
 }
