directory: the fleet looks for the store's return in turn

What callers would see: an endpoint that leaves three seconds after an outage of the store is used for 2.1 s (bound 2 s) where the watches outlive the outage with nothing to bring, and for over 6 s where they went silent. Found by adding up the ways by which an instance learns of a removal, in a model of the fleet in virtual time.

Cause: after a failed read an instance leaves six turns out. All of a fleet fail in the same second, so that nobody reads for six seconds; the first sign of the store's return is then the removal itself, which is taken for a lapse. While nobody reaches the store, every scheduler ranked itself first, so that all of them read and watch.

Change: after failed calls the first six instances in order call in turn, one each second; further ones a fifth as often. When any instance is answered, the others look again at once, one after the other. An instance that has lost the store ranks after those that reach it, and by the order of all while nobody does.

--- a/directory/follower.go
+++ b/directory/follower.go
@@ -34,8 +34,6 @@
 	// checkLook is how often it is looked whether the kind has to be read: who is
 	// there, and so whose turn it is, changes meanwhile.
 	checkLook = 100 * time.Millisecond
-	// failedTurns is how many turns are left out after a read that failed.
-	failedTurns = 6
 	// maxRemoved bounds what is remembered of removed objects.
 	maxRemoved = 4096
 	// sweepEvery is how often lapsed entries are looked at.
@@ -97,10 +95,8 @@
 	lastChange objectapi.Version
 	listed     bool
 	// readAt is when any instance has read the kind last, as far as known here.
-	readAt time.Time
-	// notBefore puts the next turn off after one that failed.
-	notBefore time.Time
-	objects   map[string]objectapi.Object
+	readAt  time.Time
+	objects map[string]objectapi.Object
 	// changes have not been handed on yet.
 	changes []Change
 	// removed remembers at which revision an object went, so that an older read
@@ -115,6 +111,10 @@
 	// was.
 	reachable bool
 	lostAt    time.Time
+	// failures is how many calls have failed since one was answered or the store came
+	// back, lastTry when the last one did.
+	failures int
+	lastTry  time.Time
 }
 
 // NewFollower returns a follower that Run starts.
@@ -222,7 +222,6 @@
 			pause = firstRetry
 			continue
 		}
-		f.putOff()
 		_ = clock.Sleep(ctx, pause)
 		pause = min(2*pause, lastRetry)
 	}
@@ -230,30 +229,25 @@
 
 // untilCheck is how long it is until the kind has to be read.
 func (f *Follower) untilCheck() time.Duration {
+	place := f.place()
 	f.mu.Lock()
-	at, notBefore, listed := f.readAt, f.notBefore, f.listed
-	f.mu.Unlock()
-	if !listed {
+	defer f.mu.Unlock()
+	switch {
+	case !f.listed:
 		// The first read is Run's own; a second one beside it would bring the same.
 		return 2 * checkLook
+	case f.reachable:
+		return max(f.cfg.Every+time.Duration(place)*turnStagger-time.Since(f.readAt), 0)
 	}
-	return max(f.turn()-time.Since(at), time.Until(notBefore), 0)
+	return max(probePause(place, f.failures, f.cfg.Every)-time.Since(f.lastTry), 0)
 }
 
-// turn is how long after the last read by any instance this one reads the kind.
-func (f *Follower) turn() time.Duration {
+// place is this instance's place among those that read the kind.
+func (f *Follower) place() int {
 	if f.cfg.Place == nil {
-		return f.cfg.Every
+		return 0
 	}
-	return f.cfg.Every + time.Duration(f.cfg.Place())*turnStagger
-}
-
-// putOff has the next turn wait after one that failed: with the store away, each
-// instance's turn comes, and each call is paid for. Watches are tried all the while.
-func (f *Follower) putOff() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.notBefore = time.Now().Add(failedTurns * f.turn())
+	return f.cfg.Place()
 }
 
 // Checked says when another instance has read the kind; its revisions are told apart.
@@ -264,7 +258,7 @@
 }
 
 func (f *Follower) checked(at time.Time) {
-	f.outages.answered(at, f.cfg.LapseAfter)
+	f.storeAnswered(at)
 	if at.After(f.readAt) {
 		f.readAt = at
 	}
@@ -333,12 +327,14 @@
 	readFails.Inc()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.outages.failed(time.Now())
+	f.lastTry = time.Now()
+	f.failures++
+	f.outages.failed(f.lastTry)
 	if !f.reachable {
 		return
 	}
 	f.reachable = false
-	f.lostAt = time.Now()
+	f.lostAt = f.lastTry
 	log.WithField("kind", f.cfg.Kind).WithField("why", err.Error()).Warn("store lost")
 	f.tellReached(false)
 }
@@ -359,7 +355,8 @@
 // reached is answered; the mutex is held.
 func (f *Follower) reached(by Source) {
 	now := time.Now()
-	f.outages.answered(now, f.cfg.LapseAfter)
+	f.storeAnswered(now)
+	f.failures = 0
 	if f.reachable {
 		return
 	}
@@ -372,6 +369,15 @@
 	line.Info("store reached")
 }
 
+// storeAnswered notes that the store has answered this instance or a peer; the mutex is
+// held.
+func (f *Follower) storeAnswered(at time.Time) {
+	if f.outages.answered(at, f.cfg.LapseAfter) {
+		// What this instance could not do in the outage, it may be able to do now.
+		f.failures, f.lastTry = 0, time.Now()
+	}
+}
+
 // Reachable reports whether the last call was answered.
 func (f *Follower) Reachable() bool {
 	f.mu.Lock()
--- a/directory/follower_test.go
+++ b/directory/follower_test.go
@@ -28,6 +28,8 @@
 	changed chan struct{}
 	reads   int
 	watches int
+	// silenced is how many of the watches so far bring nothing any more.
+	silenced int
 }
 
 func newFakeStore(names ...string) *fakeStore {
@@ -94,14 +96,20 @@
 		return nil, errDown
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	return &fakeWatch{s, ctx, cancel, from}, nil
+	return &fakeWatch{s, ctx, cancel, from, s.watches}, nil
 }
 
+// silence has the open watches bring nothing any more, as connections do that something
+// on the way has forgotten.
+func (s *fakeStore) silence() { s.change(func() { s.silenced = s.watches }) }
+
 type fakeWatch struct {
 	s      *fakeStore
 	ctx    context.Context
 	cancel context.CancelFunc
 	from   objectapi.Version
+	// number counts the store's watches from 1.
+	number int
 }
 
 func (w *fakeWatch) Close() { w.cancel() }
@@ -109,7 +117,7 @@
 func (w *fakeWatch) Next() (objectapi.Object, error) {
 	for {
 		w.s.mu.Lock()
-		changed, down, deaf, hangs := w.s.changed, w.s.down, w.s.deaf, w.s.hangs
+		changed, down, deaf, hangs := w.s.changed, w.s.down, w.s.deaf || w.number <= w.s.silenced, w.s.hangs
 		for _, e := range w.s.events {
 			if e.Version > w.from && !down && !deaf {
 				w.from = e.Version
--- a/directory/hints.go
+++ b/directory/hints.go
@@ -59,7 +59,7 @@
 // lapse, whatever outage there was here.
 func (f *Follower) Take(obj objectapi.Object, before uint64, steady bool) {
 	f.mu.Lock()
-	f.outages.answered(time.Now(), f.cfg.LapseAfter)
+	f.storeAnswered(time.Now())
 	missed := objectapi.Version(before) > max(f.revision, f.lastChange)
 	f.missed = f.missed || missed
 	switch {
--- a/directory/outage.go
+++ b/directory/outage.go
@@ -25,15 +25,18 @@
 func (o *outages) failed(at time.Time) { o.failedAt = at }
 
 // answered notes that the store has answered somebody; lapseAfter is the shortest outage
-// in which entries lapse. Answers may be reported late and in any order.
-func (o *outages) answered(at time.Time, lapseAfter time.Duration) {
+// in which entries lapse. Answers may be reported late and in any order. It reports whether
+// an outage ends with this one.
+func (o *outages) answered(at time.Time, lapseAfter time.Duration) (ended bool) {
 	if !at.After(o.answeredAt) {
-		return
+		return false
 	}
 	if length := o.silence(at); length > 0 && length >= lapseAfter {
 		o.length, o.endedAt = length, at
+		ended = true
 	}
 	o.answeredAt = at
+	return ended
 }
 
 // silence is for how long the store has answered nobody; 0 where no call has failed.
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -275,6 +275,13 @@
 	n.out.Push(item{now: true})
 }
 
+// ReachesStore reports what ReportStore has said last.
+func (n *Node) ReachesStore() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.storeLost
+}
+
 // BroadcastLeaving says that this instance ends.
 func (n *Node) BroadcastLeaving() {
 	n.mu.Lock()
--- a/hosted/members.go
+++ b/hosted/members.go
@@ -190,6 +190,6 @@
 func (i *Instance) standing() directory.Standing {
 	return directory.Standing{
 		Self: i.settings.GetInstance(), Scheduler: i.node.IsScheduler(),
-		Schedulers: i.node.Schedulers(), Reaching: i.node.SchedulersWithStore(), Position: i.node.Position(),
+		Schedulers: i.node.Schedulers(), Reaching: i.node.SchedulersWithStore(), Reaches: i.node.ReachesStore(), Position: i.node.Position(),
 	}
 }
