--- a/directory/fleet_test.go
+++ b/directory/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"sync"
 	"testing"
@@ -21,6 +22,8 @@
 	modelEvery = time.Second
 )
 
+var fleetSize = flag.Int("fleet", 0, "size of the model's fleet; 0 means 8 and 65")
+
 // fleetModel is a fleet of followers over one store, in virtual time.
 type fleetModel struct {
 	store   *fakeStore
@@ -228,6 +231,10 @@
 // case of each way by which a fleet learns of it.
 func TestRemovalReachesTheWholeFleetInTime(t *testing.T) {
 	const bound = 1800 * time.Millisecond
+	sizes := []int{8, 65}
+	if *fleetSize > 0 {
+		sizes = []int{*fleetSize}
+	}
 	for _, sc := range []struct {
 		name string
 		// play ends right before the removal, when each instance has reached the store for three
@@ -243,7 +250,7 @@
 			f.cut()
 		}},
 	} {
-		for _, size := range []int{8, 65} {
+		for _, size := range sizes {
 			t.Run(fmt.Sprintf("%s, %d instances", sc.name, size), func(t *testing.T) {
 				took, reads := latestRemoval(t, size, sc.play)
 				t.Logf("known to all after %v; %d reads", took, reads)
