ratelimit: the rates that endpoints name are read, and every change has a line

Answers that cross do not lift a limit or bring one back: a statement replaces another where its request was sent after the other's answer; where the order can't be told, the stricter holds. A change is sent to all instances at once, and again each second; a scheduler that starts is sent all. A value that is no number of requests (negative, infinite, not a number, empty) leaves what was in force and has one line. In the dump, the log, two counters.

--- a/balance/state.go
+++ b/balance/state.go
@@ -341,6 +341,13 @@
 	}
 }
 
+// Exists reports whether an endpoint is listed, or was until a moment ago.
+func (s *State) Exists(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.endpoints[id] != nil || s.departed[id] != nil
+}
+
 // View is one endpoint in the state dump.
 type View struct {
 	Endpoint
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/sardinedock/sardinedock/balance"
 	"github.com/sardinedock/sardinedock/endpoint"
 	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/ratelimit"
 	"github.com/sardinedock/sardinedock/schema/gossippb"
 )
 
@@ -19,9 +20,11 @@
 	req   *request
 	run   balance.RunID
 	place balance.Placement
-	in    *endpoint.Incoming
-	head  Answer
-	ended bool
+	// sentAt is when it was sent.
+	sentAt time.Time
+	in     *endpoint.Incoming
+	head   Answer
+	ended  bool
 	// unsent says that no connection could be made, so that nothing arrived.
 	unsent bool
 	// life ends with the request's, or where the endpoint is given up.
@@ -65,6 +68,7 @@
 	r.last = p
 	r.sends++
 	now := time.Now()
+	a.sentAt = now
 	if r.sentAt.IsZero() {
 		r.sentAt = now
 	}
@@ -80,6 +84,7 @@
 	a.in = in
 	r.srv.silence.heard(p.Endpoint.ID, time.Now())
 	a.learn()
+	a.learnRate()
 	return a, 0, nil
 }
 
@@ -238,6 +243,18 @@
 	}
 }
 
+// learnRate takes in what the answer's head says of the rate that the endpoint takes. A head
+// that is not the endpoint's own says nothing of it.
+func (a *attempt) learnRate() {
+	rates := a.req.srv.cfg.Rates
+	if rates == nil || a.head.Mismatch || !a.head.Signed && !a.head.NotRun {
+		return
+	}
+	rates.Said(ratelimit.Statement{
+		Endpoint: a.place.Endpoint.ID, Rate: a.head.Rate, SentAt: a.sentAt, AnsweredAt: time.Now(),
+	}, a.head.RateError)
+}
+
 // usable reports whether the answer is the endpoint's own word on a request that
 // it ran. Without its signature it may be anything that came over the
 // connection, and a caller would take it for the whole answer.
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -6,6 +6,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/sardinedock/sardinedock/prefix"
+	"github.com/sardinedock/sardinedock/ratelimit"
 )
 
 // Call is what a caller's request says of itself.
@@ -75,6 +76,10 @@
 	Events bool
 	// Encoded bodies are not what the caller asked for.
 	Encoded bool
+	// Rate is what the endpoint takes from all instances together. RateError says that
+	// it names something that can't be read.
+	Rate      ratelimit.Rate
+	RateError error
 }
 
 // Dialect translates between the router and the headers that callers and
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -17,6 +17,7 @@
 	"github.com/sardinedock/sardinedock/endpoint"
 	"github.com/sardinedock/sardinedock/fault"
 	"github.com/sardinedock/sardinedock/policy"
+	"github.com/sardinedock/sardinedock/ratelimit"
 	"github.com/sardinedock/sardinedock/route"
 	"github.com/sardinedock/sardinedock/schema/gossippb"
 )
@@ -49,6 +50,14 @@
 	TakesAgainIn(now time.Time) time.Duration
 }
 
+// Rates takes in what endpoints say of the rate of requests that they take. It must not
+// block.
+type Rates interface {
+	// Said takes in what one answer says; unreadable is set where that is no rate, and
+	// nothing is known of it then.
+	Said(s ratelimit.Statement, unreadable error)
+}
+
 // Config is what a Server needs.
 type Config struct {
 	// DataCentre of this instance.
@@ -60,8 +69,10 @@
 	Guard       *CrashGuard
 	Broadcaster Broadcaster
 	Placer      Placer
-	Peers       Peers
-	Dialect     Dialect
+	// Rates takes in what endpoints say of the rate that they take; nil ignores it.
+	Rates   Rates
+	Peers   Peers
+	Dialect Dialect
 	// Relay returns the connections to an endpoint's address.
 	Relay func(address string) *endpoint.Relay
 	// Started is when the process began; see warmBound.
--- a/hosted/caches.go
+++ b/hosted/caches.go
@@ -71,4 +71,7 @@
 }
 
 // SchedulerStarted implements gossip.Handler.
-func (h receiver) SchedulerStarted(string) { h.feed.TellWhole() }
+func (h receiver) SchedulerStarted(string) {
+	h.feed.TellWhole()
+	h.rates.sendAll()
+}
--- a/hosted/dump.go
+++ b/hosted/dump.go
@@ -26,7 +26,9 @@
 	Weights   map[string]int64 `json:"weights_wanted"`
 	Follows   []followed       `json:"follows"`
 	Quotas    []quota.View     `json:"quotas"`
-	Endpoints []balance.View   `json:"endpoints"`
+	// Rates are the limits that endpoints name.
+	Rates     []rateView     `json:"endpoint_rates"`
+	Endpoints []balance.View `json:"endpoints"`
 }
 
 // followed is one kind of object that is followed.
@@ -42,7 +44,7 @@
 	now := time.Now()
 	d := dump{
 		Instance: i.settings.GetInstance(), Ready: i.Ready(), Leaving: i.leaving.Load(), Open: i.server.Open(),
-		Scheduler: i.node.IsScheduler(), Others: i.node.Schedulers(), Live: i.node.Live(), Lease: i.lease.Dump(), Weights: i.rollout.Wanted(), Quotas: i.quotas.Views(now), Endpoints: i.state.Endpoints("", now),
+		Scheduler: i.node.IsScheduler(), Others: i.node.Schedulers(), Live: i.node.Live(), Lease: i.lease.Dump(), Weights: i.rollout.Wanted(), Quotas: i.quotas.Views(now), Rates: i.rates.views(now), Endpoints: i.state.Endpoints("", now),
 	}
 	if t := i.table.Load(); t != nil {
 		d.Records = t.Version()
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -66,6 +66,7 @@
 	table       atomic.Pointer[route.Table]
 	budget      *policy.FleetRetries
 	quotas      *quota.Book
+	rates       *rates
 	guard       *gateway.CrashGuard
 	relays      *relays
 	store       *platform.Store
@@ -112,11 +113,12 @@
 	if err := i.bind(); err != nil {
 		return nil, err
 	}
+	i.rates = newRates(i.node.BroadcastNotice)
 	i.placer = newPlacer(i)
 	callers, readyAt, metricsAt := i.listeners[0], i.listeners[1], i.listeners[2]
 	i.server = gateway.NewServer(gateway.Config{
 		DataCentre: s.GetDataCentre(), Table: i.table.Load, State: i.state, Budget: i.budget, Guard: i.guard,
-		Broadcaster: i.node, Placer: i.placer, Peers: i, Dialect: platform.Dialect{}, Relay: i.relays.to,
+		Broadcaster: i.node, Placer: i.placer, Rates: i.rates, Peers: i, Dialect: platform.Dialect{}, Relay: i.relays.to,
 		Started: time.Now(), HeaderBytes: headerBytes, BodyBytes: bodyBytes,
 	})
 	i.run()
@@ -254,6 +256,7 @@
 		now := time.Now()
 		i.state.Sweep(now)
 		i.quotas.Sweep(now)
+		i.rates.sweep(now, i.state.Exists)
 		i.changeLog.flush(now)
 		i.budget.SetInstances(i.node.Live())
 	}
--- /dev/null
+++ b/hosted/rates.go
@@ -0,0 +1,156 @@
+package hosted
+
+import (
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+
+	"github.com/sardinedock/sardinedock/ratelimit"
+	"github.com/sardinedock/sardinedock/schema/gossippb"
+)
+
+const (
+	// rateRepeat is the time between two notices of a limit that has not changed: notices
+	// may be lost, and instances that start know of none.
+	rateRepeat = time.Second
+	// noticeDelay is the longest that a notice is on its way as a rule. What it says may be
+	// older by as much than it seems.
+	noticeDelay = 100 * time.Millisecond
+	// maxUnreadable bounds the endpoints whose unreadable limit is remembered.
+	maxUnreadable = 1024
+)
+
+var (
+	rateChanges    = metrics.GetOrCreateCounter("sardinedock_ratelimit_changes_total")
+	rateUnreadable = metrics.GetOrCreateCounter("sardinedock_ratelimit_unreadable_total")
+)
+
+// rates takes in what endpoints say of the rate that they take, from this instance's own
+// answers and from peers' notices. Any goroutine may use it.
+type rates struct {
+	registry *ratelimit.Registry
+	notify   func(*gossippb.Notice)
+
+	mu sync.Mutex
+	// notified is when a notice of an endpoint's limit was last sent or received.
+	notified map[string]time.Time
+	// unreadable is the text of the last error that was logged, by endpoint.
+	unreadable map[string]string
+}
+
+func newRates(notify func(*gossippb.Notice)) *rates {
+	return &rates{registry: ratelimit.NewRegistry(), notify: notify, notified: map[string]time.Time{}, unreadable: map[string]string{}}
+}
+
+// Said implements gateway.Rates.
+func (r *rates) Said(s ratelimit.Statement, unreadable error) {
+	if unreadable != nil {
+		r.logUnreadable(s.Endpoint, unreadable)
+		return
+	}
+	c := r.take(s, "own answer")
+	if c.Changed || c.Now.Limited && r.noticeDue(s) {
+		r.notify(rateNotice(s))
+	}
+}
+
+// noticed takes in a peer's notice.
+func (r *rates) noticed(from string, n *gossippb.Notice) {
+	now, m := time.Now(), n.GetRate()
+	r.noteNotice(n.GetEndpoint(), now)
+	r.take(ratelimit.Statement{
+		Endpoint: n.GetEndpoint(), Rate: ratelimit.Rate{Limited: m.GetLimited(), PerSecond: m.GetPerSecond()},
+		SentAt:     now.Add(-noticeDelay - milliseconds(m.GetSentMsAgo())),
+		AnsweredAt: now.Add(-milliseconds(m.GetAnsweredMsAgo())),
+	}, from)
+}
+
+// take puts a statement in force, with a line where that changes anything.
+func (r *rates) take(s ratelimit.Statement, source string) ratelimit.Change {
+	c := r.registry.Take(s)
+	if c.Changed {
+		rateChanges.Inc()
+		log.WithFields(log.Fields{
+			"endpoint": s.Endpoint, "limit": c.Now.String(), "before": c.Before.String(), "source": source,
+			"age_ms": time.Since(s.AnsweredAt).Milliseconds(),
+		}).Info("endpoint's rate limit")
+	}
+	return c
+}
+
+// noticeDue reports whether a limit has to be sent to the others again, and notes that it
+// is.
+func (r *rates) noticeDue(s ratelimit.Statement) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s.AnsweredAt.Sub(r.notified[s.Endpoint]) < rateRepeat {
+		return false
+	}
+	r.notified[s.Endpoint] = s.AnsweredAt
+	return true
+}
+
+func (r *rates) noteNotice(endpointID string, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.notified[endpointID] = now
+}
+
+// sendAll sends all limits in force, for a scheduler that has just begun.
+func (r *rates) sendAll() {
+	for _, s := range r.registry.InForce() {
+		r.notify(rateNotice(s))
+	}
+}
+
+// logUnreadable writes a line for each new text of an endpoint that is no rate; what was in
+// force stays.
+func (r *rates) logUnreadable(endpointID string, err error) {
+	rateUnreadable.Inc()
+	r.mu.Lock()
+	known := r.unreadable[endpointID] == err.Error()
+	if len(r.unreadable) >= maxUnreadable {
+		clear(r.unreadable)
+	}
+	r.unreadable[endpointID] = err.Error()
+	r.mu.Unlock()
+	if !known {
+		log.WithError(err).WithField("endpoint", endpointID).Warn("endpoint's rate limit not understood; what was in force stays")
+	}
+}
+
+// sweep drops what is known of endpoints that are gone.
+func (r *rates) sweep(now time.Time, exists func(string) bool) {
+	r.registry.Sweep(now, exists)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, at := range r.notified {
+		if now.Sub(at) > time.Minute {
+			delete(r.notified, id)
+		}
+	}
+}
+
+func rateNotice(s ratelimit.Statement) *gossippb.Notice {
+	return &gossippb.Notice{Endpoint: s.Endpoint, Rate: &gossippb.RateStatement{
+		Limited: s.Rate.Limited, PerSecond: s.Rate.PerSecond,
+		SentMsAgo: time.Since(s.SentAt).Milliseconds(), AnsweredMsAgo: time.Since(s.AnsweredAt).Milliseconds(),
+	}}
+}
+
+// rateView is one endpoint's limit in the state dump.
+type rateView struct {
+	Endpoint string         `json:"endpoint"`
+	Rate     ratelimit.Rate `json:"rate"`
+	AgeMs    int64          `json:"age_ms"`
+}
+
+func (r *rates) views(now time.Time) []rateView {
+	list := []rateView{}
+	for _, s := range r.registry.InForce() {
+		list = append(list, rateView{s.Endpoint, s.Rate, now.Sub(s.AnsweredAt).Milliseconds()})
+	}
+	return list
+}
--- a/hosted/updates.go
+++ b/hosted/updates.go
@@ -136,7 +136,7 @@
 }
 
 // Notice implements gossip.Handler.
-func (h receiver) Notice(_ string, n *gossippb.Notice) {
+func (h receiver) Notice(from string, n *gossippb.Notice) {
 	now := time.Now()
 	if n.GetAvoidMs() > 0 {
 		h.state.Doubt(n.GetEndpoint(), now.Add(time.Duration(n.GetAvoidMs())*time.Millisecond))
@@ -153,6 +153,9 @@
 	if n.GetLeaving() {
 		h.state.Gone(n.GetEndpoint())
 	}
+	if n.GetRate() != nil {
+		h.rates.noticed(from, n)
+	}
 	if len(n.GetCrashed()) == 16 {
 		h.guard.Crashed(now, [16]byte(n.GetCrashed()), n.GetEndpoint())
 	}
