--- a/hosted/rates_test.go
+++ b/hosted/rates_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -88,3 +89,64 @@
 		t.Errorf("%d lines about the limit that can't be read, want 1", warnings)
 	}
 }
+
+// arrivals keeps when requests came to an endpoint.
+type arrivals struct {
+	mu sync.Mutex
+	at []time.Time
+}
+
+func (a *arrivals) note() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.at = append(a.at, time.Now())
+}
+
+// most returns the most that came in a window, of those that came later than from.
+func (a *arrivals) most(from time.Time, window time.Duration) (most int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for i, first := range a.at {
+		if first.Before(from) {
+			continue
+		}
+		n := 0
+		for _, t := range a.at[i:] {
+			if t.Sub(first) < window {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// Guards against an endpoint in need that gets more requests than it says it takes, summed
+// over all instances, while others could serve them.
+func TestLimitedEndpointGetsNoMoreThanItTakes(t *testing.T) {
+	f := newFixture(t, 3)
+	var got arrivals
+	f.endpoint("e1", "orders", func(x *platformtest.Exchange) bool {
+		got.note()
+		x.AnswerLimited(200, "ok", "1.3")
+		return true
+	})
+	f.endpoint("e2", "orders", ok)
+	f.serve(2, nil)
+	const (
+		window  = 4 * time.Second
+		known   = 500 * time.Millisecond
+		allowed = 1.5*1.3*4 + 5
+	)
+	began := time.Now()
+	served := 0
+	for n := 0; time.Since(began) < window+3*known; n++ {
+		if a := f.sendFrom(n % len(f.instances)); a.status == 200 {
+			served++
+		}
+		time.Sleep(15 * time.Millisecond)
+	}
+	if n := got.most(began.Add(known), window); float64(n) > allowed {
+		t.Errorf("%d requests in 4 s of %d served, at most %.1f are allowed", n, served, allowed)
+	}
+}
