quota: an account in place of an organisation; five ways compared for an endpoint's rate

No change of behaviour. A quota's account may be an organisation or, next, an endpoint that names a rate. The model plays requests that count one each, with the tolerance of an endpoint's rate: half as much again and five in 4 s.

So one mechanism serves both: buckets by reach, as for organisations.

--- a/gateway/place.go
+++ b/gateway/place.go
@@ -155,7 +155,7 @@
 	}}
 	if r.organisation != nil {
 		q.Charge = quota.Charge{
-			Organisation: r.organisation.Name, Tokens: r.call.PromptTokens + r.call.OutputTokens, Sized: r.call.Sized,
+			Account: r.organisation.Name, Tokens: r.call.PromptTokens + r.call.OutputTokens, Sized: r.call.Sized,
 		}
 	}
 	if r.service.Engine == nil {
--- a/hosted/placing.go
+++ b/hosted/placing.go
@@ -77,7 +77,7 @@
 			return q.Run, v
 		}
 	}
-	if tries > 0 && q.Charge.Organisation != "" && q.Elapsed < quotaPatience {
+	if tries > 0 && q.Charge.Account != "" && q.Elapsed < quotaPatience {
 		return 0, balance.Decision{Admission: balance.Wait}
 	}
 	return p.here(q)
@@ -98,7 +98,7 @@
 // reports it to the other schedulers.
 func (p *placer) decide(q balance.Query) balance.Decision {
 	now := time.Now()
-	if q.Charge.Organisation != "" && p.quotas.Decides() != p.node.IsScheduler() {
+	if q.Charge.Account != "" && p.quotas.Decides() != p.node.IsScheduler() {
 		p.quotas.SetReach(now, p.reach())
 	}
 	if d := p.quotas.Ask(now, q.Charge, q.Again); d.Outcome != quota.Pass {
@@ -192,7 +192,7 @@
 		Run: uint64(q.Run), Service: q.Service, Model: q.Model, Wall: q.Wall, PromptTokens: q.PromptTokens, OutputTokens: q.OutputTokens,
 		Rank: int32(q.Rank), DataCentre: q.DataCentre, Exclude: q.Exclude,
 		TargetUs: q.Target.Microseconds(), PatienceUs: q.Patience.Microseconds(), ElapsedUs: q.Elapsed.Microseconds(),
-		Organisation: q.Charge.Organisation, Cost: q.Charge.Cost, Again: q.Again,
+		Organisation: q.Charge.Account, Cost: q.Charge.Cost, Again: q.Again,
 	}
 	for _, part := range q.Parts {
 		m.Parts = append(m.Parts, part.ID)
@@ -204,7 +204,7 @@
 func queryOf(m *gossippb.Ask) balance.Query {
 	q := balance.Query{
 		Run: balance.RunID(m.GetRun()), Target: micros(m.GetTargetUs()), Patience: micros(m.GetPatienceUs()), Elapsed: micros(m.GetElapsedUs()),
-		Charge: quota.Charge{Organisation: m.GetOrganisation(), Cost: m.GetCost()},
+		Charge: quota.Charge{Account: m.GetOrganisation(), Cost: m.GetCost()},
 		Ask: balance.Ask{
 			Service: m.GetService(), Model: m.GetModel(), Wall: m.GetWall(), PromptTokens: m.GetPromptTokens(), OutputTokens: m.GetOutputTokens(),
 			Rank: int(m.GetRank()), DataCentre: m.GetDataCentre(), Exclude: m.GetExclude(), Again: m.GetAgain(),
--- a/hosted/quotas.go
+++ b/hosted/quotas.go
@@ -84,7 +84,7 @@
 	schedulers := i.node.Schedulers()
 	for _, u := range i.quotas.Short(now, since) {
 		own := u.Instance == i.settings.GetInstance()
-		if own || rendezvous.Rank(u.Organisation, i.settings.GetInstance(), schedulers) < repeaters {
+		if own || rendezvous.Rank(u.Account, i.settings.GetInstance(), schedulers) < repeaters {
 			i.node.ReportQuotaUse(useMessage(u))
 		}
 	}
@@ -110,14 +110,14 @@
 func (h receiver) QuotaUsed(u *gossippb.QuotaUse) {
 	h.quotas.Reported(time.Now(), quota.Usage{
 		Instance: u.GetInstance(), Incarnation: u.GetIncarnation(), Number: u.GetNumber(),
-		Organisation: u.GetOrganisation(), Total: u.GetTotal(), Last: u.GetLast(),
+		Account: u.GetAccount(), Total: u.GetTotal(), Last: u.GetLast(),
 		Short: u.GetShort(), Balance: u.GetBalance(),
 	})
 }
 
 func useMessage(u quota.Usage) *gossippb.QuotaUse {
 	return &gossippb.QuotaUse{
-		Instance: u.Instance, Incarnation: u.Incarnation, Number: u.Number, Organisation: u.Organisation, Total: u.Total, Last: u.Last,
+		Instance: u.Instance, Incarnation: u.Incarnation, Number: u.Number, Account: u.Account, Total: u.Total, Last: u.Last,
 		Short: u.Short, Balance: u.Balance,
 	}
 }
--- a/quota/book.go
+++ b/quota/book.go
@@ -21,7 +21,7 @@
 	// separated is how long nothing was reported where reports were lost by a cut.
 	separated = time.Second
 	// forgetUsage is after how long without a report an instance's total is dropped, and
-	// the bucket of an organisation that has no limit any more.
+	// the bucket of an account that has no limit any more.
 	forgetUsage = 10 * time.Minute
 	// shortShare of what may be saved is the balance below which a bucket counts as
 	// short.
@@ -41,7 +41,7 @@
 	// certain is when enough is known of what others let pass.
 	certain time.Time
 	buckets map[string]*bucket
-	// removed are the buckets of organisations that have no limit any more: one that is
+	// removed are the buckets of accounts that have no limit any more: one that is
 	// written again finds its bucket as it was.
 	removed map[string]*bucket
 	own     map[string]*Usage
@@ -57,7 +57,7 @@
 }
 
 // origin is whose total a report is.
-type origin struct{ instance, organisation string }
+type origin struct{ instance, account string }
 
 // report is the newest usage of an origin, and when it came.
 type report struct {
@@ -75,7 +75,7 @@
 	}
 }
 
-// SetLimits replaces the limits, by organisation.
+// SetLimits replaces the limits, by account.
 func (b *Book) SetLimits(now time.Time, limits map[string]Limit) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -99,20 +99,19 @@
 	}
 }
 
-// Limit returns the limit in force for an organisation.
-func (b *Book) Limit(organisation string) Limit {
+// Limit returns the limit in force for an account.
+func (b *Book) Limit(account string) Limit {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if k := b.buckets[organisation]; k != nil {
+	if k := b.buckets[account]; k != nil {
 		return k.limit
 	}
 	return Limit{}
 }
 
-// Price returns a charge with its cost; the zero value where the organisation has no
-// limit.
+// Price returns a charge with its cost; the zero value where the account has no limit.
 func (b *Book) Price(c Charge) Charge {
-	l := b.Limit(c.Organisation)
+	l := b.Limit(c.Account)
 	if !l.Limited() {
 		return Charge{}
 	}
@@ -165,7 +164,7 @@
 func (b *Book) Ask(now time.Time, c Charge, again bool) Decision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	k := b.buckets[c.Organisation]
+	k := b.buckets[c.Account]
 	if k == nil {
 		return Decision{Share: 1}
 	}
@@ -182,15 +181,15 @@
 }
 
 // Charge debits what a run costs. The usage has to be reported to the other
-// schedulers; ok is false where the organisation has no limit.
+// schedulers; ok is false where the account has no limit.
 func (b *Book) Charge(now time.Time, run uint64, c Charge) (u Usage, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.buckets[c.Organisation] == nil {
+	if b.buckets[c.Account] == nil {
 		return Usage{}, false
 	}
 	b.charges[run] = charged{c, now}
-	return b.debit(now, c.Organisation, c.Cost), true
+	return b.debit(now, c.Account, c.Cost), true
 }
 
 // Return credits a run that this instance has charged and that has not run. ok is false
@@ -203,18 +202,18 @@
 		return Usage{}, false
 	}
 	delete(b.charges, run)
-	return b.debit(now, c.Organisation, -c.Cost), true
+	return b.debit(now, c.Account, -c.Cost), true
 }
 
 // debit counts a cost as this instance's own; the mutex is held.
-func (b *Book) debit(now time.Time, organisation string, cost int64) Usage {
-	if k := b.buckets[organisation]; k != nil {
+func (b *Book) debit(now time.Time, account string, cost int64) Usage {
+	if k := b.buckets[account]; k != nil {
 		k.debit(now, cost)
 	}
-	u := b.own[organisation]
+	u := b.own[account]
 	if u == nil {
-		u = &Usage{Instance: b.self, Incarnation: b.incarnation, Organisation: organisation}
-		b.own[organisation] = u
+		u = &Usage{Instance: b.self, Incarnation: b.incarnation, Account: account}
+		b.own[account] = u
 	}
 	b.number++
 	u.Number, u.Total, u.Last = b.number, u.Total+cost, cost
@@ -229,17 +228,17 @@
 	if u.Instance == b.self {
 		return
 	}
-	if k := b.buckets[u.Organisation]; k != nil && u.Short && now.Before(b.certain) {
+	if k := b.buckets[u.Account]; k != nil && u.Short && now.Before(b.certain) {
 		k.advance(now)
 		k.level = min(k.level, u.Balance)
 	}
-	key := origin{u.Instance, u.Organisation}
+	key := origin{u.Instance, u.Account}
 	before := b.heard[key]
 	if before.supersedes(now, u) {
 		return
 	}
 	b.heard[key] = &report{u, now}
-	if k := b.buckets[u.Organisation]; k != nil {
+	if k := b.buckets[u.Account]; k != nil {
 		k.debit(now, before.added(now, u))
 	}
 }
@@ -291,7 +290,7 @@
 	}
 }
 
-// Short returns the newest totals, of this instance and of others, of organisations
+// Short returns the newest totals, of this instance and of others, of accounts
 // whose balance is short, as far as they are newer than since. Passed on, they reach
 // schedulers that do not hear each other.
 func (b *Book) Short(now, since time.Time) []Usage {
@@ -302,14 +301,14 @@
 		if k.advance(now); k.level >= shortShare*k.capacity() {
 			continue
 		}
-		own := Usage{Instance: b.self, Incarnation: b.incarnation, Organisation: name}
+		own := Usage{Instance: b.self, Incarnation: b.incarnation, Account: name}
 		if u := b.own[name]; u != nil {
 			own = *u
 		}
 		own.Short, own.Balance = true, k.level
 		list = append(list, own)
 		for key, r := range b.heard {
-			if key.organisation == name && r.at.After(since) {
+			if key.account == name && r.at.After(since) {
 				list = append(list, r.Usage)
 			}
 		}
@@ -317,14 +316,14 @@
 	return list
 }
 
-// View is the state of one organisation's quota, for operators.
+// View is the state of one quota, for operators.
 type View struct {
-	Organisation string  `json:"organisation"`
-	Rate         float64 `json:"rate"`
-	Burst        float64 `json:"burst"`
-	Balance      float64 `json:"balance"`
-	Share        float64 `json:"share"`
-	Passed       int64   `json:"passed_here"`
+	Account string  `json:"account"`
+	Rate    float64 `json:"rate"`
+	Burst   float64 `json:"burst"`
+	Balance float64 `json:"balance"`
+	Share   float64 `json:"share"`
+	Passed  int64   `json:"passed_here"`
 }
 
 // Views returns the state of all quotas, in the order of the names.
@@ -334,12 +333,12 @@
 	list := make([]View, 0, len(b.buckets))
 	for name, k := range b.buckets {
 		k.advance(now)
-		v := View{Organisation: name, Rate: k.limit.Rate, Burst: k.limit.Burst, Balance: k.level, Share: k.share}
+		v := View{Account: name, Rate: k.limit.Rate, Burst: k.limit.Burst, Balance: k.level, Share: k.share}
 		if u := b.own[name]; u != nil {
 			v.Passed = u.Total
 		}
 		list = append(list, v)
 	}
-	slices.SortFunc(list, func(a, b View) int { return cmp.Compare(a.Organisation, b.Organisation) })
+	slices.SortFunc(list, func(a, b View) int { return cmp.Compare(a.Account, b.Account) })
 	return list
 }
--- a/quota/book_test.go
+++ b/quota/book_test.go
@@ -20,7 +20,7 @@
 }
 
 func ask(b *Book, now time.Time, cost int64) Decision {
-	c := Charge{Organisation: "o", Cost: cost}
+	c := Charge{Account: "o", Cost: cost}
 	d := b.Ask(now, c, false)
 	if d.Outcome == Pass {
 		b.Charge(now, uint64(now.UnixNano()), c)
@@ -68,7 +68,7 @@
 // Guards against refused callers that all come back in the same moment.
 func TestRefusedCallersComeBackOneAfterTheOther(t *testing.T) {
 	b, now := settled(Limit{Rate: 1000, Burst: 1000, Unit: Tokens})
-	b.Charge(now, 1, Charge{Organisation: "o", Cost: 2000})
+	b.Charge(now, 1, Charge{Account: "o", Cost: 2000})
 	last := time.Duration(0)
 	for range 20 {
 		d := ask(b, now, 100)
@@ -82,7 +82,7 @@
 // Guards against a request that counts nothing and is refused for others' debt.
 func TestRequestWithoutCostPasses(t *testing.T) {
 	b, now := settled(Limit{Rate: 1000, Burst: 1000, Unit: Tokens})
-	b.Charge(now, 1, Charge{Organisation: "o", Cost: 2000})
+	b.Charge(now, 1, Charge{Account: "o", Cost: 2000})
 	if d := ask(b, now, 0); d.Outcome != Pass {
 		t.Errorf("outcome %v", d.Outcome)
 	}
@@ -91,7 +91,7 @@
 // Guards against charges that are given back twice, or by who has not charged them.
 func TestChargeIsGivenBackOnce(t *testing.T) {
 	b, now := settled(Limit{Rate: 1, Burst: 1000, Unit: Tokens})
-	b.Charge(now, 7, Charge{Organisation: "o", Cost: 300})
+	b.Charge(now, 7, Charge{Account: "o", Cost: 300})
 	if u, ok := b.Return(now, 7); !ok || u.Total != 0 {
 		t.Errorf("given back %v, total %d", ok, u.Total)
 	}
@@ -114,7 +114,7 @@
 		receiver.buckets["o"].level, receiver.buckets["o"].last = 1e6, now
 		var sent []Usage
 		for range rapid.IntRange(1, 20).Draw(t, "reports") {
-			u, _ := sender.Charge(now, 1, Charge{Organisation: "o", Cost: rapid.Int64Range(0, 1000).Draw(t, "cost")})
+			u, _ := sender.Charge(now, 1, Charge{Account: "o", Cost: rapid.Int64Range(0, 1000).Draw(t, "cost")})
 			sent = append(sent, u)
 		}
 		receiver.Reported(now, sent[0])
@@ -132,7 +132,7 @@
 // Guards against an organisation without a quota that pays for those that have one.
 func TestOrganisationWithoutQuotaCostsNothing(t *testing.T) {
 	b, now := settled(Limit{Rate: 1, Burst: 1, Unit: Tokens})
-	if c := b.Price(Charge{Organisation: "free", Tokens: 9, Sized: true}); c != (Charge{}) {
+	if c := b.Price(Charge{Account: "free", Tokens: 9, Sized: true}); c != (Charge{}) {
 		t.Errorf("priced at %+v", c)
 	}
 	if d := b.Ask(now, Charge{}, false); d.Outcome != Pass {
@@ -159,7 +159,7 @@
 	b.ReportAllocs()
 	for n := 0; b.Loop(); n++ {
 		now = now.Add(time.Microsecond)
-		c := Charge{Organisation: names[n%organisations], Cost: 2400}
+		c := Charge{Account: names[n%organisations], Cost: 2400}
 		if book.Ask(now, c, false).Outcome == Pass {
 			book.Charge(now, uint64(n%4096), c)
 		}
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -4,7 +4,7 @@
 
 const (
 	// startBalance is what a new bucket holds, as a time at its rate: enough for the first
-	// requests of a new organisation, too little for a burst by restarts.
+	// requests of a new account, too little for a burst by restarts.
 	startBalance = 500 * time.Millisecond
 	// leastBurst is what may be saved where the limit states no burst, as a time at
 	// its rate.
@@ -15,7 +15,7 @@
 	longestPromise = 5 * time.Second
 	// lendEvery is how many requests that find a part of their cost make one that passes.
 	lendEvery = 5
-	// headroom is how much more than its limit an organisation gets, so that none of its
+	// headroom is how much more than its limit an account gets, so that none of its
 	// requests within the limit is refused for what is known a moment late.
 	headroom = 1.03
 	// noRateRetry is when to come back where nothing may pass now.
@@ -24,7 +24,7 @@
 
 // bucket is a token bucket that may go into debt.
 //
-// Load: an organisation at its limit, with short and long requests. Harm prevented: where
+// Load: an account at its limit, with short and long requests. Harm prevented: where
 // the whole cost has to be there, short requests use up each unit as it comes and long
 // ones never pass; where any balance will do, short ones that are within the quota are
 // refused for a long one's debt. So the whole cost has to be there, but for one in
--- /dev/null
+++ b/quota/counted_test.go
@@ -0,0 +1,82 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// An endpoint's rate as the fleet keeps to it, and what it tolerates.
+const (
+	countedBurst  = 2
+	countedWindow = 4 * time.Second
+	countedLoad   = 8
+)
+
+// countedTolerance is what an endpoint may get beyond its rate and the burst in a window: half
+// as much again and five requests.
+func countedTolerance(l Limit) float64 { return 0.5*l.Rate*countedWindow.Seconds() + 5 - l.Burst }
+
+// newCountedModel is a fleet that is sent many times what an endpoint takes, in requests.
+func newCountedModel(size int, rate float64, seed uint64) *fleetModel {
+	m := newFleetModel(size, Limit{Rate: rate, Burst: countedBurst}, seed)
+	m.counted, m.judged, m.tolerated = true, countedWindow, countedTolerance
+	return m
+}
+
+func (m *fleetModel) runCounted() {
+	m.run(modelTime, func(time.Duration) float64 { return countedLoad })
+}
+
+// Guards against an endpoint that takes few requests a second getting more than it tolerates
+// from the fleet, whatever fails, and against a fleet that leaves most of its rate unused.
+func TestFailuresSendNoMoreThanAnEndpointTakes(t *testing.T) {
+	for _, size := range []int{8, 65} {
+		for _, rate := range []float64{1.3, 5} {
+			for _, f := range failures {
+				t.Run(fmt.Sprintf("%d instances, %.1f a second, %s", size, rate, f.name), func(t *testing.T) {
+					for seed := range uint64(2) {
+						m := newCountedModel(size, rate, seed)
+						f.setup(m)
+						m.runCounted()
+						used := float64(m.total()) / rate / modelTime.Seconds()
+						t.Logf("seed %d: excess %.2f, %.2f of the rate used", seed, m.excess(), used)
+						if x := m.excess(); x > 1 {
+							t.Errorf("seed %d: the worst window uses %.2f of the tolerance", seed, x)
+						}
+						if f.name == "nothing fails" && used < 0.9 {
+							t.Errorf("seed %d: %.2f of the rate is used", seed, used)
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestCountedWays prints the ways for an endpoint's rate: go test ./quota -run CountedWays -v -ways.
+func TestCountedWays(t *testing.T) {
+	if !*compareWays {
+		t.Skip("a comparison by hand: -ways")
+	}
+	for _, size := range []int{8, 65} {
+		for _, rate := range []float64{1.3, 5} {
+			for w := bucketsByReach; w <= sharesByDemand; w++ {
+				worst, at, used := 0.0, "", 0.0
+				for _, f := range failures {
+					m := newCountedModel(size, rate, 0)
+					m.way = w
+					f.setup(m)
+					m.runCounted()
+					if f.name == "nothing fails" {
+						used = float64(m.total()) / rate / modelTime.Seconds()
+					}
+					if x := m.excess(); x > worst {
+						worst, at = x, f.name
+					}
+				}
+				t.Logf("%4d instances, %.1f a second, %-16s uses %.2f of the rate; failures: worst %5.2f of the tolerance (%s)", size, rate, w, used, worst, at)
+			}
+		}
+	}
+}
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -49,6 +49,11 @@
 	way     way
 	// demand is each instance's smoothed demand, for sharesByDemand.
 	demand []float64
+	// counted says that each request costs 1, and judged over what window what passed is
+	// judged; tolerated is how much more than the limit names may pass in it.
+	counted   bool
+	judged    time.Duration
+	tolerated func(l Limit) float64
 }
 
 // way is who decides what may pass.
@@ -100,6 +105,7 @@
 		books: make([]*Book, size), alive: make([]bool, size), frozen: make([]bool, size), part: make([]int, size),
 		demand: make([]float64, size),
 		deaf:   map[[2]int]bool{}, lastHeard: make([][]time.Time, size),
+		judged: modelWindow, tolerated: tokenTolerance,
 	}
 	for i := range size {
 		m.lastHeard[i] = make([]time.Time, size)
@@ -286,7 +292,7 @@
 	}
 	at := m.rng.IntN(m.size)
 	if m.alive[at] && !m.frozen[at] {
-		m.decide(at, Charge{Organisation: "o", Cost: cost}, m.now)
+		m.decide(at, Charge{Account: "o", Cost: cost}, m.now)
 	}
 }
 
@@ -366,6 +372,9 @@
 )
 
 func (m *fleetModel) cost() int64 {
+	if m.counted {
+		return 1
+	}
 	mean := float64(shortCost)
 	if m.callers.Float64() < longShare {
 		mean = longCost
@@ -383,6 +392,9 @@
 		m.request(m.cost())
 	}
 	mean := longShare*longCost + (1-longShare)*shortCost
+	if m.counted {
+		mean = 1
+	}
 	perSecond := max(load(t), 0.01) * m.limit.Rate / mean / clump
 	m.in(time.Duration(m.callers.ExpFloat64()/perSecond*float64(time.Second)), func() { m.arrive(until, load) })
 }
@@ -393,14 +405,19 @@
 	worst, sum, from := 0.0, 0.0, 0
 	for _, p := range m.passed {
 		sum += float64(p.cost)
-		for p.at.Sub(m.passed[from].at) > modelWindow {
+		for p.at.Sub(m.passed[from].at) > m.judged {
 			sum -= float64(m.passed[from].cost)
 			from++
 		}
 		worst = max(worst, sum)
 	}
-	named := m.limit.Rate*modelWindow.Seconds() + m.limit.Burst
-	return (worst - named) / (named*tolerance + toleranceTokens)
+	named := m.limit.Rate*m.judged.Seconds() + m.limit.Burst
+	return (worst - named) / m.tolerated(m.limit)
+}
+
+// tokenTolerance is what may pass beyond what a quota of tokens names.
+func tokenTolerance(l Limit) float64 {
+	return (l.Rate*modelWindow.Seconds()+l.Burst)*tolerance + toleranceTokens
 }
 
 // The tolerance that a fleet is given over what the limit names.
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -1,8 +1,8 @@
-// Package quota decides which requests an organisation's quota lets pass over the
-// whole fleet. It does no I/O and takes the time as an argument.
+// Package quota decides which requests a quota lets pass over the whole fleet: that of an
+// organisation, or the rate that an endpoint takes. It does no I/O and takes the time as an
+// argument.
 //
-// Each instance that places requests has a token bucket for each organisation and
-// debits it with what it lets pass and with what the others report. Nobody holds the
+// Each instance that places requests has a token bucket for each account and debits it with what it lets pass and with what the others report. Nobody holds the
 // quota, so nobody's loss stops it; a fleet that is apart divides it by the number of
 // instances on each side.
 package quota
@@ -18,7 +18,7 @@
 	Tokens
 )
 
-// Limit is the quota of one organisation over the whole fleet. The zero value is no
+// Limit is the quota of one account over the whole fleet. The zero value is no
 // limit.
 type Limit struct {
 	// Rate is what may pass in a second, in units of Unit.
@@ -47,7 +47,8 @@
 
 // Charge is what one send of a request counts. The zero value counts nothing.
 type Charge struct {
-	Organisation string
+	// Account names whose quota it is.
+	Account string
 	// Tokens is the size that the request states; Sized says that it states one.
 	Tokens int64
 	Sized  bool
@@ -83,15 +84,15 @@
 	Share float64
 }
 
-// Usage reports what one instance has let pass for one organisation since its start.
+// Usage reports what one instance has let pass for one account since its start.
 // It is a state and not an event: one that is lost, late or doubled does no harm once
 // a newer one has come.
 type Usage struct {
 	Instance    string
 	Incarnation uint64
 	// Number rises with each report of the instance.
-	Number       uint64
-	Organisation string
+	Number  uint64
+	Account string
 	// Total is what passed since the start, less what did not run; Last is the part
 	// that this report adds.
 	Total, Last int64
