--- a/balance/admit.go
+++ b/balance/admit.go
@@ -32,6 +32,8 @@
 	// OverQuota: its organisation's quota is used up; the caller should come back when
 	// the quota's decision says.
 	OverQuota
+	// AtLimit: every endpoint that could take it has got the requests that it takes.
+	AtLimit
 )
 
 const (
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -92,6 +92,9 @@
 	// Backlog is the time that the endpoint needs for Ahead, and First the time
 	// to the request's first token.
 	Backlog, First time.Duration
+	// PassedOver is the endpoint that would have been chosen but for the rate that it
+	// names; empty for none.
+	PassedOver string
 }
 
 // Start says that a request was sent to an endpoint.
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -54,7 +54,8 @@
 
 // Choose returns the endpoint that a request should run on now. ok is false
 // where none can take it at this moment; it may be asked for again when Changed
-// tells, or after a pause, since times of avoidance end silently.
+// tells, or after a pause, since times of avoidance end silently. Where all that could have
+// got what they take, the placement names the best of them in PassedOver.
 //
 // Load: bursts of long prompts that share their beginnings, with a few endpoints
 // slow, loading or gone. Harm prevented: a choice by cached parts alone buries
@@ -64,7 +65,7 @@
 func (s *State) Choose(now time.Time, a Ask) (Placement, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := chooser{usualFailures: s.failures[a.Service], ask: a, now: now, keys: map[int64][]prefix.PartKey{}, named: s.wanted[a.Model], tooOld: s.staleBound * staleShare / 100}
+	c := chooser{limits: s.limits, usualFailures: s.failures[a.Service], ask: a, now: now, keys: map[int64][]prefix.PartKey{}, named: s.wanted[a.Model], tooOld: s.staleBound * staleShare / 100}
 	list := s.byService[a.Service]
 	for i := range list {
 		e := list[(uint64(i)+a.Turn)%uint64(len(list))]
@@ -72,7 +73,7 @@
 		c.consider(e, s.holder(&c, list, e))
 	}
 	if c.best == nil {
-		return Placement{}, false
+		return c.atLimit(), false
 	}
 	p := c.placement()
 	p.SaveTo = s.saveTo(&c, p)
@@ -191,6 +192,14 @@
 	version  int64
 	full     bool
 
+	limits Limiter
+	// passedOver is the cheapest endpoint that is left out for the rate that it names, and
+	// passedCost its cost.
+	passedOver string
+	passedCost float64
+	// returns says that an endpoint is left out for a moment for another reason.
+	returns bool
+
 	best        *endpoint
 	bestCost    float64
 	bestVersion int64
@@ -209,17 +218,52 @@
 }
 
 func (c *chooser) consider(e *endpoint, from source) {
-	if e.Draining || c.now.Before(e.avoidUntil) || c.now.Before(e.loadingUntil) || c.excluded(e.ID) {
+	if e.Draining {
 		return
 	}
-	if behindFor(c.named, c.version, c.now) > c.tooOld {
+	if c.now.Before(e.avoidUntil) || c.now.Before(e.loadingUntil) || c.excluded(e.ID) || behindFor(c.named, c.version, c.now) > c.tooOld {
+		c.returns = true
 		return
 	}
 	cost, uncached, fetch := c.cost(e, from)
-	if c.best == nil || cost < c.bestCost {
-		c.best, c.bestCost, c.uncached, c.fetch = e, cost, uncached, fetch
-		c.bestVersion, c.bestFull = c.version, c.full
+	if c.best != nil && cost >= c.bestCost {
+		return
+	}
+	if !c.limits.Free(c.now, e.ID, c.limitRank()) {
+		c.passOver(e, cost)
+		return
 	}
+	c.best, c.bestCost, c.uncached, c.fetch = e, cost, uncached, fetch
+	c.bestVersion, c.bestFull = c.version, c.full
+}
+
+// limitRank is the request's rank among those that an endpoint at its limit takes: one that
+// has begun elsewhere goes before all others.
+func (c *chooser) limitRank() int {
+	if c.ask.Again {
+		return 0
+	}
+	return c.ask.Rank
+}
+
+// passOver leaves out an endpoint that has got what it takes.
+//
+// Load: some endpoints of a pool are in need and name a rate, and all prompts of one kind
+// are cached there. Harm prevented: requests that wait for an endpoint that takes one a second
+// while others idle; read again elsewhere, a prompt is answered sooner.
+func (c *chooser) passOver(e *endpoint, cost float64) {
+	if c.passedOver == "" || cost < c.passedCost {
+		c.passedOver, c.passedCost = e.ID, cost
+	}
+}
+
+// atLimit describes that no endpoint takes the request. Where each of them has got what it
+// takes, PassedOver is set.
+func (c *chooser) atLimit() Placement {
+	if c.returns {
+		return Placement{}
+	}
+	return Placement{PassedOver: c.passedOver}
 }
 
 func (c *chooser) excluded(id string) bool {
@@ -305,5 +349,8 @@
 		p.Version, p.Full = c.bestVersion, c.bestFull
 		p.Keys = c.keysOf(p.Version)
 	}
+	if c.passedOver != "" && c.passedCost < c.bestCost {
+		p.PassedOver = c.passedOver
+	}
 	return p
 }
--- a/balance/decide.go
+++ b/balance/decide.go
@@ -29,12 +29,18 @@
 	Placement Placement
 	// Quota says why the request is OverQuota.
 	Quota quota.Decision
+	// FreeIn is when an endpoint takes a request that is AtLimit, after those refused
+	// before it; 0 for one that is sent again.
+	FreeIn time.Duration
 }
 
 // Decide chooses an endpoint and decides whether the request is sent now. One that is
 // counts at the endpoint from then on, so that the next decision sees it.
 func (s *State) Decide(now time.Time, q Query) Decision {
 	p, ok := s.Choose(now, q.Ask)
+	if !ok && p.PassedOver != "" {
+		return s.refuseAtLimit(now, q, p)
+	}
 	if !ok {
 		return Decision{Admission: Wait}
 	}
@@ -51,6 +57,19 @@
 	return v
 }
 
+// refuseAtLimit decides on a request for which every endpoint has got what it takes. One that
+// has begun elsewhere waits for its turn and is not told one.
+func (s *State) refuseAtLimit(now time.Time, q Query, p Placement) Decision {
+	if q.Again {
+		return Decision{Admission: AtLimit, Placement: p}
+	}
+	freeIn, ok := s.limiter().FreeIn(now, p.PassedOver)
+	if !ok {
+		return Decision{Admission: Wait}
+	}
+	return Decision{Admission: AtLimit, Placement: p, FreeIn: freeIn}
+}
+
 // StartOf describes the send of a request to where it was placed.
 func StartOf(q Query, p Placement) Start {
 	st := Start{Run: q.Run, Endpoint: p.Endpoint.ID, Rank: q.Rank, Output: q.OutputTokens, Again: q.Again}
--- a/balance/state.go
+++ b/balance/state.go
@@ -26,6 +26,7 @@
 // blocks on anything but its mutex.
 type State struct {
 	mu        sync.Mutex
+	limits    Limiter
 	pools     map[string]Pool
 	endpoints map[string]*endpoint
 	// departed are endpoints that are not listed any more, in case they return.
@@ -106,10 +107,26 @@
 	since   time.Time
 }
 
+// Limiter says which endpoints take no more requests for now, by the rates that they name.
+type Limiter interface {
+	// Free reports whether an endpoint takes a request of a rank now.
+	Free(now time.Time, endpoint string, rank int) bool
+	// FreeIn returns how long it is until it takes one that is refused now. ok is false while
+	// this instance has just started and does not know yet what others have sent.
+	FreeIn(now time.Time, endpoint string) (d time.Duration, ok bool)
+}
+
+// unlimited is the Limiter of endpoints that name no rates.
+type unlimited struct{}
+
+func (unlimited) Free(time.Time, string, int) bool               { return true }
+func (unlimited) FreeIn(time.Time, string) (time.Duration, bool) { return 0, true }
+
 // NewState returns a state without endpoints. Endpoints with older weights serve
 // for staleBound after newer ones were named.
 func NewState(staleBound time.Duration) *State {
 	return &State{
+		limits:     unlimited{},
 		staleBound: staleBound,
 		wanted:     map[string][]wanted{},
 		kept:       map[string]*keptStore{},
@@ -124,6 +141,19 @@
 	}
 }
 
+// SetLimiter replaces who says which endpoints take no more requests.
+func (s *State) SetLimiter(l Limiter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits = l
+}
+
+func (s *State) limiter() Limiter {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limits
+}
+
 // SetStaleBound replaces what NewState was given.
 func (s *State) SetStaleBound(d time.Duration) {
 	s.mu.Lock()
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -59,6 +59,10 @@
 			r.decidedBy = v.Placement.PlacedBy
 			err := fault.New(fault.LimitExceeded, "send less, or have the organisation's quota raised", "the quota of %s is used up", r.organisation.Name)
 			return balance.Placement{}, fault.WithRetryAfter(err, v.Quota.RetryAfter)
+		case v.Admission == balance.AtLimit && r.ran == 0:
+			r.passedOver = v.Placement.PassedOver
+			err := fault.New(fault.Overloaded, "send the request again later", "the endpoints of %s have got the requests a second that they take", r.service.Name)
+			return balance.Placement{}, fault.WithRetryAfter(err, v.FreeIn)
 		case v.Admission == balance.Refuse:
 			behind := v.Placement.Backlog
 			err := fault.New(fault.Overloaded, "send the request again later", "the endpoints of %s are %v behind", r.service.Name, behind)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"strconv"
@@ -61,6 +62,9 @@
 	// did; empty for this instance.
 	quota     *quota.Decision
 	decidedBy string
+	// passedOver is the endpoint that would have been chosen but for the rate that it names,
+	// of a request that was refused.
+	passedOver string
 	// outOfRetries says that it was not sent once more since the fleet's budget of
 	// retries was used up.
 	outOfRetries bool
@@ -348,6 +352,9 @@
 			f["fetch"] = r.last.FetchFrom
 		}
 	}
+	if passed := cmp.Or(r.passedOver, r.last.PassedOver); passed != "" {
+		f["passed_over"] = passed
+	}
 	if q := r.quota; q != nil {
 		f["cost"], f["balance"], f["share"] = q.Cost, int64(q.Balance), q.Share
 		f["retry_ms"], f["decided_by"] = q.RetryAfter.Milliseconds(), r.decidedBy
--- a/hosted/dump.go
+++ b/hosted/dump.go
@@ -10,6 +10,7 @@
 	"github.com/sardinedock/sardinedock/balance"
 	"github.com/sardinedock/sardinedock/lease"
 	"github.com/sardinedock/sardinedock/quota"
+	"github.com/sardinedock/sardinedock/ratelimit"
 )
 
 // dump is the state of one process, on request.
@@ -27,8 +28,8 @@
 	Follows   []followed       `json:"follows"`
 	Quotas    []quota.View     `json:"quotas"`
 	// Rates are the limits that endpoints name.
-	Rates     []rateView     `json:"endpoint_rates"`
-	Endpoints []balance.View `json:"endpoints"`
+	Rates     []ratelimit.View `json:"endpoint_rates"`
+	Endpoints []balance.View   `json:"endpoints"`
 }
 
 // followed is one kind of object that is followed.
@@ -44,7 +45,7 @@
 	now := time.Now()
 	d := dump{
 		Instance: i.settings.GetInstance(), Ready: i.Ready(), Leaving: i.leaving.Load(), Open: i.server.Open(),
-		Scheduler: i.node.IsScheduler(), Others: i.node.Schedulers(), Live: i.node.Live(), Lease: i.lease.Dump(), Weights: i.rollout.Wanted(), Quotas: i.quotas.Views(now), Rates: i.rates.views(now), Endpoints: i.state.Endpoints("", now),
+		Scheduler: i.node.IsScheduler(), Others: i.node.Schedulers(), Live: i.node.Live(), Lease: i.lease.Dump(), Weights: i.rollout.Wanted(), Quotas: i.quotas.Views(now), Rates: i.rates.limits.Views(now), Endpoints: i.state.Endpoints("", now),
 	}
 	if t := i.table.Load(); t != nil {
 		d.Records = t.Version()
--- a/hosted/fleetcost_test.go
+++ b/hosted/fleetcost_test.go
@@ -16,6 +16,7 @@
 	"github.com/sardinedock/sardinedock/gossip"
 	"github.com/sardinedock/sardinedock/prefix"
 	"github.com/sardinedock/sardinedock/quota"
+	"github.com/sardinedock/sardinedock/ratelimit"
 	"github.com/sardinedock/sardinedock/schema/gossippb"
 )
 
@@ -44,6 +45,7 @@
 			b.Fatal(err)
 		}
 		i.node = node
+		i.rates = newRates(ratelimit.NewLimits(time.Now(), self.Name, 1), node.BroadcastNotice)
 		i.placer = newPlacer(i)
 		f.instances = append(f.instances, i)
 		peers = append(peers, self)
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -26,6 +26,7 @@
 	"github.com/sardinedock/sardinedock/platform"
 	"github.com/sardinedock/sardinedock/policy"
 	"github.com/sardinedock/sardinedock/quota"
+	"github.com/sardinedock/sardinedock/ratelimit"
 	"github.com/sardinedock/sardinedock/rollout"
 	"github.com/sardinedock/sardinedock/route"
 	"github.com/sardinedock/sardinedock/schema/settingspb"
@@ -82,7 +83,9 @@
 	entries   entries
 	changeLog changeLog
 	peers     decoded[gossip.Peer]
-	endpoints atomic.Bool
+	// listedPeers is how many instances were listed last.
+	listedPeers int
+	endpoints   atomic.Bool
 	// unlisted asks join to register this instance again.
 	unlisted chan struct{}
 	// settled says that this instance knows enough of the others to watch for them.
@@ -113,7 +116,9 @@
 	if err := i.bind(); err != nil {
 		return nil, err
 	}
-	i.rates = newRates(i.node.BroadcastNotice)
+	limits := ratelimit.NewLimits(time.Now(), s.GetInstance(), i.incarnation)
+	i.state.SetLimiter(limits)
+	i.rates = newRates(limits, i.node.BroadcastNotice)
 	i.placer = newPlacer(i)
 	callers, readyAt, metricsAt := i.listeners[0], i.listeners[1], i.listeners[2]
 	i.server = gateway.NewServer(gateway.Config{
--- a/hosted/members.go
+++ b/hosted/members.go
@@ -141,8 +141,12 @@
 			}
 		}
 	}
-	peers := i.peers.all()
+	before, peers := i.listedPeers, i.peers.all()
+	i.listedPeers = len(peers)
 	i.node.SetPeers(peers)
+	if len(peers) > before {
+		i.repeatRates()
+	}
 	i.quotas.SetReach(time.Now(), i.reach())
 	log.WithField("peers", len(peers)).Info("instances listed")
 }
--- a/hosted/placing.go
+++ b/hosted/placing.go
@@ -14,6 +14,7 @@
 	"github.com/sardinedock/sardinedock/gossip"
 	"github.com/sardinedock/sardinedock/prefix"
 	"github.com/sardinedock/sardinedock/quota"
+	"github.com/sardinedock/sardinedock/ratelimit"
 	"github.com/sardinedock/sardinedock/schema/gossippb"
 )
 
@@ -43,6 +44,7 @@
 	state   *balance.State
 	node    *gossip.Node
 	quotas  *quota.Book
+	limits  *ratelimit.Limits
 	// reach says for how much of the fleet this instance decides.
 	reach func() quota.Reach
 
@@ -52,7 +54,7 @@
 }
 
 func newPlacer(i *Instance) *placer {
-	return &placer{started: time.Now(), state: i.state, node: i.node, quotas: i.quotas, reach: i.reach, silent: map[string]time.Time{}}
+	return &placer{started: time.Now(), state: i.state, node: i.node, quotas: i.quotas, limits: i.rates.limits, reach: i.reach, silent: map[string]time.Time{}}
 }
 
 // Place implements gateway.Placer.
@@ -98,8 +100,10 @@
 // reports it to the other schedulers.
 func (p *placer) decide(q balance.Query) balance.Decision {
 	now := time.Now()
-	if q.Charge.Account != "" && p.quotas.Decides() != p.node.IsScheduler() {
-		p.quotas.SetReach(now, p.reach())
+	if p.quotas.Decides() != p.node.IsScheduler() {
+		reach := p.reach()
+		p.quotas.SetReach(now, reach)
+		p.limits.SetReach(now, reach)
 	}
 	if d := p.quotas.Ask(now, q.Charge, q.Again); d.Outcome != quota.Pass {
 		return quotaDecision(d)
@@ -107,8 +111,9 @@
 	v := p.state.Decide(now, q)
 	if v.Admission == balance.Send {
 		p.node.ReportStart(startMessage(balance.StartOf(q, v.Placement)))
-		p.charge(now, q)
+		p.charge(now, q, v.Placement.Endpoint.ID)
 	}
+	countLimited(v)
 	return v
 }
 
@@ -226,6 +231,7 @@
 		FetchFrom: p.FetchFrom, SaveTo: p.SaveTo, Ahead: p.Ahead, Queued: p.Queued, Running: int32(p.Running), Full: p.Full,
 		BacklogUs: p.Backlog.Microseconds(), FirstUs: p.First.Microseconds(),
 		Balance: v.Quota.Balance, Share: v.Quota.Share, RetryUs: v.Quota.RetryAfter.Microseconds(),
+		PassedOver: p.PassedOver, FreeInUs: v.FreeIn.Microseconds(),
 	}
 }
 
@@ -235,9 +241,10 @@
 		Placement: balance.Placement{
 			Endpoint: balance.Endpoint{ID: m.GetEndpoint()}, PlacedBy: by, Version: m.GetVersion(), Uncached: m.GetUncached(),
 			FetchFrom: m.GetFetchFrom(), SaveTo: m.GetSaveTo(), Ahead: m.GetAhead(), Queued: m.GetQueued(), Running: int(m.GetRunning()), Full: m.GetFull(),
-			Backlog: micros(m.GetBacklogUs()), First: micros(m.GetFirstUs()),
+			Backlog: micros(m.GetBacklogUs()), First: micros(m.GetFirstUs()), PassedOver: m.GetPassedOver(),
 		},
-		Quota: quota.Decision{Balance: m.GetBalance(), Share: m.GetShare(), RetryAfter: micros(m.GetRetryUs())},
+		FreeIn: micros(m.GetFreeInUs()),
+		Quota:  quota.Decision{Balance: m.GetBalance(), Share: m.GetShare(), RetryAfter: micros(m.GetRetryUs())},
 	}
 }
 
--- a/hosted/quotas.go
+++ b/hosted/quotas.go
@@ -24,7 +24,7 @@
 	// repeatEvery is the time between two reports of quotas that are short, for
 	// schedulers that do not hear each other.
 	repeatEvery = 200 * time.Millisecond
-	// repeaters is how many schedulers repeat what they have heard of one organisation.
+	// repeaters is how many schedulers repeat what they have heard of one account.
 	repeaters = 2
 )
 
@@ -52,13 +52,15 @@
 	i.quotas.SetLimits(time.Now(), limits)
 }
 
-// followQuotas keeps the quotas' share up to date and repeats what others may have
-// missed, until ctx ends.
+// followQuotas keeps the share of quotas and of endpoints' rates up to date and repeats what
+// others may have missed, until ctx ends.
 func (i *Instance) followQuotas(ctx context.Context) {
 	repeated := time.Now()
 	for clock.Sleep(ctx, reachEvery) == nil {
 		now := time.Now()
-		i.quotas.SetReach(now, i.reach())
+		reach := i.reach()
+		i.quotas.SetReach(now, reach)
+		i.rates.limits.SetReach(now, reach)
 		if now.Sub(repeated) >= repeatEvery && i.node.IsScheduler() {
 			i.repeatUsage(now, repeated)
 			repeated = now
@@ -82,16 +84,23 @@
 // let the whole quota pass without the other's knowledge.
 func (i *Instance) repeatUsage(now, since time.Time) {
 	schedulers := i.node.Schedulers()
-	for _, u := range i.quotas.Short(now, since) {
-		own := u.Instance == i.settings.GetInstance()
-		if own || rendezvous.Rank(u.Account, i.settings.GetInstance(), schedulers) < repeaters {
-			i.node.ReportQuotaUse(useMessage(u))
+	repeat := func(list []quota.Usage, message func(quota.Usage) *gossippb.QuotaUse) {
+		for _, u := range list {
+			own := u.Instance == i.settings.GetInstance()
+			if own || rendezvous.Rank(u.Account, i.settings.GetInstance(), schedulers) < repeaters {
+				i.node.ReportQuotaUse(message(u))
+			}
 		}
 	}
+	repeat(i.quotas.Short(now, since), useMessage)
+	repeat(i.rates.limits.Short(now, since), endpointUseMessage)
 }
 
-// charge debits a run that is sent, and reports it.
-func (p *placer) charge(now time.Time, q balance.Query) {
+// charge debits a run that is sent to an endpoint, and reports it.
+func (p *placer) charge(now time.Time, q balance.Query, endpointID string) {
+	if u, ok := p.limits.Charge(now, uint64(q.Run), endpointID); ok {
+		p.node.ReportQuotaUse(endpointUseMessage(u))
+	}
 	if u, ok := p.quotas.Charge(now, uint64(q.Run), q.Charge); ok {
 		quotaPassed.Inc()
 		p.node.ReportQuotaUse(useMessage(u))
@@ -108,11 +117,23 @@
 
 // QuotaUsed implements gossip.Handler.
 func (h receiver) QuotaUsed(u *gossippb.QuotaUse) {
-	h.quotas.Reported(time.Now(), quota.Usage{
+	usage := quota.Usage{
 		Instance: u.GetInstance(), Incarnation: u.GetIncarnation(), Number: u.GetNumber(),
 		Account: u.GetAccount(), Total: u.GetTotal(), Last: u.GetLast(),
 		Short: u.GetShort(), Balance: u.GetBalance(),
-	})
+	}
+	if u.GetEndpoint() {
+		h.rates.limits.Reported(time.Now(), usage)
+		return
+	}
+	h.quotas.Reported(time.Now(), usage)
+}
+
+// endpointUseMessage is useMessage for what an endpoint was sent.
+func endpointUseMessage(u quota.Usage) *gossippb.QuotaUse {
+	m := useMessage(u)
+	m.Endpoint = true
+	return m
 }
 
 func useMessage(u quota.Usage) *gossippb.QuotaUse {
--- a/hosted/quotas_test.go
+++ b/hosted/quotas_test.go
@@ -21,6 +21,9 @@
 	}
 }
 
+// learned is how long after its start an instance knows what others let pass.
+const learned = 1600 * time.Millisecond
+
 // quotaFixture is a fleet with an endpoint for models and one for orders, all of whose
 // instances have learned what the others let pass.
 func quotaFixture(t *testing.T, instances int, fields map[string]any, orders func(*platformtest.Exchange) bool) *fixture {
@@ -37,7 +40,6 @@
 		}
 		return true
 	})
-	const learned = 1600 * time.Millisecond
 	time.Sleep(learned)
 	return f
 }
--- a/hosted/rates.go
+++ b/hosted/rates.go
@@ -7,7 +7,9 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
+	"github.com/sardinedock/sardinedock/balance"
 	"github.com/sardinedock/sardinedock/ratelimit"
+	"github.com/sardinedock/sardinedock/rendezvous"
 	"github.com/sardinedock/sardinedock/schema/gossippb"
 )
 
@@ -24,14 +26,16 @@
 
 var (
 	rateChanges    = metrics.GetOrCreateCounter("sardinedock_ratelimit_changes_total")
+	ratePassedOver = metrics.GetOrCreateCounter(`sardinedock_ratelimit_requests_total{outcome="elsewhere"}`)
+	rateRefused    = metrics.GetOrCreateCounter(`sardinedock_ratelimit_requests_total{outcome="refused"}`)
 	rateUnreadable = metrics.GetOrCreateCounter("sardinedock_ratelimit_unreadable_total")
 )
 
 // rates takes in what endpoints say of the rate that they take, from this instance's own
 // answers and from peers' notices. Any goroutine may use it.
 type rates struct {
-	registry *ratelimit.Registry
-	notify   func(*gossippb.Notice)
+	limits *ratelimit.Limits
+	notify func(*gossippb.Notice)
 
 	mu sync.Mutex
 	// notified is when a notice of an endpoint's limit was last sent or received.
@@ -40,8 +44,8 @@
 	unreadable map[string]string
 }
 
-func newRates(notify func(*gossippb.Notice)) *rates {
-	return &rates{registry: ratelimit.NewRegistry(), notify: notify, notified: map[string]time.Time{}, unreadable: map[string]string{}}
+func newRates(limits *ratelimit.Limits, notify func(*gossippb.Notice)) *rates {
+	return &rates{limits: limits, notify: notify, notified: map[string]time.Time{}, unreadable: map[string]string{}}
 }
 
 // Said implements gateway.Rates.
@@ -69,7 +73,7 @@
 
 // take puts a statement in force, with a line where that changes anything.
 func (r *rates) take(s ratelimit.Statement, source string) ratelimit.Change {
-	c := r.registry.Take(s)
+	c := r.limits.Take(time.Now(), s)
 	if c.Changed {
 		rateChanges.Inc()
 		log.WithFields(log.Fields{
@@ -98,10 +102,14 @@
 	r.notified[endpointID] = now
 }
 
-// sendAll sends all limits in force, for a scheduler that has just begun.
-func (r *rates) sendAll() {
-	for _, s := range r.registry.InForce() {
-		r.notify(rateNotice(s))
+// repeatRates sends all limits in force, for an instance that has just begun. Two schedulers
+// do so for each endpoint.
+func (i *Instance) repeatRates() {
+	schedulers := i.node.Schedulers()
+	for _, s := range i.rates.limits.InForce() {
+		if rendezvous.Rank(s.Endpoint, i.settings.GetInstance(), schedulers) < repeaters {
+			i.rates.notify(rateNotice(s))
+		}
 	}
 }
 
@@ -123,7 +131,7 @@
 
 // sweep drops what is known of endpoints that are gone.
 func (r *rates) sweep(now time.Time, exists func(string) bool) {
-	r.registry.Sweep(now, exists)
+	r.limits.Sweep(now, exists)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for id, at := range r.notified {
@@ -140,17 +148,13 @@
 	}}
 }
 
-// rateView is one endpoint's limit in the state dump.
-type rateView struct {
-	Endpoint string         `json:"endpoint"`
-	Rate     ratelimit.Rate `json:"rate"`
-	AgeMs    int64          `json:"age_ms"`
-}
-
-func (r *rates) views(now time.Time) []rateView {
-	list := []rateView{}
-	for _, s := range r.registry.InForce() {
-		list = append(list, rateView{s.Endpoint, s.Rate, now.Sub(s.AnsweredAt).Milliseconds()})
+// countLimited counts a decision that an endpoint's rate has changed.
+func countLimited(v balance.Decision) {
+	switch {
+	case v.Placement.PassedOver == "":
+	case v.Admission == balance.AtLimit:
+		rateRefused.Inc()
+	default:
+		ratePassedOver.Inc()
 	}
-	return list
 }
--- a/hosted/rates_test.go
+++ b/hosted/rates_test.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -26,7 +27,7 @@
 
 func (f *fixture) knowRate(want ratelimit.Rate) bool {
 	for _, i := range f.instances {
-		if i.rates.registry.Rate("e1") != want {
+		if i.rates.limits.Rate("e1") != want {
 			return false
 		}
 	}
@@ -57,7 +58,7 @@
 	f.eventually("the limit at an instance that has just started", func() bool { return f.knowRate(named) })
 	limit.Store(nil)
 	time.Sleep(2 * noticeDelay)
-	f.sendFrom(1)
+	f.eventually("a request served", func() bool { return f.sendFrom(1).status == 200 })
 	f.eventually("no limit at any instance", func() bool { return f.knowRate(ratelimit.Rate{}) })
 }
 
@@ -77,7 +78,7 @@
 		f.sendFrom(0)
 	}
 	if !f.knowRate(ratelimit.Rate{Limited: true, PerSecond: 50}) {
-		t.Errorf("limit %v", f.instances[0].rates.registry.Rate("e1"))
+		t.Errorf("limit %v", f.instances[0].rates.limits.Rate("e1"))
 	}
 	warnings := 0
 	for _, l := range lines.All() {
@@ -150,3 +151,23 @@
 		t.Errorf("%d requests in 4 s of %d served, at most %.1f are allowed", n, served, allowed)
 	}
 }
+
+// Guards against callers that wait for the only endpoint of a service until their time is over
+// though it has got what it takes, or are told that without a time to come back.
+func TestCallersOfALimitedEndpointAreRefusedAtOnce(t *testing.T) {
+	f := newFixture(t, 1)
+	f.endpoint("e1", "orders", func(x *platformtest.Exchange) bool {
+		x.AnswerLimited(200, "ok", "1")
+		return true
+	})
+	f.serve(1, nil)
+	time.Sleep(learned)
+	f.eventually("the endpoint at its limit", func() bool { return f.sendFrom(0).status == 503 })
+	began := time.Now()
+	a := f.sendFrom(0)
+	after, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+	if a.status != 503 || err != nil || after <= 0 || after > 5 || time.Since(began) > 300*time.Millisecond {
+		t.Fatalf("status %d after %v, Retry-After %q", a.status, time.Since(began), a.header.Get("Retry-After"))
+	}
+	f.eventually("a caller that comes back served", func() bool { return f.sendFrom(0).status == 200 })
+}
--- a/quota/book.go
+++ b/quota/book.go
@@ -180,6 +180,35 @@
 	return d
 }
 
+// Holds reports whether an account's bucket holds a cost now; that of an account without a
+// limit always does. reserve is how much of what may be saved beyond the cost has to be there
+// too, from 0 to 1. What is sent then has to be charged.
+func (b *Book) Holds(now time.Time, account string, cost, reserve float64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := b.buckets[account]
+	if k == nil {
+		return true
+	}
+	return k.holds(now, cost+reserve*max(k.capacity()-cost, 0), b.draw)
+}
+
+// Promise returns when a cost that is refused now will be there, after that of those refused
+// before it. ok is false while it is not known yet what others let pass.
+func (b *Book) Promise(now time.Time, account string, cost float64) (d time.Duration, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := b.buckets[account]
+	switch {
+	case now.Before(b.certain):
+		return 0, false
+	case k == nil:
+		return 0, true
+	}
+	k.advance(now)
+	return k.retryAfter(cost), true
+}
+
 // Charge debits what a run costs. The usage has to be reported to the other
 // schedulers; ok is false where the account has no limit.
 func (b *Book) Charge(now time.Time, run uint64, c Charge) (u Usage, ok bool) {
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -65,14 +65,30 @@
 	b.level = min(b.level, b.capacity())
 }
 
-// allows reports whether a request of the cost may pass now. draw returns a number from
-// 0 to 1.
+// allows reports whether a request of the cost may pass now, which one of lendEvery does
+// that finds a part of it. draw returns a number from 0 to 1.
+func (b *bucket) allows(now time.Time, cost float64, draw func() float64) bool {
+	switch {
+	case b.holds(now, cost, draw):
+		return true
+	case b.level <= 0:
+		return false
+	}
+	b.passedOver++
+	if b.passedOver < lendEvery {
+		return false
+	}
+	b.passedOver = 0
+	return true
+}
+
+// holds reports whether the whole cost is there.
 //
 // Load: a request that costs more than may be saved, at each of many instances that are
 // cut off and have a small share each. Harm prevented: if each let its first one pass,
 // they would together exceed their shares many times. Drawn, as if each had paid for
 // one some time ago, they keep to them on average, and no such request waits for ever.
-func (b *bucket) allows(now time.Time, cost float64, draw func() float64) bool {
+func (b *bucket) holds(now time.Time, cost float64, draw func() float64) bool {
 	b.advance(now)
 	full := b.capacity()
 	if b.level >= full {
@@ -87,15 +103,8 @@
 		return true
 	case b.level <= 0:
 		return false
-	case cost > full || b.level >= cost:
-		return true
 	}
-	b.passedOver++
-	if b.passedOver < lendEvery {
-		return false
-	}
-	b.passedOver = 0
-	return true
+	return cost > full || b.level >= cost
 }
 
 // debit takes off what has passed; a negative cost gives it back.
--- /dev/null
+++ b/ratelimit/limits_test.go
@@ -0,0 +1,147 @@
+package ratelimit
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/sardinedock/sardinedock/quota"
+)
+
+// alone returns the limits of a fleet of one instance, with one endpoint's rate in force, long
+// after the start.
+func alone(rate Rate) (*Limits, time.Time) {
+	l := NewLimits(start, "i", 1)
+	l.SetReach(start, quota.Reach{Scheduler: true, Heard: 1, Listed: 1})
+	now := start.Add(time.Minute)
+	l.Take(now, Statement{Endpoint: "e", Rate: rate, SentAt: now, AnsweredAt: now})
+	return l, now
+}
+
+// sender sends to one endpoint whenever that is free.
+type sender struct {
+	limits *Limits
+	run    uint64
+}
+
+func (s *sender) send(now time.Time, rank int) bool {
+	if !s.limits.Free(now, "e", rank) {
+		return false
+	}
+	s.run++
+	s.limits.Charge(now, s.run, "e")
+	return true
+}
+
+// Guards against an urgent request that is refused while less urgent ones use up what an
+// endpoint in need takes: 5 of each come a second, and it takes 2.
+func TestUrgentRequestsGoFirst(t *testing.T) {
+	l, now := alone(limited(2))
+	s := sender{limits: l}
+	rng := rand.New(rand.NewPCG(1, 2))
+	const seconds, perSecond = 60, 5
+	served := map[int]int{}
+	for range seconds * perSecond {
+		now = now.Add(time.Second / perSecond)
+		for _, rank := range rng.Perm(2) {
+			if s.send(now, rank*lastRank) {
+				served[rank]++
+			}
+		}
+	}
+	if served[0] < 19*seconds*2/20 || served[1] > seconds*2/20 {
+		t.Errorf("%d urgent and %d less urgent requests in %d s at 2 a second", served[0], served[1], seconds)
+	}
+}
+
+// Guards against less urgent requests that get nothing though few urgent ones come: one in
+// two seconds, at an endpoint that takes 2 a second.
+func TestLessUrgentRequestsGetTheRest(t *testing.T) {
+	l, now := alone(limited(2))
+	s := sender{limits: l}
+	const seconds = 60
+	urgent, other := 0, 0
+	for n := range seconds * 10 {
+		now = now.Add(100 * time.Millisecond)
+		if n%20 == 0 && s.send(now, 0) {
+			urgent++
+		}
+		if s.send(now, lastRank) {
+			other++
+		}
+	}
+	if urgent < 27 || other < 80 {
+		t.Errorf("%d urgent and %d other requests were sent, of 30 and some 90", urgent, other)
+	}
+}
+
+// Guards against an endpoint that gets no request any more since it once took none: only
+// an answer tells that it takes some again.
+func TestEndpointThatTookNothingIsAskedAgain(t *testing.T) {
+	l, now := alone(limited(0))
+	s := sender{limits: l}
+	sent := 0
+	for range 60 {
+		now = now.Add(time.Second)
+		if s.send(now, 0) {
+			sent++
+		}
+	}
+	if sent < 10 || sent > 20 {
+		t.Errorf("%d requests in a minute", sent)
+	}
+	l.Take(now, Statement{Endpoint: "e", SentAt: now, AnsweredAt: now})
+	for range 10 {
+		if !s.send(now, lastRank) {
+			t.Fatal("held back though the endpoint names no limit any more")
+		}
+	}
+}
+
+// Guards against refused callers that all come back for the same free place.
+func TestRefusedCallersAreToldTheirTurns(t *testing.T) {
+	l, now := alone(limited(2))
+	s := sender{limits: l}
+	for s.send(now, 0) {
+		// What may be sent at once is sent.
+	}
+	last := time.Duration(0)
+	for n := range 5 {
+		d, ok := l.FreeIn(now, "e")
+		if !ok || d < last+400*time.Millisecond && n > 0 || d > time.Duration(n+1)*600*time.Millisecond {
+			t.Errorf("refused as number %d, free in %v, %v; the one before in %v", n+1, d, ok, last)
+		}
+		last = d
+	}
+}
+
+// Guards against an endpoint that gets more than half as much again as it takes, and five
+// requests, in any 4 s, whatever its rate does and however many want to go there.
+func TestNoWindowHasMoreThanTheEndpointTolerates(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.Float64Range(0, 30).Draw(t, "rate")
+		l, now := alone(limited(rate))
+		s := sender{limits: l}
+		var sent []time.Time
+		for range rapid.IntRange(1, 300).Draw(t, "requests") {
+			now = now.Add(time.Duration(rapid.Int64Range(0, int64(200*time.Millisecond)).Draw(t, "pause")))
+			if s.send(now, rapid.IntRange(0, lastRank).Draw(t, "rank")) {
+				sent = append(sent, now)
+			}
+		}
+		const window = 4 * time.Second
+		for i, first := range sent {
+			n := 0
+			for _, at := range sent[i:] {
+				if at.Sub(first) <= window {
+					n++
+				}
+			}
+			if allowed := 1.5*rate*window.Seconds() + 5; float64(n) > allowed {
+				t.Fatalf("%d requests in 4 s at %v a second, at most %.1f", n, rate, allowed)
+			}
+		}
+	})
+}
--- a/ratelimit/registry.go
+++ b/ratelimit/registry.go
@@ -152,13 +152,15 @@
 const forgetAfter = time.Minute
 
 // Sweep drops what is not needed any more; exists reports whether an endpoint may still be
-// sent requests.
-func (r *Registry) Sweep(now time.Time, exists func(endpoint string) bool) {
+// sent requests. It reports whether a limit in force is among it.
+func (r *Registry) Sweep(now time.Time, exists func(endpoint string) bool) (changed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for id, k := range r.known {
 		if now.Sub(k.answeredAt) > forgetAfter && (!k.rate.Limited || !exists(id)) {
+			changed = changed || k.rate.Limited
 			delete(r.known, id)
 		}
 	}
+	return changed
 }
