The rate of a limited endpoint is spent on the largest requests

A rate counts requests, whatever their size; spent on those that happen to come, two of nine engines carried a third of their work.

Change: an endpoint that names a rate is compared with the others after these. Where another one would take the request, the smaller it is among the service's last 64 requests, the more of the burst has to be there; so the rate goes to the largest. Where none would, the more urgent go first, as before. One that has begun elsewhere leaves nothing.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -116,6 +116,15 @@
 	Again bool
 }
 
+// size of the request, in tokens of its prompt and its answer.
+func (st *Start) size() int64 {
+	n := st.Output
+	for _, tokens := range st.Tokens {
+		n += tokens
+	}
+	return n
+}
+
 // KeptStore keeps cached parts beside the endpoints, such that they outlive
 // endpoints and their memory.
 type KeptStore struct {
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -72,12 +72,13 @@
 		c.slowness, c.version = s.slowness(e), e.version(a.Model)
 		c.consider(e, s.holder(&c, list, e))
 	}
-	if c.best == nil {
+	c.considerLimited(s.sizesOf(a.Service).smaller(a.PromptTokens + a.OutputTokens))
+	if c.best.endpoint == nil {
 		return c.atLimit(), false
 	}
 	p := c.placement()
 	p.SaveTo = s.saveTo(&c, p)
-	rate := s.rateOf(c.best)
+	rate := s.rateOf(c.best.endpoint)
 	p.Backlog = tokenTime(p.Ahead, rate)
 	p.First = p.Backlog + tokenTime(p.Uncached, rate) + fixedTime
 	return p, true
@@ -193,19 +194,24 @@
 	full     bool
 
 	limits Limiter
-	// passedOver is the cheapest endpoint that is left out for the rate that it names, and
-	// passedCost its cost.
+	// limited are the endpoints that name a rate, passedOver the cheapest of them that would
+	// have been chosen and takes no more.
+	limited    []candidate
 	passedOver string
-	passedCost float64
 	// returns says that an endpoint is left out for a moment for another reason.
 	returns bool
 
-	best        *endpoint
-	bestCost    float64
-	bestVersion int64
-	bestFull    bool
-	uncached    int64
-	fetch       string
+	best candidate
+}
+
+// candidate is an endpoint that may take the request.
+type candidate struct {
+	*endpoint
+	cost     float64
+	version  int64
+	full     bool
+	uncached int64
+	fetch    string
 }
 
 func (c *chooser) keysOf(version int64) []prefix.PartKey {
@@ -226,34 +232,12 @@
 		return
 	}
 	cost, uncached, fetch := c.cost(e, from)
-	if c.best != nil && cost >= c.bestCost {
-		return
-	}
-	if !c.limits.Free(c.now, e.ID, c.limitRank()) {
-		c.passOver(e, cost)
-		return
-	}
-	c.best, c.bestCost, c.uncached, c.fetch = e, cost, uncached, fetch
-	c.bestVersion, c.bestFull = c.version, c.full
-}
-
-// limitRank is the request's rank among those that an endpoint at its limit takes: one that
-// has begun elsewhere goes before all others.
-func (c *chooser) limitRank() int {
-	if c.ask.Again {
-		return 0
-	}
-	return c.ask.Rank
-}
-
-// passOver leaves out an endpoint that has got what it takes.
-//
-// Load: some endpoints of a pool are in need and name a rate, and all prompts of one kind
-// are cached there. Harm prevented: requests that wait for an endpoint that takes one a second
-// while others idle; read again elsewhere, a prompt is answered sooner.
-func (c *chooser) passOver(e *endpoint, cost float64) {
-	if c.passedOver == "" || cost < c.passedCost {
-		c.passedOver, c.passedCost = e.ID, cost
+	found := candidate{endpoint: e, cost: cost, version: c.version, full: c.full, uncached: uncached, fetch: fetch}
+	switch {
+	case c.limits.Limited(e.ID):
+		c.limited = append(c.limited, found)
+	case c.best.endpoint == nil || cost < c.best.cost:
+		c.best = found
 	}
 }
 
@@ -344,13 +328,13 @@
 
 func (c *chooser) placement() Placement {
 	e := c.best
-	p := Placement{Endpoint: e.Endpoint, Ahead: e.reading.ahead(c.ask.Rank), Queued: e.reading.total(), Running: e.running, Uncached: c.uncached, FetchFrom: c.fetch}
+	p := Placement{
+		Endpoint: e.Endpoint, Ahead: e.reading.ahead(c.ask.Rank), Queued: e.reading.total(), Running: e.running,
+		Uncached: e.uncached, FetchFrom: e.fetch, PassedOver: c.passedOver,
+	}
 	if c.ask.Model != "" {
-		p.Version, p.Full = c.bestVersion, c.bestFull
+		p.Version, p.Full = e.version, e.full
 		p.Keys = c.keysOf(p.Version)
 	}
-	if c.passedOver != "" && c.passedCost < c.bestCost {
-		p.PassedOver = c.passedOver
-	}
 	return p
 }
--- a/balance/limits_test.go
+++ b/balance/limits_test.go
@@ -1,16 +1,23 @@
 package balance
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
+
+	"github.com/sardinedock/sardinedock/prefix"
+	"github.com/sardinedock/sardinedock/quota"
+	"github.com/sardinedock/sardinedock/ratelimit"
 )
 
 // fakeLimits are endpoints that take no more requests.
 type fakeLimits map[string]bool
 
-func (l fakeLimits) Free(_ time.Time, endpoint string, rank int) bool {
-	return !l[endpoint] || rank < 0
-}
+func (l fakeLimits) Limited(endpoint string) bool { return l[endpoint] }
+
+func (l fakeLimits) Free(time.Time, string, float64) bool { return false }
 
 func (l fakeLimits) FreeIn(time.Time, string) (time.Duration, bool) {
 	return 300 * time.Millisecond, true
@@ -62,3 +69,62 @@
 		t.Errorf("sent again: admission %v, free in %v", d.Admission, d.FreeIn)
 	}
 }
+
+// Guards against a limited endpoint whose few requests relieve the pool of little: of 20 requests a
+// second a third are five times as large as the others, and it takes two.
+func TestLimitedEndpointTakesTheLargestRequests(t *testing.T) {
+	now := time.Unix(1000, 0)
+	limits := ratelimit.NewLimits(now, "i", 1)
+	limits.SetReach(now, quota.Reach{Scheduler: true, Heard: 1, Listed: 1})
+	s := NewState(time.Minute)
+	s.SetLimiter(limits)
+	var list []Endpoint
+	for n := range 3 {
+		id := fmt.Sprint("e", n)
+		list = append(list, Endpoint{ID: id, Address: id, Service: "pool", DataCentre: "dc", Slots: 64, Versions: map[string]int64{"m": 1}})
+	}
+	s.SetEndpoints(list)
+	limits.Take(now, ratelimit.Statement{Endpoint: "e0", Rate: ratelimit.Rate{Limited: true, PerSecond: 2}, SentAt: now, AnsweredAt: now})
+
+	const (
+		seconds, perSecond = 60, 20
+		large, small       = 12_000, 2_400
+		tokensPerMs        = 40
+	)
+	type ending struct {
+		at  time.Time
+		run RunID
+	}
+	rng := rand.New(rand.NewPCG(3, 4))
+	var open []ending
+	counts := map[int64]int{}
+	for n := range seconds * perSecond {
+		now = now.Add(time.Duration(rng.ExpFloat64() * float64(time.Second) / perSecond))
+		for len(open) > 0 && !open[0].at.After(now) {
+			s.Moved(open[0].at, open[0].run, Done)
+			open = open[1:]
+		}
+		size := int64(small)
+		if rng.IntN(3) == 0 {
+			size = large
+		}
+		run := RunID(n + 1)
+		d := s.Decide(now, Query{Run: run, Ask: Ask{
+			Service: "pool", Model: "m", Wall: "all", DataCentre: "dc", PromptTokens: size, OutputTokens: 10,
+			Parts: []prefix.Part{{ID: fmt.Sprint("own", n), Tokens: size}},
+		}})
+		if d.Admission != Send {
+			continue
+		}
+		if d.Placement.Endpoint.ID == "e0" {
+			limits.Charge(now, uint64(run), "e0")
+			counts[size]++
+		}
+		open = append(open, ending{now.Add(time.Duration(size/tokensPerMs) * time.Millisecond), run})
+		slices.SortFunc(open, func(a, b ending) int { return a.at.Compare(b.at) })
+	}
+	sent := counts[large] + counts[small]
+	if sent < seconds*2*85/100 || counts[large]*10 < sent*6 {
+		t.Errorf("%d of the %d requests at the limited endpoint are large", counts[large], sent)
+	}
+}
--- a/balance/runs.go
+++ b/balance/runs.go
@@ -15,6 +15,7 @@
 	e.running++
 	e.reading.add(st.Rank, st.Uncached)
 	e.take(r)
+	s.sizesOf(e.Service).add(st.size())
 	if st.Model == "" {
 		return
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -38,6 +38,8 @@
 	rates map[string]float64
 	// failures is the share of late runs that failed, by plain service.
 	failures map[string]float64
+	// sizes of the requests sent lately, by service.
+	sizes map[string]*sizes
 	// kept are the stores of cached parts by address.
 	kept map[string]*keptStore
 	// staleBound is how long after a version was named older ones still serve.
@@ -107,21 +109,6 @@
 	since   time.Time
 }
 
-// Limiter says which endpoints take no more requests for now, by the rates that they name.
-type Limiter interface {
-	// Free reports whether an endpoint takes a request of a rank now.
-	Free(now time.Time, endpoint string, rank int) bool
-	// FreeIn returns how long it is until it takes one that is refused now. ok is false while
-	// this instance has just started and does not know yet what others have sent.
-	FreeIn(now time.Time, endpoint string) (d time.Duration, ok bool)
-}
-
-// unlimited is the Limiter of endpoints that name no rates.
-type unlimited struct{}
-
-func (unlimited) Free(time.Time, string, int) bool               { return true }
-func (unlimited) FreeIn(time.Time, string) (time.Duration, bool) { return 0, true }
-
 // NewState returns a state without endpoints. Endpoints with older weights serve
 // for staleBound after newer ones were named.
 func NewState(staleBound time.Duration) *State {
@@ -132,6 +119,7 @@
 		kept:       map[string]*keptStore{},
 		rates:      map[string]float64{},
 		failures:   map[string]float64{},
+		sizes:      map[string]*sizes{},
 		pools:      map[string]Pool{},
 		endpoints:  map[string]*endpoint{},
 		departed:   map[string]*endpoint{},
--- a/ratelimit/limits.go
+++ b/ratelimit/limits.go
@@ -15,8 +15,6 @@
 	// leastPerSecond is the rate kept to where an endpoint takes less: only an answer tells
 	// that its need is over.
 	leastPerSecond = 0.25
-	// lastRank is the rank of the least urgent requests.
-	lastRank = 9
 )
 
 // Limits decides which endpoints take a request now, by the rates that they name and by
@@ -75,13 +73,12 @@
 	return Rate{}
 }
 
-// Free reports whether an endpoint takes a request of a rank now. The less urgent the
-// request, the more of the burst has to be there: what is left is for urgent ones.
-func (l *Limits) Free(now time.Time, endpoint string, rank int) bool {
-	if !l.Rate(endpoint).Limited {
-		return true
-	}
-	reserve := float64(min(max(rank, 0), lastRank)) / lastRank
+// Limited reports whether an endpoint names a rate.
+func (l *Limits) Limited(endpoint string) bool { return l.Rate(endpoint).Limited }
+
+// Free reports whether an endpoint that names a rate takes another request now. reserve is
+// the part of the burst that has to be left afterwards, from 0 to 1.
+func (l *Limits) Free(now time.Time, endpoint string, reserve float64) bool {
 	return l.book.Holds(now, endpoint, 1, reserve)
 }
 
@@ -95,7 +92,7 @@
 // Charge counts a run that is sent to an endpoint. The usage has to be reported to the
 // other schedulers; ok is false where the endpoint has no limit.
 func (l *Limits) Charge(now time.Time, run uint64, endpoint string) (u quota.Usage, ok bool) {
-	if !l.Rate(endpoint).Limited {
+	if !l.Limited(endpoint) {
 		return quota.Usage{}, false
 	}
 	return l.book.Charge(now, run, quota.Charge{Account: endpoint, Cost: 1})
--- a/ratelimit/limits_test.go
+++ b/ratelimit/limits_test.go
@@ -26,8 +26,8 @@
 	run    uint64
 }
 
-func (s *sender) send(now time.Time, rank int) bool {
-	if !s.limits.Free(now, "e", rank) {
+func (s *sender) send(now time.Time, reserve float64) bool {
+	if s.limits.Limited("e") && !s.limits.Free(now, "e", reserve) {
 		return false
 	}
 	s.run++
@@ -46,7 +46,7 @@
 	for range seconds * perSecond {
 		now = now.Add(time.Second / perSecond)
 		for _, rank := range rng.Perm(2) {
-			if s.send(now, rank*lastRank) {
+			if s.send(now, float64(rank)) {
 				served[rank]++
 			}
 		}
@@ -68,7 +68,7 @@
 		if n%20 == 0 && s.send(now, 0) {
 			urgent++
 		}
-		if s.send(now, lastRank) {
+		if s.send(now, 1) {
 			other++
 		}
 	}
@@ -94,7 +94,7 @@
 	}
 	l.Take(now, Statement{Endpoint: "e", SentAt: now, AnsweredAt: now})
 	for range 10 {
-		if !s.send(now, lastRank) {
+		if !s.send(now, 1) {
 			t.Fatal("held back though the endpoint names no limit any more")
 		}
 	}
@@ -127,7 +127,7 @@
 		var sent []time.Time
 		for range rapid.IntRange(1, 300).Draw(t, "requests") {
 			now = now.Add(time.Duration(rapid.Int64Range(0, int64(200*time.Millisecond)).Draw(t, "pause")))
-			if s.send(now, rapid.IntRange(0, lastRank).Draw(t, "rank")) {
+			if s.send(now, rapid.Float64Range(0, 1).Draw(t, "reserve")) {
 				sent = append(sent, now)
 			}
 		}
