quota: the schedulers take turns at the next request of a limited endpoint

What was seen: a model in which callers wait at all eight instances and look again every 12 to 24 ms: 13 requests in 4 s at a rate of 1.3 (12.8 allowed), 7 at 0 (5 allowed).

Cause: the next unit is there at all schedulers in the same moment, and each sends one before it has the others' reports, 12 ms later.

Change: each scheduler has a turn, a part of what may be saved that has to be there too, drawn anew with each debit; none where no other scheduler is heard of. Organisations' quotas do not use it: their requests cost more than may race in.

Test: ratelimit.TestWaitingCallersOfAllInstancesDoNotRushIn fails before.

--- a/quota/book.go
+++ b/quota/book.go
@@ -190,7 +190,7 @@
 	if k == nil {
 		return true
 	}
-	return k.holds(now, cost+reserve*max(k.capacity()-cost, 0), b.draw)
+	return k.holds(now, k.reserved(cost, reserve, b.reach.Peers == 0), b.draw)
 }
 
 // Promise returns when a cost that is refused now will be there, after that of those refused
@@ -237,7 +237,7 @@
 // debit counts a cost as this instance's own; the mutex is held.
 func (b *Book) debit(now time.Time, account string, cost int64) Usage {
 	if k := b.buckets[account]; k != nil {
-		k.debit(now, cost)
+		k.debit(now, cost, b.draw)
 	}
 	u := b.own[account]
 	if u == nil {
@@ -268,7 +268,7 @@
 	}
 	b.heard[key] = &report{u, now}
 	if k := b.buckets[u.Account]; k != nil {
-		k.debit(now, before.added(now, u))
+		k.debit(now, before.added(now, u), b.draw)
 	}
 }
 
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -40,7 +40,9 @@
 	passedOver int
 	// drawn says that allows has drawn since the bucket was full.
 	drawn bool
-	last  time.Time
+	// turn is drawn anew with each debit, from 0 to 1; see reserved.
+	turn float64
+	last time.Time
 }
 
 func newBucket(now time.Time, l Limit, share float64) *bucket {
@@ -107,10 +109,29 @@
 	return cost > full || b.level >= cost
 }
 
+// turnShare is the part of what may be saved beyond one cost over which the turns of the
+// schedulers are spread.
+const turnShare = 0.25
+
+// reserved returns what has to be there for a cost to pass with a reserve, from 0 to 1, of
+// what may be saved beyond it. alone says that no other scheduler is heard of.
+//
+// Load: callers wait at all schedulers for the next unit. Harm prevented: the unit comes at
+// all of them in the same moment, and each sends one before it has the others' reports. Each
+// has a turn of its own, drawn anew after each that passes.
+func (b *bucket) reserved(cost, reserve float64, alone bool) float64 {
+	spare := max(b.capacity()-cost, 0)
+	if alone {
+		return cost + reserve*spare
+	}
+	return cost + ((1-turnShare)*reserve+turnShare*b.turn)*spare
+}
+
 // debit takes off what has passed; a negative cost gives it back.
-func (b *bucket) debit(now time.Time, cost int64) {
+func (b *bucket) debit(now time.Time, cost int64, draw func() float64) {
 	b.advance(now)
 	b.level -= float64(cost)
+	b.turn = draw()
 }
 
 // retryAfter returns when the cost will be there, and counts it as promised.
--- a/ratelimit/limits_test.go
+++ b/ratelimit/limits_test.go
@@ -145,3 +145,67 @@
 		}
 	})
 }
+
+// Guards against a burst from all instances at the moment at which an endpoint takes one more
+// request: each has callers waiting that look again every few ms, and a report takes 12 ms.
+func TestWaitingCallersOfAllInstancesDoNotRushIn(t *testing.T) {
+	const (
+		instances = 8
+		lag       = 12 * time.Millisecond
+		length    = 2 * time.Minute
+		window    = 4 * time.Second
+	)
+	for _, rate := range []float64{0, 0.5, 1.3, 5} {
+		rng := rand.New(rand.NewPCG(1, 2))
+		now := start.Add(time.Minute)
+		var fleet []*Limits
+		for n := range instances {
+			l := NewLimits(start, string(rune('a'+n)), 1)
+			l.SetReach(start, quota.Reach{Scheduler: true, Peers: instances - 1, Heard: instances, Listed: instances})
+			l.Take(now, Statement{Endpoint: "e", Rate: limited(rate), SentAt: now, AnsweredAt: now})
+			fleet = append(fleet, l)
+		}
+		type report struct {
+			at time.Time
+			by int
+			u  quota.Usage
+		}
+		var reports []report
+		var sent []time.Time
+		looks := make([]time.Time, instances)
+		for end := now.Add(length); now.Before(end); now = now.Add(time.Millisecond) {
+			for len(reports) > 0 && !reports[0].at.After(now) {
+				for n, l := range fleet {
+					if n != reports[0].by {
+						l.Reported(now, reports[0].u)
+					}
+				}
+				reports = reports[1:]
+			}
+			for n, l := range fleet {
+				if now.Before(looks[n]) {
+					continue
+				}
+				looks[n] = now.Add(lag + time.Duration(rng.Int64N(int64(lag))))
+				if l.Free(now, "e", 0) {
+					u, _ := l.Charge(now, uint64(len(sent)), "e")
+					reports = append(reports, report{now.Add(lag), n, u})
+					sent = append(sent, now)
+				}
+			}
+		}
+		worst := 0
+		for i, first := range sent {
+			n := 0
+			for n < len(sent)-i && sent[i+n].Sub(first) <= window {
+				n++
+			}
+			worst = max(worst, n)
+		}
+		used := float64(len(sent)) / length.Seconds() / max(rate, leastPerSecond)
+		t.Logf("%v a second: at most %d in 4 s, %.2f of the rate used", rate, worst, used)
+		if allowed := 1.5*rate*window.Seconds() + 5; float64(worst) > allowed || used < 0.9 {
+			t.Errorf("%v a second: %d in 4 s, at most %.1f are allowed; %.2f of the rate used", rate, worst, allowed, used)
+		}
+	}
+}
