--- a/hosted/rates_test.go
+++ b/hosted/rates_test.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"fmt"
 	"strconv"
 	"strings"
 	"sync"
@@ -8,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/sardinedock/sardinedock/gossip"
 	"github.com/sardinedock/sardinedock/logline/logtest"
 	"github.com/sardinedock/sardinedock/platform/platformtest"
 	"github.com/sardinedock/sardinedock/ratelimit"
@@ -125,30 +127,34 @@
 // Guards against an endpoint in need that gets more requests than it says it takes, summed
 // over all instances, while others could serve them.
 func TestLimitedEndpointGetsNoMoreThanItTakes(t *testing.T) {
-	f := newFixture(t, 3)
-	var got arrivals
-	f.endpoint("e1", "orders", func(x *platformtest.Exchange) bool {
-		got.note()
-		x.AnswerLimited(200, "ok", "1.3")
-		return true
-	})
-	f.endpoint("e2", "orders", ok)
-	f.serve(2, nil)
 	const (
 		window  = 4 * time.Second
 		known   = 500 * time.Millisecond
 		allowed = 1.5*1.3*4 + 5
 	)
-	began := time.Now()
-	served := 0
-	for n := 0; time.Since(began) < window+3*known; n++ {
-		if a := f.sendFrom(n % len(f.instances)); a.status == 200 {
-			served++
-		}
-		time.Sleep(15 * time.Millisecond)
-	}
-	if n := got.most(began.Add(known), window); float64(n) > allowed {
-		t.Errorf("%d requests in 4 s of %d served, at most %.1f are allowed", n, served, allowed)
+	for _, instances := range []int{3, gossip.SmallFleet + 4} {
+		t.Run(fmt.Sprint(instances, " instances"), func(t *testing.T) {
+			f := newFixture(t, instances)
+			var got arrivals
+			f.endpoint("e1", "orders", func(x *platformtest.Exchange) bool {
+				got.note()
+				x.AnswerLimited(200, "ok", "1.3")
+				return true
+			})
+			f.endpoint("e2", "orders", ok)
+			f.serve(2, nil)
+			began := time.Now()
+			served := 0
+			for n := 0; time.Since(began) < window+3*known; n++ {
+				if a := f.sendFrom(n % len(f.instances)); a.status == 200 {
+					served++
+				}
+				time.Sleep(15 * time.Millisecond)
+			}
+			if n := got.most(began.Add(known), window); float64(n) > allowed {
+				t.Errorf("%d requests in 4 s of %d served, at most %.1f are allowed", n, served, allowed)
+			}
+		})
 	}
 }
 
