--- a/directory/fleet_test.go
+++ b/directory/fleet_test.go
@@ -40,10 +40,9 @@
 	position int
 	follower *Follower
 	// The fleet's mutex guards the rest.
-	cut      bool
-	lost     bool
-	gone     map[string]time.Time
-	messages int
+	cut  bool
+	lost bool
+	gone map[string]time.Time
 }
 
 // memberStore is the store as one instance reaches it.
