--- a/balance/decide.go
+++ b/balance/decide.go
@@ -83,17 +83,20 @@
 	return st
 }
 
-// Resolve completes a placement that another instance has made, from the endpoint's
-// ID and version, with what is known of the endpoint here. ok is false where it is not
-// listed here, or is known to leave.
+// Resolve completes a placement that another instance has made with what is known of the
+// endpoint here. ok is false where it is known to leave, or to be gone.
 func (s *State) Resolve(a Ask, p Placement) (Placement, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e, ok := s.endpoints[p.Endpoint.ID]
-	if !ok || e.Draining {
+	e, listed := s.endpoints[p.Endpoint.ID]
+	switch {
+	case listed && e.Draining:
+		return p, false
+	case listed:
+		p.Endpoint = e.Endpoint
+	case !s.unlisted || p.Endpoint.Address == "":
 		return p, false
 	}
-	p.Endpoint = e.Endpoint
 	if a.Model != "" {
 		p.Keys = prefix.PartKeys(nil, Scope(a.Wall, p.Version), a.Model, a.Parts)
 	}
--- a/balance/decide_test.go
+++ b/balance/decide_test.go
@@ -44,9 +44,14 @@
 	if _, ok := s.Resolve(query(1).Ask, p); ok {
 		t.Error("placed at an endpoint that leaves")
 	}
-	if _, ok := s.Resolve(query(1).Ask, Placement{Endpoint: Endpoint{ID: "b"}}); ok {
+	b := Placement{Endpoint: Endpoint{ID: "b", Name: "b", Address: "10.0.0.2:80"}}
+	if _, ok := s.Resolve(query(1).Ask, b); ok {
 		t.Error("placed at an endpoint that is not listed")
 	}
+	s.SetListed(false)
+	if got, ok := s.Resolve(query(1).Ask, b); !ok || got.Endpoint.Address != "10.0.0.2:80" {
+		t.Errorf("an instance that knows no endpoints itself resolved to %+v, %v", got, ok)
+	}
 }
 
 // An endpoint has taken new weights, and the scheduler has not heard of it. The first
--- a/balance/state.go
+++ b/balance/state.go
@@ -44,6 +44,9 @@
 	kept map[string]*keptStore
 	// staleBound is how long after a version was named older ones still serve.
 	staleBound time.Duration
+	// unlisted says that this instance does not know which endpoints there are; others place
+	// its requests.
+	unlisted bool
 	// changed is closed and replaced when work may be placed that could not be.
 	changed chan struct{}
 	waiters int
@@ -129,6 +132,14 @@
 	}
 }
 
+// SetListed says whether all endpoints are known here. Where they are not, placements of
+// others are taken as they are.
+func (s *State) SetListed(listed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unlisted = !listed
+}
+
 // SetLimiter replaces who says which endpoints take no more requests.
 func (s *State) SetLimiter(l Limiter) {
 	s.mu.Lock()
--- a/hosted/placing.go
+++ b/hosted/placing.go
@@ -227,7 +227,8 @@
 func decisionMessage(run balance.RunID, v balance.Decision) *gossippb.Decision {
 	p := v.Placement
 	return &gossippb.Decision{
-		Run: uint64(run), Admission: int32(v.Admission), Endpoint: p.Endpoint.ID, Version: p.Version, Uncached: p.Uncached,
+		Run: uint64(run), Admission: int32(v.Admission), Endpoint: p.Endpoint.ID, Name: p.Endpoint.Name, Address: p.Endpoint.Address,
+		Version: p.Version, Uncached: p.Uncached,
 		FetchFrom: p.FetchFrom, SaveTo: p.SaveTo, Ahead: p.Ahead, Queued: p.Queued, Running: int32(p.Running), Full: p.Full,
 		BacklogUs: p.Backlog.Microseconds(), FirstUs: p.First.Microseconds(),
 		Balance: v.Quota.Balance, Share: v.Quota.Share, RetryUs: v.Quota.RetryAfter.Microseconds(),
@@ -239,7 +240,7 @@
 	return balance.Decision{
 		Admission: balance.Admission(m.GetAdmission()), Found: m.GetEndpoint() != "",
 		Placement: balance.Placement{
-			Endpoint: balance.Endpoint{ID: m.GetEndpoint()}, PlacedBy: by, Version: m.GetVersion(), Uncached: m.GetUncached(),
+			Endpoint: balance.Endpoint{ID: m.GetEndpoint(), Name: m.GetName(), Address: m.GetAddress()}, PlacedBy: by, Version: m.GetVersion(), Uncached: m.GetUncached(),
 			FetchFrom: m.GetFetchFrom(), SaveTo: m.GetSaveTo(), Ahead: m.GetAhead(), Queued: m.GetQueued(), Running: int(m.GetRunning()), Full: m.GetFull(),
 			Backlog: micros(m.GetBacklogUs()), First: micros(m.GetFirstUs()), PassedOver: m.GetPassedOver(),
 		},
