Request lines say how the last answer was framed and how many events it had

What callers saw: answers that broke off arrived as complete ones. The lines of such requests were those of whole ones, so that an answer that ends with its connection could not be told from a chunked one that ends early.

One field for the framing in the client of endpoints, in place of two flags. No decision depends on it yet.

--- a/endpoint/relay.go
+++ b/endpoint/relay.go
@@ -136,7 +136,7 @@
 
 // skip reads a response to another request to its end.
 func (in *Incoming) skip() error {
-	if in.response.identity {
+	if in.response.framing == ByClose {
 		return fault.New(fault.Broken, "look at the endpoint's log", "an answer to another request has no end")
 	}
 	if _, err := in.response.readAll(); err != nil {
@@ -145,10 +145,12 @@
 	if !in.response.readTail() {
 		return fault.New(fault.Broken, "look at the endpoint's log", "an answer to another request has no end")
 	}
-	in.response.chunked = false
 	return nil
 }
 
+// Framing returns how the end of the body is recognised.
+func (in *Incoming) Framing() Framing { return in.response.framing }
+
 // Header returns the header of the response. It is valid until Finish or Drop.
 func (in *Incoming) Header() *fasthttp.ResponseHeader { return &in.response.header }
 
--- a/endpoint/response.go
+++ b/endpoint/response.go
@@ -65,14 +65,32 @@
 	return fault.Wrap(e, fault.Broken, "look at the endpoint's log", "endpoint")
 }
 
+// Framing is how the end of a response's body is recognised.
+type Framing int
+
+// The framings; see RFC 9112, section 6.3.
+const (
+	// NoBody: the response has none, whatever its header says.
+	NoBody Framing = iota
+	// ByLength: the header states the body's length.
+	ByLength
+	// ByChunks: the body is chunked and ends with the last chunk.
+	ByChunks
+	// ByClose: the body ends with the connection, also if it was truncated.
+	ByClose
+)
+
+// String implements fmt.Stringer.
+func (f Framing) String() string {
+	return [...]string{"none", "length", "chunks", "close"}[f]
+}
+
 // response is one response being read.
 type response struct {
-	conn   *conn
-	header fasthttp.ResponseHeader
-	body   io.Reader
-	// chunked bodies end with an empty line after the last chunk; identity ones end with the
-	// connection.
-	chunked, identity bool
+	conn    *conn
+	header  fasthttp.ResponseHeader
+	body    io.Reader
+	framing Framing
 }
 
 // incarnation returns the incarnation of the engine that answers; 0 if the header is missing.
@@ -94,15 +112,17 @@
 	}
 	n := resp.header.ContentLength()
 	switch {
-	case skipBody || n == 0 || resp.header.StatusCode() == fasthttp.StatusNoContent:
+	case skipBody || resp.header.StatusCode() == fasthttp.StatusNoContent:
+		resp.framing = NoBody
 		resp.body = io.LimitReader(resp.conn.br, 0)
-	case n > 0:
+	case n >= 0:
+		resp.framing = ByLength
 		resp.body = &lengthReader{r: resp.conn.br, left: n}
 	case n == -1:
-		resp.chunked = true
+		resp.framing = ByChunks
 		resp.body = httputil.NewChunkedReader(resp.conn.br)
 	default:
-		resp.identity = true
+		resp.framing = ByClose
 		resp.body = resp.conn.br
 	}
 	return nil
@@ -123,7 +143,7 @@
 // finish returns the connection to the pool if it can be reused. The body must have been read to
 // its end.
 func (resp *response) finish(p *pool) {
-	if resp.identity || resp.header.ConnectionClose() || !resp.readTail() {
+	if resp.framing == ByClose || resp.header.ConnectionClose() || !resp.readTail() {
 		resp.conn.drop()
 		return
 	}
@@ -132,7 +152,7 @@
 
 // readTail reads the empty line that ends a chunked body.
 func (resp *response) readTail() bool {
-	if !resp.chunked {
+	if resp.framing != ByChunks {
 		return true
 	}
 	line, err := resp.conn.br.ReadSlice('\n')
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -99,6 +99,7 @@
 		return nil, a.openFailed(err), err
 	}
 	a.resp = resp
+	r.framing, r.answered = resp.Framing(), true
 	r.srv.heard(p.Endpoint, time.Now(), resp.ConnectedAt())
 	a.noteAnswer()
 	a.updateEndpoint()
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -113,6 +113,7 @@
 		return nil, a.forwardFailed(err), err
 	}
 	a.resp = resp
+	r.framing, r.answered = resp.Framing(), true
 	r.srv.activity.received(a.place.Endpoint.ID, time.Now())
 	return a, 0, nil
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -14,6 +14,7 @@
 	"github.com/zeebo/xxh3"
 
 	"github.com/sardinedock/sardinedock/balance"
+	"github.com/sardinedock/sardinedock/endpoint"
 	"github.com/sardinedock/sardinedock/fault"
 	"github.com/sardinedock/sardinedock/policy"
 	"github.com/sardinedock/sardinedock/quota"
@@ -64,8 +65,12 @@
 	// waitedMemory is the part of waited in which no endpoint had enough free memory for the
 	// request.
 	waitedMemory time.Duration
-	// firstEvent is the time until a stream's first event.
+	// firstEvent is the time until a stream's first event, events how many the caller was sent.
 	firstEvent time.Duration
+	events     int
+	// framing is that of the last answer whose head arrived, answered whether there was one.
+	framing  endpoint.Framing
+	answered bool
 	// run identifies the last placement.
 	run  balance.RunID
 	last balance.Placement
@@ -370,7 +375,10 @@
 		f["organisation"] = r.organisation.Name
 	}
 	if r.firstEvent > 0 {
-		f["first_ms"] = r.firstEvent.Milliseconds()
+		f["first_ms"], f["events"] = r.firstEvent.Milliseconds(), r.events
+	}
+	if r.answered {
+		f["framing"] = r.framing.String()
 	}
 	if r.sends > 0 {
 		f["endpoint"], f["address"] = r.last.Endpoint.ID, r.last.Endpoint.Address
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -27,7 +27,6 @@
 	pending []byte
 	// lastID is the ID of the last event that was read to its end.
 	lastID  []byte
-	events  int
 	resumes int
 	err     error
 }
@@ -97,7 +96,7 @@
 	}
 	s.pending = event
 	s.attempt.heard()
-	if s.events++; s.events == 1 {
+	if s.req.events++; s.req.events == 1 {
 		s.req.firstEvent = time.Since(s.req.began)
 		s.attempt.reportStage(balance.Answering)
 	}
