Tests that fail: answers without framing that break off look complete

What callers saw: an answer that broke off at its endpoint arrived with status 200 and a last chunk, or a Content-Length of what had come (ORDER).

--- a/hosted/fixture_test.go
+++ b/hosted/fixture_test.go
@@ -179,6 +179,8 @@
 	body   string
 	// truncated is set if the connection broke before the end of the response.
 	truncated bool
+	// framed is set if the response has a length or chunks.
+	framed bool
 }
 
 func (f *fixture) do(req *http.Request) answer {
@@ -189,7 +191,8 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
-	return answer{resp.StatusCode, resp.Header, string(body), err != nil}
+	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	return answer{resp.StatusCode, resp.Header, string(body), err != nil, framed}
 }
 
 func (f *fixture) readyStatus(n int) int {
--- a/hosted/serve_test.go
+++ b/hosted/serve_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"strconv"
@@ -311,7 +310,7 @@
 func events(n int) string {
 	var b strings.Builder
 	for id := 1; id <= n; id++ {
-		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", id, id)
+		b.WriteString(platformtest.EventText(id))
 	}
 	return b.String()
 }
