An answer's end is passed on as it was stated, and checked where nothing states it

Cause: the client of endpoints takes the end of the connection for the end of such a body, the stream's reader passed part of an event on as the last bytes, and the HTTP server then added framing of its own: a statement that nobody had made. Class: the router states that something is complete though nobody told it so.

Why this works: - an answer that ends inside an event has broken off, however it is framed; that part is not passed on, and the stream is resumed or its caller's connection broken; - at the end of an answer without framing one connection is made to the endpoint. It is refused by one that has crashed: resumed, sent again or reported as broken as the kind of the request allows. Endpoints known to leave may end there; - otherwise the caller gets the answer as it came, without framing, and its connection is closed. No claim is made. A truncated one is reset, which RFC 9112, section 8, has callers take for an incomplete message. That costs the caller's connection; - a stream that began with chunks and is resumed by an answer without framing ends with the last chunk only if the endpoint, or the instance in between, was checked; - between two instances answers stay framed, and a header tells whether the end was stated.

--- a/endpoint/crash.go
+++ b/endpoint/crash.go
@@ -8,11 +8,11 @@
 )
 
 const (
-	// crashProbes connections that an endpoint accepts, crashProbeInterval apart, show that it has not
+	// crashProbes connections that an endpoint accepts, CrashProbeInterval apart, show that it has not
 	// crashed. One is not enough: the connections of a process that ends may break before its listener
 	// is closed.
 	crashProbes        = 2
-	crashProbeInterval = 100 * time.Millisecond
+	CrashProbeInterval = 100 * time.Millisecond
 )
 
 // Prober makes new connections to an endpoint.
@@ -23,11 +23,11 @@
 
 // ProbeCrash tells whether an endpoint that has broken a connection has crashed. It returns the error of
 // a connection that could not be made, and nil if the endpoint accepts connections, since one that has
-// crashed takes seconds to start again. It blocks for crashProbeInterval in that case.
+// crashed takes seconds to start again. It blocks for CrashProbeInterval in that case.
 func ProbeCrash(ctx context.Context, p Prober) error {
 	for n := range crashProbes {
 		if n > 0 {
-			if err := clock.Sleep(ctx, crashProbeInterval); err != nil {
+			if err := clock.Sleep(ctx, CrashProbeInterval); err != nil {
 				return nil
 			}
 		}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"io"
 	"time"
 
 	"github.com/apex/log"
@@ -58,7 +60,7 @@
 	if a.head.Events && a.head.Status < 300 {
 		return r.beginStream(a)
 	}
-	body, err := a.resp.ReadAll()
+	body, err := a.readWhole()
 	if err != nil {
 		a.endBroken()
 		return nil, r.handleSendFailure(outcomeBroken, err)
@@ -221,8 +223,8 @@
 		a.req.srv.cfg.Peers.ForwardEnded(a.forwarder.Name)
 		return
 	}
-	a.endTrial()
 	a.clearSuspicion(stage)
+	a.endTrial()
 	a.reportStage(stage)
 }
 
@@ -454,7 +456,11 @@
 // writeAnswer passes on a response that was read to its end.
 func (r *request) writeAnswer(a *attempt, body []byte) {
 	r.copyHead(a)
-	r.ctx.Response.SetBodyRaw(body)
+	if r.passesUnframed(a) {
+		r.unframed = io.NopCloser(bytes.NewReader(body))
+	} else {
+		r.ctx.Response.SetBodyRaw(body)
+	}
 	if a.head.Status < 500 {
 		a.finish(balance.Done)
 		return
@@ -465,4 +471,5 @@
 func (r *request) copyHead(a *attempt) {
 	r.ctx.Response.SetStatusCode(a.head.Status)
 	r.srv.cfg.Dialect.CopyAnswer(&r.ctx.Response.Header, a.resp.Header(), true)
+	r.stateFraming(a)
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -156,7 +156,7 @@
 		forwardAnswered.Inc()
 		return r.beginStream(a)
 	}
-	body, err := a.resp.ReadAll()
+	body, err := a.readWhole()
 	if err != nil {
 		a.endBroken()
 		return nil, r.handleSendFailure(outcomeBroken, err)
--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -112,18 +112,23 @@
 	return verdict, left
 }
 
-// crashed records that a run of a request was interrupted by the crash of its endpoint. t is the trial
-// that the run was, or nil. Whether that was a crash has to be checked, and the result passed to confirm
-// or disprove.
-func (g *CrashGuard) crashed(now time.Time, content [16]byte, endpointID, crashID string, t *policy.Trial) {
+// crashed records that a run of a request was interrupted by the crash of its endpoint. Whether that was a
+// crash has to be checked, and the result passed to confirm or disprove.
+func (g *CrashGuard) crashed(now time.Time, endpointID string, run interruptedRun) {
 	crashesRecorded.Inc()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	alone := t != nil && g.trials.Alone(now, *t)
-	g.crashes.Crashed(now, content, policy.Crash{ID: crashID, Endpoint: endpointID, Trial: alone})
-	g.learned[content] = now
-	g.checking[content]++
-	g.update(now, content, "own request")
+	g.crashes.Crashed(now, run.content, policy.Crash{ID: run.crashID, Endpoint: endpointID, Trial: run.alone})
+	g.learned[run.content] = now
+	g.checking[run.content]++
+	g.update(now, run.content, "own request")
+}
+
+// alone reports whether a trial is the only run of a suspect at its endpoint.
+func (g *CrashGuard) alone(now time.Time, t policy.Trial) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.trials.Alone(now, t)
 }
 
 // confirm ends the check of a crash that was one, as far as can be told from here, and notifies the other
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"io"
 	"strconv"
 	"strings"
 	"time"
@@ -71,6 +72,8 @@
 	// framing is that of the last answer whose head arrived, answered whether there was one.
 	framing  endpoint.Framing
 	answered bool
+	// unframed is the body of an answer that writeUnframed is to write; nil for all others.
+	unframed io.ReadCloser
 	// run identifies the last placement.
 	run  balance.RunID
 	last balance.Placement
@@ -107,7 +110,7 @@
 	}
 	r.start()
 	if stream := r.answer(); stream != nil {
-		// The request ends when the HTTP server closes the stream.
+		// The request ends when the stream is closed.
 		return
 	}
 	r.end()
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -140,6 +140,8 @@
 	times       answerTimes
 	activity    *activityWatch
 	crashChecks crashChecks
+	// endChecks are the checks of endpoints whose answers have ended with their connections.
+	endChecks crashChecks
 	wayLog      wayLog
 	// forwardedOpen is the number of forwarded requests that are being served.
 	forwardedOpen atomic.Int64
@@ -266,6 +268,9 @@
 	}
 	s.open.add(r)
 	r.serve()
+	if r.unframed != nil {
+		r.writeUnframed()
+	}
 	if s.drain.Load() != nil {
 		// Drain may have been called while the request was served.
 		ctx.SetConnectionClose()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -28,28 +28,46 @@
 	// lastID is the ID of the last event that was read to its end.
 	lastID  []byte
 	resumes int
-	err     error
+	// framed is set if the caller's answer states its end.
+	framed bool
+	// complete is set once the last event of a whole stream has been read.
+	complete bool
+	err      error
 }
 
 // beginStream waits for the first event before the caller's answer begins, so that an endpoint that
 // fails before it can still be replaced or the failure be reported by status.
 func (r *request) beginStream(a *attempt) (*eventStream, bool) {
-	s := &eventStream{req: r, attempt: a, reader: bufio.NewReader(a.resp.Body())}
+	s := &eventStream{req: r, attempt: a, reader: bufio.NewReader(a.resp.Body()), framed: !r.passesUnframed(a)}
 	err := s.next()
-	if err != nil && !errors.Is(err, io.EOF) {
+	if err == io.EOF {
+		s.err, err = err, s.checkEnd()
+	}
+	if err != nil {
 		a.endBroken()
 		retry := r.handleSendFailure(outcomeBroken, err)
 		return nil, retry
 	}
-	if err != nil {
-		s.err = err
-	}
 	r.copyHead(a)
+	if !s.framed {
+		r.unframed = s
+		return s, false
+	}
 	r.ctx.Response.ImmediateHeaderFlush = true
 	r.ctx.Response.SetBodyStream(s, -1)
 	return s, false
 }
 
+// checkEnd returns nil if a stream that was read to its end may be passed on as it is.
+func (s *eventStream) checkEnd() error {
+	end, err := s.attempt.checkEnd()
+	if err == nil && end == endAssumed && s.framed && s.req.origin == "" {
+		err = errEndUnknown
+	}
+	s.complete = err == nil
+	return err
+}
+
 // Read implements io.Reader. Any error but io.EOF makes the HTTP server close the connection
 // without ending the body, so that a truncated answer does not look complete.
 func (s *eventStream) Read(p []byte) (int, error) {
@@ -66,11 +84,12 @@
 	return n, nil
 }
 
-// next reads the next complete event into pending.
+// next reads the next complete event into pending. Lines end with LF or CRLF.
 func (s *eventStream) next() error {
 	s.pending = s.pending[:0]
 	var event []byte
 	var id []byte
+	begun := false
 	for {
 		line, err := s.reader.ReadSlice('\n')
 		event = append(event, line...)
@@ -81,7 +100,8 @@
 			continue
 		}
 		if err != nil {
-			return s.endRead(err, event)
+			begun = begun || len(bytes.TrimRight(line, "\r")) > 0
+			return s.endRead(err, event, begun)
 		}
 		line = bytes.TrimRight(line, "\r\n")
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
@@ -90,6 +110,7 @@
 		if len(line) == 0 {
 			break
 		}
+		begun = begun || line[0] != ':'
 	}
 	if len(id) > 0 {
 		s.lastID = id
@@ -103,12 +124,16 @@
 	return nil
 }
 
-// endRead handles a read error. The bytes of an incomplete event are passed on only if the endpoint
-// ended its answer there; part of an event of a broken answer would be joined with the next event
-// after a resumption.
-func (s *eventStream) endRead(err error, rest []byte) error {
-	if !errors.Is(err, io.EOF) {
+// endRead handles a read error. begun reports whether rest has part of an event. Such an answer has broken
+// off, however it ended, and that part is not passed on: after a resumption it would be joined with the next
+// event. Line breaks and comments after the last event are passed on.
+func (s *eventStream) endRead(err error, rest []byte, begun bool) error {
+	switch {
+	case err != io.EOF:
 		return err
+	case begun:
+		answersCut.Inc()
+		return errEventCut
 	}
 	s.pending = rest
 	return io.EOF
@@ -118,9 +143,11 @@
 // another endpoint, otherwise the error with which it ends.
 func (s *eventStream) recover(err error) error {
 	r := s.req
-	if errors.Is(err, io.EOF) {
-		s.attempt.finish(balance.Done)
-		return io.EOF
+	if err == io.EOF {
+		if err = s.checkEnd(); err == nil {
+			s.attempt.finish(balance.Done)
+			return io.EOF
+		}
 	}
 	s.attempt.endBroken()
 	r.failedWith(err)
@@ -172,7 +199,7 @@
 func (s *eventStream) Close() error {
 	r := s.req
 	switch {
-	case errors.Is(s.err, io.EOF) && len(s.pending) == 0:
+	case s.complete && len(s.pending) == 0:
 		s.attempt.finish(balance.Done)
 	default:
 		// The caller disconnected, its time is over, or the stream broke. Closing the connection
@@ -183,7 +210,7 @@
 	switch cause := context.Cause(r.reqCtx); {
 	case errors.Is(cause, errCallerDisconnected):
 		status, r.lastErr = statusCallerDisconnected, cause
-	case !errors.Is(s.err, io.EOF):
+	case !s.complete:
 		status = statusStreamBroken
 		if r.lastErr == nil || errors.Is(cause, errAborted) {
 			r.lastErr = cause
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -143,11 +143,19 @@
 }
 
 // clearSuspicion is called when an attempt has ended at stage: a request that has run to its end is not
-// one that crashes endpoints.
+// one that crashes endpoints. The end of an answer without framing may be the crash, which shows only later
+// if the endpoint's listener outlives its connections.
 func (a *attempt) clearSuspicion(stage balance.Stage) {
-	guard := a.req.srv.cfg.Guard
-	if (stage == balance.Done || stage == balance.Errored) && guard.active() {
-		guard.completed(time.Now(), a.req.content())
+	s := a.req.srv
+	switch {
+	case stage != balance.Done && stage != balance.Errored:
+	case a.resp != nil && a.unframed():
+		e, run := a.place.Endpoint, a.interrupted()
+		if s.endChecks.add(e.ID, func(c *crashCheck) { c.interrupted = append(c.interrupted, run) }) {
+			go s.checkEnds(e)
+		}
+	case s.cfg.Guard.active():
+		s.cfg.Guard.completed(time.Now(), a.req.content())
 	}
 }
 
@@ -163,6 +171,8 @@
 type interruptedRun struct {
 	content [16]byte
 	crashID string
+	// alone is set if the run was a trial, and the only one at its endpoint.
+	alone bool
 }
 
 // crashChecks tells crashes of endpoints from broken connections. It is safe for concurrent use.
@@ -200,10 +210,20 @@
 // the background whether the endpoint has crashed. Until then the request counts as a suspect here, so
 // that a retry is a trial.
 func (a *attempt) reportCrash() {
-	s, e := a.req.srv, a.place.Endpoint
-	run := interruptedRun{a.req.content(), crashID(uint64(a.run))}
-	s.cfg.Guard.crashed(time.Now(), run.content, e.ID, run.crashID, a.trial)
-	if s.crashChecks.add(e.ID, func(c *crashCheck) { c.interrupted = append(c.interrupted, run) }) {
+	s, e, run := a.req.srv, a.place.Endpoint, a.interrupted()
+	s.cfg.Guard.crashed(time.Now(), e.ID, run)
+	s.addCrashCheck(e, func(c *crashCheck) { c.interrupted = append(c.interrupted, run) })
+}
+
+// interrupted describes the attempt's run as one that a crash may have interrupted.
+func (a *attempt) interrupted() interruptedRun {
+	alone := a.trial != nil && a.req.srv.cfg.Guard.alone(time.Now(), *a.trial)
+	return interruptedRun{a.req.content(), crashID(uint64(a.run)), alone}
+}
+
+// addCrashCheck adds to the check of an endpoint, and starts it unless it is under way.
+func (s *Server) addCrashCheck(e balance.Endpoint, add func(*crashCheck)) {
+	if s.crashChecks.add(e.ID, add) {
 		go s.checkCrash(e)
 	}
 }
@@ -212,8 +232,8 @@
 // accepts connections from here. An instance that is partitioned from an endpoint takes that for a crash.
 func (s *Server) CheckReportedCrash(crash ReportedCrash) {
 	e, listed := s.cfg.State.Listed(crash.Endpoint)
-	if listed && s.crashChecks.add(e.ID, func(c *crashCheck) { c.reported = append(c.reported, crash) }) {
-		go s.checkCrash(e)
+	if listed {
+		s.addCrashCheck(e, func(c *crashCheck) { c.reported = append(c.reported, crash) })
 	}
 }
 
@@ -237,3 +257,23 @@
 		guard.refute(now, crash)
 	}
 }
+
+// checkEnds decides whether runs whose answers ended with their connections were interrupted by a crash of
+// their endpoint, after checkEnd has found that it accepted a connection.
+func (s *Server) checkEnds(e balance.Endpoint) {
+	time.Sleep(endpoint.CrashProbeInterval)
+	ended := s.endChecks.take(e.ID).interrupted
+	relay, guard := s.cfg.Relay(e.Address), s.cfg.Guard
+	alive := relay.HasIdle() || relay.Probe(context.Background()) == nil
+	_, ready := s.cfg.State.ListedReady(e.ID)
+	now := time.Now()
+	for _, run := range ended {
+		switch {
+		case !alive && ready:
+			guard.crashed(now, e.ID, run)
+			guard.confirm(now, run.content)
+		case alive && guard.active():
+			guard.completed(now, run.content)
+		}
+	}
+}
