Framing as a whole: tests through the gateway, fuzz targets; HTTP/1.0 with chunks, 304, lines over the buffer

Found by writing down every framing, each with a test or a fuzz seed that failed: - an HTTP/1.0 answer with a transfer coding: the HTTP library ignores the coding, so the caller got the lines of the chunks as the body. It is an error now (RFC 9112, 6.1); - a 304 without a length waited for the end of the connection; - a line of an event that fills the reader's buffer exactly: its line break was taken for the empty line that ends an event, so that part of an event was passed on as one.

--- a/endpoint/fuzz_test.go
+++ b/endpoint/fuzz_test.go
@@ -43,3 +43,49 @@
 		}
 	})
 }
+
+// Guards against a response whose framing is not that of its header: a body that is read without an error has its
+// length, or its last chunk, or the end of the connection.
+func FuzzResponse(f *testing.F) {
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nhalf",
+		"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n\r\n",
+		"HTTP/1.0 200 OK\r\n\r\nhalf",
+		"HTTP/1.1 304 X\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
+		"HTTP/1.1 103 X\r\n\r\nHTTP/1.1 204 X\r\nContent-Length: 3\r\n\r\nabc",
+		"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 4\r\n\r\nhalf",
+	} {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, input []byte) {
+		resp := &response{conn: &conn{br: bufio.NewReader(bytes.NewReader(input))}}
+		if resp.readHeader(false) != nil {
+			return
+		}
+		body, err := resp.readAll()
+		if err != nil {
+			return
+		}
+		switch resp.framing {
+		case NoBody:
+			if len(body) > 0 {
+				t.Fatalf("%q in a response without a body", body)
+			}
+		case ByLength:
+			if n := resp.header.ContentLength(); len(body) != n {
+				t.Fatalf("%d bytes of %d", len(body), n)
+			}
+		case ByChunks:
+			if !bytes.Contains(input, []byte("0\r\n")) && !bytes.Contains(input, []byte("0\n")) && !bytes.Contains(input, []byte("0;")) {
+				t.Fatalf("no last chunk in %q", input)
+			}
+		case ByClose:
+			if !bytes.HasSuffix(input, body) {
+				t.Fatalf("%q is not the rest of %q", body, input)
+			}
+		}
+	})
+}
--- a/endpoint/response.go
+++ b/endpoint/response.go
@@ -1,7 +1,10 @@
 package endpoint
 
 import (
+	"bufio"
+	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http/httputil"
@@ -103,6 +106,9 @@
 func (resp *response) readHeader(skipBody bool) error {
 	for {
 		resp.header.Reset()
+		if hasHTTP10Coding(resp.conn.br) {
+			return brokenError(errHTTP10Coding)
+		}
 		if err := resp.header.Read(resp.conn.br); err != nil {
 			return brokenError(err)
 		}
@@ -112,7 +118,7 @@
 	}
 	n := resp.header.ContentLength()
 	switch {
-	case skipBody || resp.header.StatusCode() == fasthttp.StatusNoContent:
+	case skipBody || resp.header.StatusCode() == fasthttp.StatusNoContent || resp.header.StatusCode() == fasthttp.StatusNotModified:
 		resp.framing = NoBody
 		resp.body = io.LimitReader(resp.conn.br, 0)
 	case n >= 0:
@@ -128,6 +134,25 @@
 	return nil
 }
 
+// errHTTP10Coding is returned for a response whose framing is faulty; see RFC 9112, section 6.1.
+var errHTTP10Coding = errors.New("HTTP/1.0 response with a transfer coding")
+
+// hasHTTP10Coding reports whether the next response is of HTTP/1.0 and has a transfer coding. The HTTP library
+// ignores the coding, so that the body would have the lines of its chunks.
+func hasHTTP10Coding(br *bufio.Reader) bool {
+	const version = "HTTP/1.0"
+	if start, err := br.Peek(len(version)); err != nil || string(start) != version {
+		return false
+	}
+	for n := br.Buffered(); ; n = max(br.Buffered(), n+1) {
+		data, err := br.Peek(n)
+		head, _, whole := bytes.Cut(bytes.ReplaceAll(data, []byte("\r\n"), []byte("\n")), []byte("\n\n"))
+		if whole || err != nil {
+			return bytes.Contains(bytes.ToLower(head), []byte("\ntransfer-encoding:"))
+		}
+	}
+}
+
 // readAll reads the rest of the body. A truncated body is an error.
 func (resp *response) readAll() ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(resp.body, maxResponseBytes+1))
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -142,7 +142,7 @@
 	crashChecks crashChecks
 	// endChecks are the checks of endpoints whose answers have ended with their connections.
 	endChecks crashChecks
-	wayLog      wayLog
+	wayLog    wayLog
 	// forwardedOpen is the number of forwarded requests that are being served.
 	forwardedOpen atomic.Int64
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -12,17 +11,13 @@
 	"github.com/sardinedock/sardinedock/fault"
 )
 
-// maxEventBytes bounds one event, so that a faulty endpoint can't make the gateway buffer an
-// endless one.
-const maxEventBytes = 1 << 20
-
 // eventStream is the body of a caller's answer: complete events as they arrive from the endpoint,
 // each once and in order, even if the stream is resumed at another endpoint. The HTTP server reads
 // it and closes it at the end.
 type eventStream struct {
 	req     *request
 	attempt *attempt
-	reader  *bufio.Reader
+	reader  eventReader
 	// pending is the part of the last event that Read has not returned yet.
 	pending []byte
 	// lastID is the ID of the last event that was read to its end.
@@ -38,7 +33,7 @@
 // beginStream waits for the first event before the caller's answer begins, so that an endpoint that
 // fails before it can still be replaced or the failure be reported by status.
 func (r *request) beginStream(a *attempt) (*eventStream, bool) {
-	s := &eventStream{req: r, attempt: a, reader: bufio.NewReader(a.resp.Body()), framed: !r.passesUnframed(a)}
+	s := &eventStream{req: r, attempt: a, reader: eventReader{bufio.NewReader(a.resp.Body())}, framed: !r.passesUnframed(a)}
 	err := s.next()
 	if err == io.EOF {
 		s.err, err = err, s.checkEnd()
@@ -84,38 +79,19 @@
 	return n, nil
 }
 
-// next reads the next complete event into pending. Lines end with LF or CRLF.
+// next reads the next complete event into pending.
 func (s *eventStream) next() error {
-	s.pending = s.pending[:0]
-	var event []byte
-	var id []byte
-	begun := false
-	for {
-		line, err := s.reader.ReadSlice('\n')
-		event = append(event, line...)
-		if len(event) > maxEventBytes {
-			return fault.New(fault.Broken, "look at the endpoint's log", "event of over %d bytes", maxEventBytes)
-		}
-		if errors.Is(err, bufio.ErrBufferFull) {
-			continue
-		}
-		if err != nil {
-			begun = begun || len(bytes.TrimRight(line, "\r")) > 0
-			return s.endRead(err, event, begun)
-		}
-		line = bytes.TrimRight(line, "\r\n")
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			id = append(id[:0], bytes.TrimSpace(value)...)
-		}
-		if len(line) == 0 {
-			break
+	event, id, err := s.reader.next()
+	s.pending = event
+	if err != nil {
+		if errors.Is(err, errEventCut) {
+			answersCut.Inc()
 		}
-		begun = begun || line[0] != ':'
+		return err
 	}
 	if len(id) > 0 {
 		s.lastID = id
 	}
-	s.pending = event
 	s.attempt.heard()
 	if s.req.events++; s.req.events == 1 {
 		s.req.firstEvent = time.Since(s.req.began)
@@ -124,21 +100,6 @@
 	return nil
 }
 
-// endRead handles a read error. begun reports whether rest has part of an event. Such an answer has broken
-// off, however it ended, and that part is not passed on: after a resumption it would be joined with the next
-// event. Line breaks and comments after the last event are passed on.
-func (s *eventStream) endRead(err error, rest []byte, begun bool) error {
-	switch {
-	case err != io.EOF:
-		return err
-	case begun:
-		answersCut.Inc()
-		return errEventCut
-	}
-	s.pending = rest
-	return io.EOF
-}
-
 // recover handles the end of an endpoint's stream. It returns nil if the stream was resumed at
 // another endpoint, otherwise the error with which it ends.
 func (s *eventStream) recover(err error) error {
@@ -191,7 +152,7 @@
 	}
 	r.ran++
 	s.attempt = a
-	s.reader.Reset(a.resp.Body())
+	s.reader.r.Reset(a.resp.Body())
 	return nil
 }
 
