Own interface: an answer without framing is checked at its end

The same cause as in the gateway, looked for elsewhere: the client of plain services took the end of the connection for the end of the body, so that a call cut by the end of its service was recorded as complete, claims included. One connection tells; it is kept for the next call. An error of kind Broken, never Unavailable: the call has run.

Engines' streams end with an event of their own, cache events and the object API's JSON can't be whole when cut.

--- a/endpoint/service.go
+++ b/endpoint/service.go
@@ -68,6 +68,9 @@
 	if err == nil {
 		body, err = resp.readAll()
 	}
+	if err == nil && resp.framing == ByClose {
+		err = s.checkEnd(ctx)
+	}
 	if err != nil {
 		cn.drop()
 		return nil, serviceFault(ctx, err)
@@ -78,6 +81,15 @@
 	return out, nil
 }
 
+// checkEnd returns an error if the service accepts no connection after an answer that ended with its own. Such an
+// answer may have been truncated by the end of the service. The connection is kept for the next call.
+func (s *Service) checkEnd(ctx context.Context) error {
+	if err := s.pool.probe(ctx); err != nil {
+		return fault.New(fault.Broken, "look at the service's log", "the service ended with its answer, which has no framing: %v", err)
+	}
+	return nil
+}
+
 // serviceFault distinguishes an expired request from a broken connection.
 func serviceFault(ctx context.Context, err error) error {
 	if ctx.Err() != nil && !fault.Is(err, fault.Unavailable) {
