The release of an endpoint's software is decoded, and in request lines

What callers saw: streams with events of two releases. No line named the release, so that a resumption that goes anywhere could not be told from one that knows the wrong release.

Its own name, Release, beside Version, which is the weights'. Request lines have the last endpoint's, and all that wrote events of an answer where there are several; of a caller's resumption the last event and the request that began it. No decision depends on any of them yet.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -32,6 +32,8 @@
 	Draining bool
 	// Versions are the loaded versions of the weights, by model.
 	Versions map[string]int64
+	// Release is the version of the endpoint's software.
+	Release string
 }
 
 // Pool is the configuration of a service's endpoints.
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -25,6 +25,9 @@
 	PromptTokens, OutputTokens int64
 	// Sized is set if the request states its token counts.
 	Sized bool
+	// ResumeAfter is the ID of the last event that the caller has, if it resumes a stream. Resumes is the ID
+	// of its request that brought the stream's first event; empty if it does not state it.
+	ResumeAfter, Resumes string
 }
 
 // Send is what the gateway adds to a request that is sent to an endpoint.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -54,6 +54,8 @@
 	// brokenAt are the endpoints at which the request was running when its connection broke or the
 	// endpoint became unresponsive, in order.
 	brokenAt []string
+	// releases are those of the endpoints whose events the caller was sent, in order.
+	releases []string
 	// fingerprint is the result of content; nil before.
 	fingerprint *[16]byte
 	// trial is the reserved trial of the next send, if the request is suspected of crashing endpoints;
@@ -385,6 +387,7 @@
 	}
 	if r.sends > 0 {
 		f["endpoint"], f["address"] = r.last.Endpoint.ID, r.last.Endpoint.Address
+		f["release"] = r.last.Endpoint.Release
 		f["version"], f["uncached"], f["ahead"], f["running"] = r.last.Version, r.last.Uncached, r.last.Ahead, r.last.Running
 		f["queued"], f["priority"] = r.last.Queued, r.priority()
 		if r.last.PlacedBy != "" {
@@ -426,6 +429,12 @@
 	if r.origin != "" {
 		f["forwarded_for"] = r.origin
 	}
+	if r.call.ResumeAfter != "" {
+		f["resume_after"], f["resumes"] = r.call.ResumeAfter, r.call.Resumes
+	}
+	if len(r.releases) > 1 {
+		f["releases"] = strings.Join(r.releases, ",")
+	}
 	if len(r.brokenAt) > 0 {
 		f["broken_at"] = strings.Join(r.brokenAt, ",")
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -92,6 +92,7 @@
 	if len(id) > 0 {
 		s.lastID = id
 	}
+	s.noteRelease()
 	s.attempt.heard()
 	if s.req.events++; s.req.events == 1 {
 		s.req.firstEvent = time.Since(s.req.began)
@@ -100,6 +101,14 @@
 	return nil
 }
 
+// noteRelease records for the log line which release has written the events that were read.
+func (s *eventStream) noteRelease() {
+	release, list := s.attempt.place.Endpoint.Release, s.req.releases
+	if len(list) == 0 || list[len(list)-1] != release {
+		s.req.releases = append(list, release)
+	}
+}
+
 // recover handles the end of an endpoint's stream. It returns nil if the stream was resumed at
 // another endpoint, otherwise the error with which it ends.
 func (s *eventStream) recover(err error) error {
