A stream goes on only at the release of the endpoints' software that began it

Cause: endpoints of one service were taken for interchangeable. A resumption, the instance's or the caller's, was placed like any request; an entry's release was decoded and dropped, and the request that a caller names in Resumes was read by nobody.

A scheduler of the version before does not know the field; its answer is checked; - the report of a run's first event, which all schedulers get already, has the stream's key and release. Any instance can take the caller's next try, also after the one that began the stream was killed. Who does not know asks two schedulers at once; - where nobody knows, the stream goes on only if the service has had one release for longer than a stream lasts; - a release that is gone is refused at once, 503 without Retry-After: the request has not run, and waiting won't help. One that is there is waited for; - the last two endpoints of a release keep half of their slots for its streams.

--- a/balance/admit.go
+++ b/balance/admit.go
@@ -36,6 +36,8 @@
 	// Paused: every endpoint that could run the request wants no requests from the sending instance
 	// for some time.
 	Paused
+	// NoRelease: no endpoint of the only release that may run the request accepts requests.
+	NoRelease
 )
 
 const (
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -68,6 +68,9 @@
 	// Paused are the endpoints that have asked the sending instance to send them no requests for
 	// now.
 	Paused []selfreport.Pause
+	// Release is the only release of the endpoints' software that may run the request, which resumes a
+	// stream; empty for any.
+	Release string
 	// Offset is the index in the endpoint list at which the comparison starts. It decides
 	// between endpoints of equal cost.
 	Offset uint64
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/sardinedock/sardinedock/prefix"
@@ -45,6 +46,11 @@
 	// remains one: if a network fault makes all endpoints suspected, callers would otherwise
 	// be refused although the endpoints serve.
 	suspectTokens = 1e7
+	// reservedTokens is the weight of an endpoint that is kept for streams which can go on nowhere else: more
+	// than the backlog of any endpoint that still accepts requests. lastOfRelease is how many endpoints of
+	// a release are its last.
+	reservedTokens = 1e5
+	lastOfRelease  = 2
 	// failureTolerance is how far the failure rate of a plain endpoint may exceed its
 	// service's by chance.
 	failureTolerance = 0.2
@@ -71,6 +77,7 @@
 	defer s.mu.Unlock()
 	c := chooser{accepts: s.accepts, hasRoom: s.hasRoom, limits: s.limits, paused: pausedSet(a.Paused), serviceFailures: s.failures[a.Service], ask: a, now: now, keys: map[int64][]prefix.PartKey{}, targets: s.desired[a.Model], tooOld: s.staleBound * staleShare / 100}
 	list := s.byService[a.Service]
+	c.countReleases(list)
 	for i := range list {
 		e := list[(uint64(i)+a.Offset)%uint64(len(list))]
 		c.slowness, c.version = s.slowness(e), e.version(a.Model)
@@ -214,6 +221,8 @@
 	accepts func(*endpoint) bool
 	hasRoom func(*endpoint, time.Time) bool
 	limits  Limiter
+	// ready is the number of endpoints of each release that accept requests; nil if there is one release.
+	ready map[string]int
 	// limited are the endpoints with a rate limit, paused the time until each endpoint that
 	// pauses takes a request.
 	limited []candidate
@@ -250,7 +259,7 @@
 }
 
 func (c *chooser) consider(e *endpoint, from source) {
-	if !c.accepts(e) {
+	if !c.accepts(e) || !e.runs(c.ask.Release) {
 		return
 	}
 	if left, ok := c.paused[e.ID]; ok {
@@ -271,6 +280,26 @@
 	}
 }
 
+// countReleases counts the endpoints of each release, for a request that any of them may run.
+func (c *chooser) countReleases(list []*endpoint) {
+	mixed := slices.ContainsFunc(list, func(e *endpoint) bool { return e.Release != list[0].Release })
+	if !mixed || c.ask.Release != "" {
+		return
+	}
+	c.ready = map[string]int{}
+	for _, e := range list {
+		if c.accepts(e) {
+			c.ready[e.Release]++
+		}
+	}
+}
+
+// isReserved reports whether an endpoint is one of the last of its release and half full. Its streams can go on
+// nowhere else, and a crash of the other one brings all of them here in one moment.
+func (c *chooser) isReserved(e *endpoint) bool {
+	return c.ready != nil && len(c.ready) > 1 && c.ready[e.Release] <= lastOfRelease && 2*e.running >= e.Slots
+}
+
 // skipPaused records an endpoint that pauses.
 func (c *chooser) skipPaused(e *endpoint, from source, left time.Duration) {
 	cost, _, _ := c.cost(e, from)
@@ -345,6 +374,9 @@
 	uncached = max(c.ask.PromptTokens-local-fetched, 0)
 	cost += c.slowness*(float64(e.reading.ahead(c.ask.Rank))+uncachedWeight*float64(uncached)) + fetchedWeight*float64(fetched)
 	cost += runningTokens * float64(e.running)
+	if c.isReserved(e) {
+		cost += reservedTokens
+	}
 	if c.now.Before(e.loadingSoonUntil) {
 		cost += loadingSoonTokens * min(1, float64(c.ask.OutputTokens)/loadingSoonOutput)
 	}
--- a/balance/decide.go
+++ b/balance/decide.go
@@ -46,7 +46,7 @@
 		return Decision{Admission: Paused, Placement: p, FreeIn: p.pauseLeft}
 	}
 	if !ok {
-		return Decision{Admission: Wait}
+		return Decision{Admission: s.unplaced(q.Ask)}
 	}
 	v := Decision{Admission: Send, Found: true, Placement: p}
 	if q.Model != "" && q.Target > 0 {
@@ -61,6 +61,16 @@
 	return v
 }
 
+// unplaced returns the admission of a request that no endpoint takes now.
+func (s *State) unplaced(a Ask) Admission {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if a.Release != "" && !s.hasRelease(a.Service, a.Release) {
+		return NoRelease
+	}
+	return Wait
+}
+
 // refuseAtLimit decides on a request for which every endpoint has used up its rate limit. A
 // retry is not refused but waits until an endpoint takes it, so it gets no FreeIn.
 func (s *State) refuseAtLimit(now time.Time, q Query, p Placement) Decision {
--- a/balance/state.go
+++ b/balance/state.go
@@ -87,6 +87,9 @@
 	// loadingSoonUntil is until when the endpoint counts as one of the next to load new
 	// weights.
 	loadingSoonUntil time.Time
+	// releaseChanged is set if the entry of the incarnation has stated several releases, so that none is
+	// certain.
+	releaseChanged bool
 	// departedAt is the time of the first sweep that found the endpoint missing from the
 	// list.
 	departedAt time.Time
@@ -237,6 +240,7 @@
 	if known == nil {
 		known = &endpoint{assumed: map[string]int64{}, caches: map[string]*modelCache{}, users: map[prefix.PartKey]int{}, capacity: s.capacityOf(e.Service)}
 	}
+	known.releaseChanged = known.releaseChanged || known.ID != "" && known.Release != e.Release
 	held := known.Versions
 	for model, v := range e.Versions {
 		if v > held[model] {
@@ -432,6 +436,42 @@
 	return ""
 }
 
+// ReleaseOf returns the release of an endpoint's software; empty if it is not known for certain.
+func (s *State) ReleaseOf(id string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, list := range []map[string]*endpoint{s.endpoints, s.departed} {
+		if e := list[id]; e != nil && !e.releaseChanged {
+			return e.Release
+		}
+	}
+	return ""
+}
+
+// Releases returns the releases of a service's listed endpoints, each once.
+func (s *State) Releases(service string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []string
+	for _, e := range s.byService[service] {
+		if !slices.Contains(list, e.Release) {
+			list = append(list, e.Release)
+		}
+	}
+	return list
+}
+
+// hasRelease reports whether an endpoint of a service accepts requests that only the given release may run. The caller
+// must hold s.mu.
+func (s *State) hasRelease(service, release string) bool {
+	return slices.ContainsFunc(s.byService[service], func(e *endpoint) bool { return s.accepts(e) && e.runs(release) })
+}
+
+// runs reports whether an endpoint may run a request that only the given release may run; empty for any.
+func (e *endpoint) runs(release string) bool {
+	return release == "" || e.Release == release && !e.releaseChanged
+}
+
 // ListedReady reports whether the platform's list shows an endpoint and does not show it draining;
 // service is its service.
 func (s *State) ListedReady(id string) (service string, ready bool) {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -176,6 +176,9 @@
 	if stage == balance.Misdirected && a.req.service.Engine != nil {
 		m.Version = a.head.Version
 	}
+	if stage == balance.Answering {
+		a.reportOrigin(m)
+	}
 	if m.NotRun = a.unsent || notRun(stage); m.NotRun {
 		a.req.srv.cfg.Placer.NotRun(a.run)
 	}
@@ -471,5 +474,5 @@
 func (r *request) copyHead(a *attempt) {
 	r.ctx.Response.SetStatusCode(a.head.Status)
 	r.srv.cfg.Dialect.CopyAnswer(&r.ctx.Response.Header, a.resp.Header(), true)
-	r.stateFraming(a)
+	r.describeAnswer(a)
 }
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -73,6 +73,8 @@
 	Body int
 	// ResumeAfter is as in Send.
 	ResumeAfter string
+	// Release is the only one that may run the request, if it resumes a stream; empty for any.
+	Release string
 }
 
 // Answer describes an endpoint's response, as parsed from its head.
@@ -119,7 +121,7 @@
 	// AppendForward appends the head of the request that is forwarded to another instance: the
 	// caller's, with f in place of what the caller says about the same.
 	AppendForward(dst []byte, caller *fasthttp.RequestHeader, f Forward) []byte
-	// ParseForward parses From, Records, Attempts and Left of what AppendForward has added. ok is false if
+	// ParseForward parses From, Records, Attempts, Left and Release of what AppendForward has added. ok is false if
 	// the request was not forwarded by an instance.
 	ParseForward(h *fasthttp.RequestHeader) (f Forward, ok bool)
 	// ParseAnswer parses the head of an endpoint's response.
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -19,6 +19,9 @@
 const (
 	// HeaderForward marks requests that one instance forwards to another.
 	HeaderForward = "Sardinedock-Forward"
+	// HeaderForwardRelease names, in a forwarded request that resumes a stream, the only release that may run
+	// it, and in an answer the release of the endpoint that wrote it.
+	HeaderForwardRelease = "Sardinedock-Forward-Release"
 	// headerForwardRefused is set on an instance's refusal of a forwarded request which another instance
 	// may serve. Its value is the reason.
 	headerForwardRefused = "Sardinedock-Forward-Refused"
@@ -104,7 +107,7 @@
 	body := r.ctx.Request.Body()
 	head := r.srv.cfg.Dialect.AppendForward(nil, &r.ctx.Request.Header, Forward{
 		From: r.srv.cfg.Instance, Records: r.table.Version(), Attempts: max(1, r.route.MaxAttempts-r.ran), Left: time.Until(r.deadline),
-		Body: len(body), ResumeAfter: resumeAfter,
+		Body: len(body), ResumeAfter: resumeAfter, Release: r.release,
 	})
 	resp, err := r.srv.cfg.PeerRelay(to.Address).Open(a.reqCtx, endpoint.Outgoing{
 		Head: head, Body: body, Accept: a.acceptHead, Bodiless: r.ctx.IsHead(),
@@ -246,7 +249,7 @@
 	case r.srv.forwardedOpen.Load() > maxForwardedOpen:
 		return errForwardRefused[refusedBusy]
 	}
-	r.origin, r.attempts = f.From, f.Attempts
+	r.origin, r.attempts, r.release = f.From, f.Attempts, f.Release
 	forwardServed.Inc()
 	return nil
 }
--- a/gateway/framing.go
+++ b/gateway/framing.go
@@ -89,17 +89,22 @@
 	return body, err
 }
 
-// stateFraming tells the instance that forwarded the request whether the answer's end is stated. A caller's
-// answer has no such header.
-func (r *request) stateFraming(a *attempt) {
+// describeAnswer tells the instance that forwarded the request which release wrote the answer, and whether its
+// end is stated. A caller's answer has no such headers.
+func (r *request) describeAnswer(a *attempt) {
 	h := &r.ctx.Response.Header
-	switch {
-	case r.origin == "":
-		h.Del(headerForwardFraming)
-	case a.unframed():
-		h.Set(headerForwardFraming, forwardUnframed)
-	default:
-		h.Set(headerForwardFraming, forwardFramed)
+	h.Del(headerForwardFraming)
+	h.Del(HeaderForwardRelease)
+	if r.origin == "" {
+		return
+	}
+	framing := forwardFramed
+	if a.unframed() {
+		framing = forwardUnframed
+	}
+	h.Set(headerForwardFraming, framing)
+	if release := a.release(); release != "" {
+		h.Set(HeaderForwardRelease, release)
 	}
 }
 
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -21,6 +21,9 @@
 	// for an endpoint. A caller that is refused early can still be served by another instance or
 	// later.
 	placeWaitShare = 3
+	// boundWaitShare is the same in percent for a request that only one release may run. The rest is left for
+	// its answer.
+	boundWaitShare = 80
 )
 
 // placing is the search for the endpoint of one send.
@@ -48,6 +51,10 @@
 		waitSeconds.Update(time.Since(from).Seconds())
 	}()
 	s := placing{request: r, query: r.query(), until: from.Add(time.Until(r.deadline) / placeWaitShare), exclude: r.exclude}
+	if r.release != "" {
+		// Nothing else can serve the request.
+		s.until = from.Add(time.Until(r.deadline) * boundWaitShare / 100)
+	}
 	if err := r.warmUp(); err != nil {
 		return balance.Placement{}, err
 	}
@@ -102,6 +109,8 @@
 // refused, or nil after a wait.
 func (s *placing) await(now time.Time, changed <-chan struct{}, v balance.Decision) error {
 	switch {
+	case v.Admission == balance.NoRelease:
+		return errReleaseGone
 	case v.Admission == balance.OverQuota:
 		s.quota = &v.Quota
 		s.decidedBy = v.Placement.PlacedBy
@@ -223,7 +232,7 @@
 
 func (r *request) query() balance.Query {
 	q := balance.Query{Ask: balance.Ask{
-		Service: r.service.Name, DataCentre: r.srv.cfg.DataCentre, Exclude: r.exclude, Again: r.ran > 0,
+		Service: r.service.Name, DataCentre: r.srv.cfg.DataCentre, Exclude: r.exclude, Again: r.ran > 0, Release: r.release,
 		Rank: r.priority(), OutputTokens: r.call.OutputTokens,
 	}}
 	if r.organisation != nil {
@@ -235,7 +244,7 @@
 		return q
 	}
 	q.Model, q.Wall, q.Parts, q.PromptTokens = r.call.Model, r.wall(), r.call.Parts, r.call.PromptTokens
-	if r.route.TargetLatency > 0 {
+	if r.route.TargetLatency > 0 && r.release == "" {
 		q.Target = r.route.TargetLatency
 		q.Patience = min(r.deadline.Sub(r.began), r.route.StreamIdleTimeout())
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -54,6 +54,9 @@
 	// brokenAt are the endpoints at which the request was running when its connection broke or the
 	// endpoint became unresponsive, in order.
 	brokenAt []string
+	// release is the only one that may run the request once events of a stream have been sent, here or to an
+	// earlier request of the caller; empty for any. releaseFrom is how that is known, for the log line.
+	release, releaseFrom string
 	// releases are those of the endpoints whose events the caller was sent, in order.
 	releases []string
 	// fingerprint is the result of content; nil before.
@@ -111,6 +114,11 @@
 		return
 	}
 	r.start()
+	if err := r.bindRelease(); err != nil {
+		r.refuseUnsent(err)
+		r.end()
+		return
+	}
 	if stream := r.answer(); stream != nil {
 		// The request ends when the stream is closed.
 		return
@@ -321,6 +329,9 @@
 		after = r.shutdownRetryAfter(time.Now())
 	case fault.Is(err, fault.Suspect):
 		after = fault.RetryAfter(err)
+	case errors.Is(err, errReleaseGone), errors.Is(err, errReleaseUnknown):
+		// Waiting won't help. The caller may begin the stream anew at once.
+		after = 0
 	}
 	writeRefusal(r.ctx, refusal{status: fasthttp.StatusServiceUnavailable, cause: err, retryAfter: after})
 }
@@ -431,6 +442,7 @@
 	}
 	if r.call.ResumeAfter != "" {
 		f["resume_after"], f["resumes"] = r.call.ResumeAfter, r.call.Resumes
+		f["bound_to"], f["bound_by"] = r.release, r.releaseFrom
 	}
 	if len(r.releases) > 1 {
 		f["releases"] = strings.Join(r.releases, ",")
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -112,6 +112,7 @@
 	Placer      Placer
 	Statements  Statements
 	Peers       Peers
+	Origins     Origins
 	Dialect     Dialect
 	// Relay returns the connections to an endpoint's address.
 	Relay func(address string) *endpoint.Relay
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -95,6 +95,9 @@
 	s.noteRelease()
 	s.attempt.heard()
 	if s.req.events++; s.req.events == 1 {
+		if s.req.release == "" {
+			s.req.release = s.attempt.release()
+		}
 		s.req.firstEvent = time.Since(s.req.began)
 		s.attempt.reportStage(balance.Answering)
 	}
@@ -121,7 +124,7 @@
 	}
 	s.attempt.endBroken()
 	r.failedWith(err)
-	for r.route.Resumable && len(s.lastID) > 0 && s.resumes < maxResumes && r.mayRetry(outcomeBroken) {
+	for r.route.Resumable && len(s.lastID) > 0 && s.resumes < maxResumes && s.mayResume() && r.mayRetry(outcomeBroken) {
 		s.resumes++
 		if s.resume() == nil {
 			return nil
@@ -130,6 +133,15 @@
 	return r.lastErr
 }
 
+// mayResume reports whether it is known which release may go on with the stream.
+func (s *eventStream) mayResume() bool {
+	if s.req.release == "" {
+		s.req.failedWith(errReleaseUnknown)
+		return false
+	}
+	return true
+}
+
 // maxResumes bounds how often one stream is resumed.
 const maxResumes = 3
 
--- a/gossip/roles.go
+++ b/gossip/roles.go
@@ -340,6 +340,22 @@
 // Position returns this instance's index in the order in which instances become schedulers.
 func (n *Node) Position() int { return n.currentRoles().position }
 
+// LongestRunning returns up to count other schedulers that live, those first that have been running for longest: they have
+// received most.
+func (n *Node) LongestRunning(count int) []Peer {
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var list []Peer
+	for _, p := range n.peers {
+		if s := n.states[p.Name]; s.scheduler && s.alive(now) {
+			list = append(list, p)
+		}
+	}
+	slices.SortFunc(list, func(a, b Peer) int { return cmp.Compare(n.states[a.Name].incarnation, n.states[b.Name].incarnation) })
+	return list[:min(len(list), count)]
+}
+
 // SchedulersFor returns the schedulers to ask about a key, in order of preference; none if this
 // instance is a scheduler itself or knows of no scheduler. All instances ask the same scheduler
 // for the same key, so that simultaneous requests for it are decided in one place.
--- a/hosted/endpoints.go
+++ b/hosted/endpoints.go
@@ -86,6 +86,7 @@
 		i.changeLog.add(time.Now(), u)
 	}
 	i.endpointsListed.Store(true)
+	i.origins.book.Follow(time.Now())
 }
 
 const (
@@ -187,6 +188,7 @@
 
 // applyEndpoint applies one update to the state.
 func (i *Instance) applyEndpoint(u update) {
+	i.noteReleases(u)
 	if u.hadPrev && (!u.hasNow || u.prev.ID != u.now.ID) {
 		if u.hasNow {
 			i.server.CancelEndpoint(u.prev.ID)
@@ -203,6 +205,17 @@
 	}
 }
 
+// noteReleases records which releases a service has or had until now.
+func (i *Instance) noteReleases(u update) {
+	now := time.Now()
+	if u.hadPrev {
+		i.origins.book.Seen(now, u.prev.Service, u.prev.Release)
+	}
+	if u.hasNow {
+		i.origins.book.Seen(now, u.now.Service, u.now.Release)
+	}
+}
+
 func endpointLog(e balance.Endpoint) *log.Entry {
 	return log.WithFields(log.Fields{"endpoint": e.ID, "address": e.Address, "service": e.Service})
 }
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -23,6 +23,7 @@
 	"github.com/sardinedock/sardinedock/gossip"
 	"github.com/sardinedock/sardinedock/internal/sockstate"
 	"github.com/sardinedock/sardinedock/lease"
+	"github.com/sardinedock/sardinedock/origin"
 	"github.com/sardinedock/sardinedock/platform"
 	"github.com/sardinedock/sardinedock/policy"
 	"github.com/sardinedock/sardinedock/quota"
@@ -73,6 +74,7 @@
 	budget      *policy.FleetRetries
 	quotas      *quota.Book
 	statements  *statements
+	origins     *origins
 	guard       *gateway.CrashGuard
 	ways        *reachability.Table
 	// poolLostAt is when this instance found a pool out of reach, in Unix ns; 0 if all are in reach.
@@ -132,6 +134,7 @@
 	if err := i.bind(); err != nil {
 		return nil, err
 	}
+	i.origins = &origins{book: origin.NewBook(), state: i.state, node: i.node}
 	i.guard = gateway.NewCrashGuard(i.node.BroadcastNotice)
 	limits := ratelimit.NewLimits(time.Now(), s.GetInstance(), i.incarnation)
 	i.state.SetLimiter(limits)
@@ -142,7 +145,7 @@
 	callersLn, readyLn, forwardedLn := i.listeners[0], i.listeners[1], i.listeners[2]
 	i.server = gateway.NewServer(gateway.Config{
 		Instance: s.GetInstance(), DataCentre: s.GetDataCentre(), Table: i.table.Load, State: i.state, Budget: i.budget, Guard: i.guard, Ways: i.ways,
-		Broadcaster: i.node, Placer: i.placer, Statements: i.statements, Peers: i, Dialect: platform.Dialect{}, Relay: i.relays.to, PeerRelay: i.peerRelays.to,
+		Broadcaster: i.node, Placer: i.placer, Statements: i.statements, Peers: i, Origins: i.origins, Dialect: platform.Dialect{}, Relay: i.relays.to, PeerRelay: i.peerRelays.to,
 		Started: time.Now(), HeaderBytes: headerBytes, BodyBytes: bodyBytes,
 	})
 	i.startTasks()
@@ -298,6 +301,7 @@
 		i.statements.sweep(now, i.state.Exists)
 		i.statements.repeatOwn(now)
 		i.repeatDepartures()
+		i.origins.book.Sweep(now)
 		i.guard.Repeat(now, i.repeater())
 		i.changeLog.flush(now)
 		i.budget.SetInstances(i.node.Live())
--- /dev/null
+++ b/hosted/origins.go
@@ -0,0 +1,77 @@
+package hosted
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sardinedock/sardinedock/balance"
+	"github.com/sardinedock/sardinedock/gossip"
+	"github.com/sardinedock/sardinedock/origin"
+	"github.com/sardinedock/sardinedock/schema/gossippb"
+)
+
+// originAsks is how many schedulers are asked for a stream that this instance does not know. One of them may have
+// missed its report.
+const originAsks = 2
+
+// origins implements gateway.Origins.
+type origins struct {
+	book  *origin.Book
+	state *balance.State
+	node  *gossip.Node
+}
+
+// Began implements gateway.Origins.
+func (o *origins) Began(k origin.Key, release string, life time.Duration) {
+	o.book.Began(time.Now(), k, release, life)
+}
+
+// Find implements gateway.Origins.
+func (o *origins) Find(ctx context.Context, service string, k origin.Key) (release string, result origin.Result, from string) {
+	own := o.answer(service, k)
+	if own.Release != "" {
+		return origin.Decide([]origin.Answer{own})
+	}
+	return origin.Decide(append(o.ask(ctx, service, k), own))
+}
+
+// answer returns what this instance knows.
+func (o *origins) answer(service string, k origin.Key) origin.Answer {
+	now := time.Now()
+	return origin.Answer{Release: o.book.Release(now, k), Releases: o.book.Releases(now, service, o.state.Releases(service))}
+}
+
+// ask returns what schedulers know that answer in time.
+func (o *origins) ask(ctx context.Context, service string, k origin.Key) []origin.Answer {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var answers []origin.Answer
+	var wg sync.WaitGroup
+	for _, to := range o.node.LongestRunning(originAsks) {
+		wg.Go(func() {
+			m, err := o.node.Ask(ctx, to, &gossippb.Ask{Run: rand.Uint64(), OriginService: service, Origin: uint64(k)})
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			answers = append(answers, origin.Answer{
+				Instance: to.Name, Release: m.GetRelease(),
+				Releases: origin.Releases{Only: m.GetOnlyRelease(), Several: m.GetSeveralReleases()},
+			})
+		})
+	}
+	wg.Wait()
+	return answers
+}
+
+// answerAsk answers another instance's question for the origin of a stream.
+func (o *origins) answerAsk(a *gossippb.Ask) *gossippb.Decision {
+	known := o.answer(a.GetOriginService(), origin.Key(a.GetOrigin()))
+	return &gossippb.Decision{
+		Run: a.GetRun(), Admission: int32(balance.Wait), Release: known.Release, OnlyRelease: known.Only, SeveralReleases: known.Several,
+	}
+}
--- a/hosted/placing.go
+++ b/hosted/placing.go
@@ -160,7 +160,11 @@
 	if !v.Found {
 		return v, true
 	}
-	if v.Placement, ok = p.resolve(q.Ask, v.Placement); !ok {
+	if v.Placement, ok = p.resolve(q.Ask, v.Placement); ok {
+		// A scheduler of an earlier version does not know the field.
+		ok = q.Release == "" || v.Placement.Endpoint.Release == q.Release
+	}
+	if !ok {
 		if v.Admission == balance.Send {
 			p.cancelRun(q.Run, to.Name)
 		}
@@ -209,6 +213,9 @@
 
 // Asked implements gossip.Handler.
 func (h receiver) Asked(a *gossippb.Ask) *gossippb.Decision {
+	if a.GetOriginService() != "" {
+		return h.origins.answerAsk(a)
+	}
 	cold := a.GetModel() != "" && time.Since(h.placer.started) < warmUpPeriod && !h.state.Warm(a.GetService())
 	// An instance that is no scheduler any more receives few of the others' messages.
 	if cold || !h.Ready() || !h.node.IsScheduler() {
@@ -233,7 +240,7 @@
 		Run: uint64(q.Run), Service: q.Service, Model: q.Model, Wall: q.Wall, PromptTokens: q.PromptTokens, OutputTokens: q.OutputTokens,
 		Rank: int32(q.Rank), DataCentre: q.DataCentre, Exclude: q.Exclude,
 		TargetUs: q.Target.Microseconds(), PatienceUs: q.Patience.Microseconds(), ElapsedUs: q.Elapsed.Microseconds(),
-		Organisation: q.Charge.Account, Cost: q.Charge.Cost, Again: q.Again,
+		Organisation: q.Charge.Account, Cost: q.Charge.Cost, Again: q.Again, Release: q.Release,
 	}
 	for _, pause := range q.Paused[:min(len(q.Paused), maxAskedPauses)] {
 		m.Paused = append(m.Paused, &gossippb.Pause{Endpoint: pause.Endpoint, LeftUs: pause.Left.Microseconds()})
@@ -252,6 +259,7 @@
 		Ask: balance.Ask{
 			Service: m.GetService(), Model: m.GetModel(), Wall: m.GetWall(), PromptTokens: m.GetPromptTokens(), OutputTokens: m.GetOutputTokens(),
 			Rank: int(m.GetRank()), DataCentre: m.GetDataCentre(), Exclude: m.GetExclude(), Again: m.GetAgain(),
+			Release: m.GetRelease(),
 		},
 	}
 	for _, pause := range m.GetPaused() {
@@ -270,7 +278,7 @@
 	p := v.Placement
 	return &gossippb.Decision{
 		Run: uint64(run), Admission: int32(v.Admission), Endpoint: p.Endpoint.ID, Name: p.Endpoint.Name, Address: p.Endpoint.Address,
-		Version: p.Version, Uncached: p.Uncached,
+		Version: p.Version, Uncached: p.Uncached, Release: p.Endpoint.Release,
 		FetchFrom: p.FetchFrom, SaveTo: p.SaveTo, Ahead: p.Ahead, Queued: p.Queued, Running: int32(p.Running), Full: p.Full,
 		BacklogUs: p.Backlog.Microseconds(), FirstUs: p.FirstToken.Microseconds(),
 		Balance: v.Quota.Balance, Share: v.Quota.Share, RetryUs: v.Quota.RetryAfter.Microseconds(),
@@ -282,7 +290,7 @@
 	return balance.Decision{
 		Admission: balance.Admission(m.GetAdmission()), Found: m.GetEndpoint() != "",
 		Placement: balance.Placement{
-			Endpoint: balance.Endpoint{ID: m.GetEndpoint(), Name: m.GetName(), Address: m.GetAddress()}, PlacedBy: by, Version: m.GetVersion(), Uncached: m.GetUncached(),
+			Endpoint: balance.Endpoint{ID: m.GetEndpoint(), Name: m.GetName(), Address: m.GetAddress(), Release: m.GetRelease()}, PlacedBy: by, Version: m.GetVersion(), Uncached: m.GetUncached(),
 			FetchFrom: m.GetFetchFrom(), SaveTo: m.GetSaveTo(), Ahead: m.GetAhead(), Queued: m.GetQueued(), Running: int(m.GetRunning()), Full: m.GetFull(),
 			Backlog: micros(m.GetBacklogUs()), FirstToken: micros(m.GetFirstUs()), PassedOver: m.GetPassedOver(), PassedFor: balance.Obstacle(m.GetPassedFor()),
 		},
--- a/hosted/updates.go
+++ b/hosted/updates.go
@@ -9,6 +9,7 @@
 	"github.com/sardinedock/sardinedock/balance"
 	"github.com/sardinedock/sardinedock/directory"
 	"github.com/sardinedock/sardinedock/objectapi"
+	"github.com/sardinedock/sardinedock/origin"
 	"github.com/sardinedock/sardinedock/platform"
 	"github.com/sardinedock/sardinedock/prefix"
 	"github.com/sardinedock/sardinedock/rendezvous"
@@ -133,6 +134,7 @@
 		h.state.Misdirected(balance.RunID(m.GetRun()), m.GetVersion())
 	}
 	h.state.SetStage(time.Now(), balance.RunID(m.GetRun()), balance.Stage(m.GetStage()))
+	h.origins.Began(origin.Key(m.GetStream()), m.GetRelease(), time.Duration(m.GetStreamMs())*time.Millisecond)
 	if m.GetNotRun() {
 		h.placer.NotRun(balance.RunID(m.GetRun()))
 	}
