Streams go on where their service has had one release, also soon after a start

Cause: an instance vouched for a service's only release after a fixed 30 s. Now it does after two timeouts of the route, a first and a second try of the caller, and at once if the whole fleet starts for the first time, which the platform tells each process.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -297,7 +297,7 @@
 // isReserved reports whether an endpoint is one of the last of its release and half full. Its streams can go on
 // nowhere else, and a crash of the other one brings all of them here in one moment.
 func (c *chooser) isReserved(e *endpoint) bool {
-	return c.ready != nil && len(c.ready) > 1 && c.ready[e.Release] <= lastOfRelease && 2*e.running >= e.Slots
+	return len(c.ready) > 1 && c.ready[e.Release] <= lastOfRelease && 2*e.running >= e.Slots
 }
 
 // skipPaused records an endpoint that pauses.
--- a/gateway/release.go
+++ b/gateway/release.go
@@ -16,9 +16,10 @@
 type Origins interface {
 	// Began records the release that wrote the first event of a stream of this instance.
 	Began(k origin.Key, release string, life time.Duration)
-	// Find returns the release that a stream may go on at; empty if that is not known. It may block while other
-	// instances are asked, for some tens of ms at most. from names the instance that knew, empty for this one.
-	Find(ctx context.Context, service string, k origin.Key) (release string, result origin.Result, from string)
+	// Find returns the release that a stream of a service, which has lasted for at most the given life, may go on
+	// at; empty if that is not known. It may block while other instances are asked, for some tens of ms at most.
+	// from names the instance that knew, empty for this one.
+	Find(ctx context.Context, service string, k origin.Key, life time.Duration) (release string, result origin.Result, from string)
 }
 
 var (
@@ -26,6 +27,10 @@
 	errReleaseUnknown = fault.New(fault.Unavailable, "begin the stream anew", "it is not known which release began the stream, and there are several")
 )
 
+// resumableTimeouts is for how many timeouts of its route a stream may last before its caller resumes it: a first and a
+// second try.
+const resumableTimeouts = 2
+
 func resumptionsTotal(result string) *metrics.Counter {
 	return metrics.GetOrCreateCounter(`sardinedock_stream_resumptions_total{origin="` + result + `"}`)
 }
@@ -40,7 +45,8 @@
 		r.releaseFrom = r.origin
 		return nil
 	}
-	release, result, from := r.srv.cfg.Origins.Find(r.reqCtx, r.service.Name, origin.KeyOf(r.organisationName(), r.call.Resumes))
+	k, life := origin.KeyOf(r.organisationName(), r.call.Resumes), resumableTimeouts*r.route.Timeout
+	release, result, from := r.srv.cfg.Origins.Find(r.reqCtx, r.service.Name, k, life)
 	resumptionsTotal(result.String()).Inc()
 	r.release, r.releaseFrom = release, cmp.Or(from, r.srv.cfg.Instance)+": "+result.String()
 	if release == "" {
--- a/hosted/dump.go
+++ b/hosted/dump.go
@@ -31,6 +31,8 @@
 	Quotas    []quota.View     `json:"quotas"`
 	// Rates are the rate limits that endpoints state.
 	Rates []ratelimit.View `json:"endpoint_rates"`
+	// Streams is the number of streams whose release is known.
+	Streams int `json:"streams"`
 	// Departures are the endpoints that state that they leave, Pauses those that want no requests from
 	// this instance.
 	Departures []string `json:"endpoints_leaving"`
@@ -64,7 +66,7 @@
 	now := time.Now()
 	d := dump{
 		Instance: i.settings.GetInstance(), Ready: i.Ready(), Leaving: i.leaving.Load(), Open: i.server.Open(),
-		Scheduler: i.node.IsScheduler(), Others: i.node.Schedulers(), Live: i.node.Live(), Lease: i.lease.Dump(), Weights: i.rollout.Wanted(), Quotas: i.quotas.Views(now), Rates: i.statements.limits.Views(now), Departures: i.statements.departures.Endpoints(), Brittle: i.statements.brittle.Endpoints(), Suspects: i.guard.Views(now), Unreachable: i.ways.Views(now), Endpoints: i.state.Endpoints("", now),
+		Scheduler: i.node.IsScheduler(), Others: i.node.Schedulers(), Live: i.node.Live(), Lease: i.lease.Dump(), Weights: i.rollout.Wanted(), Quotas: i.quotas.Views(now), Streams: i.origins.book.Streams(), Rates: i.statements.limits.Views(now), Departures: i.statements.departures.Endpoints(), Brittle: i.statements.brittle.Endpoints(), Suspects: i.guard.Views(now), Unreachable: i.ways.Views(now), Endpoints: i.state.Endpoints("", now),
 	}
 	for _, p := range i.statements.pauses.All(now) {
 		d.Pauses = append(d.Pauses, pausedEndpoint{p.Endpoint, p.Left.Milliseconds()})
--- a/hosted/fixture_test.go
+++ b/hosted/fixture_test.go
@@ -28,6 +28,8 @@
 	mu        sync.Mutex
 	// retrySlack is the slack of the fleet's retry budget.
 	retrySlack float64
+	// firstStart states to the instances that all of them start for the first time.
+	firstStart bool
 }
 
 const (
@@ -75,7 +77,7 @@
 		change(listen)
 		var err error
 		i, err = Start(&settingspb.Hosted{
-			Instance: name, DataCentre: "dc-1", Store: f.store.Address(), Listen: listen,
+			Instance: name, DataCentre: "dc-1", Store: f.store.Address(), Listen: listen, FirstStart: f.firstStart,
 			Bounds: &settingspb.HostedBounds{GraceSeconds: 4, LeaseMs: 1000, RetryRatio: 0.2, RetrySlack: f.retrySlack, RetryWindowSeconds: 10, WeightsMs: 8000, HeartbeatMs: 300},
 		})
 		if err != nil && try == tries {
--- a/hosted/origins.go
+++ b/hosted/origins.go
@@ -29,22 +29,22 @@
 }
 
 // Find implements gateway.Origins.
-func (o *origins) Find(ctx context.Context, service string, k origin.Key) (release string, result origin.Result, from string) {
-	own := o.answer(service, k)
+func (o *origins) Find(ctx context.Context, service string, k origin.Key, life time.Duration) (release string, result origin.Result, from string) {
+	own := o.answer(service, k, life)
 	if own.Release != "" {
 		return origin.Decide([]origin.Answer{own})
 	}
-	return origin.Decide(append(o.ask(ctx, service, k), own))
+	return origin.Decide(append(o.ask(ctx, service, k, life), own))
 }
 
 // answer returns what this instance knows.
-func (o *origins) answer(service string, k origin.Key) origin.Answer {
+func (o *origins) answer(service string, k origin.Key, life time.Duration) origin.Answer {
 	now := time.Now()
-	return origin.Answer{Release: o.book.Release(now, k), Releases: o.book.Releases(now, service, o.state.Releases(service))}
+	return origin.Answer{Release: o.book.Release(now, k), Releases: o.book.Releases(now, service, o.state.Releases(service), life)}
 }
 
 // ask returns what schedulers know that answer in time.
-func (o *origins) ask(ctx context.Context, service string, k origin.Key) []origin.Answer {
+func (o *origins) ask(ctx context.Context, service string, k origin.Key, life time.Duration) []origin.Answer {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	var mu sync.Mutex
@@ -52,7 +52,7 @@
 	var wg sync.WaitGroup
 	for _, to := range o.node.LongestRunning(originAsks) {
 		wg.Go(func() {
-			m, err := o.node.Ask(ctx, to, &gossippb.Ask{Run: rand.Uint64(), OriginService: service, Origin: uint64(k)})
+			m, err := o.node.Ask(ctx, to, &gossippb.Ask{Run: rand.Uint64(), OriginService: service, Origin: uint64(k), OriginLifeMs: life.Milliseconds()})
 			if err != nil {
 				return
 			}
@@ -70,7 +70,7 @@
 
 // answerAsk answers another instance's question for the origin of a stream.
 func (o *origins) answerAsk(a *gossippb.Ask) *gossippb.Decision {
-	known := o.answer(a.GetOriginService(), origin.Key(a.GetOrigin()))
+	known := o.answer(a.GetOriginService(), origin.Key(a.GetOrigin()), time.Duration(a.GetOriginLifeMs())*time.Millisecond)
 	return &gossippb.Decision{
 		Run: a.GetRun(), Admission: int32(balance.Wait), Release: known.Release, OnlyRelease: known.Only, SeveralReleases: known.Several,
 	}
--- a/hosted/release_test.go
+++ b/hosted/release_test.go
@@ -256,3 +256,33 @@
 		t.Errorf("%+v, want it served to the organisation that began it", a)
 	}
 }
+
+// Guards against an instance that has just started and refuses the streams that others know.
+func TestInstanceThatHasJustStartedAsksForTheOriginOfAStream(t *testing.T) {
+	f := releaseFixture(t, 2, map[string]int{"v1": 1, "v2": 1}, holdUntilClosed)
+	id, read, hangUp := f.begin(0, "/check/1")
+	hangUp()
+	i := f.start("instance-2")
+	f.awaitPeers()
+	f.eventually("the new instance ready", func() bool { return i.Ready() && len(i.state.Endpoints("pool", time.Now())) == 2 })
+	if a := f.sendTo(2, f.resumption("/check/1", id)); !a.goesOn(read) {
+		t.Errorf("began with %q, goes on with %+v", read, a)
+	}
+}
+
+// Guards against streams that are refused although their service has never had two releases.
+func TestUnknownStreamGoesOnAtTheOnlyRelease(t *testing.T) {
+	f := newFixture(t, 0)
+	f.firstStart = true
+	f.start("instance-0")
+	f.releaseEndpoint("v1-0", "v1", holdUntilClosed)
+	f.serve(1, nil)
+	if a := f.do(f.resumption("/check/1", "")); a.status != 200 || a.truncated {
+		t.Errorf("%+v, want it to go on", a)
+	}
+	f.releaseEndpoint("v2-0", "v2", holdUntilClosed)
+	f.eventually("two releases listed", func() bool { return len(f.instances[0].state.Releases("pool")) == 2 })
+	if a := f.do(f.resumption("/check/1", "")); a.status != 503 {
+		t.Errorf("%+v with two releases, want it refused", a)
+	}
+}
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -65,12 +65,7 @@
 		all = append(all, entries...)
 	}
 	slices.SortStableFunc(all, func(a, b logEntry) int { return a.at.Compare(b.at) })
-	var requests []logEntry
-	for _, e := range all {
-		if e.stringField("event") == "request" && e.stringField("request") == c.id {
-			requests = append(requests, e)
-		}
-	}
+	requests := triesOf(all, c.id)
 	if len(requests) == 0 {
 		for _, text := range missingLineReasons(all) {
 			fmt.Fprintln(out, text)
@@ -83,6 +78,27 @@
 	return nil
 }
 
+// triesOf returns the lines of a request, and of the other requests by which its caller resumed the same stream: each
+// names the first one.
+func triesOf(all []logEntry, id string) []logEntry {
+	first := id
+	for _, e := range all {
+		if resumes := e.stringField("resumes"); resumes != "" && e.stringField("request") == id {
+			first = resumes
+		}
+	}
+	var tries []logEntry
+	for _, e := range all {
+		if e.stringField("event") != "request" {
+			continue
+		}
+		if name := e.stringField("request"); name == id || name == first || e.stringField("resumes") == first {
+			tries = append(tries, e)
+		}
+	}
+	return tries
+}
+
 // missingLineReasons lists why the logs may have no line for a request that reached an
 // instance: the process was killed, lines were dropped, or the request could not be parsed.
 func missingLineReasons(all []logEntry) []string {
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -14,11 +14,9 @@
 const (
 	// maxStreams bounds the streams that are known. 5,000 a second that may be resumed for 15 s are 75,000.
 	maxStreams = 1 << 17
-	// maxLife bounds for how long a stream is known: as long as a caller may come back for it.
+	// maxLife bounds for how long a stream is known, and a release after its last endpoint was listed: as long as
+	// a caller may come back for a stream.
 	maxLife = 2 * time.Minute
-	// ReleaseMemory is how long a release counts as one that may have begun a stream after its last endpoint
-	// was listed: longer than callers wait for a stream and its resumptions together.
-	ReleaseMemory = 30 * time.Second
 	// maxReleases bounds the releases that are known of a service.
 	maxReleases = 64
 )
@@ -52,11 +50,14 @@
 	seen map[string]map[string]time.Time
 	// followed is since when the list of endpoints is followed; zero before.
 	followed time.Time
+	// first is set if no stream has begun before this instance started.
+	first bool
 }
 
-// NewBook returns a Book that knows nothing.
-func NewBook() *Book {
-	return &Book{streams: map[Key]stream{}, seen: map[string]map[string]time.Time{}}
+// NewBook returns a Book that knows nothing. first states that the whole fleet starts for the first time, so that no
+// stream has begun before.
+func NewBook(first bool) *Book {
+	return &Book{streams: map[Key]stream{}, seen: map[string]map[string]time.Time{}, first: first}
 }
 
 // Began records which release wrote the first event of a stream that may be resumed for the given time. The first
@@ -112,20 +113,21 @@
 
 // Releases is what an instance knows of the releases that may have begun a service's streams.
 type Releases struct {
-	// Only is the one release that the service has had within ReleaseMemory; empty if there were several, or if
-	// that is not known.
+	// Only is the one release that the service has had for as long as a stream lasts; empty if there were several,
+	// or if that is not known.
 	Only string
 	// Several is set if there were several.
 	Several bool
 }
 
-// Releases returns what is known of the releases of a service. listed are those of its endpoints that are listed now.
-func (b *Book) Releases(now time.Time, service string, listed []string) Releases {
+// Releases returns what is known of the releases that may have begun a stream of a service which has lasted for at
+// most the given life. listed are those of its endpoints that are listed now.
+func (b *Book) Releases(now time.Time, service string, listed []string, life time.Duration) Releases {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	all := slices.Clone(listed)
 	for release, at := range b.seen[service] {
-		if now.Sub(at) < ReleaseMemory {
+		if now.Sub(at) < life {
 			all = append(all, release)
 		}
 	}
@@ -134,7 +136,7 @@
 	switch {
 	case len(all) > 1:
 		return Releases{Several: true}
-	case len(all) == 0 || b.followed.IsZero() || now.Sub(b.followed) < ReleaseMemory:
+	case len(all) == 0 || b.followed.IsZero() || !b.first && now.Sub(b.followed) < life:
 		return Releases{}
 	}
 	return Releases{Only: all[0]}
@@ -151,7 +153,7 @@
 	}
 	for service, releases := range b.seen {
 		for release, at := range releases {
-			if now.Sub(at) >= ReleaseMemory {
+			if now.Sub(at) >= maxLife {
 				delete(releases, release)
 			}
 		}
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -12,7 +12,7 @@
 
 // Guards against a stream whose release is taken from a later request with the same ID, or is known for ever.
 func TestFirstReportOfAStreamCountsUntilItsTimeIsOver(t *testing.T) {
-	b := origin.NewBook()
+	b := origin.NewBook(false)
 	k := origin.KeyOf("kumasi", "id-1")
 	b.Began(start, k, "v1", 10*time.Second)
 	b.Began(start.Add(time.Second), k, "v2", 10*time.Second)
@@ -45,7 +45,7 @@
 // Guards against memory that grows with the streams of callers.
 func TestStreamsAreBounded(t *testing.T) {
 	const sent, limit = 1<<17 + 1000, 1 << 17
-	b := origin.NewBook()
+	b := origin.NewBook(false)
 	for n := range sent {
 		b.Began(start, origin.KeyOf("o", fmt.Sprint(n)), "v1", time.Minute)
 	}
@@ -56,28 +56,34 @@
 
 // Guards against a release that has just come or gone and is not considered, and an instance that vouches for a time
 // when it did not follow the endpoints.
-func TestOnlyReleaseIsKnownAfterReleaseMemory(t *testing.T) {
-	b := origin.NewBook()
-	at := func(d time.Duration) origin.Releases { return b.Releases(start.Add(d), "pool", []string{"v1"}) }
+func TestOnlyReleaseIsKnownAfterTheLifeOfAStream(t *testing.T) {
+	const life = 30 * time.Second
+	b := origin.NewBook(false)
+	at := func(d time.Duration) origin.Releases { return b.Releases(start.Add(d), "pool", []string{"v1"}, life) }
 	b.Seen(start, "pool", "v1")
 	if r := at(time.Hour); r.Only != "" {
 		t.Errorf("%+v before the endpoints are followed", r)
 	}
 	b.Follow(start)
-	if r := at(origin.ReleaseMemory - time.Second); r.Only != "" || r.Several {
+	if r := at(life - time.Second); r.Only != "" || r.Several {
 		t.Errorf("%+v too early", r)
 	}
-	if r := at(origin.ReleaseMemory); r.Only != "v1" {
+	if r := at(life); r.Only != "v1" {
 		t.Errorf("%+v, want v1 only", r)
 	}
 	b.Seen(start.Add(time.Minute), "pool", "v0")
-	if r := at(time.Minute + origin.ReleaseMemory - time.Second); !r.Several {
+	if r := at(time.Minute + life - time.Second); !r.Several {
 		t.Errorf("%+v, want several: v0 was there", r)
 	}
-	if r := at(time.Minute + origin.ReleaseMemory); r.Only != "v1" {
+	if r := at(time.Minute + life); r.Only != "v1" {
 		t.Errorf("%+v, want v1 only", r)
 	}
-	if r := b.Releases(start.Add(time.Hour), "pool", []string{"v1", "v2"}); !r.Several {
+	first := origin.NewBook(true)
+	first.Follow(start)
+	if r := first.Releases(start, "pool", []string{"v1"}, life); r.Only != "v1" {
+		t.Errorf("%+v at the first start of all, want v1 only", r)
+	}
+	if r := b.Releases(start.Add(time.Hour), "pool", []string{"v1", "v2"}, life); !r.Several {
 		t.Errorf("%+v with two listed", r)
 	}
 }
