--- a/gateway/release.go
+++ b/gateway/release.go
@@ -24,7 +24,7 @@
 
 var (
 	errReleaseGone    = fault.New(fault.Unavailable, "begin the stream anew", "no endpoint of the release that began the stream is left")
-	errReleaseUnknown = fault.New(fault.Unavailable, "begin the stream anew", "it is not known which release began the stream, and there are several")
+	errReleaseUnknown = fault.New(fault.Unavailable, "begin the stream anew", "it is not known which release began the stream")
 )
 
 // resumableTimeouts is for how many timeouts of its route a stream may last before its caller resumes it: a first and a
--- a/hosted/origins.go
+++ b/hosted/origins.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sardinedock/sardinedock/balance"
+	"github.com/sardinedock/sardinedock/clock"
 	"github.com/sardinedock/sardinedock/gossip"
 	"github.com/sardinedock/sardinedock/origin"
 	"github.com/sardinedock/sardinedock/schema/gossippb"
@@ -16,11 +17,20 @@
 // missed its report.
 const originAsks = 2
 
+const (
+	// originWarmUp is how long after its start an instance waits for other instances to become known before it
+	// answers that nobody knows a stream. Their first messages arrive within 0.1 s.
+	originWarmUp = 400 * time.Millisecond
+	// originPoll is the polling interval meanwhile.
+	originPoll = 20 * time.Millisecond
+)
+
 // origins implements gateway.Origins.
 type origins struct {
-	book  *origin.Book
-	state *balance.State
-	node  *gossip.Node
+	book    *origin.Book
+	state   *balance.State
+	node    *gossip.Node
+	started time.Time
 }
 
 // Began implements gateway.Origins.
@@ -34,7 +44,11 @@
 	if own.Release != "" {
 		return origin.Decide([]origin.Answer{own})
 	}
-	return origin.Decide(append(o.ask(ctx, service, k, life), own))
+	answers := o.ask(ctx, service, k, life)
+	for len(answers) == 0 && time.Since(o.started) < originWarmUp && clock.Sleep(ctx, originPoll) == nil {
+		answers = o.ask(ctx, service, k, life)
+	}
+	return origin.Decide(append(answers, o.answer(service, k, life)))
 }
 
 // answer returns what this instance knows.
--- a/hosted/release_test.go
+++ b/hosted/release_test.go
@@ -263,7 +263,6 @@
 	id, read, hangUp := f.begin(0, "/check/1")
 	hangUp()
 	i := f.start("instance-2")
-	f.awaitPeers()
 	f.eventually("the new instance ready", func() bool { return i.Ready() && len(i.state.Endpoints("pool", time.Now())) == 2 })
 	if a := f.sendTo(2, f.resumption("/check/1", id)); !a.goesOn(read) {
 		t.Errorf("began with %q, goes on with %+v", read, a)
