--- a/gateway/place.go
+++ b/gateway/place.go
@@ -21,6 +21,9 @@
 	// for an endpoint. A caller that is refused early can still be served by another instance or
 	// later.
 	placeWaitShare = 3
+	// boundRetryInterval is how long a request that only one release may run waits before endpoints that it has
+	// tried are tried again.
+	boundRetryInterval = 100 * time.Millisecond
 	// boundWaitShare is the same in percent for a request that only one release may run. The rest is left for
 	// its answer.
 	boundWaitShare = 80
@@ -133,10 +136,13 @@
 			s.waitedMemory += time.Since(waitBegan)
 		}
 		return err
-	case len(s.exclude) > 0:
+	case len(s.exclude) > 0 && s.release == "":
 		// No other endpoint can be used; those tried before may have recovered.
 		s.exclude = nil
 		return nil
+	case len(s.exclude) > 0 && now.Before(s.until):
+		s.exclude = nil
+		return s.waitForChange(changed, boundRetryInterval)
 	case !now.Before(s.until):
 		return fault.New(fault.Unavailable, "send the request again later", "no endpoint of %s takes work", s.service.Name)
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -267,6 +267,10 @@
 	case outcomeWithdrawn, outcomeNotForwarded:
 		return true
 	case outcomeUnsent:
+		if r.release != "" {
+			// Only the endpoints of one release may run the request; their successors are waited for.
+			return true
+		}
 		return max(r.sends-r.ran-r.rejected, 0) < maxUnsent
 	case outcomeRejected:
 		if r.rejected >= maxRejected {
--- a/hosted/release_test.go
+++ b/hosted/release_test.go
@@ -285,3 +285,20 @@
 		t.Errorf("%+v with two releases, want it refused", a)
 	}
 }
+
+// Guards against a resumption that is refused while the endpoints of its release are down but listed, although a
+// successor comes within the caller's time.
+func TestResumptionWaitsForASuccessorOfItsRelease(t *testing.T) {
+	const successorAfter = 500 * time.Millisecond
+	onBegin, ended := crashWhenClosed()
+	f := releaseFixture(t, 1, map[string]int{"v1": 1}, onBegin)
+	f.releaseEndpoint("other", "v2", holdUntilClosed)
+	f.eventually("both releases listed", func() bool { return len(f.instances[0].state.Releases("pool")) == 2 })
+	id, read, hangUp := f.begin(0, "/check/1")
+	hangUp()
+	<-ended
+	time.AfterFunc(successorAfter, func() { f.releaseEndpoint("successor", "v1", holdUntilClosed) })
+	if a := f.do(f.resumption("/check/1", id)); !a.goesOn(read) {
+		t.Errorf("began with %q, goes on with %+v", read, a)
+	}
+}
