Answers that another release wrote are not joined; a new instance waits until it knows the others

Two gaps found by reading the change, and one by its own test: - an instance of the version before, to which a resumption is forwarded, does not know what it is bound to. The release that its answer names is checked before an event is passed on; it names none, so that the stream breaks off in place of mixing; - a decision compared the releases of all endpoints of a service; whether there are several is kept until the list changes; - TestInstanceThatHasJustStartedAsksForTheOriginOfAStream failed once in two runs: an instance that was never registered reads the list of the others 0.35 s after its start, so that 0.4 s were over first.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/sardinedock/sardinedock/prefix"
@@ -77,7 +76,9 @@
 	defer s.mu.Unlock()
 	c := chooser{accepts: s.accepts, hasRoom: s.hasRoom, limits: s.limits, paused: pausedSet(a.Paused), serviceFailures: s.failures[a.Service], ask: a, now: now, keys: map[int64][]prefix.PartKey{}, targets: s.desired[a.Model], tooOld: s.staleBound * staleShare / 100}
 	list := s.byService[a.Service]
-	c.countReleases(list)
+	if a.Release == "" && s.hasSeveralReleases(a.Service) {
+		c.countReleases(list)
+	}
 	for i := range list {
 		e := list[(uint64(i)+a.Offset)%uint64(len(list))]
 		c.slowness, c.version = s.slowness(e), e.version(a.Model)
@@ -221,7 +222,8 @@
 	accepts func(*endpoint) bool
 	hasRoom func(*endpoint, time.Time) bool
 	limits  Limiter
-	// ready is the number of endpoints of each release that accept requests; nil if there is one release.
+	// ready is the number of endpoints of each release that accept requests; nil if there is one release, or
+	// the request is bound to one.
 	ready map[string]int
 	// limited are the endpoints with a rate limit, paused the time until each endpoint that
 	// pauses takes a request.
@@ -280,12 +282,8 @@
 	}
 }
 
-// countReleases counts the endpoints of each release, for a request that any of them may run.
+// countReleases counts the endpoints of each release that accept requests.
 func (c *chooser) countReleases(list []*endpoint) {
-	mixed := slices.ContainsFunc(list, func(e *endpoint) bool { return e.Release != list[0].Release })
-	if !mixed || c.ask.Release != "" {
-		return
-	}
 	c.ready = map[string]int{}
 	for _, e := range list {
 		if c.accepts(e) {
--- a/balance/state.go
+++ b/balance/state.go
@@ -38,8 +38,11 @@
 	// departed are the endpoints that are no longer listed, kept in case they return.
 	departed  map[string]*endpoint
 	byService map[string][]*endpoint
-	runs      map[RunID]*run
-	desired   map[string][]desired
+	// severalReleases tells whether a service's listed endpoints have several releases; without an entry, that has
+	// to be found out.
+	severalReleases map[string]bool
+	runs            map[RunID]*run
+	desired         map[string][]desired
 	// rates are the average rates at which the endpoints of a service read prompts, in
 	// tokens per ms.
 	rates map[string]float64
@@ -142,22 +145,23 @@
 // staleBound after a newer version was named.
 func NewState(staleBound time.Duration) *State {
 	return &State{
-		limits:     unlimited{},
-		leaving:    func(string) bool { return false },
-		brittle:    func(string) bool { return false },
-		turn:       alone,
-		staleBound: staleBound,
-		desired:    map[string][]desired{},
-		stores:     map[string]*cacheStore{},
-		rates:      map[string]float64{},
-		failures:   map[string]float64{},
-		sizes:      map[string]*sizes{},
-		pools:      map[string]Pool{},
-		endpoints:  map[string]*endpoint{},
-		departed:   map[string]*endpoint{},
-		byService:  map[string][]*endpoint{},
-		runs:       map[RunID]*run{},
-		changed:    make(chan struct{}),
+		limits:          unlimited{},
+		leaving:         func(string) bool { return false },
+		brittle:         func(string) bool { return false },
+		turn:            alone,
+		staleBound:      staleBound,
+		desired:         map[string][]desired{},
+		stores:          map[string]*cacheStore{},
+		rates:           map[string]float64{},
+		failures:        map[string]float64{},
+		sizes:           map[string]*sizes{},
+		pools:           map[string]Pool{},
+		endpoints:       map[string]*endpoint{},
+		departed:        map[string]*endpoint{},
+		byService:       map[string][]*endpoint{},
+		severalReleases: map[string]bool{},
+		runs:            map[RunID]*run{},
+		changed:         make(chan struct{}),
 	}
 }
 
@@ -248,6 +252,7 @@
 		}
 	}
 	known.Endpoint = e
+	delete(s.severalReleases, e.Service)
 	known.Versions = newest(held, e.Versions)
 	if !listed {
 		delete(s.departed, e.ID)
@@ -267,6 +272,7 @@
 		return
 	}
 	delete(s.endpoints, id)
+	delete(s.severalReleases, e.Service)
 	s.departed[id] = e
 	s.byService[e.Service] = slices.DeleteFunc(s.byService[e.Service], func(x *endpoint) bool { return x == e })
 	s.notify()
@@ -461,6 +467,17 @@
 	return list
 }
 
+// hasSeveralReleases reports whether the listed endpoints of a service have several releases. The caller must hold s.mu.
+func (s *State) hasSeveralReleases(service string) bool {
+	several, known := s.severalReleases[service]
+	if !known {
+		list := s.byService[service]
+		several = slices.ContainsFunc(list, func(e *endpoint) bool { return e.Release != list[0].Release })
+		s.severalReleases[service] = several
+	}
+	return several
+}
+
 // hasRelease reports whether an endpoint of a service accepts requests that only the given release may run. The caller
 // must hold s.mu.
 func (s *State) hasRelease(service, release string) bool {
--- a/gateway/release.go
+++ b/gateway/release.go
@@ -73,6 +73,15 @@
 	return a.place.Endpoint.Release
 }
 
+// checkRelease returns an error if an answer that goes on with a stream was not written by the release that began it.
+// An instance of an earlier version does not know what a forwarded request is bound to.
+func (a *attempt) checkRelease() error {
+	if bound := a.req.release; bound != "" && a.release() != bound {
+		return fault.New(fault.Broken, "begin the stream anew", "release %q answered in place of %q", a.release(), bound)
+	}
+	return nil
+}
+
 // reportOrigin adds to the report of a run's first event which release wrote it, if the stream may be resumed.
 func (a *attempt) reportOrigin(m *gossippb.RunStage) {
 	r, release := a.req, a.release()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -34,7 +34,10 @@
 // fails before it can still be replaced or the failure be reported by status.
 func (r *request) beginStream(a *attempt) (*eventStream, bool) {
 	s := &eventStream{req: r, attempt: a, reader: eventReader{bufio.NewReader(a.resp.Body())}, framed: !r.passesUnframed(a)}
-	err := s.next()
+	err := a.checkRelease()
+	if err == nil {
+		err = s.next()
+	}
 	if err == io.EOF {
 		s.err, err = err, s.checkEnd()
 	}
@@ -172,6 +175,11 @@
 		return err
 	}
 	r.ran++
+	if err := a.checkRelease(); err != nil {
+		a.finish(balance.Failed)
+		r.lastErr = err
+		return err
+	}
 	s.attempt = a
 	s.reader.r.Reset(a.resp.Body())
 	return nil
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -134,7 +134,7 @@
 	if err := i.bind(); err != nil {
 		return nil, err
 	}
-	i.origins = &origins{book: origin.NewBook(s.GetFirstStart()), state: i.state, node: i.node, started: i.started}
+	i.origins = &origins{book: origin.NewBook(s.GetFirstStart()), state: i.state, node: i.node, started: i.started, settled: &i.settled}
 	i.guard = gateway.NewCrashGuard(i.node.BroadcastNotice)
 	limits := ratelimit.NewLimits(time.Now(), s.GetInstance(), i.incarnation)
 	i.state.SetLimiter(limits)
--- a/hosted/origins.go
+++ b/hosted/origins.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sardinedock/sardinedock/balance"
@@ -18,9 +19,8 @@
 const originAsks = 2
 
 const (
-	// originWarmUp is how long after its start an instance waits for other instances to become known before it
-	// answers that nobody knows a stream. Their first messages arrive within 0.1 s.
-	originWarmUp = 400 * time.Millisecond
+	// originWait bounds how long a stream that is unknown waits at an instance that does not know the others yet.
+	originWait = time.Second
 	// originPoll is the polling interval meanwhile.
 	originPoll = 20 * time.Millisecond
 )
@@ -31,6 +31,8 @@
 	state   *balance.State
 	node    *gossip.Node
 	started time.Time
+	// settled is Instance.settled.
+	settled *atomic.Bool
 }
 
 // Began implements gateway.Origins.
@@ -45,12 +47,15 @@
 		return origin.Decide([]origin.Answer{own})
 	}
 	answers := o.ask(ctx, service, k, life)
-	for len(answers) == 0 && time.Since(o.started) < originWarmUp && clock.Sleep(ctx, originPoll) == nil {
+	for until := time.Now().Add(originWait); len(answers) == 0 && o.isNew() && time.Now().Before(until) && clock.Sleep(ctx, originPoll) == nil; {
 		answers = o.ask(ctx, service, k, life)
 	}
 	return origin.Decide(append(answers, o.answer(service, k, life)))
 }
 
+// isNew reports whether this instance may not have received messages of the others yet.
+func (o *origins) isNew() bool { return !o.settled.Load() || time.Since(o.started) < originWait }
+
 // answer returns what this instance knows.
 func (o *origins) answer(service string, k origin.Key, life time.Duration) origin.Answer {
 	now := time.Now()
