What is forwarded to a data centre goes to its instances only

Cause: a scheduler that forwards to its data centre sent to all peers that it sends to directly, which includes those of data centres of which it knows no live scheduler. Another forwarder serves those. The new test fails before: 1 notice in another data centre. In a fleet in which each data centre has a scheduler nothing changes.

--- a/gossip/send.go
+++ b/gossip/send.go
@@ -231,13 +231,31 @@
 		case r := <-n.relayQueue.C():
 			batch = n.gatherRelayed(ctx, r)
 		}
-		r := n.currentRoles()
-		n.sendRelayed(r.direct, gossippb.Audience_RECEIVER, batch, gossippb.Audience_EVERYBODY, gossippb.Audience_DATA_CENTRE)
-		n.sendRelayed(r.forwarders, gossippb.Audience_DATA_CENTRE, batch, gossippb.Audience_EVERYBODY)
-		n.sendRelayed(r.others, gossippb.Audience_RECEIVER, batch, gossippb.Audience_SCHEDULERS)
+		n.forwardBatch(n.currentRoles(), batch)
 	}
 }
 
+// forwardBatch sends datagrams to their audiences.
+func (n *Node) forwardBatch(r roles, batch []relayed) {
+	local, remote := n.splitByDataCentre(r.direct)
+	n.sendRelayed(local, gossippb.Audience_RECEIVER, batch, gossippb.Audience_EVERYBODY, gossippb.Audience_DATA_CENTRE)
+	n.sendRelayed(remote, gossippb.Audience_RECEIVER, batch, gossippb.Audience_EVERYBODY)
+	n.sendRelayed(r.forwarders, gossippb.Audience_DATA_CENTRE, batch, gossippb.Audience_EVERYBODY)
+	n.sendRelayed(r.others, gossippb.Audience_RECEIVER, batch, gossippb.Audience_SCHEDULERS)
+}
+
+// splitByDataCentre returns the peers of this instance's data centre, and the others.
+func (n *Node) splitByDataCentre(peers []Peer) (local, remote []Peer) {
+	for _, p := range peers {
+		if p.DataCentre == n.dataCentre {
+			local = append(local, p)
+		} else {
+			remote = append(remote, p)
+		}
+	}
+	return local, remote
+}
+
 // sendRelayed sends the peers those datagrams of a batch that are for one of the audiences, and
 // has them forward the datagrams to relayTo.
 func (n *Node) sendRelayed(peers []Peer, relayTo gossippb.Audience, batch []relayed, audiences ...gossippb.Audience) {
--- a/gossip/send_test.go
+++ b/gossip/send_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"os"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -130,10 +132,27 @@
 // logViews logs what each instance knows of the schedulers.
 func (f *loopbackFleet) logViews() {
 	for k, n := range f.nodes {
-		f.t.Logf("instance %d: scheduler %v, knows %v, %d live", k, n.IsScheduler(), n.Schedulers(), n.Live())
+		f.t.Logf("instance %d: scheduler %v, knows %v, %d live, %s datagrams dropped by its full socket",
+			k, n.IsScheduler(), n.Schedulers(), n.Live(), socketDrops(addressOf(n.conn.LocalAddr()).Port()))
 	}
 }
 
+// socketDrops returns how many datagrams the kernel has dropped since the receive buffer of the UDP socket at a port was
+// full, or why that is not known.
+func socketDrops(port uint16) string {
+	table, err := os.ReadFile("/proc/net/udp")
+	if err != nil {
+		return err.Error()
+	}
+	for line := range strings.Lines(string(table)) {
+		fields := strings.Fields(line)
+		if len(fields) > 2 && strings.HasSuffix(fields[1], fmt.Sprintf(":%04X", port)) {
+			return fields[len(fields)-1]
+		}
+	}
+	return "unknown"
+}
+
 // sendAll has each live instance send a notice and a run stage, and checks that every
 // recipient receives each of them exactly once.
 func (f *loopbackFleet) sendAll(when string, firstRun uint64, dead map[int]bool) {
@@ -173,3 +192,46 @@
 	}
 	return true
 }
+
+// Guards against a message that arrives twice, since an instance that forwards to its data centre also sends to another
+// one of which it knows no scheduler: that one gets it from another forwarder.
+func TestForwardedToADataCentreOnlyThere(t *testing.T) {
+	f := newLoopbackFleet(t, SmallFleet+4)
+	f.settled(nil)
+	forwarder := 0
+	for k, n := range f.nodes {
+		if n.IsScheduler() {
+			forwarder = k
+			break
+		}
+	}
+	n := f.nodes[forwarder]
+	own, other := -1, -1
+	for k, p := range f.nodes {
+		switch {
+		case k == forwarder:
+		case p.dataCentre == n.dataCentre:
+			own = k
+		default:
+			other = k
+		}
+	}
+	// The forwarder knows no scheduler of the other data centre for a moment.
+	n.mu.Lock()
+	r := n.roles
+	n.mu.Unlock()
+	r.direct, r.forwarders = append([]Peer{}, r.direct...), nil
+	for _, p := range n.allPeers() {
+		if p.Name == f.nodes[other].name {
+			r.direct = append(r.direct, p)
+		}
+	}
+	const notice = "forwarded"
+	d := &gossippb.Datagram{Instance: "sender", Incarnation: 1, Number: 1, Notices: []*gossippb.Notice{{Endpoint: notice, AvoidMs: 1}}}
+	n.forwardBatch(r, []relayed{{data: encode(d), audience: gossippb.Audience_DATA_CENTRE, urgent: true}})
+	f.eventually("the notice in the forwarder's data centre", func() bool { return f.handlers[own].noticeCount(notice) == 1 })
+	time.Sleep(2 * relayHeartbeatDelay)
+	if c := f.handlers[other].noticeCount(notice); c != 0 {
+		t.Errorf("%d notices in another data centre", c)
+	}
+}
