Renames: path for way, received for heard

Names and comments of reachability, and of what uses it, have the field's terms. Fields of log lines, metrics and the state dump stay as they are.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -95,14 +95,14 @@
 	head := r.srv.cfg.Dialect.AppendHead(nil, &r.ctx.Request.Header, r.outgoing(p, len(body), resumeAfter))
 	resp, err := r.srv.cfg.Relay(p.Endpoint.Address).Open(a.reqCtx, endpoint.Outgoing{
 		Head: head, Body: body, Accept: a.acceptHead, Bodiless: r.ctx.IsHead(), Ready: a.ready,
-		Fresh: r.needsCheckedWay(p.Endpoint.ID),
+		Fresh: r.needsCheckedPath(p.Endpoint.ID),
 	})
 	if err != nil {
 		return nil, a.openFailed(err), err
 	}
 	a.resp = resp
 	r.framing, r.answered = resp.Framing(), true
-	r.srv.heard(p.Endpoint, time.Now(), resp.ConnectedAt())
+	r.srv.received(p.Endpoint, time.Now(), resp.ConnectedAt())
 	a.noteAnswer()
 	a.updateEndpoint()
 	a.reportStatements()
@@ -117,11 +117,11 @@
 	}
 }
 
-// needsCheckedWay reports whether the request has to be sent on a new connection, which shows that the way
+// needsCheckedPath reports whether the request has to be sent on a new connection, which shows that the path
 // is open: it must not run twice, so that nothing could be done if it got lost on an old one.
-func (r *request) needsCheckedWay(endpointID string) bool {
+func (r *request) needsCheckedPath(endpointID string) bool {
 	repeatable := r.route.Repeatable() || r.route.Resumable
-	return !repeatable && r.srv.cfg.Ways.Doubtful(time.Now(), endpointID)
+	return !repeatable && r.srv.cfg.Paths.Doubtful(time.Now(), endpointID)
 }
 
 // errNotAdmitted withdraws a send to an endpoint that has stated, after it was chosen, that it wants
@@ -171,7 +171,7 @@
 	if a.forwarded() {
 		return
 	}
-	isolated := a.req.srv.cfg.Ways.Isolated()
+	isolated := a.req.srv.cfg.Paths.Isolated()
 	m := &gossippb.RunStage{Run: uint64(a.run), Stage: int32(stageForOthers(stage, isolated))}
 	if stage == balance.Misdirected && a.req.service.Engine != nil {
 		m.Version = a.head.Version
@@ -190,7 +190,7 @@
 }
 
 // stageForOthers returns the stage of a run as the other instances need to know it. That an endpoint could
-// not be reached from here, or broke a connection, does not have them suspect it: whether the way or the
+// not be reached from here, or broke a connection, does not have them suspect it: whether the path or the
 // endpoint is at fault is found out by a dial, and broadcast separately.
 func stageForOthers(stage balance.Stage, isolated bool) balance.Stage {
 	switch {
@@ -249,7 +249,7 @@
 	}
 	if a.reqCtx.Err() == nil && fault.Is(err, fault.Unavailable) {
 		a.unsent = true
-		r.srv.lostWay(a.place.Endpoint, reachability.NoConnections, err)
+		r.srv.pathLost(a.place.Endpoint, reachability.NoConnections, err)
 		a.finish(balance.Unreachable)
 		r.srv.avoid(a.place.Endpoint.ID, time.Now(), unreachableAvoidance)
 		return outcomeUnsent
@@ -287,20 +287,20 @@
 		a.finish(balance.Abandoned)
 	case a.endpointUnresponsive():
 		if !a.forwarded() {
-			a.brokeOff()
+			a.recordBroken()
 		}
 		a.finish(balance.Unreachable)
 	case a.forwarded():
 		forwardBroken.Inc()
 		a.finish(balance.Failed)
 	default:
-		a.brokeOff()
+		a.recordBroken()
 		a.endCrashed()
 	}
 }
 
-// brokeOff records for the log line where the request was running when it broke off.
-func (a *attempt) brokeOff() {
+// recordBroken records for the log line where the request was running when it broke off.
+func (a *attempt) recordBroken() {
 	if !a.ended {
 		a.req.brokenAt = append(a.req.brokenAt, a.place.Endpoint.ID)
 	}
@@ -317,20 +317,20 @@
 }
 
 // avoid has this and all other instances avoid an endpoint for d, unless the fault is probably on this
-// side. The others are told after avoidSettle: a partitioned instance loses one way first.
+// side. The others are told after avoidSettle: a partitioned instance loses one path first.
 func (s *Server) avoid(endpointID string, now time.Time, d time.Duration) {
-	if s.cfg.Ways.Isolated() {
+	if s.cfg.Paths.Isolated() {
 		return
 	}
 	s.cfg.State.Suspect(endpointID, now.Add(d))
 	time.AfterFunc(avoidSettle, func() {
-		if s.cfg.Ways.State(endpointID) != reachability.Open && !s.cfg.Ways.Isolated() {
+		if s.cfg.Paths.State(endpointID) != reachability.Open && !s.cfg.Paths.Isolated() {
 			s.cfg.Broadcaster.BroadcastNotice(&gossippb.Notice{Endpoint: endpointID, AvoidMs: (d - avoidSettle).Milliseconds()})
 		}
 	})
 }
 
-// avoidSettle is how long the loss of a way is kept from the other instances. A partitioned instance finds
+// avoidSettle is how long the loss of a path is kept from the other instances. A partitioned instance finds
 // the next ones lost within that time.
 const avoidSettle = 100 * time.Millisecond
 
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -70,7 +70,7 @@
 	if err != nil {
 		return nil, outcomeUnplaced, err
 	}
-	if r.srv.cfg.Ways.State(p.Endpoint.ID) != reachability.Open && !r.srv.cfg.Relay(p.Endpoint.Address).HasIdle() {
+	if r.srv.cfg.Paths.State(p.Endpoint.ID) != reachability.Open && !r.srv.cfg.Relay(p.Endpoint.Address).HasIdle() {
 		if to, ok := r.forwarder(); ok {
 			r.releaseTrial()
 			r.cancelPlacement(r.run, balance.Decision{Admission: balance.Send, Placement: p})
@@ -82,7 +82,7 @@
 
 // outOfReach reports whether this instance reaches no endpoint of the request's service.
 func (r *request) outOfReach() bool {
-	return slices.Contains(r.srv.cfg.Ways.LostServices(), r.service.Name)
+	return slices.Contains(r.srv.cfg.Paths.LostServices(), r.service.Name)
 }
 
 // forwarder returns an instance to forward the request to. A forwarded request is not forwarded again.
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -106,8 +106,8 @@
 	State  *balance.State
 	Budget *policy.FleetRetries
 	Guard  *CrashGuard
-	// Ways are the endpoints that this instance reaches.
-	Ways        *reachability.Table
+	// Paths are the endpoints that this instance reaches.
+	Paths       *reachability.Table
 	Broadcaster Broadcaster
 	Placer      Placer
 	Statements  Statements
@@ -143,7 +143,7 @@
 	crashChecks crashChecks
 	// endChecks are the checks of endpoints whose answers have ended with their connections.
 	endChecks crashChecks
-	wayLog    wayLog
+	pathLog   pathLog
 	// forwardedOpen is the number of forwarded requests that are being served.
 	forwardedOpen atomic.Int64
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -96,7 +96,7 @@
 		s.lastID = id
 	}
 	s.noteRelease()
-	s.attempt.heard()
+	s.attempt.received()
 	if s.req.events++; s.req.events == 1 {
 		if s.req.release == "" {
 			s.req.release = s.attempt.release()
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -243,7 +243,7 @@
 	check := s.crashChecks.take(e.ID)
 	now, guard := time.Now(), s.cfg.Guard
 	if err != nil {
-		s.lostWay(e, reachability.NoConnections, err)
+		s.pathLost(e, reachability.NoConnections, err)
 		s.avoid(e.ID, now, unreachableAvoidance)
 		for _, run := range check.interrupted {
 			guard.confirm(now, run.content)
--- a/gateway/unresponsive.go
+++ b/gateway/unresponsive.go
@@ -160,7 +160,7 @@
 		s.cfg.Peers.ForwarderFailed(a.forwarder.Name)
 		log.WithField("peer", a.forwarder.Name).WithField("requests", len(attempts)).WithField("why", err.Error()).Info("instance silent and out of reach")
 	} else {
-		s.lostWay(e, reachability.Silent, err)
+		s.pathLost(e, reachability.Silent, err)
 		log.WithField("endpoint", e.ID).WithField("address", e.Address).WithField("requests", len(attempts)).WithField("why", err.Error()).
 			Info("endpoint silent and out of reach")
 		s.avoid(e.ID, now, suspectFor)
--- a/gossip/roles.go
+++ b/gossip/roles.go
@@ -309,7 +309,7 @@
 }
 
 // SchedulersWithStore returns the names of the live schedulers that reach the platform's store and
-// have a way to all of the given services. This instance, if it is a scheduler, counts as reaching the
+// have a path to all of the given services. This instance, if it is a scheduler, counts as reaching the
 // store.
 func (n *Node) SchedulersWithStore(services ...string) []string {
 	return n.schedulers(func(state peerState) bool {
@@ -317,7 +317,7 @@
 	})
 }
 
-// SchedulersReaching returns the names of the live schedulers that have a way to a service.
+// SchedulersReaching returns the names of the live schedulers that have a path to a service.
 func (n *Node) SchedulersReaching(service string) []string {
 	return n.schedulers(func(state peerState) bool { return !slices.Contains(state.lostServices, service) })
 }
--- a/hosted/endpoints.go
+++ b/hosted/endpoints.go
@@ -195,13 +195,13 @@
 			i.statements.move(u.prev, u.now)
 		}
 		i.state.RemoveEndpoint(u.prev.ID)
-		i.ways.Remove(u.prev.ID)
+		i.paths.Remove(u.prev.ID)
 		i.relays.drop(u.prev.Address)
 	}
 	if u.hasNow {
 		i.relays.setService(u.now.Address, u.now.Service)
 		i.state.PutEndpoint(u.now)
-		i.ways.Put(u.now.ID, u.now.Service)
+		i.paths.Put(u.now.ID, u.now.Service)
 	}
 }
 
--- a/hosted/forward_test.go
+++ b/hosted/forward_test.go
@@ -35,7 +35,7 @@
 	f.eventually("the loss known", func() bool {
 		f.do(f.request("GET", "/stock/probe", ""))
 		f.do(prompt(f.request("POST", "/check/probe", "")))
-		return len(f.instances[0].ways.LostServices()) > 0
+		return len(f.instances[0].paths.LostServices()) > 0
 	})
 	return f, peers
 }
@@ -182,7 +182,7 @@
 		lost := 0
 		for n, i := range f.instances {
 			f.sendTo(n, f.request("GET", "/stock/1", ""))
-			lost += len(i.ways.LostServices())
+			lost += len(i.paths.LostServices())
 		}
 		return lost == 2
 	})
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -76,7 +76,7 @@
 	statements  *statements
 	origins     *origins
 	guard       *gateway.CrashGuard
-	ways        *reachability.Table
+	paths       *reachability.Table
 	// poolLostAt is when this instance found a pool out of reach, in Unix ns; 0 if all are in reach.
 	poolLostAt atomic.Int64
 	relays     *relays
@@ -121,7 +121,7 @@
 		started:     time.Now(),
 		state:       balance.NewState(milliseconds(s.GetBounds().GetWeightsMs())),
 		store:       platform.NewStore(s.GetStore()),
-		ways:        reachability.NewTable(),
+		paths:       reachability.NewTable(),
 	}
 	i.relays = newRelays(i.maxIdleConnections)
 	i.peerRelays = newRelays(func(string) int { return math.MaxInt })
@@ -144,7 +144,7 @@
 	i.placer = newPlacer(i)
 	callersLn, readyLn, forwardedLn := i.listeners[0], i.listeners[1], i.listeners[2]
 	i.server = gateway.NewServer(gateway.Config{
-		Instance: s.GetInstance(), DataCentre: s.GetDataCentre(), Table: i.table.Load, State: i.state, Budget: i.budget, Guard: i.guard, Ways: i.ways,
+		Instance: s.GetInstance(), DataCentre: s.GetDataCentre(), Table: i.table.Load, State: i.state, Budget: i.budget, Guard: i.guard, Paths: i.paths,
 		Broadcaster: i.node, Placer: i.placer, Statements: i.statements, Peers: i, Origins: i.origins, Dialect: platform.Dialect{}, Relay: i.relays.to, PeerRelay: i.peerRelays.to,
 		Started: time.Now(), HeaderBytes: headerBytes, BodyBytes: bodyBytes,
 	})
@@ -253,7 +253,7 @@
 	go i.followQuotas(ctx)
 	go i.removeLost(ctx)
 	go i.server.ProbeUnresponsive(ctx)
-	go i.server.ProbeWays(ctx)
+	go i.server.ProbePaths(ctx)
 	go i.feed.Run(ctx)
 	i.lease.Start()
 }
--- a/hosted/members.go
+++ b/hosted/members.go
@@ -165,7 +165,7 @@
 }
 
 // isCandidate reports whether this instance is among those that try to acquire the lease: the first
-// schedulers with access to the store and a way to all pools, ranked by a hash on which all instances
+// schedulers with access to the store and a path to all pools, ranked by a hash on which all instances
 // agree.
 func (i *Instance) isCandidate() bool {
 	if !i.settled.Load() || i.leaving.Load() || i.isUnfit() {
@@ -176,7 +176,7 @@
 	return s.Scheduler && s.Rank(leaseName) < leaseCandidates
 }
 
-// fitSchedulers returns the schedulers with access to the store and a way to all pools; those with access
+// fitSchedulers returns the schedulers with access to the store and a path to all pools; those with access
 // alone if there are none.
 func (i *Instance) fitSchedulers() []string {
 	if fit := i.node.SchedulersWithStore(slices.Collect(maps.Keys(i.pools()))...); len(fit) > 0 {
@@ -192,7 +192,7 @@
 // isUnfit reports whether this instance can't order weights for a pool that another scheduler reaches.
 func (i *Instance) isUnfit() bool {
 	pools := i.pools()
-	lost := slices.ContainsFunc(i.ways.LostServices(), func(service string) bool { _, ok := pools[service]; return ok })
+	lost := slices.ContainsFunc(i.paths.LostServices(), func(service string) bool { _, ok := pools[service]; return ok })
 	now := time.Now().UnixNano()
 	if !lost {
 		i.poolLostAt.Store(0)
--- a/hosted/partition_soak_test.go
+++ b/hosted/partition_soak_test.go
@@ -108,7 +108,7 @@
 	}
 }
 
-// Instances lose their ways to some or all endpoints and regain them, endpoints stall, instances lose each
+// Instances lose their paths to some or all endpoints and regain them, endpoints stall, instances lose each
 // other, under load and in series that overlap. Each caller must get its own whole answer or a truthful
 // error, what must run once must not run twice, and all is served once the faults are over.
 func TestPartitionsUnderLoad(t *testing.T) {
@@ -122,9 +122,9 @@
 	const instances, callers, faults, phase = 4, 16, 16, 6 * time.Second
 	rng := rand.New(rand.NewPCG(seed, 0))
 	f := newFixture(t, instances)
-	var ways, peers []*partition
+	var paths, peers []*partition
 	for _, i := range f.instances {
-		ways = append(ways, partitioned(i))
+		paths = append(paths, partitioned(i))
 		p := &partition{conns: map[*cuttableConn]bool{}}
 		i.peerRelays.dialer = p.dial
 		peers = append(peers, p)
@@ -155,19 +155,19 @@
 			time.Sleep(time.Until(began.Add(at)))
 			switch what {
 			case 0, 1:
-				ways[k].cut(mode)
+				paths[k].cut(mode)
 			case 2:
-				ways[k].cut(mode, some...)
+				paths[k].cut(mode, some...)
 			case 3:
-				ways[k].stall(d, some...)
+				paths[k].stall(d, some...)
 			default:
 				// The instances that forward for this one are lost in the middle of it.
-				ways[k].cut(cutWithReset)
+				paths[k].cut(cutWithReset)
 				time.Sleep(d / 2)
 				peers[k].cut(mode)
 			}
 			time.Sleep(d)
-			ways[k].cut(cutNothing)
+			paths[k].cut(cutNothing)
 			peers[k].cut(cutNothing)
 		})
 	}
--- a/hosted/partition_test.go
+++ b/hosted/partition_test.go
@@ -231,7 +231,7 @@
 	}
 }
 
-// Guards against callers of an instance that has lost its way to all endpoints, who fail while callers of
+// Guards against callers of an instance that has lost its path to all endpoints, who fail while callers of
 // other instances are served.
 func TestInstanceWithoutAWayToEndpointsServesItsCallers(t *testing.T) {
 	for name, mode := range map[string]cutMode{"connections hang": cutSilently, "connections are reset": cutWithReset, "new connections are refused": cutNew} {
@@ -249,7 +249,7 @@
 	}
 }
 
-// Guards against callers of an instance that has lost its way to one service, or to most of its endpoints:
+// Guards against callers of an instance that has lost its path to one service, or to most of its endpoints:
 // the one that is left would have to run everything.
 func TestInstanceWithoutAWayToSomeEndpointsServesItsCallers(t *testing.T) {
 	for name, last := range map[string]int{"one service": 3, "all but one endpoint of a service": 2} {
@@ -309,7 +309,7 @@
 	cuts[holder].cut(cutWithReset)
 	f.eventually("the loss known", func() bool {
 		f.sendTo(holder, prompt(f.request("POST", "/check/1", "x")))
-		return len(f.instances[holder].ways.LostServices()) > 0
+		return len(f.instances[holder].paths.LostServices()) > 0
 	})
 	f.store.Put("versions", "m", map[string]any{"model": "m", "version": 2})
 	f.eventually("the new weights loaded", func() bool { v, _ := engine.Version(); return v == 2 })
@@ -348,7 +348,7 @@
 			}
 		}
 		p.cut(cutNothing)
-		f.eventually("the ways back", func() bool { return len(f.instances[0].ways.Views(time.Now())) == 0 })
+		f.eventually("the ways back", func() bool { return len(f.instances[0].paths.Views(time.Now())) == 0 })
 		for n := range f.instances {
 			if a := f.sendTo(n, popular()); a.status != 200 {
 				t.Errorf("instance %d: %+v, want it served", n, a)
--- a/hosted/updates.go
+++ b/hosted/updates.go
@@ -147,7 +147,7 @@
 // Notice implements gossip.Handler.
 func (h receiver) Notice(from string, n *gossippb.Notice) {
 	now := time.Now()
-	if n.GetAvoidMs() > 0 && (n.GetTrial() != nil || !h.ways.HeardWithin(now, n.GetEndpoint(), vouchedFor)) {
+	if n.GetAvoidMs() > 0 && (n.GetTrial() != nil || !h.paths.ReceivedWithin(now, n.GetEndpoint(), vouchedFor)) {
 		h.state.Suspect(n.GetEndpoint(), now.Add(time.Duration(n.GetAvoidMs())*time.Millisecond))
 	}
 	if n.GetLoadingMs() > 0 {
--- a/reachability/reachability.go
+++ b/reachability/reachability.go
@@ -1,4 +1,4 @@
-// Package reachability decides to which endpoints an instance has a way, from what it sees of its own
+// Package reachability decides to which endpoints an instance has a path, from what it sees of its own
 // connections. It does no I/O and takes the time as an argument.
 //
 // That an instance does not reach an endpoint says little about the endpoint: a crash, a full accept
@@ -16,7 +16,7 @@
 const (
 	// probeInterval is the time between two probes of an endpoint that is out of reach. It doubles
 	// with each loss of the same endpoint that follows its return within flapWindow, up to
-	// maxProbeInterval, so that a link that loses packets does not make requests change their way all
+	// maxProbeInterval, so that a link that loses packets does not make requests change their path all
 	// the time.
 	probeInterval    = 400 * time.Millisecond
 	maxProbeInterval = 5 * time.Second
@@ -26,14 +26,14 @@
 	probesToReturn = 2
 	// confirmInterval is the time between these.
 	confirmInterval = 100 * time.Millisecond
-	// recentlyHeard is how long after bytes from an endpoint the way to it is taken for open without a
+	// recentlyReceived is how long after bytes from an endpoint the path to it is taken for open without a
 	// probe.
-	recentlyHeard = 300 * time.Millisecond
-	// lossWindow and suspiciousLosses: as many ways lost within that time raise the question whether
+	recentlyReceived = 300 * time.Millisecond
+	// lossWindow and suspiciousLosses: as many paths lost within that time raise the question whether
 	// others are lost too. A single one is mostly a crash.
 	lossWindow       = 2 * time.Second
 	suspiciousLosses = 2
-	// sampleSize is how many endpoints of a service that are lost in a row, with none heard from in
+	// sampleSize is how many endpoints of a service that are lost in a row, with nothing received from any in
 	// between, stand for all of them.
 	sampleSize = 8
 	// maxProbes bounds the probes that are due at once.
@@ -72,15 +72,15 @@
 	return "open"
 }
 
-// service sums up the ways to the endpoints of one service.
+// service sums up the paths to the endpoints of one service.
 type service struct {
 	name string
 	// endpoints is their number, lost how many of them are not open.
 	endpoints, lost int
-	// lostInRow is how many of them have been lost since bytes last arrived over an open way, and heard
+	// lostInRow is how many of them have been lost since bytes last arrived over an open path, and receivedCount
 	// how often that has been.
-	lostInRow int
-	heard     uint64
+	lostInRow     int
+	receivedCount uint64
 	// out is set from when the service gets out of reach, at outAt, until a sample of it has returned;
 	// returned is how many endpoints have. nextProbe is when the next endpoint may be probed meanwhile.
 	out              bool
@@ -93,19 +93,19 @@
 	return s.lost > 0 && s.lost == s.endpoints || s.lostInRow >= sampleSize
 }
 
-// way is the way to one endpoint.
-type way struct {
+// path is the path to one endpoint.
+type path struct {
 	service *service
 	state   State
-	// used is set once anything is known of the way.
+	// used is set once anything is known of the path.
 	used bool
-	// heardBefore is service.heard when the way was lost.
-	heardBefore uint64
-	// lostAt is when the way was lost; returnedAt when it last returned.
+	// receivedBefore is service.receivedCount when the path was lost.
+	receivedBefore uint64
+	// lostAt is when the path was lost; returnedAt when it last returned.
 	lostAt, returnedAt time.Time
-	// heardAt is when bytes last arrived.
-	heardAt time.Time
-	// probeAt is when the next probe is due, if the way is lost or in doubt; zero otherwise.
+	// receivedAt is when bytes last arrived.
+	receivedAt time.Time
+	// probeAt is when the next probe is due, if the path is lost or in doubt; zero otherwise.
 	probeAt  time.Time
 	probing  bool
 	interval time.Duration
@@ -113,24 +113,24 @@
 	succeeded int
 }
 
-// Table holds the ways to all endpoints.
+// Table holds the paths to all endpoints.
 type Table struct {
 	mu       sync.Mutex
-	ways     map[string]*way
+	paths    map[string]*path
 	services map[string]*service
-	// lostWays is the number of ways that are not open, used the number of those of which anything is
+	// lostPaths is the number of paths that are not open, used the number of those of which anything is
 	// known.
-	lostWays, used int
+	lostPaths, used int
 }
 
 // NewTable returns a table without endpoints.
-func NewTable() *Table { return &Table{ways: map[string]*way{}, services: map[string]*service{}} }
+func NewTable() *Table { return &Table{paths: map[string]*path{}, services: map[string]*service{}} }
 
-// Put adds an endpoint of a service, whose way counts as open.
+// Put adds an endpoint of a service, whose path counts as open.
 func (t *Table) Put(endpoint, serviceName string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if w, ok := t.ways[endpoint]; ok {
+	if w, ok := t.paths[endpoint]; ok {
 		if w.service.name == serviceName {
 			return
 		}
@@ -142,41 +142,41 @@
 		t.services[serviceName] = s
 	}
 	s.endpoints++
-	t.ways[endpoint] = &way{service: s}
+	t.paths[endpoint] = &path{service: s}
 }
 
 // Remove removes an endpoint.
 func (t *Table) Remove(endpoint string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if w, ok := t.ways[endpoint]; ok {
+	if w, ok := t.paths[endpoint]; ok {
 		t.remove(endpoint, w)
 	}
 }
 
-func (t *Table) remove(endpoint string, w *way) {
+func (t *Table) remove(endpoint string, w *path) {
 	s := w.service
-	if w.state != Open && w.heardBefore == s.heard {
+	if w.state != Open && w.receivedBefore == s.receivedCount {
 		s.lostInRow--
 	}
 	t.set(w, Open)
 	if w.used {
 		t.used--
 	}
-	delete(t.ways, endpoint)
+	delete(t.paths, endpoint)
 	if s.endpoints--; s.endpoints == 0 {
 		delete(t.services, s.name)
 	}
 }
 
-// set changes the state of a way.
-func (t *Table) set(w *way, s State) {
+// set changes the state of a path.
+func (t *Table) set(w *path, s State) {
 	if w.state != Open {
-		t.lostWays--
+		t.lostPaths--
 		w.service.lost--
 	}
 	if w.state = s; s != Open {
-		t.lostWays++
+		t.lostPaths++
 		w.service.lost++
 	}
 	if w.service.lost == 0 {
@@ -184,31 +184,31 @@
 	}
 }
 
-// use records that something is known of a way.
-func (t *Table) use(w *way) {
+// use records that something is known of a path.
+func (t *Table) use(w *path) {
 	if !w.used {
 		w.used = true
 		t.used++
 	}
 }
 
-// heard records that bytes have arrived over a way.
-func (t *Table) heard(now time.Time, w *way) {
+// received records that bytes have arrived over a path.
+func (t *Table) received(now time.Time, w *path) {
 	t.use(w)
-	w.heardAt = now
+	w.receivedAt = now
 	if w.state == Open {
-		w.service.heard++
+		w.service.receivedCount++
 		w.service.lostInRow = 0
 	}
 }
 
-// Heard records that bytes have arrived from an endpoint, on a connection that was made at the given time.
-// It reports whether the way has returned: one that was silent has, but bytes on a connection made before
+// Received records that bytes have arrived from an endpoint, on a connection that was made at the given time.
+// It reports whether the path has returned: one that was silent has, but bytes on a connection made before
 // the loss do not show that new ones can be made.
-func (t *Table) Heard(now time.Time, endpoint string, connected time.Time) (returned bool) {
+func (t *Table) Received(now time.Time, endpoint string, connected time.Time) (returned bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	w := t.ways[endpoint]
+	w := t.paths[endpoint]
 	if w == nil {
 		return false
 	}
@@ -216,7 +216,7 @@
 	if returned {
 		t.open(now, w)
 	}
-	t.heard(now, w)
+	t.received(now, w)
 	if w.state == Open {
 		w.probeAt = time.Time{}
 	}
@@ -224,11 +224,11 @@
 }
 
 // Lost records that an endpoint can't be reached. state is NoConnections or Silent. It reports whether the
-// way was open before.
+// path was open before.
 func (t *Table) Lost(now time.Time, endpoint string, state State) (changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	w := t.ways[endpoint]
+	w := t.paths[endpoint]
 	if w == nil {
 		return false
 	}
@@ -240,13 +240,13 @@
 	return changed
 }
 
-// lost schedules the probes of a way that has just been lost. If it is the second one within
-// lossWindow, the ways on which nothing has arrived for some time are probed at once: if this instance
-// is partitioned, its requests need not find out one way after the other.
-func (t *Table) lost(now time.Time, w *way) {
+// lost schedules the probes of a path that has just been lost. If it is the second one within
+// lossWindow, the paths on which nothing has arrived for some time are probed at once: if this instance
+// is partitioned, its requests need not find out one path after the other.
+func (t *Table) lost(now time.Time, w *path) {
 	t.use(w)
 	s := w.service
-	w.heardBefore = s.heard
+	w.receivedBefore = s.receivedCount
 	before := s.lostInRow >= sampleSize
 	if s.lostInRow++; s.outOfReach() && !before {
 		s.out, s.outAt, s.nextProbe, s.returned = true, now, now, 0
@@ -258,7 +258,7 @@
 	}
 	w.probeAt = now.Add(w.interval)
 	recent := 0
-	for _, other := range t.ways {
+	for _, other := range t.paths {
 		if other.state != Open && now.Sub(other.lostAt) < lossWindow {
 			recent++
 		}
@@ -266,8 +266,8 @@
 	if recent < suspiciousLosses {
 		return
 	}
-	for _, other := range t.ways {
-		if other.state == Open && other.probeAt.IsZero() && now.Sub(other.heardAt) > recentlyHeard {
+	for _, other := range t.paths {
+		if other.state == Open && other.probeAt.IsZero() && now.Sub(other.receivedAt) > recentlyReceived {
 			other.probeAt = now
 		}
 	}
@@ -277,7 +277,7 @@
 func (t *Table) Probed(now time.Time, endpoint string, ok bool) (state State, changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	w := t.ways[endpoint]
+	w := t.paths[endpoint]
 	if w == nil {
 		return Open, false
 	}
@@ -292,11 +292,11 @@
 		w.probeAt = now.Add(w.interval)
 	case w.state == Open:
 		w.probeAt = time.Time{}
-		t.heard(now, w)
+		t.received(now, w)
 	default:
 		if w.succeeded++; w.succeeded >= probesToReturn {
 			t.open(now, w)
-			t.heard(now, w)
+			t.received(now, w)
 			return Open, true
 		}
 		w.probeAt = now.Add(confirmInterval)
@@ -304,7 +304,7 @@
 	return w.state, false
 }
 
-func (t *Table) open(now time.Time, w *way) {
+func (t *Table) open(now time.Time, w *path) {
 	t.set(w, Open)
 	w.returnedAt, w.probeAt, w.succeeded = now, time.Time{}, 0
 	s := w.service
@@ -316,11 +316,11 @@
 	}
 }
 
-// openRest takes the ways of a service for open that were lost when it got out of reach. Requests show
+// openRest takes the paths of a service for open that were lost when it got out of reach. Requests show
 // which of them are not.
 func (t *Table) openRest(now time.Time, s *service) {
 	s.out = false
-	for _, w := range t.ways {
+	for _, w := range t.paths {
 		if w.service != s || w.state != Open && w.lostAt.Before(s.outAt.Add(-lossWindow)) {
 			continue
 		}
@@ -336,7 +336,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var list []string
-	for id, w := range t.ways {
+	for id, w := range t.paths {
 		if len(list) == maxProbes {
 			break
 		}
@@ -355,31 +355,31 @@
 	return list
 }
 
-// State returns the state of the way to an endpoint. An unknown one counts as open.
+// State returns the state of the path to an endpoint. An unknown one counts as open.
 func (t *Table) State(endpoint string) State {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if w := t.ways[endpoint]; w != nil {
+	if w := t.paths[endpoint]; w != nil {
 		return w.state
 	}
 	return Open
 }
 
-// HeardWithin reports whether bytes have arrived from an endpoint within d.
-func (t *Table) HeardWithin(now time.Time, endpoint string, d time.Duration) bool {
+// ReceivedWithin reports whether bytes have arrived from an endpoint within d.
+func (t *Table) ReceivedWithin(now time.Time, endpoint string, d time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	w := t.ways[endpoint]
-	return w != nil && now.Sub(w.heardAt) < d
+	w := t.paths[endpoint]
+	return w != nil && now.Sub(w.receivedAt) < d
 }
 
-// Doubtful reports whether the way to an endpoint may be lost although it counts as open: several others
+// Doubtful reports whether the path to an endpoint may be lost although it counts as open: several others
 // are, and nothing has arrived from this one for some time.
 func (t *Table) Doubtful(now time.Time, endpoint string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	w := t.ways[endpoint]
-	return t.lostWays >= suspiciousLosses && w != nil && w.state == Open && now.Sub(w.heardAt) >= recentlyHeard
+	w := t.paths[endpoint]
+	return t.lostPaths >= suspiciousLosses && w != nil && w.state == Open && now.Sub(w.receivedAt) >= recentlyReceived
 }
 
 // Isolated reports whether so many endpoints are out of reach that the fault is probably on this side.
@@ -387,7 +387,7 @@
 func (t *Table) Isolated() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.lostWays < suspiciousLosses {
+	if t.lostPaths < suspiciousLosses {
 		return false
 	}
 	for _, s := range t.services {
@@ -395,14 +395,14 @@
 			return true
 		}
 	}
-	return isolatedShare*t.lostWays >= t.used
+	return isolatedShare*t.lostPaths >= t.used
 }
 
 // LostServices returns the sorted services of which this instance reaches no endpoint.
 func (t *Table) LostServices() []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.lostWays == 0 {
+	if t.lostPaths == 0 {
 		return nil
 	}
 	var list []string
@@ -415,22 +415,22 @@
 	return list
 }
 
-// View is the way to one endpoint in the state dump.
+// View is the path to one endpoint in the state dump.
 type View struct {
 	Endpoint string `json:"endpoint"`
 	Service  string `json:"service"`
 	State    string `json:"state"`
-	// LostMs is how long ago the way was lost.
+	// LostMs is how long ago the path was lost.
 	LostMs int64 `json:"lost_ms_ago"`
 }
 
-// Views returns the ways that are lost, by endpoint.
+// Views returns the paths that are lost, by endpoint.
 func (t *Table) Views(now time.Time) []View {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var list []View
-	for _, id := range slices.Sorted(maps.Keys(t.ways)) {
-		if w := t.ways[id]; w.state != Open {
+	for _, id := range slices.Sorted(maps.Keys(t.paths)) {
+		if w := t.paths[id]; w.state != Open {
 			list = append(list, View{id, w.service.name, w.state.String(), now.Sub(w.lostAt).Milliseconds()})
 		}
 	}
