Test: a forwarded stream keeps its release

Callers resume at an instance that reaches no endpoint, and connections between the instances break while streams come through them.

--- a/hosted/forward_test.go
+++ b/hosted/forward_test.go
@@ -92,12 +92,7 @@
 	go func() { answers <- f.do(prompt(f.request("POST", "/check/long", "p"))) }()
 	<-paused
 	time.Sleep(50 * time.Millisecond)
-	peers.mu.Lock()
-	for c := range peers.conns {
-		_ = c.SetLinger(0)
-		_ = c.TCPConn.Close()
-	}
-	peers.mu.Unlock()
+	peers.reset()
 	want := ""
 	for id := 1; id <= events; id++ {
 		want += fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id)
--- a/hosted/release_test.go
+++ b/hosted/release_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -302,3 +303,55 @@
 		t.Errorf("began with %q, goes on with %+v", read, a)
 	}
 }
+
+// Guards against a stream that loses its release on the path through another instance: one that is killed while the stream
+// comes through it, and a caller who resumes at an instance that reaches no endpoint.
+func TestForwardedStreamGoesOnAtTheReleaseThatBeganIt(t *testing.T) {
+	const streams = 6
+	f := newFixture(t, 3)
+	endpoints := partitioned(f.instances[0])
+	peers := &partition{conns: map[*cuttableConn]bool{}}
+	f.instances[0].peerRelays.dialer = peers.dial
+	for _, e := range []struct{ id, release string }{{"e1", "v1"}, {"e2", "v2"}, {"e3", "v1"}, {"e4", "v2"}} {
+		f.releaseEndpoint(e.id, e.release, holdUntilClosed)
+	}
+	f.serve(4, nil)
+	f.awaitPeers()
+	endpoints.cut(cutWithReset)
+	f.eventually("the loss known", func() bool {
+		f.do(prompt(f.request("POST", "/check/probe", "p")).WithContext(soon(t)))
+		return len(f.instances[0].paths.LostServices()) > 0
+	})
+	for k := range streams {
+		path := fmt.Sprintf("/check/%d", k)
+		id, read, hangUp := f.begin(0, path)
+		hangUp()
+		if a := f.sendTo(0, f.resumption(path, id)); !a.goesOn(read) {
+			t.Errorf("stream %d, resumed by its caller: began with %q, goes on with %+v", k, read, a)
+		}
+		answers := make(chan answer, 1)
+		go func() { answers <- f.do(prompt(f.request("POST", path+"x", "p"))) }()
+		time.Sleep(100 * time.Millisecond)
+		peers.reset()
+		if a := <-answers; !a.goesOn("") {
+			t.Errorf("stream %d, resumed by its instance: %+v", k, a)
+		}
+	}
+}
+
+// soon returns a context that ends before a stream that is held open.
+func soon(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// reset resets the connections that are open, and lets new ones be made.
+func (p *partition) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		_ = c.SetLinger(0)
+		_ = c.TCPConn.Close()
+	}
+}
