A caller whose instance is killed in an answer without framing gets a reset

What callers would have seen: an answer that ends in order and is not whole, since their instance was killed while it passed it on without framing. With chunks, the missing last chunk shows it.

Cause: the kernel closes the connections of a killed process in order. Now the connection is set to be reset when it is closed, before the answer begins, and set back at its end.

--- a/gateway/framing.go
+++ b/gateway/framing.go
@@ -126,6 +126,7 @@
 func (r *request) writeUnframed() {
 	h := &r.ctx.Response.Header
 	h.SetContentLength(identityLength)
+	r.conn.resetOnClose(true)
 	_, err := r.conn.Write(h.Header())
 	if err == nil {
 		_, err = io.CopyBuffer(r.conn, r.unframed, make([]byte, unframedBufferBytes))
@@ -133,8 +134,8 @@
 	if closeErr := r.unframed.Close(); err == nil {
 		err = closeErr
 	}
-	if err != nil {
-		r.conn.resetOnClose(err)
+	if err == nil {
+		r.conn.resetOnClose(false)
 	}
 	r.ctx.HijackSetNoResponse(true)
 	r.ctx.Hijack(closeHijacked)
@@ -143,11 +144,16 @@
 // closeHijacked ends a connection whose answer is written; the HTTP library closes it.
 func closeHijacked(net.Conn) {}
 
-// resetOnClose has the connection closed with a reset, so that an answer without framing does not look
-// complete.
-func (c *callerConn) resetOnClose(why error) {
+// resetOnClose sets whether closing the connection resets it, so that an answer without framing does not look complete
+// until it is. The kernel closes the connections of a process that is killed in the same manner.
+func (c *callerConn) resetOnClose(reset bool) {
+	const abort, byDefault = 0, -1
+	linger := byDefault
+	if reset {
+		linger = abort
+	}
 	tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error })
-	if !ok || tcp.SetLinger(0) != nil {
-		log.WithField("request", c.request).WithField("why", why.Error()).Error("connection of a truncated answer can't be reset")
+	if !ok || tcp.SetLinger(linger) != nil {
+		log.WithField("request", c.request).Error("connection of an answer without framing can't be reset; if truncated, it looks complete")
 	}
 }
