--- a/balance/release_test.go
+++ b/balance/release_test.go
@@ -67,8 +67,8 @@
 	}
 }
 
-// Load: a release is being rolled out, two endpoints of the old one are left, and the pool is busy. One of the two
-// crashes, and all its streams come back at once to the other one.
+// Guards against streams that find no room at the only endpoint left of their release: in a rollout in a busy pool, one of
+// the last two crashes, and all its streams return at once to the other one.
 func TestLastEndpointsOfAReleaseKeepRoomForItsStreams(t *testing.T) {
 	const oldOnes, newOnes, load, slots = 2, 7, 58, 8
 	s := newReleases(oldOnes, newOnes)
--- a/balance/state.go
+++ b/balance/state.go
@@ -38,7 +38,7 @@
 	// departed are the endpoints that are no longer listed, kept in case they return.
 	departed  map[string]*endpoint
 	byService map[string][]*endpoint
-	// severalReleases tells whether a service's listed endpoints have several releases; without an entry, that has
+	// severalReleases is whether a service's listed endpoints have several releases; without an entry, that has
 	// to be found out.
 	severalReleases map[string]bool
 	runs            map[RunID]*run
--- a/gateway/framing.go
+++ b/gateway/framing.go
@@ -89,7 +89,7 @@
 	return body, err
 }
 
-// describeAnswer tells the instance that forwarded the request which release wrote the answer, and whether its
+// describeAnswer states to the instance that forwarded the request which release wrote the answer, and whether its
 // end is stated. A caller's answer has no such headers.
 func (r *request) describeAnswer(a *attempt) {
 	h := &r.ctx.Response.Header
--- a/hosted/framing_test.go
+++ b/hosted/framing_test.go
@@ -210,7 +210,7 @@
 	}
 }
 
-// Guards against a reset that is taken for the end of an answer.
+// Guards against a reset that counts as the end of an answer.
 func TestUnframedAnswerThatIsResetIsNotComplete(t *testing.T) {
 	f := newFixture(t, 1)
 	reset := func(contentType, text string) func(*platformtest.Exchange) bool {
--- a/hosted/release_test.go
+++ b/hosted/release_test.go
@@ -200,7 +200,7 @@
 }
 
 // Guards against a stream that goes on at another release since no endpoint of its own is left. Nothing runs then, and
-// its caller is told at once.
+// its caller gets the refusal at once.
 func TestStreamWhoseReleaseIsGoneDoesNotGoOn(t *testing.T) {
 	var served atomic.Int64
 	f := releaseFixture(t, 2, map[string]int{"v1": 1}, holdUntilClosed)
--- a/hosted/resume_soak_test.go
+++ b/hosted/resume_soak_test.go
@@ -108,7 +108,7 @@
 			body += releaseEvent(release, id)
 		}
 	} else if ending == endsInsideAnEvent {
-		// Of a plain answer without framing that ends so, nobody can tell.
+		// A plain answer without framing that ends so can not be recognised.
 		ending = endsWithReset
 	}
 	cut := len(body)
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -54,7 +54,7 @@
 	}
 }
 
-// Guards against a release that has just come or gone and is not considered, and an instance that vouches for a time
+// Guards against a release that has just appeared or disappeared and is not considered, and an instance that vouches for a time
 // when it did not follow the endpoints.
 func TestOnlyReleaseIsKnownAfterTheLifeOfAStream(t *testing.T) {
 	const life = 30 * time.Second
