One loop resets the connections of a partition in tests; Find says how long it may block

Found by reading the change once more. The comment of Origins.Find gave some tens of ms, which is not so at an instance that has just started: up to a second.

--- a/gateway/release.go
+++ b/gateway/release.go
@@ -17,7 +17,8 @@
 	// Began records the release that wrote the first event of a stream of this instance.
 	Began(k origin.Key, release string, life time.Duration)
 	// Find returns the release that a stream of a service, which has lasted for at most the given life, may go on
-	// at; empty if that is not known. It may block while other instances are asked, for some tens of ms at most.
+	// at; empty if that is not known. It may block while other instances are asked: for some tens of
+	// ms, or for up to a second at an instance that has just started.
 	// from names the instance that knew, empty for this one.
 	Find(ctx context.Context, service string, k origin.Key, life time.Duration) (release string, result origin.Result, from string)
 }
--- a/hosted/partition_test.go
+++ b/hosted/partition_test.go
@@ -69,9 +69,20 @@
 		}
 		p.only[e.Address()] = true
 	}
-	if mode != cutWithReset {
-		return
+	if mode == cutWithReset {
+		p.resetLocked()
 	}
+}
+
+// reset resets the connections that are open, and lets new ones be made.
+func (p *partition) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.resetLocked()
+}
+
+// resetLocked resets the open connections to the addresses that are cut, or all if none is named. The caller must hold mu.
+func (p *partition) resetLocked() {
 	for c := range p.conns {
 		if p.only == nil || p.only[c.address] {
 			_ = c.SetLinger(0)
--- a/hosted/release_test.go
+++ b/hosted/release_test.go
@@ -345,13 +345,3 @@
 	t.Cleanup(cancel)
 	return ctx
 }
-
-// reset resets the connections that are open, and lets new ones be made.
-func (p *partition) reset() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for c := range p.conns {
-		_ = c.SetLinger(0)
-		_ = c.TCPConn.Close()
-	}
-}
