Request lines name the shared parts of prompts that broke off

The lines of the incident cannot tell whether a part of the prompt recurs among requests that crashed endpoints: prefix is a hash of all shared parts in a chain. Each line with broken_at now has parts, a hash for each part, independent of what precedes it.

TestLogLinesOfBrokenPromptsNameTheirSharedParts: no field before, passes now.

--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -4,6 +4,7 @@
 	"encoding/hex"
 	"math/rand/v2"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -405,6 +406,15 @@
 // contentID identifies a request's content in log lines without revealing it.
 func contentID(content [16]byte) string { return hex.EncodeToString(content[:contentIDBytes]) }
 
+// contentIDs returns the IDs of several fingerprints, separated by commas.
+func contentIDs(fingerprints [][16]byte) string {
+	list := make([]string, len(fingerprints))
+	for k, f := range fingerprints {
+		list[k] = contentID(f)
+	}
+	return strings.Join(list, ",")
+}
+
 // crashID returns the ID of the crash that interrupted a run.
 func crashID(run uint64) string { return strconv.FormatUint(run, 36) }
 
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -61,6 +61,8 @@
 	releases []string
 	// fingerprint is the result of content; nil before.
 	fingerprint *[16]byte
+	// parts is the result of sharedParts; nil before.
+	parts [][16]byte
 	// trial is the reserved trial of the next send, if the request is suspected of crashing endpoints;
 	// trials counts those that were sent.
 	trial  *policy.Trial
@@ -456,6 +458,9 @@
 	}
 	if len(r.brokenAt) > 0 || fault.Is(r.lastErr, fault.Suspect) {
 		f["content"] = contentID(r.content())
+		if parts := r.sharedParts(); len(parts) > 0 {
+			f["parts"] = contentIDs(parts)
+		}
 	}
 	if r.trials > 0 {
 		f["trials"] = r.trials
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -51,6 +51,25 @@
 	return sum
 }
 
+// sharedParts returns the fingerprints of the parts of the prompt that other requests may share, in order.
+// The last part belongs to the request itself. A part is the same for all requests that may share its cache,
+// whatever precedes it.
+func (r *request) sharedParts() [][16]byte {
+	if r.parts != nil || len(r.call.Parts) < 2 {
+		return r.parts
+	}
+	wall := r.wall()
+	for _, p := range r.call.Parts[:len(r.call.Parts)-1] {
+		var hash xxh3.Hasher
+		for _, s := range []string{wall, r.call.Model, p.ID} {
+			_, _ = hash.WriteString(s)
+			_, _ = hash.Write([]byte{0})
+		}
+		r.parts = append(r.parts, hash.Sum128().Bytes())
+	}
+	return r.parts
+}
+
 // crashVerdict returns how to treat the request; see policy.CrashGuard.
 func (r *request) crashVerdict(now time.Time) (policy.CrashVerdict, time.Duration) {
 	if !r.srv.cfg.Guard.active() {
--- a/hosted/logs_test.go
+++ b/hosted/logs_test.go
@@ -85,6 +85,29 @@
 	}
 }
 
+// Requests that are not alike break off. On-call could not tell whether a part of their prompts is the same, nor
+// which one.
+func TestLogLinesOfBrokenPromptsNameTheirSharedParts(t *testing.T) {
+	lines := logtest.Record(t)
+	f := newFixture(t, 1)
+	breaks := func(*platformtest.Exchange) bool { return false }
+	f.endpoint("e1", "pool", breaks)
+	f.endpoint("e2", "pool", breaks)
+	f.serve(2, nil)
+	for k, parts := range []string{"a:400,both:600,own-1:500", "b:400,both:600,own-2:500"} {
+		req := prompt(f.request("POST", fmt.Sprintf("/check/%d", k), "x"))
+		req.Header.Set("Sardinedock-Prompt-Prefix", parts)
+		f.do(req)
+	}
+	var named [][]string
+	for _, l := range lines.Lines("request") {
+		named = append(named, strings.Split(fmt.Sprint(l["parts"]), ","))
+	}
+	if len(named) != 2 || len(named[0]) != 2 || len(named[1]) != 2 || named[0][0] == named[1][0] || named[0][1] != named[1][1] {
+		t.Errorf("parts of the two requests: %v, want two each, the second ones equal", named)
+	}
+}
+
 // A request is rejected by two endpoints and served by the third, which alone was named. On-call could
 // not tell which endpoints reject, nor which of them had asked for no more requests.
 func TestLogLineNamesEveryEndpointThatRejected(t *testing.T) {
