A part of prompts that crashes endpoints is found, and requests with it are refused

Cause: the cause of a crash was sought in the whole request only. A request that differs in its last part was clean at its first run, and ran twice.

Change: a request is a set of factors, its content and each shared part of its prompt, in the same records and messages. A crash is held against each part that no request has just completed with; one request with a suspected part runs at a time; crashes of three moments under two contents and no completion since convict the part.

Why it works: whatever else a request holds, a deadly part never completes, while sound parts complete within milliseconds; and it is in flight at each of its crashes.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -31,6 +31,8 @@
 	unsent bool
 	// trial is set if the request is suspected of crashing endpoints.
 	trial *policy.Trial
+	// begunAt is when the first event of this endpoint was read; zero if none was.
+	begunAt time.Time
 	// forwarder is the instance that the request was forwarded to, if it was not sent to an endpoint.
 	// place then describes that instance.
 	forwarder Forwarder
@@ -131,7 +133,7 @@
 // ready is called once there is a connection, before any byte of the request is sent. Setting up the
 // connection may have taken some hundred ms.
 func (a *attempt) ready() error {
-	if verdict, _ := a.req.crashVerdict(time.Now()); verdict == policy.CrashRefused {
+	if guard := a.req.srv.cfg.Guard; guard.active() && !guard.runnable(time.Now(), a.req.crashSubject(), a.trial != nil) {
 		return errNotAdmitted
 	}
 	if !a.req.srv.cfg.Statements.Admit(a.place.Endpoint.ID) {
--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"cmp"
+	"encoding/binary"
 	"encoding/hex"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -11,6 +14,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
+	"github.com/zeebo/xxh3"
 
 	"github.com/sardinedock/sardinedock/policy"
 	"github.com/sardinedock/sardinedock/schema/gossippb"
@@ -32,6 +36,8 @@
 	// freshCrash is how old a reported crash may be for another instance to check it. Later, the endpoint
 	// may have started again.
 	freshCrash = 500 * time.Millisecond
+	// maxCandidates bounds the parts of one request that a crash is held against.
+	maxCandidates = 16
 	// trialAvoidance is how long other requests avoid an endpoint at which a trial begins, if there are
 	// others: longer than most requests take to crash an endpoint.
 	trialAvoidance = 200 * time.Millisecond
@@ -39,6 +45,7 @@
 
 var (
 	crashesRecorded   = metrics.GetOrCreateCounter("sardinedock_crash_interrupted_requests_total")
+	partsDropped      = metrics.GetOrCreateCounter("sardinedock_crash_parts_dropped_total")
 	crashRefusals     = metrics.GetOrCreateCounter("sardinedock_crash_refused_requests_total")
 	crashConvictions  = metrics.GetOrCreateCounter("sardinedock_crash_convictions_total")
 	trialsBegun       = metrics.GetOrCreateCounter("sardinedock_crash_trials_total")
@@ -77,52 +84,102 @@
 	ID, Endpoint string
 }
 
-// NewCrashGuard returns a guard without records. notify broadcasts a notice.
-func NewCrashGuard(notify func(*gossippb.Notice)) *CrashGuard {
-	return &CrashGuard{
+// NewCrashGuard returns a guard without records for the named instance. notify broadcasts a notice.
+func NewCrashGuard(instance string, notify func(*gossippb.Notice)) *CrashGuard {
+	g := &CrashGuard{
 		notify: notify, crashes: policy.NewCrashGuard(crashMemory), trials: policy.NewTrials(),
 		checking: map[[16]byte]int{}, learned: map[[16]byte]time.Time{},
 		convicted: map[[16]byte]time.Time{}, refused: map[[16]byte]bool{},
 	}
+	g.crashes.Stagger(xxh3.HashString(instance))
+	return g
 }
 
 // active reports whether there is any record.
 func (g *CrashGuard) active() bool { return g.records.Load() > 0 }
 
-// verdict returns how to treat a request; see policy.CrashGuard. A request that would be refused for a
+// assess returns how to treat a request; see policy.CrashGuard. A request that would be refused for a
 // crash that is being checked, here or by others, is not refused yet, but beginTrial lets none of them run.
-func (g *CrashGuard) verdict(now time.Time, content [16]byte) (policy.CrashVerdict, time.Duration) {
+func (g *CrashGuard) assess(now time.Time, s policy.CrashSubject) policy.CrashAssessment {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	verdict, left := g.checkedVerdict(now, content)
-	if verdict == policy.CrashRefused {
-		g.logRefusal(content, true, left, "checked")
+	a := g.crashes.Assess(now, s)
+	if a.Verdict != policy.CrashRefused {
+		return a
 	}
-	return verdict, left
-}
-
-// checkedVerdict is verdict without the log line. The caller must hold mu.
-func (g *CrashGuard) checkedVerdict(now time.Time, content [16]byte) (policy.CrashVerdict, time.Duration) {
-	verdict, left := g.crashes.Verdict(now, content)
-	if verdict != policy.CrashRefused {
-		return verdict, left
+	if g.convicted[a.Cause].IsZero() {
+		g.convicted[a.Cause] = now
 	}
-	if g.checking[content] > 0 || now.Sub(g.convicted[content]) < convictionDelay {
-		verdict = policy.CrashConfined
+	if g.unchecked(now, a.Cause) {
+		a.Verdict = policy.CrashConfined
+		return a
 	}
-	return verdict, left
+	g.logRefusal(now, a.Cause, true, a.Left, "checked")
+	return a
+}
+
+// unchecked reports whether the crashes for which a request is to be refused are still being checked. The
+// caller must hold mu.
+func (g *CrashGuard) unchecked(now time.Time, cause [16]byte) bool {
+	return g.checking[cause] > 0 || now.Sub(g.convicted[cause]) < convictionDelay
+}
+
+// runnable reports whether a request that was placed may be sent. It may not if it is convicted by now, or
+// suspected and no trial.
+func (g *CrashGuard) runnable(now time.Time, s policy.CrashSubject, trial bool) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	verdict := g.crashes.Assess(now, s).Verdict
+	return verdict == policy.CrashClean || trial && verdict != policy.CrashRefused
 }
 
-// crashed records that a run of a request was interrupted by the crash of its endpoint. Whether that was a
-// crash has to be checked, and the result passed to confirm or disprove.
-func (g *CrashGuard) crashed(now time.Time, endpointID string, run interruptedRun) {
+// crashed records that a run of a request was interrupted by the crash of its endpoint. It returns what
+// that is held against: the content and parts of the request. Whether it was a crash has to be checked, and the
+// result passed to confirm or disprove.
+func (g *CrashGuard) crashed(now time.Time, endpointID string, run interruptedRun) (held [][16]byte) {
 	crashesRecorded.Inc()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.crashes.Crashed(now, run.content, policy.Crash{ID: run.crashID, Endpoint: endpointID, Trial: run.alone})
-	g.learned[run.content] = now
-	g.checking[run.content]++
-	g.update(now, run.content, "own request")
+	c := policy.Crash{ID: run.crashID, Endpoint: endpointID, Trial: run.alone, Caller: run.subject.Caller}
+	g.crashes.Crashed(now, run.subject.Content, c)
+	held = append(held, run.subject.Content)
+	c.Content = binary.LittleEndian.Uint64(run.subject.Content[:])
+	for _, part := range g.candidates(run.subject.Parts) {
+		if g.crashes.PartCrashed(now, part, c) {
+			held = append(held, part)
+		}
+	}
+	for _, f := range held {
+		g.learned[f] = now
+		g.checking[f]++
+		g.update(now, f, "own request")
+	}
+	log.WithField("endpoint", endpointID).WithField("content", contentID(run.subject.Content)).
+		WithField("parts", contentIDs(run.subject.Parts)).WithField("suspected", contentIDs(held[1:])).WithField("trial", run.alone).
+		Info("request interrupted by a crash")
+	return held
+}
+
+// candidates returns at most maxCandidates of the parts of a request. Those that were in flight at earlier
+// crashes come first, the others in random order: a caller may name many parts before the one that crashes
+// endpoints. The caller must hold mu.
+func (g *CrashGuard) candidates(parts [][16]byte) [][16]byte {
+	if len(parts) <= maxCandidates {
+		return parts
+	}
+	list := slices.Clone(parts)
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	slices.SortStableFunc(list, func(a, b [16]byte) int { return cmp.Compare(g.rank(a), g.rank(b)) })
+	partsDropped.Add(len(list) - maxCandidates)
+	return list[:maxCandidates]
+}
+
+// rank is 0 for a part with a record, and 1 for others. The caller must hold mu.
+func (g *CrashGuard) rank(part [16]byte) int {
+	if g.crashes.Recorded(part) {
+		return 0
+	}
+	return 1
 }
 
 // alone reports whether a trial is the only run of a suspect at its endpoint.
@@ -134,12 +191,14 @@
 
 // confirm ends the check of a crash that was one, as far as can be told from here, and notifies the other
 // instances of it.
-func (g *CrashGuard) confirm(now time.Time, content [16]byte) {
+func (g *CrashGuard) confirm(now time.Time, held [][16]byte) {
 	g.mu.Lock()
-	g.checked(content)
-	g.update(now, content, "own request")
+	for _, f := range held {
+		g.checked(f)
+		g.update(now, f, "own request")
+	}
 	g.mu.Unlock()
-	g.publish(now, [][16]byte{content})
+	g.publish(now, held)
 }
 
 // checked records the end of a check. The caller must hold mu.
@@ -150,14 +209,15 @@
 }
 
 // disprove ends the check of a crash and withdraws it: the endpoint accepts connections.
-func (g *CrashGuard) disprove(now time.Time, content [16]byte, crashID string) {
+func (g *CrashGuard) disprove(now time.Time, held [][16]byte, crashID string) {
 	g.mu.Lock()
-	g.checked(content)
-	cleared := g.crashes.Disprove(now, content, crashID)
-	g.update(now, content, "dial")
-	g.mu.Unlock()
-	if cleared {
-		clearedDialled.Inc()
+	defer g.mu.Unlock()
+	for _, f := range held {
+		g.checked(f)
+		if g.crashes.Disprove(now, f, crashID) {
+			clearedDialled.Inc()
+		}
+		g.update(now, f, "dial")
 	}
 }
 
@@ -176,19 +236,28 @@
 	}
 }
 
-// completed clears a request that has run to its end.
-func (g *CrashGuard) completed(now time.Time, content [16]byte) {
+// completed clears a request that has run to its end, and, if whole is set, the parts of its prompt: its whole
+// answer, a success, was received.
+func (g *CrashGuard) completed(now time.Time, s policy.CrashSubject, whole bool) {
 	g.mu.Lock()
-	cleared := g.crashes.Completed(now, content)
-	if cleared {
-		g.learned[content] = now
-		g.update(now, content, "completion")
+	var cleared [][16]byte
+	if g.crashes.Completed(now, s.Content) {
+		cleared = append(cleared, s.Content)
 	}
-	g.mu.Unlock()
-	if cleared {
-		clearedCompleted.Inc()
-		g.publish(now, [][16]byte{content})
+	if whole {
+		for _, part := range s.Parts {
+			if g.crashes.PartCompleted(now, part) {
+				cleared = append(cleared, part)
+			}
+		}
 	}
+	for _, f := range cleared {
+		g.learned[f] = now
+		g.update(now, f, "completion")
+	}
+	g.mu.Unlock()
+	clearedCompleted.Add(len(cleared))
+	g.publish(now, cleared)
 }
 
 // answered is called when an endpoint has answered on a connection that was made at the given time: what
@@ -207,14 +276,14 @@
 
 // beginTrial reserves a trial of a suspected request. ok is false while the same request runs elsewhere,
 // or is about to be refused.
-func (g *CrashGuard) beginTrial(now time.Time, content [16]byte, until time.Time) (t *policy.Trial, ok bool) {
+func (g *CrashGuard) beginTrial(now time.Time, s policy.CrashSubject, until time.Time) (t *policy.Trial, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	verdict, _ := g.crashes.Verdict(now, content)
-	if verdict == policy.CrashRefused || g.trials.Running(now, content) {
+	a := g.crashes.Assess(now, s)
+	if a.Verdict == policy.CrashRefused || g.trials.Running(now, s.Content, a.Suspects) {
 		return nil, false
 	}
-	t = &policy.Trial{ID: rand.Uint64(), Content: content, Until: until}
+	t = &policy.Trial{ID: rand.Uint64(), Content: s.Content, Parts: a.Suspects, Until: until}
 	g.trials.Put(*t)
 	return t, true
 }
@@ -262,7 +331,7 @@
 	if m := n.GetTrial(); len(m.GetContent()) == 16 {
 		if m.GetLeftMs() > 0 {
 			left := min(time.Duration(m.GetLeftMs())*time.Millisecond, maxTrialLeft)
-			g.trials.Put(policy.Trial{ID: m.GetId(), Content: [16]byte(m.GetContent()), Endpoint: n.GetEndpoint(), Until: now.Add(left)})
+			g.trials.Put(policy.Trial{ID: m.GetId(), Content: [16]byte(m.GetContent()), Parts: fingerprints(m.GetParts()), Endpoint: n.GetEndpoint(), Until: now.Add(left)})
 		} else {
 			g.trials.End(m.GetId())
 		}
@@ -270,7 +339,7 @@
 	if m := n.GetCrashes(); len(m.GetContent()) == 16 {
 		content := [16]byte(m.GetContent())
 		ttl := time.Duration(m.GetTtlMs()) * time.Millisecond
-		added := g.crashes.Merge(now, content, crashState(m), ttl)
+		added := g.crashes.Merge(now, content, crashState(now, m), ttl)
 		g.update(now, content, from)
 		for _, c := range added {
 			if crashMemory-ttl < freshCrash {
@@ -294,25 +363,41 @@
 	} else if g.convicted[content].IsZero() {
 		g.convicted[content] = now
 	}
-	verdict, left := g.checkedVerdict(now, content)
-	g.logRefusal(content, verdict == policy.CrashRefused, left, source)
+	verdict, left := g.crashes.Verdict(now, content)
+	g.logRefusal(now, content, verdict == policy.CrashRefused && !g.unchecked(now, content), left, source)
 }
 
 // logRefusal logs that a request is refused from now on, for the given time, or that it is not any more.
 // The caller must hold mu.
-func (g *CrashGuard) logRefusal(content [16]byte, refused bool, left time.Duration, source string) {
+func (g *CrashGuard) logRefusal(now time.Time, content [16]byte, refused bool, left time.Duration, source string) {
 	if refused == g.refused[content] {
 		return
 	}
 	entry := log.WithField("content", contentID(content)).WithField("source", source)
+	what := "request"
+	if state, _ := g.crashes.State(now, content); state != nil && state.Part {
+		what = "part of prompts"
+		entry = entry.WithField("crashed", crashedEndpoints(state))
+	}
 	if refused {
 		g.refused[content] = true
 		crashConvictions.Inc()
-		entry.WithField("refused_ms", left.Milliseconds()).Info("request crashes endpoints; it is refused")
+		entry.WithField("refused_ms", left.Milliseconds()).Info(what + " crashes endpoints; it is refused")
 		return
 	}
 	delete(g.refused, content)
-	entry.Info("request is not refused any more")
+	entry.Info(what + " is not refused any more")
+}
+
+// crashedEndpoints returns the endpoints of the crashes that count.
+func crashedEndpoints(s *policy.CrashState) string {
+	var list []string
+	for _, c := range s.Crashes {
+		if !c.Cleared {
+			list = append(list, c.Endpoint)
+		}
+	}
+	return strings.Join(slices.Compact(slices.Sorted(slices.Values(list))), ",")
 }
 
 // publish broadcasts the records of the given requests.
@@ -322,7 +407,7 @@
 		state, ttl := g.crashes.State(now, content)
 		g.mu.Unlock()
 		if state != nil {
-			g.notify(&gossippb.Notice{Crashes: crashMessage(content, state, ttl)})
+			g.notify(&gossippb.Notice{Crashes: crashMessage(now, content, state, ttl)})
 		}
 	}
 }
@@ -369,9 +454,10 @@
 	}
 }
 
-// SuspectView is one suspected or refused request in the state dump.
+// SuspectView is one suspected or refused request, or part of prompts, in the state dump.
 type SuspectView struct {
 	Content string   `json:"content"`
+	Part    bool     `json:"part,omitempty"`
 	Verdict string   `json:"verdict"`
 	LeftMs  int64    `json:"left_ms"`
 	Crashes []string `json:"crashes"`
@@ -383,12 +469,15 @@
 	defer g.mu.Unlock()
 	var list []SuspectView
 	for _, content := range g.crashes.Fingerprints() {
-		verdict, left := g.checkedVerdict(now, content)
+		verdict, left := g.crashes.Verdict(now, content)
+		if verdict == policy.CrashRefused && g.unchecked(now, content) {
+			verdict = policy.CrashConfined
+		}
 		state, _ := g.crashes.State(now, content)
 		if verdict == policy.CrashClean || state == nil {
 			continue
 		}
-		v := SuspectView{Content: contentID(content), Verdict: verdict.String(), LeftMs: left.Milliseconds()}
+		v := SuspectView{Content: contentID(content), Part: state.Part, Verdict: verdict.String(), LeftMs: left.Milliseconds()}
 		for _, c := range state.Crashes {
 			if !c.Cleared {
 				v.Crashes = append(v.Crashes, c.Endpoint)
@@ -419,21 +508,41 @@
 func crashID(run uint64) string { return strconv.FormatUint(run, 36) }
 
 func trialMessage(now time.Time, t policy.Trial) *gossippb.Trial {
-	return &gossippb.Trial{Id: t.ID, Content: t.Content[:], LeftMs: max(1, t.Until.Sub(now).Milliseconds())}
+	m := &gossippb.Trial{Id: t.ID, Content: t.Content[:], LeftMs: max(1, t.Until.Sub(now).Milliseconds())}
+	for _, part := range t.Parts {
+		m.Parts = append(m.Parts, part[:])
+	}
+	return m
+}
+
+// fingerprints decodes at most maxCandidates fingerprints.
+func fingerprints(list [][]byte) (decoded [][16]byte) {
+	for _, f := range list[:min(len(list), maxCandidates)] {
+		if len(f) == 16 {
+			decoded = append(decoded, [16]byte(f))
+		}
+	}
+	return decoded
 }
 
-func crashMessage(content [16]byte, s *policy.CrashState, ttl time.Duration) *gossippb.CrashRecord {
-	m := &gossippb.CrashRecord{Content: content[:], TtlMs: ttl.Milliseconds()}
+func crashMessage(now time.Time, content [16]byte, s *policy.CrashState, ttl time.Duration) *gossippb.CrashRecord {
+	m := &gossippb.CrashRecord{Content: content[:], Part: s.Part, TtlMs: ttl.Milliseconds()}
 	for _, c := range s.Crashes {
-		m.Crashes = append(m.Crashes, &gossippb.Crash{Id: c.ID, Endpoint: c.Endpoint, Trial: c.Trial, Cleared: c.Cleared})
+		m.Crashes = append(m.Crashes, &gossippb.Crash{
+			Id: c.ID, Endpoint: c.Endpoint, Trial: c.Trial, Cleared: c.Cleared, Content: c.Content, Caller: c.Caller,
+			MsAgo: max(0, now.Sub(c.At).Milliseconds()),
+		})
 	}
 	return m
 }
 
-func crashState(m *gossippb.CrashRecord) *policy.CrashState {
-	s := &policy.CrashState{}
+func crashState(now time.Time, m *gossippb.CrashRecord) *policy.CrashState {
+	s := &policy.CrashState{Part: m.GetPart()}
 	for _, c := range m.GetCrashes() {
-		s.Crashes = append(s.Crashes, policy.Crash{ID: c.GetId(), Endpoint: c.GetEndpoint(), Trial: c.GetTrial(), Cleared: c.GetCleared()})
+		s.Crashes = append(s.Crashes, policy.Crash{
+			ID: c.GetId(), Endpoint: c.GetEndpoint(), Trial: c.GetTrial(), Cleared: c.GetCleared(), Content: c.GetContent(), Caller: c.GetCaller(),
+			At: now.Add(-time.Duration(max(0, c.GetMsAgo())) * time.Millisecond),
+		})
 	}
 	return s
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -67,6 +67,8 @@
 	// trials counts those that were sent.
 	trial  *policy.Trial
 	trials int
+	// deadlyPart is the ID of the part of its prompt for which the request is refused; empty for none.
+	deadlyPart string
 	// sentAt is the time of the first send.
 	sentAt time.Time
 	waited time.Duration
@@ -169,7 +171,7 @@
 		return fault.New(fault.TooLarge, "send a smaller body", "the body has over %d bytes", limit)
 	}
 	r.service = r.table.Service(r.route.Pick(xxh3.HashString(call.ID)))
-	return r.refuseCrashing(r.began)
+	return r.refuseCrashing(r.assessCrashes(r.began))
 }
 
 // start creates reqCtx, which is done when the caller disconnects, at the deadline, or when the
@@ -462,6 +464,9 @@
 			f["parts"] = contentIDs(parts)
 		}
 	}
+	if r.deadlyPart != "" {
+		f["deadly_part"] = r.deadlyPart
+	}
 	if r.trials > 0 {
 		f["trials"] = r.trials
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -96,6 +96,9 @@
 		s.lastID = id
 	}
 	s.noteRelease()
+	if s.attempt.begunAt.IsZero() {
+		s.attempt.begunAt = time.Now()
+	}
 	s.attempt.received()
 	if s.req.events++; s.req.events == 1 {
 		if s.req.release == "" {
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -70,48 +70,60 @@
 	return r.parts
 }
 
-// crashVerdict returns how to treat the request; see policy.CrashGuard.
-func (r *request) crashVerdict(now time.Time) (policy.CrashVerdict, time.Duration) {
+// crashSubject returns what the request is recognised by when endpoints crash.
+func (r *request) crashSubject() policy.CrashSubject {
+	s := policy.CrashSubject{Content: r.content(), Parts: r.sharedParts()}
+	if r.organisation != nil {
+		s.Caller = xxh3.HashString(r.organisation.Name)
+	}
+	return s
+}
+
+// assessCrashes returns how to treat the request; see policy.CrashGuard.
+func (r *request) assessCrashes(now time.Time) policy.CrashAssessment {
 	if !r.srv.cfg.Guard.active() {
-		return policy.CrashClean, 0
+		return policy.CrashAssessment{}
 	}
-	return r.srv.cfg.Guard.verdict(now, r.content())
+	return r.srv.cfg.Guard.assess(now, r.crashSubject())
 }
 
 // refuseCrashing returns an error if the request is known to crash endpoints. Its caller gets the time
 // until the request may run again and not a status that calls the request wrong: whether it is, or the
 // endpoints that it crashes, is not known here, and the next release may run it.
-func (r *request) refuseCrashing(now time.Time) error {
-	verdict, left := r.crashVerdict(now)
-	if verdict != policy.CrashRefused {
+func (r *request) refuseCrashing(a policy.CrashAssessment) error {
+	if a.Verdict != policy.CrashRefused {
 		return nil
 	}
 	crashRefusals.Inc()
 	err := fault.New(fault.Suspect, "change the request, or send it again after the time in Retry-After", "the request crashed the endpoints that ran it")
-	return fault.WithRetryAfter(err, left)
+	if a.Cause != r.content() {
+		r.deadlyPart = contentID(a.Cause)
+		err = fault.New(fault.Suspect, "change the prompt, or send it again after the time in Retry-After", "requests with a part of the prompt crashed the endpoints that ran them")
+	}
+	return fault.WithRetryAfter(err, a.Left)
 }
 
 // reserveTrial reserves a trial for the next send if the request is suspected of crashing endpoints. It
 // returns errTrialRunning while the same request runs elsewhere, and the endpoints that the request has
 // to avoid, since other suspects run there: confined is set if it must not be sent to one of them.
 func (r *request) reserveTrial(now time.Time) (avoid []string, confined bool, err error) {
-	if err := r.refuseCrashing(now); err != nil {
+	a := r.assessCrashes(now)
+	if err := r.refuseCrashing(a); err != nil {
 		return nil, false, err
 	}
-	verdict, _ := r.crashVerdict(now)
-	if verdict == policy.CrashClean {
+	if a.Verdict == policy.CrashClean {
 		r.releaseTrial()
 		return nil, false, nil
 	}
 	guard := r.srv.cfg.Guard
 	if r.trial == nil {
-		t, ok := guard.beginTrial(now, r.content(), r.deadline)
+		t, ok := guard.beginTrial(now, r.crashSubject(), r.deadline)
 		if !ok {
 			return nil, false, errTrialRunning
 		}
 		r.trial = t
 	}
-	return guard.occupied(now, r.content()), verdict == policy.CrashConfined, nil
+	return guard.occupied(now, r.content()), a.Verdict == policy.CrashConfined, nil
 }
 
 // releaseTrial ends a trial that was not sent.
@@ -170,14 +182,20 @@
 	case stage != balance.Done && stage != balance.Errored:
 	case a.resp != nil && a.unframed():
 		e, run := a.place.Endpoint, a.interrupted()
+		run.whole = a.succeeded(stage)
 		if s.endChecks.add(e.ID, func(c *crashCheck) { c.interrupted = append(c.interrupted, run) }) {
 			go s.checkEnds(e)
 		}
-	case s.cfg.Guard.active():
-		s.cfg.Guard.completed(time.Now(), a.req.content())
+	case s.cfg.Guard.active() || len(a.req.call.Parts) > 1:
+		s.cfg.Guard.completed(time.Now(), a.req.crashSubject(), a.succeeded(stage))
 	}
 }
 
+// succeeded reports whether an attempt that ended at stage brought the whole of a successful answer.
+func (a *attempt) succeeded(stage balance.Stage) bool {
+	return stage == balance.Done && a.head.Signed && a.head.Status < 300
+}
+
 // crashCheck is the pending check of one endpoint that has broken connections.
 type crashCheck struct {
 	// interrupted are the runs of this instance that the crash may have interrupted, reported those of
@@ -188,12 +206,21 @@
 
 // interruptedRun is a run that the endpoint's crash may have interrupted.
 type interruptedRun struct {
-	content [16]byte
+	// subject is what the request is recognised by. It has no parts if the answer had begun long before.
+	subject policy.CrashSubject
 	crashID string
 	// alone is set if the run was a trial, and the only one at its endpoint.
 	alone bool
+	// held are the content and parts that the crash is held against; see CrashGuard.crashed.
+	held [][16]byte
+	// whole is set if the whole answer was received, unless the endpoint crashed at its end.
+	whole bool
 }
 
+// answerBegun is how long after the first bytes of its answer a request is not what crashes an endpoint for a
+// part of its prompt: the prompt has been read, and the endpoint has lived on.
+const answerBegun = 500 * time.Millisecond
+
 // crashChecks tells crashes of endpoints from broken connections. It is safe for concurrent use.
 type crashChecks struct {
 	mu      sync.Mutex
@@ -230,14 +257,19 @@
 // that a retry is a trial.
 func (a *attempt) reportCrash() {
 	s, e, run := a.req.srv, a.place.Endpoint, a.interrupted()
-	s.cfg.Guard.crashed(time.Now(), e.ID, run)
+	run.held = s.cfg.Guard.crashed(time.Now(), e.ID, run)
 	s.addCrashCheck(e, func(c *crashCheck) { c.interrupted = append(c.interrupted, run) })
 }
 
 // interrupted describes the attempt's run as one that a crash may have interrupted.
 func (a *attempt) interrupted() interruptedRun {
-	alone := a.trial != nil && a.req.srv.cfg.Guard.alone(time.Now(), *a.trial)
-	return interruptedRun{a.req.content(), crashID(uint64(a.run)), alone}
+	now := time.Now()
+	run := interruptedRun{subject: a.req.crashSubject(), crashID: crashID(uint64(a.run))}
+	run.alone = a.trial != nil && a.req.srv.cfg.Guard.alone(now, *a.trial)
+	if !a.begunAt.IsZero() && now.Sub(a.begunAt) >= answerBegun {
+		run.subject.Parts = nil
+	}
+	return run
 }
 
 // addCrashCheck adds to the check of an endpoint, and starts it unless it is under way.
@@ -265,12 +297,12 @@
 		s.pathLost(e, reachability.NoConnections, err)
 		s.avoid(e.ID, now, unreachableAvoidance)
 		for _, run := range check.interrupted {
-			guard.confirm(now, run.content)
+			guard.confirm(now, run.held)
 		}
 		return
 	}
 	for _, run := range check.interrupted {
-		guard.disprove(now, run.content, run.crashID)
+		guard.disprove(now, run.held, run.crashID)
 	}
 	for _, crash := range check.reported {
 		guard.refute(now, crash)
@@ -289,10 +321,9 @@
 	for _, run := range ended {
 		switch {
 		case !alive && ready:
-			guard.crashed(now, e.ID, run)
-			guard.confirm(now, run.content)
-		case alive && guard.active():
-			guard.completed(now, run.content)
+			guard.confirm(now, guard.crashed(now, e.ID, run))
+		case alive:
+			guard.completed(now, run.subject, run.whole)
 		}
 	}
 }
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -135,7 +135,7 @@
 		return nil, err
 	}
 	i.origins = &origins{book: origin.NewBook(s.GetFirstStart()), state: i.state, node: i.node, started: i.started, settled: &i.settled}
-	i.guard = gateway.NewCrashGuard(i.node.BroadcastNotice)
+	i.guard = gateway.NewCrashGuard(s.GetInstance(), i.node.BroadcastNotice)
 	limits := ratelimit.NewLimits(time.Now(), s.GetInstance(), i.incarnation)
 	i.state.SetLimiter(limits)
 	i.statements = newStatements(limits, i.state.ServiceOf, i.node.BroadcastNotice)
--- a/hosted/part_crash_test.go
+++ b/hosted/part_crash_test.go
@@ -236,6 +236,7 @@
 		"long answers":   {deadly: []string{"company:300,bad:200,catalogue:600"}, sound: sound, events: many, pause: 50 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			p := startPartPlay(t, play)
 			p.play(partLength)
 			p.check()
--- a/policy/crash.go
+++ b/policy/crash.go
@@ -9,11 +9,14 @@
 
 const (
 	// maxFingerprints bounds the memory of a guard. It is enough for the requests in flight at
-	// some dozen crashes. The record that expires first is evicted first.
+	// some dozen crashes, and the parts of their prompts.
 	maxFingerprints = 4096
-	// maxCrashes bounds the crashes that are recorded for one request, so that its record fits into
-	// a datagram.
-	maxCrashes = 8
+	// evicted is how many records are evicted together when there are too many.
+	evicted = maxFingerprints / 16
+	// maxCrashes bounds the crashes that are recorded for one request, and maxPartCrashes those for one
+	// part of prompts, so that a record fits into a datagram.
+	maxCrashes     = 8
+	maxPartCrashes = 16
 	// retrialDelay is the time after a request was convicted until it may run once more: the
 	// endpoint may have crashed for another reason at that moment.
 	retrialDelay = time.Minute
@@ -59,20 +62,29 @@
 	// Cleared is set once it is known that the request did not cause the crash, or that the
 	// endpoint did not crash.
 	Cleared bool
-	// at is when this instance learned of the crash.
-	at time.Time
+	// Content identifies the request that was running. It is set for parts of prompts only.
+	Content uint64
+	// Caller identifies the organisation that sent it.
+	Caller uint64
+	// At is when the endpoint crashed; zero for the time at which the crash is recorded.
+	At time.Time
 }
 
-// crashRecord holds the crashes at which one request was in flight, by their IDs.
+// crashRecord holds the crashes at which one request, or one part of prompts, was in flight, by their IDs.
 type crashRecord struct {
 	crashes map[string]*Crash
 	expires time.Time
+	// part is set for a part of prompts.
+	part bool
+	// proven is set if a request with the part had been completed not long before the first crash.
+	proven bool
 }
 
-// counts returns how many crashes the request may have caused, and how many of them were trials.
-func (r *crashRecord) counts() (crashes, trials int) {
+// counts returns how many crashes the request may have caused, and how many of them were trials. Those of
+// the endpoints in explained have another cause.
+func (r *crashRecord) counts(explained map[string]bool) (crashes, trials int) {
 	for _, c := range r.crashes {
-		if c.Cleared {
+		if c.Cleared || explained[c.Endpoint] {
 			continue
 		}
 		crashes++
@@ -83,9 +95,12 @@
 	return crashes, trials
 }
 
-// CrashState is the state of one request as exchanged between instances: its crashes, sorted by ID.
+// CrashState is the state of one request, or of one part of prompts, as exchanged between instances: its
+// crashes, sorted by ID.
 type CrashState struct {
 	Crashes []Crash
+	// Part is set for a part of prompts.
+	Part bool
 }
 
 // CrashGuard records the fingerprints of requests that were in flight when an endpoint crashed.
@@ -101,6 +116,9 @@
 // and then requests for a popular thing, of which several are in flight, would be refused for
 // minutes. For the same reason a convicted request is tried once more after retrialDelay.
 //
+// No two requests need be alike for the same thing to crash endpoints: it may be a part of their prompts.
+// Parts are recorded beside whole requests; see PartCrashed.
+//
 // Merging the states of several instances is commutative and idempotent: crashes are added,
 // and Trial and Cleared are only set, until the record expires.
 type CrashGuard struct {
@@ -109,22 +127,30 @@
 	changed map[[16]byte]bool
 	// byEndpoint are the requests with a crash of an endpoint of which they are not cleared.
 	byEndpoint map[string]map[[16]byte]bool
+	parts      crashParts
 }
 
 // NewCrashGuard returns a guard whose records expire ttl after the last crash.
 func NewCrashGuard(ttl time.Duration) *CrashGuard {
 	return &CrashGuard{
 		ttl: ttl, records: map[[16]byte]*crashRecord{}, changed: map[[16]byte]bool{}, byEndpoint: map[string]map[[16]byte]bool{},
+		parts: newCrashParts(),
 	}
 }
 
 // Len returns the number of records.
 func (g *CrashGuard) Len() int { return len(g.records) }
 
+// Recorded reports whether there is a record of a request or part.
+func (g *CrashGuard) Recorded(fingerprint [16]byte) bool { return g.records[fingerprint] != nil }
+
 // Crashed records that a request was in flight when an endpoint crashed. Repeated calls for the same
 // crash count once.
 func (g *CrashGuard) Crashed(now time.Time, fingerprint [16]byte, c Crash) {
-	r := g.record(now, fingerprint)
+	g.recordCrash(now, fingerprint, g.record(now, fingerprint), c)
+}
+
+func (g *CrashGuard) recordCrash(now time.Time, fingerprint [16]byte, r *crashRecord, c Crash) {
 	if g.add(now, r, c) {
 		r.expires = now.Add(g.ttl)
 		g.changed[fingerprint] = true
@@ -134,6 +160,7 @@
 
 // index updates byEndpoint after a change of the request's crashes of an endpoint.
 func (g *CrashGuard) index(fingerprint [16]byte, r *crashRecord, endpoint string) {
+	g.parts.stale = g.parts.stale || r.part
 	for _, c := range r.crashes {
 		if c.Endpoint == endpoint && !c.Cleared {
 			if g.byEndpoint[endpoint] == nil {
@@ -155,6 +182,7 @@
 
 // remove removes a record.
 func (g *CrashGuard) remove(fingerprint [16]byte, r *crashRecord) {
+	g.parts.stale = g.parts.stale || r.part
 	for _, c := range r.crashes {
 		g.unindex(fingerprint, c.Endpoint)
 	}
@@ -163,21 +191,45 @@
 
 // add merges a crash into a record and reports whether that changed the record.
 func (g *CrashGuard) add(now time.Time, r *crashRecord, c Crash) bool {
+	if c.At.IsZero() {
+		c.At = now
+	}
 	known, ok := r.crashes[c.ID]
 	if !ok {
-		if len(r.crashes) >= maxCrashes && !c.Trial {
+		if !r.makeRoom(c) {
 			return false
 		}
-		c.at = now
 		r.crashes[c.ID] = &c
 		return true
 	}
-	changed := c.Trial && !known.Trial || c.Cleared && !known.Cleared
+	changed := c.Trial && !known.Trial || c.Cleared && !known.Cleared || c.Content != 0 && known.Content == 0
 	known.Trial = known.Trial || c.Trial
 	known.Cleared = known.Cleared || c.Cleared
+	if c.At.Before(known.At) {
+		known.At = c.At
+	}
+	known.Content, known.Caller = cmp.Or(known.Content, c.Content), cmp.Or(known.Caller, c.Caller)
 	return changed
 }
 
+// makeRoom makes room for one more crash. It reports whether there is.
+func (r *crashRecord) makeRoom(c Crash) bool {
+	if !r.part {
+		return len(r.crashes) < maxCrashes || c.Trial
+	}
+	if len(r.crashes) < maxPartCrashes {
+		return true
+	}
+	oldest := &c
+	for _, other := range r.crashes {
+		if other.At.Before(oldest.At) || other.At.Equal(oldest.At) && other.ID < oldest.ID {
+			oldest = other
+		}
+	}
+	delete(r.crashes, oldest.ID)
+	return oldest != &c
+}
+
 // Completed clears a request that ran to completion of all crashes recorded so far. It reports whether
 // there were any.
 func (g *CrashGuard) Completed(now time.Time, fingerprint [16]byte) bool {
@@ -193,7 +245,7 @@
 // time from which the same process of that endpoint has been running. It returns those requests.
 func (g *CrashGuard) Alive(now time.Time, endpoint string, since time.Time) (cleared [][16]byte) {
 	for fingerprint := range g.byEndpoint[endpoint] {
-		if g.clear(now, fingerprint, func(c *Crash) bool { return c.Endpoint == endpoint && c.at.After(since) }) {
+		if g.clear(now, fingerprint, func(c *Crash) bool { return c.Endpoint == endpoint && c.At.After(since) }) {
 			cleared = append(cleared, fingerprint)
 		}
 	}
@@ -217,14 +269,18 @@
 	return changed
 }
 
-// Verdict returns how to treat a request, and for how long that applies.
+// Verdict returns how to treat a request, and for how long that applies. For a part of prompts that is how to
+// treat requests with it, whoever sends them and whatever else they hold.
 func (g *CrashGuard) Verdict(now time.Time, fingerprint [16]byte) (CrashVerdict, time.Duration) {
 	r, ok := g.records[fingerprint]
 	if !ok || now.After(r.expires) {
 		return CrashClean, 0
 	}
+	if r.part {
+		return g.partVerdict(now, r, g.conviction(now, fingerprint))
+	}
 	left := r.expires.Sub(now)
-	crashes, trials := r.counts()
+	crashes, trials := r.counts(g.explained(now))
 	switch {
 	case crashes == 0:
 		return CrashClean, 0
@@ -249,6 +305,9 @@
 		return nil
 	}
 	r := g.record(now, fingerprint)
+	if r.part = r.part || s.Part; r.part {
+		g.prove(now, fingerprint, r)
+	}
 	if expires := now.Add(min(ttl, g.ttl)); expires.After(r.expires) || len(r.crashes) == 0 {
 		r.expires = expires
 	}
@@ -273,9 +332,9 @@
 	if !ok || now.After(r.expires) {
 		return nil, 0
 	}
-	s := &CrashState{}
+	s := &CrashState{Part: r.part}
 	for _, c := range r.crashes {
-		s.Crashes = append(s.Crashes, Crash{ID: c.ID, Endpoint: c.Endpoint, Trial: c.Trial, Cleared: c.Cleared})
+		s.Crashes = append(s.Crashes, *c)
 	}
 	slices.SortFunc(s.Crashes, func(a, b Crash) int { return cmp.Compare(a.ID, b.ID) })
 	return s, r.expires.Sub(now)
@@ -320,19 +379,59 @@
 	return r
 }
 
-// evict removes the expired records or, if there are none, the record that expires first.
+// evict makes room by removing the expired records or, if there are none, some of the organisation that has
+// most, so that none can have the records of others evicted: first those without a crash that still counts, then
+// those that expire first.
 func (g *CrashGuard) evict(now time.Time) {
 	g.Tick(now)
 	if len(g.records) < maxFingerprints {
 		return
 	}
-	var oldest [16]byte
-	var expires time.Time
+	byCaller := map[uint64][][16]byte{}
 	for fingerprint, r := range g.records {
-		earlier := expires.IsZero() || r.expires.Before(expires)
-		if earlier || r.expires.Equal(expires) && slices.Compare(fingerprint[:], oldest[:]) < 0 {
-			oldest, expires = fingerprint, r.expires
+		byCaller[r.caller()] = append(byCaller[r.caller()], fingerprint)
+	}
+	var most [][16]byte
+	for _, list := range byCaller {
+		if len(list) > len(most) {
+			most = list
+		}
+	}
+	slices.SortFunc(most, func(a, b [16]byte) int {
+		x, y := g.records[a], g.records[b]
+		if x.cleared() != y.cleared() {
+			if x.cleared() {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(x.expires.Compare(y.expires), slices.Compare(a[:], b[:]))
+	})
+	for _, fingerprint := range most[:min(evicted, len(most))] {
+		g.remove(fingerprint, g.records[fingerprint])
+	}
+}
+
+// caller returns the organisation whose request the record was made for.
+func (r *crashRecord) caller() uint64 {
+	var first *Crash
+	for _, c := range r.crashes {
+		if first == nil || c.ID < first.ID {
+			first = c
+		}
+	}
+	if first == nil {
+		return 0
+	}
+	return first.Caller
+}
+
+// cleared reports whether no crash counts any more.
+func (r *crashRecord) cleared() bool {
+	for _, c := range r.crashes {
+		if !c.Cleared {
+			return false
 		}
 	}
-	g.remove(oldest, g.records[oldest])
+	return true
 }
--- a/policy/crash_load_test.go
+++ b/policy/crash_load_test.go
@@ -123,7 +123,7 @@
 		return false
 	}
 	trials := m.trials[r.instance]
-	if trials.Running(m.now, r.content) {
+	if trials.Running(m.now, r.content, nil) {
 		return false
 	}
 	occupied := trials.Occupied(m.now, r.content)
--- /dev/null
+++ b/policy/crash_parts_test.go
@@ -0,0 +1,208 @@
+package policy
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Fingerprints of parts of prompts.
+var deadlyPart, otherPart, thirdPart = [16]byte{101}, [16]byte{102}, [16]byte{103}
+
+// partEvent is something that happens to requests with some parts.
+type partEvent struct {
+	at time.Duration
+	// endpoint crashed under a request with the content from the caller; if it is empty, the request completed.
+	endpoint        string
+	content, caller uint64
+	parts           [][16]byte
+}
+
+// crashAt returns a crash under a request of caller 1 whose content is that of no other.
+func crashAt(at time.Duration, parts ...[16]byte) partEvent {
+	return partEvent{at, fmt.Sprint("e-", at), uint64(at) + 1, 1, parts}
+}
+
+func completionAt(at time.Duration, parts ...[16]byte) partEvent {
+	return partEvent{at: at, parts: parts}
+}
+
+func (e partEvent) with(change func(*partEvent)) partEvent {
+	change(&e)
+	return e
+}
+
+// apply records the events.
+func apply(g *CrashGuard, events []partEvent) (now time.Time) {
+	for _, e := range events {
+		now = start.Add(e.at)
+		for _, part := range e.parts {
+			if e.endpoint == "" {
+				g.PartCompleted(now, part)
+				continue
+			}
+			g.PartCrashed(now, part, Crash{ID: fmt.Sprint(e.content, e.endpoint), Endpoint: e.endpoint, Content: e.content, Caller: e.caller})
+		}
+	}
+	return now
+}
+
+// Guards against requests with a part that crashes endpoints being run on, and against others being refused for
+// it.
+func TestVerdictOnRequestsByTheCrashesOfTheirParts(t *testing.T) {
+	const step, second = 200 * time.Millisecond, time.Second
+	three := []partEvent{crashAt(0, deadlyPart), crashAt(step, deadlyPart), crashAt(2*step, deadlyPart)}
+	sameContent := func(e *partEvent) { e.content = 7 }
+	byTwo := func(e *partEvent) { e.caller = 2 }
+	var rack, proven, turned, explaining, indistinct []partEvent
+	for k := range 10 {
+		rack = append(rack, crashAt(time.Duration(k)*time.Millisecond, deadlyPart))
+	}
+	for k := range 6 {
+		crash := crashAt(3*second+time.Duration(k)*step, deadlyPart)
+		if k < 4 {
+			proven = append(proven, crash)
+		}
+		turned = append(turned, crash)
+		explaining = append(explaining, crashAt(time.Duration(k)*step, deadlyPart))
+		if k%2 == 0 {
+			explaining[k].parts = append(explaining[k].parts, otherPart)
+		}
+		indistinct = append(indistinct, crashAt(time.Duration(k)*step, deadlyPart, otherPart))
+	}
+	completed := []partEvent{completionAt(0, deadlyPart)}
+	for name, c := range map[string]struct {
+		events []partEvent
+		parts  [][16]byte
+		caller uint64
+		want   CrashVerdict
+	}{
+		"one crash":                             {three[:1], [][16]byte{deadlyPart}, 1, CrashSuspect},
+		"two":                                   {three[:2], [][16]byte{deadlyPart}, 1, CrashConfined},
+		"three":                                 {three, [][16]byte{otherPart, deadlyPart}, 1, CrashRefused},
+		"three, without the part":               {three, [][16]byte{otherPart}, 1, CrashClean},
+		"three of one request":                  {[]partEvent{three[0].with(sameContent), three[1].with(sameContent), three[2].with(sameContent)}, [][16]byte{deadlyPart}, 1, CrashConfined},
+		"a rack in one moment":                  {rack, [][16]byte{deadlyPart}, 1, CrashSuspect},
+		"completed in between":                  {[]partEvent{three[0], three[1], completionAt(step, deadlyPart), three[2]}, [][16]byte{deadlyPart}, 1, CrashClean},
+		"completed after":                       {append(slices.Clone(three), completionAt(second, deadlyPart)), [][16]byte{deadlyPart}, 1, CrashClean},
+		"proven, four crashes":                  {append(completed, proven...), [][16]byte{deadlyPart}, 1, CrashConfined},
+		"proven, six crashes":                   {append(completed, turned...), [][16]byte{deadlyPart}, 1, CrashRefused},
+		"another caller":                        {three, [][16]byte{deadlyPart}, 2, CrashClean},
+		"a third caller after two":              {[]partEvent{three[0], three[1].with(byTwo), three[2]}, [][16]byte{deadlyPart}, 3, CrashRefused},
+		"a part beside the cause":               {explaining, [][16]byte{otherPart}, 1, CrashClean},
+		"the cause beside a part":               {explaining, [][16]byte{deadlyPart}, 1, CrashRefused},
+		"two that can't be told apart, both":    {indistinct, [][16]byte{deadlyPart, otherPart, thirdPart}, 1, CrashRefused},
+		"two that can't be told apart, one":     {indistinct, [][16]byte{otherPart}, 1, CrashConfined},
+		"two, of which one completes":           {append(slices.Clone(indistinct), completionAt(3*second, otherPart)), [][16]byte{otherPart}, 1, CrashClean},
+		"two, of which the other has completed": {append(slices.Clone(indistinct), completionAt(3*second, otherPart)), [][16]byte{deadlyPart}, 1, CrashRefused},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewCrashGuard(time.Hour)
+			now := apply(g, c.events)
+			if a := g.Assess(now, CrashSubject{Content: [16]byte{1}, Parts: c.parts, Caller: c.caller}); a.Verdict != c.want {
+				t.Errorf("%v, want %v", a.Verdict, c.want)
+			}
+		})
+	}
+}
+
+// Guards against requests that are refused as crashing endpoints although a part that others carried did.
+func TestRequestInterruptedByADeadlyPartIsNotRefused(t *testing.T) {
+	g, sound := NewCrashGuard(time.Hour), [16]byte{1}
+	now := apply(g, []partEvent{crashAt(0, deadlyPart), crashAt(time.Second, deadlyPart)})
+	g.Crashed(now, sound, Crash{ID: "1", Endpoint: "e-0s"})
+	g.Crashed(now, sound, Crash{ID: "2", Endpoint: "e-1s", Trial: true})
+	expectVerdict(t, g, now, sound, CrashRefused)
+	now = apply(g, []partEvent{crashAt(2*time.Second, deadlyPart)})
+	expectVerdict(t, g, now, sound, CrashClean)
+}
+
+// Guards against a convicted part that crashes an endpoint each minute, or is refused for ever.
+func TestConvictedPartIsTriedAgainLessAndLessOften(t *testing.T) {
+	g := NewCrashGuard(10 * time.Minute)
+	g.Stagger(12345)
+	apply(g, []partEvent{crashAt(0, deadlyPart), crashAt(time.Second, deadlyPart), crashAt(2*time.Second, deadlyPart)})
+	subject := CrashSubject{Parts: [][16]byte{deadlyPart}, Caller: 1}
+	last, trials := 2*time.Second, 0
+	for at := 3 * time.Second; at < time.Hour; at += time.Second {
+		if g.Assess(start.Add(at), subject).Verdict == CrashRefused {
+			g.Tick(start.Add(at))
+			continue
+		}
+		if gap := at - last; gap < retrialDelay<<min(trials, 1) {
+			t.Fatalf("trial %d after %v", trials, gap)
+		}
+		trials++
+		last = at
+		apply(g, []partEvent{crashAt(at, deadlyPart)})
+	}
+	if trials < 5 || trials > 18 {
+		t.Errorf("%d trials within an hour", trials)
+	}
+}
+
+// Guards against an organisation that fills the records with its parts until those of others are evicted.
+func TestOrganisationDoesNotEvictTheRecordsOfOthers(t *testing.T) {
+	g := NewCrashGuard(time.Hour)
+	now := apply(g, []partEvent{crashAt(0, deadlyPart), crashAt(time.Second, deadlyPart), crashAt(2*time.Second, deadlyPart)})
+	for k := range 3 * maxFingerprints {
+		part := [16]byte{1, byte(k), byte(k >> 8)}
+		g.PartCrashed(now, part, Crash{ID: fmt.Sprint(k), Endpoint: fmt.Sprint("x-", k/50), Content: uint64(k), Caller: 2})
+	}
+	if g.Len() > maxFingerprints {
+		t.Errorf("%d records", g.Len())
+	}
+	if a := g.Assess(now, CrashSubject{Parts: [][16]byte{deadlyPart}, Caller: 1}); a.Verdict != CrashRefused {
+		t.Errorf("%v, want the part of the other organisation still refused", a.Verdict)
+	}
+}
+
+// Guards against instances that decide differently, since messages about parts reached them in another order or
+// more than once, and against crashes that look simultaneous to an instance that hears of them later.
+func TestInstancesAgreeOnPartsWhateverTheOrderOfMessages(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		parts := [][16]byte{deadlyPart, otherPart, thirdPart}
+		type message struct {
+			part  [16]byte
+			state *CrashState
+		}
+		var messages []message
+		var now time.Time
+		for range rapid.IntRange(1, 4).Draw(t, "instances") {
+			g := NewCrashGuard(time.Hour)
+			var events []partEvent
+			for range rapid.IntRange(0, 6).Draw(t, "events") {
+				e := crashAt(time.Duration(rapid.IntRange(0, 20).Draw(t, "at"))*100*time.Millisecond, rapid.SampledFrom(parts).Draw(t, "part"))
+				if rapid.IntRange(0, 4).Draw(t, "completed") == 0 {
+					e.endpoint = ""
+				}
+				events = append(events, e)
+			}
+			slices.SortStableFunc(events, func(a, b partEvent) int { return int(a.at - b.at) })
+			apply(g, events)
+			now = start.Add(time.Minute)
+			for _, part := range g.Fingerprints() {
+				s, _ := g.State(now, part)
+				messages = append(messages, message{part, s})
+			}
+		}
+		decide := func(order []message) (list []CrashAssessment) {
+			g := NewCrashGuard(time.Hour)
+			for _, m := range order {
+				g.Merge(now, m.part, m.state, time.Hour)
+				g.Merge(now, messages[0].part, messages[0].state, time.Hour)
+			}
+			for _, part := range parts {
+				list = append(list, g.Assess(now, CrashSubject{Parts: [][16]byte{part}, Caller: 1}))
+			}
+			return list
+		}
+		if a, b := decide(messages), decide(rapid.Permutation(messages).Draw(t, "order")); !reflect.DeepEqual(a, b) {
+			t.Fatalf("%v and %v", a, b)
+		}
+	})
+}
--- a/policy/crash_test.go
+++ b/policy/crash_test.go
@@ -109,7 +109,7 @@
 	if trials.Alone(start, low) {
 		t.Error("a suspect beside another one counts as alone")
 	}
-	if !trials.Running(start, low.Content) || trials.Running(until, low.Content) {
+	if !trials.Running(start, low.Content, nil) || trials.Running(until, low.Content, nil) {
 		t.Error("a trial is not counted until its end, or after it")
 	}
 	trials.End(high.ID)
--- a/policy/trials.go
+++ b/policy/trials.go
@@ -15,6 +15,8 @@
 	ID uint64
 	// Content is the request's fingerprint.
 	Content [16]byte
+	// Parts are the suspected ones among the shared parts of its prompt.
+	Parts [][16]byte
 	// Endpoint runs the request; empty until one is chosen.
 	Endpoint string
 	// Until is when the trial ends at the latest.
@@ -42,16 +44,21 @@
 // End removes a trial.
 func (t *Trials) End(id uint64) { delete(t.byID, id) }
 
-// Running reports whether a request with this content is running.
-func (t *Trials) Running(now time.Time, content [16]byte) bool {
+// Running reports whether a request with this content, or one of these parts, is running as a suspect.
+func (t *Trials) Running(now time.Time, content [16]byte, parts [][16]byte) bool {
 	for _, trial := range t.byID {
-		if trial.Content == content && now.Before(trial.Until) {
+		if (trial.Content == content || intersect(trial.Parts, parts)) && now.Before(trial.Until) {
 			return true
 		}
 	}
 	return false
 }
 
+// intersect reports whether two short lists have a fingerprint in common.
+func intersect(a, b [][16]byte) bool {
+	return slices.ContainsFunc(a, func(f [16]byte) bool { return slices.Contains(b, f) })
+}
+
 // Occupied returns the sorted endpoints that run suspects with other content.
 func (t *Trials) Occupied(now time.Time, content [16]byte) []string {
 	var list []string
@@ -69,11 +76,12 @@
 	return !slices.Contains(t.Occupied(now, trial.Content), trial.Endpoint)
 }
 
-// Yields reports whether a trial has to leave its endpoint to that of another suspect. Of several
-// that were announced at the same time, the one with the lowest content stays.
+// Yields reports whether a trial has to give way to that of another suspect at its endpoint, or with one of
+// its parts. Of several that were announced at the same time, the one with the lowest content stays.
 func (t *Trials) Yields(now time.Time, trial Trial) bool {
 	for _, other := range t.byID {
-		if other.Endpoint == trial.Endpoint && now.Before(other.Until) && bytes.Compare(other.Content[:], trial.Content[:]) < 0 {
+		conflict := other.Endpoint == trial.Endpoint || other.Endpoint != "" && intersect(other.Parts, trial.Parts)
+		if conflict && now.Before(other.Until) && bytes.Compare(other.Content[:], trial.Content[:]) < 0 {
 			return true
 		}
 	}
