An instance avoids the endpoints that it can't reach, also when the fault may be its own

What callers saw: 503 after three refused dials while a third of the listed endpoints answer, as after many crashes in one second.

Cause: once half of the known paths are lost an instance counts as isolated, and then suspected nothing, in order that no other instance believes it. So the dead endpoints, which look idle, were chosen for every request. Two facts were one: that others should not believe this instance, and which endpoints it reaches.

Change: what can't be reached from here is avoided here in any case; only the broadcast is left out.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -318,13 +318,14 @@
 	a.finish(balance.Failed)
 }
 
-// avoid has this and all other instances avoid an endpoint for d, unless the fault is probably on this
-// side. The others are told after avoidSettle: a partitioned instance loses one path first.
+// avoid has this and all other instances avoid an endpoint for d. The others are told after avoidSettle, and
+// not if the fault is probably on this side: a partitioned instance loses one path first. What can't be reached
+// from here is avoided here in any case.
 func (s *Server) avoid(endpointID string, now time.Time, d time.Duration) {
+	s.cfg.State.Suspect(endpointID, now.Add(d))
 	if s.cfg.Paths.Isolated() {
 		return
 	}
-	s.cfg.State.Suspect(endpointID, now.Add(d))
 	time.AfterFunc(avoidSettle, func() {
 		if s.cfg.Paths.State(endpointID) != reachability.Open && !s.cfg.Paths.Isolated() {
 			s.cfg.Broadcaster.BroadcastNotice(&gossippb.Notice{Endpoint: endpointID, AvoidMs: (d - avoidSettle).Milliseconds()})
--- a/gateway/paths.go
+++ b/gateway/paths.go
@@ -131,7 +131,11 @@
 	}
 	pathProbes.Inc()
 	err := s.cfg.Relay(e.Address).Probe(ctx)
-	state, changed := s.cfg.Paths.Probed(time.Now(), endpointID, err == nil)
+	now := time.Now()
+	if err != nil && ctx.Err() == nil {
+		s.cfg.State.Suspect(endpointID, now.Add(unreachableAvoidance))
+	}
+	state, changed := s.cfg.Paths.Probed(now, endpointID, err == nil)
 	switch {
 	case !changed || ctx.Err() != nil:
 	case state == reachability.Open:
