--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -119,7 +119,7 @@
 }
 
 // newInstance prepares an instance without starting its process.
-func newInstance(t *testing.T, n int, binary, dir, store string, ck *checker) *instance {
+func newInstance(t testing.TB, n int, binary, dir, store string, ck *checker) *instance {
 	t.Helper()
 	i := &instance{n: n, name: fmt.Sprintf("front-%d", n), binary: binary, dir: dir, checker: ck}
 	for k := range i.listen {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -124,7 +124,7 @@
 }
 
 // build builds the program under test.
-func build(t *testing.T) string {
+func build(t testing.TB) string {
 	t.Helper()
 	binary := filepath.Join(t.TempDir(), "sardinedock")
 	if out, err := exec.Command("go", "build", "-o", binary, "../cmd/sardinedock").CombinedOutput(); err != nil {
