An instance with too little processor time resets new connections unread

Cause: every connection is accepted and read, however many are. With one processor the runtime goes on to start what is new before it handles what endpoints have answered, so that nothing finishes. Class: work is taken on without regard to what is unfinished.

Ruled out as a signal by traces on scratch copies: how late timers run and the runtime's scheduling latencies; both stay under 60 ms while answers wait 8 s.

Change: a byte through a pipe shows how long what the kernel reports waits here. Over 50 ms three times in a row, and not falling, new connections of callers are limited; the rate falls and rises with that lag, and what is over it is reset unread. Package overload decides, without I/O or clock.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -10,8 +10,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
+	"github.com/sardinedock/sardinedock/overload"
 	"github.com/sardinedock/sardinedock/route"
 )
 
@@ -20,6 +22,8 @@
 	net.Listener
 	limits func() route.Limits
 	open   *atomic.Int64
+	// gate, if set, decides which connections are taken.
+	gate *overload.Gate
 	// isInstance is set if the listener is for requests that other instances forward; connections from
 	// other addresses are closed.
 	isInstance func(netip.Addr) bool
@@ -38,6 +42,11 @@
 			_ = c.Close()
 			continue
 		}
+		if err == nil && l.gate != nil && !l.gate.Admit(time.Now()) {
+			connectionsShed.Inc()
+			closeUnread(c)
+			continue
+		}
 		if err == nil {
 			l.open.Add(1)
 			return &callerConn{Conn: c, limits: l.limits, open: l.open, fromInstance: l.isInstance != nil}, nil
@@ -49,6 +58,16 @@
 	}
 }
 
+var connectionsShed = metrics.GetOrCreateCounter("sardinedock_gateway_connections_closed_unread_total")
+
+// closeUnread closes a connection with a reset, by which the caller knows that its request was not read.
+func closeUnread(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // accepts reports whether a connection may be made from its address.
 func (l *listener) accepts(c net.Conn) bool {
 	if l.isInstance == nil {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -16,6 +16,7 @@
 	"github.com/sardinedock/sardinedock/balance"
 	"github.com/sardinedock/sardinedock/endpoint"
 	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/overload"
 	"github.com/sardinedock/sardinedock/policy"
 	"github.com/sardinedock/sardinedock/ratelimit"
 	"github.com/sardinedock/sardinedock/reachability"
@@ -106,6 +107,8 @@
 	State  *balance.State
 	Budget *policy.FleetRetries
 	Guard  *CrashGuard
+	// Gate decides which new connections of callers are taken; nil for all.
+	Gate *overload.Gate
 	// Paths are the endpoints that this instance reaches.
 	Paths       *reachability.Table
 	Broadcaster Broadcaster
@@ -182,7 +185,7 @@
 
 // Serve answers requests on the connections that ln accepts, until Shutdown.
 func (s *Server) Serve(ln net.Listener) error {
-	return s.http.Serve(&listener{Listener: ln, limits: s.limits, open: &s.connections})
+	return s.http.Serve(&listener{Listener: ln, limits: s.limits, open: &s.connections, gate: s.cfg.Gate})
 }
 
 func (s *Server) limits() route.Limits {
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -24,6 +24,7 @@
 	"github.com/sardinedock/sardinedock/internal/sockstate"
 	"github.com/sardinedock/sardinedock/lease"
 	"github.com/sardinedock/sardinedock/origin"
+	"github.com/sardinedock/sardinedock/overload"
 	"github.com/sardinedock/sardinedock/platform"
 	"github.com/sardinedock/sardinedock/policy"
 	"github.com/sardinedock/sardinedock/quota"
@@ -76,6 +77,7 @@
 	statements  *statements
 	origins     *origins
 	guard       *gateway.CrashGuard
+	gate        overload.Gate
 	paths       *reachability.Table
 	// poolLostAt is when this instance found a pool out of reach, in Unix ns; 0 if all are in reach.
 	poolLostAt atomic.Int64
@@ -144,7 +146,7 @@
 	i.placer = newPlacer(i)
 	callersLn, readyLn, forwardedLn := i.listeners[0], i.listeners[1], i.listeners[2]
 	i.server = gateway.NewServer(gateway.Config{
-		Instance: s.GetInstance(), DataCentre: s.GetDataCentre(), Table: i.table.Load, State: i.state, Budget: i.budget, Guard: i.guard, Paths: i.paths,
+		Instance: s.GetInstance(), DataCentre: s.GetDataCentre(), Table: i.table.Load, State: i.state, Budget: i.budget, Guard: i.guard, Gate: &i.gate, Paths: i.paths,
 		Broadcaster: i.node, Placer: i.placer, Statements: i.statements, Peers: i, Origins: i.origins, Dialect: platform.Dialect{}, Relay: i.relays.to, PeerRelay: i.peerRelays.to,
 		Started: time.Now(), HeaderBytes: headerBytes, BodyBytes: bodyBytes,
 	})
@@ -250,6 +252,7 @@
 	go i.join(ctx)
 	go i.rollout.Run(ctx)
 	go i.sweep(ctx)
+	go i.watchLag(ctx)
 	go i.followQuotas(ctx)
 	go i.removeLost(ctx)
 	go i.server.ProbeUnresponsive(ctx)
