explain prints why a part of a request's prompt is refused

A request that is refused for a part of its prompt has deadly_part in its line; when and by which crashes the part was convicted stood in lines up to minutes before, which explain left out. They are printed whatever their age, of the instances that the request went through.

--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -124,7 +124,7 @@
 
 // relatedEntries returns the request's lines, one of each instance that it went through, and the lines
 // that may explain its outcome, in order of time, with those of another endpoint, if one is given, from
-// any time before.
+// any time before, as those about what it was refused for as crashing endpoints.
 func relatedEntries(all, requests []logEntry, endpoint string) []logEntry {
 	var from, to time.Time
 	for _, r := range requests {
@@ -140,7 +140,8 @@
 	for _, e := range all {
 		ofEndpoint := endpoint != "" && e.stringField("endpoint") == endpoint && e.stringField("event") != "request" && !e.at.After(to.Add(-explainAfter))
 		near := !e.at.Before(from) && !e.at.After(to)
-		if ofEndpoint || near && slices.ContainsFunc(requests, func(r logEntry) bool { return related(e, r) }) {
+		ofCause := !e.at.After(to) && slices.ContainsFunc(requests, func(r logEntry) bool { return aboutCause(e, r) })
+		if ofEndpoint || ofCause || near && slices.ContainsFunc(requests, func(r logEntry) bool { return related(e, r) }) {
 			list = append(list, e)
 		}
 	}
@@ -170,6 +171,16 @@
 	return own && slices.ContainsFunc([]string{"records", "store", "lease", "services out of reach", "stopp", "start"}, func(p string) bool { return strings.HasPrefix(event, p) })
 }
 
+// aboutCause reports whether a line is about the content, or the part of the prompt, for which an instance refused
+// the request, or would not any more.
+func aboutCause(e, request logEntry) bool {
+	content := e.stringField("content")
+	if content == "" || e.stringField("event") == "request" || e.stringField("instance") != request.stringField("instance") {
+		return false
+	}
+	return content == request.stringField("content") || content == request.stringField("deadly_part")
+}
+
 // endpointsOf returns the endpoints that rejected a request, those at which it broke off, and the one
 // that was passed over.
 func endpointsOf(request logEntry) []string {
