A forwarded older datagram does not change the state of its sender

Cause: schedulers forward heartbeats up to 100 ms late, more on a busy machine. A heartbeat from before its sender became a scheduler, forwarded after the sender's own announcement, made it no scheduler again until its next heartbeat, and the reports on runs in between never reached it. Class: state taken by order of arrival.

Change: every datagram of an instance's own has a number, and one with a lower number than the newest leaves the state of its sender alone; its messages are applied. TestForwardedOlderDatagramDoesNotChangeTheStateOfItsSender failed before.

--- a/gossip/admit_test.go
+++ b/gossip/admit_test.go
@@ -30,6 +30,27 @@
 	}
 }
 
+// Guards against a peer that is a scheduler and is taken for none, since a scheduler has forwarded an older datagram
+// of it late: the end of a run that is reported meanwhile would never reach it.
+func TestForwardedOlderDatagramDoesNotChangeTheStateOfItsSender(t *testing.T) {
+	n := &Node{name: "self", states: map[string]peerState{}}
+	now := time.Unix(1000, 0)
+	receive := func(number uint64, scheduler bool) bool {
+		a := n.admit(&gossippb.Datagram{Instance: "peer", Incarnation: 1, Number: number, Scheduler: scheduler}, now)
+		return a.accepted && n.states["peer"].scheduler
+	}
+	receive(3, false)
+	if !receive(5, true) {
+		t.Fatal("a newer datagram does not change the state")
+	}
+	if !receive(4, false) {
+		t.Error("an older datagram changes the state, or is dropped with its messages")
+	}
+	if receive(6, false) {
+		t.Error("the next newer datagram does not change the state")
+	}
+}
+
 // Guards against forwarding the read times of peers as one's own. Each hop would shift the time
 // by the network delay, so a read would never become old, no instance would read the store any
 // more, and changes missed by the watches would never be seen.
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -95,11 +95,13 @@
 	out         *ring.Ring[item]
 	relayQueue  *ring.Ring[relayed]
 	asks        asks
-	// number of the last datagram; used by the send goroutine only.
-	number uint64
+	// heartbeats counts the heartbeats sent; used by the send goroutine only.
+	heartbeats uint64
 
-	mu    sync.Mutex
-	peers []Peer
+	mu sync.Mutex
+	// number is that of the last datagram.
+	number uint64
+	peers  []Peer
 	// order lists all instances including this one, sorted by schedulerOrder.
 	order     []Peer
 	roles     roles
@@ -335,7 +337,7 @@
 		case now := <-roleTicker.C:
 			n.updateRoles(now)
 			if role := n.IsScheduler(); now.Sub(lastHeartbeat) >= heartbeatInterval || role != announced {
-				n.sendHeartbeat(n.number)
+				n.sendHeartbeat()
 				lastHeartbeat, announced = now, role
 			}
 		case i := <-n.out.C():
--- a/gossip/pack.go
+++ b/gossip/pack.go
@@ -66,6 +66,8 @@
 	d := &gossippb.Datagram{Instance: n.name, Incarnation: n.incarnation}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.number++
+	d.Number = n.number
 	d.Leaving, d.StoreLost, d.LostServices = n.leaving, n.storeLost, n.lostServices
 	if d.Scheduler = n.roles.self; d.Scheduler {
 		d.Live = uint32(n.roles.live)
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -14,8 +14,10 @@
 // peerState is the state of a peer according to its last datagram.
 type peerState struct {
 	incarnation uint64
-	at          time.Time
-	leaving     bool
+	// number is that of the newest datagram.
+	number  uint64
+	at      time.Time
+	leaving bool
 	// leavingSince is when the peer first announced its shutdown.
 	leavingSince time.Time
 	storeLost    bool
@@ -102,7 +104,7 @@
 	}
 	restarted := d.GetIncarnation() != prev.incarnation
 	next := peerState{
-		incarnation: d.GetIncarnation(), at: now, leaving: d.GetLeaving(), storeLost: d.GetStoreLost(),
+		incarnation: d.GetIncarnation(), number: d.GetNumber(), at: now, leaving: d.GetLeaving(), storeLost: d.GetStoreLost(),
 		lostServices: d.GetLostServices(), scheduler: d.GetScheduler(), live: int(d.GetLive()),
 	}
 	if next.leaving {
@@ -111,7 +113,13 @@
 			next.leavingSince = prev.leavingSince
 		}
 	}
-	if len(d.GetAsks())+len(d.GetDecisions()) > 0 && !restarted {
+	if !restarted {
+		// Instances of an earlier version number only some of their datagrams.
+		next.number = max(next.number, prev.number)
+	}
+	// A scheduler may forward a datagram after a newer one has arrived.
+	older := d.GetNumber() > 0 && d.GetNumber() < prev.number
+	if !restarted && (older || len(d.GetAsks())+len(d.GetDecisions()) > 0) {
 		// Datagrams with asks or decisions carry no other state of their sender.
 		next = prev
 		next.at = now
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -88,7 +88,7 @@
 		}
 	}
 	if sendHeartbeat && len(all) == 0 {
-		n.sendHeartbeat(n.number)
+		n.sendHeartbeat()
 	}
 	if len(all) > 0 {
 		n.broadcast(r, all)
@@ -145,16 +145,17 @@
 // sends to the schedulers in turn, so that the failure of a single one does not make its
 // senders appear dead. While it knows of no scheduler, it sends to the first instances in
 // schedulerOrder.
-func (n *Node) sendHeartbeat(number uint64) {
+func (n *Node) sendHeartbeat() {
 	r := n.currentRoles()
+	n.heartbeats++
 	switch {
 	case r.smallFleet || r.self:
 		n.sendTo(n.allPeers(), gossippb.Audience_RECEIVER, nil)
 	case len(r.others) > 0:
-		to := r.others[number%uint64(len(r.others))]
+		to := r.others[n.heartbeats%uint64(len(r.others))]
 		n.sendTo([]Peer{to}, gossippb.Audience_SCHEDULERS, nil)
 	default:
-		n.sendTo(n.likelySchedulers(number), gossippb.Audience_RECEIVER, nil)
+		n.sendTo(n.likelySchedulers(n.heartbeats), gossippb.Audience_RECEIVER, nil)
 	}
 }
 
@@ -198,8 +199,7 @@
 	if len(peers) == 0 {
 		return
 	}
-	n.number++
-	d.Number, d.RelayTo = n.number, relayTo
+	d.RelayTo = relayTo
 	data := encode(d)
 	for _, p := range peers {
 		if p.Name != n.name {
