--- a/overload/overload.go
+++ b/overload/overload.go
@@ -27,7 +27,7 @@
 	steepDecrease, steepIncrease = 0.6, 1.25
 	steepLag, idleLag            = 4 * lagTarget, lagTarget / 4
 	// minRate is the least limit, in connections a second. Some must be taken to see that there is time again.
-	minRate = 5
+	minRate = 2
 	// calm is how long nothing has to be closed until the limit is lifted.
 	calm = time.Second
 	// history is the number of intervals over which the rate of taken connections is measured.
