gateway: a completed request is not hashed while no crash is recorded

Each completion of a prompt tells the guard which parts have completed. The hash of the whole request, whose body has tens of KB, was computed for that too and is needed only once there are records of crashes.

--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -186,8 +186,11 @@
 		if s.endChecks.add(e.ID, func(c *crashCheck) { c.interrupted = append(c.interrupted, run) }) {
 			go s.checkEnds(e)
 		}
-	case s.cfg.Guard.active() || len(a.req.call.Parts) > 1:
+	case s.cfg.Guard.active():
 		s.cfg.Guard.completed(time.Now(), a.req.crashSubject(), a.succeeded(stage))
+	case len(a.req.sharedParts()) > 0:
+		// Without records only the parts matter, and the body need not be hashed.
+		s.cfg.Guard.completed(time.Now(), policy.CrashSubject{Parts: a.req.sharedParts()}, a.succeeded(stage))
 	}
 }
 
