--- a/gateway/request.go
+++ b/gateway/request.go
@@ -67,8 +67,8 @@
 	// trials counts those that were sent.
 	trial  *policy.Trial
 	trials int
-	// deadlyPart is the ID of the part of its prompt for which the request is refused; empty for none.
-	deadlyPart string
+	// crashingPart is the ID of the part of its prompt for which the request is refused; empty for none.
+	crashingPart string
 	// sentAt is the time of the first send.
 	sentAt time.Time
 	waited time.Duration
@@ -464,8 +464,8 @@
 			f["parts"] = contentIDs(parts)
 		}
 	}
-	if r.deadlyPart != "" {
-		f["deadly_part"] = r.deadlyPart
+	if r.crashingPart != "" {
+		f["crashing_part"] = r.crashingPart
 	}
 	if r.trials > 0 {
 		f["trials"] = r.trials
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -97,7 +97,7 @@
 	crashRefusals.Inc()
 	err := fault.New(fault.Suspect, "change the request, or send it again after the time in Retry-After", "the request crashed the endpoints that ran it")
 	if a.Cause != r.content() {
-		r.deadlyPart = contentID(a.Cause)
+		r.crashingPart = contentID(a.Cause)
 		err = fault.New(fault.Suspect, "change the prompt, or send it again after the time in Retry-After", "requests with a part of the prompt crashed the endpoints that ran them")
 	}
 	return fault.WithRetryAfter(err, a.Left)
--- a/hosted/part_crash_test.go
+++ b/hosted/part_crash_test.go
@@ -15,16 +15,16 @@
 )
 
 var (
-	partSeed  = flag.Uint64("part-seed", 1, "first seed of TestDeadlyPartsUnderRandomFaults")
-	partSeeds = flag.Int("part-seeds", 2, "number of seeds of TestDeadlyPartsUnderRandomFaults")
+	partSeed  = flag.Uint64("part-seed", 1, "first seed of TestCrashingPartsUnderRandomFaults")
+	partSeeds = flag.Int("part-seeds", 2, "number of seeds of TestCrashingPartsUnderRandomFaults")
 )
 
 // partPlay is one play of endpoints that crash as they begin an answer to a prompt with one of some parts.
 // Requests with these parts come at any instance, no two alike, beside sound ones that share the caller and
 // all other parts with them.
 type partPlay struct {
-	// deadly are the prompts of the requests that crash endpoints, less their own part.
-	deadly []string
+	// crashing are the prompts of the requests that crash endpoints, less their own part.
+	crashing []string
 	// sound are the other prompts, less their own part.
 	sound []string
 	// events is the number of events of a sound answer, pause the time between two.
@@ -44,7 +44,7 @@
 	partInstances, partEndpoints = 3, 12
 	// partWork is how long an endpoint reads a prompt, partReplaced the time until a crashed one is replaced.
 	partWork, partReplaced = 30 * time.Millisecond, 700 * time.Millisecond
-	deadlyInterval         = 125 * time.Millisecond
+	crashingInterval       = 125 * time.Millisecond
 	soundInterval          = 25 * time.Millisecond
 	// partContact is the time in which messages reach all instances. Within it after the fifth crash of a part
 	// everybody has to know the part; three requests with it may reach endpoints later.
@@ -62,7 +62,7 @@
 	*fixture
 	partPlay
 	mu sync.Mutex
-	// crashes are the times of the crashes by deadly part, arrivals those at which endpoints received
+	// crashes are the times of the crashes by crashing part, arrivals those at which endpoints received
 	// requests with it.
 	crashes, arrivals map[string][]time.Time
 	sent              []soundRequest
@@ -80,8 +80,8 @@
 	served bool
 }
 
-// deadlyPart returns the part of a prompt that crashes endpoints; empty for a sound one.
-func deadlyPart(prompt string) string {
+// crashingPart returns the part of a prompt that crashes endpoints; empty for a sound one.
+func crashingPart(prompt string) string {
 	for entry := range strings.SplitSeq(prompt, ",") {
 		if strings.HasPrefix(entry, "bad") {
 			return entry
@@ -103,7 +103,7 @@
 
 // handle is the handler of all endpoints.
 func (p *partRun) handle(x *platformtest.Exchange) bool {
-	part := deadlyPart(x.Header("Sardinedock-Prompt-Prefix"))
+	part := crashingPart(x.Header("Sardinedock-Prompt-Prefix"))
 	if part != "" {
 		p.mu.Lock()
 		p.arrivals[part] = append(p.arrivals[part], time.Now())
@@ -161,7 +161,7 @@
 	return a.status == http.StatusOK && !a.truncated
 }
 
-// play sends sound and deadly requests for a time.
+// play sends sound and crashing requests for a time.
 func (p *partRun) play(length time.Duration, seed uint64) {
 	var wg sync.WaitGroup
 	rng := rand.New(rand.NewPCG(seed, 2))
@@ -176,10 +176,10 @@
 			p.sent = append(p.sent, soundRequest{at, served})
 			p.mu.Unlock()
 		})
-		if every := int(deadlyInterval / soundInterval); own%every == 0 {
+		if every := int(crashingInterval / soundInterval); own%every == 0 {
 			k := own / every
 			instance := p.instance(rng)
-			wg.Go(func() { p.ask(instance, p.deadly[k%len(p.deadly)], own) })
+			wg.Go(func() { p.ask(instance, p.crashing[k%len(p.crashing)], own) })
 		}
 		if p.lossEvery > 0 && at.Sub(began) > nextLoss {
 			nextLoss += p.lossEvery
@@ -256,7 +256,7 @@
 	return p
 }
 
-// check fails the test if too many requests with a deadly part reached endpoints, or a smaller share than least of
+// check fails the test if too many requests with a crashing part reached endpoints, or a smaller share than least of
 // the sound ones was served.
 func (p *partRun) check(least float64) {
 	p.t.Helper()
@@ -301,11 +301,11 @@
 	sound := []string{"company:300,catalogue:600", "company:300,sheet:500"}
 	const few, many = 2, 30
 	for name, play := range map[string]partPlay{
-		"in the middle":  {deadly: []string{"company:300,bad:200,catalogue:600"}, sound: sound, events: few},
-		"in first place": {deadly: []string{"bad:200,company:300,catalogue:600"}, sound: sound, events: few},
-		"no framing":     {deadly: []string{"company:300,bad:200,catalogue:600"}, sound: sound, events: few, unframed: true},
-		"two such parts": {deadly: []string{"company:300,bad-1:200", "company:300,catalogue:600,bad-2:200"}, sound: sound, events: few},
-		"long answers":   {deadly: []string{"company:300,bad:200,catalogue:600"}, sound: sound, events: many, pause: 50 * time.Millisecond},
+		"in the middle":  {crashing: []string{"company:300,bad:200,catalogue:600"}, sound: sound, events: few},
+		"in first place": {crashing: []string{"bad:200,company:300,catalogue:600"}, sound: sound, events: few},
+		"no framing":     {crashing: []string{"company:300,bad:200,catalogue:600"}, sound: sound, events: few, unframed: true},
+		"two such parts": {crashing: []string{"company:300,bad-1:200", "company:300,catalogue:600,bad-2:200"}, sound: sound, events: few},
+		"long answers":   {crashing: []string{"company:300,bad:200,catalogue:600"}, sound: sound, events: many, pause: 50 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -317,8 +317,8 @@
 }
 
 // Guards against an instance that starts and has not heard which parts of prompts crash endpoints.
-func TestInstanceThatStartsKnowsTheDeadlyParts(t *testing.T) {
-	p := startPartPlay(t, partPlay{deadly: []string{"company:300,bad:200,catalogue:600"}, sound: []string{"company:300,catalogue:600"}, events: 2})
+func TestInstanceThatStartsKnowsTheCrashingParts(t *testing.T) {
+	p := startPartPlay(t, partPlay{crashing: []string{"company:300,bad:200,catalogue:600"}, sound: []string{"company:300,catalogue:600"}, events: 2})
 	p.play(4*time.Second, 1)
 	i := p.start("instance-new")
 	p.eventually("records and endpoints at the new instance", func() bool { return i.Ready() && len(i.state.Endpoints("pool", time.Now())) > 0 })
@@ -327,7 +327,7 @@
 	before := len(p.crashes["bad:200"])
 	p.mu.Unlock()
 	for k := range 12 {
-		p.ask(partInstances, p.deadly[0], 10000+k)
+		p.ask(partInstances, p.crashing[0], 10000+k)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -336,7 +336,7 @@
 	}
 }
 
-// randomPartPlay returns a play with one to three deadly parts at random places, sent by one to three
+// randomPartPlay returns a play with one to three crashing parts at random places, sent by one to three
 // organisations, beside losses of endpoints and the restart of an instance.
 func randomPartPlay(rng *rand.Rand) partPlay {
 	shared := []string{"company:300", "catalogue:600", "sheet:500", "terms:100"}
@@ -346,7 +346,7 @@
 	}
 	for k := range 1 + rng.IntN(3) {
 		parts := strings.Split(play.sound[rng.IntN(len(play.sound))], ",")
-		play.deadly = append(play.deadly, strings.Join(slices.Insert(parts, rng.IntN(len(parts)+1), fmt.Sprintf("bad-%d:200", k)), ","))
+		play.crashing = append(play.crashing, strings.Join(slices.Insert(parts, rng.IntN(len(parts)+1), fmt.Sprintf("bad-%d:200", k)), ","))
 	}
 	for k := range 1 + rng.IntN(3) {
 		play.keys = append(play.keys, fmt.Sprintf("key-%d", k))
@@ -360,9 +360,9 @@
 	return play
 }
 
-// Guards against deadly parts that are not found, or sound requests that are not served, beside other faults. Seeds
+// Guards against crashing parts that are not found, or sound requests that are not served, beside other faults. Seeds
 // are chosen by -part-seed and -part-seeds.
-func TestDeadlyPartsUnderRandomFaults(t *testing.T) {
+func TestCrashingPartsUnderRandomFaults(t *testing.T) {
 	// What a rule asks for; endpoints are lost for other reasons here.
 	const least = 0.5
 	for seed := *partSeed; seed < *partSeed+uint64(*partSeeds); seed++ {
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -178,7 +178,7 @@
 	if content == "" || e.stringField("event") == "request" || e.stringField("instance") != request.stringField("instance") {
 		return false
 	}
-	return content == request.stringField("content") || content == request.stringField("deadly_part")
+	return content == request.stringField("content") || content == request.stringField("crashing_part")
 }
 
 // endpointsOf returns the endpoints that rejected a request, those at which it broke off, and the one
--- a/policy/crash_parts.go
+++ b/policy/crash_parts.go
@@ -92,7 +92,7 @@
 // requests with it are refused. Of several parts, the one that was in flight at most crashes is convicted first,
 // and the crashes that it explains do not count against any other part or request.
 //
-// An organisation may name the parts of others beside its own deadly one. A part is therefore held against the
+// An organisation may name the parts of others beside its own crashing one. A part is therefore held against the
 // organisations only whose requests were in flight at its crashes, until these are two.
 func (g *CrashGuard) PartCrashed(now time.Time, part [16]byte, c Crash) bool {
 	if now.Sub(g.lastCompleted(now, part)) < justCompleted {
--- a/policy/crash_parts_load_test.go
+++ b/policy/crash_parts_load_test.go
@@ -12,7 +12,7 @@
 type promptRun struct {
 	id       int
 	parts    [][16]byte
-	deadly   bool
+	crashing bool
 	endpoint int
 	endsAt   time.Time
 	retryAt  time.Time
@@ -43,10 +43,10 @@
 }
 
 // arrive has a request come with the given shared parts.
-func (m *partModel) arrive(deadly bool, parts ...[16]byte) {
+func (m *partModel) arrive(crashing bool, parts ...[16]byte) {
 	m.nextID++
-	r := &promptRun{id: m.nextID, parts: parts, deadly: deadly, retryAt: m.now, giveUp: m.now.Add(partModelPatience)}
-	if !deadly {
+	r := &promptRun{id: m.nextID, parts: parts, crashing: crashing, retryAt: m.now, giveUp: m.now.Add(partModelPatience)}
+	if !crashing {
 		m.sound++
 	}
 	m.waiting = append(m.waiting, r)
@@ -56,7 +56,7 @@
 // any more.
 func (m *partModel) place(r *promptRun) (done bool) {
 	if m.now.After(r.giveUp) {
-		if !r.deadly {
+		if !r.crashing {
 			m.late++
 		}
 		return true
@@ -72,7 +72,7 @@
 	}
 	r.endpoint = up[m.rng.IntN(len(up))]
 	ok, refused := m.admit(r)
-	if refused && !r.deadly {
+	if refused && !r.crashing {
 		m.refused++
 	}
 	if !ok {
@@ -80,7 +80,7 @@
 		return refused
 	}
 	work := time.Duration(30+m.rng.ExpFloat64()*120) * time.Millisecond
-	if r.deadly {
+	if r.crashing {
 		work = time.Duration(80+m.rng.IntN(60)) * time.Millisecond
 	}
 	r.endsAt = m.now.Add(work)
@@ -121,7 +121,7 @@
 		for _, p := range r.parts {
 			m.guard.PartCrashed(m.now, p, Crash{ID: fmt.Sprint(r.id), Endpoint: incarnation, Content: uint64(r.id), Caller: 1})
 		}
-		if !r.deadly {
+		if !r.crashing {
 			m.waiting = append(m.waiting, r)
 		}
 	}
@@ -131,7 +131,7 @@
 	m.now = m.now.Add(modelStep)
 	m.waiting = slices.DeleteFunc(m.waiting, m.place)
 	for _, r := range slices.Clone(m.runs) {
-		if r.deadly && !r.endsAt.After(m.now) && slices.Contains(m.runs, r) {
+		if r.crashing && !r.endsAt.After(m.now) && slices.Contains(m.runs, r) {
 			m.crash(r.endpoint)
 		}
 	}
@@ -147,11 +147,11 @@
 	})
 }
 
-// replayDeadlyParts has sound prompts come, from the second second on prompts with one of the deadly parts, and
+// replayCrashingParts has sound prompts come, from the second second on prompts with one of the crashing parts, and
 // endpoints lost without a cause at intervals of lossEvery, if that is not 0.
-func replayDeadlyParts(seed uint64, deadly int, lossEvery time.Duration) *partModel {
+func replayCrashingParts(seed uint64, crashing int, lossEvery time.Duration) *partModel {
 	m := &partModel{guard: NewCrashGuard(time.Hour), trials: NewTrials(), rng: rand.New(rand.NewPCG(seed, 7)), now: start}
-	const soundPerSecond, deadlyPerSecond = 80, 8
+	const soundPerSecond, crashingPerSecond = 80, 8
 	for at := time.Duration(0); at < partModelLength; at += modelStep {
 		popular := [16]byte{1, byte(m.rng.IntN(3))}
 		switch p := m.rng.Float64() / modelStep.Seconds(); {
@@ -159,8 +159,8 @@
 			m.arrive(false, popular, [16]byte{2, byte(m.rng.IntN(200))})
 		case p < soundPerSecond:
 			m.arrive(false, popular, [16]byte{3, byte(m.rng.IntN(8))})
-		case p < soundPerSecond+deadlyPerSecond && deadly > 0 && at > time.Second:
-			m.arrive(true, popular, [16]byte{4, byte(m.rng.IntN(deadly))}, [16]byte{3, byte(m.rng.IntN(8))})
+		case p < soundPerSecond+crashingPerSecond && crashing > 0 && at > time.Second:
+			m.arrive(true, popular, [16]byte{4, byte(m.rng.IntN(crashing))}, [16]byte{3, byte(m.rng.IntN(8))})
 		}
 		if lossEvery > 0 && at > time.Second && at%lossEvery == 0 {
 			m.crash(m.rng.IntN(partModelEndpoints))
@@ -173,23 +173,23 @@
 // Guards against more crashes than five of each part and three more, and against sound requests that are refused,
 // while parts of prompts crash endpoints, several together, or endpoints are lost for another reason under popular and
 // rare parts.
-func TestDeadlyPartsUnderLoad(t *testing.T) {
+func TestCrashingPartsUnderLoad(t *testing.T) {
 	const seeds, allowed, refusedShare = 10, 8, 0.01
 	for _, c := range []struct {
 		name      string
-		deadly    int
+		crashing  int
 		lossEvery time.Duration
-	}{{"one deadly part", 1, 0}, {"five at once", 5, 0}, {"none, endpoints lost", 0, 300 * time.Millisecond}, {"one, and endpoints lost", 1, 500 * time.Millisecond}} {
+	}{{"one crashing part", 1, 0}, {"five at once", 5, 0}, {"none, endpoints lost", 0, 300 * time.Millisecond}, {"one, and endpoints lost", 1, 500 * time.Millisecond}} {
 		var crashes, most, sound, refused, late int
 		for seed := range uint64(seeds) {
-			m := replayDeadlyParts(seed, c.deadly, c.lossEvery)
+			m := replayCrashingParts(seed, c.crashing, c.lossEvery)
 			crashes, most = crashes+m.crashes, max(most, m.crashes)
 			sound, refused, late = sound+m.sound, refused+m.refused, late+m.late
 		}
 		t.Logf("%-24s crashes %.1f a run, at most %d; sound requests refused %.4f, late %.4f",
 			c.name, float64(crashes)/seeds, most, float64(refused)/float64(sound), float64(late)/float64(sound))
-		if c.lossEvery == 0 && most > allowed*c.deadly {
-			t.Errorf("%s: %d crashes, at most %d may be", c.name, most, allowed*c.deadly)
+		if c.lossEvery == 0 && most > allowed*c.crashing {
+			t.Errorf("%s: %d crashes, at most %d may be", c.name, most, allowed*c.crashing)
 		}
 		if float64(refused) > refusedShare*float64(sound) {
 			t.Errorf("%s: %d of %d sound requests refused", c.name, refused, sound)
--- a/policy/crash_parts_test.go
+++ b/policy/crash_parts_test.go
@@ -11,7 +11,7 @@
 )
 
 // Fingerprints of parts of prompts.
-var deadlyPart, otherPart, thirdPart = [16]byte{101}, [16]byte{102}, [16]byte{103}
+var crashingPart, otherPart, thirdPart = [16]byte{101}, [16]byte{102}, [16]byte{103}
 
 // partEvent is something that happens to requests with some parts.
 type partEvent struct {
@@ -55,50 +55,50 @@
 // it.
 func TestVerdictOnRequestsByTheCrashesOfTheirParts(t *testing.T) {
 	const step, second = 200 * time.Millisecond, time.Second
-	three := []partEvent{crashAt(0, deadlyPart), crashAt(step, deadlyPart), crashAt(2*step, deadlyPart)}
+	three := []partEvent{crashAt(0, crashingPart), crashAt(step, crashingPart), crashAt(2*step, crashingPart)}
 	sameContent := func(e *partEvent) { e.content = 7 }
 	byTwo := func(e *partEvent) { e.caller = 2 }
 	var rack, proven, turned, explaining, indistinct []partEvent
 	for k := range 10 {
-		rack = append(rack, crashAt(time.Duration(k)*time.Millisecond, deadlyPart))
+		rack = append(rack, crashAt(time.Duration(k)*time.Millisecond, crashingPart))
 	}
 	for k := range 6 {
-		crash := crashAt(3*second+time.Duration(k)*step, deadlyPart)
+		crash := crashAt(3*second+time.Duration(k)*step, crashingPart)
 		if k < 4 {
 			proven = append(proven, crash)
 		}
 		turned = append(turned, crash)
-		explaining = append(explaining, crashAt(time.Duration(k)*step, deadlyPart))
+		explaining = append(explaining, crashAt(time.Duration(k)*step, crashingPart))
 		if k%2 == 0 {
 			explaining[k].parts = append(explaining[k].parts, otherPart)
 		}
-		indistinct = append(indistinct, crashAt(time.Duration(k)*step, deadlyPart, otherPart))
+		indistinct = append(indistinct, crashAt(time.Duration(k)*step, crashingPart, otherPart))
 	}
-	completed := []partEvent{completionAt(0, deadlyPart)}
+	completed := []partEvent{completionAt(0, crashingPart)}
 	for name, c := range map[string]struct {
 		events []partEvent
 		parts  [][16]byte
 		caller uint64
 		want   CrashVerdict
 	}{
-		"one crash":                             {three[:1], [][16]byte{deadlyPart}, 1, CrashSuspect},
-		"two":                                   {three[:2], [][16]byte{deadlyPart}, 1, CrashConfined},
-		"three":                                 {three, [][16]byte{otherPart, deadlyPart}, 1, CrashRefused},
+		"one crash":                             {three[:1], [][16]byte{crashingPart}, 1, CrashSuspect},
+		"two":                                   {three[:2], [][16]byte{crashingPart}, 1, CrashConfined},
+		"three":                                 {three, [][16]byte{otherPart, crashingPart}, 1, CrashRefused},
 		"three, without the part":               {three, [][16]byte{otherPart}, 1, CrashClean},
-		"three of one request":                  {[]partEvent{three[0].with(sameContent), three[1].with(sameContent), three[2].with(sameContent)}, [][16]byte{deadlyPart}, 1, CrashConfined},
-		"a rack in one moment":                  {rack, [][16]byte{deadlyPart}, 1, CrashSuspect},
-		"completed in between":                  {[]partEvent{three[0], three[1], completionAt(step, deadlyPart), three[2]}, [][16]byte{deadlyPart}, 1, CrashClean},
-		"completed after":                       {append(slices.Clone(three), completionAt(second, deadlyPart)), [][16]byte{deadlyPart}, 1, CrashClean},
-		"proven, four crashes":                  {append(completed, proven...), [][16]byte{deadlyPart}, 1, CrashConfined},
-		"proven, six crashes":                   {append(completed, turned...), [][16]byte{deadlyPart}, 1, CrashRefused},
-		"another caller":                        {three, [][16]byte{deadlyPart}, 2, CrashClean},
-		"a third caller after two":              {[]partEvent{three[0], three[1].with(byTwo), three[2]}, [][16]byte{deadlyPart}, 3, CrashRefused},
+		"three of one request":                  {[]partEvent{three[0].with(sameContent), three[1].with(sameContent), three[2].with(sameContent)}, [][16]byte{crashingPart}, 1, CrashConfined},
+		"a rack in one moment":                  {rack, [][16]byte{crashingPart}, 1, CrashSuspect},
+		"completed in between":                  {[]partEvent{three[0], three[1], completionAt(step, crashingPart), three[2]}, [][16]byte{crashingPart}, 1, CrashClean},
+		"completed after":                       {append(slices.Clone(three), completionAt(second, crashingPart)), [][16]byte{crashingPart}, 1, CrashClean},
+		"proven, four crashes":                  {append(completed, proven...), [][16]byte{crashingPart}, 1, CrashConfined},
+		"proven, six crashes":                   {append(completed, turned...), [][16]byte{crashingPart}, 1, CrashRefused},
+		"another caller":                        {three, [][16]byte{crashingPart}, 2, CrashClean},
+		"a third caller after two":              {[]partEvent{three[0], three[1].with(byTwo), three[2]}, [][16]byte{crashingPart}, 3, CrashRefused},
 		"a part beside the cause":               {explaining, [][16]byte{otherPart}, 1, CrashClean},
-		"the cause beside a part":               {explaining, [][16]byte{deadlyPart}, 1, CrashRefused},
-		"two that can't be told apart, both":    {indistinct, [][16]byte{deadlyPart, otherPart, thirdPart}, 1, CrashRefused},
+		"the cause beside a part":               {explaining, [][16]byte{crashingPart}, 1, CrashRefused},
+		"two that can't be told apart, both":    {indistinct, [][16]byte{crashingPart, otherPart, thirdPart}, 1, CrashRefused},
 		"two that can't be told apart, one":     {indistinct, [][16]byte{otherPart}, 1, CrashConfined},
 		"two, of which one completes":           {append(slices.Clone(indistinct), completionAt(3*second, otherPart)), [][16]byte{otherPart}, 1, CrashClean},
-		"two, of which the other has completed": {append(slices.Clone(indistinct), completionAt(3*second, otherPart)), [][16]byte{deadlyPart}, 1, CrashRefused},
+		"two, of which the other has completed": {append(slices.Clone(indistinct), completionAt(3*second, otherPart)), [][16]byte{crashingPart}, 1, CrashRefused},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewCrashGuard(time.Hour)
@@ -111,13 +111,13 @@
 }
 
 // Guards against requests that are refused as crashing endpoints although a part that others carried did.
-func TestRequestInterruptedByADeadlyPartIsNotRefused(t *testing.T) {
+func TestRequestInterruptedByACrashingPartIsNotRefused(t *testing.T) {
 	g, sound := NewCrashGuard(time.Hour), [16]byte{1}
-	now := apply(g, []partEvent{crashAt(0, deadlyPart), crashAt(time.Second, deadlyPart)})
+	now := apply(g, []partEvent{crashAt(0, crashingPart), crashAt(time.Second, crashingPart)})
 	g.Crashed(now, sound, Crash{ID: "1", Endpoint: "e-0s"})
 	g.Crashed(now, sound, Crash{ID: "2", Endpoint: "e-1s", Trial: true})
 	expectVerdict(t, g, now, sound, CrashRefused)
-	now = apply(g, []partEvent{crashAt(2*time.Second, deadlyPart)})
+	now = apply(g, []partEvent{crashAt(2*time.Second, crashingPart)})
 	expectVerdict(t, g, now, sound, CrashClean)
 }
 
@@ -125,8 +125,8 @@
 func TestConvictedPartIsTriedAgainLessAndLessOften(t *testing.T) {
 	g := NewCrashGuard(10 * time.Minute)
 	g.Stagger(12345)
-	apply(g, []partEvent{crashAt(0, deadlyPart), crashAt(time.Second, deadlyPart), crashAt(2*time.Second, deadlyPart)})
-	subject := CrashSubject{Parts: [][16]byte{deadlyPart}, Caller: 1}
+	apply(g, []partEvent{crashAt(0, crashingPart), crashAt(time.Second, crashingPart), crashAt(2*time.Second, crashingPart)})
+	subject := CrashSubject{Parts: [][16]byte{crashingPart}, Caller: 1}
 	last, trials := 2*time.Second, 0
 	for at := 3 * time.Second; at < time.Hour; at += time.Second {
 		if g.Assess(start.Add(at), subject).Verdict == CrashRefused {
@@ -138,7 +138,7 @@
 		}
 		trials++
 		last = at
-		apply(g, []partEvent{crashAt(at, deadlyPart)})
+		apply(g, []partEvent{crashAt(at, crashingPart)})
 	}
 	if trials < 5 || trials > 18 {
 		t.Errorf("%d trials within an hour", trials)
@@ -148,7 +148,7 @@
 // Guards against an organisation that fills the records with its parts until those of others are evicted.
 func TestOrganisationDoesNotEvictTheRecordsOfOthers(t *testing.T) {
 	g := NewCrashGuard(time.Hour)
-	now := apply(g, []partEvent{crashAt(0, deadlyPart), crashAt(time.Second, deadlyPart), crashAt(2*time.Second, deadlyPart)})
+	now := apply(g, []partEvent{crashAt(0, crashingPart), crashAt(time.Second, crashingPart), crashAt(2*time.Second, crashingPart)})
 	for k := range 3 * maxFingerprints {
 		part := [16]byte{1, byte(k), byte(k >> 8)}
 		g.PartCrashed(now, part, Crash{ID: fmt.Sprint(k), Endpoint: fmt.Sprint("x-", k/50), Content: uint64(k), Caller: 2})
@@ -156,7 +156,7 @@
 	if g.Len() > maxFingerprints {
 		t.Errorf("%d records", g.Len())
 	}
-	if a := g.Assess(now, CrashSubject{Parts: [][16]byte{deadlyPart}, Caller: 1}); a.Verdict != CrashRefused {
+	if a := g.Assess(now, CrashSubject{Parts: [][16]byte{crashingPart}, Caller: 1}); a.Verdict != CrashRefused {
 		t.Errorf("%v, want the part of the other organisation still refused", a.Verdict)
 	}
 }
@@ -165,7 +165,7 @@
 // more than once, and against crashes that look simultaneous to an instance that hears of them later.
 func TestInstancesAgreeOnPartsWhateverTheOrderOfMessages(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		parts := [][16]byte{deadlyPart, otherPart, thirdPart}
+		parts := [][16]byte{crashingPart, otherPart, thirdPart}
 		type message struct {
 			part  [16]byte
 			state *CrashState
