A trial announces 16 parts at most

A caller may name a thousand parts in a header of 16 KB; if all were suspected, the announcement of a trial would not fit into a datagram.

--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -36,7 +36,8 @@
 	// freshCrash is how old a reported crash may be for another instance to check it. Later, the endpoint
 	// may have started again.
 	freshCrash = 500 * time.Millisecond
-	// maxCandidates bounds the parts of one request that a crash is held against.
+	// maxCandidates bounds the parts of one request that a crash is held against, and those that its trial
+	// announces.
 	maxCandidates = 16
 	// trialAvoidance is how long other requests avoid an endpoint at which a trial begins, if there are
 	// others: longer than most requests take to crash an endpoint.
@@ -283,7 +284,9 @@
 	if a.Verdict == policy.CrashRefused || g.trials.Running(now, s.Content, a.Suspects) {
 		return nil, false
 	}
-	t = &policy.Trial{ID: rand.Uint64(), Content: s.Content, Parts: a.Suspects, Until: until}
+	// The announcement has to fit into a datagram.
+	parts := a.Suspects[:min(len(a.Suspects), maxCandidates)]
+	t = &policy.Trial{ID: rand.Uint64(), Content: s.Content, Parts: parts, Until: until}
 	g.trials.Put(*t)
 	return t, true
 }
