Plays of crashing parts go on until sound requests have counted

Once in two plays with the race detector at load average 24, TestPartThatCrashesEndpointsIsNotRunAgain/two_such_parts failed with 'want at least 20 sound requests', of which there were none: on the busy machine the last crash of a part came over 1 s later than usual, and sound requests count from 6 s after it, when the play of 9 s was over. The play now goes on until they have counted for 2 s, 30 s at most; bounds and checks are the same.

--- a/hosted/part_crash_test.go
+++ b/hosted/part_crash_test.go
@@ -54,7 +54,11 @@
 	// partServed is the least share of sound requests that are served at the first attempt from twice
 	// partContact after that crash on.
 	partServed = 0.95
+	// partLength is how long requests are sent at least. They go on until partWindow after the time from which
+	// sound ones count, at most until partMost.
 	partLength = 9 * time.Second
+	partWindow = 2 * time.Second
+	partMost   = 30 * time.Second
 )
 
 // partRun is the state of one play.
@@ -161,13 +165,42 @@
 	return a.status == http.StatusOK && !a.truncated
 }
 
-// play sends sound and crashing requests for a time.
-func (p *partRun) play(length time.Duration, seed uint64) {
+// known returns when the fifth crash of the last part was, or its last one if there were fewer; zero if a part has
+// not crashed an endpoint. The caller must hold mu.
+func (p *partRun) known() time.Time {
+	var known time.Time
+	for _, prompt := range p.crashing {
+		crashes := p.crashes[crashingPart(prompt)]
+		if len(crashes) == 0 {
+			return time.Time{}
+		}
+		if at := crashes[min(len(crashes), partCrashes)-1]; at.After(known) {
+			known = at
+		}
+	}
+	return known
+}
+
+// settled reports whether sound requests have counted for partWindow.
+func (p *partRun) settled() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.known()
+	return !known.IsZero() && time.Since(known) > 2*partContact+partWindow
+}
+
+// playSettled plays until sound requests have counted for partWindow.
+func (p *partRun) playSettled(seed uint64) {
+	p.play(seed, func(d time.Duration) bool { return d < partLength || !p.settled() && d < partMost })
+}
+
+// play sends sound and crashing requests as long as more returns true, given the time since the start.
+func (p *partRun) play(seed uint64, more func(time.Duration) bool) {
 	var wg sync.WaitGroup
 	rng := rand.New(rand.NewPCG(seed, 2))
 	began := time.Now()
 	nextLoss := p.lossEvery
-	for own := 1; time.Since(began) < length; own++ {
+	for own := 1; more(time.Since(began)); own++ {
 		instance := p.instance(rng)
 		at := time.Now()
 		wg.Go(func() {
@@ -262,12 +295,9 @@
 	p.t.Helper()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var known time.Time
+	known := p.known()
 	for part, crashes := range p.crashes {
 		at := crashes[min(len(crashes), partCrashes)-1]
-		if at.After(known) {
-			known = at
-		}
 		later := 0
 		for _, arrival := range p.arrivals[part] {
 			if arrival.After(at.Add(partContact)) {
@@ -310,7 +340,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			p := startPartPlay(t, play)
-			p.play(partLength, 1)
+			p.playSettled(1)
 			p.check(partServed)
 		})
 	}
@@ -319,7 +349,7 @@
 // Guards against an instance that starts and has not heard which parts of prompts crash endpoints.
 func TestInstanceThatStartsKnowsTheCrashingParts(t *testing.T) {
 	p := startPartPlay(t, partPlay{crashing: []string{"company:300,bad:200,catalogue:600"}, sound: []string{"company:300,catalogue:600"}, events: 2})
-	p.play(4*time.Second, 1)
+	p.play(1, func(d time.Duration) bool { return d < 4*time.Second })
 	i := p.start("instance-new")
 	p.eventually("records and endpoints at the new instance", func() bool { return i.Ready() && len(i.state.Endpoints("pool", time.Now())) > 0 })
 	time.Sleep(2 * sweepInterval)
@@ -369,7 +399,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			p := startPartPlay(t, randomPartPlay(rand.New(rand.NewPCG(seed, 1))))
-			p.play(partLength, seed)
+			p.playSettled(seed)
 			p.check(least)
 		})
 	}
