A signed answer without the request's ID is not this request's

Cause: an answer without an ID was taken for that of the request that waits. Endpoints echo the ID in every answer that they sign; only rejections may lack it. A signed answer without one is skipped now, as one with another ID was already.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -142,10 +142,11 @@
 	return nil
 }
 
-// acceptHead parses the head of a response and reports whether it belongs to this request.
+// acceptHead parses the head of a response and reports whether it belongs to this request. Endpoints echo the
+// request's ID in what they sign; only rejections may lack it.
 func (a *attempt) acceptHead(h *fasthttp.ResponseHeader) bool {
 	a.head = a.req.srv.cfg.Dialect.ParseAnswer(h)
-	return a.head.ID == "" || a.head.ID == a.req.call.ID
+	return a.head.ID == a.req.call.ID || a.head.ID == "" && !a.head.Signed
 }
 
 func (r *request) outgoing(p balance.Placement, body int, resumeAfter string) Send {
--- a/hosted/framing_edges_test.go
+++ b/hosted/framing_edges_test.go
@@ -76,20 +76,24 @@
 	}
 }
 
-// Guards against bytes after a whole answer that the next request on the connection gets as its own.
+// Guards against bytes after a whole answer that the next request on the connection gets as its own, whether they
+// arrive at once or when that request has been sent.
 func TestBytesAfterAnAnswerBelongToNobody(t *testing.T) {
-	f := newFixture(t, 1)
-	var n atomic.Int64
-	f.endpoint("e1", "orders", func(x *platformtest.Exchange) bool {
-		body := fmt.Sprintf("own %d", n.Add(1))
-		rawAnswer(x, "HTTP/1.1", 200, fmt.Sprintf("Content-Length: %d\r\n", len(body)), body)
-		x.Write("HTTP/1.1 200 OK\r\nSardinedock-Response-Signature: %s\r\nContent-Length: 5\r\n\r\nextra", x.Signature())
-		return true
-	})
-	f.serve(1, nil)
-	for k := 1; k <= 4; k++ {
-		if a := f.do(f.request("POST", "/confirm/1", "")); a.status != 200 || a.body != fmt.Sprintf("own %d", k) {
-			t.Errorf("request %d: %+v", k, a)
+	for _, delay := range []time.Duration{0, 2 * time.Millisecond} {
+		f := newFixture(t, 1)
+		var n atomic.Int64
+		f.endpoint("e1", "orders", func(x *platformtest.Exchange) bool {
+			body := fmt.Sprintf("own %d", n.Add(1))
+			rawAnswer(x, "HTTP/1.1", 200, fmt.Sprintf("Content-Length: %d\r\n", len(body)), body)
+			time.Sleep(delay)
+			x.Write("HTTP/1.1 200 OK\r\nSardinedock-Response-Signature: %s\r\nContent-Length: 5\r\n\r\nextra", x.Signature())
+			return true
+		})
+		f.serve(1, nil)
+		for k := 1; k <= 4; k++ {
+			if a := f.do(f.request("POST", "/confirm/1", "")); a.status != 200 || a.body != fmt.Sprintf("own %d", k) {
+				t.Errorf("extra bytes after %v, request %d: %+v", delay, k, a)
+			}
 		}
 	}
 }
