A part that crashing requests have in common is not refused while it is known to complete

Cause: twelve requests that crash endpoints by themselves share one popular part.

Change: against a part that has completed shortly before, crashes do not count at which a request was in flight that is refused for itself; and that a part has completed is told with its record, since an instance that has just started can't know.

TestPartThatCrashingRequestsHaveInCommonIsNotRefused fails without it.

--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -529,7 +529,7 @@
 }
 
 func crashMessage(now time.Time, content [16]byte, s *policy.CrashState, ttl time.Duration) *gossippb.CrashRecord {
-	m := &gossippb.CrashRecord{Content: content[:], Part: s.Part, TtlMs: ttl.Milliseconds()}
+	m := &gossippb.CrashRecord{Content: content[:], Part: s.Part, Proven: s.Proven, TtlMs: ttl.Milliseconds()}
 	for _, c := range s.Crashes {
 		m.Crashes = append(m.Crashes, &gossippb.Crash{
 			Id: c.ID, Endpoint: c.Endpoint, Trial: c.Trial, Cleared: c.Cleared, Content: c.Content, Caller: c.Caller,
@@ -540,7 +540,7 @@
 }
 
 func crashState(now time.Time, m *gossippb.CrashRecord) *policy.CrashState {
-	s := &policy.CrashState{Part: m.GetPart()}
+	s := &policy.CrashState{Part: m.GetPart(), Proven: m.GetProven()}
 	for _, c := range m.GetCrashes() {
 		s.Crashes = append(s.Crashes, policy.Crash{
 			ID: c.GetId(), Endpoint: c.GetEndpoint(), Trial: c.GetTrial(), Cleared: c.GetCleared(), Content: c.GetContent(), Caller: c.GetCaller(),
--- a/policy/crash.go
+++ b/policy/crash.go
@@ -99,8 +99,9 @@
 // crashes, sorted by ID.
 type CrashState struct {
 	Crashes []Crash
-	// Part is set for a part of prompts.
-	Part bool
+	// Part is set for a part of prompts, Proven if requests with it had completed not long before the first
+	// crash, as far as is known.
+	Part, Proven bool
 }
 
 // CrashGuard records the fingerprints of requests that were in flight when an endpoint crashed.
@@ -160,7 +161,7 @@
 
 // index updates byEndpoint after a change of the request's crashes of an endpoint.
 func (g *CrashGuard) index(fingerprint [16]byte, r *crashRecord, endpoint string) {
-	g.parts.stale = g.parts.stale || r.part
+	g.parts.stale = true
 	for _, c := range r.crashes {
 		if c.Endpoint == endpoint && !c.Cleared {
 			if g.byEndpoint[endpoint] == nil {
@@ -182,7 +183,7 @@
 
 // remove removes a record.
 func (g *CrashGuard) remove(fingerprint [16]byte, r *crashRecord) {
-	g.parts.stale = g.parts.stale || r.part
+	g.parts.stale = true
 	for _, c := range r.crashes {
 		g.unindex(fingerprint, c.Endpoint)
 	}
@@ -307,6 +308,8 @@
 	r := g.record(now, fingerprint)
 	if r.part = r.part || s.Part; r.part {
 		g.prove(now, fingerprint, r)
+		r.proven = r.proven || s.Proven
+		g.parts.stale = true
 	}
 	if expires := now.Add(min(ttl, g.ttl)); expires.After(r.expires) || len(r.crashes) == 0 {
 		r.expires = expires
@@ -332,7 +335,7 @@
 	if !ok || now.After(r.expires) {
 		return nil, 0
 	}
-	s := &CrashState{Part: r.part}
+	s := &CrashState{Part: r.part, Proven: r.proven}
 	for _, c := range r.crashes {
 		s.Crashes = append(s.Crashes, *c)
 	}
--- a/policy/crash_parts.go
+++ b/policy/crash_parts.go
@@ -55,7 +55,9 @@
 	// crashed for it. Both are computed when needed, if stale is set.
 	convicted map[[16]byte]*conviction
 	explained map[string]bool
-	stale     bool
+	// byRequests are the endpoints at whose crashes a request was in flight that is refused for itself.
+	byRequests map[string]bool
+	stale      bool
 	// completed and completedBefore hold when a request with a part was last completed, in the current
 	// period of half provenFor, which began at period, and in the one before.
 	completed, completedBefore map[[16]byte]time.Time
@@ -155,7 +157,7 @@
 			continue
 		}
 		c := g.conviction(now, part)
-		if !r.concerns(s.Caller, c, g.explained(now)) {
+		if !g.concerns(now, r, s.Caller, c) {
 			continue
 		}
 		verdict, left := g.partVerdict(now, r, c)
@@ -179,11 +181,11 @@
 }
 
 // concerns reports whether the crashes of a part are held against an organisation's requests.
-func (r *crashRecord) concerns(caller uint64, c *conviction, explained map[string]bool) bool {
+func (g *CrashGuard) concerns(now time.Time, r *crashRecord, caller uint64, c *conviction) bool {
 	if c != nil {
 		return c.callers[caller] || len(c.callers) > 1
 	}
-	callers := r.evidence(explained).callers
+	callers := g.evidence(now, r).callers
 	return callers[caller] || len(callers) > 1
 }
 
@@ -197,12 +199,19 @@
 }
 
 // evidence returns the crashes that are held against a part: those that are not cleared, of endpoints that are
-// not explained.
-func (r *crashRecord) evidence(explained map[string]bool) partEvidence {
+// not explained. Against a proven part, those are not held either at which a request was in flight that is refused
+// for itself: several such requests may have a popular part in common.
+func (g *CrashGuard) evidence(now time.Time, r *crashRecord) partEvidence {
+	g.attribute(now)
+	return g.unexplained(r)
+}
+
+// unexplained is evidence while the explained endpoints are being found.
+func (g *CrashGuard) unexplained(r *crashRecord) partEvidence {
 	e := partEvidence{contents: map[uint64]bool{}, callers: map[uint64]bool{}}
 	crashed := map[string]time.Time{}
 	for _, c := range r.crashes {
-		if c.Cleared || explained[c.Endpoint] {
+		if c.Cleared || g.parts.explained[c.Endpoint] || r.proven && g.parts.byRequests[c.Endpoint] {
 			continue
 		}
 		e.contents[c.Content], e.callers[c.Caller] = true, true
@@ -237,7 +246,7 @@
 		}
 		return CrashConfined, left
 	}
-	switch n := len(r.evidence(g.explained(now)).moments); {
+	switch n := len(g.evidence(now, r).moments); {
 	case n == 0, r.proven && n < partMoments:
 		return CrashClean, 0
 	case n == 1:
@@ -258,6 +267,18 @@
 	return g.parts.explained
 }
 
+// explain adds the endpoints at whose crashes a request was in flight, if it is refused for them.
+func (r *crashRecord) explain(endpoints map[string]bool) {
+	if crashes, trials := r.counts(nil); crashes < 2 || trials == 0 {
+		return
+	}
+	for _, c := range r.crashes {
+		if !c.Cleared {
+			endpoints[c.Endpoint] = true
+		}
+	}
+}
+
 // attribute finds the parts that explain the crashes. It picks the one with most crashes, leaves out the crashes
 // that it explains, and goes on with the rest.
 func (g *CrashGuard) attribute(now time.Time) {
@@ -265,10 +286,15 @@
 		return
 	}
 	g.parts.stale = false
-	g.parts.convicted, g.parts.explained = map[[16]byte]*conviction{}, map[string]bool{}
+	g.parts.convicted, g.parts.explained, g.parts.byRequests = map[[16]byte]*conviction{}, map[string]bool{}, map[string]bool{}
+	for _, r := range g.records {
+		if !r.part && !now.After(r.expires) {
+			r.explain(g.parts.byRequests)
+		}
+	}
 	open := map[[16]byte]*crashRecord{}
 	for key, r := range g.records {
-		if r.part && !now.After(r.expires) && r.convicts(r.evidence(nil)) {
+		if r.part && !now.After(r.expires) && r.convicts(g.unexplained(r)) {
 			open[key] = r
 		}
 	}
@@ -276,7 +302,7 @@
 		var worst [16]byte
 		var most partEvidence
 		for key, r := range open {
-			e := r.evidence(g.parts.explained)
+			e := g.unexplained(r)
 			if !r.convicts(e) {
 				delete(open, key)
 				continue
@@ -297,7 +323,7 @@
 func (g *CrashGuard) convict(now time.Time, part [16]byte, e partEvidence, open map[[16]byte]*crashRecord) {
 	c := &conviction{callers: e.callers}
 	for key, r := range open {
-		other := r.evidence(g.parts.explained)
+		other := g.unexplained(r)
 		if key == part || slices.Equal(other.endpoints, e.endpoints) {
 			c.parts = append(c.parts, key)
 			maps.Copy(c.callers, other.callers)
--- a/policy/crash_parts_test.go
+++ b/policy/crash_parts_test.go
@@ -121,6 +121,28 @@
 	expectVerdict(t, g, now, sound, CrashClean)
 }
 
+// Guards against a popular part that is refused, since several requests that crash endpoints by themselves have it in
+// common, here or at an instance that hears of it by message.
+func TestPartThatCrashingRequestsHaveInCommonIsNotRefused(t *testing.T) {
+	seen, told := NewCrashGuard(time.Hour), NewCrashGuard(time.Hour)
+	seen.PartCompleted(start, crashingPart)
+	var now time.Time
+	for k := range 8 {
+		now = start.Add(2*time.Second + time.Duration(k)*200*time.Millisecond)
+		content := [16]byte{1, byte(k / 2)}
+		c := Crash{ID: fmt.Sprint(k), Endpoint: fmt.Sprint("e-", k), Content: uint64(k / 2), Caller: 1, Trial: k%2 == 1}
+		seen.Crashed(now, content, c)
+		seen.PartCrashed(now, crashingPart, c)
+		exchange(seen, told, now)
+	}
+	for name, g := range map[string]*CrashGuard{"seen to complete": seen, "told": told} {
+		if a := g.Assess(now, CrashSubject{Content: [16]byte{2}, Parts: [][16]byte{crashingPart}, Caller: 1}); a.Verdict == CrashRefused {
+			t.Errorf("%s: %v", name, a.Verdict)
+		}
+		expectVerdict(t, g, now, [16]byte{1}, CrashRefused)
+	}
+}
+
 // Guards against a convicted part that crashes an endpoint each minute, or is refused for ever.
 func TestConvictedPartIsTriedAgainLessAndLessOften(t *testing.T) {
 	g := NewCrashGuard(10 * time.Minute)
