Instances agree on parts that crash endpoints: a record is a set of crashes whose fields only grow

What callers saw: one instance ran requests with a part of prompts that another made wait.

Cause: whether a part was proven sound before its crashes was one flag of the record, which Merge reset when all crashes known so far were cleared. An instance that got the cleared crash first lost the proof, one that got it last kept it. A full record of a request also kept whatever came first, and one of a part dropped crashes by a time that messages may change.

Change: the proof belongs to the crash at which it was seen and only grows, as every other field of a crash does; a full record keeps the greatest IDs, which begin with the time of the crash and never change. So merging is commutative, associative and idempotent, which a property test asserts, also for full records.

--- a/balance/admit_test.go
+++ b/balance/admit_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	_ "github.com/sardinedock/sardinedock/internal/rapidseed"
 )
 
 // serialEndpoint simulates an endpoint that reads prompts one at a time, in order of arrival.
--- a/directory/outage_test.go
+++ b/directory/outage_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	_ "github.com/sardinedock/sardinedock/internal/rapidseed"
 )
 
 // Guards against removals being held back although the store has kept answering some
--- a/emulator/answer_test.go
+++ b/emulator/answer_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/sardinedock/sardinedock/emulator"
+	_ "github.com/sardinedock/sardinedock/internal/rapidseed"
 )
 
 // An engine fails in the middle of an answer and another one continues from the prompt and the text
--- a/fleet/core_test.go
+++ b/fleet/core_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/sardinedock/sardinedock/fleet/exchange"
 	"github.com/sardinedock/sardinedock/fleet/member"
+	_ "github.com/sardinedock/sardinedock/internal/rapidseed"
 	"github.com/sardinedock/sardinedock/schema/fleetpb"
 )
 
--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/binary"
 	"encoding/hex"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -507,8 +508,11 @@
 	return strings.Join(list, ",")
 }
 
-// crashID returns the ID of the crash that interrupted a run.
-func crashID(run uint64) string { return strconv.FormatUint(run, 36) }
+// crashID returns the ID of the crash that interrupted a run. By the time in front, IDs of later crashes compare
+// greater.
+func crashID(now time.Time, run uint64) string {
+	return fmt.Sprintf("%012x-%s", max(now.UnixMilli(), 0), strconv.FormatUint(run, 36))
+}
 
 func trialMessage(now time.Time, t policy.Trial) *gossippb.Trial {
 	m := &gossippb.Trial{Id: t.ID, Content: t.Content[:], LeftMs: max(1, t.Until.Sub(now).Milliseconds())}
@@ -529,22 +533,22 @@
 }
 
 func crashMessage(now time.Time, content [16]byte, s *policy.CrashState, ttl time.Duration) *gossippb.CrashRecord {
-	m := &gossippb.CrashRecord{Content: content[:], Part: s.Part, Proven: s.Proven, TtlMs: ttl.Milliseconds()}
+	m := &gossippb.CrashRecord{Content: content[:], Part: s.Part, Proven: s.Proven(), TtlMs: ttl.Milliseconds()}
 	for _, c := range s.Crashes {
 		m.Crashes = append(m.Crashes, &gossippb.Crash{
 			Id: c.ID, Endpoint: c.Endpoint, Trial: c.Trial, Cleared: c.Cleared, Content: c.Content, Caller: c.Caller,
-			MsAgo: max(0, now.Sub(c.At).Milliseconds()),
+			Proven: c.Proven, MsAgo: max(0, now.Sub(c.At).Milliseconds()),
 		})
 	}
 	return m
 }
 
 func crashState(now time.Time, m *gossippb.CrashRecord) *policy.CrashState {
-	s := &policy.CrashState{Part: m.GetPart(), Proven: m.GetProven()}
+	s := &policy.CrashState{Part: m.GetPart()}
 	for _, c := range m.GetCrashes() {
 		s.Crashes = append(s.Crashes, policy.Crash{
 			ID: c.GetId(), Endpoint: c.GetEndpoint(), Trial: c.GetTrial(), Cleared: c.GetCleared(), Content: c.GetContent(), Caller: c.GetCaller(),
-			At: now.Add(-time.Duration(max(0, c.GetMsAgo())) * time.Millisecond),
+			Proven: c.GetProven(), At: now.Add(-time.Duration(max(0, c.GetMsAgo())) * time.Millisecond),
 		})
 	}
 	return s
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -267,7 +267,7 @@
 // interrupted describes the attempt's run as one that a crash may have interrupted.
 func (a *attempt) interrupted() interruptedRun {
 	now := time.Now()
-	run := interruptedRun{subject: a.req.crashSubject(), crashID: crashID(uint64(a.run))}
+	run := interruptedRun{subject: a.req.crashSubject(), crashID: crashID(now, uint64(a.run))}
 	run.alone = a.trial != nil && a.req.srv.cfg.Guard.alone(now, *a.trial)
 	if !a.begunAt.IsZero() && now.Sub(a.begunAt) >= answerBegun {
 		run.subject.Parts = nil
--- a/gossip/roles_test.go
+++ b/gossip/roles_test.go
@@ -11,6 +11,7 @@
 
 	"pgregory.net/rapid"
 
+	_ "github.com/sardinedock/sardinedock/internal/rapidseed"
 	"github.com/sardinedock/sardinedock/ring"
 	"github.com/sardinedock/sardinedock/schema/gossippb"
 )
--- a/objectapi/budget_test.go
+++ b/objectapi/budget_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	_ "github.com/sardinedock/sardinedock/internal/rapidseed"
 )
 
 var start = time.Date(2026, 12, 1, 8, 0, 0, 0, time.UTC)
--- a/outcome/claim/claim_test.go
+++ b/outcome/claim/claim_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/sardinedock/sardinedock/clock"
 	"github.com/sardinedock/sardinedock/fault"
+	_ "github.com/sardinedock/sardinedock/internal/rapidseed"
 	"github.com/sardinedock/sardinedock/objectapi"
 	"github.com/sardinedock/sardinedock/objectapi/objecttest"
 	"github.com/sardinedock/sardinedock/outcome/claim"
--- a/outcome/state_test.go
+++ b/outcome/state_test.go
@@ -6,6 +6,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/sardinedock/sardinedock/fault"
+	_ "github.com/sardinedock/sardinedock/internal/rapidseed"
 	"github.com/sardinedock/sardinedock/outcome"
 )
 
--- a/policy/crash.go
+++ b/policy/crash.go
@@ -13,10 +13,8 @@
 	maxFingerprints = 4096
 	// evicted is how many records are evicted together when there are too many.
 	evicted = maxFingerprints / 16
-	// maxCrashes bounds the crashes that are recorded for one request, and maxPartCrashes those for one
-	// part of prompts, so that a record fits into a datagram.
-	maxCrashes     = 8
-	maxPartCrashes = 16
+	// maxCrashes bounds the crashes in one record, so that it fits into a datagram. The latest are kept.
+	maxCrashes = 16
 	// retrialDelay is the time after a request was convicted until it may run once more: the
 	// endpoint may have crashed for another reason at that moment.
 	retrialDelay = time.Minute
@@ -53,7 +51,8 @@
 
 // Crash is one crash of an endpoint at which a request was in flight.
 type Crash struct {
-	// ID identifies the crash, or the run that it interrupted.
+	// ID identifies the crash, or the run that it interrupted. Those of later crashes compare greater; where
+	// they don't, a full record keeps any crashes in place of the latest.
 	ID       string
 	Endpoint string
 	// Trial is set if the request was suspected when this run began, and no other suspect was
@@ -68,6 +67,25 @@
 	Caller uint64
 	// At is when the endpoint crashed; zero for the time at which the crash is recorded.
 	At time.Time
+	// Proven is set for parts of prompts only: a request with the part had completed not long before.
+	Proven bool
+}
+
+// merge adds what another instance knows of the same crash. It reports whether that is news. Each field takes the
+// greater value, or the earlier time, so that the order of merges does not matter.
+func (c *Crash) merge(o Crash) bool {
+	merged := *c
+	merged.Trial = c.Trial || o.Trial
+	merged.Cleared = c.Cleared || o.Cleared
+	merged.Proven = c.Proven || o.Proven
+	merged.Content, merged.Caller = max(c.Content, o.Content), max(c.Caller, o.Caller)
+	merged.Endpoint = max(c.Endpoint, o.Endpoint)
+	if o.At.Before(c.At) {
+		merged.At = o.At
+	}
+	changed := merged != *c
+	*c = merged
+	return changed
 }
 
 // crashRecord holds the crashes at which one request, or one part of prompts, was in flight, by their IDs.
@@ -76,8 +94,16 @@
 	expires time.Time
 	// part is set for a part of prompts.
 	part bool
-	// proven is set if a request with the part had been completed not long before the first crash.
-	proven bool
+}
+
+// proven reports whether a request with the part had completed not long before one of the crashes that count.
+func (r *crashRecord) proven() bool {
+	for _, c := range r.crashes {
+		if c.Proven && !c.Cleared {
+			return true
+		}
+	}
+	return false
 }
 
 // counts returns how many crashes the request may have caused, and how many of them were trials. Those of
@@ -99,9 +125,13 @@
 // crashes, sorted by ID.
 type CrashState struct {
 	Crashes []Crash
-	// Part is set for a part of prompts, Proven if requests with it had completed not long before the first
-	// crash, as far as is known.
-	Part, Proven bool
+	// Part is set for a part of prompts.
+	Part bool
+}
+
+// Proven reports whether a request with the part had completed not long before one of the crashes that count.
+func (s *CrashState) Proven() bool {
+	return slices.ContainsFunc(s.Crashes, func(c Crash) bool { return c.Proven && !c.Cleared })
 }
 
 // CrashGuard records the fingerprints of requests that were in flight when an endpoint crashed.
@@ -120,8 +150,10 @@
 // No two requests need be alike for the same thing to crash endpoints: it may be a part of their prompts.
 // Parts are recorded beside whole requests; see PartCrashed.
 //
-// Merging the states of several instances is commutative and idempotent: crashes are added,
-// and Trial and Cleared are only set, until the record expires.
+// Merging the states of several instances is commutative, associative and idempotent: a record is a set of crashes
+// by ID, of which the greatest maxCrashes IDs are kept, and each field of a crash only grows. A crash that
+// was dropped therefore never returns, and verdicts depend on nothing but the set. Records expire at the latest time
+// that any instance has told.
 type CrashGuard struct {
 	ttl     time.Duration
 	records map[[16]byte]*crashRecord
@@ -152,10 +184,8 @@
 }
 
 func (g *CrashGuard) recordCrash(now time.Time, fingerprint [16]byte, r *crashRecord, c Crash) {
-	if g.add(now, r, c) {
+	if g.add(now, fingerprint, r, c) {
 		r.expires = now.Add(g.ttl)
-		g.changed[fingerprint] = true
-		g.index(fingerprint, r, c.Endpoint)
 	}
 }
 
@@ -191,44 +221,36 @@
 }
 
 // add merges a crash into a record and reports whether that changed the record.
-func (g *CrashGuard) add(now time.Time, r *crashRecord, c Crash) bool {
+func (g *CrashGuard) add(now time.Time, fingerprint [16]byte, r *crashRecord, c Crash) bool {
 	if c.At.IsZero() {
 		c.At = now
 	}
-	known, ok := r.crashes[c.ID]
-	if !ok {
-		if !r.makeRoom(c) {
+	if known, ok := r.crashes[c.ID]; ok {
+		if !known.merge(c) {
 			return false
 		}
+	} else {
 		r.crashes[c.ID] = &c
-		return true
-	}
-	changed := c.Trial && !known.Trial || c.Cleared && !known.Cleared || c.Content != 0 && known.Content == 0
-	known.Trial = known.Trial || c.Trial
-	known.Cleared = known.Cleared || c.Cleared
-	if c.At.Before(known.At) {
-		known.At = c.At
+		if dropped := r.trim(); dropped == &c {
+			return false
+		} else if dropped != nil {
+			g.index(fingerprint, r, dropped.Endpoint)
+		}
 	}
-	known.Content, known.Caller = cmp.Or(known.Content, c.Content), cmp.Or(known.Caller, c.Caller)
-	return changed
+	g.changed[fingerprint] = true
+	g.index(fingerprint, r, c.Endpoint)
+	return true
 }
 
-// makeRoom makes room for one more crash. It reports whether there is.
-func (r *crashRecord) makeRoom(c Crash) bool {
-	if !r.part {
-		return len(r.crashes) < maxCrashes || c.Trial
-	}
-	if len(r.crashes) < maxPartCrashes {
-		return true
-	}
-	oldest := &c
-	for _, other := range r.crashes {
-		if other.At.Before(oldest.At) || other.At.Equal(oldest.At) && other.ID < oldest.ID {
-			oldest = other
-		}
+// trim drops the crash with the smallest ID from a record with too many, and returns it.
+func (r *crashRecord) trim() *Crash {
+	if len(r.crashes) <= maxCrashes {
+		return nil
 	}
-	delete(r.crashes, oldest.ID)
-	return oldest != &c
+	least := slices.Min(slices.Collect(maps.Keys(r.crashes)))
+	dropped := r.crashes[least]
+	delete(r.crashes, least)
+	return dropped
 }
 
 // Completed clears a request that ran to completion of all crashes recorded so far. It reports whether
@@ -305,23 +327,21 @@
 	if ttl <= 0 {
 		return nil
 	}
+	known, ok := g.records[fingerprint]
+	expires := now.Add(min(ttl, g.ttl))
+	if ok && known.expires.After(expires) {
+		expires = known.expires
+	}
 	r := g.record(now, fingerprint)
-	if r.part = r.part || s.Part; r.part {
-		g.prove(now, fingerprint, r)
-		r.proven = r.proven || s.Proven
+	r.expires = expires
+	if s.Part {
+		r.part = true
 		g.parts.stale = true
 	}
-	if expires := now.Add(min(ttl, g.ttl)); expires.After(r.expires) || len(r.crashes) == 0 {
-		r.expires = expires
-	}
 	for _, c := range s.Crashes {
+		c.Proven = c.Proven || r.part && g.provenAt(now, fingerprint, c.At)
 		_, known := r.crashes[c.ID]
-		if !g.add(now, r, c) {
-			continue
-		}
-		g.index(fingerprint, r, c.Endpoint)
-		g.changed[fingerprint] = true
-		if !known && !c.Cleared {
+		if g.add(now, fingerprint, r, c) && !known && !c.Cleared {
 			added = append(added, c)
 		}
 	}
@@ -335,7 +355,7 @@
 	if !ok || now.After(r.expires) {
 		return nil, 0
 	}
-	s := &CrashState{Part: r.part, Proven: r.proven}
+	s := &CrashState{Part: r.part}
 	for _, c := range r.crashes {
 		s.Crashes = append(s.Crashes, *c)
 	}
--- a/policy/crash_parts.go
+++ b/policy/crash_parts.go
@@ -102,16 +102,16 @@
 	}
 	r := g.record(now, part)
 	r.part = true
-	g.prove(now, part, r)
+	// A later crash inherits it, since the first one may be withdrawn.
+	c.Proven = r.proven() || g.provenAt(now, part, now)
 	g.recordCrash(now, part, r, c)
 	return true
 }
 
-// prove notes before the first crash that counts whether a part is proven.
-func (g *CrashGuard) prove(now time.Time, part [16]byte, r *crashRecord) {
-	if r.cleared() {
-		r.proven = now.Sub(g.lastCompleted(now, part)) < provenFor
-	}
+// provenAt reports whether a request with a part is known here to have completed within provenFor before an
+// endpoint crashed, or since.
+func (g *CrashGuard) provenAt(now time.Time, part [16]byte, crashed time.Time) bool {
+	return crashed.Sub(g.lastCompleted(now, part)) < provenFor
 }
 
 // PartCompleted records that a request with a part has completed: its whole answer was received. It reports
@@ -211,7 +211,7 @@
 	e := partEvidence{contents: map[uint64]bool{}, callers: map[uint64]bool{}}
 	crashed := map[string]time.Time{}
 	for _, c := range r.crashes {
-		if c.Cleared || g.parts.explained[c.Endpoint] || r.proven && g.parts.byRequests[c.Endpoint] {
+		if c.Cleared || g.parts.explained[c.Endpoint] || r.proven() && g.parts.byRequests[c.Endpoint] {
 			continue
 		}
 		e.contents[c.Content], e.callers[c.Caller] = true, true
@@ -231,7 +231,7 @@
 // convicts reports whether the evidence is enough to take the part for the cause.
 func (r *crashRecord) convicts(e partEvidence) bool {
 	need := partMoments
-	if r.proven {
+	if r.proven() {
 		need = provenMoments
 	}
 	return len(e.moments) >= need && len(e.contents) >= partContents
@@ -247,7 +247,7 @@
 		return CrashConfined, left
 	}
 	switch n := len(g.evidence(now, r).moments); {
-	case n == 0, r.proven && n < partMoments:
+	case n == 0, r.proven() && n < partMoments:
 		return CrashClean, 0
 	case n == 1:
 		return CrashSuspect, left
@@ -329,7 +329,7 @@
 			maps.Copy(c.callers, other.callers)
 		}
 	}
-	c.retrialAt = g.retrialAt(part, open[part].proven, e.moments)
+	c.retrialAt = g.retrialAt(part, open[part].proven(), e.moments)
 	for _, key := range c.parts {
 		g.parts.convicted[key] = c
 		delete(open, key)
--- a/policy/crash_parts_test.go
+++ b/policy/crash_parts_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/sardinedock/sardinedock/internal/rapidseed"
 )
 
 // Fingerprints of parts of prompts.
@@ -45,7 +47,7 @@
 				g.PartCompleted(now, part)
 				continue
 			}
-			g.PartCrashed(now, part, Crash{ID: fmt.Sprint(e.content, e.endpoint), Endpoint: e.endpoint, Content: e.content, Caller: e.caller})
+			g.PartCrashed(now, part, Crash{ID: fmt.Sprintf("%020d-%s", e.content, e.endpoint), Endpoint: e.endpoint, Content: e.content, Caller: e.caller})
 		}
 	}
 	return now
@@ -186,45 +188,148 @@
 // Guards against instances that decide differently, since messages about parts reached them in another order or
 // more than once, and against crashes that look simultaneous to an instance that hears of them later.
 func TestInstancesAgreeOnPartsWhateverTheOrderOfMessages(t *testing.T) {
+	rapid.Check(t, instancesAgreeOnParts)
+}
+
+// Guards against the return of faults that these seeds have shown.
+func TestInstancesAgreeOnPartsWithSeedsThatFailed(t *testing.T) {
+	for _, seed := range []uint64{12927592067094828703, 2718650089388084285} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			rapidseed.Use(t, seed)
+			rapid.Check(t, instancesAgreeOnParts)
+		})
+	}
+}
+
+func instancesAgreeOnParts(t *rapid.T) {
+	parts := [][16]byte{crashingPart, otherPart, thirdPart}
+	type message struct {
+		part  [16]byte
+		state *CrashState
+	}
+	var messages []message
+	var now time.Time
+	for range rapid.IntRange(1, 4).Draw(t, "instances") {
+		g := NewCrashGuard(time.Hour)
+		var events []partEvent
+		for range rapid.IntRange(0, 6).Draw(t, "events") {
+			e := crashAt(time.Duration(rapid.IntRange(0, 20).Draw(t, "at"))*100*time.Millisecond, rapid.SampledFrom(parts).Draw(t, "part"))
+			if rapid.IntRange(0, 4).Draw(t, "completed") == 0 {
+				e.endpoint = ""
+			}
+			events = append(events, e)
+		}
+		slices.SortStableFunc(events, func(a, b partEvent) int { return int(a.at - b.at) })
+		apply(g, events)
+		now = start.Add(time.Minute)
+		for _, part := range g.Fingerprints() {
+			s, _ := g.State(now, part)
+			messages = append(messages, message{part, s})
+		}
+	}
+	decide := func(order []message) (list []CrashAssessment) {
+		g := NewCrashGuard(time.Hour)
+		for _, m := range order {
+			g.Merge(now, m.part, m.state, time.Hour)
+			g.Merge(now, messages[0].part, messages[0].state, time.Hour)
+		}
+		for _, part := range parts {
+			list = append(list, g.Assess(now, CrashSubject{Parts: [][16]byte{part}, Caller: 1}))
+		}
+		return list
+	}
+	if a, b := decide(messages), decide(rapid.Permutation(messages).Draw(t, "order")); !reflect.DeepEqual(a, b) {
+		t.Fatalf("%v and %v", a, b)
+	}
+}
+
+// Guards against an instance that forgets a part's proof of soundness, and so suspects the part where others do not, when
+// what it knew of the part was cleared before the next crash reached it.
+func TestProofOfAPartDoesNotDependOnTheOrderOfMessages(t *testing.T) {
+	cleared := &CrashState{Part: true, Crashes: []Crash{{ID: "1", Endpoint: "e-1", Content: 1, Caller: 1, At: start, Proven: true, Cleared: true}}}
+	proven := &CrashState{Part: true, Crashes: []Crash{{ID: "2", Endpoint: "e-2", Content: 2, Caller: 1, At: start, Proven: true}}}
+	later := &CrashState{Part: true, Crashes: []Crash{{ID: "3", Endpoint: "e-3", Content: 3, Caller: 1, At: start.Add(time.Second)}}}
+	now := start.Add(2 * time.Second)
+	subject := CrashSubject{Parts: [][16]byte{crashingPart}, Caller: 1}
+	for name, c := range map[string]struct {
+		states []*CrashState
+		want   CrashVerdict
+	}{
+		"cleared": {[]*CrashState{cleared, later}, CrashSuspect},
+		"proven":  {[]*CrashState{cleared, proven, later}, CrashClean},
+	} {
+		for _, order := range permutations(c.states) {
+			g := NewCrashGuard(time.Hour)
+			for _, s := range order {
+				g.Merge(now, crashingPart, s, time.Hour)
+			}
+			if a := g.Assess(now, subject); a.Verdict != c.want {
+				t.Errorf("%s: %v, want %v", name, a.Verdict, c.want)
+			}
+		}
+	}
+}
+
+// permutations returns all orders of a list.
+func permutations[T any](list []T) (all [][]T) {
+	if len(list) == 0 {
+		return [][]T{nil}
+	}
+	for i := range list {
+		rest := slices.Concat(list[:i], list[i+1:])
+		for _, p := range permutations(rest) {
+			all = append(all, append([]T{list[i]}, p...))
+		}
+	}
+	return all
+}
+
+// Guards against instances that differ in what they know of requests and parts after they have merged the same
+// states in another order, in other groups or more than once, also where a record is full.
+func TestMergeOfCrashStatesIsALattice(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		parts := [][16]byte{crashingPart, otherPart, thirdPart}
+		now := start.Add(time.Minute)
+		crash := rapid.Custom(func(t *rapid.T) Crash {
+			n := rapid.IntRange(0, 2*maxCrashes).Draw(t, "id")
+			return Crash{
+				ID: fmt.Sprintf("%03d", n), Endpoint: fmt.Sprint("e-", n), Content: rapid.Uint64Range(0, 2).Draw(t, "content"),
+				Caller: rapid.Uint64Range(0, 2).Draw(t, "caller"), Trial: rapid.Bool().Draw(t, "trial"), Cleared: rapid.Bool().Draw(t, "cleared"),
+				Proven: rapid.Bool().Draw(t, "proven"), At: start.Add(time.Duration(rapid.IntRange(0, 40).Draw(t, "at")) * 100 * time.Millisecond),
+			}
+		})
 		type message struct {
-			part  [16]byte
 			state *CrashState
+			ttl   time.Duration
 		}
 		var messages []message
-		var now time.Time
-		for range rapid.IntRange(1, 4).Draw(t, "instances") {
-			g := NewCrashGuard(time.Hour)
-			var events []partEvent
-			for range rapid.IntRange(0, 6).Draw(t, "events") {
-				e := crashAt(time.Duration(rapid.IntRange(0, 20).Draw(t, "at"))*100*time.Millisecond, rapid.SampledFrom(parts).Draw(t, "part"))
-				if rapid.IntRange(0, 4).Draw(t, "completed") == 0 {
-					e.endpoint = ""
-				}
-				events = append(events, e)
-			}
-			slices.SortStableFunc(events, func(a, b partEvent) int { return int(a.at - b.at) })
-			apply(g, events)
-			now = start.Add(time.Minute)
-			for _, part := range g.Fingerprints() {
-				s, _ := g.State(now, part)
-				messages = append(messages, message{part, s})
-			}
+		for range rapid.IntRange(1, 6).Draw(t, "messages") {
+			s := &CrashState{Part: rapid.Bool().Draw(t, "part"), Crashes: rapid.SliceOfN(crash, 0, maxCrashes).Draw(t, "crashes")}
+			messages = append(messages, message{s, time.Duration(rapid.IntRange(1, 60).Draw(t, "ttl")) * time.Minute})
+		}
+		merged := func(g *CrashGuard) message {
+			s, ttl := g.State(now, crashingPart)
+			return message{s, ttl}
 		}
-		decide := func(order []message) (list []CrashAssessment) {
+		fold := func(list []message) *CrashGuard {
 			g := NewCrashGuard(time.Hour)
-			for _, m := range order {
-				g.Merge(now, m.part, m.state, time.Hour)
-				g.Merge(now, messages[0].part, messages[0].state, time.Hour)
-			}
-			for _, part := range parts {
-				list = append(list, g.Assess(now, CrashSubject{Parts: [][16]byte{part}, Caller: 1}))
+			for _, m := range list {
+				g.Merge(now, crashingPart, m.state, m.ttl)
 			}
-			return list
+			return g
+		}
+		want := merged(fold(messages))
+		order := rapid.Permutation(slices.Concat(messages, messages)).Draw(t, "order")
+		if got := merged(fold(order)); !reflect.DeepEqual(got, want) {
+			t.Fatalf("in another order, with repeats: %+v, want %+v", got, want)
+		}
+		cut := rapid.IntRange(0, len(messages)).Draw(t, "cut")
+		groups := []message{merged(fold(messages[cut:]))}
+		if cut > 0 {
+			groups = append(groups, merged(fold(messages[:cut])))
 		}
-		if a, b := decide(messages), decide(rapid.Permutation(messages).Draw(t, "order")); !reflect.DeepEqual(a, b) {
-			t.Fatalf("%v and %v", a, b)
+		groups = slices.DeleteFunc(groups, func(m message) bool { return m.state == nil })
+		if got := merged(fold(groups)); !reflect.DeepEqual(got, want) {
+			t.Fatalf("in groups: %+v, want %+v", got, want)
 		}
 	})
 }
--- a/prefix/prefix_test.go
+++ b/prefix/prefix_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	_ "github.com/sardinedock/sardinedock/internal/rapidseed"
 )
 
 // Organisation and model names that are equal when concatenated must not share a hash chain: one
--- a/quota/book_test.go
+++ b/quota/book_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	_ "github.com/sardinedock/sardinedock/internal/rapidseed"
 )
 
 var bookStart = time.Unix(1000, 0)
--- a/ratelimit/limits_test.go
+++ b/ratelimit/limits_test.go
@@ -7,6 +7,7 @@
 
 	"pgregory.net/rapid"
 
+	_ "github.com/sardinedock/sardinedock/internal/rapidseed"
 	"github.com/sardinedock/sardinedock/quota"
 )
 
--- a/reachability/reachability_test.go
+++ b/reachability/reachability_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	_ "github.com/sardinedock/sardinedock/internal/rapidseed"
 )
 
 var start = time.Unix(1_700_000_000, 0)
--- a/record/registry_test.go
+++ b/record/registry_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/sardinedock/sardinedock/clock"
+	_ "github.com/sardinedock/sardinedock/internal/rapidseed"
 	"github.com/sardinedock/sardinedock/schema/recordspb"
 )
 
--- a/rendezvous/rendezvous_test.go
+++ b/rendezvous/rendezvous_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	_ "github.com/sardinedock/sardinedock/internal/rapidseed"
 )
 
 // Guards against instances that rank the same names differently: a task that is assigned by
--- a/ring/ring_test.go
+++ b/ring/ring_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	_ "github.com/sardinedock/sardinedock/internal/rapidseed"
 )
 
 func TestOfferRefusesWhenFull(t *testing.T) {
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/sardinedock/sardinedock/endpoint"
 	"github.com/sardinedock/sardinedock/fault"
+	_ "github.com/sardinedock/sardinedock/internal/rapidseed"
 	"github.com/sardinedock/sardinedock/record"
 	"github.com/sardinedock/sardinedock/schema/recordspb"
 )
--- a/route/table_test.go
+++ b/route/table_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/sardinedock/sardinedock/fault"
+	_ "github.com/sardinedock/sardinedock/internal/rapidseed"
 )
 
 func records(prefixes ...string) Records {
--- a/selfreport/pauses_test.go
+++ b/selfreport/pauses_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	_ "github.com/sardinedock/sardinedock/internal/rapidseed"
 )
 
 const (
