A decision on crashing parts does not take longer the more requests were interrupted by crashes

Cause: each completion or crash made the attribution of crashes to parts stale, and the next decision went through all records, thousands of them with one crash each, building a set for each.

Change: only records with several crashes, which alone can convict or explain, are gone through, and only their change makes the attribution stale.

--- a/policy/crash.go
+++ b/policy/crash.go
@@ -191,7 +191,7 @@
 
 // index updates byEndpoint after a change of the request's crashes of an endpoint.
 func (g *CrashGuard) index(fingerprint [16]byte, r *crashRecord, endpoint string) {
-	g.parts.stale = true
+	g.indexRepeated(fingerprint, r)
 	for _, c := range r.crashes {
 		if c.Endpoint == endpoint && !c.Cleared {
 			if g.byEndpoint[endpoint] == nil {
@@ -213,7 +213,10 @@
 
 // remove removes a record.
 func (g *CrashGuard) remove(fingerprint [16]byte, r *crashRecord) {
-	g.parts.stale = true
+	if g.parts.repeated[fingerprint] != nil {
+		delete(g.parts.repeated, fingerprint)
+		g.parts.stale = true
+	}
 	for _, c := range r.crashes {
 		g.unindex(fingerprint, c.Endpoint)
 	}
@@ -334,9 +337,9 @@
 	}
 	r := g.record(now, fingerprint)
 	r.expires = expires
-	if s.Part {
+	if s.Part && !r.part {
 		r.part = true
-		g.parts.stale = true
+		g.indexRepeated(fingerprint, r)
 	}
 	for _, c := range s.Crashes {
 		c.Proven = c.Proven || r.part && g.provenAt(now, fingerprint, c.At)
--- a/policy/crash_parts.go
+++ b/policy/crash_parts.go
@@ -58,6 +58,10 @@
 	// byRequests are the endpoints at whose crashes a request was in flight that is refused for itself.
 	byRequests map[string]bool
 	stale      bool
+	// repeated are the records with several crashes, the only ones that can convict or explain. After the loss
+	// of many endpoints there are thousands of records, nearly all with one crash, and each decision would
+	// take as long as it takes to go through them.
+	repeated map[[16]byte]*crashRecord
 	// completed and completedBefore hold when a request with a part was last completed, in the current
 	// period of half provenFor, which began at period, and in the one before.
 	completed, completedBefore map[[16]byte]time.Time
@@ -76,7 +80,15 @@
 }
 
 func newCrashParts() crashParts {
-	return crashParts{completed: map[[16]byte]time.Time{}, completedBefore: map[[16]byte]time.Time{}}
+	return crashParts{repeated: map[[16]byte]*crashRecord{}, completed: map[[16]byte]time.Time{}, completedBefore: map[[16]byte]time.Time{}}
+}
+
+// indexRepeated updates repeated after a change of a record.
+func (g *CrashGuard) indexRepeated(fingerprint [16]byte, r *crashRecord) {
+	if len(r.crashes) > 1 {
+		g.parts.repeated[fingerprint] = r
+		g.parts.stale = true
+	}
 }
 
 // Stagger has convicted parts tried again at a different time for each seed, so that of several instances
@@ -287,14 +299,14 @@
 	}
 	g.parts.stale = false
 	g.parts.convicted, g.parts.explained, g.parts.byRequests = map[[16]byte]*conviction{}, map[string]bool{}, map[string]bool{}
-	for _, r := range g.records {
+	for _, r := range g.parts.repeated {
 		if !r.part && !now.After(r.expires) {
 			r.explain(g.parts.byRequests)
 		}
 	}
 	open := map[[16]byte]*crashRecord{}
-	for key, r := range g.records {
-		if r.part && !now.After(r.expires) && r.convicts(g.unexplained(r)) {
+	for key, r := range g.parts.repeated {
+		if r.part && len(r.crashes) >= partMoments && !now.After(r.expires) && r.convicts(g.unexplained(r)) {
 			open[key] = r
 		}
 	}
--- a/policy/crash_parts_load_test.go
+++ b/policy/crash_parts_load_test.go
@@ -196,3 +196,26 @@
 		}
 	}
 }
+
+// Guards against decisions whose cost grows with the number of records: after the loss of a third of the endpoints
+// there are thousands, each completion changes one, and the fleet would do nothing but decide.
+func TestCostOfADecisionDoesNotGrowWithTheRecords(t *testing.T) {
+	g := NewCrashGuard(time.Hour)
+	for k := range maxFingerprints / 2 {
+		c := Crash{ID: fmt.Sprint(k), Endpoint: fmt.Sprint("e-", k%20), Content: uint64(k), Caller: 1}
+		g.PartCrashed(start, [16]byte{1, byte(k), byte(k >> 8)}, c)
+		g.Crashed(start, [16]byte{2, byte(k), byte(k >> 8)}, c)
+	}
+	const most = 100
+	subject := CrashSubject{Content: [16]byte{2, 7}, Parts: [][16]byte{{1, 7}, {1, 8}}, Caller: 1}
+	k := 0
+	allocs := testing.AllocsPerRun(100, func() {
+		now := start.Add(2 * time.Second)
+		g.PartCompleted(now, [16]byte{1, byte(k), 1})
+		g.Assess(now, subject)
+		k++
+	})
+	if allocs > most {
+		t.Errorf("%.0f allocations for a completion and a decision, at most %d", allocs, most)
+	}
+}
