Less urgent prompts delay an urgent one by a single prompt at most

Cause: 0.3 of all less urgent work at an endpoint counted as ahead of an urgent request. In the logs of 4,724 requests the time to the first token grows with that work up to the size of one prompt (some 170 ms) and no further: 234 ms at the middle behind 290 ms of it, 234 behind 580, 266 behind 1,030. So the estimate was too low for one prompt and too high for many, and refused requests that would have been on time.

Change: the average less urgent prompt counts, once.

--- a/balance/backlog_test.go
+++ b/balance/backlog_test.go
@@ -80,3 +80,25 @@
 	a.PromptTokens, a.OutputTokens = 1000, 4000
 	return a
 }
+
+// Guards against urgent requests that are refused when many long prompts of a batch are queued, although the endpoint
+// reads only one of them before.
+func TestUrgentRequestWaitsForOneLessUrgentPromptAtMost(t *testing.T) {
+	s := newPool(1, 1)
+	ahead := func() int64 {
+		p, _ := s.Choose(start, Ask{Service: "pool", Model: model, Wall: "all", DataCentre: "dc", PromptTokens: 600, OutputTokens: 20})
+		return p.Ahead
+	}
+	var one int64
+	for i := range 20 {
+		long := prompt(i, i)
+		long.Rank = 4
+		send(t, s, start, long)
+		if i == 0 {
+			one = ahead()
+		}
+	}
+	if got := ahead(); one == 0 || got > one {
+		t.Errorf("%d tokens ahead of an urgent request behind 20 prompts, want those of one, %d", got, one)
+	}
+}
--- a/balance/runs.go
+++ b/balance/runs.go
@@ -59,7 +59,7 @@
 	}
 	s.measure(e, r, now.Sub(r.at))
 	r.answered = true
-	e.reading.add(r.Rank, -r.Uncached)
+	e.reading.remove(r.Rank, r.Uncached)
 	s.recordRead(e, r)
 	s.notify()
 }
@@ -87,7 +87,7 @@
 	}
 	e.release(r)
 	if !r.answered {
-		e.reading.add(r.Rank, -r.Uncached)
+		e.reading.remove(r.Rank, r.Uncached)
 	}
 	failed := 0.0
 	switch stage {
@@ -158,7 +158,7 @@
 		age := now.Sub(r.at)
 		if age > forgetReadingAfter && !r.answered {
 			r.answered = true
-			r.on.reading.add(r.Rank, -r.Uncached)
+			r.on.reading.remove(r.Rank, r.Uncached)
 		}
 		if age > forgetRunsAfter {
 			delete(s.runs, id)
