Placement knows the pace of an endpoint's machine

Cause: an endpoint's rate was its average; what it says of its machine in the fourth figure of the load header was read by nothing.

Change: the figure is decoded, goes to the schedulers with the report of a run's first event or a plain call's end, and scales the rate of the endpoint for half a second. Where endpoints do not state it, nothing is sent and nothing changes.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -76,7 +76,7 @@
 	}
 	for i := range list {
 		e := list[(uint64(i)+a.Offset)%uint64(len(list))]
-		c.slowness, c.version = s.slowness(e), e.version(a.Model)
+		c.slowness, c.version = s.slowness(now, e), e.version(a.Model)
 		c.consider(e, s.bestSource(&c, list, e))
 	}
 	c.considerLimited(s.sizesOf(a.Service).smaller(a.PromptTokens + a.OutputTokens))
@@ -85,7 +85,7 @@
 	}
 	p := c.placement()
 	p.SaveTo = s.saveTo(&c, p)
-	rate := s.rateOf(c.best.endpoint)
+	rate := s.rateOf(now, c.best.endpoint)
 	p.Backlog = tokenTime(p.Ahead, rate)
 	p.FirstToken = p.Backlog + tokenTime(p.Uncached, rate) + fixedTime
 	return p, true
@@ -144,8 +144,8 @@
 const rateTolerance = 0.08
 
 // slowness returns the factor by which an endpoint reads slower than its pool.
-func (s *State) slowness(e *endpoint) float64 {
-	ratio := s.poolRate(e.Service) / s.rateOf(e)
+func (s *State) slowness(now time.Time, e *endpoint) float64 {
+	ratio := s.poolRate(e.Service) / s.rateOf(now, e)
 	if ratio > 1-rateTolerance && ratio < 1+rateTolerance {
 		return 1
 	}
@@ -393,7 +393,7 @@
 // plainCost returns the cost of an endpoint of a plain service, from its load and its
 // average latency.
 func (c *chooser) plainCost(e *endpoint) float64 {
-	return float64(e.running+1) / float64(max(e.Slots, 1)) * (e.latencyMs + 1) * plainTokens
+	return float64(e.running+1) / float64(max(e.Slots, 1)) * (e.latencyMs + 1) * e.pace.now(c.now) * plainTokens
 }
 
 // plainTokens converts the cost of plain calls, in ms, to the scale of the other weights.
--- a/balance/rates.go
+++ b/balance/rates.go
@@ -20,11 +20,12 @@
 
 // measure updates the rate at which the endpoint reads prompts. Runs behind much other work
 // are left out, because the endpoint may have run them first.
-func (s *State) measure(e *endpoint, r *run, took time.Duration) {
+func (s *State) measure(now time.Time, e *endpoint, r *run) {
+	took := now.Sub(r.at)
 	if r.Uncached < measuredTokens || r.ahead > r.Uncached || took <= fixedTime {
 		return
 	}
-	rate := float64(r.ahead+r.Uncached) / float64((took-fixedTime).Milliseconds()+1)
+	rate := e.pace.now(now) * float64(r.ahead+r.Uncached) / float64((took-fixedTime).Milliseconds()+1)
 	e.measured++
 	e.rate += max(rateWeight, 1/float64(e.measured)) * (rate - e.rate)
 	s.rates[e.Service] = s.poolRate(e.Service) + rateWeight*(rate-s.poolRate(e.Service))
@@ -37,9 +38,11 @@
 	return initialRate
 }
 
-func (s *State) rateOf(e *endpoint) float64 {
+// rateOf returns the rate at which an endpoint reads prompts now.
+func (s *State) rateOf(now time.Time, e *endpoint) float64 {
+	rate := s.poolRate(e.Service)
 	if e.measured >= enoughMeasured {
-		return e.rate
+		rate = e.rate
 	}
-	return s.poolRate(e.Service)
+	return rate / e.pace.now(now)
 }
--- a/balance/runs.go
+++ b/balance/runs.go
@@ -57,7 +57,7 @@
 	if r.answered {
 		return
 	}
-	s.measure(e, r, now.Sub(r.at))
+	s.measure(now, e, r)
 	r.answered = true
 	e.reading.remove(r.Rank, r.Uncached)
 	s.recordRead(e, r)
--- a/balance/state.go
+++ b/balance/state.go
@@ -110,8 +110,10 @@
 	// roomFor.
 	room   int
 	roomAt time.Time
-	// rate is the measured rate at which the endpoint reads prompts, in tokens per ms, and
-	// measured the number of measurements.
+	// pace is what the endpoint has last said of its machine.
+	pace pace
+	// rate is the measured rate at which the endpoint reads prompts at its usual pace, in tokens per ms,
+	// and measured the number of measurements.
 	rate     float64
 	measured int
 }
@@ -482,8 +484,10 @@
 	Avoided   bool `json:"avoided"`
 	Suspected bool `json:"doubted"`
 	// StatedLeaving endpoints have stated that they leave; they count as draining.
-	StatedLeaving bool    `json:"stated_leaving"`
-	FailureRate   float64 `json:"failure_share"`
+	StatedLeaving bool `json:"stated_leaving"`
+	// Pace is how long work takes on the endpoint's machine, as a multiple of the usual.
+	Pace        float64 `json:"pace"`
+	FailureRate float64 `json:"failure_share"`
 }
 
 // Endpoints returns the state of each endpoint of a service, or of all services if the name
@@ -496,7 +500,7 @@
 		if service != "" && e.Service != service {
 			continue
 		}
-		v := View{e.Endpoint, e.running, e.reading.total(), e.memory, now.Before(e.avoidUntil), now.Before(e.suspectUntil), s.leaving(e.ID), e.failures}
+		v := View{e.Endpoint, e.running, e.reading.total(), e.memory, now.Before(e.avoidUntil), now.Before(e.suspectUntil), s.leaving(e.ID), e.pace.now(now), e.failures}
 		v.Draining = !s.accepts(e)
 		list = append(list, v)
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"time"
 
 	"github.com/apex/log"
@@ -182,6 +183,9 @@
 	if stage == balance.Answering {
 		a.reportOrigin(m)
 	}
+	if stage == balance.Answering || a.req.service.Engine == nil {
+		a.reportPace(m)
+	}
 	if m.NotRun = a.unsent || notRun(stage); m.NotRun {
 		a.req.srv.cfg.Placer.NotRun(a.run)
 	}
@@ -192,6 +196,15 @@
 	a.req.srv.cfg.Broadcaster.ReportStage(m, a.place.PlacedBy)
 }
 
+// reportPace records what the response said of the pace of the endpoint's machine, and adds it to a report.
+func (a *attempt) reportPace(m *gossippb.RunStage) {
+	if a.head.Pace == 0 || !a.writtenByEndpoint() {
+		return
+	}
+	m.PacePercent = int32(math.Round(100 * a.head.Pace))
+	a.req.srv.cfg.State.SetPace(time.Now(), a.place.Endpoint.ID, a.head.Pace)
+}
+
 // stageForOthers returns the stage of a run as the other instances need to know it. That an endpoint could
 // not be reached from here, or broke a connection, does not have them suspect it: whether the path or the
 // endpoint is at fault is found out by a dial, and broadcast separately.
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -105,6 +105,9 @@
 	RateError error
 	// Brittle is set if the endpoint states that it fails if it has to reject too many requests.
 	Brittle bool
+	// Pace is how long work takes on the endpoint's machine now, as a multiple of the usual; 0 if the endpoint does
+	// not say.
+	Pace float64
 	// Pause is how long an endpoint that rejected the request wants no further ones from this
 	// instance; 0 if it does not say. PauseError is set if the stated time could not be parsed.
 	Pause      time.Duration
