Other instances are notified of a suspect before the crash of its endpoint is confirmed

What callers saw: one request that crashes endpoints, sent through two instances in turn 30 ms apart, took down 3 or 4 endpoints in place of 2.

Cause: the crash was broadcast only after a dial had confirmed it, later than the caller's next try arrived elsewhere; both instances then ran the request as if nothing were known, and each again in a trial.

Change: that a request is a suspect is broadcast at the crash, and withdrawn if the dial finds the endpoint. What has it refused, a crash in a trial, still waits for the confirmation, so that a partitioned instance has nothing refused.

With a lost datagram: not measured.

--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -138,8 +138,20 @@
 // crashed records that a run of a request was interrupted by the crash of its endpoint. It returns what
 // that is held against: the content and parts of the request. Whether it was a crash has to be checked, and the
 // result passed to confirm or disprove.
+//
+// The other instances are notified at once that the request is a suspect, since its caller may send it to one of them
+// some ms later. What would have it refused, another crash, is kept from them until it is confirmed.
 func (g *CrashGuard) crashed(now time.Time, endpointID string, run interruptedRun) (held [][16]byte) {
 	crashesRecorded.Inc()
+	held, verdict := g.hold(now, endpointID, run)
+	if verdict == policy.CrashSuspect {
+		g.publish(now, held[:1])
+	}
+	return held
+}
+
+// hold is crashed without the notification. It returns the verdict on the request's content too.
+func (g *CrashGuard) hold(now time.Time, endpointID string, run interruptedRun) (held [][16]byte, verdict policy.CrashVerdict) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c := policy.Crash{ID: run.crashID, Endpoint: endpointID, Trial: run.alone, Caller: run.subject.Caller}
@@ -159,7 +171,8 @@
 	log.WithField("endpoint", endpointID).WithField("content", contentID(run.subject.Content)).
 		WithField("parts", contentIDs(run.subject.Parts)).WithField("suspected", contentIDs(held[1:])).WithField("trial", run.alone).
 		Info("request interrupted by a crash")
-	return held
+	verdict, _ = g.crashes.Verdict(now, run.subject.Content)
+	return held, verdict
 }
 
 // candidates returns at most maxCandidates of the parts of a request. Those that were in flight at earlier
@@ -213,7 +226,6 @@
 // disprove ends the check of a crash and withdraws it: the endpoint accepts connections.
 func (g *CrashGuard) disprove(now time.Time, held [][16]byte, crashID string) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
 	for _, f := range held {
 		g.checked(f)
 		if g.crashes.Disprove(now, f, crashID) {
@@ -221,6 +233,9 @@
 		}
 		g.update(now, f, "dial")
 	}
+	g.mu.Unlock()
+	// The others may have been notified of a suspect.
+	g.publish(now, held[:1])
 }
 
 // refute withdraws a crash that another instance has reported: the endpoint accepts connections from here.
