Quota: a price for each account, draws by key, and bookings that all schedulers know

Cause: at several times a quota, arrival order decided. Prompts drove the bucket's balance below 0, so that cheap requests were refused, and a caller that came back at the time it was told found the quota used by others.

Change: Charge has a key, a rank and the time its caller has left. Requests without a key are decided as before.

--- a/quota/book.go
+++ b/quota/book.go
@@ -152,6 +152,7 @@
 		if r.Peers > 0 {
 			fresh.level = lowShare * fresh.capacity()
 		}
+		fresh.ledger = k.ledger
 		b.buckets[name] = fresh
 	}
 }
@@ -175,6 +176,9 @@
 	if k == nil {
 		return Decision{Share: 1}
 	}
+	if c.Key != 0 {
+		return b.checkKeyed(now, k, c, again)
+	}
 	passes := k.allows(now, float64(c.Cost), b.random)
 	d := Decision{Cost: c.Cost, Balance: k.level, Share: k.share}
 	switch {
@@ -187,6 +191,43 @@
 	return d
 }
 
+// checkKeyed is Check for a request with a key: it has a price and bookings. The caller must hold b.mu.
+func (b *Book) checkKeyed(now time.Time, k *bucket, c Charge, again bool) Decision {
+	d := Decision{Cost: c.Cost, Share: k.share, Draw: drawOf(c.Key, now)}
+	due := k.ledger.find(now, c.Key)
+	var passes bool
+	switch {
+	case due == nil:
+		passes, d.Priced = k.decide(now, c, d.Draw, b.random)
+	case now.Before(due.due.Add(-earlyRedemption)):
+		k.advance(now)
+		d.Early = true
+	default:
+		k.advance(now)
+		passes = k.positive(float64(c.Cost), b.random) || k.level > -bookedOverdraft*k.capacity()
+		d.Kept = passes
+	}
+	d.Balance = k.level
+	d.Price, _ = k.effectivePrice()
+	switch {
+	case passes || again:
+		d.Priced, d.Early = false, false
+	case now.Before(b.certainAt):
+		d.Outcome, d.Priced, d.Early = Unknown, false, false
+	case d.Early:
+		d.Outcome, d.Booked, d.RetryAfter = Over, true, due.due.Sub(now)
+	default:
+		d.Outcome = Over
+		if at, ok := k.book(now, c, d.Draw, d.Priced); ok {
+			d.Booked, d.RetryAfter = true, at.Sub(now)
+			d.Made = &Booking{Account: c.Account, Key: c.Key, Cost: c.Cost, Due: at}
+			break
+		}
+		d.Final = true
+	}
+	return d
+}
+
 // Covers reports whether an account's bucket covers a cost now and leaves the reserve, a
 // fraction from 0 to 1 of the capacity beyond the cost. It is always true for an account
 // without a limit. A request that is sent must then be charged.
@@ -226,7 +267,11 @@
 		return Usage{}, false
 	}
 	b.charges[run] = charged{c, now}
-	return b.debit(now, c.Account, c.Cost), true
+	u = b.debit(now, c.Account, c.Cost)
+	if l := b.buckets[c.Account].ledger; l != nil && l.redeem(c.Key) {
+		u.Redeemed = c.Key
+	}
+	return u, true
 }
 
 // Refund refunds a run that this instance has charged and that did not run. ok is false if
@@ -239,6 +284,9 @@
 		return Usage{}, false
 	}
 	delete(b.charges, run)
+	if k := b.buckets[c.Account]; k != nil && k.ledger != nil {
+		k.ledger.restore(now, c.Key)
+	}
 	return b.debit(now, c.Account, -c.Cost), true
 }
 
@@ -270,6 +318,10 @@
 		k.advance(now)
 		k.level = min(k.level, u.Balance)
 	}
+	if k := b.buckets[u.Account]; k != nil && k.ledger != nil && u.Redeemed != 0 {
+		k.ledger.expire(now)
+		k.ledger.redeem(u.Redeemed)
+	}
 	key := origin{u.Instance, u.Account}
 	before := b.reports[key]
 	if before.supersedes(now, u) {
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -1,6 +1,9 @@
 package quota
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// startBalance is the balance of a new bucket, as a time at its rate: enough for the
@@ -53,10 +56,18 @@
 	// missedUntil it pays for what the others passed in that time.
 	missed      float64
 	missedUntil time.Time
+	// price is the adapted price; see adaptPrice.
+	price float64
+	// meanPriceLog is the smoothed logarithm of the price.
+	meanPriceLog float64
+	// ledger holds the bookings; nil before the first one.
+	ledger *ledger
 }
 
 func newBucket(now time.Time, l Limit, share float64) *bucket {
 	b := &bucket{limit: l, share: share, last: now}
+	b.price = b.maxPrice()
+	b.meanPriceLog = math.Log(b.price)
 	b.level = min(b.rate()*startBalance.Seconds(), b.capacity())
 	return b
 }
@@ -70,6 +81,7 @@
 
 func (b *bucket) advance(now time.Time) {
 	if step := now.Sub(b.last).Seconds(); step > 0 {
+		b.adaptPrice(now.Sub(b.last))
 		b.level += step * b.rate()
 		b.promised = max(b.promised-step*b.rate(), 0)
 		b.last = now
@@ -94,6 +106,33 @@
 	return true
 }
 
+// decide reports whether a request with a key may pass now, and whether its draw has refused it.
+// While there is a price, any positive level is sufficient: otherwise expensive requests would not
+// pass beside cheap ones. No bookings may be left without cover.
+func (b *bucket) decide(now time.Time, c Charge, draw float64, random func() float64) (passes, priced bool) {
+	b.advance(now)
+	cost := float64(c.Cost)
+	if cost <= 0 {
+		return true, false
+	}
+	price, ok := b.effectivePrice()
+	if !ok {
+		// The bookings are checked first, since allows counts the requests that it refuses.
+		return b.ledger.covered(now, b.level-cost, b.rate()) && b.allows(now, cost, random), false
+	}
+	if !admitted(draw, price, rankedCost(c.Cost, c.Rank), priceExponent) {
+		return false, true
+	}
+	return b.positive(cost, random) && b.ledger.covered(now, b.level-cost, b.rate()), false
+}
+
+// positive reports whether the level is positive, once the random part of an oversized cost is
+// subtracted that covers describes.
+func (b *bucket) positive(cost float64, random func() float64) bool {
+	b.predebit(cost, random)
+	return b.level > 0
+}
+
 // covers reports whether the bucket covers the whole cost. A cost above the bucket's
 // capacity is covered by any positive balance. For the first such cost after the bucket was
 // full, a random part of the cost is subtracted before the check, as if the bucket had paid
@@ -105,6 +144,17 @@
 // and no such request waits for ever.
 func (b *bucket) covers(now time.Time, cost float64, random func() float64) bool {
 	b.advance(now)
+	b.predebit(cost, random)
+	switch {
+	case cost <= 0:
+		return true
+	case b.level <= 0:
+		return false
+	}
+	return cost > b.capacity() || b.level >= cost
+}
+
+func (b *bucket) predebit(cost float64, random func() float64) {
 	full := b.capacity()
 	if b.level >= full {
 		b.predebited = false
@@ -113,13 +163,6 @@
 		b.level -= random() * cost
 		b.predebited = true
 	}
-	switch {
-	case cost <= 0:
-		return true
-	case b.level <= 0:
-		return false
-	}
-	return cost > full || b.level >= cost
 }
 
 // jitterShare is the fraction of the capacity beyond one cost over which the thresholds of
@@ -189,6 +232,13 @@
 	if lost := b.share - share; lost > 0 {
 		b.level -= lost * l.Rate * detectionDelay.Seconds()
 	}
-	b.limit, b.share = l, share
+	if l != b.limit {
+		// The price keeps its relation to the maximum, so that it needn't adapt anew.
+		before := b.maxPrice()
+		b.limit = l
+		b.price *= b.maxPrice() / before
+		b.meanPriceLog += math.Log(b.maxPrice() / before)
+	}
+	b.share = share
 	b.level = min(b.level, b.capacity())
 }
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -1,9 +1,11 @@
 package quota
 
 import (
+	"cmp"
 	"container/heap"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -18,6 +20,8 @@
 	modelWindow     = 8 * time.Second
 	modelSchedulers = 5
 	smallFleet      = 16
+	modelPatience   = 12 * time.Second
+	modelRepeated   = 256
 )
 
 // fleetModel simulates a fleet in virtual time: instances with a book each, schedulers that
@@ -44,6 +48,7 @@
 	// by half a second.
 	loss, twice, late float64
 	lastSeen          [][]time.Time
+	knownSchedulers   [][]int
 	queue             events
 	passed            []passed
 	refused           int
@@ -57,6 +62,42 @@
 	counted   bool
 	window    time.Duration
 	tolerated func(l Limit) float64
+	// patience is how long callers wait; they return once if they are told a time. mix replaces the
+	// sizes of requests, of which the mean is mixMean, if it is set.
+	patience time.Duration
+	mix      func() (kind string, cost int64)
+	mixMean  float64
+	// told counts callers that were told a time, after statsFrom, and kept those of them that were
+	// served on their return.
+	told, kept int
+	// kills are the times at which the test has killed a scheduler. toldAcross and keptAcross are told and
+	// kept for callers that were told a time before one and returned after it.
+	kills                  []time.Time
+	toldAcross, keptAcross int
+	statsFrom              time.Duration
+	// costs are all requests of callers after statsFrom.
+	costs []asked
+}
+
+// tally counts callers and those of them that were served, at once or on their return.
+type tally struct{ callers, served int }
+
+func (t tally) rate() float64 { return float64(t.served) / float64(max(t.callers, 1)) }
+
+// asked is one caller's request and whether it was served.
+type asked struct {
+	kind   string
+	cost   int64
+	served bool
+}
+
+// caller is one caller with a request that it sends at most twice.
+type caller struct {
+	Charge
+	index    int
+	until    time.Time
+	returned bool
+	across   bool
 }
 
 // way is a way to decide what may pass.
@@ -108,8 +149,8 @@
 		size: size, limit: l, rng: rand.New(rand.NewPCG(seed, 1)), callers: rand.New(rand.NewPCG(seed, 2)), now: time.Unix(1000, 0), start: time.Unix(1000, 0),
 		books: make([]*Book, size), alive: make([]bool, size), frozen: make([]bool, size), partition: make([]int, size),
 		demand:  make([]float64, size),
-		blocked: map[[2]int]bool{}, lastSeen: make([][]time.Time, size),
-		window: modelWindow, tolerated: tokenTolerance,
+		blocked: map[[2]int]bool{}, lastSeen: make([][]time.Time, size), knownSchedulers: make([][]int, size),
+		window: modelWindow, tolerated: tokenTolerance, patience: modelPatience,
 	}
 	for i := range size {
 		m.lastSeen[i] = make([]time.Time, size)
@@ -159,6 +200,7 @@
 	}
 	for j := range m.size {
 		if m.sendsReports() && m.alive[j] && !m.frozen[j] && m.isScheduler(j) {
+			m.repeatBookings(j)
 			for _, u := range m.books[j].Short(m.now, m.now.Add(-200*time.Millisecond)) {
 				m.report(j, u)
 			}
@@ -167,6 +209,19 @@
 	m.in(100*time.Millisecond, m.heartbeat)
 }
 
+// repeatBookings sends the open bookings when a scheduler is new to another one.
+func (m *fleetModel) repeatBookings(j int) {
+	known := m.schedulersOf(j)
+	isNew := slices.ContainsFunc(known, func(i int) bool { return !slices.Contains(m.knownSchedulers[j], i) })
+	m.knownSchedulers[j] = known
+	if !isNew {
+		return
+	}
+	for _, k := range m.books[j].OpenBookings(m.now, modelRepeated) {
+		m.send(j, func(b *Book) { b.ApplyBooking(m.now, k) })
+	}
+}
+
 // sendsReports reports whether schedulers report to each other what they pass.
 func (m *fleetModel) sendsReports() bool { return m.way == bucketsByReach || m.way == wholeBuckets }
 
@@ -254,6 +309,11 @@
 // report sends a usage to the other schedulers. In a small fleet all instances are
 // schedulers, and reports go to all that are listed.
 func (m *fleetModel) report(from int, u Usage) {
+	m.send(from, func(b *Book) { b.ApplyUsage(m.now, u) })
+}
+
+// send sends a message to the other schedulers.
+func (m *fleetModel) send(from int, apply func(*Book)) {
 	for _, to := range m.receivers(from) {
 		if to == from || m.rng.Float64() < m.loss || !m.receives(to, from) {
 			continue
@@ -266,7 +326,7 @@
 			lag = 500 * time.Millisecond
 		}
 		for range copies {
-			m.in(lag, func() { m.deliver(from, to, u) })
+			m.in(lag, func() { m.deliver(to, apply) })
 		}
 	}
 }
@@ -282,31 +342,99 @@
 	return all
 }
 
-func (m *fleetModel) deliver(from, to int, u Usage) {
+func (m *fleetModel) deliver(to int, apply func(*Book)) {
 	if m.frozen[to] {
-		m.in(100*time.Millisecond, func() { m.deliver(from, to, u) })
+		m.in(100*time.Millisecond, func() { m.deliver(to, apply) })
 		return
 	}
 	if m.alive[to] {
-		m.books[to].ApplyUsage(m.now, u)
+		apply(m.books[to])
 	}
 }
 
 // request sends a request of the organisation to a random instance, if it runs.
-func (m *fleetModel) request(cost int64) {
+func (m *fleetModel) request(kind string, cost int64) {
 	if m.decided != nil {
 		m.decided(cost)
 		return
 	}
-	at := m.rng.IntN(m.size)
+	c := &caller{Charge: Charge{Account: "o", Cost: cost}, until: m.now.Add(m.patience), index: -1}
+	if !m.counted {
+		c.Key = m.rng.Uint64() | 1
+	}
+	if m.now.Sub(m.start) >= m.statsFrom {
+		c.index = len(m.costs)
+		m.costs = append(m.costs, asked{kind: kind, cost: cost})
+	}
+	m.sendTo(m.rng.IntN(m.size), c)
+}
+
+func (m *fleetModel) sendTo(at int, c *caller) {
 	if m.alive[at] && !m.frozen[at] {
-		m.decide(at, Charge{Account: "o", Cost: cost}, m.now)
+		m.decide(at, c, m.now)
 	}
 }
 
+// refuse makes a caller that was told a time return then, once, to another random instance.
+func (m *fleetModel) refuse(c *caller, d Decision) {
+	m.refused++
+	if c.returned || !d.Booked {
+		return
+	}
+	c.returned = true
+	if c.index >= 0 {
+		m.told++
+	}
+	told := m.now
+	m.in(d.RetryAfter, func() {
+		c.across = slices.ContainsFunc(m.kills, func(t time.Time) bool { return t.After(told) })
+		m.toldAcross += btoi(c.across)
+		for range m.size {
+			if at := m.rng.IntN(m.size); m.alive[at] && !m.frozen[at] {
+				m.sendTo(at, c)
+				return
+			}
+		}
+	})
+}
+
+// served returns the rates at which callers of all kinds, and of each kind, were served.
+func (m *fleetModel) served() (all tally, ofKind map[string]*tally) {
+	ofKind = map[string]*tally{}
+	for _, a := range m.costs {
+		if ofKind[a.kind] == nil {
+			ofKind[a.kind] = &tally{}
+		}
+		for _, t := range []*tally{&all, ofKind[a.kind]} {
+			t.callers++
+			t.served += btoi(a.served)
+		}
+	}
+	return all, ofKind
+}
+
+// servedLargest returns the rate at which the largest tenth of a kind was served.
+func (m *fleetModel) servedLargest(kind string) float64 { return m.largest(kind).rate() }
+
+// largest returns the results of the largest tenth of a kind.
+func (m *fleetModel) largest(kind string) (t tally) {
+	var list []asked
+	for _, a := range m.costs {
+		if a.kind == kind {
+			list = append(list, a)
+		}
+	}
+	slices.SortFunc(list, func(a, b asked) int { return cmp.Compare(b.cost, a.cost) })
+	for _, a := range list[:len(list)/10] {
+		t.callers++
+		t.served += btoi(a.served)
+	}
+	return t
+}
+
 // decide lets a scheduler decide on a request, or the instance itself if no scheduler
 // answers.
-func (m *fleetModel) decide(at int, c Charge, since time.Time) {
+func (m *fleetModel) decide(at int, c *caller, since time.Time) {
 	if !m.alive[at] {
 		return
 	}
@@ -345,11 +473,21 @@
 }
 
 // settle lets one instance decide on a request of another.
-func (m *fleetModel) settle(by, at int, c Charge, since time.Time) {
-	d := m.books[by].Check(m.now, c, false)
+func (m *fleetModel) settle(by, at int, c *caller, since time.Time) {
+	c.Left = c.until.Sub(m.now)
+	d := m.books[by].Check(m.now, c.Charge, false)
+	if d.Made != nil && m.sendsReports() {
+		k := *d.Made
+		m.send(by, func(b *Book) { b.ApplyBooking(m.now, k) })
+	}
 	switch {
 	case d.Outcome == Pass:
-		u, ok := m.books[by].Charge(m.now, m.rng.Uint64(), c)
+		if c.index >= 0 {
+			m.costs[c.index].served = true
+			m.kept += btoi(c.returned)
+			m.keptAcross += btoi(c.across)
+		}
+		u, ok := m.books[by].Charge(m.now, m.rng.Uint64(), c.Charge)
 		if ok && m.sendsReports() {
 			m.report(by, u)
 		}
@@ -357,7 +495,7 @@
 	case d.Outcome == Unknown && m.now.Sub(since) < time.Second:
 		m.in(25*time.Millisecond, func() { m.decide(at, c, since) })
 	default:
-		m.refused++
+		m.refuse(c, d)
 	}
 }
 
@@ -399,11 +537,18 @@
 		return
 	}
 	for range groupSize {
-		m.request(m.cost())
+		if m.mix != nil {
+			m.request(m.mix())
+		} else {
+			m.request("", m.cost())
+		}
 	}
 	mean := longShare*longCost + (1-longShare)*shortCost
-	if m.counted {
+	switch {
+	case m.counted:
 		mean = 1
+	case m.mix != nil:
+		mean = m.mixMean
 	}
 	perSecond := max(load(t), 0.01) * m.limit.Rate / mean / groupSize
 	m.in(time.Duration(m.callers.ExpFloat64()/perSecond*float64(time.Second)), func() { m.arrive(until, load) })
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -6,6 +6,11 @@
 // bucket with the requests that it passes itself and with those that other instances report.
 // No instance owns a quota, so the loss of an instance does not block it; the sides of a
 // partitioned fleet split it by their numbers of instances.
+//
+// While an account asks for several times its limit, a price that follows the bucket's level
+// decides, so that requests of all costs are served: without it, expensive requests drive the
+// level below 0 and cheap ones are refused. A refused caller is told a time for which its cost is
+// booked: without bookings, callers that return when they are told find the bucket used by others.
 package quota
 
 import "time"
@@ -54,6 +59,13 @@
 	Sized  bool
 	// Cost is in units of the limit; Book.Price sets it.
 	Cost int64
+	// Key is a hash of the account and the request's content, by which the request is recognised when
+	// its caller comes back. A request without one (0) has neither price nor booking.
+	Key uint64
+	// Rank is the request's priority; 0 is the most urgent.
+	Rank int
+	// Left is how long the caller will wait from now; 0 if it is unknown, then nothing is booked.
+	Left time.Duration
 }
 
 // Outcome is the result of a quota decision.
@@ -73,9 +85,21 @@
 // Decision is the decision whether a request may be sent, with the reasons.
 type Decision struct {
 	Outcome Outcome
-	// RetryAfter is the time until the bucket covers the request's cost, after the costs of
-	// the requests refused before it.
+	// RetryAfter is the time until the booking is due, or for a request without a key until the
+	// bucket covers its cost, after the costs of the requests refused before it.
 	RetryAfter time.Duration
+	// Booked reports whether the request has a booking, Early whether it was made before and is not
+	// due yet, Kept whether the request passes because of it.
+	Booked, Early, Kept bool
+	// Final reports that there is no room for a booking within the time that the caller has left.
+	Final bool
+	// Priced reports whether the price has refused the request. Price and Draw are the figures
+	// compared; Price is 0 for a request without a key.
+	Priced      bool
+	Price, Draw float64
+	// Made is the booking that this decision has made or moved, for the other schedulers; nil if there
+	// is none.
+	Made *Booking
 	// Cost of the request.
 	Cost int64
 	// Balance of the bucket in units; negative if more has passed than it had.
@@ -99,6 +123,8 @@
 	// Short reports whether the instance's bucket is low; Balance is set only then.
 	Short   bool
 	Balance float64
+	// Redeemed is the key of the booking that the last part has redeemed; 0 for none.
+	Redeemed uint64
 }
 
 // Reach describes the part of the fleet for which an instance decides.
