Quotas on the path of a request: key, bookings among schedulers, Retry-After as booked

Cause: retryDelay cut the time that a quota names to a quarter of what the caller has left and spread it again, so that no caller came back when its cost was due.

Change: the gateway sends the hash of the request's content (Ask.request_key) and the time its caller has left (Ask.left_us) for organisations with a quota. Bookings go to the other schedulers as QuotaBooking, redemptions with QuotaUse; a scheduler that is new gets the open ones. Refusals carry Retry-After exactly as booked, or none if they are final. Log fields price, draw, booked_ms, final; counters for priced requests and bookings; price and bookings in the dump.

The first booking of an empty ledger is due as soon as the level covers it.

--- a/gateway/place.go
+++ b/gateway/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -89,6 +90,9 @@
 	}
 	s.query.Exclude = append(slices.Clip(s.exclude), avoid...)
 	s.query.Elapsed = now.Sub(s.began)
+	if s.query.Charge.Key != 0 {
+		s.query.Charge.Left = max(s.patience.Sub(now), 0)
+	}
 	run, v := s.srv.cfg.Placer.Place(s.reqCtx, s.query)
 	if s.reqCtx.Err() != nil {
 		s.cancelPlacement(run, v)
@@ -118,6 +122,7 @@
 		s.quota = &v.Quota
 		s.decidedBy = v.Placement.PlacedBy
 		err := fault.New(fault.LimitExceeded, "send less, or have the organisation's quota raised", "the quota of %s is used up", s.organisation.Name)
+		// A refusal that is final names no time.
 		return fault.WithRetryAfter(err, v.Quota.RetryAfter)
 	case v.Admission == balance.AtLimit && s.ran == 0:
 		s.passedOver, s.passedFor = v.Placement.PassedOver, v.Placement.PassedFor
@@ -245,6 +250,11 @@
 		q.Charge = quota.Charge{
 			Account: r.organisation.Name, Tokens: r.call.PromptTokens + r.call.OutputTokens, Sized: r.call.Sized,
 		}
+		// Where the quota can't be read, the one before may be in force.
+		if r.organisation.Quota.Limited() || r.organisation.QuotaError != nil {
+			content := r.content()
+			q.Charge.Key, q.Charge.Rank = binary.LittleEndian.Uint64(content[:])|1, q.Rank
+		}
 	}
 	if r.service.Engine == nil {
 		return q
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -328,7 +328,7 @@
 		return
 	}
 	if fault.Is(err, fault.LimitExceeded) {
-		writeRefusal(r.ctx, refusal{status: fasthttp.StatusTooManyRequests, cause: err, retryAfter: r.retryDelay(fault.RetryAfter(err))})
+		writeRefusal(r.ctx, refusal{status: fasthttp.StatusTooManyRequests, cause: err, retryAfter: r.quotaRetryAfter(fault.RetryAfter(err))})
 		return
 	}
 	after := r.retryDelay(fault.RetryAfter(err))
@@ -354,6 +354,16 @@
 	return max(min(max(behind, shortRetry)+r.spread(retrySpread), left/retryShare), minRetryAfter)
 }
 
+// quotaRetryAfter returns when a caller that was refused by a quota should retry: exactly when its booking
+// is due, or 0 for not at all. A time that is cut or spread would miss the booking. Refusals of schedulers
+// of an earlier version have no booking.
+func (r *request) quotaRetryAfter(after time.Duration) time.Duration {
+	if q := r.quota; q != nil && (q.Booked || q.Final) {
+		return after
+	}
+	return r.retryDelay(after)
+}
+
 // spread returns a time below d that depends on the request's ID.
 func (r *request) spread(d time.Duration) time.Duration {
 	return time.Duration(xxh3.HashString(r.call.ID) % uint64(max(d, 1)))
@@ -429,6 +439,15 @@
 	if q := r.quota; q != nil {
 		f["cost"], f["balance"], f["share"] = q.Cost, int64(q.Balance), q.Share
 		f["retry_ms"], f["decided_by"] = q.RetryAfter.Milliseconds(), r.decidedBy
+		if q.Booked || q.Final {
+			f["price"], f["draw"] = q.Price, q.Draw
+		}
+		switch {
+		case q.Booked:
+			f["booked_ms"] = q.RetryAfter.Milliseconds()
+		case q.Final:
+			f["final"] = true
+		}
 	}
 	if r.lastErr != nil {
 		f["why"] = r.lastErr.Error()
--- a/gossip/admit_test.go
+++ b/gossip/admit_test.go
@@ -109,6 +109,7 @@
 func (nopHandler) Entry(*gossippb.Entry)              {}
 func (nopHandler) Cache(*gossippb.CacheNews)          {}
 func (nopHandler) QuotaUsed(*gossippb.QuotaUse)       {}
+func (nopHandler) QuotaBooked(*gossippb.QuotaBooking) {}
 func (nopHandler) SchedulerStarted(string)            {}
 func (nopHandler) Revision(string, uint64, time.Time) {}
 func (nopHandler) Asked(a *gossippb.Ask) *gossippb.Decision {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -69,6 +69,8 @@
 	Asked(a *gossippb.Ask) *gossippb.Decision
 	// QuotaUsed is called with the amount of a quota that another instance has used.
 	QuotaUsed(u *gossippb.QuotaUse)
+	// QuotaBooked is called with a booking that another instance has made.
+	QuotaBooked(b *gossippb.QuotaBooking)
 	// Revision is called with the newest revision of a kind that a peer has seen, and the time
 	// when that peer last read the kind from the store; zero if it has not.
 	Revision(kind string, revision uint64, readAt time.Time)
@@ -128,6 +130,7 @@
 	entry    *gossippb.Entry
 	cache    *gossippb.CacheNews
 	quotaUse *gossippb.QuotaUse
+	booking  *gossippb.QuotaBooking
 	// scheduler is the name of the scheduler that placed the run; empty for this instance.
 	scheduler string
 	// urgent requests that the batch is sent without delay.
@@ -272,6 +275,9 @@
 // ReportQuotaUse reports to the schedulers how much of a quota this instance has used.
 func (n *Node) ReportQuotaUse(u *gossippb.QuotaUse) { n.out.Push(item{quotaUse: u}) }
 
+// ReportQuotaBooking reports a booking to the schedulers.
+func (n *Node) ReportQuotaBooking(b *gossippb.QuotaBooking) { n.out.Push(item{booking: b}) }
+
 // ReportStore records whether this instance reaches the platform's store, and announces it.
 func (n *Node) ReportStore(reached bool) {
 	n.mu.Lock()
--- a/gossip/pack.go
+++ b/gossip/pack.go
@@ -38,6 +38,8 @@
 			current.Caches = append(current.Caches, i.cache)
 		case i.quotaUse != nil:
 			current.QuotaUses = append(current.QuotaUses, i.quotaUse)
+		case i.booking != nil:
+			current.QuotaBookings = append(current.QuotaBookings, i.booking)
 		}
 	}
 	return list
@@ -57,6 +59,8 @@
 		return proto.Size(i.cache)
 	case i.quotaUse != nil:
 		return proto.Size(i.quotaUse)
+	case i.booking != nil:
+		return proto.Size(i.booking)
 	}
 	return 0
 }
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -194,6 +194,9 @@
 	for _, u := range d.GetQuotaUses() {
 		n.handler.QuotaUsed(u)
 	}
+	for _, b := range d.GetQuotaBookings() {
+		n.handler.QuotaBooked(b)
+	}
 	for _, s := range d.GetNotices() {
 		n.handler.Notice(d.GetInstance(), s)
 	}
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -57,6 +57,9 @@
 		for _, u := range d.GetQuotaUses() {
 			n.out.Push(item{quotaUse: u})
 		}
+		for _, b := range d.GetQuotaBookings() {
+			n.out.Push(item{booking: b})
+		}
 		return
 	}
 	for _, inner := range d.GetRelayed() {
@@ -210,7 +213,7 @@
 
 // isHeartbeat reports whether a datagram carries no messages about runs, endpoints or caches.
 func isHeartbeat(d *gossippb.Datagram) bool {
-	return len(d.GetStarts())+len(d.GetStages())+len(d.GetNotices())+len(d.GetEntries())+len(d.GetCaches())+len(d.GetQuotaUses()) == 0
+	return len(d.GetStarts())+len(d.GetStages())+len(d.GetNotices())+len(d.GetEntries())+len(d.GetCaches())+len(d.GetQuotaUses())+len(d.GetQuotaBookings()) == 0
 }
 
 // isUrgent reports whether a datagram carries messages that should not be delayed.
--- a/hosted/fleetcost_test.go
+++ b/hosted/fleetcost_test.go
@@ -98,6 +98,7 @@
 func (fleetReceiver) Entry(*gossippb.Entry)              {}
 func (fleetReceiver) Cache(*gossippb.CacheNews)          {}
 func (fleetReceiver) QuotaUsed(*gossippb.QuotaUse)       {}
+func (fleetReceiver) QuotaBooked(*gossippb.QuotaBooking) {}
 func (fleetReceiver) SchedulerStarted(string)            {}
 func (fleetReceiver) Revision(string, uint64, time.Time) {}
 func (h fleetReceiver) Asked(a *gossippb.Ask) *gossippb.Decision {
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -301,6 +301,7 @@
 		now := time.Now()
 		i.state.Sweep(now)
 		i.quotas.Sweep(now)
+		bookingsLate.Add(i.quotas.TakeLapsed())
 		i.statements.sweep(now, i.state.Exists)
 		i.statements.repeatOwn(now)
 		i.repeatDepartures()
--- a/hosted/placing.go
+++ b/hosted/placing.go
@@ -132,6 +132,9 @@
 		p.limits.SetReach(now, reach)
 	}
 	if d := p.quotas.Check(now, q.Charge, q.Again); d.Outcome != quota.Pass {
+		if d.Made != nil {
+			p.node.ReportQuotaBooking(bookingMessage(now, *d.Made))
+		}
 		return quotaDecision(d)
 	}
 	v := p.state.Decide(now, q)
@@ -240,7 +243,7 @@
 		Run: uint64(q.Run), Service: q.Service, Model: q.Model, Wall: q.Wall, PromptTokens: q.PromptTokens, OutputTokens: q.OutputTokens,
 		Rank: int32(q.Rank), DataCentre: q.DataCentre, Exclude: q.Exclude,
 		TargetUs: q.Target.Microseconds(), PatienceUs: q.Patience.Microseconds(), ElapsedUs: q.Elapsed.Microseconds(),
-		Organisation: q.Charge.Account, Cost: q.Charge.Cost, Again: q.Again, Release: q.Release,
+		Organisation: q.Charge.Account, Cost: q.Charge.Cost, RequestKey: q.Charge.Key, LeftUs: q.Charge.Left.Microseconds(), Again: q.Again, Release: q.Release,
 	}
 	for _, pause := range q.Paused[:min(len(q.Paused), maxAskedPauses)] {
 		m.Paused = append(m.Paused, &gossippb.Pause{Endpoint: pause.Endpoint, LeftUs: pause.Left.Microseconds()})
@@ -255,7 +258,9 @@
 func queryOf(m *gossippb.Ask) balance.Query {
 	q := balance.Query{
 		Run: balance.RunID(m.GetRun()), Target: micros(m.GetTargetUs()), Patience: micros(m.GetPatienceUs()), Elapsed: micros(m.GetElapsedUs()),
-		Charge: quota.Charge{Account: m.GetOrganisation(), Cost: m.GetCost()},
+		Charge: quota.Charge{
+			Account: m.GetOrganisation(), Cost: m.GetCost(), Key: m.GetRequestKey(), Rank: int(m.GetRank()), Left: micros(m.GetLeftUs()),
+		},
 		Ask: balance.Ask{
 			Service: m.GetService(), Model: m.GetModel(), Wall: m.GetWall(), PromptTokens: m.GetPromptTokens(), OutputTokens: m.GetOutputTokens(),
 			Rank: int(m.GetRank()), DataCentre: m.GetDataCentre(), Exclude: m.GetExclude(), Again: m.GetAgain(),
@@ -282,6 +287,7 @@
 		FetchFrom: p.FetchFrom, SaveTo: p.SaveTo, Ahead: p.Ahead, Queued: p.Queued, Running: int32(p.Running), Full: p.Full,
 		BacklogUs: p.Backlog.Microseconds(), FirstUs: p.FirstToken.Microseconds(),
 		Balance: v.Quota.Balance, Share: v.Quota.Share, RetryUs: v.Quota.RetryAfter.Microseconds(),
+		QuotaPrice: v.Quota.Price, QuotaDraw: v.Quota.Draw, QuotaPriced: v.Quota.Priced, QuotaBooked: v.Quota.Booked, QuotaFinal: v.Quota.Final,
 		PassedOver: p.PassedOver, PassedFor: int32(p.PassedFor), FreeInUs: v.FreeIn.Microseconds(),
 	}
 }
@@ -295,7 +301,10 @@
 			Backlog: micros(m.GetBacklogUs()), FirstToken: micros(m.GetFirstUs()), PassedOver: m.GetPassedOver(), PassedFor: balance.Obstacle(m.GetPassedFor()),
 		},
 		FreeIn: micros(m.GetFreeInUs()),
-		Quota:  quota.Decision{Balance: m.GetBalance(), Share: m.GetShare(), RetryAfter: micros(m.GetRetryUs())},
+		Quota: quota.Decision{
+			Balance: m.GetBalance(), Share: m.GetShare(), RetryAfter: micros(m.GetRetryUs()), Price: m.GetQuotaPrice(), Draw: m.GetQuotaDraw(),
+			Priced: m.GetQuotaPriced(), Booked: m.GetQuotaBooked(), Final: m.GetQuotaFinal(),
+		},
 	}
 }
 
--- a/hosted/quotas.go
+++ b/hosted/quotas.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -26,12 +27,19 @@
 	usageRepeatInterval = 200 * time.Millisecond
 	// repeaters is how many schedulers repeat the reports that they received for one account.
 	repeaters = 2
+	// maxRepeatedBookings bounds the bookings that are sent for a new scheduler: some 10 KB.
+	maxRepeatedBookings = 256
 )
 
 var (
 	quotaPassed   = metrics.GetOrCreateCounter(`sardinedock_quota_requests_total{outcome="passed"}`)
 	quotaRefused  = metrics.GetOrCreateCounter(`sardinedock_quota_requests_total{outcome="refused"}`)
 	quotaWaited   = metrics.GetOrCreateCounter(`sardinedock_quota_requests_total{outcome="waited"}`)
+	quotaPriced   = metrics.GetOrCreateCounter(`sardinedock_quota_requests_total{outcome="priced"}`)
+	bookingsMade  = metrics.GetOrCreateCounter(`sardinedock_quota_bookings_total{outcome="made"}`)
+	bookingsKept  = metrics.GetOrCreateCounter(`sardinedock_quota_bookings_total{outcome="kept"}`)
+	bookingsLate  = metrics.GetOrCreateCounter(`sardinedock_quota_bookings_total{outcome="lapsed"}`)
+	bookingsEarly = metrics.GetOrCreateCounter(`sardinedock_quota_bookings_total{outcome="early"}`)
 	quotaReturned = metrics.GetOrCreateCounter(`sardinedock_quota_requests_total{outcome="returned"}`)
 )
 
@@ -56,6 +64,7 @@
 // that others may have missed, until ctx is done.
 func (i *Instance) followQuotas(ctx context.Context) {
 	repeated := time.Now()
+	var schedulers []string
 	for clock.Sleep(ctx, reachInterval) == nil {
 		now := time.Now()
 		reach := i.reach()
@@ -65,6 +74,11 @@
 			i.repeatUsage(now, repeated)
 			repeated = now
 		}
+		known := i.node.Schedulers()
+		if slices.ContainsFunc(known, func(name string) bool { return !slices.Contains(schedulers, name) }) && i.node.IsScheduler() {
+			i.repeatBookings(now, known)
+		}
+		schedulers = known
 	}
 }
 
@@ -116,6 +130,16 @@
 	repeat(i.statements.limits.Short(now, since), endpointUseMessage)
 }
 
+// repeatBookings sends the open bookings for a scheduler that is new: it would take their callers for
+// newcomers.
+func (i *Instance) repeatBookings(now time.Time, schedulers []string) {
+	for _, b := range i.quotas.OpenBookings(now, maxRepeatedBookings) {
+		if rendezvous.IsAmongFirst(repeaters, b.Account, i.settings.GetInstance(), schedulers) {
+			i.node.ReportQuotaBooking(bookingMessage(now, b))
+		}
+	}
+}
+
 // charge debits the organisation's quota and the endpoint's rate for a run that is sent, and
 // reports both.
 func (p *placer) charge(now time.Time, q balance.Query, endpointID string) {
@@ -124,6 +148,9 @@
 	}
 	if u, ok := p.quotas.Charge(now, uint64(q.Run), q.Charge); ok {
 		quotaPassed.Inc()
+		if u.Redeemed != 0 {
+			bookingsKept.Inc()
+		}
 		p.node.ReportQuotaUse(useMessage(u))
 	}
 }
@@ -141,7 +168,7 @@
 	usage := quota.Usage{
 		Instance: u.GetInstance(), Incarnation: u.GetIncarnation(), Number: u.GetNumber(),
 		Account: u.GetAccount(), Total: u.GetTotal(), Last: u.GetLast(),
-		Short: u.GetShort(), Balance: u.GetBalance(),
+		Short: u.GetShort(), Balance: u.GetBalance(), Redeemed: u.GetRedeemed(),
 	}
 	if u.GetEndpoint() {
 		h.statements.limits.ApplyUsage(time.Now(), usage)
@@ -150,6 +177,18 @@
 	h.quotas.ApplyUsage(time.Now(), usage)
 }
 
+// QuotaBooked implements gossip.Handler.
+func (h receiver) QuotaBooked(b *gossippb.QuotaBooking) {
+	now := time.Now()
+	h.quotas.ApplyBooking(now, quota.Booking{
+		Account: b.GetAccount(), Key: b.GetKey(), Cost: b.GetCost(), Due: now.Add(micros(b.GetDueInUs())),
+	})
+}
+
+func bookingMessage(now time.Time, b quota.Booking) *gossippb.QuotaBooking {
+	return &gossippb.QuotaBooking{Account: b.Account, Key: b.Key, Cost: b.Cost, DueInUs: b.Due.Sub(now).Microseconds()}
+}
+
 // endpointUseMessage is useMessage for the use of an endpoint's rate.
 func endpointUseMessage(u quota.Usage) *gossippb.QuotaUse {
 	m := useMessage(u)
@@ -160,7 +199,7 @@
 func useMessage(u quota.Usage) *gossippb.QuotaUse {
 	return &gossippb.QuotaUse{
 		Instance: u.Instance, Incarnation: u.Incarnation, Number: u.Number, Account: u.Account, Total: u.Total, Last: u.Last,
-		Short: u.Short, Balance: u.Balance,
+		Short: u.Short, Balance: u.Balance, Redeemed: u.Redeemed,
 	}
 }
 
@@ -170,6 +209,16 @@
 		quotaWaited.Inc()
 		return balance.Decision{Admission: balance.Wait, Quota: d}
 	}
-	quotaRefused.Inc()
+	switch {
+	case d.Made != nil:
+		bookingsMade.Inc()
+	case d.Early:
+		bookingsEarly.Inc()
+	}
+	if d.Priced {
+		quotaPriced.Inc()
+	} else {
+		quotaRefused.Inc()
+	}
 	return balance.Decision{Admission: balance.OverQuota, Quota: d}
 }
--- a/quota/book.go
+++ b/quota/book.go
@@ -51,6 +51,8 @@
 	number  uint64
 	charges map[uint64]charged
 	reports map[origin]*report
+	// lapsed counts bookings whose callers did not come, since TakeLapsed.
+	lapsed int
 	// calledAt is the time of the last call.
 	calledAt time.Time
 }
@@ -392,6 +394,9 @@
 			delete(b.reports, key)
 		}
 	}
+	for _, k := range b.buckets {
+		b.lapsed += k.sweepLedger(now)
+	}
 	for name, k := range b.removed {
 		if now.Sub(k.last) > usageTTL {
 			delete(b.removed, name)
@@ -399,6 +404,15 @@
 	}
 }
 
+// TakeLapsed returns how many bookings of this instance have lapsed since its last call, as seen by Sweep.
+func (b *Book) TakeLapsed() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := b.lapsed
+	b.lapsed = 0
+	return n
+}
+
 // Short returns the usage of this instance for all accounts whose balance is low, and that
 // of other instances for them if it arrived after since. Forwarding it reaches schedulers
 // that cannot communicate with its origin directly.
@@ -434,6 +448,14 @@
 	Balance float64 `json:"balance"`
 	Share   float64 `json:"share"`
 	Passed  int64   `json:"passed_here"`
+	// Price is what the price is at the current balance; MaxPrice, at which it admits as if there were none.
+	Price    float64 `json:"price"`
+	MaxPrice float64 `json:"max_price"`
+	// Bookings are those that are open, Booked the cost that they reserve, and BookedMs is the time until a
+	// caller that is refused now could be booked.
+	Bookings int     `json:"bookings"`
+	Booked   float64 `json:"booked"`
+	BookedMs int64   `json:"booked_ms"`
 }
 
 // Views returns the state of all quotas, sorted by account.
@@ -444,6 +466,9 @@
 	for name, k := range b.buckets {
 		k.advance(now)
 		v := View{Account: name, Rate: k.limit.Rate, Burst: k.limit.Burst, Balance: k.level, Share: k.share}
+		v.Price, _ = k.effectivePrice()
+		v.MaxPrice = k.maxPrice()
+		v.Bookings, v.Booked, v.BookedMs = k.ledger.view(now)
 		if u := b.own[name]; u != nil {
 			v.Passed = u.Total
 		}
--- a/quota/booking.go
+++ b/quota/booking.go
@@ -70,7 +70,7 @@
 	// tail is when all booked cost would have been gained at bookedShare of the rate.
 	tail time.Time
 	// lapsed counts this instance's bookings whose callers did not come.
-	lapsed int64
+	lapsed int
 }
 
 type dueSlot struct {
@@ -196,6 +196,34 @@
 	}
 }
 
+// sweepLedger drops an empty ledger, and returns how many bookings have lapsed since the last call.
+func (b *bucket) sweepLedger(now time.Time) (lapsed int) {
+	l := b.ledger
+	if l == nil {
+		return 0
+	}
+	l.expire(now)
+	lapsed, l.lapsed = l.lapsed, 0
+	if len(l.bookings) == 0 && l.tail.Before(now) {
+		b.ledger = nil
+	}
+	return lapsed
+}
+
+// view returns the number of open bookings, what they reserve, and the time until the tail.
+func (l *ledger) view(now time.Time) (open int, reserved float64, tailMs int64) {
+	if l == nil {
+		return 0, 0, 0
+	}
+	l.expire(now)
+	for _, b := range l.bookings {
+		if !b.redeemed {
+			open++
+		}
+	}
+	return open, l.reserved, max(l.tail.Sub(now), 0).Milliseconds()
+}
+
 // seconds converts a number of seconds, at most a day.
 func seconds(s float64) time.Duration {
 	return time.Duration(min(max(s, 0), 86_400) * float64(time.Second))
@@ -231,7 +259,12 @@
 		}
 	}
 	reserved := b.reservedOf(c.Cost)
-	delay := max(wait+seconds(reserved/(rate*bookedShare)), seconds((l.reserved+reserved-b.level)/rate), minBookingDelay)
+	slot := seconds(reserved / (rate * bookedShare))
+	if wait == 0 && l.reserved == 0 {
+		// Nobody else has booked: as soon as the level covers the cost.
+		slot = 0
+	}
+	delay := max(wait+slot, seconds((l.reserved+reserved-b.level)/rate), minBookingDelay)
 	if delay > horizon {
 		return due, false
 	}
