Decide by a record in the store which release began a stream

Cause: after all instances were killed, none has followed the endpoints for as long as a stream may last, so every resumption of that time is refused, although the service has had a single release since long before.

--- a/origin/origin.go
+++ b/origin/origin.go
@@ -3,6 +3,7 @@
 package origin
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -120,6 +121,14 @@
 	Several bool
 }
 
+// Known returns all releases that a service is known to have or to have had lately, each once; listed are those of its
+// endpoints that are listed now.
+func (b *Book) Known(service string, listed []string) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return union(listed, slices.Collect(maps.Keys(b.seen[service])))
+}
+
 // Releases returns what is known of the releases that may have begun a stream of a service which has lasted for at
 // most the given life. listed are those of its endpoints that are listed now.
 func (b *Book) Releases(now time.Time, service string, listed []string, life time.Duration) Releases {
@@ -190,10 +199,14 @@
 	Known
 	// OnlyRelease: the service has had one release only.
 	OnlyRelease
+	// Recorded: the same by the record in the platform's store, since no instance has run for long enough to know it.
+	Recorded
 )
 
 // String implements fmt.Stringer.
-func (r Result) String() string { return [...]string{"unknown", "known", "only release"}[r] }
+func (r Result) String() string {
+	return [...]string{"unknown", "known", "only release", "recorded"}[r]
+}
 
 // Decide returns the release that a stream may go on at, by what several instances know; empty if it must not. from is
 // the instance that knew, empty for this one.
