Followers state which revisions their watch has delivered without a gap

Cause: a follower's revision advances with reads too, which do not show entries that came and went between two of them, and a change is not passed on if a newer one of its entry is known. So a record of all releases can't be based on it.

--- a/directory/follower.go
+++ b/directory/follower.go
@@ -80,6 +80,9 @@
 	// scheduled read finds, and with the revision of the change before it. steady reports
 	// that this instance saw no outage that would make a removal ambiguous.
 	PublishChange func(obj objectapi.Object, before uint64, steady bool)
+	// Delivered, if not nil, is called with each change that this instance's watch delivers, before Changed, also if a
+	// newer one of the same object is known already. It must not block.
+	Delivered func(obj objectapi.Object)
 	// ReachabilityChanged, if not nil, is called with false when the store becomes
 	// unreachable and with true when it answers again.
 	ReachabilityChanged func(bool)
@@ -99,7 +102,10 @@
 	// change of the kind that was seen.
 	revision   objectapi.Version
 	lastChange objectapi.Version
-	listed     bool
+	// span is returned by Span; progress is that of the open watch, or nil.
+	span     Span
+	progress objectapi.Progress
+	listed   bool
 	// readAt is the time of the last read of the kind by any instance, as far as known
 	// here.
 	readAt  time.Time
@@ -319,6 +325,10 @@
 		return
 	}
 	defer w.Close()
+	f.mu.Lock()
+	f.beginSpan(from, w)
+	f.mu.Unlock()
+	defer f.endSpan()
 	for {
 		obj, err := w.Next()
 		if err != nil {
@@ -468,8 +478,12 @@
 	defer f.mu.Unlock()
 	f.answeredLocked(FromWatch)
 	before := f.lastChange
+	if f.cfg.Delivered != nil {
+		f.cfg.Delivered(obj)
+	}
 	f.apply(obj, FromWatch)
 	f.advance(obj.Version)
+	f.span.To = max(f.span.To, obj.Version)
 	if f.cfg.PublishChange == nil {
 		f.publishRevision()
 		return
--- a/directory/follower_test.go
+++ b/directory/follower_test.go
@@ -493,3 +493,31 @@
 		done.Wait()
 	})
 }
+
+// Guards against an instance that vouches for changes which its watch has not delivered: those made between two watches
+// and undone before the next read.
+func TestSpanHasNoGaps(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore("a")
+		var delivered []string
+		_, f := followWith(t, s, time.Hour, func(c *Config) {
+			c.Delivered = func(obj objectapi.Object) { delivered = append(delivered, obj.Name) }
+		})
+		synctest.Wait()
+		s.put("b")
+		synctest.Wait()
+		if got := f.Span(); got != (Span{From: 1, To: 2}) || len(delivered) != 1 {
+			t.Errorf("span %+v, delivered %v", got, delivered)
+		}
+		s.setDown(true)
+		synctest.Wait()
+		s.put("short-lived")
+		s.remove("short-lived")
+		s.setDown(false)
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		if got := f.Span(); got.From <= 2 || len(delivered) != 1 {
+			t.Errorf("span %+v, delivered %v: want a new span, since the changes of the outage were not delivered", got, delivered)
+		}
+	})
+}
--- a/objectapi/store.go
+++ b/objectapi/store.go
@@ -66,3 +66,7 @@
 	// Close ends the watch and unblocks Next.
 	Close()
 }
+
+// Progress is implemented by watches that know the version up to which Next has returned every change. It advances
+// without changes too. It may be called concurrently with Next.
+type Progress interface{ Progress() Version }
--- a/route/table.go
+++ b/route/table.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"slices"
 	"sort"
 	"strings"
 
@@ -108,6 +109,23 @@
 	}
 }
 
+// ResumableServices returns the names of the services with streams that may be resumed, each once.
+func (t *Table) ResumableServices() []string {
+	var names []string
+	for _, routes := range t.byHost {
+		for _, r := range routes {
+			if !r.Resumable {
+				continue
+			}
+			for _, target := range r.Targets {
+				names = append(names, target.Service)
+			}
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
 // CacheStores returns the services that are KV cache stores.
 func (t *Table) CacheStores() []*Service { return t.cacheStores }
 
