Streams continue after all instances were killed, if the store's record shows a single release

What callers saw: after all instances were killed and restarted together, every resumed stream was refused with "it is not known which release began the stream", although the service had had a single release since long before.

Cause: the release of a stream that no instance remembers is certain only to an instance that has followed the endpoints for twice the route's timeout, and no such instance is left.

Change: the first of the schedulers that watch the endpoints writes an origin.Record to the store, at most every 5 s and only if it has changed, with the revision of the object as precondition. An instance that is asked for a stream within that time after its start, and learns nothing from others, reads the record once, and the changes of the endpoints' list since. The stream continues if all of that shows one release, for the life of a stream and 6 s more; in all other cases it is refused as before. A deployment without resumable routes makes no call.

--- a/hosted/dump.go
+++ b/hosted/dump.go
@@ -34,6 +34,8 @@
 	Rates []ratelimit.View `json:"endpoint_rates"`
 	// Streams is the number of streams whose release is known.
 	Streams int `json:"streams"`
+	// Releases is the record, in the store, of the releases that services have had.
+	Releases releasesView `json:"recorded_releases"`
 	// Departures are the endpoints that state that they leave, Pauses those that want no requests from
 	// this instance.
 	Departures []string `json:"endpoints_leaving"`
@@ -69,7 +71,7 @@
 	now := time.Now()
 	d := dump{
 		Instance: i.settings.GetInstance(), Ready: i.Ready(), Leaving: i.leaving.Load(), Open: i.server.Open(),
-		Scheduler: i.node.IsScheduler(), Others: i.node.Schedulers(), Live: i.node.Live(), Lease: i.lease.Dump(), Weights: i.rollout.Wanted(), Quotas: i.quotas.Views(now), Streams: i.origins.book.Streams(), Rates: i.statements.limits.Views(now), Departures: i.statements.departures.Endpoints(), Brittle: i.statements.brittle.Endpoints(), Suspects: i.guard.Views(now), Overload: i.gate.State(), Unreachable: i.paths.Views(now), Endpoints: i.state.Endpoints("", now),
+		Scheduler: i.node.IsScheduler(), Others: i.node.Schedulers(), Live: i.node.Live(), Lease: i.lease.Dump(), Weights: i.rollout.Wanted(), Quotas: i.quotas.Views(now), Streams: i.origins.book.Streams(), Releases: viewReleases(i.recorder, i.origins.record), Rates: i.statements.limits.Views(now), Departures: i.statements.departures.Endpoints(), Brittle: i.statements.brittle.Endpoints(), Suspects: i.guard.Views(now), Overload: i.gate.State(), Unreachable: i.paths.Views(now), Endpoints: i.state.Endpoints("", now),
 	}
 	for _, p := range i.statements.pauses.All(now) {
 		d.Pauses = append(d.Pauses, pausedEndpoint{p.Endpoint, p.Left.Milliseconds()})
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -76,6 +76,7 @@
 	quotas      *quota.Book
 	statements  *statements
 	origins     *origins
+	recorder    *releaseRecorder
 	guard       *gateway.CrashGuard
 	gate        overload.Gate
 	paths       *reachability.Table
@@ -136,7 +137,13 @@
 	if err := i.bind(); err != nil {
 		return nil, err
 	}
-	i.origins = &origins{book: origin.NewBook(s.GetFirstStart()), state: i.state, node: i.node, started: i.started, settled: &i.settled}
+	ctx, cancel := context.WithCancel(context.Background())
+	i.cancel = cancel
+	i.origins = &origins{
+		book: origin.NewBook(s.GetFirstStart()), state: i.state, node: i.node, started: i.started, settled: &i.settled,
+		record: &recordReader{ctx: ctx, store: i.store},
+	}
+	i.recorder = i.newRecorder()
 	i.guard = gateway.NewCrashGuard(s.GetInstance(), i.node.BroadcastNotice)
 	limits := ratelimit.NewLimits(time.Now(), s.GetInstance(), i.incarnation)
 	i.state.SetLimiter(limits)
@@ -150,7 +157,7 @@
 		Broadcaster: i.node, Placer: i.placer, Statements: i.statements, Peers: i, Origins: i.origins, Dialect: platform.Dialect{}, Relay: i.relays.to, PeerRelay: i.peerRelays.to,
 		Started: time.Now(), HeaderBytes: headerBytes, BodyBytes: bodyBytes,
 	})
-	i.startTasks()
+	i.startTasks(ctx)
 	go func() { i.logServeError("callers", i.server.Serve(callersLn)) }()
 	go func() { i.logServeError("forwarded", i.server.ServeForwarded(forwardedLn)) }()
 	ready := &fasthttp.Server{Handler: i.answerReady, NoDefaultServerHeader: true, NoDefaultDate: true}
@@ -219,10 +226,8 @@
 	}
 }
 
-// startTasks starts the background tasks.
-func (i *Instance) startTasks() {
-	ctx, cancel := context.WithCancel(context.Background())
-	i.cancel = cancel
+// startTasks starts the background tasks, which end with ctx.
+func (i *Instance) startTasks(ctx context.Context) {
 	i.lease = lease.NewManager(lease.Config{
 		Store: i.store, Name: leaseName, Self: i.settings.GetInstance(),
 		Length:    milliseconds(i.settings.GetBounds().GetLeaseMs()),
@@ -254,6 +259,7 @@
 	go i.sweep(ctx)
 	go i.watchLag(ctx)
 	go i.followQuotas(ctx)
+	go i.recorder.run(ctx)
 	go i.removeLost(ctx)
 	go i.server.ProbeUnresponsive(ctx)
 	go i.server.ProbePaths(ctx)
@@ -281,10 +287,30 @@
 	if kind == platform.KindEndpoints {
 		cfg.ReachabilityChanged = i.node.ReportStore
 		cfg.MinExpiryOutage = minExpiryOutage(i.bounds.Load())
+		cfg.Delivered = i.recorder.addDelivered
 	}
 	i.followers[kind] = directory.NewFollower(cfg)
 }
 
+// newRecorder returns the writer of the record of releases.
+func (i *Instance) newRecorder() *releaseRecorder {
+	return &releaseRecorder{
+		store: i.store,
+		isWriter: func() bool {
+			return i.settled.Load() && !i.leaving.Load() && i.isAmongFirst(platform.KindEndpoints, 1)
+		},
+		services: func() []string {
+			t := i.table.Load()
+			if t == nil {
+				return nil
+			}
+			return t.ResumableServices()
+		},
+		listed: i.state.Releases,
+		span:   func() directory.Span { return i.followers[platform.KindEndpoints].Span() },
+	}
+}
+
 // readInterval returns the time between two reads of a kind by the whole fleet.
 func readInterval(kind string) time.Duration {
 	switch kind {
--- a/hosted/origins.go
+++ b/hosted/origins.go
@@ -33,6 +33,7 @@
 	started time.Time
 	// settled is Instance.settled.
 	settled *atomic.Bool
+	record  *recordReader
 }
 
 // Began implements gateway.Origins.
@@ -50,7 +51,19 @@
 	for until := time.Now().Add(originWait); len(answers) == 0 && o.isNew() && time.Now().Before(until) && clock.Sleep(ctx, originPoll) == nil; {
 		answers = o.ask(ctx, service, k, life)
 	}
-	return origin.Decide(append(answers, o.answer(service, k, life)))
+	answers = append(answers, o.answer(service, k, life))
+	if release, result, from = origin.Decide(answers); result != origin.Unknown || !origin.Uninformed(answers) {
+		return release, result, from
+	}
+	// Only instances that have started within the life of a stream get here, since all others know which releases there were.
+	listed := o.state.Releases(service)
+	if len(listed) == 0 {
+		return "", origin.Unknown, ""
+	}
+	if release = o.record.certain(ctx, service, o.book.Known(service, listed), life); release == "" {
+		return "", origin.Unknown, ""
+	}
+	return release, origin.Recorded, ""
 }
 
 // isNew reports whether this instance may not have received messages of the others yet.
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -208,6 +208,11 @@
 	return [...]string{"unknown", "known", "only release", "recorded"}[r]
 }
 
+// Uninformed reports whether no instance knows anything of a stream, nor of the releases that may have begun it.
+func Uninformed(answers []Answer) bool {
+	return !slices.ContainsFunc(answers, func(a Answer) bool { return a.Release != "" || a.Only != "" || a.Several })
+}
+
 // Decide returns the release that a stream may go on at, by what several instances know; empty if it must not. from is
 // the instance that knew, empty for this one.
 //
