A record of releases stays true when clocks are set, and for an instance that hears from no other

Cause 1: a writer whose clock is set back records a time before the change of a release, so that the release seems to have been the only one for longer than it was. Only the time of the last write bounded that. Cause 2: an instance that has started with all others uses the changes of the endpoints' list that it has read once. If no other instance reaches it, nobody tells it of endpoints that come and go later.

Change: origin.Clock never falls behind the monotonic clock and notices steps forward. An instance to which no other answers uses what it has read for 1 s, and then the changes since are read too; for all others it stays one read.

--- a/hosted/origins.go
+++ b/hosted/origins.go
@@ -51,6 +51,7 @@
 	for until := time.Now().Add(originWait); len(answers) == 0 && o.isNew() && time.Now().Before(until) && clock.Sleep(ctx, originPoll) == nil; {
 		answers = o.ask(ctx, service, k, life)
 	}
+	alone := len(answers) == 0
 	answers = append(answers, o.answer(service, k, life))
 	if release, result, from = origin.Decide(answers); result != origin.Unknown || !origin.Uninformed(answers) {
 		return release, result, from
@@ -60,7 +61,7 @@
 	if len(listed) == 0 {
 		return "", origin.Unknown, ""
 	}
-	if release = o.record.certain(ctx, service, o.book.Known(service, listed), life); release == "" {
+	if release = o.record.certain(ctx, service, o.book.Known(service, listed), life, alone); release == "" {
 		return "", origin.Unknown, ""
 	}
 	return release, origin.Recorded, ""
--- a/hosted/releases.go
+++ b/hosted/releases.go
@@ -32,6 +32,9 @@
 	// the store does not answer.
 	recordWait  = 300 * time.Millisecond
 	recordRetry = 2 * time.Second
+	// recordAgeAlone is for how long an instance that hears from no other uses the changes that it has read. It is not told
+	// of endpoints that come and go, and others may begin streams there.
+	recordAgeAlone = time.Second
 	// maxLoggedServices bounds the services in one log line.
 	maxLoggedServices = 5
 )
@@ -58,8 +61,9 @@
 	delivered origin.Delivered
 	// lags counts the checks in which the watch was behind the record's revision.
 	lags int
-	// checkedAt is the time of the last record, by the wall clock and a monotonic one.
+	// checkedAt is when clock was read last.
 	checkedAt time.Time
+	clock     origin.Clock
 
 	mu sync.Mutex
 	// loaded is set while record and version are those of the stored object, as far as known here.
@@ -111,12 +115,14 @@
 	for _, service := range services {
 		o.Listed[service] = r.listed(service)
 	}
-	o.Now = time.Now()
-	if !r.checkedAt.IsZero() && origin.ClockStepped(o.Now.Round(0).Sub(r.checkedAt.Round(0)), o.Now.Sub(r.checkedAt)) {
+	now, stepped := time.Now(), false
+	// Without Round, the time of the wall clock would be compared by the monotonic one.
+	o.Now, stepped = r.clock.Advance(now.Round(0), now.Sub(r.checkedAt))
+	r.checkedAt = now
+	if stepped {
 		log.Warn("clock set forward: the times since when services have one release start anew")
 		o.Whole = false
 	}
-	r.checkedAt = o.Now
 	if next := record.Next(o); !next.Same(r.record) {
 		r.write(ctx, next)
 	}
@@ -241,7 +247,8 @@
 	return endpointChanges{releases, uint64(asOf)}, nil
 }
 
-// recordReader reads the record of releases once for an instance that was restarted with all others.
+// recordReader reads the record of releases for an instance that was restarted with all others: once, and the changes since
+// again only while the instance hears from no other.
 type recordReader struct {
 	ctx   context.Context
 	store *platform.Store
@@ -249,29 +256,39 @@
 	mu sync.Mutex
 	// pending is closed at the end of the read in progress; nil if there is none.
 	pending chan struct{}
-	// done is set once the store has answered; outcome is that of the last read, which failed at failedAt otherwise.
-	done     bool
-	outcome  string
-	failedAt time.Time
-	record   origin.Record
-	changes  endpointChanges
+	// done is set once the store has answered; outcome is that of the last read, which began at readAt. The last one that
+	// failed ended at failedAt.
+	done             bool
+	outcome          string
+	readAt, failedAt time.Time
+	record           origin.Record
+	changes          endpointChanges
 }
 
 // certain returns the release that began every stream of a service which has lasted for at most the given life, by the
 // record; empty if that is not certain, or not known within recordWait. known are the releases that this instance knows.
-func (r *recordReader) certain(ctx context.Context, service string, known []string, life time.Duration) string {
-	if !r.await(ctx) {
+// alone states that this instance hears from no other.
+func (r *recordReader) certain(ctx context.Context, service string, known []string, life time.Duration, alone bool) string {
+	if !r.await(ctx, alone) {
 		return ""
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	return r.record.Certain(time.Now(), service, r.changes.releases[service], known, life)
 }
 
-// await reads the record unless that was done, and reports whether it was.
-func (r *recordReader) await(ctx context.Context) bool {
+// isCurrent reports whether what was read can be used. Without a record nothing is certain, and nothing is read again. The
+// caller must hold r.mu.
+func (r *recordReader) isCurrent(alone bool) bool {
+	return r.done && (!alone || r.record.Revision == 0 || time.Since(r.readAt) < recordAgeAlone)
+}
+
+// await reads what is missing, and reports whether all is there.
+func (r *recordReader) await(ctx context.Context, alone bool) bool {
 	r.mu.Lock()
-	if r.done || !r.failedAt.IsZero() && time.Since(r.failedAt) < recordRetry {
+	if current := r.isCurrent(alone); current || !r.failedAt.IsZero() && time.Since(r.failedAt) < recordRetry {
 		defer r.mu.Unlock()
-		return r.done
+		return current
 	}
 	if r.pending == nil {
 		r.pending = make(chan struct{})
@@ -288,13 +305,17 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.done
+	return r.isCurrent(alone)
 }
 
-// read reads the record and the changes since. Each call to the store has its own timeout.
+// read reads the record, unless that was done, and the changes since the last read. Each call to the store has its own
+// timeout.
 func (r *recordReader) read() {
 	began := time.Now()
-	record, changes, err := readRecord(r.ctx, r.store)
+	r.mu.Lock()
+	record, changes := r.record, r.changes
+	r.mu.Unlock()
+	record, changes, err := readRecord(r.ctx, r.store, record, changes)
 	outcome := readOutcome(err)
 	recordReads(outcome).Inc()
 	line := log.WithFields(log.Fields{
@@ -306,18 +327,21 @@
 	line.Info("record of releases read, for a stream that no instance knows")
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.outcome = outcome
-	if outcome == "failed" {
+	if outcome == readFailed {
 		r.failedAt = time.Now()
 	} else {
-		r.done, r.record, r.changes = true, record, changes
+		r.done, r.readAt, r.record, r.changes = true, began, record, changes
 	}
+	r.outcome = outcome
 	close(r.pending)
 	r.pending = nil
 }
 
-// readOutcome classifies the error of a read. After any other outcome than "failed", reading again would bring nothing new:
-// the object is written anew with the current time.
+// readFailed is the outcome of a read that the store did not answer.
+const readFailed = "failed"
+
+// readOutcome classifies the error of a read. After any other outcome than readFailed, reading the object again would bring
+// nothing new: it is written anew with the current time.
 func readOutcome(err error) string {
 	switch {
 	case err == nil:
@@ -329,26 +353,34 @@
 	case fault.Is(err, fault.Expired):
 		return "history gone"
 	}
-	return "failed"
+	return readFailed
 }
 
-// readRecord reads the record and the changes since its revision. On an error the record is empty.
-func readRecord(ctx context.Context, store *platform.Store) (origin.Record, endpointChanges, error) {
-	obj, err := store.Get(ctx, kindReleases, releasesName)
-	if err != nil {
-		return origin.Record{}, endpointChanges{}, err
-	}
-	record, err := origin.DecodeRecord(obj.Value)
-	if err != nil {
-		return origin.Record{}, endpointChanges{}, err
+// readRecord reads the record, unless an earlier read has brought one, and adds the changes since its revision or since the
+// earlier read. On an error the record is empty.
+func readRecord(ctx context.Context, store *platform.Store, record origin.Record, before endpointChanges) (origin.Record, endpointChanges, error) {
+	if record.Revision == 0 {
+		obj, err := store.Get(ctx, kindReleases, releasesName)
+		if err != nil {
+			return origin.Record{}, endpointChanges{}, err
+		}
+		if record, err = origin.DecodeRecord(obj.Value); err != nil {
+			return origin.Record{}, endpointChanges{}, err
+		}
+		before.asOf = record.Revision
 	}
-	changes, err := readChanges(ctx, store, record.Revision)
-	if err == nil && changes.asOf < record.Revision {
-		err = fault.New(fault.Invalid, "none: it is written anew", "record of releases at revision %d, the store is at %d", record.Revision, changes.asOf)
+	changes, err := readChanges(ctx, store, before.asOf)
+	if err == nil && changes.asOf < before.asOf {
+		err = fault.New(fault.Invalid, "none: it is written anew", "releases are known up to revision %d, the store is at %d", before.asOf, changes.asOf)
 	}
 	if err != nil {
 		return origin.Record{}, endpointChanges{}, err
 	}
+	for service, releases := range before.releases {
+		all := slices.Concat(changes.releases[service], releases)
+		slices.Sort(all)
+		changes.releases[service] = slices.Compact(all)
+	}
 	return record, changes, nil
 }
 
--- a/origin/record.go
+++ b/origin/record.go
@@ -144,9 +144,23 @@
 	return only
 }
 
-// ClockStepped reports whether the wall clock was set forward between two readings, by how far it and a monotonic clock
-// have advanced. A time recorded before the step is then too early.
-func ClockStepped(wall, monotonic time.Duration) bool { return wall-monotonic > ClockTolerance }
+// Clock gives a writer the times of its records while the wall clock may be set. Its zero value is ready to use.
+type Clock struct{ last time.Time }
+
+// Advance returns the time by the wall clock, when a monotonic one has advanced by elapsed since the call before. It never
+// falls behind the monotonic clock: a wall clock that was set back would make a release seem older than it is. stepped is
+// set if the wall clock was set forward, so that times recorded before may be too early.
+func (c *Clock) Advance(wall time.Time, elapsed time.Duration) (now time.Time, stepped bool) {
+	now = wall
+	if expected := c.last.Add(elapsed); !c.last.IsZero() {
+		stepped = wall.Sub(expected) > ClockTolerance
+		if wall.Before(expected) {
+			now = expected
+		}
+	}
+	c.last = now
+	return now, stepped
+}
 
 // union returns the elements of all lists, sorted, each once.
 func union(lists ...[]string) []string {
