--- a/hosted/releases_test.go
+++ b/hosted/releases_test.go
@@ -110,6 +110,7 @@
 		"record unreadable":          {nothing, func(s *platformtest.Store) { s.Put(kindReleases, releasesName, []string{"x"}) }, nothing, 503},
 		"one release for a moment":   {nothing, func(s *platformtest.Store) { putRecord(s, 1, time.Second) }, nothing, 503},
 		"clock of the writer jumped": {nothing, func(s *platformtest.Store) { putRecord(s, 1, -time.Hour) }, nothing, 503},
+		"store replaced":             {nothing, func(s *platformtest.Store) { putRecord(s, 1<<40, time.Hour) }, nothing, 503},
 		"store away":                 {nothing, nothing, func(s *platformtest.Store) { s.Refuse(503) }, 503},
 	} {
 		t.Run(name, func(t *testing.T) {
