--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -47,6 +47,8 @@
 	Lines, Truncated, Dropped int
 	// Unfinished lists the instances whose log does not end with a "stopped" event.
 	Unfinished []string
+	// Resumed counts the streams that callers resumed by how the release that began them was found; see origin.Result.
+	Resumed map[string]int
 
 	// stoppedLast reports by instance whether the last line read is its "stopped" event.
 	stoppedLast map[string]bool
@@ -71,6 +73,8 @@
 	DroppedBefore  int       `json:"dropped_before"`
 	// ForwardedFor is set in the second line of a request that another instance forwarded.
 	ForwardedFor string `json:"forwarded_for"`
+	// BoundBy is the instance that knew the release of a resumed stream, and how.
+	BoundBy string `json:"bound_by"`
 }
 
 // stopped is the event of the last line that an instance logs.
@@ -80,7 +84,7 @@
 // log collectors add prefixes; truncated lines are counted in Truncated.
 func (l *Log) Read(r io.Reader) error {
 	if l.stoppedLast == nil {
-		l.stoppedLast = map[string]bool{}
+		l.stoppedLast, l.Resumed = map[string]bool{}, map[string]int{}
 	}
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(nil, maxLine)
@@ -110,6 +114,9 @@
 	}
 	if w.Event == "request" && w.ForwardedFor == "" {
 		l.Requests = append(l.Requests, w.request())
+		if _, how, ok := strings.Cut(w.BoundBy, ": "); ok {
+			l.Resumed[how]++
+		}
 	}
 }
 
--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -8,7 +8,7 @@
 )
 
 const logText = `   1.0 box {"at":"2026-01-01T10:00:00.500Z","event":"request","instance":"a","ms":100,"route":"draft","status":200,"sends":1,"waited_ms":20,"first_ms":60,"uncached":900,"shared_read":300,"ahead":50}
-{"at":"2026-01-01T10:00:00.900Z","event":"request","instance":"a","ms":300,"route":"draft","status":200,"sends":1,"waited_ms":0,"first_ms":250,"uncached":10}
+{"at":"2026-01-01T10:00:00.900Z","event":"request","instance":"a","ms":300,"route":"draft","status":200,"sends":1,"waited_ms":0,"first_ms":250,"uncached":10,"bound_by":"a: recorded"}
 {"at":"2026-01-01T10:00:02.700Z","event":"request","instance":"b","ms":100,"route":"draft","status":503,"sends":0,"waited_ms":100,"waited_memory_ms":90,"why":"the endpoints of x are 10ms behind"}
 {"at":"2026-01-01T10:00:02.800Z","event":"request","instance":"b","ms":5,"route":"draft","status":503,"sends":0,"waited_ms":0,"why":"the endpoints of x are 900ms behind","dropped_before":7}
 collector started
@@ -33,7 +33,7 @@
 	}
 	var out bytes.Buffer
 	l.Write(&out, Options{Window: 2 * time.Second, Slow: 200 * time.Millisecond, Worst: 1})
-	for _, want := range []string{"1 lines break off", "7 lines were dropped", "no word of the end of: [a]", "2.0  1.000"} {
+	for _, want := range []string{"1 lines break off", "7 lines were dropped", "no word of the end of: [a]", "2.0  1.000", "recorded 1\n"} {
 		if !strings.Contains(out.String(), want) {
 			t.Errorf("%q is missing in\n%s", want, out.String())
 		}
--- a/internal/account/table.go
+++ b/internal/account/table.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"text/tabwriter"
 	"time"
@@ -102,6 +103,13 @@
 	if len(l.Unfinished) > 0 {
 		fmt.Fprintf(out, "no word of the end of: %v\n", l.Unfinished)
 	}
+	if len(l.Resumed) > 0 {
+		fmt.Fprint(out, "streams resumed by callers, by how their release was found:")
+		for _, how := range slices.Sorted(maps.Keys(l.Resumed)) {
+			fmt.Fprintf(out, " %s %d", how, l.Resumed[how])
+		}
+		fmt.Fprintln(out)
+	}
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	defer func() { _ = w.Flush() }()
 	header(w, "route")
