Restart tests: streams last longer than the test after the restart too

The records that the tests write after a restart had the default timeout of 2 s, so that after 4 s an instance knew the only release by its own experience and the cases were no longer decided by the record.

--- a/hosted/releases_test.go
+++ b/hosted/releases_test.go
@@ -28,8 +28,14 @@
 	s.Remove("servers", "short-lived")
 }
 
+// longStreams lets streams last for so long that no instance knows by its own experience which releases there were.
+func longStreams(records map[string]any) {
+	for _, r := range records["routes"].([]any) {
+		r.(map[string]any)["timeoutMs"] = 60_000
+	}
+}
+
 // restartFixture starts instances before two endpoints of release v1, in whose store an earlier life has left a record.
-// Streams may last for so long that no instance knows by its own experience which releases there were.
 func restartFixture(t *testing.T, instances int) *fixture {
 	f := newFixture(t, 0)
 	putRecord(f.store, 1, time.Hour)
@@ -38,11 +44,7 @@
 	for k := range instances {
 		f.start(fmt.Sprintf("instance-%d", k))
 	}
-	f.serve(2, func(records map[string]any) {
-		for _, r := range records["routes"].([]any) {
-			r.(map[string]any)["timeoutMs"] = 60_000
-		}
-	})
+	f.serve(2, longStreams)
 	f.awaitPeers()
 	return f
 }
@@ -58,7 +60,7 @@
 	for k := range killed {
 		f.start(fmt.Sprintf("instance-%d", k))
 	}
-	f.serve(2, nil)
+	f.serve(2, longStreams)
 	f.awaitPeers()
 }
 
