Concurrency limits and fair shares of a service's slots; refusals at once

Endpoints that report no load were sent everything that arrived. balance.State.Decide now sends a request with a latency target to an endpoint below its concurrency limit. If all are at their limits, only a request whose organisation or rank is under its share is sent, up to half of the slots beyond the limit; all others are refused at once with 503 and Retry-After. Retries of requests that have run, requests without a target and resumed streams are not refused. The scheduler derives from the ends of runs when each got its slot, so that waiting behind others' long requests is not charged to short ones. Ask carries a hash of the organisation, Decision the reason of a refusal.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -59,6 +59,8 @@
 	PromptTokens, OutputTokens int64
 	// Rank is the request's priority at the endpoint; 0 is the most urgent.
 	Rank int
+	// Organisation is a hash of the name of the organisation; 0 for none.
+	Organisation uint32
 	// DataCentre of the sending instance.
 	DataCentre string
 	// Exclude lists the IDs of endpoints that have been tried already.
@@ -111,6 +113,10 @@
 	PassedFor  Obstacle
 	// pauseLeft is the time until the first pause ends, if all endpoints pause.
 	pauseLeft time.Duration
+	// load is that of the endpoints that could take a request with an allowance. aboveLimit is set if all of them
+	// are at their limits.
+	load       poolLoad
+	aboveLimit bool
 }
 
 // Obstacle is what an endpoint has stated that keeps a request from it.
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -66,10 +66,15 @@
 // arrive while some endpoints are slow, loading or down: a choice by cached parts alone
 // overloads the endpoint that has a hot prefix, and one by load alone makes every endpoint
 // read every prefix.
-func (s *State) Choose(now time.Time, a Ask) (Placement, bool) {
+func (s *State) Choose(now time.Time, a Ask) (Placement, bool) { return s.choose(now, a, nil) }
+
+// choose is Choose for a request with an allowance, which is sent to an endpoint below its limit if there is one. If
+// the endpoints that could take the request are at their limits, and the allowance leaves no room there, load of the
+// placement says so.
+func (s *State) choose(now time.Time, a Ask, allow *allowance) (Placement, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := chooser{accepts: s.accepts, hasRoom: s.hasRoom, limits: s.limits, paused: pausedSet(a.Paused), serviceFailures: s.failures[a.Service], ask: a, now: now, keys: map[int64][]prefix.PartKey{}, targets: s.desired[a.Model], tooOld: s.staleBound * staleShare / 100}
+	c := chooser{allow: allow, accepts: s.accepts, hasRoom: s.hasRoom, limits: s.limits, paused: pausedSet(a.Paused), serviceFailures: s.failures[a.Service], ask: a, now: now, keys: map[int64][]prefix.PartKey{}, targets: s.desired[a.Model], tooOld: s.staleBound * staleShare / 100}
 	list := s.byService[a.Service]
 	if a.Release == "" && s.hasSeveralReleases(a.Service) {
 		c.countReleases(list)
@@ -80,10 +85,15 @@
 		c.consider(e, s.bestSource(&c, list, e))
 	}
 	c.considerLimited(s.sizesOf(a.Service).smaller(a.PromptTokens + a.OutputTokens))
+	aboveLimit := c.best.endpoint == nil && c.atLimit.endpoint != nil
+	if aboveLimit {
+		c.best = c.atLimit
+	}
 	if c.best.endpoint == nil {
 		return c.unplaced(), false
 	}
 	p := c.placement()
+	p.load, p.aboveLimit = c.load, aboveLimit
 	p.SaveTo = s.saveTo(&c, p)
 	rate := s.rateOf(c.best.endpoint)
 	p.Backlog = tokenTime(p.Ahead, rate)
@@ -234,6 +244,12 @@
 	temporary bool
 
 	best candidate
+
+	// allow is set if the request observes the limits of endpoints. load is then that of the endpoints that could
+	// take it, and atLimit the cheapest of those at their limits that have room for it all the same.
+	allow   *allowance
+	load    poolLoad
+	atLimit candidate
 }
 
 // candidate is an endpoint that can run the request.
@@ -267,9 +283,22 @@
 		c.temporary = true
 		return
 	}
+	full := false
+	if c.allow != nil {
+		excess := c.allow.excess(e)
+		full = excess >= 0
+		c.load.add(e, c.allow.limit(e), full)
+		if full && excess >= c.allow.beyond(e) {
+			return
+		}
+	}
 	cost, uncached, fetch := c.cost(e, from)
 	found := candidate{endpoint: e, cost: cost, version: c.version, full: c.full, uncached: uncached, fetch: fetch}
 	switch {
+	case full:
+		if c.atLimit.endpoint == nil || cost < c.atLimit.cost {
+			c.atLimit = found
+		}
 	case c.limits.Limited(e.ID):
 		c.limited = append(c.limited, found)
 	case c.best.endpoint == nil || cost < c.best.cost:
@@ -306,6 +335,8 @@
 // set only if what endpoints have stated is the only reason.
 func (c *chooser) unplaced() Placement {
 	switch {
+	case c.load.full > 0:
+		return Placement{load: c.load}
 	case c.temporary:
 		return Placement{}
 	case c.overLimit.endpoint != nil:
--- a/balance/decide.go
+++ b/balance/decide.go
@@ -31,15 +31,37 @@
 	// Quota is the quota's decision if the request is OverQuota.
 	Quota quota.Decision
 	// FreeIn is the time until an endpoint can take a request that is Paused, or AtLimit, counting the
-	// requests refused before it; 0 for a retry AtLimit.
+	// requests refused before it; 0 for a retry AtLimit. With a Refusal, it is the time for which a run has a slot.
 	FreeIn time.Duration
+	// Refusal is set if the request is refused since the endpoints that could run it are at their concurrency limits.
+	Refusal Refusal
+	// AboveLimit is set if it is sent although they are.
+	AboveLimit bool
 }
 
 // Decide chooses an endpoint and decides whether the request is sent now. A request that is
 // sent is counted at the endpoint at once, so that the next decision takes it into account.
 func (s *State) Decide(now time.Time, q Query) Decision {
-	p, ok := s.Choose(now, q.Ask)
+	allow := s.allow(now, q)
+	v := s.decide(now, q, allow)
+	if allow != nil && v.Admission != Wait {
+		s.decided(now, allow, v)
+	}
+	return v
+}
+
+// decided records the outcome of a request with an allowance in its service's shares.
+func (s *State) decided(now time.Time, a *allowance, v Decision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a.capacity.shares.Decided(now, a.charge.flow, a.charge.expected, a.standing, v.Admission == Send)
+}
+
+func (s *State) decide(now time.Time, q Query, allow *allowance) Decision {
+	p, ok := s.choose(now, q.Ask, allow)
 	switch {
+	case !ok && p.load.full > 0:
+		return Decision{Admission: Refuse, Refusal: allow.refusal(p.load), FreeIn: p.load.hold}
 	case !ok && p.PassedFor == RateLimit:
 		return s.refuseAtLimit(now, q, p)
 	case !ok && p.PassedFor == Pause:
@@ -48,7 +70,7 @@
 	if !ok {
 		return Decision{Admission: s.unplaced(q.Ask)}
 	}
-	v := Decision{Admission: Send, Found: true, Placement: p}
+	v := Decision{Admission: Send, Found: true, Placement: p, AboveLimit: p.aboveLimit}
 	if q.Model != "" && q.Target > 0 {
 		v.Admission = Admit(Timing{
 			Target: q.Target, Patience: q.Patience, Elapsed: q.Elapsed,
@@ -56,7 +78,11 @@
 		})
 	}
 	if v.Admission == Send {
-		s.started(now, StartOf(q, p), true)
+		var c *charge
+		if allow != nil {
+			c = &allow.charge
+		}
+		s.started(now, StartOf(q, p), true, c)
 	}
 	return v
 }
--- a/balance/runs.go
+++ b/balance/runs.go
@@ -3,19 +3,21 @@
 import "time"
 
 // Started records a run that another instance has placed.
-func (s *State) Started(now time.Time, st Start) { s.started(now, st, false) }
+func (s *State) Started(now time.Time, st Start) { s.started(now, st, false, nil) }
 
-// started records a run. decided is set if this instance has placed it.
-func (s *State) started(now time.Time, st Start, decided bool) {
+// started records a run. decided is set if this instance has placed it, c if it counts in its service's shares.
+func (s *State) started(now time.Time, st Start, decided bool, c *charge) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e, ok := s.endpoints[st.Endpoint]
 	if _, twice := s.runs[st.Run]; !ok || twice {
 		return
 	}
-	r := &run{Start: st, on: e, at: now, ahead: e.reading.ahead(st.Rank), decided: decided}
+	r := &run{Start: st, on: e, at: now, ahead: e.reading.ahead(st.Rank), decided: decided, charge: c}
 	s.runs[st.Run] = r
 	e.running++
+	r.beside = e.running
+	e.occupy(now, r)
 	if decided {
 		e.decided++
 		e.decidedAt = now
@@ -58,6 +60,9 @@
 		return
 	}
 	s.measure(e, r, now.Sub(r.at))
+	if r.Model != "" {
+		e.limit.FirstToken(s.limitRun(now, e, r))
+	}
 	r.answered = true
 	e.reading.add(r.Rank, -r.Uncached)
 	s.recordRead(e, r)
@@ -86,6 +91,9 @@
 		e.decided--
 	}
 	e.release(r)
+	s.observeLimit(now, e, r, stage)
+	s.settle(now, e, r, stage)
+	e.vacate(now, r)
 	if !r.answered {
 		e.reading.add(r.Rank, -r.Uncached)
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/sardinedock/sardinedock/concurrency"
 	"github.com/sardinedock/sardinedock/prefix"
 )
 
@@ -32,9 +33,15 @@
 	// it fails if it has to reject too many requests.
 	leaving, brittle func(endpoint string) bool
 	// turn returns this instance's part in decisions on a brittle endpoint.
-	turn      func(endpoint, service string) Turn
-	pools     map[string]Pool
-	endpoints map[string]*endpoint
+	turn func(endpoint, service string) Turn
+	// known returns the share of the fleet whose runs are known; knownValue is what it returned at knownAt.
+	known      func() float64
+	knownValue float64
+	knownAt    time.Time
+	// capacities is the use of the slots of each service that has had a request with a latency target.
+	capacities map[string]*capacity
+	pools      map[string]Pool
+	endpoints  map[string]*endpoint
 	// departed are the endpoints that are no longer listed, kept in case they return.
 	departed  map[string]*endpoint
 	byService map[string][]*endpoint
@@ -114,6 +121,11 @@
 	// measured the number of measurements.
 	rate     float64
 	measured int
+	// limit bounds the requests at the endpoint. waiting are those of the running ones that have no slot there yet, in
+	// order, and waitingWork their expected time in a slot, in seconds.
+	limit       concurrency.Limit
+	waiting     []*run
+	waitingWork float64
 }
 
 type modelCache struct {
@@ -132,6 +144,13 @@
 	decided bool
 	// ahead is the prompt work that was queued at the endpoint before this run's.
 	ahead int64
+	// beside is the number of requests at the endpoint when the run was sent, with itself.
+	beside int
+	// slotAt is when the run got a slot; zero while it waits for one. work is its expected time in a slot, in seconds.
+	slotAt time.Time
+	work   float64
+	// charge is what the run counts in its service's shares, if this instance has placed it.
+	charge *charge
 }
 
 // desired is a version of a model's weights that operators have named, and when this
@@ -149,6 +168,8 @@
 		leaving:         func(string) bool { return false },
 		brittle:         func(string) bool { return false },
 		turn:            alone,
+		known:           func() float64 { return 1 },
+		capacities:      map[string]*capacity{},
 		staleBound:      staleBound,
 		desired:         map[string][]desired{},
 		stores:          map[string]*cacheStore{},
@@ -484,6 +505,16 @@
 	// StatedLeaving endpoints have stated that they leave; they count as draining.
 	StatedLeaving bool    `json:"stated_leaving"`
 	FailureRate   float64 `json:"failure_share"`
+	// Limit is how many requests the endpoint may have at once, for requests with a latency target.
+	Limit int `json:"limit"`
+}
+
+// targetOf returns the tightest latency target of a service's last requests. The caller must hold s.mu.
+func (s *State) targetOf(service string) time.Duration {
+	if c := s.capacities[service]; c != nil {
+		return c.targets.value()
+	}
+	return 0
 }
 
 // Endpoints returns the state of each endpoint of a service, or of all services if the name
@@ -496,7 +527,7 @@
 		if service != "" && e.Service != service {
 			continue
 		}
-		v := View{e.Endpoint, e.running, e.reading.total(), e.memory, now.Before(e.avoidUntil), now.Before(e.suspectUntil), s.leaving(e.ID), e.failures}
+		v := View{e.Endpoint, e.running, e.reading.total(), e.memory, now.Before(e.avoidUntil), now.Before(e.suspectUntil), s.leaving(e.ID), e.failures, e.limit.Value(e.Slots, s.targetOf(e.Service))}
 		v.Draining = !s.accepts(e)
 		list = append(list, v)
 	}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	"github.com/sardinedock/sardinedock/balance"
 	"github.com/sardinedock/sardinedock/fault"
 	"github.com/sardinedock/sardinedock/quota"
@@ -125,6 +127,11 @@
 		return fault.WithRetryAfter(err, v.FreeIn)
 	case v.Admission == balance.Paused:
 		return s.awaitPause(now, s.until, v)
+	case v.Refusal.Reason != balance.NotRefused:
+		s.refusal = &v.Refusal
+		s.decidedBy = v.Placement.PlacedBy
+		err := fault.New(fault.Overloaded, "send the request again later", "the slots of %s are in use: %d requests, limit %d", s.service.Name, v.Refusal.InUse, v.Refusal.Limit)
+		return fault.WithRetryAfter(err, v.FreeIn)
 	case v.Admission == balance.Refuse:
 		behind := v.Placement.Backlog
 		err := fault.New(fault.Overloaded, "send the request again later", "the endpoints of %s are %v behind", s.service.Name, behind)
@@ -242,21 +249,27 @@
 		Rank: r.priority(), OutputTokens: r.call.OutputTokens,
 	}}
 	if r.organisation != nil {
+		q.Organisation = organisationHash(r.organisation.Name)
 		q.Charge = quota.Charge{
 			Account: r.organisation.Name, Tokens: r.call.PromptTokens + r.call.OutputTokens, Sized: r.call.Sized,
 		}
 	}
+	if r.route.TargetLatency > 0 && r.release == "" {
+		q.Target = r.route.TargetLatency
+	}
 	if r.service.Engine == nil {
 		return q
 	}
 	q.Model, q.Wall, q.Parts, q.PromptTokens = r.call.Model, r.wall(), r.call.Parts, r.call.PromptTokens
-	if r.route.TargetLatency > 0 && r.release == "" {
-		q.Target = r.route.TargetLatency
+	if q.Target > 0 {
 		q.Patience = min(r.deadline.Sub(r.began), r.route.StreamIdleTimeout())
 	}
 	return q
 }
 
+// organisationHash returns the hash by which schedulers tell organisations apart; it is never 0.
+func organisationHash(name string) uint32 { return max(1, uint32(xxh3.HashString(name))) }
+
 // wall returns the name of the group whose requests may share cached prompt parts with this one:
 // the organisation alone if it is isolated, otherwise all others together.
 func (r *request) wall() string {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -98,6 +98,9 @@
 	// did, or empty for this instance.
 	quota     *quota.Decision
 	decidedBy string
+	// refusal is set if the request was refused since all endpoints were at their concurrency limits; decidedBy as
+	// above.
+	refusal *balance.Refusal
 	// passedOver is set on a refused request: the endpoint that would have been chosen but for what it
 	// has stated, and passedFor what that is.
 	passedOver string
@@ -430,6 +433,10 @@
 		f["cost"], f["balance"], f["share"] = q.Cost, int64(q.Balance), q.Share
 		f["retry_ms"], f["decided_by"] = q.RetryAfter.Milliseconds(), r.decidedBy
 	}
+	if v := r.refusal; v != nil {
+		f["limit"], f["in_use"], f["over_share"] = v.Limit, v.InUse, v.Reason.OverShare()
+		f["priority"], f["decided_by"] = r.priority(), r.decidedBy
+	}
 	if r.lastErr != nil {
 		f["why"] = r.lastErr.Error()
 	}
--- /dev/null
+++ b/hosted/capacity.go
@@ -0,0 +1,51 @@
+package hosted
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/sardinedock/sardinedock/balance"
+)
+
+// Requests that found all endpoints that could run them at their concurrency limits, by outcome.
+var (
+	admittedUnderShare  = metrics.GetOrCreateCounter(`sardinedock_admission_total{outcome="under_share"}`)
+	refusedOverShare    = metrics.GetOrCreateCounter(`sardinedock_admission_total{outcome="refused_share"}`)
+	refusedForFullSlots = metrics.GetOrCreateCounter(`sardinedock_admission_total{outcome="refused_full"}`)
+)
+
+// countAdmission counts a decision on a request that found all endpoints at their concurrency limits.
+func countAdmission(v balance.Decision) {
+	switch {
+	case v.AboveLimit && v.Admission == balance.Send:
+		admittedUnderShare.Inc()
+	case v.Refusal.Reason.OverShare() != "":
+		refusedOverShare.Inc()
+	case v.Refusal.Reason != balance.NotRefused:
+		refusedForFullSlots.Inc()
+	}
+}
+
+// knownShare returns the share of the fleet whose runs this instance knows. A scheduler receives those of all
+// instances that it reaches. One that has just started is not told of runs before, but learns from its own
+// within a second.
+func (i *Instance) knownShare() float64 {
+	r := i.reach()
+	switch {
+	case r.Listed == 0:
+		return 1
+	case !r.Scheduler:
+		return 1 / float64(r.Listed)
+	}
+	return min(1, float64(r.Live)/float64(r.Listed))
+}
+
+// writeLimits writes the gauge of the concurrency limits, by service.
+func (i *Instance) writeLimits(out io.Writer) {
+	for _, p := range i.state.Pools(time.Now()) {
+		metrics.WriteGaugeUint64(out, fmt.Sprintf("sardinedock_concurrency_limit{service=%q}", p.Service), uint64(p.Limit))
+	}
+}
--- a/hosted/dump.go
+++ b/hosted/dump.go
@@ -47,6 +47,8 @@
 	// Unreachable are the endpoints to which this instance has no path.
 	Unreachable []reachability.View `json:"endpoints_out_of_reach"`
 	Endpoints   []balance.View      `json:"endpoints"`
+	// Pools are the concurrency limits and the shares in force, by service.
+	Pools []balance.PoolView `json:"pools"`
 }
 
 // pausedEndpoint is an endpoint that wants no requests from this instance.
@@ -69,7 +71,7 @@
 	now := time.Now()
 	d := dump{
 		Instance: i.settings.GetInstance(), Ready: i.Ready(), Leaving: i.leaving.Load(), Open: i.server.Open(),
-		Scheduler: i.node.IsScheduler(), Others: i.node.Schedulers(), Live: i.node.Live(), Lease: i.lease.Dump(), Weights: i.rollout.Wanted(), Quotas: i.quotas.Views(now), Streams: i.origins.book.Streams(), Rates: i.statements.limits.Views(now), Departures: i.statements.departures.Endpoints(), Brittle: i.statements.brittle.Endpoints(), Suspects: i.guard.Views(now), Overload: i.gate.State(), Unreachable: i.paths.Views(now), Endpoints: i.state.Endpoints("", now),
+		Scheduler: i.node.IsScheduler(), Others: i.node.Schedulers(), Live: i.node.Live(), Lease: i.lease.Dump(), Weights: i.rollout.Wanted(), Quotas: i.quotas.Views(now), Streams: i.origins.book.Streams(), Rates: i.statements.limits.Views(now), Departures: i.statements.departures.Endpoints(), Brittle: i.statements.brittle.Endpoints(), Suspects: i.guard.Views(now), Overload: i.gate.State(), Unreachable: i.paths.Views(now), Endpoints: i.state.Endpoints("", now), Pools: i.state.Pools(now),
 	}
 	for _, p := range i.statements.pauses.All(now) {
 		d.Pauses = append(d.Pauses, pausedEndpoint{p.Endpoint, p.Left.Milliseconds()})
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -143,6 +143,7 @@
 	i.statements = newStatements(limits, i.state.ServiceOf, i.node.BroadcastNotice)
 	i.state.SetLeaving(i.statements.departures.Holds)
 	i.state.SetBrittle(i.statements.brittle.Holds, i.turn)
+	i.state.SetKnown(i.knownShare)
 	i.placer = newPlacer(i)
 	callersLn, readyLn, forwardedLn := i.listeners[0], i.listeners[1], i.listeners[2]
 	i.server = gateway.NewServer(gateway.Config{
--- a/hosted/placing.go
+++ b/hosted/placing.go
@@ -140,6 +140,7 @@
 		p.charge(now, q, v.Placement.Endpoint.ID)
 	}
 	countPassedOver(v)
+	countAdmission(v)
 	return v
 }
 
@@ -241,6 +242,7 @@
 		Rank: int32(q.Rank), DataCentre: q.DataCentre, Exclude: q.Exclude,
 		TargetUs: q.Target.Microseconds(), PatienceUs: q.Patience.Microseconds(), ElapsedUs: q.Elapsed.Microseconds(),
 		Organisation: q.Charge.Account, Cost: q.Charge.Cost, Again: q.Again, Release: q.Release,
+		OrganisationHash: q.Organisation,
 	}
 	for _, pause := range q.Paused[:min(len(q.Paused), maxAskedPauses)] {
 		m.Paused = append(m.Paused, &gossippb.Pause{Endpoint: pause.Endpoint, LeftUs: pause.Left.Microseconds()})
@@ -259,7 +261,7 @@
 		Ask: balance.Ask{
 			Service: m.GetService(), Model: m.GetModel(), Wall: m.GetWall(), PromptTokens: m.GetPromptTokens(), OutputTokens: m.GetOutputTokens(),
 			Rank: int(m.GetRank()), DataCentre: m.GetDataCentre(), Exclude: m.GetExclude(), Again: m.GetAgain(),
-			Release: m.GetRelease(),
+			Release: m.GetRelease(), Organisation: m.GetOrganisationHash(),
 		},
 	}
 	for _, pause := range m.GetPaused() {
@@ -283,6 +285,7 @@
 		BacklogUs: p.Backlog.Microseconds(), FirstUs: p.FirstToken.Microseconds(),
 		Balance: v.Quota.Balance, Share: v.Quota.Share, RetryUs: v.Quota.RetryAfter.Microseconds(),
 		PassedOver: p.PassedOver, PassedFor: int32(p.PassedFor), FreeInUs: v.FreeIn.Microseconds(),
+		Refusal: int32(v.Refusal.Reason), Limit: int32(v.Refusal.Limit), InUse: int32(v.Refusal.InUse),
 	}
 }
 
@@ -294,8 +297,8 @@
 			FetchFrom: m.GetFetchFrom(), SaveTo: m.GetSaveTo(), Ahead: m.GetAhead(), Queued: m.GetQueued(), Running: int(m.GetRunning()), Full: m.GetFull(),
 			Backlog: micros(m.GetBacklogUs()), FirstToken: micros(m.GetFirstUs()), PassedOver: m.GetPassedOver(), PassedFor: balance.Obstacle(m.GetPassedFor()),
 		},
-		FreeIn: micros(m.GetFreeInUs()),
-		Quota:  quota.Decision{Balance: m.GetBalance(), Share: m.GetShare(), RetryAfter: micros(m.GetRetryUs())},
+		FreeIn: micros(m.GetFreeInUs()), Refusal: balance.Refusal{Reason: balance.RefusalReason(m.GetRefusal()), Limit: int(m.GetLimit()), InUse: int(m.GetInUse())},
+		Quota: quota.Decision{Balance: m.GetBalance(), Share: m.GetShare(), RetryAfter: micros(m.GetRetryUs())},
 	}
 }
 
--- a/hosted/shutdown.go
+++ b/hosted/shutdown.go
@@ -89,6 +89,7 @@
 	case "/metrics":
 		ctx.SetContentType("text/plain; charset=utf-8")
 		metrics.WritePrometheus(ctx, true)
+		i.writeLimits(ctx)
 	case "/debug/state":
 		i.writeDump(ctx)
 	default:
