account sums refusals for full slots by organisation and rank

Refusals at the concurrency limits fell under "refused: else", and their lines' organisation and rank were not read. They have a reason of their own and a table by organisation and rank with what had its share. The test of two organisations at hosted instances also checks the refusal's log line, the counters, the gauge and the state dump.

--- a/hosted/capacity_test.go
+++ b/hosted/capacity_test.go
@@ -1,12 +1,18 @@
 package hosted
 
 import (
+	"bytes"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+
+	"github.com/sardinedock/sardinedock/logline/logtest"
 	"github.com/sardinedock/sardinedock/platform/platformtest"
 )
 
@@ -139,6 +145,7 @@
 // Guards against an organisation that asks for a tenth of the capacity being refused because another one asks for 1.8
 // times the capacity.
 func TestSmallOrganisationIsServedBesideALargeOne(t *testing.T) {
+	lines := logtest.Record(t)
 	f, _ := capacityFixture(t)
 	const during = 4 * time.Second
 	var large []callerResult
@@ -150,4 +157,24 @@
 	if got := float64(onTime(small)) / float64(len(small)); got < 0.95 {
 		t.Errorf("the small organisation is served at a rate of %.2f, at least 0.95 is its share", got)
 	}
+	// On-call has to see why requests were refused.
+	if !lines.Any("request", func(l log.Fields) bool {
+		limit, _ := l["limit"].(int)
+		inUse, _ := l["in_use"].(int)
+		return l["status"] == 503 && l["organisation"] == "kumasi" && limit >= 2*capacitySlots && inUse >= limit && l["over_share"] == "organisation" && l["priority"] == 0
+	}) {
+		t.Error("no line says that the large organisation was over its share")
+	}
+	if refusedOverShare.Get() == 0 || admittedUnderShare.Get() == 0 {
+		t.Errorf("counted %d refusals over the share, %d requests sent under it", refusedOverShare.Get(), admittedUnderShare.Get())
+	}
+	decides := slices.ContainsFunc(f.instances, func(i *Instance) bool {
+		pools := i.state.Pools(time.Now())
+		var gauge bytes.Buffer
+		i.writeLimits(&gauge)
+		return len(pools) == 1 && len(pools[0].Shares.Organisations) == 2 && pools[0].Limit >= 2*capacitySlots && strings.Contains(gauge.String(), `sardinedock_concurrency_limit{service="orders"}`)
+	})
+	if !decides {
+		t.Error("no instance shows the limits and shares that were in force")
+	}
 }
--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -33,6 +33,14 @@
 	// of them belong to parts that other requests use too. Ahead is the prompt work queued
 	// before this request, in tokens.
 	Uncached, Shared, Ahead int64
+	Organisation            string
+	// Rank is the request's priority; 0 is the most urgent. Lines of requests that were neither sent nor refused for
+	// full slots do not state it.
+	Rank int
+	// Limit is the sum of the concurrency limits that the endpoints had reached when the request was refused; 0 if
+	// it was not refused for that. OverShare is what had at least its share then: "organisation", "rank" or nothing.
+	Limit     int
+	OverShare string
 }
 
 // ArrivedAt returns when the request arrived.
@@ -69,6 +77,10 @@
 	SharedRead     int64     `json:"shared_read"`
 	Ahead          int64     `json:"ahead"`
 	DroppedBefore  int       `json:"dropped_before"`
+	Organisation   string    `json:"organisation"`
+	Priority       int       `json:"priority"`
+	Limit          int       `json:"limit"`
+	OverShare      string    `json:"over_share"`
 	// ForwardedFor is set in the second line of a request that another instance forwarded.
 	ForwardedFor string `json:"forwarded_for"`
 }
@@ -118,6 +130,7 @@
 		End: w.At, Took: milliseconds(w.Ms), Waited: milliseconds(w.WaitedMs), WaitedMemory: milliseconds(w.WaitedMemoryMs),
 		First: milliseconds(w.FirstMs), Route: w.Route, Status: w.Status, Sends: w.Sends, Why: w.Why,
 		Uncached: w.Uncached, Shared: w.SharedRead, Ahead: w.Ahead,
+		Organisation: w.Organisation, Rank: w.Priority, Limit: w.Limit, OverShare: w.OverShare,
 	}
 }
 
@@ -144,6 +157,7 @@
 	Slow
 	RefusedForWork
 	RefusedForMemory
+	RefusedForSlots
 	OverQuota
 	RefusedOther
 	FailedAtEndpoint
@@ -153,7 +167,7 @@
 )
 
 var reasonNames = [...]string{
-	"served", "slow", "refused: work before it", "refused: no memory", "refused: over its quota", "refused: else",
+	"served", "slow", "refused: work before it", "refused: no memory", "refused: slots in use", "refused: over its quota", "refused: else",
 	"failed at the endpoint", "broken off", "caller gone", "not allowed",
 }
 
@@ -182,6 +196,8 @@
 		return CallerDisconnected
 	case r.Status == statusInterrupted:
 		return Interrupted
+	case r.Status == 503 && r.Limit > 0:
+		return RefusedForSlots
 	case r.Status == 503 && r.Waited > 0 && float64(r.WaitedMemory) >= memoryShare*float64(r.Waited) && r.Sends == 0:
 		return RefusedForMemory
 	case r.Status == 503 && strings.Contains(r.Why, "behind"):
--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"maps"
 	"strings"
 	"testing"
 	"time"
@@ -73,3 +74,31 @@
 		}
 	}
 }
+
+// Guards against refusals for full slots that are not told apart by whose they are, or are taken for another reason.
+func TestRefusalsForFullSlotsAreSummedByOrganisationAndRank(t *testing.T) {
+	const refused = `{"at":"2026-01-01T10:00:00.500Z","event":"request","instance":"a","ms":1,"route":"stock","status":503,"waited_ms":1,"why":"the slots of x are in use",`
+	text := strings.Join([]string{
+		refused + `"organisation":"kumasi","priority":0,"limit":32,"in_use":33,"over_share":"organisation"}`,
+		refused + `"organisation":"kumasi","priority":0,"limit":32,"in_use":33,"over_share":""}`,
+		refused + `"organisation":"kumasi","priority":3,"limit":32,"in_use":33,"over_share":"rank"}`,
+		refused + `"organisation":"tamale","priority":0,"limit":32,"in_use":33,"over_share":"organisation"}`,
+	}, "\n")
+	var l Log
+	if err := l.Read(strings.NewReader(text)); err != nil {
+		t.Fatal(err)
+	}
+	l.Finish()
+	if n := l.ByRoute(Options{})["stock"].Count[RefusedForSlots]; n != 4 {
+		t.Errorf("%d of 4 refusals are for full slots", n)
+	}
+	want := map[Flow]SlotRefusals{{"kumasi", 0}: {2, 1, 0}, {"kumasi", 3}: {1, 0, 1}, {"tamale", 0}: {1, 1, 0}}
+	if got := l.RefusedForSlotsBy(); !maps.Equal(got, want) {
+		t.Errorf("%+v, want %+v", got, want)
+	}
+	var out bytes.Buffer
+	l.Write(&out, Options{Window: time.Second})
+	if !strings.Contains(out.String(), "organisation had its share") {
+		t.Errorf("no table of refusals for full slots in\n%s", out.String())
+	}
+}
--- a/internal/account/plot.go
+++ b/internal/account/plot.go
@@ -24,7 +24,7 @@
 	for _, w := range windows {
 		seconds = append(seconds, w.From.Seconds())
 		arrived = append(arrived, float64(w.servable()))
-		refused = append(refused, float64(w.Count[RefusedForWork]+w.Count[RefusedForMemory]+w.Count[OverQuota]+w.Count[RefusedOther]))
+		refused = append(refused, float64(w.Count[RefusedForWork]+w.Count[RefusedForMemory]+w.Count[RefusedForSlots]+w.Count[OverQuota]+w.Count[RefusedOther]))
 		a, f := l.promptLoad(w.From)
 		ahead = append(ahead, a)
 		first = append(first, f)
--- a/internal/account/table.go
+++ b/internal/account/table.go
@@ -1,8 +1,10 @@
 package account
 
 import (
+	"cmp"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"text/tabwriter"
 	"time"
@@ -114,6 +116,7 @@
 	for _, name := range names {
 		routes[name].write(w, name)
 	}
+	l.writeSlots(w)
 	header(w, "from second")
 	windows := l.ByWindow(o)
 	slices.SortStableFunc(windows, func(a, b Window) int { return int(1e6*b.failureRatio()) - int(1e6*a.failureRatio()) })
@@ -122,6 +125,56 @@
 	}
 }
 
+// Flow is an organisation and the rank of its requests.
+type Flow struct {
+	Organisation string
+	Rank         int
+}
+
+// SlotRefusals counts the requests of one flow that were refused since the endpoints were at their concurrency limits.
+type SlotRefusals struct {
+	Refused int
+	// OverOrganisationShare and OverRankShare are those whose organisation, or only whose rank, had its share.
+	OverOrganisationShare, OverRankShare int
+}
+
+// RefusedForSlotsBy counts, by flow, the requests that were refused since the endpoints were at their limits.
+func (l *Log) RefusedForSlotsBy() map[Flow]SlotRefusals {
+	flows := map[Flow]SlotRefusals{}
+	for _, q := range l.Requests {
+		if q.reason(0) != RefusedForSlots {
+			continue
+		}
+		f := Flow{q.Organisation, q.Rank}
+		n := flows[f]
+		n.Refused++
+		switch q.OverShare {
+		case "organisation":
+			n.OverOrganisationShare++
+		case "rank":
+			n.OverRankShare++
+		}
+		flows[f] = n
+	}
+	return flows
+}
+
+// writeSlots prints the refusals for full slots by organisation and rank, if there were any.
+func (l *Log) writeSlots(w io.Writer) {
+	flows := l.RefusedForSlotsBy()
+	if len(flows) == 0 {
+		return
+	}
+	fmt.Fprintln(w, "\norganisation\trank\trefused: slots in use\torganisation had its share\trank had its share\t")
+	list := slices.SortedFunc(maps.Keys(flows), func(a, b Flow) int {
+		return cmp.Or(flows[b].Refused-flows[a].Refused, cmp.Compare(a.Organisation, b.Organisation), a.Rank-b.Rank)
+	})
+	for _, f := range list {
+		n := flows[f]
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t\n", cmp.Or(f.Organisation, "-"), f.Rank, n.Refused, n.OverOrganisationShare, n.OverRankShare)
+	}
+}
+
 func header(w io.Writer, first string) {
 	fmt.Fprintf(w, "\n%s\tlost\t", first)
 	for _, name := range reasonNames {
