Quota: callers that repeat at once gain nothing from an empty ledger

A booking was given whatever the draw while the ledger was empty, and the price did not fall while the level was slightly negative.

Change: each request that the price has refused needs the draw for a booking. The price falls down to a debt of a tenth of the capacity. Exponent and factor of bookings were chosen again.

--- a/quota/booking.go
+++ b/quota/booking.go
@@ -25,10 +25,11 @@
 	maxBookings = 4096
 	// bookingExponent replaces priceExponent in the decision who gets a booking. It is higher, so that
 	// nearly all requests that cost little get one when the price has refused them.
-	bookingExponent = 1.0
-	// bookingPriceFactor scales the price for bookings. With 4, too few of the cheap requests that were
-	// refused got a booking at three times the quota; with 50, expensive ones filled the ledger.
-	bookingPriceFactor = 16.0
+	bookingExponent = 0.7
+	// bookingPriceFactor scales the price for bookings. At three times the quota, with 24, expensive requests
+	// filled the ledger and cheap ones were served at a rate of 0.94; an exponent of 1.0 served the largest
+	// tenth of the expensive ones less than half as often as all of them.
+	bookingPriceFactor = 10.0
 	// bookedOverdraft is how far below 0 the level may be for a caller with a booking, as a fraction of
 	// the capacity: its cost was reserved, and newcomers may have overdrawn the bucket.
 	bookedOverdraft = 0.25
@@ -252,7 +253,7 @@
 		return due, false
 	}
 	end := wait + seconds(float64(c.Cost)/(rate*bookedShare))
-	if wait > 0 && priced {
+	if priced {
 		price := math.Exp(b.meanPriceLog) * bookingPriceFactor * max(0, min(1, float64(horizon-end)/float64(end)))
 		if !admitted(draw, price, rankedCost(c.Cost, c.Rank), bookingExponent) {
 			return due, false
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -22,6 +22,8 @@
 	smallFleet      = 16
 	modelPatience   = 12 * time.Second
 	modelRepeated   = 256
+	repeatDelay     = 20 * time.Millisecond
+	maxRepeats      = 10
 )
 
 // fleetModel simulates a fleet in virtual time: instances with a book each, schedulers that
@@ -98,6 +100,8 @@
 	until    time.Time
 	returned bool
 	across   bool
+	// repeats is how often the caller repeats at once when it is told no time.
+	repeats int
 }
 
 // way is a way to decide what may pass.
@@ -359,6 +363,9 @@
 		return
 	}
 	c := &caller{Charge: Charge{Account: "o", Cost: cost}, until: m.now.Add(m.patience), index: -1}
+	if kind == repeating {
+		c.repeats = maxRepeats
+	}
 	if !m.counted {
 		c.Key = m.rng.Uint64() | 1
 	}
@@ -378,6 +385,11 @@
 // refuse makes a caller that was told a time return then, once, to another random instance.
 func (m *fleetModel) refuse(c *caller, d Decision) {
 	m.refused++
+	if c.repeats > 0 && !d.Booked {
+		c.repeats--
+		m.in(repeatDelay, func() { m.sendTo(m.rng.IntN(m.size), c) })
+		return
+	}
 	if c.returned || !d.Booked {
 		return
 	}
--- a/quota/price.go
+++ b/quota/price.go
@@ -22,6 +22,8 @@
 	// meanPriceTime is the time constant of the mean price, by which bookings are made. The price of a
 	// quota that covers few requests at once varies a lot within a second.
 	meanPriceTime = 3 * time.Second
+	// debtShare is the debt, as a fraction of the capacity, at which the price does not change.
+	debtShare = 0.1
 	// drawSlot is how long the draw of a key stays the same, so that a caller that repeats at once
 	// gains nothing.
 	drawSlot = 2 * time.Second
@@ -34,16 +36,16 @@
 func (b *bucket) maxPrice() float64 { return max(b.limit.Burst, b.limit.Rate*minBurst.Seconds()) }
 
 // adaptPrice lowers the price while the level is below half of the capacity, and raises it while it
-// is above. A level of 0 or less admits nothing, so that it does not show what the price does.
+// is above. Nothing is admitted in a longer debt, which does not show what the price does.
 func (b *bucket) adaptPrice(step time.Duration) {
 	top := b.maxPrice()
 	full := b.capacity()
 	b.meanPriceLog += (math.Log(b.price) - b.meanPriceLog) * (1 - math.Exp(-step.Seconds()/meanPriceTime.Seconds()))
-	if full <= 0 || b.level <= 0 || b.price >= top && b.level >= full/2 {
+	if full <= 0 || b.level <= -debtShare*full || b.price >= top && b.level >= full/2 {
 		b.price = min(b.price, top)
 		return
 	}
-	deviation := 2*b.level/full - 1
+	deviation := max(2*b.level/full-1, -1)
 	b.price *= math.Exp(priceGain * deviation * min(step, maxPriceStep).Seconds())
 	b.price = min(max(b.price, top*minPriceShare), top)
 }
--- a/quota/price_test.go
+++ b/quota/price_test.go
@@ -11,6 +11,8 @@
 const (
 	cheap     = "cheap"
 	expensive = "expensive"
+	// repeating callers repeat at once when they are refused without a time.
+	repeating = "repeating"
 	costRatio = 15
 	// learningTime is how long the price may take to adapt to an overload.
 	learningTime = 5 * time.Second
@@ -105,3 +107,23 @@
 		t.Errorf("expensive requests are served at a rate of %.3f, the largest tenth of them at %.3f", costly.rate(), largest.rate())
 	}
 }
+
+// Guards against callers that repeat at once being served more often than those of the same requests that
+// do not.
+func TestCallersThatRepeatAtOnceAreNotPreferred(t *testing.T) {
+	m := newFleetModel(8, largeLimit, 1)
+	m.statsFrom, m.mixMean = learningTime, 6_000
+	m.mix = func() (string, int64) {
+		kind := expensive
+		if m.callers.IntN(4) == 0 {
+			kind = repeating
+		}
+		return kind, int64(6_000 * math.Exp(m.callers.NormFloat64()*costSpread-costSpread*costSpread/2))
+	}
+	m.run(overloadTime, func(time.Duration) float64 { return 3 })
+	_, of := m.served()
+	t.Logf("served: repeating %.3f, others %.3f", of[repeating].rate(), of[expensive].rate())
+	if of[repeating].rate() > 1.25*of[expensive].rate() {
+		t.Errorf("callers that repeat are served at a rate of %.3f, others at %.3f", of[repeating].rate(), of[expensive].rate())
+	}
+}
