--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -33,6 +33,13 @@
 	// of them belong to parts that other requests use too. Ahead is the prompt work queued
 	// before this request, in tokens.
 	Uncached, Shared, Ahead int64
+	Organisation            string
+	// Cost and the following are set if the organisation's quota refused the request. Booked is when its
+	// caller was told to come back, Final whether it was told no time.
+	Cost   int64
+	Price  float64
+	Booked time.Duration
+	Final  bool
 }
 
 // ArrivedAt returns when the request arrived.
@@ -58,6 +65,11 @@
 	Event          string    `json:"event"`
 	Instance       string    `json:"instance"`
 	Route          string    `json:"route"`
+	Organisation   string    `json:"organisation"`
+	Cost           int64     `json:"cost"`
+	Price          float64   `json:"price"`
+	BookedMs       float64   `json:"booked_ms"`
+	Final          bool      `json:"final"`
 	Status         int       `json:"status"`
 	Sends          int       `json:"sends"`
 	Why            string    `json:"why"`
@@ -118,6 +130,7 @@
 		End: w.At, Took: milliseconds(w.Ms), Waited: milliseconds(w.WaitedMs), WaitedMemory: milliseconds(w.WaitedMemoryMs),
 		First: milliseconds(w.FirstMs), Route: w.Route, Status: w.Status, Sends: w.Sends, Why: w.Why,
 		Uncached: w.Uncached, Shared: w.SharedRead, Ahead: w.Ahead,
+		Organisation: w.Organisation, Cost: w.Cost, Price: w.Price, Booked: milliseconds(w.BookedMs), Final: w.Final,
 	}
 }
 
--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -73,3 +73,25 @@
 		}
 	}
 }
+
+// Why an organisation was refused, and when it could come back, must not need a search through the lines.
+func TestQuotaRefusalsAreSummedUpByOrganisation(t *testing.T) {
+	var l Log
+	if err := l.Read(strings.NewReader(`{"at":"2026-01-01T10:00:00.500Z","event":"request","organisation":"kumasi","status":429,"why":"the quota of kumasi is used up","cost":1000,"price":40,"booked_ms":2500}
+{"at":"2026-01-01T10:00:00.600Z","event":"request","organisation":"kumasi","status":429,"why":"the quota of kumasi is used up","cost":3000,"price":60,"final":true}
+{"at":"2026-01-01T10:00:00.700Z","event":"request","organisation":"kumasi","status":200}
+{"at":"2026-01-01T10:00:00.800Z","event":"request","organisation":"tamale","status":200}
+`)); err != nil {
+		t.Fatal(err)
+	}
+	l.Finish()
+	want := QuotaRow{Organisation: "kumasi", Requests: 3, Refused: 2, Booked: 1, Final: 1, Cost: 4000, Price: 100, LatestBooking: 2500 * time.Millisecond}
+	if list := l.ByQuota(Options{}); len(list) != 1 || list[0] != want {
+		t.Errorf("rows %+v, want %+v", list, want)
+	}
+	var out bytes.Buffer
+	l.Write(&out, Options{Window: time.Second})
+	if !strings.Contains(out.String(), "2.50       2000          50") {
+		t.Errorf("written:\n%s", out.String())
+	}
+}
--- a/internal/account/table.go
+++ b/internal/account/table.go
@@ -114,6 +114,7 @@
 	for _, name := range names {
 		routes[name].write(w, name)
 	}
+	l.writeQuotas(w, o)
 	header(w, "from second")
 	windows := l.ByWindow(o)
 	slices.SortStableFunc(windows, func(a, b Window) int { return int(1e6*b.failureRatio()) - int(1e6*a.failureRatio()) })
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -75,6 +75,11 @@
 	for _, e := range relatedEntries(all, requests, c.endpoint) {
 		fmt.Fprintln(out, e.text)
 	}
+	for _, r := range requests {
+		if text := quotaReason(r); text != "" {
+			fmt.Fprintln(out, text)
+		}
+	}
 	return nil
 }
 
--- a/quota/book.go
+++ b/quota/book.go
@@ -218,6 +218,9 @@
 		d.Outcome, d.Priced, d.Early = Unknown, false, false
 	case d.Early:
 		d.Outcome, d.Booked, d.RetryAfter = Over, true, due.due.Sub(now)
+	case k.rate() <= 0:
+		// Without a share nothing is known of when the request could pass.
+		d.Outcome, d.RetryAfter = Over, noRateRetry
 	default:
 		d.Outcome = Over
 		if at, ok := k.book(now, c, d.Draw, d.Priced); ok {
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -363,8 +363,11 @@
 		return
 	}
 	c := &caller{Charge: Charge{Account: "o", Cost: cost}, until: m.now.Add(m.patience), index: -1}
-	if kind == repeating {
+	switch kind {
+	case repeating:
 		c.repeats = maxRepeats
+	case lessUrgent:
+		c.Rank = 2
 	}
 	if !m.counted {
 		c.Key = m.rng.Uint64() | 1
--- a/quota/price_test.go
+++ b/quota/price_test.go
@@ -13,7 +13,9 @@
 	expensive = "expensive"
 	// repeating callers repeat at once when they are refused without a time.
 	repeating = "repeating"
-	costRatio = 15
+	// lessUrgent requests have rank 2, all others rank 0.
+	lessUrgent = "less urgent"
+	costRatio  = 15
 	// learningTime is how long the price may take to adapt to an overload.
 	learningTime = 5 * time.Second
 	overloadTime = 35 * time.Second
@@ -108,22 +110,38 @@
 	}
 }
 
-// Guards against callers that repeat at once being served more often than those of the same requests that
-// do not.
-func TestCallersThatRepeatAtOnceAreNotPreferred(t *testing.T) {
+// between runs a fleet at three times the quota, with two kinds of requests of the same sizes, and returns
+// the rates at which they are served.
+func between(first, second string) (float64, float64) {
 	m := newFleetModel(8, largeLimit, 1)
 	m.statsFrom, m.mixMean = learningTime, 6_000
 	m.mix = func() (string, int64) {
-		kind := expensive
+		kind := first
 		if m.callers.IntN(4) == 0 {
-			kind = repeating
+			kind = second
 		}
 		return kind, int64(6_000 * math.Exp(m.callers.NormFloat64()*costSpread-costSpread*costSpread/2))
 	}
 	m.run(overloadTime, func(time.Duration) float64 { return 3 })
 	_, of := m.served()
-	t.Logf("served: repeating %.3f, others %.3f", of[repeating].rate(), of[expensive].rate())
-	if of[repeating].rate() > 1.25*of[expensive].rate() {
-		t.Errorf("callers that repeat are served at a rate of %.3f, others at %.3f", of[repeating].rate(), of[expensive].rate())
+	return of[first].rate(), of[second].rate()
+}
+
+// Guards against callers that repeat at once being served more often than those of the same requests that
+// do not.
+func TestCallersThatRepeatAtOnceAreNotPreferred(t *testing.T) {
+	others, r := between(expensive, repeating)
+	t.Logf("served: repeating %.3f, others %.3f", r, others)
+	if r > 1.25*others {
+		t.Errorf("callers that repeat are served at a rate of %.3f, others at %.3f", r, others)
+	}
+}
+
+// Guards against an urgent rank that is not preferred, and against one that starves.
+func TestUrgentRanksArePreferredAndNoneStarves(t *testing.T) {
+	urgent, others := between(expensive, lessUrgent)
+	t.Logf("served: urgent %.3f, others %.3f", urgent, others)
+	if urgent < others || others < urgent/4 {
+		t.Errorf("urgent requests are served at a rate of %.3f, others at %.3f", urgent, others)
 	}
 }
