--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -41,6 +41,12 @@
 	// it was not refused for that. OverShare is what had at least its share then: "organisation", "rank" or nothing.
 	Limit     int
 	OverShare string
+	// Cost and the following are set if the organisation's quota refused the request. Booked is when its
+	// caller was told to come back, Final whether it was told no time.
+	Cost   int64
+	Price  float64
+	Booked time.Duration
+	Final  bool
 }
 
 // ArrivedAt returns when the request arrived.
@@ -68,6 +74,11 @@
 	Event          string    `json:"event"`
 	Instance       string    `json:"instance"`
 	Route          string    `json:"route"`
+	Organisation   string    `json:"organisation"`
+	Cost           int64     `json:"cost"`
+	Price          float64   `json:"price"`
+	BookedMs       float64   `json:"booked_ms"`
+	Final          bool      `json:"final"`
 	Status         int       `json:"status"`
 	Sends          int       `json:"sends"`
 	Why            string    `json:"why"`
@@ -79,7 +90,6 @@
 	SharedRead     int64     `json:"shared_read"`
 	Ahead          int64     `json:"ahead"`
 	DroppedBefore  int       `json:"dropped_before"`
-	Organisation   string    `json:"organisation"`
 	Priority       int       `json:"priority"`
 	Limit          int       `json:"limit"`
 	OverShare      string    `json:"over_share"`
@@ -138,6 +148,7 @@
 		First: milliseconds(w.FirstMs), Route: w.Route, Status: w.Status, Sends: w.Sends, Why: w.Why,
 		Uncached: w.Uncached, Shared: w.SharedRead, Ahead: w.Ahead,
 		Organisation: w.Organisation, Rank: w.Priority, Limit: w.Limit, OverShare: w.OverShare,
+		Cost: w.Cost, Price: w.Price, Booked: milliseconds(w.BookedMs), Final: w.Final,
 	}
 }
 
--- a/internal/account/table.go
+++ b/internal/account/table.go
@@ -124,6 +124,7 @@
 		routes[name].write(w, name)
 	}
 	l.writeSlots(w)
+	l.writeQuotas(w, o)
 	header(w, "from second")
 	windows := l.ByWindow(o)
 	slices.SortStableFunc(windows, func(a, b Window) int { return int(1e6*b.failureRatio()) - int(1e6*a.failureRatio()) })
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -56,8 +56,10 @@
 	// missedUntil it pays for what the others passed in that time.
 	missed      float64
 	missedUntil time.Time
-	// price is the adapted price; see adaptPrice.
-	price float64
+	// scarce is set while there is a price; see effectivePrice. largest is the largest priced cost of the last
+	// requests.
+	scarce  bool
+	largest float64
 	// meanPriceLog is the smoothed logarithm of the price.
 	meanPriceLog float64
 	// ledger holds the bookings; nil before the first one.
@@ -66,8 +68,6 @@
 
 func newBucket(now time.Time, l Limit, share float64) *bucket {
 	b := &bucket{limit: l, share: share, last: now}
-	b.price = b.maxPrice()
-	b.meanPriceLog = math.Log(b.price)
 	b.level = min(b.rate()*startBalance.Seconds(), b.capacity())
 	return b
 }
@@ -81,7 +81,7 @@
 
 func (b *bucket) advance(now time.Time) {
 	if step := now.Sub(b.last).Seconds(); step > 0 {
-		b.adaptPrice(now.Sub(b.last))
+		b.observeCost(now.Sub(b.last))
 		b.level += step * b.rate()
 		b.promised = max(b.promised-step*b.rate(), 0)
 		b.last = now
@@ -115,22 +115,32 @@
 	if cost <= 0 {
 		return true, false
 	}
+	ranked := rankedCost(c.Cost, c.Rank)
+	if b.largest = max(b.largest, ranked); b.meanPriceLog == 0 {
+		b.meanPriceLog = math.Log(b.maxPrice())
+	}
+	covered := func() bool { return b.ledger.covered(now, b.level-cost, b.rate()) }
+	b.scarce = b.scarce && b.level < b.capacity()
+	if !b.scarce && b.level > scarceLevel*b.capacity() && covered() && b.covers(now, cost, random) {
+		return true, false
+	}
+	b.scarce = b.level < b.capacity()
 	price, ok := b.effectivePrice()
 	if !ok {
 		// The bookings are checked first, since allows counts the requests that it refuses.
-		return b.ledger.covered(now, b.level-cost, b.rate()) && b.allows(now, cost, random), false
+		return covered() && b.allows(now, cost, random), false
 	}
-	if !admitted(draw, price, rankedCost(c.Cost, c.Rank), priceExponent) {
+	if !admitted(draw, price, ranked, priceExponent) {
 		return false, true
 	}
-	return b.positive(cost, random) && b.ledger.covered(now, b.level-cost, b.rate()), false
+	return b.positive(cost, random) && covered(), false
 }
 
 // positive reports whether the level is positive, once the random part of an oversized cost is
 // subtracted that covers describes.
 func (b *bucket) positive(cost float64, random func() float64) bool {
 	b.predebit(cost, random)
-	return b.level > 0
+	return b.level > 0 && b.level >= min(cost, b.capacity()/2)
 }
 
 // covers reports whether the bucket covers the whole cost. A cost above the bucket's
@@ -230,15 +240,12 @@
 func (b *bucket) update(now time.Time, l Limit, share float64) {
 	b.advance(now)
 	if lost := b.share - share; lost > 0 {
+		if b.level > 0 {
+			// Each side of a partition has the same balance, of which it may use its part only.
+			b.level *= share / b.share
+		}
 		b.level -= lost * l.Rate * detectionDelay.Seconds()
 	}
-	if l != b.limit {
-		// The price keeps its relation to the maximum, so that it needn't adapt anew.
-		before := b.maxPrice()
-		b.limit = l
-		b.price *= b.maxPrice() / before
-		b.meanPriceLog += math.Log(b.maxPrice() / before)
-	}
-	b.share = share
+	b.limit, b.share = l, share
 	b.level = min(b.level, b.capacity())
 }
--- a/quota/price.go
+++ b/quota/price.go
@@ -12,16 +12,21 @@
 	// priceExponent is the exponent of a request's cost in the probability that it is admitted:
 	// a request of 15 times the cost is admitted about a third as often.
 	priceExponent = 0.4
-	// priceGain is the rate per second at which the logarithm of the price follows the level: a price
-	// adapts to a new load within a few seconds, without oscillating.
-	priceGain = 1.5
-	// minPriceShare bounds the price from below, as a fraction of the maximum.
-	minPriceShare = 1e-7
-	// maxPriceStep bounds the time for which one level changes the price.
-	maxPriceStep = time.Second
+	// scarceLevel is the level, as a fraction of the capacity, below which there is a price. Above it there is one
+	// from the first request that is not covered until the bucket is full.
+	scarceLevel = 0.25
+	// priceSlope is the exponent of the level in the price: at a quarter of the capacity, the price is a 256th of
+	// its maximum.
+	priceSlope = 4
+	// minPriceShare bounds the mean price from below, as a fraction of the maximum.
+	minPriceShare = 1e-4
+	// largestTime is the time constant with which the largest cost is forgotten.
+	largestTime = 10 * time.Second
 	// meanPriceTime is the time constant of the mean price, by which bookings are made. The price of a
 	// quota that covers few requests at once varies a lot within a second.
 	meanPriceTime = 3 * time.Second
+	// debtShare is the debt, as a fraction of the capacity, at which the price does not change.
+	debtShare = 0.1
 	// drawSlot is how long the draw of a key stays the same, so that a caller that repeats at once
 	// gains nothing.
 	drawSlot = 2 * time.Second
@@ -30,40 +35,33 @@
 	rankSteps = 3
 )
 
-// maxPrice returns the price at which requests are admitted as if there were none.
-func (b *bucket) maxPrice() float64 { return max(b.limit.Burst, b.limit.Rate*minBurst.Seconds()) }
+// maxPrice returns the price at which requests are admitted as if there were none: the largest cost of the last
+// requests.
+func (b *bucket) maxPrice() float64 { return max(b.largest, 1) }
 
-// adaptPrice lowers the price while the level is below half of the capacity, and raises it while it
-// is above. A level of 0 or less admits nothing, so that it does not show what the price does.
-func (b *bucket) adaptPrice(step time.Duration) {
-	top := b.maxPrice()
-	full := b.capacity()
-	b.meanPriceLog += (math.Log(b.price) - b.meanPriceLog) * (1 - math.Exp(-step.Seconds()/meanPriceTime.Seconds()))
-	if full <= 0 || b.level <= 0 || b.price >= top && b.level >= full/2 {
-		b.price = min(b.price, top)
+// observeCost keeps the largest priced cost of the last requests.
+func (b *bucket) observeCost(step time.Duration) {
+	b.largest *= math.Exp(-step.Seconds() / largestTime.Seconds())
+	if b.meanPriceLog == 0 {
 		return
 	}
-	deviation := 2*b.level/full - 1
-	b.price *= math.Exp(priceGain * deviation * min(step, maxPriceStep).Seconds())
-	b.price = min(max(b.price, top*minPriceShare), top)
+	price, _ := b.effectivePrice()
+	b.meanPriceLog += (math.Log(max(price, minPriceShare*b.maxPrice())) - b.meanPriceLog) * (1 - math.Exp(-step.Seconds()/meanPriceTime.Seconds()))
 }
 
-// effectivePrice returns the price at the current level. It differs from the adapted one so that the
-// level stays between 0 and the capacity while that one follows. ok is false while the price is at its
-// maximum.
+// effectivePrice returns the price at the current level. ok is false while there is none.
+//
+// The price follows from the level alone, so that it is the same at all schedulers, needs no time to adapt and does not
+// oscillate: the level settles where as much is admitted as the bucket gains.
 func (b *bucket) effectivePrice() (p float64, ok bool) {
-	full := b.capacity()
-	if b.level >= full {
+	x := b.level / max(b.capacity(), 1)
+	switch {
+	case !b.scarce || x >= 1:
 		return b.maxPrice(), false
-	}
-	if b.level <= 0 {
+	case x <= 0:
 		return 0, true
 	}
-	p = b.price * b.level / (full - b.level)
-	if p >= b.maxPrice() {
-		return b.maxPrice(), false
-	}
-	return p, true
+	return b.maxPrice() * math.Pow(x, priceSlope), true
 }
 
 // rankedCost returns the cost by which a request is priced.
