A relay tells what the kernel has received and can have the caller write long requests

Incoming.Unread is what waits in the kernel of a response, LimitUnread bounds it with a socket option; the connection is not reused then. Outgoing.Send replaces the write of a request that is written in the background, so that its progress can be followed. Nothing uses them yet.

--- a/endpoint/conn.go
+++ b/endpoint/conn.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -49,6 +50,8 @@
 	reused      bool
 	// written counts the bytes accepted by the kernel.
 	written int
+	// limited is set once the kernel's buffer for received bytes was bounded, which can't be undone.
+	limited atomic.Bool
 	// stop detaches the connection from the context of its request.
 	stop func() bool
 }
@@ -197,7 +200,7 @@
 
 // put returns a connection to the pool after a whole response was read from it.
 func (p *pool) put(c *conn) {
-	if !c.stop() || c.br.Buffered() > 0 {
+	if !c.stop() || c.br.Buffered() > 0 || c.limited.Load() {
 		_ = c.Conn.Close()
 		return
 	}
--- a/endpoint/relay.go
+++ b/endpoint/relay.go
@@ -4,12 +4,14 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/internal/sockstate"
 )
 
 // asyncWriteBytes is the size above which a request is written by a separate goroutine: an
@@ -63,6 +65,8 @@
 	Ready func() error
 	// Fresh requires a connection that was not used before.
 	Fresh bool
+	// Send, if set, writes a request that is written in the background. The connection stays the relay's.
+	Send func(c net.Conn, data []byte) (int, error)
 	// Bodiless states that the response has no body, whatever its header says.
 	Bodiless bool
 }
@@ -121,8 +125,12 @@
 	data := append(o.Head, o.Body...)
 	if len(data) > asyncWriteBytes {
 		in.written = make(chan error, 1)
+		write := func(c net.Conn, data []byte) (int, error) { return c.Write(data) }
+		if o.Send != nil {
+			write = o.Send
+		}
 		go func() {
-			_, err := c.Conn.Write(data)
+			_, err := write(c.Conn, data)
 			in.written <- err
 		}()
 		return nil
@@ -163,6 +171,26 @@
 // ReadAll reads the rest of the body. A truncated body is an error.
 func (in *Incoming) ReadAll() ([]byte, error) { return in.response.readAll() }
 
+// Unread returns how many bytes of the response wait in the kernel, 0 if that is not known. It may be called at any
+// time, also by other goroutines.
+func (in *Incoming) Unread() int {
+	n, _ := sockstate.Unread(in.response.conn.Conn)
+	return n
+}
+
+// unreadBytes bounds what the kernel receives before it is read, once LimitUnread was called.
+const unreadBytes = 32 << 10
+
+// LimitUnread bounds what the kernel receives before it is read. The connection is not used for another request. It
+// may be called at any time, also by other goroutines.
+func (in *Incoming) LimitUnread() {
+	c, ok := in.response.conn.Conn.(interface{ SetReadBuffer(bytes int) error })
+	if ok && !in.response.conn.limited.Swap(true) {
+		// If the kernel refuses, the bound on all held bytes still applies.
+		_ = c.SetReadBuffer(unreadBytes)
+	}
+}
+
 // Finish returns the connection to the pool. The body must have been read to its end.
 func (in *Incoming) Finish() {
 	if !in.requestWritten() {
