--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -45,6 +45,8 @@
 	// start of a JSON object but can't be parsed or have no time, and Dropped the number of
 	// lines that instances reported as not written.
 	Lines, Truncated, Dropped int
+	// SlowClosed counts the connections that were closed since their peers read slowly, by peer and reason.
+	SlowClosed map[string]int
 	// Unfinished lists the instances whose log does not end with a "stopped" event.
 	Unfinished []string
 
@@ -69,10 +71,21 @@
 	SharedRead     int64     `json:"shared_read"`
 	Ahead          int64     `json:"ahead"`
 	DroppedBefore  int       `json:"dropped_before"`
+	// Peer, Reason and Omitted are those of a closed connection; Omitted is how many before it have no line.
+	Peer    string `json:"peer"`
+	Reason  string `json:"reason"`
+	Omitted int    `json:"omitted"`
 	// ForwardedFor is set in the second line of a request that another instance forwarded.
 	ForwardedFor string `json:"forwarded_for"`
 }
 
+// slowReaderClosed is the event of the line on a connection that was closed since its peer reads slowly, withoutLine how
+// SlowClosed counts those that were left out.
+const (
+	slowReaderClosed = "connection of a slow reader closed"
+	withoutLine      = "without a line"
+)
+
 // stopped is the event of the last line that an instance logs.
 const stopped = "stopped"
 
@@ -108,6 +121,15 @@
 	if w.Instance != "" {
 		l.stoppedLast[w.Instance] = w.Event == stopped
 	}
+	if w.Event == slowReaderClosed {
+		if l.SlowClosed == nil {
+			l.SlowClosed = map[string]int{}
+		}
+		l.SlowClosed[w.Peer+", "+w.Reason]++
+		if w.Omitted > 0 {
+			l.SlowClosed[withoutLine] += w.Omitted
+		}
+	}
 	if w.Event == "request" && w.ForwardedFor == "" {
 		l.Requests = append(l.Requests, w.request())
 	}
--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -73,3 +73,18 @@
 		}
 	}
 }
+
+// Callers report cut answers. Without a count of the connections closed for slow reading, that looks like a fault of endpoints.
+func TestConnectionsOfSlowReadersAreCounted(t *testing.T) {
+	const line = `{"at":"2026-01-01T10:00:00.500Z","event":"connection of a slow reader closed","instance":"a","peer":"caller","reason":"bound","omitted":3}` + "\n"
+	var l Log
+	if err := l.Read(strings.NewReader(line + line)); err != nil {
+		t.Fatal(err)
+	}
+	l.Finish()
+	var out bytes.Buffer
+	l.Write(&out, Options{Window: time.Second})
+	if want := "read slowly: 2 (caller, bound) 6 (without a line)"; !strings.Contains(out.String(), want) {
+		t.Errorf("%q is missing in\n%s", want, out.String())
+	}
+}
--- a/internal/account/table.go
+++ b/internal/account/table.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"text/tabwriter"
 	"time"
@@ -99,6 +100,13 @@
 		fmt.Fprintf(out, "; %d lines were dropped by the instances", l.Dropped)
 	}
 	fmt.Fprintln(out)
+	if len(l.SlowClosed) > 0 {
+		fmt.Fprint(out, "connections closed since their peers read slowly:")
+		for _, kind := range slices.Sorted(maps.Keys(l.SlowClosed)) {
+			fmt.Fprintf(out, " %d (%s)", l.SlowClosed[kind], kind)
+		}
+		fmt.Fprintln(out)
+	}
 	if len(l.Unfinished) > 0 {
 		fmt.Fprintf(out, "no word of the end of: %v\n", l.Unfinished)
 	}
