Memory for callers and endpoints that read slowly is bounded

What happened: callers that stop reading in the middle of answers kept a write waiting for 10 s each, and nothing bounded the sum of what the process and the kernel held for them. A stream whose caller had given up kept its run at the endpoint.

Change: with memory_mb in the settings, the bytes that peers have not read are observed on each connection, and at most a quarter of the memory is held. Connections are closed with a reset when their peers stall, streams after the time for which callers wait for an event, or for the bound, the slowest first. Bodies of requests to endpoints that read slowly count too; closing one is not taken for a crash. The kernel's buffers of connections that stall or are written much at a time are bounded. A closed connection with over 16 KiB in the kernel is kept until they are read. The process limits the memory of the Go runtime to 0.7 of memory_mb. Without memory_mb nothing changes.

The test that compares metrics with the operations page also recognises names that end in _bytes.

--- a/bufferlimit/bufferlimit_test.go
+++ b/bufferlimit/bufferlimit_test.go
@@ -9,29 +9,22 @@
 	_ "github.com/sardinedock/sardinedock/internal/rapidseed"
 )
 
-const (
-	kib  = 1 << 10
-	tick = 100 * time.Millisecond
-)
+const tick = 100 * time.Millisecond
 
 var start = time.Unix(1_700_000_000, 0)
 
-// The load: 1,000 callers stop reading, and 50 others go on to read quickly while new ones arrive. Guards against held bytes
-// that stay over the bound, and against others being closed in place of those that have stopped.
+// The load: 100 callers a tick stop reading, 1,000 in all, and 50 others go on to read. Guards against others being closed in place
+// of those that have stopped.
 func TestCallersThatStopReadingAreClosedAndOthersAreNot(t *testing.T) {
-	const stopped, reading, bound = 1000, 50, 36 << 20
+	const stopped, reading, bound, answer = 1000, 50, 36 << 20, 200 << 10
 	table := NewTable(bound)
-	now := start
 	for step := range int64(50) {
-		for id := range uint64(stopped) {
-			if step != int64(id/100) {
-				continue
-			}
-			table.Observe(now, id, Observation{Held: 100 * kib, Offered: 100 * kib, MaxStall: 2 * time.Second})
+		now := start.Add(time.Duration(step) * tick)
+		for id := uint64(step) * 100; id < min(uint64(step+1)*100, stopped); id++ {
+			table.Observe(now, id, Observation{Held: answer / 2, Offered: answer / 2, MaxStall: 2 * time.Second})
 		}
 		for id := range uint64(reading) {
-			read := step * 200 * kib
-			table.Observe(now, stopped+id, Observation{Held: 200 * kib, Offered: read + 200*kib, Read: read, MaxStall: 2 * time.Second})
+			table.Observe(now, stopped+id, Observation{Held: answer, Offered: (step + 1) * answer, Read: step * answer, MaxStall: 2 * time.Second})
 		}
 		for _, c := range table.Decide(now) {
 			if c.ID >= stopped {
@@ -41,9 +34,8 @@
 		if table.Held() > excess*bound || step > 1 && table.Held() > bound {
 			t.Fatalf("step %d: %d bytes held, bound %d", step, table.Held(), bound)
 		}
-		now = now.Add(tick)
 	}
-	if v := table.View(now); v.Connections != reading {
+	if v := table.View(start.Add(50 * tick)); v.Connections != reading {
 		t.Errorf("%d connections are left, want the %d that read", v.Connections, reading)
 	}
 }
@@ -86,30 +78,24 @@
 	rapid.Check(t, func(t *rapid.T) {
 		const bound = 1000
 		table, now := NewTable(bound), start
-		held := map[uint64]int64{}
-		read, began := map[uint64]int64{}, map[uint64]time.Time{}
+		held, began, read := map[uint64]int64{}, map[uint64]time.Time{}, int64(0)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
 			id := rapid.Uint64Range(1, 8).Draw(t, "id")
 			unread := rapid.Int64Range(0, 900).Draw(t, "unread")
-			read[id] += rapid.Int64Range(0, 5000).Draw(t, "read")
-			table.Observe(now, id, Observation{Held: unread, Offered: read[id] + unread, Read: read[id]})
-			if _, ok := began[id]; !ok {
+			read += rapid.Int64Range(0, 5000).Draw(t, "read")
+			table.Observe(now, id, Observation{Held: unread, Offered: read + unread, Read: read})
+			if held[id] == 0 {
 				began[id] = now
 			}
 			held[id] = unread
-			if unread == 0 {
-				delete(held, id)
-				delete(began, id)
-			}
 			before := table.Held()
 			for _, c := range table.Decide(now) {
 				if before <= bound || c.Held != held[c.ID] {
 					t.Fatalf("%+v closed with %d held in all", c, before)
 				}
 				before -= c.Held
-				delete(held, c.ID)
-				delete(began, c.ID)
+				held[c.ID] = 0
 			}
 			sum, old := int64(0), int64(0)
 			for id, h := range held {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -5,6 +5,8 @@
 	"context"
 	"errors"
 	"io"
+	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -40,6 +42,8 @@
 	// unresponsive or restarted.
 	reqCtx context.Context
 	cancel context.CancelCauseFunc
+	// sender counts what the peer has not read of a long request; nil before it is written.
+	sender atomic.Pointer[sender]
 }
 
 // attempt sends the request once. It reports in retry whether the request should be dispatched again.
@@ -97,9 +101,10 @@
 	head := r.srv.cfg.Dialect.AppendHead(nil, &r.ctx.Request.Header, r.outgoing(p, len(body), resumeAfter))
 	resp, err := r.srv.cfg.Relay(p.Endpoint.Address).Open(a.reqCtx, endpoint.Outgoing{
 		Head: head, Body: body, Accept: a.acceptHead, Bodiless: r.ctx.IsHead(), Ready: a.ready,
-		Fresh: r.needsCheckedPath(p.Endpoint.ID),
+		Fresh: r.needsCheckedPath(p.Endpoint.ID), Send: a.sendFunc(peerEndpoint),
 	})
 	if err != nil {
+		err = a.openError(err)
 		return nil, a.openFailed(err), err
 	}
 	a.resp = resp
@@ -218,6 +223,10 @@
 	a.ended = true
 	a.req.srv.activity.end(a)
 	defer a.cancel(context.Canceled)
+	if x := a.sender.Load(); x != nil {
+		// The connection may be used for another request now.
+		x.queue.Ended()
+	}
 	if a.resp != nil {
 		if fullyRead(stage) {
 			a.resp.Finish()
@@ -278,6 +287,38 @@
 	return errors.Is(context.Cause(a.reqCtx), errUnresponsive)
 }
 
+// sendFunc returns the function that writes a long request to a peer, which is closed if it reads slowly and the memory for
+// unread bytes is used up; nil if that has no bound.
+func (a *attempt) sendFunc(peer string) func(net.Conn, []byte) (int, error) {
+	r := a.req
+	slow := r.srv.cfg.Slow
+	if slow == nil {
+		return nil
+	}
+	use := &sending{request: r.call.ID, extra: int64(len(r.ctx.Request.Body())), cancel: a.cancel}
+	return func(c net.Conn, data []byte) (int, error) {
+		x := slow.newSender(c, peer)
+		x.use.Store(use)
+		a.sender.Store(x)
+		n, err := x.write(data)
+		if err != nil {
+			x.queue.Ended()
+		}
+		return n, err
+	}
+}
+
+// closedAsSlow reports whether the attempt's connection was closed since the endpoint reads the request slowly.
+func (a *attempt) closedAsSlow() bool { return errors.Is(context.Cause(a.reqCtx), errReaderSlow) }
+
+// openError returns the error with which an attempt got no response head.
+func (a *attempt) openError(err error) error {
+	if a.closedAsSlow() {
+		return errReaderSlow
+	}
+	return err
+}
+
 // unreachableAvoidance is how long all instances avoid an endpoint that one instance could not reach. It is
 // short since the fault may be limited to the path between these two.
 const unreachableAvoidance = 1500 * time.Millisecond
@@ -288,6 +329,9 @@
 	switch {
 	case a.req.reqCtx.Err() != nil:
 		a.finish(balance.Abandoned)
+	case a.closedAsSlow():
+		a.recordBroken()
+		a.finish(balance.Abandoned)
 	case a.endpointUnresponsive():
 		if !a.forwarded() {
 			a.recordBroken()
@@ -465,6 +509,7 @@
 	r.copyHead(a)
 	if r.passesUnframed(a) {
 		r.unframed = io.NopCloser(bytes.NewReader(body))
+		r.sendsAnswer(writeTimeout, len(body))
 	} else {
 		r.ctx.Response.SetBodyRaw(body)
 	}
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -27,6 +27,8 @@
 	// isInstance is set if the listener is for requests that other instances forward; connections from
 	// other addresses are closed.
 	isInstance func(netip.Addr) bool
+	// slow, if set, bounds what is held for callers that read slowly.
+	slow *SlowReaders
 }
 
 // acceptRetryDelay is the delay after a failed Accept, for example when the process has no free
@@ -49,7 +51,7 @@
 		}
 		if err == nil {
 			l.open.Add(1)
-			return &callerConn{Conn: c, limits: l.limits, open: l.open, fromInstance: l.isInstance != nil}, nil
+			return l.newConn(c), nil
 		}
 		if errors.Is(err, net.ErrClosed) {
 			return nil, err
@@ -58,6 +60,18 @@
 	}
 }
 
+func (l *listener) newConn(c net.Conn) *callerConn {
+	cc := &callerConn{Conn: c, limits: l.limits, open: l.open, fromInstance: l.isInstance != nil}
+	if l.slow != nil {
+		peer := peerCaller
+		if cc.fromInstance {
+			peer = peerInstance
+		}
+		cc.sender = l.slow.newSender(c, peer)
+	}
+	return cc
+}
+
 var connectionsShed = metrics.GetOrCreateCounter("sardinedock_gateway_connections_closed_unread_total")
 
 // closeUnread closes a connection with a reset, by which the caller knows that its request was not read.
@@ -97,6 +111,8 @@
 	// readAhead holds the bytes that watch read of the next request.
 	readAhead []byte
 	watch     watch
+	// sender counts what the caller has not read; nil if that has no bound.
+	sender *sender
 }
 
 // watch detects that the caller closes its connection during a request.
@@ -108,7 +124,8 @@
 }
 
 const (
-	// writeTimeout bounds one write to a caller that has stopped reading.
+	// writeTimeout bounds one write to a caller that has stopped reading. With a bound on memory, it is how long a caller
+	// may read nothing of an answer that is not a stream.
 	writeTimeout = 10 * time.Second
 	// lingerTimeout bounds how long the rest of a refused request is read and discarded.
 	lingerTimeout = time.Second
@@ -157,6 +174,13 @@
 // Write implements net.Conn. Once a caller that stops reading has filled its buffers, the next
 // write fails after writeTimeout, which also ends the endpoint's work on the request.
 func (c *callerConn) Write(p []byte) (int, error) {
+	if c.sender != nil {
+		n, err := c.sender.write(p)
+		if err != nil && c.sender.closed.Load() == nil {
+			c.logUndelivered(err)
+		}
+		return n, err
+	}
 	err := c.SetWriteDeadline(time.Now().Add(writeTimeout))
 	n := 0
 	if err == nil {
@@ -175,6 +199,9 @@
 		c.open.Add(-1)
 		c.linger()
 	})
+	if c.sender != nil && c.sender.drain() {
+		return nil
+	}
 	return c.Conn.Close()
 }
 
@@ -194,6 +221,13 @@
 	}
 }
 
+// sends states for which request bytes are written from now on; nil for none.
+func (c *callerConn) sends(s *sending) {
+	if c.sender != nil {
+		c.sender.use.Store(s)
+	}
+}
+
 // logUndelivered logs, once for each request, that its answer could not be written. The request's
 // own log line has the status that was decided, not whether the caller received it.
 func (c *callerConn) logUndelivered(err error) {
--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -75,6 +75,7 @@
 	if c, ok := ctx.Conn().(*callerConn); ok {
 		// A failure to write this answer must not be logged under the previous request's ID.
 		c.request = ""
+		c.sends(nil)
 		c.unread.Store(true)
 	}
 	status, why := fasthttp.StatusBadRequest, "malformed request"
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -110,9 +110,10 @@
 		Body: len(body), ResumeAfter: resumeAfter, Release: r.release,
 	})
 	resp, err := r.srv.cfg.PeerRelay(to.Address).Open(a.reqCtx, endpoint.Outgoing{
-		Head: head, Body: body, Accept: a.acceptHead, Bodiless: r.ctx.IsHead(),
+		Head: head, Body: body, Accept: a.acceptHead, Bodiless: r.ctx.IsHead(), Send: a.sendFunc(peerInstance),
 	})
 	if err != nil {
+		err = a.openError(err)
 		return nil, a.forwardFailed(err), err
 	}
 	a.resp = resp
@@ -257,5 +258,5 @@
 // ServeForwarded answers requests that other instances forward, on the connections that ln accepts, until
 // Shutdown.
 func (s *Server) ServeForwarded(ln net.Listener) error {
-	return s.http.Serve(&listener{Listener: ln, limits: s.limits, open: &s.connections, isInstance: s.cfg.Peers.IsInstance})
+	return s.http.Serve(&listener{Listener: ln, limits: s.limits, open: &s.connections, isInstance: s.cfg.Peers.IsInstance, slow: s.cfg.Slow})
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -139,6 +139,7 @@
 	call, parseErr := r.srv.cfg.Dialect.ParseCall(h)
 	r.call = call
 	r.conn.request = call.ID
+	r.sendsAnswer(writeTimeout, 0)
 	if r.srv.shuttingDown.Load() {
 		return errShuttingDown
 	}
@@ -188,12 +189,22 @@
 	reqCtx, cancel := context.WithCancelCause(context.Background())
 	r.srv.open.started(r, cancel)
 	r.reqCtx, r.stop = context.WithDeadlineCause(reqCtx, r.deadline, errTimeout)
+	r.sendsAnswer(writeTimeout, 0)
 	r.conn.watchClose(cancel)
 	if r.origin == "" {
 		r.srv.cfg.Budget.Accepted(r.began, r.service.Name)
 	}
 }
 
+// sendsAnswer states what is held until the caller has read the answer: the request's body, and body bytes of an answer
+// that is written in parts. maxStall is how long the caller may read nothing.
+func (r *request) sendsAnswer(maxStall time.Duration, body int) {
+	if r.conn.sender == nil {
+		return
+	}
+	r.conn.sends(&sending{request: r.call.ID, extra: int64(len(r.ctx.Request.Body()) + body), maxStall: maxStall, cancel: r.cancel})
+}
+
 // end releases the request's resources and records its result, once its answer is decided.
 func (r *request) end() {
 	r.conn.stopWatch()
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -122,6 +122,8 @@
 	// PeerRelay returns the connections to the address at which another instance serves forwarded
 	// requests.
 	PeerRelay func(address string) *endpoint.Relay
+	// Slow bounds what is held for callers and endpoints that read slowly; nil for no bound.
+	Slow *SlowReaders
 	// Started is when the process started; see warmUpTimeout.
 	Started time.Time
 	// HeaderBytes and BodyBytes bound the sizes of any request, whatever the records allow.
@@ -185,7 +187,7 @@
 
 // Serve answers requests on the connections that ln accepts, until Shutdown.
 func (s *Server) Serve(ln net.Listener) error {
-	return s.http.Serve(&listener{Listener: ln, limits: s.limits, open: &s.connections, gate: s.cfg.Gate})
+	return s.http.Serve(&listener{Listener: ln, limits: s.limits, open: &s.connections, gate: s.cfg.Gate, slow: s.cfg.Slow})
 }
 
 func (s *Server) limits() route.Limits {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sardinedock/sardinedock/balance"
+	"github.com/sardinedock/sardinedock/endpoint"
 	"github.com/sardinedock/sardinedock/fault"
 )
 
@@ -46,6 +47,8 @@
 		retry := r.handleSendFailure(outcomeBroken, err)
 		return nil, retry
 	}
+	r.sendsAnswer(r.route.StreamIdleTimeout(), 0)
+	s.noteSource(a.resp)
 	r.copyHead(a)
 	if !s.framed {
 		r.unframed = s
@@ -184,13 +187,22 @@
 		return err
 	}
 	s.attempt = a
+	s.noteSource(a.resp)
 	s.reader.r.Reset(a.resp.Body())
 	return nil
 }
 
+// noteSource states from which answer the stream is read, nil for none.
+func (s *eventStream) noteSource(in *endpoint.Incoming) {
+	if x := s.req.conn.sender; x != nil {
+		x.use.Load().source.Store(in)
+	}
+}
+
 // Close implements io.Closer. The HTTP server calls it when the answer is written, or can't be.
 func (s *eventStream) Close() error {
 	r := s.req
+	s.noteSource(nil)
 	switch {
 	case s.complete && len(s.pending) == 0:
 		s.attempt.finish(balance.Done)
--- a/hosted/dump.go
+++ b/hosted/dump.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/sardinedock/sardinedock/balance"
+	"github.com/sardinedock/sardinedock/bufferlimit"
 	"github.com/sardinedock/sardinedock/gateway"
 	"github.com/sardinedock/sardinedock/lease"
 	"github.com/sardinedock/sardinedock/overload"
@@ -44,6 +45,8 @@
 	Suspects []gateway.SuspectView `json:"crash_suspects"`
 	// Overload is whether new connections are limited for lack of processor time.
 	Overload overload.State `json:"overload"`
+	// SlowReaders is what is held for callers and endpoints that read slowly.
+	SlowReaders bufferlimit.View `json:"slow_readers"`
 	// Unreachable are the endpoints to which this instance has no path.
 	Unreachable []reachability.View `json:"endpoints_out_of_reach"`
 	Endpoints   []balance.View      `json:"endpoints"`
@@ -69,7 +72,7 @@
 	now := time.Now()
 	d := dump{
 		Instance: i.settings.GetInstance(), Ready: i.Ready(), Leaving: i.leaving.Load(), Open: i.server.Open(),
-		Scheduler: i.node.IsScheduler(), Others: i.node.Schedulers(), Live: i.node.Live(), Lease: i.lease.Dump(), Weights: i.rollout.Wanted(), Quotas: i.quotas.Views(now), Streams: i.origins.book.Streams(), Rates: i.statements.limits.Views(now), Departures: i.statements.departures.Endpoints(), Brittle: i.statements.brittle.Endpoints(), Suspects: i.guard.Views(now), Overload: i.gate.State(), Unreachable: i.paths.Views(now), Endpoints: i.state.Endpoints("", now),
+		Scheduler: i.node.IsScheduler(), Others: i.node.Schedulers(), Live: i.node.Live(), Lease: i.lease.Dump(), Weights: i.rollout.Wanted(), Quotas: i.quotas.Views(now), Streams: i.origins.book.Streams(), Rates: i.statements.limits.Views(now), Departures: i.statements.departures.Endpoints(), Brittle: i.statements.brittle.Endpoints(), Suspects: i.guard.Views(now), Overload: i.gate.State(), SlowReaders: i.slow.View(), Unreachable: i.paths.Views(now), Endpoints: i.state.Endpoints("", now),
 	}
 	for _, p := range i.statements.pauses.All(now) {
 		d.Pauses = append(d.Pauses, pausedEndpoint{p.Endpoint, p.Left.Milliseconds()})
--- a/hosted/fixture_test.go
+++ b/hosted/fixture_test.go
@@ -30,6 +30,8 @@
 	retrySlack float64
 	// firstStart states to the instances that all of them start for the first time.
 	firstStart bool
+	// memoryMb is the memory stated to the instances; 0 for no bound.
+	memoryMb float64
 }
 
 const (
@@ -62,6 +64,15 @@
 	return f
 }
 
+// newFixtureOf starts one instance with what change sets.
+func newFixtureOf(t testing.TB, change func(*fixture)) *fixture {
+	t.Helper()
+	f := newFixture(t, 0)
+	change(f)
+	f.start("instance-0")
+	return f
+}
+
 func (f *fixture) start(name string) *Instance {
 	f.t.Helper()
 	return f.startWith(name, func(*settingspb.HostedListen) {})
@@ -79,7 +90,7 @@
 		change(listen)
 		var err error
 		i, err = Start(&settingspb.Hosted{
-			Instance: name, DataCentre: "dc-1", Store: f.store.Address(), Listen: listen, FirstStart: f.firstStart,
+			Instance: name, DataCentre: "dc-1", Store: f.store.Address(), Listen: listen, FirstStart: f.firstStart, MemoryMb: f.memoryMb,
 			Bounds: &settingspb.HostedBounds{GraceSeconds: 4, LeaseMs: 1000, RetryRatio: 0.2, RetrySlack: f.retrySlack, RetryWindowSeconds: 10, WeightsMs: 8000, HeartbeatMs: 300},
 		})
 		if err != nil && try == tries {
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -8,6 +8,7 @@
 	"math"
 	"net"
 	"net/netip"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -58,11 +59,28 @@
 	// stay unacknowledged. A caller that vanishes while nothing is sent to it is noticed by the second
 	// of Go's keep-alive probes, after 30 s.
 	callerUserTimeout = 10 * time.Second
+	// unreadShare is the fraction, 1/unreadShare, of the instance's memory that may be held for callers and endpoints
+	// that read slowly. The rest is for requests that are being served, the state and garbage.
+	unreadShare = 4
+	// runtimeShare is the share of the instance's memory that the Go runtime may use before it collects garbage more
+	// often. The rest is for the program itself and for what the kernel holds for connections.
+	runtimeShare = 0.7
 	// sweepInterval is the time between two sweeps of expired state, such as runs without a
 	// reported end.
 	sweepInterval = time.Second
+	// bytesPerMB is the unit of memory in the settings.
+	bytesPerMB = 1 << 20
 )
 
+// LimitMemory sets the soft limit of the Go runtime's memory for a process that runs one instance, so that the garbage of closed
+// connections is collected before the machine's memory is used up. Without a memory in the settings, or with one in the
+// environment variable GOMEMLIMIT, it has no effect.
+func LimitMemory(s *settingspb.Hosted) {
+	if mb := s.GetMemoryMb(); mb > 0 && debug.SetMemoryLimit(-1) == math.MaxInt64 {
+		debug.SetMemoryLimit(int64(mb * bytesPerMB * runtimeShare))
+	}
+}
+
 // Instance is one gateway instance, running in this process.
 type Instance struct {
 	// settings are those of the start; bounds are those in force.
@@ -93,7 +111,9 @@
 	feed       *cachefeed.Feed
 	lease      *lease.Manager
 	server     *gateway.Server
-	cancel     context.CancelFunc
+	// slow bounds what is held for peers that read slowly; nil for no bound.
+	slow   *gateway.SlowReaders
+	cancel context.CancelFunc
 	// entries and peers are decoded from the store's objects; only their followers use them.
 	entries   entries
 	changeLog changeLog
@@ -144,10 +164,13 @@
 	i.state.SetLeaving(i.statements.departures.Holds)
 	i.state.SetBrittle(i.statements.brittle.Holds, i.turn)
 	i.placer = newPlacer(i)
+	if mb := s.GetMemoryMb(); mb > 0 {
+		i.slow = gateway.NewSlowReaders(int64(mb * bytesPerMB / unreadShare))
+	}
 	callersLn, readyLn, forwardedLn := i.listeners[0], i.listeners[1], i.listeners[2]
 	i.server = gateway.NewServer(gateway.Config{
 		Instance: s.GetInstance(), DataCentre: s.GetDataCentre(), Table: i.table.Load, State: i.state, Budget: i.budget, Guard: i.guard, Gate: &i.gate, Paths: i.paths,
-		Broadcaster: i.node, Placer: i.placer, Statements: i.statements, Peers: i, Origins: i.origins, Dialect: platform.Dialect{}, Relay: i.relays.to, PeerRelay: i.peerRelays.to,
+		Broadcaster: i.node, Placer: i.placer, Statements: i.statements, Peers: i, Origins: i.origins, Dialect: platform.Dialect{}, Relay: i.relays.to, PeerRelay: i.peerRelays.to, Slow: i.slow,
 		Started: time.Now(), HeaderBytes: headerBytes, BodyBytes: bodyBytes,
 	})
 	i.startTasks()
@@ -258,6 +281,9 @@
 	go i.server.ProbeUnresponsive(ctx)
 	go i.server.ProbePaths(ctx)
 	go i.feed.Run(ctx)
+	if i.slow != nil {
+		go i.slow.Run(ctx)
+	}
 	i.lease.Start()
 }
 
--- a/hosted/reload.go
+++ b/hosted/reload.go
@@ -60,6 +60,7 @@
 	add("listen", !proto.Equal(atStart.GetListen(), now.GetListen()))
 	add("store", atStart.GetStore() != now.GetStore())
 	add("link_mbps", atStart.GetLinkMbps() != now.GetLinkMbps())
+	add("memory_mb", atStart.GetMemoryMb() != now.GetMemoryMb())
 	add("bounds.lease_ms", atStart.GetBounds().GetLeaseMs() != now.GetBounds().GetLeaseMs())
 	return names
 }
--- a/internal/cli/host.go
+++ b/internal/cli/host.go
@@ -52,6 +52,7 @@
 		return nil
 	default:
 	}
+	hosted.LimitMemory(s)
 	i, err := hosted.Start(s)
 	if err != nil {
 		return err
--- a/internal/docs/metrics_test.go
+++ b/internal/docs/metrics_test.go
@@ -14,7 +14,7 @@
 var (
 	// metricName matches a complete name. The object API's client builds its names from
 	// apiPrefix and the argument of counter.
-	metricName   = regexp.MustCompile(`sardinedock_[a-z_]*_(total|seconds)`)
+	metricName   = regexp.MustCompile(`sardinedock_[a-z_]*_(total|seconds|bytes)`)
 	apiPrefix    = "sardinedock_objectapi_"
 	apiCounter   = regexp.MustCompile(`\bcounter\("([a-z_]+)"`)
 	quotedMetric = regexp.MustCompile("[\"`](sardinedock_[a-z_]*)")
--- a/internal/sendqueue/sendqueue.go
+++ b/internal/sendqueue/sendqueue.go
@@ -93,6 +93,16 @@
 // CloseConn closes the connection.
 func (q *Queue) CloseConn() { _ = q.conn.Close() }
 
+// CloseWrite closes the direction to the peer, after what was written. It returns false if a write has failed, or if
+// the connection has no such direction.
+func (q *Queue) CloseWrite() bool {
+	c, ok := q.conn.(interface{ CloseWrite() error })
+	return ok && q.offered.Load() == q.accepted.Load() && c.CloseWrite() == nil
+}
+
+// PeerClosed reports whether the peer has closed or reset the connection.
+func (q *Queue) PeerClosed() bool { return sockstate.Of(q.conn) == sockstate.Closed }
+
 // State returns the state; false if the connection is closed.
 func (q *Queue) State() (State, bool) {
 	if q.closed.Load() {
--- a/settings/hosted_test.go
+++ b/settings/hosted_test.go
@@ -13,7 +13,7 @@
 	"listen.front|json": `"10.1.0.30:8782"`, "listen.ready|json": `"10.1.0.30:8789"`, "ip": "10.1.0.30",
 	"internalPorts.0": "7340", "internalPorts.1": "7355", "bounds.graceS": "8", "bounds.leaseMs": "3000",
 	"bounds.retryBudgetRatio": "0.2", "bounds.retrySlack": "56", "bounds.budgetWindowS": "10", "bounds.versionMs": "8000",
-	"heartbeatMs": "1200", "limits.linkMbps": "1000.0", "bootstrap|json": "true",
+	"heartbeatMs": "1200", "limits.linkMbps": "1000.0", "limits.memoryMb": "144", "bootstrap|json": "true",
 }
 
 // If the template names a field that the settings do not have, or leaves out a required one, no
@@ -34,7 +34,7 @@
 	if len(faults) > 0 {
 		t.Fatal(Lines("deploy/settings.yaml", faults))
 	}
-	if h.GetInstance() != "front-tema-hall-1" || h.GetListen().GetGossip() != "10.1.0.30:7340" || h.GetBounds().GetRetrySlack() != 56 || h.GetBounds().GetHeartbeatMs() != 1200 || h.GetLinkMbps() != 1000 || !h.GetFirstStart() {
+	if h.GetInstance() != "front-tema-hall-1" || h.GetListen().GetGossip() != "10.1.0.30:7340" || h.GetBounds().GetRetrySlack() != 56 || h.GetBounds().GetHeartbeatMs() != 1200 || h.GetLinkMbps() != 1000 || h.GetMemoryMb() != 144 || !h.GetFirstStart() {
 		t.Errorf("filled in as %v", h)
 	}
 }
@@ -49,3 +49,13 @@
 		}
 	}
 }
+
+// A memory that makes no sense must not come into force as a bound that closes every connection, or as none.
+func TestAbsurdMemoryIsRefused(t *testing.T) {
+	for _, value := range []string{"-1", "0.001", "2e9", ".nan", ".inf", "much", "[144]"} {
+		_, faults := ParseHosted([]byte("instance: a\ndata_centre: d\nstore: \"127.0.0.1:5\"\nlisten: {callers: \"127.0.0.1:1\", ready: \"127.0.0.1:2\", gossip: \"127.0.0.1:3\", metrics: \"127.0.0.1:4\"}\nmemory_mb: " + value + "\n"))
+		if text := Lines("f", faults); len(faults) != 1 || !strings.Contains(text, "memory_mb") {
+			t.Errorf("memory_mb: %s: faults %q, want one that names the field", value, text)
+		}
+	}
+}
