Kernel buffers are bounded for steady slow readers too

Cause: the kernel's buffers were bounded once a peer had read next to nothing for 100 ms. A peer that reads a fast stream steadily, but slowly, never came to that, and the kernel enlarged its buffers up to several MB.

Change: what counts is that a connection has had unread bytes for 100 ms.

--- a/bufferlimit/bufferlimit.go
+++ b/bufferlimit/bufferlimit.go
@@ -184,13 +184,13 @@
 	return ids
 }
 
-// Stall returns how long the peer of a connection has read less than MinRate; 0 if it has no unread bytes.
-func (t *Table) Stall(now time.Time, id uint64) time.Duration {
+// UnreadFor returns how long the connection has had unread bytes at each observation; 0 if it has none.
+func (t *Table) UnreadFor(now time.Time, id uint64) time.Duration {
 	c := t.conns[id]
 	if c == nil {
 		return 0
 	}
-	return now.Sub(c.markAt)
+	return now.Sub(c.began)
 }
 
 // View returns the state for the state dump.
--- a/gateway/slowreaders.go
+++ b/gateway/slowreaders.go
@@ -44,7 +44,8 @@
 }
 
 // SlowReaders bounds the memory that is held for callers and endpoints which read slowly: it looks at their connections,
-// has package bufferlimit decide and closes those that it names. Writers never wait for it.
+// has package bufferlimit decide and closes those that it names. Writers take its lock when a connection gets its first unread
+// bytes, and hold none while they write.
 type SlowReaders struct {
 	bound int64
 	// estimate is the sum of held bytes when it was last determined, and all that was written since.
@@ -185,7 +186,7 @@
 	return o, true
 }
 
-// limit bounds what the kernel holds for a peer that has ceased to read.
+// limit bounds what the kernel holds for a peer that does not read at once.
 func (x *sender) limit() {
 	x.queue.Limit()
 	if use := x.use.Load(); use != nil {
@@ -254,7 +255,7 @@
 			continue
 		}
 		table.Observe(now, id, o)
-		if table.Stall(now, id) >= bufferlimit.Grace {
+		if table.UnreadFor(now, id) >= bufferlimit.Grace {
 			x.limit()
 		}
 	}
