--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -59,6 +59,8 @@
 	// start of a JSON object but can't be parsed or have no time, and Dropped the number of
 	// lines that instances reported as not written.
 	Lines, Truncated, Dropped int
+	// SlowClosed counts the connections that were closed since their peers read slowly, by peer and reason.
+	SlowClosed map[string]int
 	// Unfinished lists the instances whose log does not end with a "stopped" event.
 	Unfinished []string
 	// Resumed counts the streams that callers resumed by how the release that began them was found; see origin.Result.
@@ -93,12 +95,23 @@
 	Priority       int       `json:"priority"`
 	Limit          int       `json:"limit"`
 	OverShare      string    `json:"over_share"`
+	// Peer, Reason and Omitted are those of a closed connection; Omitted is how many before it have no line.
+	Peer    string `json:"peer"`
+	Reason  string `json:"reason"`
+	Omitted int    `json:"omitted"`
 	// ForwardedFor is set in the second line of a request that another instance forwarded.
 	ForwardedFor string `json:"forwarded_for"`
 	// BoundBy is the instance that knew the release of a resumed stream, and how.
 	BoundBy string `json:"bound_by"`
 }
 
+// slowReaderClosed is the event of the line on a connection that was closed since its peer reads slowly, withoutLine how
+// SlowClosed counts those that were left out.
+const (
+	slowReaderClosed = "connection of a slow reader closed"
+	withoutLine      = "without a line"
+)
+
 // stopped is the event of the last line that an instance logs.
 const stopped = "stopped"
 
@@ -134,6 +147,15 @@
 	if w.Instance != "" {
 		l.stoppedLast[w.Instance] = w.Event == stopped
 	}
+	if w.Event == slowReaderClosed {
+		if l.SlowClosed == nil {
+			l.SlowClosed = map[string]int{}
+		}
+		l.SlowClosed[w.Peer+", "+w.Reason]++
+		if w.Omitted > 0 {
+			l.SlowClosed[withoutLine] += w.Omitted
+		}
+	}
 	if w.Event == "request" && w.ForwardedFor == "" {
 		l.Requests = append(l.Requests, w.request())
 		if _, how, ok := strings.Cut(w.BoundBy, ": "); ok {
