Streams of plain services do not count as overdue

The concurrency limit compared the whole duration of a stream with the latency target, which is for its first event. Streams now count as those of engines do: their first event, and the time in a slot.

--- a/balance/capacity.go
+++ b/balance/capacity.go
@@ -282,11 +282,11 @@
 	switch {
 	case stage == Rejected:
 		e.limit.Rejected(now, e.running, e.Slots)
-	case stage == Done && r.Model != "":
-		e.limit.CompletedByEngine(now, s.limitRun(now, e, r))
+	case stage == Done && (r.Model != "" || r.streamed):
+		e.limit.CompletedStream(now, s.limitRun(now, e, r))
 	case stage == Done:
 		e.limit.Completed(now, s.limitRun(now, e, r))
-	case stage == Abandoned && r.Model == "" && now.Sub(r.at) < forgetRunsAfter:
+	case stage == Abandoned && r.Model == "" && !r.streamed && now.Sub(r.at) < forgetRunsAfter:
 		e.limit.GivenUp(now, s.limitRun(now, e, r))
 	}
 }
--- a/balance/capacity_test.go
+++ b/balance/capacity_test.go
@@ -240,6 +240,40 @@
 	}
 }
 
+// Guards against streams of a plain service, which last longer than the target for their first event, that count as
+// overdue because short requests of the same service do not.
+func TestStreamsAreNotOverdue(t *testing.T) {
+	d := newSlotService()
+	for round := range 24 {
+		// At first the pool is nearly idle, and runs short requests.
+		streams, requests := round >= 20, 2
+		if streams {
+			requests = 4 * slotsPerEndpoint
+		}
+		var runs []RunID
+		for range requests {
+			if q := d.query(); d.state.Decide(d.now, q).Admission == Send {
+				runs = append(runs, q.Run)
+			}
+		}
+		d.now = d.now.Add(slotWork)
+		for _, id := range runs {
+			if streams {
+				d.state.SetStage(d.now, id, Answering)
+				continue
+			}
+			d.state.SetStage(d.now, id, Done)
+		}
+		d.now = d.now.Add(10 * slotTarget)
+		for _, id := range runs {
+			d.state.SetStage(d.now, id, Done)
+		}
+	}
+	if v := d.state.Pools(d.now); v[0].Limit < 2*slotsPerEndpoint {
+		t.Errorf("limit %d of two endpoints with %d slots each", v[0].Limit, slotsPerEndpoint)
+	}
+}
+
 // Guards against requests below the limits that are decided in another way than without limits.
 func TestChoiceBelowTheLimitsIsUnchanged(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/balance/runs.go
+++ b/balance/runs.go
@@ -46,6 +46,10 @@
 		return
 	}
 	if stage == Answering {
+		if !r.streamed {
+			r.streamed = true
+			r.on.limit.FirstToken(s.limitRun(now, r.on, r))
+		}
 		s.promptRead(now, r.on, r)
 		return
 	}
@@ -60,9 +64,6 @@
 		return
 	}
 	s.measure(e, r, now.Sub(r.at))
-	if r.Model != "" {
-		e.limit.FirstToken(s.limitRun(now, e, r))
-	}
 	r.answered = true
 	e.reading.add(r.Rank, -r.Uncached)
 	s.recordRead(e, r)
--- a/balance/state.go
+++ b/balance/state.go
@@ -140,6 +140,8 @@
 	on       *endpoint
 	at       time.Time
 	answered bool
+	// streamed is set if the run has brought the first event of a stream.
+	streamed bool
 	// decided is set if this instance has placed the run.
 	decided bool
 	// ahead is the prompt work that was queued at the endpoint before this run's.
--- a/concurrency/concurrency.go
+++ b/concurrency/concurrency.go
@@ -45,7 +45,7 @@
 	// long runs share the slots, it says how long a request waits for one.
 	hold timeAverage
 	// loaded and unloaded are the durations of runs that found the endpoint full, and at most a quarter full. first
-	// is the time to the first token of an engine's runs that found a free slot. All in seconds.
+	// is the time to the first token or event of streams that found a free slot. All in seconds.
 	loaded, unloaded, first average
 	// cap is the limit that overdue runs and rejections have led to, if capped is set. cappedAt is when overdue runs
 	// last reduced it; it does not grow before heldUntil.
@@ -143,7 +143,7 @@
 	return time.Duration(float64(took) * float64(slots) / float64(beside))
 }
 
-// Completed records that a run of a plain service has ended with an answer. Runs in time raise a reduced limit by
+// Completed records that a run without a stream has ended with an answer. Runs in time raise a reduced limit by
 // one each, so that recovered capacity is detected.
 func (l *Limit) Completed(now time.Time, r Run) {
 	l.addHold(r)
@@ -159,9 +159,9 @@
 	l.reduce(now, r)
 }
 
-// CompletedByEngine records that a run of an engine has ended with an answer. Its duration says nothing about the
-// target, which is for the first token.
-func (l *Limit) CompletedByEngine(now time.Time, r Run) {
+// CompletedStream records that a run of an engine, or another stream, has ended. Its duration says nothing about the
+// target, which is for the first token or event.
+func (l *Limit) CompletedStream(now time.Time, r Run) {
 	l.addHold(r)
 	l.grow(now, r)
 }
@@ -176,7 +176,7 @@
 	l.hold.add(held.Seconds())
 }
 
-// FirstToken records that a run of an engine has brought its first token.
+// FirstToken records that a run has brought the first token or event of a stream.
 func (l *Limit) FirstToken(r Run) {
 	if r.Beside <= r.Slots {
 		l.first.add(r.Took.Seconds())
--- a/concurrency/concurrency_test.go
+++ b/concurrency/concurrency_test.go
@@ -149,7 +149,7 @@
 				l.Rejected(now, r.Beside-1, slots)
 			case 2:
 				l.FirstToken(r)
-				l.CompletedByEngine(now, r)
+				l.CompletedStream(now, r)
 			default:
 				l.Completed(now, r)
 			}
