load, emulate: changing speed, slow reading, stopped reading and excess demand as settings

Capacity that is short could not be played with the two commands: emulated endpoints had a constant speed and read at full speed, callers read at full speed or closed, and every organisation asked for its part only.

An answer that ends early after its caller had stopped reading counts as stopped_reading, which is not a broken invariant: the router may close such a connection.

--- a/demo/driver.go
+++ b/demo/driver.go
@@ -81,11 +81,12 @@
 	defer stop()
 	start := time.Now()
 	var wg sync.WaitGroup
-	for n, due := range d.workload.dueTimes() {
+	for _, a := range d.workload.arrivals() {
+		due := a.due
 		if !sleepUntil(ctx, start.Add(due)) {
 			break
 		}
-		r := d.workload.draw(n, due)
+		r := d.workload.drawArrival(a)
 		if !d.admit(r) {
 			continue
 		}
@@ -146,10 +147,10 @@
 		var a answer
 		var target string
 		last, target, a = d.attempt(r, rng, n, tried)
-		if last == verdictComplete {
+		if last == verdictComplete && !a.stopped {
 			d.observe(r, a, due)
 		}
-		if last == verdictComplete || ctx.Err() != nil {
+		if last == verdictComplete || last == verdictStopped || ctx.Err() != nil {
 			break
 		}
 		if last != verdictNotReached {
@@ -207,8 +208,14 @@
 	if n == 0 && r.hangUp > 0 {
 		timeout = r.hangUp
 	}
+	if n == 0 {
+		c.stop = r.stop
+	}
 	a := do(target, &c, timeout)
 	v := classify(&a, &c, d.workload.load.GetCheckAnswers())
+	if v == verdictIncomplete && a.stopped {
+		v = verdictStopped
+	}
 	if v == verdictIncomplete && a.ending == endTimeout && timeout == r.hangUp {
 		v = verdictHungUp
 	}
@@ -253,6 +260,8 @@
 		c.Failed++
 	case verdictCutByKill:
 		c.CutByKill++
+	case verdictStopped:
+		c.StoppedReading++
 	}
 }
 
--- a/demo/report.go
+++ b/demo/report.go
@@ -31,7 +31,7 @@
 }
 
 // Counts counts the outcomes of requests as callers and endpoints observed them. Complete,
-// RefusedNotRun, UnknownOutcome, Failed, CutByKill and NotReached count requests by the last answer
+// RefusedNotRun, UnknownOutcome, Failed, CutByKill, StoppedReading and NotReached count requests by the last answer
 // that the caller got. Incomplete and WrongAnswer count every answer, including those to requests
 // that were sent again.
 type Counts struct {
@@ -54,6 +54,9 @@
 	Failed int `json:"failed"`
 	// CutByKill counts requests that were interrupted because the instance was killed.
 	CutByKill int `json:"cut_by_kill"`
+	// StoppedReading counts requests whose callers stopped reading, and whose answers ended before
+	// they were complete: the router may close such a connection. They are not sent again.
+	StoppedReading int `json:"stopped_reading"`
 	// NotReached counts requests that could not be sent because no instance accepted the
 	// connection.
 	NotReached int `json:"not_reached"`
@@ -165,8 +168,8 @@
 	for _, name := range names {
 		writeRow(&b, name, r.Classes[name])
 	}
-	fmt.Fprintf(&b, "\ndoubled %d, false not-run %d, confirmed but not run %d, cut by kill %d, not reached %d, not sent %d, attempts %d\n",
-		r.DoubledNonRepeatable, r.FalseNotRun, r.ConfirmedNotRun, r.CutByKill, r.NotReached, r.NotSent, r.Attempts)
+	fmt.Fprintf(&b, "\ndoubled %d, false not-run %d, confirmed but not run %d, cut by kill %d, stopped reading %d, not reached %d, not sent %d, attempts %d\n",
+		r.DoubledNonRepeatable, r.FalseNotRun, r.ConfirmedNotRun, r.CutByKill, r.StoppedReading, r.NotReached, r.NotSent, r.Attempts)
 	writeEndpoints(&b, r)
 	writeFaults(&b, r)
 	for _, f := range r.Findings {
--- a/demo/verdict.go
+++ b/demo/verdict.go
@@ -18,11 +18,13 @@
 	verdictNotReached
 	// verdictHungUp: the caller closed the connection itself.
 	verdictHungUp
+	// verdictStopped: the caller stopped reading, and the answer ended before it was complete.
+	verdictStopped
 )
 
 // String returns the verdict's name in traces.
 func (v verdict) String() string {
-	return [...]string{"complete", "incomplete", "wrong", "not run", "unknown", "failed", "cut by kill", "not reached", "hung up"}[v]
+	return [...]string{"complete", "incomplete", "wrong", "not run", "unknown", "failed", "cut by kill", "not reached", "hung up", "stopped reading"}[v]
 }
 
 // classify derives the verdict from the answer alone, without the endpoints' counts.
--- a/demo/wire.go
+++ b/demo/wire.go
@@ -60,6 +60,8 @@
 	retryAfter time.Duration
 	text       string
 	first      time.Time
+	// stopped is set if the caller has stopped reading in the middle of the answer.
+	stopped bool
 }
 
 // do sends a call over a connection of its own and reads the answer.
@@ -71,6 +73,10 @@
 	defer func() { _ = conn.Close() }()
 	deadline := time.Now().Add(timeout)
 	_ = conn.SetDeadline(deadline)
+	if tcp, ok := conn.(*net.TCPConn); ok && c.stop.pause > 0 {
+		_ = tcp.SetReadBuffer(stoppedReadBuffer)
+		c.stop.pause = min(c.stop.pause, timeout)
+	}
 	var a answer
 	if err := writeCall(conn, target, c); err != nil {
 		a.ending = endingOf(err)
@@ -111,12 +117,38 @@
 	return endDisconnected
 }
 
-func readAnswer(r *bufio.Reader, c *call) answer {
+// stoppedReadBuffer is the size in bytes of the receive buffer of a caller that stops reading. It
+// is small, so that what the caller does not read stays with the router.
+const stoppedReadBuffer = 4096
+
+// stopReader reads like r, and stops once for the pause when it has read the given number of bytes.
+type stopReader struct {
+	r       io.Reader
+	at      readingStop
+	read    int
+	stopped *bool
+}
+
+func (s *stopReader) Read(p []byte) (int, error) {
+	if !*s.stopped {
+		if left := s.at.after - s.read; left > 0 {
+			p = p[:min(len(p), left)]
+		} else {
+			*s.stopped = true
+			time.Sleep(s.at.pause)
+		}
+	}
+	n, err := s.r.Read(p)
+	s.read += n
+	return n, err
+}
+
+func readAnswer(r *bufio.Reader, c *call) (a answer) {
 	var h fasthttp.ResponseHeader
 	if err := h.Read(r); err != nil {
 		return answer{ending: endingOf(err)}
 	}
-	a := answer{
+	a = answer{
 		status:    h.StatusCode(),
 		outcome:   string(h.Peek(headerOutcome)),
 		requestID: string(h.Peek(headerRequestID)),
@@ -125,6 +157,9 @@
 		a.retryAfter = s
 	}
 	body := bodyOf(r, &h)
+	if c.stop.pause > 0 {
+		body = &stopReader{r: body, at: c.stop, stopped: &a.stopped}
+	}
 	if a.status == fasthttp.StatusOK && c.stream {
 		a.readStream(body)
 		return a
--- a/demo/wire_test.go
+++ b/demo/wire_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 )
 
 // chunked encodes a body with chunked transfer encoding, with or without the last chunk.
@@ -42,9 +43,16 @@
 		"cut refusal":    {"HTTP/1.1 503 S\r\nX-Sardinedock-Outcome: not-run\r\nContent-Length: 9\r\n\r\n{}", verdictIncomplete},
 	} {
 		sent := call{path: "/v1/completions", stream: true, want: "a b "}
-		a := readAnswer(bufio.NewReader(strings.NewReader(c.wire)), &sent)
-		if got := classify(&a, &sent, true); got != c.want {
-			t.Errorf("%s: verdict %d, want %d", name, got, c.want)
+		// A caller that stops reading in between gets the same answer.
+		for _, stop := range []readingStop{{}, {after: 2, pause: time.Millisecond}} {
+			sent.stop = stop
+			a := readAnswer(bufio.NewReader(strings.NewReader(c.wire)), &sent)
+			if got := classify(&a, &sent, true); got != c.want {
+				t.Errorf("%s: verdict %d, want %d", name, got, c.want)
+			}
+			if want := stop.pause > 0 && c.wire != ""; a.stopped != want {
+				t.Errorf("%s: stopped reading %v, want %v", name, a.stopped, want)
+			}
 		}
 	}
 }
--- a/demo/workload.go
+++ b/demo/workload.go
@@ -1,10 +1,12 @@
 package demo
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -31,8 +33,21 @@
 	resend resendKind
 	// hangUp is the time after which the caller closes its first connection; 0 means never.
 	hangUp time.Duration
+	// stop is where the caller stops reading its first answer.
+	stop readingStop
 }
 
+// readingStop is a caller's pause in reading an answer. The zero value is none.
+type readingStop struct {
+	// after is the number of bytes of the body that the caller has read then.
+	after int
+	pause time.Duration
+}
+
+// maxReadBeforeStop bounds the bytes of a body that a caller reads before it stops. It is about the
+// size of ten events, so that most answers are not complete by then.
+const maxReadBeforeStop = 2048
+
 // maxHangUp bounds the time after which a caller closes its connection.
 const maxHangUp = 600 * time.Millisecond
 
@@ -75,11 +90,54 @@
 	return due
 }
 
+// arrival is the time at which a request is due. caller is set if it is one of an organisation's
+// further requests in a time of excess.
+type arrival struct {
+	number int
+	due    time.Duration
+	caller *loadpb.LoadCaller
+}
+
+// arrivals returns the requests in the order in which they are due, with those of organisations
+// that ask for more than their part. The other requests are the same without them.
+func (w *workload) arrivals() []arrival {
+	var list []arrival
+	for n, due := range w.dueTimes() {
+		list = append(list, arrival{number: n, due: due})
+	}
+	sum := 0.0
+	for _, c := range w.load.GetCallers() {
+		sum += c.GetWeight()
+	}
+	rng := rand.New(rand.NewPCG(uint64(w.load.GetSeed()), 12))
+	total := time.Duration(w.load.GetSeconds()) * time.Second
+	for _, c := range w.load.GetCallers() {
+		x := c.GetExcess()
+		from := min(time.Duration(x.GetFromMs())*time.Millisecond, total)
+		length := min(time.Duration(x.GetLengthMs())*time.Millisecond, total-from)
+		further := (x.GetFactor() - 1) * c.GetWeight() / sum * w.load.GetRequestsPerSecond() * length.Seconds()
+		for n := 0; float64(n) < further && int64(len(list)) < w.load.GetMaxRequests(); n++ {
+			list = append(list, arrival{number: len(list), due: from + time.Duration(rng.Int64N(int64(length))), caller: c})
+		}
+	}
+	slices.SortStableFunc(list, func(a, b arrival) int { return cmp.Compare(a.due, b.due) })
+	return list
+}
+
 // draw returns request number n.
 func (w *workload) draw(n int, due time.Duration) *request {
+	return w.drawArrival(arrival{number: n, due: due})
+}
+
+// drawArrival returns the request of an arrival.
+func (w *workload) drawArrival(a arrival) *request {
+	n, due := a.number, a.due
 	rng := rand.New(rand.NewPCG(uint64(w.load.GetSeed()), uint64(n)+1000))
 	r := &request{number: n, due: due}
 	r.caller = pick(rng, w.load.GetCallers())
+	if a.caller != nil {
+		r.caller = a.caller
+	}
 	r.work = pick(rng, w.load.GetWork())
 	r.chat = w.usesChat(r)
 	r.stream = rng.Float64() >= r.work.GetWhole()
@@ -94,6 +152,9 @@
 		r.hangUp = 1 + time.Duration(rng.Int64N(int64(maxHangUp)))
 	}
 	r.prompt = w.prompt(rng, r)
+	if rng.Float64() < r.work.GetStopReading() {
+		r.stop = readingStop{rng.IntN(maxReadBeforeStop), time.Duration(r.work.GetStopReadingMs()) * time.Millisecond}
+	}
 	return r
 }
 
@@ -223,6 +284,8 @@
 	header [][2]string
 	stream bool
 	want   string
+	// stop is where the caller stops reading the answer.
+	stop readingStop
 }
 
 // build returns the call for an attempt.
--- a/demo/workload_test.go
+++ b/demo/workload_test.go
@@ -4,6 +4,9 @@
 	"reflect"
 	"strings"
 	"testing"
+	"time"
+
+	"github.com/sardinedock/sardinedock/schema/loadpb"
 )
 
 // A run that shows a fault is repeated with its seed, so the same seed must produce the same
@@ -58,3 +61,36 @@
 		t.Fatal("an explicit refusal or error was reported as a broken invariant")
 	}
 }
+
+// An organisation asks for several times its part in its time of excess only, and the requests of all
+// others stay the same, so that runs with and without excess can be compared.
+func TestExcessAddsRequestsOfItsOrganisation(t *testing.T) {
+	l := newScenario(Options{Scenario: scenarioKwabena, Seconds: 10, Seed: 1}).load
+	w := &workload{load: l}
+	before := w.arrivals()
+	greedy := l.GetCallers()[0]
+	greedy.Excess = &loadpb.Excess{FromMs: 2000, LengthMs: 3000, Factor: 4}
+	sum := 0.0
+	for _, c := range l.GetCallers() {
+		sum += c.GetWeight()
+	}
+	want := 3 * 3 * l.GetRequestsPerSecond() * greedy.GetWeight() / sum
+	var usual []arrival
+	further := 0.0
+	for _, a := range w.arrivals() {
+		if a.caller == nil {
+			usual = append(usual, a)
+			continue
+		}
+		further++
+		if r := w.drawArrival(a); r.caller != greedy || a.due < 2*time.Second || a.due >= 5*time.Second {
+			t.Fatalf("a further request of %s at %v", r.caller.GetOrganisation(), a.due)
+		}
+	}
+	if !reflect.DeepEqual(usual, before) {
+		t.Error("the usual requests have changed")
+	}
+	if further < want || further > want+1 {
+		t.Errorf("%v further requests, want %v", further, want)
+	}
+}
--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -4,6 +4,8 @@
 package emulator
 
 import (
+	"github.com/zeebo/xxh3"
+
 	"github.com/sardinedock/sardinedock/record"
 	"github.com/sardinedock/sardinedock/schema/recordspb"
 )
@@ -16,6 +18,19 @@
 	Engine EngineConfig
 	// Service holds the settings that all plain services share.
 	Service ServiceConfig
+	// Endpoints holds behaviours by the endpoint's name; an empty name stands for all others. The
+	// speed of each endpoint changes on its own: its name is part of the seed.
+	Endpoints map[string]Behaviour
+}
+
+// behaviour returns the behaviour of a named endpoint.
+func (c *Config) behaviour(name string) Behaviour {
+	b, ok := c.Endpoints[name]
+	if !ok {
+		b = c.Endpoints[""]
+	}
+	b.Speed.Seed ^= xxh3.HashString(name)
+	return b
 }
 
 // Emulator runs an object API and the endpoints of one deployment.
@@ -87,6 +102,7 @@
 		cfg.ChecksFencing = pool.GetChecksFencing()
 		cfg.Seed += int64(len(e.Engines))
 		cfg.Shared = shared
+		cfg.Behaviour = e.cfg.behaviour(ep.GetName())
 		if cfg.PrefillRate == 0 {
 			cfg.PrefillRate = pool.GetPrefillTokensPerSecond()
 		}
@@ -104,6 +120,7 @@
 	for _, ep := range r.GetService().GetEndpoints() {
 		cfg := e.cfg.Service
 		cfg.Name, cfg.Runs = ep.GetName(), e.Runs
+		cfg.Behaviour = e.cfg.behaviour(ep.GetName())
 		service, err := StartService(ep.GetAddress(), cfg)
 		if err != nil {
 			return err
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/sardinedock/sardinedock/endpoint"
+	"github.com/sardinedock/sardinedock/platform/platformtest"
 )
 
 // EngineConfig configures one emulated engine. Zero fields get the defaults of withDefaults.
@@ -46,6 +47,7 @@
 	DownTime time.Duration
 	// FirstIncarnation is the incarnation number of the first start.
 	FirstIncarnation uint64
+	Behaviour        Behaviour
 	// Pace scales all durations and rates.
 	Pace Pace
 	// Seed seeds the faults that occur with a probability.
@@ -98,8 +100,9 @@
 // Engine emulates a model engine. It answers each prompt with a text that is a function of the
 // prompt, so that a caller can verify that the answer is its own.
 type Engine struct {
-	cfg      EngineConfig
-	listener *listener
+	cfg       EngineConfig
+	listener  *listener
+	createdAt time.Time
 
 	mu       sync.Mutex
 	process  *process
@@ -178,10 +181,10 @@
 // StartEngine listens on addr and serves until Close.
 func StartEngine(addr string, cfg EngineConfig) (*Engine, error) {
 	cfg = cfg.withDefaults()
-	e := &Engine{cfg: cfg, rng: rand.New(rand.NewPCG(uint64(cfg.Seed), 3)), thawed: make(chan struct{})}
+	e := &Engine{cfg: cfg, rng: rand.New(rand.NewPCG(uint64(cfg.Seed), 3)), thawed: make(chan struct{}), createdAt: time.Now()}
 	e.starts = cfg.FirstIncarnation - 1
 	e.startProcess()
-	listener, err := listenHTTP(addr, e.handle)
+	listener, err := listenHTTP(addr, cfg.Behaviour.ReadRate*cfg.Pace.factor(), e.handle)
 	if err != nil {
 		return nil, err
 	}
@@ -259,6 +262,9 @@
 	return e.process.incarnation
 }
 
+// age returns the emulated time since the engine was created.
+func (e *Engine) age() time.Duration { return e.cfg.Pace.unscale(time.Since(e.createdAt)) }
+
 // current returns the current process.
 func (e *Engine) current() *process {
 	e.mu.Lock()
@@ -279,6 +285,12 @@
 		return
 	}
 	ctx.Response.Header.Set("X-Engine-Incarnation", strconv.FormatUint(p.incarnation, 10))
+	if e.cfg.Behaviour.ReportsLoad {
+		e.mu.Lock()
+		running, waiting := p.running, p.waiting
+		e.mu.Unlock()
+		ctx.Response.Header.Set(platformtest.LoadHeader, platformtest.LoadReport(running, waiting, e.cfg.Slots, e.cfg.Behaviour.Speed.Factor(e.age())))
+	}
 	switch path {
 	case "/v1/completions":
 		e.generate(ctx, p, false, arrived)
--- a/emulator/job.go
+++ b/emulator/job.go
@@ -223,7 +223,7 @@
 		d = time.Duration(float64(d) * e.faults.Slow)
 	}
 	e.mu.Unlock()
-	return e.cfg.Pace.sleep(d, stop)
+	return e.cfg.Pace.sleep(e.cfg.Behaviour.Speed.Stretch(e.age(), d), stop)
 }
 
 // emit marks the next token as generated.
--- a/emulator/link.go
+++ b/emulator/link.go
@@ -20,7 +20,7 @@
 // StartLink listens on addr and forwards to target until Close.
 func StartLink(addr, target string) (*Link, error) {
 	l := &Link{target: target}
-	listener, err := listenWith(addr, l.serve)
+	listener, err := listenWith(addr, 0, l.serve)
 	if err != nil {
 		return nil, err
 	}
--- a/emulator/listener.go
+++ b/emulator/listener.go
@@ -16,11 +16,21 @@
 // runs do not accumulate such connections without bound.
 const unresponsiveTimeout = 2 * time.Minute
 
+const (
+	// slowReadInterval bounds the pause between two reads at a limited rate.
+	slowReadInterval = 50 * time.Millisecond
+	// slowReadBuffer is the size in bytes of a slow reader's receive buffer. It is small, so that
+	// what is not read stays with the sender.
+	slowReadBuffer = 4096
+)
+
 // listener is a stand-in's TCP listener with fault injection. It can close its connections, make
 // the open ones unresponsive while new ones work, and go down and come back on the same address.
 type listener struct {
 	run  func(net.Listener) error
 	addr string
+	// readRate is the number of bytes per second that each connection reads; 0 sets no limit.
+	readRate float64
 
 	mu       sync.Mutex
 	ln       net.Listener
@@ -32,24 +42,25 @@
 // noReservation means that no socket reserves the address.
 const noReservation = -1
 
-// listenHTTP serves HTTP on a listener with fault injection.
-func listenHTTP(addr string, handler fasthttp.RequestHandler) (*listener, error) {
+// listenHTTP serves HTTP on a listener with fault injection, whose connections read readRate bytes
+// per second (0 sets no limit).
+func listenHTTP(addr string, readRate float64, handler fasthttp.RequestHandler) (*listener, error) {
 	srv := &fasthttp.Server{
 		Handler:               handler,
 		NoDefaultServerHeader: true,
 		MaxRequestBodySize:    64 << 20,
 		Logger:                discardLogger{},
 	}
-	return listenWith(addr, srv.Serve)
+	return listenWith(addr, readRate, srv.Serve)
 }
 
 // listenWith runs any server on a listener with fault injection.
-func listenWith(addr string, run func(net.Listener) error) (*listener, error) {
+func listenWith(addr string, readRate float64, run func(net.Listener) error) (*listener, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	l := &listener{run: run, addr: ln.Addr().String(), reserved: noReservation, conns: map[*faultConn]struct{}{}}
+	l := &listener{run: run, addr: ln.Addr().String(), readRate: readRate, reserved: noReservation, conns: map[*faultConn]struct{}{}}
 	l.serve(ln)
 	return l, nil
 }
@@ -186,6 +197,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if tcp, ok := conn.(*net.TCPConn); ok && l.listener.readRate > 0 {
+		_ = tcp.SetReadBuffer(slowReadBuffer)
+	}
 	c := &faultConn{Conn: conn, listener: l.listener, ended: make(chan struct{})}
 	l.listener.mu.Lock()
 	defer l.listener.mu.Unlock()
@@ -209,7 +223,7 @@
 
 func (c *faultConn) Read(p []byte) (int, error) {
 	if !c.stalled.Load() {
-		n, err := c.Conn.Read(p)
+		n, err := c.readAtRate(p)
 		if !c.stalled.Load() {
 			return n, err
 		}
@@ -223,6 +237,19 @@
 	return 0, net.ErrClosed
 }
 
+// readAtRate reads like the connection, at most at the listener's rate.
+func (c *faultConn) readAtRate(p []byte) (int, error) {
+	rate := c.listener.readRate
+	if rate <= 0 {
+		return c.Conn.Read(p)
+	}
+	n, err := c.Conn.Read(p[:min(len(p), max(1, int(rate*slowReadInterval.Seconds())))])
+	if n > 0 {
+		Pace(1).sleep(time.Duration(float64(n)/rate*float64(time.Second)), c.ended)
+	}
+	return n, err
+}
+
 func (c *faultConn) Write(p []byte) (int, error) {
 	if c.stalled.Load() {
 		return len(p), nil
--- a/emulator/service.go
+++ b/emulator/service.go
@@ -4,10 +4,13 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
 	"github.com/zeebo/xxh3"
+
+	"github.com/sardinedock/sardinedock/platform/platformtest"
 )
 
 // ServiceConfig configures an emulated plain service.
@@ -19,8 +22,9 @@
 	// it; 0 means two seconds.
 	DownTime time.Duration
 	// Runs is shared by the endpoints of one service; nil creates a separate one.
-	Runs *Ledger
-	Pace Pace
+	Runs      *Ledger
+	Behaviour Behaviour
+	Pace      Pace
 }
 
 // ServiceFaults are the faults injected at a plain service.
@@ -44,6 +48,9 @@
 	cfg      ServiceConfig
 	listener *listener
 	done     chan struct{}
+	// createdAt is the time from which the speed changes; open counts the calls being served.
+	createdAt time.Time
+	open      atomic.Int64
 
 	mu      sync.Mutex
 	faults  ServiceFaults
@@ -58,8 +65,11 @@
 		cfg.Runs = NewLedger()
 	}
 	setDefault(&cfg.DownTime, 2*time.Second)
-	s := &Service{cfg: cfg, done: make(chan struct{})}
-	listener, err := listenHTTP(addr, s.handle)
+	if cfg.Behaviour.WorkTime > 0 {
+		cfg.WorkTime = cfg.Behaviour.WorkTime
+	}
+	s := &Service{cfg: cfg, done: make(chan struct{}), createdAt: time.Now()}
+	listener, err := listenHTTP(addr, cfg.Behaviour.ReadRate*cfg.Pace.factor(), s.handle)
 	if err != nil {
 		return nil, err
 	}
@@ -149,6 +159,8 @@
 		s.control(ctx, what)
 		return
 	}
+	s.open.Add(1)
+	defer s.open.Add(-1)
 	f := s.nextFaults()
 	if f.Silent {
 		neverRespond(ctx)
@@ -166,10 +178,14 @@
 		s.crashDuring(ctx, down)
 		return
 	}
-	if !s.cfg.Pace.sleep(s.cfg.WorkTime+time.Duration(f.SlowMS)*time.Millisecond, s.done) {
+	work := s.cfg.Behaviour.Speed.Stretch(s.age(), s.cfg.WorkTime+time.Duration(f.SlowMS)*time.Millisecond)
+	if !s.cfg.Pace.sleep(work, s.done) {
 		drop(ctx)
 		return
 	}
+	if s.cfg.Behaviour.ReportsLoad {
+		ctx.Response.Header.Set(platformtest.LoadHeader, platformtest.LoadReport(int(s.open.Load()), 0, 0, s.cfg.Behaviour.Speed.Factor(s.age())))
+	}
 	s.recordRun(ctx)
 	switch {
 	case f.CrashAfter > 0:
@@ -182,6 +198,9 @@
 	}
 }
 
+// age returns the emulated time since the service was started.
+func (s *Service) age() time.Duration { return s.cfg.Pace.unscale(time.Since(s.createdAt)) }
+
 // nextFaults returns the faults for one call and decrements the counter of the fault that applies
 // to it.
 func (s *Service) nextFaults() ServiceFaults {
--- a/emulator/store.go
+++ b/emulator/store.go
@@ -101,7 +101,7 @@
 		writes:  newBucket(cfg.WritesPerSecond),
 		faults:  newStoreFaults(cfg.Seed),
 	}
-	listener, err := listenHTTP(addr, s.handle)
+	listener, err := listenHTTP(addr, 0, s.handle)
 	if err != nil {
 		return nil, err
 	}
--- a/emulator/work_test.go
+++ b/emulator/work_test.go
@@ -7,6 +7,9 @@
 	"testing/synctest"
 	"time"
 
+	"pgregory.net/rapid"
+
+	_ "github.com/sardinedock/sardinedock/internal/rapidseed"
 	"github.com/sardinedock/sardinedock/prefix"
 )
 
@@ -108,3 +111,24 @@
 		t.Fatalf("depth %d, stale %d under another version", depth, stale)
 	}
 }
+
+// Work that spans several changes of speed takes as long as its parts do, between its usual time and
+// Slowest times that, and two pieces of work take as long as one of their sum. Otherwise a varying
+// endpoint would be faster or slower than its factors say, which it reports.
+func TestWorkIsStretchedByTheFactorsInForce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := Speed{Slowest: rapid.Float64Range(1, 4).Draw(t, "slowest"), Interval: 200 * time.Millisecond, Seed: rapid.Uint64().Draw(t, "seed")}
+		at := time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "at"))
+		first := time.Duration(rapid.Int64Range(0, int64(2*time.Second)).Draw(t, "first"))
+		second := time.Duration(rapid.Int64Range(0, int64(2*time.Second)).Draw(t, "second"))
+		whole := s.Stretch(at, first+second)
+		if whole < first+second-time.Microsecond || whole > time.Duration(s.Slowest*float64(first+second))+time.Microsecond {
+			t.Fatalf("%v of work take %v, slowest %v", first+second, whole, s.Slowest)
+		}
+		parts := s.Stretch(at, first)
+		parts += s.Stretch(at+parts, second)
+		if diff := (whole - parts).Abs(); diff > time.Microsecond {
+			t.Fatalf("%v in one piece, %v in two", whole, parts)
+		}
+	})
+}
--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -48,7 +48,8 @@
 }
 
 // checkFile validates a file by its type. Records have a schema_version, loads have a work
-// field, and only the settings of hosted instances have a store field.
+// field, emulations have emulated_endpoints, and only the settings of hosted instances have a
+// store field.
 func checkFile(data []byte) []yamlpb.Fault {
 	if bytes.Contains(data, []byte("schema_version:")) {
 		_, faults := record.ParseYAML(data)
@@ -58,6 +59,10 @@
 		_, faults := demo.ParseLoad(data)
 		return faults
 	}
+	if bytes.Contains(data, []byte("emulated_endpoints:")) {
+		_, faults := demo.ParseEmulation(data)
+		return faults
+	}
 	if bytes.Contains(data, []byte("\nstore:")) {
 		_, faults := settings.ParseHosted(data)
 		return faults
--- a/internal/docs/settings_test.go
+++ b/internal/docs/settings_test.go
@@ -36,7 +36,7 @@
 	page := settingsHead +
 		section(t, "Settings of an instance", "settings.proto", settingspb.File_settings_proto) +
 		section(t, "Records", "records.proto", recordspb.File_records_proto) +
-		section(t, "Loads (`sardinedock load`)", "load.proto", loadpb.File_load_proto)
+		section(t, "Loads and emulated endpoints (`sardinedock load`, `sardinedock emulate`)", "load.proto", loadpb.File_load_proto)
 	if *refresh {
 		if err := os.WriteFile(settingsPage, []byte(page), 0o644); err != nil {
 			t.Fatal(err)
