Soak: seeds from 160000 on have short capacity, callers that stop reading, endpoints that read slowly

The soak played endpoints of constant speed without slots, answers that fit into the sockets' buffers, and one organisation over its quota at a steady rate. So what the router does when capacity is short, or when a peer does not read, was not judged.

New faults: surges of an organisation over its quota or share, with retries at Retry-After and at once; many callers that stop reading; endpoints that read requests slowly. The checks are the existing ones. A caller's own pause is subtracted before LATE is judged. GONE is judged by the state of the router's socket where a link reads slowly: the close arrives there only behind the data that is unread. Violations print sizes and the first 200 bytes of texts.

--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -74,12 +74,17 @@
 var paths = map[kind]string{lookup: "/stock/", confirm: "/confirm/", draft: "/draft/", check: "/check/"}
 
 func (c *caller) newCall() *call {
-	c.sent++
-	k := kind(c.rng.IntN(4))
-	r := &call{id: fmt.Sprintf("c%d-%d", c.n, c.sent), kind: k, instance: c.instance.n, incarnation: c.starts, organisation: openOrg}
+	k, organisation := kind(c.rng.IntN(4)), openOrg
 	if c.rng.IntN(3) == 0 {
-		r.organisation = isolatedOrg
+		organisation = isolatedOrg
 	}
+	return c.callOf(k, organisation)
+}
+
+// callOf returns the caller's next request, of the given kind and organisation.
+func (c *caller) callOf(k kind, organisation string) *call {
+	c.sent++
+	r := &call{id: fmt.Sprintf("c%d-%d", c.n, c.sent), kind: k, instance: c.instance.n, incarnation: c.starts, organisation: organisation}
 	r.key, r.droppedIn = c.soak.keyFor(c.rng, r.organisation)
 	r.path = fmt.Sprintf("%s%d?x=%d", paths[k], c.rng.IntN(50), c.sent)
 	if v := c.soak.addedRoute(c.rng); k == lookup && v > 0 {
@@ -91,6 +96,9 @@
 	if k == draft || k == check {
 		r.parts = fmt.Sprintf("cat%d:1000,own%s:200", c.rng.IntN(4), r.id)
 	}
+	if c.soak.seed >= firstScarceSeed {
+		c.soak.drawSizes(r)
+	}
 	return r
 }
 
@@ -139,7 +147,19 @@
 	if resp.Header.Get(leavingHeader) != "" {
 		c.soak.passedOn(r, resp.Header.Get("Sardinedock-Response-Signature"))
 	}
-	body, err := io.ReadAll(resp.Body)
+	var start []byte
+	if r.stopsFor > 0 {
+		start, err = io.ReadAll(io.LimitReader(resp.Body, int64(r.stopsAfter)))
+		if err == nil && len(start) == r.stopsAfter && c.stopReading(r) {
+			return
+		}
+	}
+	body := start
+	if err == nil {
+		var rest []byte
+		rest, err = io.ReadAll(resp.Body)
+		body = append(start, rest...)
+	}
 	_ = resp.Body.Close()
 	if err != nil {
 		c.checkBrokenConnection(r, body)
@@ -155,6 +175,18 @@
 	}
 }
 
+// stopReading stops reading the answer to a request for a while. It reports true if the caller has closed
+// its connection then.
+func (c *caller) stopReading(r *call) (left bool) {
+	c.soak.checker.count("stopped reading")
+	time.Sleep(r.stopsFor)
+	if r.leavesStopped {
+		c.disconnect()
+		c.soak.checker.left(r)
+	}
+	return r.leavesStopped
+}
+
 func (c *caller) checkResponse(r *call, resp *http.Response, body string) {
 	ck := c.soak.checker
 	if refusedAsCrashing(resp, body) {
@@ -163,17 +195,16 @@
 			ck.count("harmless, refused as crashing")
 		}
 	}
+	if after, err := time.ParseDuration(resp.Header.Get("Retry-After") + "s"); err == nil {
+		r.retryAfter = max(0, after)
+	}
 	signature := resp.Header.Get("Sardinedock-Response-Signature")
 	c.soak.checkRecords(r, resp.StatusCode, signature != "")
 	c.checkLateness(r, resp.StatusCode)
 	if signature != "" && resp.StatusCode == http.StatusOK && r.parts != "" {
 		ck.answered(r, resp.StatusCode, signature, "")
-		want := ""
-		for n := 1; n <= eventsOf(r.kind); n++ {
-			want += eventText(r.id, n)
-		}
-		if body != want {
-			ck.addViolation("ORDER: the stream of %s ends as complete with %q", r.id, body)
+		if body != r.wholeStream() {
+			ck.addViolation("ORDER: the stream of %s ends as complete with %d bytes, %.200q", r.id, len(body), body)
 		}
 		return
 	}
@@ -182,7 +213,7 @@
 
 // checkLateness checks that a final answer came in time.
 func (c *caller) checkLateness(r *call, status int) {
-	took := time.Since(r.sentAt)
+	took := time.Since(r.sentAt) - r.stopsFor
 	if took > platformtest.RouteTimeout+lateTolerance && c.instance.undisturbed(r.sentAt.Add(-stabilisationTime), time.Now()) {
 		c.soak.checker.addViolation("LATE: %s got %d after %v", r.id, status, took)
 	}
@@ -194,14 +225,10 @@
 	now := time.Now()
 	ck := c.soak.checker
 	ck.count("cut")
-	want := ""
-	for n := 1; n <= eventsOf(r.kind); n++ {
-		want += eventText(r.id, n)
-	}
-	if len(got) > 0 && r.parts != "" && !strings.HasPrefix(want, string(got)) {
-		ck.addViolation("ORDER: %s got %q before the connection ended", r.id, got)
+	if len(got) > 0 && r.parts != "" && !strings.HasPrefix(r.wholeStream(), string(got)) {
+		ck.addViolation("ORDER: %s got %d bytes, %.200q, before the connection ended", r.id, len(got), got)
 	}
-	if now.Sub(r.sentAt) >= callerTimeout {
+	if now.Sub(r.sentAt)-r.stopsFor >= callerTimeout {
 		if c.instance.undisturbed(r.sentAt.Add(-stabilisationTime), now) {
 			ck.addViolation("LATE: %s got no whole answer within %v", r.id, callerTimeout)
 		}
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -32,6 +32,14 @@
 	organisation          string
 	key                   string
 	sentAt                time.Time
+	// pad is the number of bytes by which each event, or the body of a plain answer, is longer than
+	// usual. stopsFor is how long the caller stops reading in the middle of the answer, stopsAfter how
+	// many bytes of it are read then, and leavesStopped whether it then closes its connection.
+	pad, stopsAfter int
+	stopsFor        time.Duration
+	leavesStopped   bool
+	// long requests take long to run, on average.
+	long bool
 	// path, body and prompt parts as sent.
 	path, body, parts string
 	// addedIn is the version of the records that added the route, and droppedIn the one that
@@ -49,6 +57,8 @@
 	// refused is the status of an answer which guarantees that the request has not run and
 	// will not run; 0 without one.
 	refused int
+	// retryAfter is when a caller that was refused may come back; 0 if the answer does not say.
+	retryAfter time.Duration
 	// leftAt is when the caller closed its connection before the answer; zero if it did not.
 	leftAt time.Time
 	// works are the executions of the request by endpoints.
@@ -200,7 +210,7 @@
 	case signature != "" && c.statuses[signature] != status:
 		ck.addViolationLocked("MIXED: %s got status %d with a signature of %d", c.id, status, c.statuses[signature])
 	case signature != "" && c.answers[signature] != body:
-		ck.addViolationLocked("MIXED: %s got %q, the endpoint sent %q", c.id, body, c.answers[signature])
+		ck.addViolationLocked("MIXED: %s got %d bytes, %.200q, the endpoint sent %d, %.200q", c.id, len(body), body, len(c.answers[signature]), c.answers[signature])
 	}
 }
 
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -194,6 +194,8 @@
 // faultsOf returns the faults that a seed draws from.
 func faultsOf(seed uint64) []fault {
 	switch {
+	case seed >= firstScarceSeed:
+		return scarceFaultsOf()
 	case seed >= firstCrashingSeed:
 		return crashingFaultsOf()
 	case seed >= firstStatementSeed:
--- a/soak/link_test.go
+++ b/soak/link_test.go
@@ -19,6 +19,9 @@
 	byAddress map[string]*proxiedConn
 	// impairment applies to all connections, including new ones.
 	impairment impairment
+	// pressesBack gives new connections small buffers, so that a receiver that stops reading soon
+	// stops the sender.
+	pressesBack bool
 }
 
 // impairment is a fault of a link; the zero value is none.
@@ -28,8 +31,18 @@
 	// cutUp and cutDown drop the data to and from the target. New connections are accepted
 	// but get no data, as in a network partition.
 	cutUp, cutDown bool
+	// upRate is the number of bytes per second that are read from each caller; 0 sets no limit. What
+	// has not been read stays with the caller.
+	upRate int
 }
 
+const (
+	// slowReadInterval bounds the pause between two reads at a limited rate.
+	slowReadInterval = 50 * time.Millisecond
+	// smallBuffer is the size in bytes of the socket buffers of links that are to press back.
+	smallBuffer = 64 << 10
+)
+
 // proxiedConn is one connection through a link: the sockets to its caller and its target.
 type proxiedConn struct {
 	caller, target net.Conn
@@ -137,6 +150,12 @@
 	}
 	p := &proxiedConn{caller: caller, target: target}
 	l.mu.Lock()
+	if l.pressesBack {
+		for _, c := range []net.Conn{caller, target} {
+			_ = c.(*net.TCPConn).SetReadBuffer(smallBuffer)
+			_ = c.(*net.TCPConn).SetWriteBuffer(smallBuffer)
+		}
+	}
 	l.conns[p] = true
 	l.byAddress[target.LocalAddr().String()] = p
 	l.mu.Unlock()
@@ -154,10 +173,13 @@
 func (l *link) forwardBytes(p *proxiedConn, from, to net.Conn, up bool) {
 	buf := make([]byte, 32<<10)
 	for {
-		n, err := from.Read(buf)
+		n, err := from.Read(buf[:l.readSize(up, len(buf))])
 		if up && err != nil {
 			p.closedAt.CompareAndSwap(0, time.Now().UnixNano())
 		}
+		if up {
+			l.readSlowly(p, n)
+		}
 		dropped := l.delayOrDrop(p, up)
 		if n > 0 && !dropped {
 			_, _ = to.Write(buf[:n])
@@ -178,6 +200,38 @@
 	}
 }
 
+// readSize returns how many bytes to read at once.
+func (l *link) readSize(up bool, all int) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if rate := l.impairment.upRate; up && rate > 0 {
+		return min(all, max(1, int(float64(rate)*slowReadInterval.Seconds())))
+	}
+	return all
+}
+
+// readSlowly waits for as long as reading n bytes takes at the link's rate. The close of the caller's side
+// shows behind unread data only in the socket's state.
+func (l *link) readSlowly(p *proxiedConn, n int) {
+	l.mu.Lock()
+	rate := l.impairment.upRate
+	l.mu.Unlock()
+	if rate == 0 || n == 0 {
+		return
+	}
+	time.Sleep(min(slowReadInterval, time.Duration(n)*time.Second/time.Duration(rate)))
+	if closedByPeer(p.caller) {
+		p.closedAt.CompareAndSwap(0, time.Now().UnixNano())
+	}
+}
+
+// pressBack gives connections that open from now on small buffers.
+func (l *link) pressBack() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pressesBack = true
+}
+
 // delayOrDrop waits for the link's delay and reports whether the data is to be dropped.
 func (l *link) delayOrDrop(p *proxiedConn, up bool) (dropped bool) {
 	l.mu.Lock()
--- a/soak/pool_test.go
+++ b/soak/pool_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/zeebo/xxh3"
 
+	"github.com/sardinedock/sardinedock/emulator"
 	"github.com/sardinedock/sardinedock/platform/platformtest"
 )
 
@@ -28,6 +29,12 @@
 	// abandonedWorkBound is how soon after a caller has disconnected the router must close its
 	// connection to the endpoint.
 	abandonedWorkBound = 700 * time.Millisecond
+	// endpointSlots is the number of requests that an endpoint runs at a time, from firstScarceSeed on; its
+	// entry states it. slotPollInterval is how often a waiting request looks for a free one.
+	endpointSlots    = 8
+	slotPollInterval = 5 * time.Millisecond
+	// slowestFactor is how much longer than on an idle machine work takes at the most.
+	slowestFactor = 4.0
 	// loadTime is the time an engine takes to load new weights.
 	loadTime = 250 * time.Millisecond
 )
@@ -72,6 +79,13 @@
 	// down is set once the endpoint has crashed.
 	down       atomic.Bool
 	retryAfter atomic.Pointer[string]
+	// slots are those of an endpoint that runs a limited number of requests; nil without a limit.
+	slots   chan struct{}
+	waiting atomic.Int64
+	// speed changes from createdAt on; its load is reported in answers if reportsLoad is set.
+	speed       emulator.Speed
+	createdAt   time.Time
+	reportsLoad bool
 
 	mu sync.Mutex
 	// pauses are those that it has asked instances for since it started.
@@ -83,7 +97,7 @@
 // addServer starts an endpoint and publishes its entry.
 func (s *soak) addServer(service string) *server {
 	id := fmt.Sprintf("%s-%d", service, s.nextServer.Add(1))
-	x := &server{soak: s, service: service}
+	x := &server{soak: s, service: service, createdAt: time.Now()}
 	e, err := platformtest.NewEndpoint(id, x.handle)
 	if err != nil {
 		s.checker.addViolation("start %s: %v", id, err)
@@ -101,6 +115,9 @@
 	if s.seed >= firstRestartSeed {
 		x.start()
 	}
+	if s.seed >= firstScarceSeed {
+		x.limitCapacity()
+	}
 	s.mu.Lock()
 	s.servers[id] = x
 	s.mu.Unlock()
@@ -108,6 +125,50 @@
 	return x
 }
 
+// limitCapacity gives the endpoint the slots of its entry, a speed that changes up to ten times a second,
+// which every second endpoint reports, and small buffers at its link.
+func (x *server) limitCapacity() {
+	rng := rand.New(rand.NewPCG(x.soak.seed, xxh3.HashString(x.ID)))
+	x.slots = make(chan struct{}, endpointSlots)
+	x.speed = emulator.Speed{Slowest: slowestFactor, Interval: time.Duration(100+rng.IntN(300)) * time.Millisecond, Seed: rng.Uint64()}
+	x.reportsLoad = rng.IntN(2) == 0
+	x.link.pressBack()
+}
+
+// stretch returns how long work takes now that takes d on average.
+func (x *server) stretch(d time.Duration) time.Duration {
+	if x.speed.Slowest == 0 {
+		return d
+	}
+	const averageFactor = (1 + slowestFactor) / 2
+	return x.speed.Stretch(time.Since(x.createdAt), time.Duration(float64(d)/averageFactor))
+}
+
+// acquireSlot waits for a slot. It reports false if the sender closes its connection before.
+func (x *server) acquireSlot(e *platformtest.Exchange) bool {
+	if x.slots == nil {
+		return true
+	}
+	x.waiting.Add(1)
+	defer x.waiting.Add(-1)
+	for {
+		select {
+		case x.slots <- struct{}{}:
+			return true
+		default:
+		}
+		if e.CallerClosed(slotPollInterval) {
+			return false
+		}
+	}
+}
+
+func (x *server) releaseSlot() {
+	if x.slots != nil {
+		<-x.slots
+	}
+}
+
 // start sets the start time of the endpoint when it starts or restarts.
 func (x *server) start() {
 	x.startedAt.Store(max(time.Now().UnixMilli(), x.startedAt.Load()+1))
@@ -211,6 +272,10 @@
 		}
 		x.cacheParts(c, e, version)
 	}
+	if !x.acquireSlot(e) {
+		return false
+	}
+	defer x.releaseSlot()
 	x.soak.checker.ran(c, x.ID)
 	w := &work{at: x, proxiedConn: conn, from: time.Now()}
 	x.soak.checker.workStarted(c, w)
@@ -237,7 +302,7 @@
 		ck.addViolation("UNASKED: %s arrives with path %q, sent with %q", c.id, got, c.path)
 	}
 	if got := string(e.Request.Body()); got != c.body {
-		ck.addViolation("UNASKED: %s arrives with body %q, sent with %q", c.id, got, c.body)
+		ck.addViolation("UNASKED: %s arrives with body of %d bytes, %.200q, sent with %d, %.200q", c.id, len(got), got, len(c.body), c.body)
 	}
 	if got := e.Header("Sardinedock-Tenant-Id"); got != c.organisation {
 		ck.addViolation("UNASKED: %s arrives for organisation %q, the key is of %q", c.id, got, c.organisation)
@@ -288,7 +353,7 @@
 func (s *soak) workTime(c *call) time.Duration {
 	rng := s.requestRand(c)
 	shortest, spread := 5*time.Millisecond, 25*time.Millisecond
-	if rng.IntN(longRequestOneIn) == 0 {
+	if rng.IntN(longRequestOneIn) == 0 || c.long {
 		shortest, spread = 50*time.Millisecond, 250*time.Millisecond
 	}
 	return shortest + time.Duration(rng.Int64N(int64(spread)))
@@ -302,12 +367,12 @@
 
 // answer sends a complete response with a body.
 func (x *server) answer(c *call, e *platformtest.Exchange, b behaviour) bool {
-	time.Sleep(x.soak.workTime(c))
+	time.Sleep(x.stretch(x.soak.workTime(c)))
 	status, signature := 200, x.signature()
 	if b == failing {
 		status = 500
 	}
-	body := fmt.Sprintf("answer to %s by %s", c.id, signature)
+	body := fmt.Sprintf("answer to %s by %s%s", c.id, signature, strings.Repeat("-", c.pad))
 	x.soak.checker.responded(c, signature, body, status)
 	e.Head(status, signature, len(body), x.statements()...)
 	if b == garbling {
@@ -331,7 +396,7 @@
 		return true
 	}
 	for range longSteps {
-		if e.CallerClosed(eventPause) {
+		if e.CallerClosed(x.stretch(eventPause)) {
 			return false
 		}
 	}
@@ -348,14 +413,14 @@
 	x.soak.checker.responded(c, signature, "", 200)
 	e.SignedStreamHead(signature, x.statements()...)
 	for n := last + 1; n <= eventsOf(c.kind); n++ {
-		if e.CallerClosed(eventPause) {
+		if e.CallerClosed(x.stretch(eventPause)) {
 			return false
 		}
 		if b == garbling && n > 2 {
-			e.Chunk(eventText(c.id, n)[:5])
+			e.Chunk(c.event(n)[:5])
 			return false
 		}
-		e.Chunk(eventText(c.id, n))
+		e.Chunk(c.event(n))
 	}
 	e.End()
 	return true
@@ -368,4 +433,16 @@
 	return checkEvents
 }
 
-func eventText(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s/%d\n\n", n, id, n) }
+// event returns the text of an event of the call's stream.
+func (c *call) event(n int) string {
+	return fmt.Sprintf("id: %d\ndata: %s/%d%s\n\n", n, c.id, n, strings.Repeat("-", c.pad))
+}
+
+// wholeStream returns all events of the call's stream.
+func (c *call) wholeStream() string {
+	var b strings.Builder
+	for n := 1; n <= eventsOf(c.kind); n++ {
+		b.WriteString(c.event(n))
+	}
+	return b.String()
+}
--- a/soak/quotas_test.go
+++ b/soak/quotas_test.go
@@ -1,7 +1,10 @@
 package soak
 
 import (
+	"math/rand/v2"
 	"slices"
+	"strings"
+	"sync"
 	"time"
 )
 
@@ -72,3 +75,168 @@
 		s.checker.counts["runs under a quota"] = len(runs)
 	}
 }
+
+// firstScarceSeed is the first seed in which capacity is short: endpoints run as many requests at a time as
+// their entries state, at speeds that change; some requests and answers are large; and the faults include
+// organisations that ask for several times their quota or share, callers that stop reading in the middle of
+// answers, and endpoints that read requests slowly.
+const firstScarceSeed = 160000
+
+const (
+	// largeOneIn is the number of requests of which one, on average, is large, and one has a large answer.
+	largeOneIn = 8
+	// Sizes in bytes: a large request, an event of a large stream, and a large plain answer. A large draft
+	// has 4 MB, more than the buffers of the sockets between router and caller hold.
+	largeBody, largeEvent, largeAnswer = 256 << 10, 64 << 10, 128 << 10
+	// longestStop bounds the time for which a caller stops reading. It is below the time after which callers
+	// would give a stream up, so that nothing excuses an answer that is cut.
+	longestStop = 1500 * time.Millisecond
+	// surgeCallers is the number of further callers of an organisation that asks for several times its
+	// share; a service has 24 or 32 slots. stoppingCallers is that of callers that all stop reading:
+	// each is sent 3 MB/s until then.
+	surgeCallers    = 40
+	stoppingCallers = 12
+	// acceptedShare is the divisor of the time that a caller has left, which gives the longest Retry-After
+	// that it accepts.
+	acceptedShare = 3
+	// impatientPause is how soon a caller that ignores Retry-After repeats its request.
+	impatientPause = 50 * time.Millisecond
+)
+
+// drawSizes makes some requests or their answers large, and some of the callers of the latter stop reading.
+func (s *soak) drawSizes(r *call) {
+	rng := s.requestRand(r)
+	if rng.IntN(largeOneIn) == 0 && r.kind != lookup {
+		r.body = strings.Repeat("b", largeBody/2+rng.IntN(largeBody))
+	}
+	if rng.IntN(largeOneIn) == 0 {
+		r.enlargeAnswer()
+		if rng.IntN(2) == 0 {
+			s.drawStop(r, rng)
+		}
+	}
+}
+
+func (r *call) enlargeAnswer() {
+	r.pad = largeAnswer
+	if r.kind == draft || r.kind == check {
+		r.pad = largeEvent
+	}
+}
+
+// drawStop makes the caller stop reading in the middle of the answer.
+func (s *soak) drawStop(r *call, rng *rand.Rand) {
+	r.stopsAfter = 1 + rng.IntN(2*r.pad)
+	r.stopsFor = time.Duration(1 + rng.Int64N(int64(longestStop)))
+	r.leavesStopped = rng.IntN(3) == 0
+}
+
+// scarceFaults are the additional faults of seeds from firstScarceSeed on.
+var scarceFaults = []fault{
+	{"organisation asks for several times its quota", func(s *soak, rng *rand.Rand, duration time.Duration) {
+		s.surge(rng, surgeCallers, isolatedOrg, []kind{lookup, draft, check}, duration, nil)
+	}},
+	{"organisation asks for several times its share of plain endpoints", func(s *soak, rng *rand.Rand, duration time.Duration) {
+		s.surge(rng, surgeCallers, openOrg, []kind{lookup, confirm}, duration, nil)
+	}},
+	{"organisation asks for several times its share of engines", func(s *soak, rng *rand.Rand, duration time.Duration) {
+		s.surge(rng, surgeCallers, openOrg, []kind{draft, check}, duration, nil)
+	}},
+	{"many callers stop reading", func(s *soak, rng *rand.Rand, duration time.Duration) {
+		s.surge(rng, stoppingCallers, openOrg, []kind{draft}, duration, func(r *call) {
+			r.enlargeAnswer()
+			s.drawStop(r, s.requestRand(r))
+		})
+	}},
+	{"endpoint reads slowly", func(s *soak, rng *rand.Rand, duration time.Duration) {
+		rate := []int{20_000, 60_000, 200_000}[rng.IntN(3)]
+		s.disturbEndpoint(rng, func(x *server) { s.impairFor(x.link, impairment{upRate: rate}, duration) })
+	}},
+	{"a service reads slowly", func(s *soak, rng *rand.Rand, duration time.Duration) {
+		defer s.endpointFaults.begin()()
+		service, rate := s.pickServer(rng).service, 60_000+rng.IntN(200_000)
+		var wg sync.WaitGroup
+		for _, x := range s.liveServers() {
+			if x.service == service {
+				wg.Go(func() { s.impairFor(x.link, impairment{upRate: rate}, duration) })
+			}
+		}
+		wg.Wait()
+	}},
+}
+
+// scarceFaultsOf returns the faults of a seed from firstScarceSeed on. Its own are drawn about as often as
+// all others together.
+func scarceFaultsOf() []fault {
+	list := crashingFaultsOf()
+	for n := len(list); len(list) < 2*n; {
+		list = append(list, scarceFaults...)
+	}
+	return list
+}
+
+// surge has further callers of an organisation send requests of the given kinds, each the next one as soon as
+// the last is answered. change, if set, changes each request. Only one surge goes on at a time: the machine
+// that runs instances, endpoints and callers is not to be what is short.
+func (s *soak) surge(rng *rand.Rand, callers int, organisation string, kinds []kind, duration time.Duration, change func(*call)) {
+	if !s.surging.TryLock() {
+		return
+	}
+	defer s.surging.Unlock()
+	s.checker.count("surges")
+	until := time.Now().Add(duration)
+	first := 2*callerCount + int(rng.Uint32N(1<<20))*surgeCallers
+	var wg sync.WaitGroup
+	for n := range callers {
+		c := &caller{soak: s, n: first + n, rng: rand.New(rand.NewPCG(rng.Uint64(), uint64(n)))}
+		wg.Go(func() {
+			for time.Now().Before(until) && !s.callersStop.Load() {
+				if c.conn == nil && !c.connect() {
+					time.Sleep(impatientPause)
+					continue
+				}
+				r := c.callOf(kinds[c.rng.IntN(len(kinds))], organisation)
+				r.long = true
+				if change != nil {
+					change(r)
+				}
+				c.sendUntilRefusedTwice(r)
+			}
+			c.disconnect()
+		})
+	}
+	wg.Wait()
+}
+
+// sendUntilRefusedTwice sends a request, and if that is refused once more with the same content, over a new
+// connection. Every second caller ignores Retry-After; the others come back at that time if they accept it.
+func (c *caller) sendUntilRefusedTwice(r *call) {
+	c.send(r)
+	if r.refused == 0 {
+		return
+	}
+	wait := impatientPause
+	if c.n%2 == 0 {
+		if left := callerTimeout - time.Since(r.sentAt); r.retryAfter == 0 || r.retryAfter > left/acceptedShare {
+			time.Sleep(impatientPause)
+			return
+		}
+		wait = r.retryAfter
+		c.soak.checker.count("came back")
+	}
+	time.Sleep(wait)
+	c.disconnect()
+	if !c.connect() {
+		return
+	}
+	again := &call{
+		id: r.id + "-again", kind: r.kind, instance: c.instance.n, incarnation: c.starts, organisation: r.organisation, key: r.key,
+		droppedIn: r.droppedIn, addedIn: r.addedIn, path: r.path, body: r.body, parts: r.parts, pad: r.pad, stopsAfter: r.stopsAfter,
+		stopsFor: r.stopsFor, leavesStopped: r.leavesStopped, long: r.long,
+	}
+	if c.send(again); again.refused != 0 {
+		time.Sleep(impatientPause)
+	} else if c.n%2 == 0 {
+		c.soak.checker.count("came back, not refused")
+	}
+}
--- a/soak/records_test.go
+++ b/soak/records_test.go
@@ -72,6 +72,9 @@
 		tenants = append(tenants, record)
 	}
 	value["tenants"] = tenants
+	if s.seed >= firstScarceSeed {
+		value["limits"].(map[string]any)["maxBodyBytes"] = 2 * largeBody
+	}
 	version := r.version
 	s.mu.Unlock()
 	s.store.Put("config", "main", value)
--- a/soak/sender_test.go
+++ b/soak/sender_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -34,7 +35,7 @@
 
 // ownerOf returns the process at the other end of an accepted connection.
 func (s *soak) ownerOf(accepted net.Conn) (owner sender, ok bool) {
-	inode, err := socketInode(accepted.RemoteAddr().(*net.TCPAddr), accepted.LocalAddr().(*net.TCPAddr))
+	inode, _, err := socketBetween(accepted.RemoteAddr(), accepted.LocalAddr())
 	if err != nil {
 		return sender{}, false
 	}
@@ -46,20 +47,32 @@
 	return sender{}, false
 }
 
-// Sizes and values of sock_diag(7).
+// closedByPeer reports whether the process at the other end has closed a connection. It asks for the state
+// of that end's socket: until all data has been received, nothing of the close arrives at this end.
+func closedByPeer(c net.Conn) bool {
+	_, state, err := socketBetween(c.RemoteAddr(), c.LocalAddr())
+	return errors.Is(err, errNoSocket) || err == nil && state != tcpEstablished && state != tcpCloseWait
+}
+
+var errNoSocket = errors.New("no such socket")
+
+// Sizes and values of sock_diag(7), and states of a socket that its process has not closed.
 const (
+	tcpEstablished   = 1
+	tcpCloseWait     = 8
 	sockDiagByFamily = 20
 	inetDiagReqSize  = 56
 	inetDiagMsgSize  = 72
 	noCookie         = 0xffffffff
 )
 
-// socketInode returns the inode of the TCP socket between two local IPv4 addresses. The kernel is asked for
-// this one socket: the table in /proc/net/tcp may lack sockets while others open and close.
-func socketInode(local, remote *net.TCPAddr) (inode uint32, err error) {
+// socketBetween returns the inode and the state of the TCP socket between two local IPv4 addresses. The kernel
+// is asked for this one socket: the table in /proc/net/tcp may lack sockets while others open and close.
+func socketBetween(localAddr, remoteAddr net.Addr) (inode uint32, state byte, err error) {
+	local, remote := localAddr.(*net.TCPAddr), remoteAddr.(*net.TCPAddr)
 	fd, err := syscall.Socket(syscall.AF_NETLINK, syscall.SOCK_RAW|syscall.SOCK_CLOEXEC, syscall.NETLINK_INET_DIAG)
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	defer func() { _ = syscall.Close(fd) }()
 	var q []byte
@@ -78,21 +91,22 @@
 	q = binary.NativeEndian.AppendUint32(q, noCookie)
 	q = binary.NativeEndian.AppendUint32(q, noCookie)
 	if err := syscall.Sendto(fd, q, 0, &syscall.SockaddrNetlink{Family: syscall.AF_NETLINK}); err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	buf := make([]byte, 4096)
 	n, _, err := syscall.Recvfrom(fd, buf, 0)
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	answers, err := syscall.ParseNetlinkMessage(buf[:n])
 	if err != nil {
-		return 0, err
+		return 0, 0, err
 	}
 	if len(answers) == 0 || answers[0].Header.Type != sockDiagByFamily || len(answers[0].Data) < inetDiagMsgSize {
-		return 0, fmt.Errorf("no socket between %v and %v", local, remote)
+		return 0, 0, fmt.Errorf("%w between %v and %v", errNoSocket, local, remote)
 	}
-	return binary.NativeEndian.Uint32(answers[0].Data[inetDiagMsgSize-4:]), nil
+	data := answers[0].Data
+	return binary.NativeEndian.Uint32(data[inetDiagMsgSize-4:]), data[1], nil
 }
 
 // ownsSocket reports whether a process has the socket open.
@@ -201,3 +215,46 @@
 		t.Errorf("sender %v, open %v of a closed connection, want the caller's instance", got, open)
 	}
 }
+
+// A link that reads slowly sees the close of its caller's side while earlier data is unread. The soak reported
+// instances that had closed at once: the close arrives only after all data.
+func TestCloseBehindUnreadDataIsSeen(t *testing.T) {
+	target, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = target.Close() }()
+	l, err := newLink(target.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.close()
+	l.pressBack()
+	l.set(impairment{upRate: 100_000})
+	conn, err := net.Dial("tcp4", l.address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted, err := target.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = accepted.Close() }()
+	// More than the link's buffer holds: the rest stays in the sender's.
+	if _, err := conn.Write(make([]byte, 300_000)); err != nil {
+		t.Fatal(err)
+	}
+	p := l.connFrom(accepted.RemoteAddr().String())
+	time.Sleep(3 * slowReadInterval)
+	if closed := p.callerClosed(); !closed.IsZero() {
+		t.Fatalf("closed at %v, it is open", closed)
+	}
+	_ = conn.Close()
+	time.Sleep(2 * slowReadInterval)
+	if p.callerClosed().IsZero() {
+		t.Error("the close behind unread data was not seen")
+	}
+	if n, err := accepted.Read(make([]byte, 64<<10)); err != nil || n > 30_000 {
+		t.Errorf("%d bytes had been read after %v at 100 KB/s, %v", n, 5*slowReadInterval, err)
+	}
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -53,6 +53,9 @@
 	publishedVersion atomic.Int64
 	callersStop      atomic.Bool
 
+	// surging is held while an organisation asks for several times its quota or share.
+	surging sync.Mutex
+
 	nextServer atomic.Int64
 	mu         sync.Mutex
 	servers    map[string]*server
@@ -179,6 +182,9 @@
 	for n := range *size {
 		i := newInstance(t, n, binary, dir, s.store.Address(), s.checker)
 		s.instances = append(s.instances, i)
+		if s.seed >= firstScarceSeed {
+			i.callers.pressBack()
+		}
 		i.start()
 	}
 }
--- a/soak/statements_test.go
+++ b/soak/statements_test.go
@@ -119,10 +119,15 @@
 
 // statements returns the header lines that the endpoint adds to each answer.
 func (x *server) statements() []string {
+	var lines []string
 	if x.statesLeaving.Load() {
-		return []string{leavingHeader + ": 1"}
+		lines = append(lines, leavingHeader+": 1")
 	}
-	return nil
+	if x.reportsLoad {
+		factor := x.speed.Factor(time.Since(x.createdAt))
+		lines = append(lines, platformtest.LoadHeader+": "+platformtest.LoadReport(len(x.slots), int(x.waiting.Load()), endpointSlots, factor))
+	}
+	return lines
 }
 
 // checkStatements checks that a request may reach the endpoint after what that has stated before.
