--- a/soak/pool_test.go
+++ b/soak/pool_test.go
@@ -412,8 +412,12 @@
 	signature := x.signature()
 	x.soak.checker.responded(c, signature, "", 200)
 	e.SignedStreamHead(signature, x.statements()...)
+	pause := eventPause
+	if c.pad == unreadEvent {
+		pause /= unreadHaste
+	}
 	for n := last + 1; n <= eventsOf(c.kind); n++ {
-		if e.CallerClosed(x.stretch(eventPause)) {
+		if e.CallerClosed(x.stretch(pause)) {
 			return false
 		}
 		if b == garbling && n > 2 {
--- a/soak/quotas_test.go
+++ b/soak/quotas_test.go
@@ -85,15 +85,19 @@
 const (
 	// largeOneIn is the number of requests of which one, on average, is large, and one has a large answer.
 	largeOneIn = 8
-	// Sizes in bytes: a large request, an event of a large stream, and a large plain answer. A large draft
-	// has 4 MB, more than the buffers of the sockets between router and caller hold.
-	largeBody, largeEvent, largeAnswer = 256 << 10, 64 << 10, 128 << 10
+	// Sizes in bytes: a large request, an event of a large stream, and a large plain answer.
+	largeBody, largeEvent, largeAnswer = 256 << 10, 16 << 10, 128 << 10
+	// unreadEvent is the size in bytes of an event of a stream whose caller stops reading. A draft has 8 MB
+	// then: the kernel takes 4 MB from a process whose peer does not read.
+	unreadEvent = 128 << 10
+	// unreadHaste is how much faster than usual such a stream comes, so that it is not the pause between
+	// events that bounds it.
+	unreadHaste = 8
 	// longestStop bounds the time for which a caller stops reading. It is below the time after which callers
 	// would give a stream up, so that nothing excuses an answer that is cut.
 	longestStop = 1500 * time.Millisecond
 	// surgeCallers is the number of further callers of an organisation that asks for several times its
-	// share; a service has 24 or 32 slots. stoppingCallers is that of callers that all stop reading:
-	// each is sent 3 MB/s until then.
+	// share; a service has 24 or 32 slots. stoppingCallers is that of callers that all stop reading.
 	surgeCallers    = 40
 	stoppingCallers = 12
 	// acceptedShare is the divisor of the time that a caller has left, which gives the longest Retry-After
@@ -126,6 +130,9 @@
 
 // drawStop makes the caller stop reading in the middle of the answer.
 func (s *soak) drawStop(r *call, rng *rand.Rand) {
+	if r.kind == draft || r.kind == check {
+		r.pad = unreadEvent
+	}
 	r.stopsAfter = 1 + rng.IntN(2*r.pad)
 	r.stopsFor = time.Duration(1 + rng.Int64N(int64(longestStop)))
 	r.leavesStopped = rng.IntN(3) == 0
@@ -142,12 +149,7 @@
 	{"organisation asks for several times its share of engines", func(s *soak, rng *rand.Rand, duration time.Duration) {
 		s.surge(rng, surgeCallers, openOrg, []kind{draft, check}, duration, nil)
 	}},
-	{"many callers stop reading", func(s *soak, rng *rand.Rand, duration time.Duration) {
-		s.surge(rng, stoppingCallers, openOrg, []kind{draft}, duration, func(r *call) {
-			r.enlargeAnswer()
-			s.drawStop(r, s.requestRand(r))
-		})
-	}},
+	{"many callers stop reading", (*soak).stopReaders},
 	{"endpoint reads slowly", func(s *soak, rng *rand.Rand, duration time.Duration) {
 		rate := []int{20_000, 60_000, 200_000}[rng.IntN(3)]
 		s.disturbEndpoint(rng, func(x *server) { s.impairFor(x.link, impairment{upRate: rate}, duration) })
@@ -165,6 +167,11 @@
 	}},
 }
 
+// stopReaders has further callers ask for large answers, and all of them stop reading.
+func (s *soak) stopReaders(rng *rand.Rand, duration time.Duration) {
+	s.surge(rng, stoppingCallers, openOrg, []kind{draft}, duration, func(r *call) { s.drawStop(r, s.requestRand(r)) })
+}
+
 // scarceFaultsOf returns the faults of a seed from firstScarceSeed on. Its own are drawn about as often as
 // all others together.
 func scarceFaultsOf() []fault {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -217,7 +217,8 @@
 }
 
 // runPlannedWork does planned work after the faults, when all time bounds apply: it replaces
-// endpoints, changes the records and publishes a weights version.
+// endpoints, changes the records and publishes a weights version. Where capacity is short, callers stop
+// reading meanwhile, so that what is promised to them is judged without faults.
 func (s *soak) runPlannedWork() {
 	began := time.Now()
 	time.Sleep(stabilisationTime + 200*time.Millisecond)
@@ -225,6 +226,9 @@
 	for _, service := range []string{"pool", "orders"} {
 		wg.Go(func() { s.replace(service) })
 	}
+	if s.seed >= firstScarceSeed {
+		wg.Go(func() { s.stopReaders(rand.New(rand.NewPCG(s.seed, 0)), longestStop) })
+	}
 	s.changeRecords(true)
 	s.publishVersion()
 	wg.Wait()
