--- a/quota/booking.go
+++ b/quota/booking.go
@@ -64,7 +64,9 @@
 	bookings map[uint64]*booked
 	// slots hold the reserved cost and the keys by the time at which they are due; first and last
 	// delimit those in use.
-	slots       [ledgerSlots]dueSlot
+	slots [ledgerSlots]dueSlot
+	// from is when slot 0 begins.
+	from        time.Time
 	first, last int64
 	// reserved is the sum over all slots.
 	reserved float64
@@ -80,22 +82,22 @@
 }
 
 func newLedger(now time.Time) *ledger {
-	s := slotOf(now.Add(-lateRedemption))
-	return &ledger{bookings: map[uint64]*booked{}, first: s, last: s}
+	return &ledger{bookings: map[uint64]*booked{}, from: now.Add(-lateRedemption)}
 }
 
-func slotOf(t time.Time) int64 { return t.UnixNano() / int64(ledgerSlot) }
+// slotOf returns the number of the slot of a time. Steps of the wall clock do not change it.
+func (l *ledger) slotOf(t time.Time) int64 { return max(int64(t.Sub(l.from)/ledgerSlot), 0) }
 
 func (l *ledger) slot(n int64) *dueSlot { return &l.slots[n%ledgerSlots] }
 
 // expire drops the bookings that have lapsed.
 func (l *ledger) expire(now time.Time) {
-	until := slotOf(now.Add(-lateRedemption))
+	until := l.slotOf(now.Add(-lateRedemption))
 	for ; l.first < until && l.first <= l.last; l.first++ {
 		s := l.slot(l.first)
 		for _, key := range s.keys {
 			b := l.bookings[key]
-			if b == nil || slotOf(b.due) != l.first {
+			if b == nil || l.slotOf(b.due) != l.first {
 				continue
 			}
 			if !b.redeemed && b.own {
@@ -131,7 +133,7 @@
 		return true
 	}
 	l.expire(now)
-	sum, from := 0.0, now.UnixNano()
+	sum, from := 0.0, int64(now.Sub(l.from))
 	for n := l.first; n <= l.last; n++ {
 		reserved := l.slot(n).reserved
 		if reserved <= 0 {
@@ -150,7 +152,7 @@
 func (l *ledger) add(now time.Time, key uint64, b booked, rate float64) {
 	l.remove(key)
 	l.bookings[key] = &b
-	n := slotOf(b.due)
+	n := l.slotOf(b.due)
 	s := l.slot(n)
 	s.reserved += b.reserved
 	s.keys = append(s.keys, key)
@@ -164,7 +166,7 @@
 
 // release frees the reserved cost of a booking.
 func (l *ledger) release(b *booked) {
-	l.slot(slotOf(b.due)).reserved -= b.reserved
+	l.slot(l.slotOf(b.due)).reserved -= b.reserved
 	l.reserved -= b.reserved
 }
 
@@ -192,7 +194,7 @@
 	l.expire(now)
 	if b := l.bookings[key]; b != nil && b.redeemed {
 		b.redeemed = false
-		l.slot(slotOf(b.due)).reserved += b.reserved
+		l.slot(l.slotOf(b.due)).reserved += b.reserved
 		l.reserved += b.reserved
 	}
 }
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -86,6 +86,8 @@
 
 func (t tally) rate() float64 { return float64(t.served) / float64(max(t.callers, 1)) }
 
+func (t *tally) add(o tally) { t.callers, t.served = t.callers+o.callers, t.served+o.served }
+
 // asked is one caller's request and whether it was served.
 type asked struct {
 	kind   string
@@ -428,9 +430,6 @@
 	return all, ofKind
 }
 
-// servedLargest returns the rate at which the largest tenth of a kind was served.
-func (m *fleetModel) servedLargest(kind string) float64 { return m.largest(kind).rate() }
-
 // largest returns the results of the largest tenth of a kind.
 func (m *fleetModel) largest(kind string) (t tally) {
 	var list []asked
--- a/quota/price_test.go
+++ b/quota/price_test.go
@@ -63,25 +63,35 @@
 			mean  float64
 		}{{smallLimit, 1_000}, {largeLimit, 12_000}} {
 			t.Run(fmt.Sprintf("%d instances, %.0f a second", size, c.limit.Rate), func(t *testing.T) {
-				m := overloaded(size, c.limit, 3, 1, c.mean)
-				all, of := m.served()
-				largest := m.servedLargest(expensive)
-				t.Logf("served %.3f: cheap %.3f, expensive %.3f, the largest tenth of them %.3f; %.3f of the quota; told %d, kept %d, excess %.2f",
-					all.rate(), of[cheap].rate(), of[expensive].rate(), largest, m.usedSince(), m.told, m.kept, m.excess())
+				var all, largest tally
+				of := map[string]*tally{cheap: {}, expensive: {}}
+				used, excess := math.Inf(1), 0.0
+				// The largest tenth is some 280 requests of a run at the small quota.
+				for seed := range uint64(3) {
+					m := overloaded(size, c.limit, 3, seed, c.mean)
+					sum, kinds := m.served()
+					all.add(sum)
+					largest.add(m.largest(expensive))
+					of[cheap].add(*kinds[cheap])
+					of[expensive].add(*kinds[expensive])
+					used, excess = min(used, m.usedSince()), max(excess, m.excess())
+				}
+				t.Logf("served %.3f: cheap %.3f, expensive %.3f, the largest tenth of them %.3f; at least %.3f of the quota; excess %.2f",
+					all.rate(), of[cheap].rate(), of[expensive].rate(), largest.rate(), used, excess)
 				if r := of[cheap].rate(); r < 0.95 {
 					t.Errorf("cheap requests are served at a rate of %.3f", r)
 				}
 				if r := of[expensive].rate(); r < all.rate()/4 {
 					t.Errorf("expensive requests are served at a rate of %.3f, all at %.3f", r, all.rate())
 				}
-				if largest < of[expensive].rate()/2 {
-					t.Errorf("the largest tenth of the expensive requests is served at a rate of %.3f, all of them at %.3f", largest, of[expensive].rate())
+				if r := largest.rate(); r < of[expensive].rate()/2 {
+					t.Errorf("the largest tenth of the expensive requests is served at a rate of %.3f, all of them at %.3f", r, of[expensive].rate())
 				}
-				if u := m.usedSince(); u < 0.97 {
-					t.Errorf("%.3f of the quota is used", u)
+				if used < 0.97 {
+					t.Errorf("%.3f of the quota is used", used)
 				}
-				if x := m.excess(); x > maxExcess {
-					t.Errorf("the worst window uses %.2f of the tolerance", x)
+				if excess > maxExcess {
+					t.Errorf("the worst window uses %.2f of the tolerance", excess)
 				}
 			})
 		}
@@ -95,11 +105,9 @@
 	for seed := range uint64(8) {
 		m := overloaded(8, smallLimit, 3, seed, 12_000)
 		_, of := m.served()
-		for to, from := range map[*tally]*tally{&sum: of[cheap], &costly: of[expensive]} {
-			to.callers, to.served = to.callers+from.callers, to.served+from.served
-		}
-		tenth := m.largest(expensive)
-		largest.callers, largest.served = largest.callers+tenth.callers, largest.served+tenth.served
+		sum.add(*of[cheap])
+		costly.add(*of[expensive])
+		largest.add(m.largest(expensive))
 	}
 	t.Logf("cheap %.3f, expensive %.3f, the largest tenth of them %.3f", sum.rate(), costly.rate(), largest.rate())
 	if r := sum.rate(); r < 0.8 {
