Quota: the price follows from the level alone; bookings only where the caller is served on time

Cause: the price needed seconds to fall from the size of the burst to where it refuses anything, and stood still while the bucket was empty; newcomers were refused while any booking was not covered, also where its caller never came; booked callers were served late in place of others who would have been on time.

Change: the price is a power of the level, relative to the largest recent cost, between two levels; bookings take a tenth of the rate, are made within half of the time to the latency target, and of what the price refuses for cheap requests only; they no longer keep newcomers out. A key that the price has refused stays refused while its draw lasts.

--- a/hosted/placing.go
+++ b/hosted/placing.go
@@ -131,6 +131,9 @@
 		p.quotas.SetReach(now, reach)
 		p.limits.SetReach(now, reach)
 	}
+	if q.Target > 0 {
+		q.Charge.OnTime = q.Target - q.Elapsed
+	}
 	if d := p.quotas.Check(now, q.Charge, q.Again); d.Outcome != quota.Pass {
 		if d.Made != nil {
 			p.node.ReportQuotaBooking(bookingMessage(now, *d.Made))
--- a/quota/book.go
+++ b/quota/book.go
@@ -223,7 +223,7 @@
 		d.Outcome, d.RetryAfter = Over, noRateRetry
 	default:
 		d.Outcome = Over
-		if at, ok := k.book(now, c, d.Draw, d.Priced); ok {
+		if at, ok := k.book(now, c, d.Priced); ok {
 			d.Booked, d.RetryAfter = true, at.Sub(now)
 			d.Made = &Booking{Account: c.Account, Key: c.Key, Cost: c.Cost, Due: at}
 			break
--- a/quota/booking.go
+++ b/quota/booking.go
@@ -1,15 +1,14 @@
 package quota
 
 import (
-	"math"
 	"slices"
 	"time"
 )
 
 const (
-	// bookedShare is the fraction of a bucket's rate that may be booked. The rest is left for callers
-	// without a booking.
-	bookedShare = 0.5
+	// bookedShare is the fraction of a bucket's rate that may be booked. The rest is left for callers without a
+	// booking, since whoever is admitted at once is served sooner than whoever comes back.
+	bookedShare = 0.1
 	// earlyRedemption and lateRedemption are how long before and after its time a booking admits its
 	// caller: callers' timers and connections take some of it.
 	earlyRedemption = 50 * time.Millisecond
@@ -18,21 +17,17 @@
 	// Callers do not wait longer.
 	patienceShare = 3
 	// maxBookingDelay bounds the time until a booking is due, and with it the state of a ledger.
-	maxBookingDelay = 10 * time.Second
+	maxBookingDelay = 3 * time.Second
 	// minBookingDelay is above the time in which the other schedulers get to know of a booking.
 	minBookingDelay = 100 * time.Millisecond
 	// maxBookings bounds the bookings of one account.
 	maxBookings = 4096
-	// bookingExponent replaces priceExponent in the decision who gets a booking. It is higher, so that
-	// nearly all requests that cost little get one when the price has refused them.
-	bookingExponent = 0.7
-	// bookingPriceFactor scales the price for bookings. At three times the quota, with 24, expensive requests
-	// filled the ledger and cheap ones were served at a rate of 0.94; an exponent of 1.0 served the largest
-	// tenth of the expensive ones less than half as often as all of them.
-	bookingPriceFactor = 10.0
+	// cheapShare is the cost, as a fraction of the largest recent one, up to which a request that the price refuses gets
+	// a booking.
+	cheapShare = 0.125
 	// bookedOverdraft is how far below 0 the level may be for a caller with a booking, as a fraction of
 	// the capacity: its cost was reserved, and newcomers may have overdrawn the bucket.
-	bookedOverdraft = 0.25
+	bookedOverdraft = 0.5
 	// ledgerSlot is the resolution of the times at which booked cost is due, ledgerSlots how many of
 	// them a ledger has: more than maxBookingDelay and lateRedemption.
 	ledgerSlot  = 50 * time.Millisecond
@@ -127,27 +122,6 @@
 	return nil
 }
 
-// covered reports whether a level, and what it gains until each booking is due, covers all bookings.
-func (l *ledger) covered(now time.Time, level, rate float64) bool {
-	if l == nil {
-		return true
-	}
-	l.expire(now)
-	sum, from := 0.0, int64(now.Sub(l.from))
-	for n := l.first; n <= l.last; n++ {
-		reserved := l.slot(n).reserved
-		if reserved <= 0 {
-			continue
-		}
-		sum += reserved
-		gained := rate * float64(max(n*int64(ledgerSlot)-from, 0)) / float64(time.Second)
-		if level+gained < sum {
-			return false
-		}
-	}
-	return true
-}
-
 // add adds or replaces a booking and advances the tail by its cost.
 func (l *ledger) add(now time.Time, key uint64, b booked, rate float64) {
 	l.remove(key)
@@ -233,12 +207,19 @@
 }
 
 // book books the cost of a refused request at the earliest time that has room, if that is within a part
-// of what the caller has left. The draw limits bookings to requests that a price admits which falls
-// while the ledger fills.
-func (b *bucket) book(now time.Time, c Charge, draw float64, priced bool) (due time.Time, ok bool) {
+// of what the caller has left and within the request's latency target: later, callers that are admitted at once make better
+// use of the cost.
+//
+// Of the requests that the price refuses, only those that cost little get a booking. Each booking takes room from
+// callers that would be admitted at once, and is served later; of the cheap ones, few are refused, and they take
+// little.
+func (b *bucket) book(now time.Time, c Charge, priced bool) (due time.Time, ok bool) {
 	rate := b.rate()
 	horizon := min(c.Left/patienceShare, maxBookingDelay)
-	if rate <= 0 || horizon < minBookingDelay || c.Cost <= 0 {
+	if c.OnTime != 0 {
+		horizon = min(horizon, c.OnTime/2)
+	}
+	if rate <= 0 || horizon < minBookingDelay || c.Cost <= 0 || priced && rankedCost(c.Cost, c.Rank) > cheapShare*b.largest {
 		return due, false
 	}
 	l := b.ledger
@@ -254,13 +235,6 @@
 	if wait >= horizon || len(l.bookings) >= maxBookings {
 		return due, false
 	}
-	end := wait + seconds(float64(c.Cost)/(rate*bookedShare))
-	if priced {
-		price := math.Exp(b.meanPriceLog) * bookingPriceFactor * max(0, min(1, float64(horizon-end)/float64(end)))
-		if !admitted(draw, price, rankedCost(c.Cost, c.Rank), bookingExponent) {
-			return due, false
-		}
-	}
 	reserved := b.reservedOf(c.Cost)
 	slot := seconds(reserved / (rate * bookedShare))
 	if wait == 0 && l.reserved == 0 {
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -60,8 +60,8 @@
 	// requests.
 	scarce  bool
 	largest float64
-	// meanPriceLog is the smoothed logarithm of the price.
-	meanPriceLog float64
+	// refused are the keys that the price has refused, and until when; see rememberRefusal.
+	refused map[uint64]time.Time
 	// ledger holds the bookings; nil before the first one.
 	ledger *ledger
 }
@@ -81,7 +81,7 @@
 
 func (b *bucket) advance(now time.Time) {
 	if step := now.Sub(b.last).Seconds(); step > 0 {
-		b.observeCost(now.Sub(b.last))
+		b.largest *= math.Exp(-step / largestTime.Seconds())
 		b.level += step * b.rate()
 		b.promised = max(b.promised-step*b.rate(), 0)
 		b.last = now
@@ -108,7 +108,7 @@
 
 // decide reports whether a request with a key may pass now, and whether its draw has refused it.
 // While there is a price, any positive level is sufficient: otherwise expensive requests would not
-// pass beside cheap ones. No bookings may be left without cover.
+// pass beside cheap ones.
 func (b *bucket) decide(now time.Time, c Charge, draw float64, random func() float64) (passes, priced bool) {
 	b.advance(now)
 	cost := float64(c.Cost)
@@ -116,24 +116,21 @@
 		return true, false
 	}
 	ranked := rankedCost(c.Cost, c.Rank)
-	if b.largest = max(b.largest, ranked); b.meanPriceLog == 0 {
-		b.meanPriceLog = math.Log(b.maxPrice())
-	}
-	covered := func() bool { return b.ledger.covered(now, b.level-cost, b.rate()) }
-	b.scarce = b.scarce && b.level < b.capacity()
-	if !b.scarce && b.level > scarceLevel*b.capacity() && covered() && b.covers(now, cost, random) {
-		return true, false
-	}
-	b.scarce = b.level < b.capacity()
+	b.largest = max(b.largest, ranked)
+	b.scarce = b.level < scarceLevel*b.capacity() || b.scarce && b.level < ampleLevel*b.capacity()
 	price, ok := b.effectivePrice()
 	if !ok {
-		// The bookings are checked first, since allows counts the requests that it refuses.
-		return covered() && b.allows(now, cost, random), false
+		return b.allows(now, cost, random), false
+	}
+	if b.isRefused(now, c.Key) {
+		return false, true
 	}
-	if !admitted(draw, price, ranked, priceExponent) {
+	// An empty bucket shows no price. What finds it empty may get a booking.
+	if b.level > 0 && !admitted(draw, price, ranked, priceExponent) {
+		b.rememberRefusal(now, c.Key)
 		return false, true
 	}
-	return b.positive(cost, random) && covered(), false
+	return b.positive(cost, random), false
 }
 
 // positive reports whether the level is positive, once the random part of an oversized cost is
--- a/quota/price.go
+++ b/quota/price.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"math"
 	"time"
 
@@ -10,23 +11,17 @@
 
 const (
 	// priceExponent is the exponent of a request's cost in the probability that it is admitted:
-	// a request of 15 times the cost is admitted about a third as often.
-	priceExponent = 0.4
-	// scarceLevel is the level, as a fraction of the capacity, below which there is a price. Above it there is one
-	// from the first request that is not covered until the bucket is full.
-	scarceLevel = 0.25
+	// a request of 16 times the cost is admitted a quarter as often.
+	priceExponent = 0.5
+	// scarceLevel and ampleLevel are the levels, as fractions of the capacity, below which there is a price, and from
+	// which on there is none any more.
+	scarceLevel = 0.2
+	ampleLevel  = 0.5
 	// priceSlope is the exponent of the level in the price: at a quarter of the capacity, the price is a 256th of
 	// its maximum.
 	priceSlope = 4
-	// minPriceShare bounds the mean price from below, as a fraction of the maximum.
-	minPriceShare = 1e-4
 	// largestTime is the time constant with which the largest cost is forgotten.
 	largestTime = 10 * time.Second
-	// meanPriceTime is the time constant of the mean price, by which bookings are made. The price of a
-	// quota that covers few requests at once varies a lot within a second.
-	meanPriceTime = 3 * time.Second
-	// debtShare is the debt, as a fraction of the capacity, at which the price does not change.
-	debtShare = 0.1
 	// drawSlot is how long the draw of a key stays the same, so that a caller that repeats at once
 	// gains nothing.
 	drawSlot = 2 * time.Second
@@ -39,16 +34,6 @@
 // requests.
 func (b *bucket) maxPrice() float64 { return max(b.largest, 1) }
 
-// observeCost keeps the largest priced cost of the last requests.
-func (b *bucket) observeCost(step time.Duration) {
-	b.largest *= math.Exp(-step.Seconds() / largestTime.Seconds())
-	if b.meanPriceLog == 0 {
-		return
-	}
-	price, _ := b.effectivePrice()
-	b.meanPriceLog += (math.Log(max(price, minPriceShare*b.maxPrice())) - b.meanPriceLog) * (1 - math.Exp(-step.Seconds()/meanPriceTime.Seconds()))
-}
-
 // effectivePrice returns the price at the current level. ok is false while there is none.
 //
 // The price follows from the level alone, so that it is the same at all schedulers, needs no time to adapt and does not
@@ -56,7 +41,7 @@
 func (b *bucket) effectivePrice() (p float64, ok bool) {
 	x := b.level / max(b.capacity(), 1)
 	switch {
-	case !b.scarce || x >= 1:
+	case !b.scarce:
 		return b.maxPrice(), false
 	case x <= 0:
 		return 0, true
@@ -78,6 +63,35 @@
 	return float64(xxh3.Hash(text[:])>>11) / (1 << 53)
 }
 
+// maxRefused bounds the keys of one account whose refusal is remembered.
+const maxRefused = 4096
+
+// rememberRefusal has a key refused until its draw changes. The price follows the level from moment to moment, and a
+// caller that repeats at once would be admitted at the first high one.
+func (b *bucket) rememberRefusal(now time.Time, key uint64) {
+	if len(b.refused) >= maxRefused {
+		maps.DeleteFunc(b.refused, func(_ uint64, until time.Time) bool { return !now.Before(until) })
+	}
+	if len(b.refused) >= maxRefused {
+		return
+	}
+	if b.refused == nil {
+		b.refused = map[uint64]time.Time{}
+	}
+	into := time.Duration((uint64(now.UnixNano()) + key%uint64(drawSlot)) % uint64(drawSlot))
+	b.refused[key] = now.Add(drawSlot - into)
+}
+
+// isRefused reports whether a key was refused by the price with its present draw.
+func (b *bucket) isRefused(now time.Time, key uint64) bool {
+	until, ok := b.refused[key]
+	if ok && !now.Before(until) {
+		delete(b.refused, key)
+		return false
+	}
+	return ok
+}
+
 // admitted reports whether a request with this draw is admitted at a price.
 func admitted(draw, price, cost, exponent float64) bool {
 	return price >= cost || draw < math.Pow(price/cost, exponent)
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -66,6 +66,8 @@
 	Rank int
 	// Left is how long the caller will wait from now; 0 if it is unknown, then nothing is booked.
 	Left time.Duration
+	// OnTime is the time from now until the request's latency target has passed; 0 if it has none.
+	OnTime time.Duration
 }
 
 // Outcome is the result of a quota decision.
