--- a/directory/follower_test.go
+++ b/directory/follower_test.go
@@ -493,3 +493,26 @@
 		done.Wait()
 	})
 }
+
+// Guards against an instance that vouches for changes which its watch has not delivered: those made between two watches
+// and undone before the next read.
+func TestSpanHasNoGaps(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore("a")
+		_, f := followWith(t, s, time.Hour, func(*Config) {})
+		synctest.Wait()
+		s.put("b")
+		synctest.Wait()
+		before := f.Span()
+		s.setDown(true)
+		synctest.Wait()
+		s.put("short-lived")
+		s.remove("short-lived")
+		s.setDown(false)
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		if after := f.Span(); before != (Span{From: 1, To: 2}) || after.From <= before.To {
+			t.Errorf("span %+v, and %+v after an outage in which changes were not delivered", before, after)
+		}
+	})
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -98,6 +98,9 @@
 	// did, or empty for this instance.
 	quota     *quota.Decision
 	decidedBy string
+	// refusal is set if the request was refused since all endpoints were at their concurrency limits; decidedBy as
+	// above.
+	refusal *balance.Refusal
 	// passedOver is set on a refused request: the endpoint that would have been chosen but for what it
 	// has stated, and passedFor what that is.
 	passedOver string
@@ -139,6 +142,7 @@
 	call, parseErr := r.srv.cfg.Dialect.ParseCall(h)
 	r.call = call
 	r.conn.request = call.ID
+	r.sendsAnswer(writeTimeout, 0)
 	if r.srv.shuttingDown.Load() {
 		return errShuttingDown
 	}
@@ -188,12 +192,22 @@
 	reqCtx, cancel := context.WithCancelCause(context.Background())
 	r.srv.open.started(r, cancel)
 	r.reqCtx, r.stop = context.WithDeadlineCause(reqCtx, r.deadline, errTimeout)
+	r.sendsAnswer(writeTimeout, 0)
 	r.conn.watchClose(cancel)
 	if r.origin == "" {
 		r.srv.cfg.Budget.Accepted(r.began, r.service.Name)
 	}
 }
 
+// sendsAnswer states what is held until the caller has read the answer: the request's body, and body bytes of an answer
+// that is written in parts. maxStall is how long the caller may read nothing.
+func (r *request) sendsAnswer(maxStall time.Duration, body int) {
+	if r.conn.sender == nil {
+		return
+	}
+	r.conn.sends(&sending{request: r.call.ID, extra: int64(len(r.ctx.Request.Body()) + body), maxStall: maxStall, cancel: r.cancel})
+}
+
 // end releases the request's resources and records its result, once its answer is decided.
 func (r *request) end() {
 	r.conn.stopWatch()
@@ -449,6 +463,10 @@
 			f["final"] = true
 		}
 	}
+	if v := r.refusal; v != nil {
+		f["limit"], f["in_use"], f["over_share"] = v.Limit, v.InUse, v.Reason.OverShare()
+		f["priority"], f["decided_by"] = r.priority(), r.decidedBy
+	}
 	if r.lastErr != nil {
 		f["why"] = r.lastErr.Error()
 	}
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -8,6 +8,7 @@
 	"math"
 	"net"
 	"net/netip"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -58,11 +59,28 @@
 	// stay unacknowledged. A caller that vanishes while nothing is sent to it is noticed by the second
 	// of Go's keep-alive probes, after 30 s.
 	callerUserTimeout = 10 * time.Second
+	// unreadShare is the fraction, 1/unreadShare, of the instance's memory that may be held for callers and endpoints
+	// that read slowly. The rest is for requests that are being served, the state and garbage.
+	unreadShare = 4
+	// runtimeShare is the share of the instance's memory that the Go runtime may use before it collects garbage more
+	// often. The rest is for the program itself and for what the kernel holds for connections.
+	runtimeShare = 0.7
 	// sweepInterval is the time between two sweeps of expired state, such as runs without a
 	// reported end.
 	sweepInterval = time.Second
+	// bytesPerMB is the unit of memory in the settings.
+	bytesPerMB = 1 << 20
 )
 
+// LimitMemory sets the soft limit of the Go runtime's memory for a process that runs one instance, so that the garbage of closed
+// connections is collected before the machine's memory is used up. Without a memory in the settings, or with one in the
+// environment variable GOMEMLIMIT, it has no effect.
+func LimitMemory(s *settingspb.Hosted) {
+	if mb := s.GetMemoryMb(); mb > 0 && debug.SetMemoryLimit(-1) == math.MaxInt64 {
+		debug.SetMemoryLimit(int64(mb * bytesPerMB * runtimeShare))
+	}
+}
+
 // Instance is one gateway instance, running in this process.
 type Instance struct {
 	// settings are those of the start; bounds are those in force.
@@ -76,6 +94,7 @@
 	quotas      *quota.Book
 	statements  *statements
 	origins     *origins
+	recorder    *releaseRecorder
 	guard       *gateway.CrashGuard
 	gate        overload.Gate
 	paths       *reachability.Table
@@ -93,7 +112,9 @@
 	feed       *cachefeed.Feed
 	lease      *lease.Manager
 	server     *gateway.Server
-	cancel     context.CancelFunc
+	// slow bounds what is held for peers that read slowly; nil for no bound.
+	slow   *gateway.SlowReaders
+	cancel context.CancelFunc
 	// entries and peers are decoded from the store's objects; only their followers use them.
 	entries   entries
 	changeLog changeLog
@@ -136,21 +157,31 @@
 	if err := i.bind(); err != nil {
 		return nil, err
 	}
-	i.origins = &origins{book: origin.NewBook(s.GetFirstStart()), state: i.state, node: i.node, started: i.started, settled: &i.settled}
+	ctx, cancel := context.WithCancel(context.Background())
+	i.cancel = cancel
+	i.origins = &origins{
+		book: origin.NewBook(s.GetFirstStart()), state: i.state, node: i.node, started: i.started, settled: &i.settled,
+		record: &recordReader{ctx: ctx, store: i.store},
+	}
+	i.recorder = i.newRecorder()
 	i.guard = gateway.NewCrashGuard(s.GetInstance(), i.node.BroadcastNotice)
 	limits := ratelimit.NewLimits(time.Now(), s.GetInstance(), i.incarnation)
 	i.state.SetLimiter(limits)
 	i.statements = newStatements(limits, i.state.ServiceOf, i.node.BroadcastNotice)
 	i.state.SetLeaving(i.statements.departures.Holds)
 	i.state.SetBrittle(i.statements.brittle.Holds, i.turn)
+	i.state.SetKnown(i.knownShare)
 	i.placer = newPlacer(i)
+	if mb := s.GetMemoryMb(); mb > 0 {
+		i.slow = gateway.NewSlowReaders(int64(mb * bytesPerMB / unreadShare))
+	}
 	callersLn, readyLn, forwardedLn := i.listeners[0], i.listeners[1], i.listeners[2]
 	i.server = gateway.NewServer(gateway.Config{
 		Instance: s.GetInstance(), DataCentre: s.GetDataCentre(), Table: i.table.Load, State: i.state, Budget: i.budget, Guard: i.guard, Gate: &i.gate, Paths: i.paths,
-		Broadcaster: i.node, Placer: i.placer, Statements: i.statements, Peers: i, Origins: i.origins, Dialect: platform.Dialect{}, Relay: i.relays.to, PeerRelay: i.peerRelays.to,
+		Broadcaster: i.node, Placer: i.placer, Statements: i.statements, Peers: i, Origins: i.origins, Dialect: platform.Dialect{}, Relay: i.relays.to, PeerRelay: i.peerRelays.to, Slow: i.slow,
 		Started: time.Now(), HeaderBytes: headerBytes, BodyBytes: bodyBytes,
 	})
-	i.startTasks()
+	i.startTasks(ctx)
 	go func() { i.logServeError("callers", i.server.Serve(callersLn)) }()
 	go func() { i.logServeError("forwarded", i.server.ServeForwarded(forwardedLn)) }()
 	ready := &fasthttp.Server{Handler: i.answerReady, NoDefaultServerHeader: true, NoDefaultDate: true}
@@ -219,10 +250,8 @@
 	}
 }
 
-// startTasks starts the background tasks.
-func (i *Instance) startTasks() {
-	ctx, cancel := context.WithCancel(context.Background())
-	i.cancel = cancel
+// startTasks starts the background tasks, which end with ctx.
+func (i *Instance) startTasks(ctx context.Context) {
 	i.lease = lease.NewManager(lease.Config{
 		Store: i.store, Name: leaseName, Self: i.settings.GetInstance(),
 		Length:    milliseconds(i.settings.GetBounds().GetLeaseMs()),
@@ -254,10 +283,14 @@
 	go i.sweep(ctx)
 	go i.watchLag(ctx)
 	go i.followQuotas(ctx)
+	go i.recorder.run(ctx)
 	go i.removeLost(ctx)
 	go i.server.ProbeUnresponsive(ctx)
 	go i.server.ProbePaths(ctx)
 	go i.feed.Run(ctx)
+	if i.slow != nil {
+		go i.slow.Run(ctx)
+	}
 	i.lease.Start()
 }
 
@@ -281,10 +314,30 @@
 	if kind == platform.KindEndpoints {
 		cfg.ReachabilityChanged = i.node.ReportStore
 		cfg.MinExpiryOutage = minExpiryOutage(i.bounds.Load())
+		cfg.Delivered = i.recorder.addDelivered
 	}
 	i.followers[kind] = directory.NewFollower(cfg)
 }
 
+// newRecorder returns the writer of the record of releases.
+func (i *Instance) newRecorder() *releaseRecorder {
+	return &releaseRecorder{
+		store: i.store,
+		isWriter: func() bool {
+			return i.settled.Load() && !i.leaving.Load() && i.isAmongFirst(platform.KindEndpoints, 1)
+		},
+		services: func() []string {
+			t := i.table.Load()
+			if t == nil {
+				return nil
+			}
+			return t.ResumableServices()
+		},
+		listed: i.state.Releases,
+		span:   func() directory.Span { return i.followers[platform.KindEndpoints].Span() },
+	}
+}
+
 // readInterval returns the time between two reads of a kind by the whole fleet.
 func readInterval(kind string) time.Duration {
 	switch kind {
--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -33,6 +33,20 @@
 	// of them belong to parts that other requests use too. Ahead is the prompt work queued
 	// before this request, in tokens.
 	Uncached, Shared, Ahead int64
+	Organisation            string
+	// Rank is the request's priority; 0 is the most urgent. Lines of requests that were neither sent nor refused for
+	// full slots do not state it.
+	Rank int
+	// Limit is the sum of the concurrency limits that the endpoints had reached when the request was refused; 0 if
+	// it was not refused for that. OverShare is what had at least its share then: "organisation", "rank" or nothing.
+	Limit     int
+	OverShare string
+	// Cost and the following are set if the organisation's quota refused the request. Booked is when its
+	// caller was told to come back, Final whether it was told no time.
+	Cost   int64
+	Price  float64
+	Booked time.Duration
+	Final  bool
 }
 
 // ArrivedAt returns when the request arrived.
@@ -45,8 +59,12 @@
 	// start of a JSON object but can't be parsed or have no time, and Dropped the number of
 	// lines that instances reported as not written.
 	Lines, Truncated, Dropped int
+	// SlowClosed counts the connections that were closed since their peers read slowly, by peer and reason.
+	SlowClosed map[string]int
 	// Unfinished lists the instances whose log does not end with a "stopped" event.
 	Unfinished []string
+	// Resumed counts the streams that callers resumed by how the release that began them was found; see origin.Result.
+	Resumed map[string]int
 
 	// stoppedLast reports by instance whether the last line read is its "stopped" event.
 	stoppedLast map[string]bool
@@ -58,6 +76,11 @@
 	Event          string    `json:"event"`
 	Instance       string    `json:"instance"`
 	Route          string    `json:"route"`
+	Organisation   string    `json:"organisation"`
+	Cost           int64     `json:"cost"`
+	Price          float64   `json:"price"`
+	BookedMs       float64   `json:"booked_ms"`
+	Final          bool      `json:"final"`
 	Status         int       `json:"status"`
 	Sends          int       `json:"sends"`
 	Why            string    `json:"why"`
@@ -69,10 +92,26 @@
 	SharedRead     int64     `json:"shared_read"`
 	Ahead          int64     `json:"ahead"`
 	DroppedBefore  int       `json:"dropped_before"`
+	Priority       int       `json:"priority"`
+	Limit          int       `json:"limit"`
+	OverShare      string    `json:"over_share"`
+	// Peer, Reason and Omitted are those of a closed connection; Omitted is how many before it have no line.
+	Peer    string `json:"peer"`
+	Reason  string `json:"reason"`
+	Omitted int    `json:"omitted"`
 	// ForwardedFor is set in the second line of a request that another instance forwarded.
 	ForwardedFor string `json:"forwarded_for"`
+	// BoundBy is the instance that knew the release of a resumed stream, and how.
+	BoundBy string `json:"bound_by"`
 }
 
+// slowReaderClosed is the event of the line on a connection that was closed since its peer reads slowly, withoutLine how
+// SlowClosed counts those that were left out.
+const (
+	slowReaderClosed = "connection of a slow reader closed"
+	withoutLine      = "without a line"
+)
+
 // stopped is the event of the last line that an instance logs.
 const stopped = "stopped"
 
@@ -80,7 +119,7 @@
 // log collectors add prefixes; truncated lines are counted in Truncated.
 func (l *Log) Read(r io.Reader) error {
 	if l.stoppedLast == nil {
-		l.stoppedLast = map[string]bool{}
+		l.stoppedLast, l.Resumed = map[string]bool{}, map[string]int{}
 	}
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(nil, maxLine)
@@ -108,8 +147,20 @@
 	if w.Instance != "" {
 		l.stoppedLast[w.Instance] = w.Event == stopped
 	}
+	if w.Event == slowReaderClosed {
+		if l.SlowClosed == nil {
+			l.SlowClosed = map[string]int{}
+		}
+		l.SlowClosed[w.Peer+", "+w.Reason]++
+		if w.Omitted > 0 {
+			l.SlowClosed[withoutLine] += w.Omitted
+		}
+	}
 	if w.Event == "request" && w.ForwardedFor == "" {
 		l.Requests = append(l.Requests, w.request())
+		if _, how, ok := strings.Cut(w.BoundBy, ": "); ok {
+			l.Resumed[how]++
+		}
 	}
 }
 
@@ -118,6 +169,8 @@
 		End: w.At, Took: milliseconds(w.Ms), Waited: milliseconds(w.WaitedMs), WaitedMemory: milliseconds(w.WaitedMemoryMs),
 		First: milliseconds(w.FirstMs), Route: w.Route, Status: w.Status, Sends: w.Sends, Why: w.Why,
 		Uncached: w.Uncached, Shared: w.SharedRead, Ahead: w.Ahead,
+		Organisation: w.Organisation, Rank: w.Priority, Limit: w.Limit, OverShare: w.OverShare,
+		Cost: w.Cost, Price: w.Price, Booked: milliseconds(w.BookedMs), Final: w.Final,
 	}
 }
 
@@ -144,6 +197,7 @@
 	Slow
 	RefusedForWork
 	RefusedForMemory
+	RefusedForSlots
 	OverQuota
 	RefusedOther
 	FailedAtEndpoint
@@ -153,7 +207,7 @@
 )
 
 var reasonNames = [...]string{
-	"served", "slow", "refused: work before it", "refused: no memory", "refused: over its quota", "refused: else",
+	"served", "slow", "refused: work before it", "refused: no memory", "refused: slots in use", "refused: over its quota", "refused: else",
 	"failed at the endpoint", "broken off", "caller gone", "not allowed",
 }
 
@@ -182,6 +236,8 @@
 		return CallerDisconnected
 	case r.Status == statusInterrupted:
 		return Interrupted
+	case r.Status == 503 && r.Limit > 0:
+		return RefusedForSlots
 	case r.Status == 503 && r.Waited > 0 && float64(r.WaitedMemory) >= memoryShare*float64(r.Waited) && r.Sends == 0:
 		return RefusedForMemory
 	case r.Status == 503 && strings.Contains(r.Why, "behind"):
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -56,18 +56,18 @@
 	// missedUntil it pays for what the others passed in that time.
 	missed      float64
 	missedUntil time.Time
-	// price is the adapted price; see adaptPrice.
-	price float64
-	// meanPriceLog is the smoothed logarithm of the price.
-	meanPriceLog float64
+	// scarce is set while there is a price; see effectivePrice. largest is the largest priced cost of the last
+	// requests.
+	scarce  bool
+	largest float64
+	// refused are the keys that the price has refused, and until when; see rememberRefusal.
+	refused map[uint64]time.Time
 	// ledger holds the bookings; nil before the first one.
 	ledger *ledger
 }
 
 func newBucket(now time.Time, l Limit, share float64) *bucket {
 	b := &bucket{limit: l, share: share, last: now}
-	b.price = b.maxPrice()
-	b.meanPriceLog = math.Log(b.price)
 	b.level = min(b.rate()*startBalance.Seconds(), b.capacity())
 	return b
 }
@@ -81,7 +81,7 @@
 
 func (b *bucket) advance(now time.Time) {
 	if step := now.Sub(b.last).Seconds(); step > 0 {
-		b.adaptPrice(now.Sub(b.last))
+		b.largest *= math.Exp(-step / largestTime.Seconds())
 		b.level += step * b.rate()
 		b.promised = max(b.promised-step*b.rate(), 0)
 		b.last = now
@@ -108,29 +108,36 @@
 
 // decide reports whether a request with a key may pass now, and whether its draw has refused it.
 // While there is a price, any positive level is sufficient: otherwise expensive requests would not
-// pass beside cheap ones. No bookings may be left without cover.
+// pass beside cheap ones.
 func (b *bucket) decide(now time.Time, c Charge, draw float64, random func() float64) (passes, priced bool) {
 	b.advance(now)
 	cost := float64(c.Cost)
 	if cost <= 0 {
 		return true, false
 	}
+	ranked := rankedCost(c.Cost, c.Rank)
+	b.largest = max(b.largest, ranked)
+	b.scarce = b.level < scarceLevel*b.capacity() || b.scarce && b.level < ampleLevel*b.capacity()
 	price, ok := b.effectivePrice()
 	if !ok {
-		// The bookings are checked first, since allows counts the requests that it refuses.
-		return b.ledger.covered(now, b.level-cost, b.rate()) && b.allows(now, cost, random), false
+		return b.allows(now, cost, random), false
 	}
-	if !admitted(draw, price, rankedCost(c.Cost, c.Rank), priceExponent) {
+	if b.isRefused(now, c.Key) {
 		return false, true
 	}
-	return b.positive(cost, random) && b.ledger.covered(now, b.level-cost, b.rate()), false
+	// An empty bucket shows no price. What finds it empty may get a booking.
+	if b.level > 0 && !admitted(draw, price, ranked, priceExponent) {
+		b.rememberRefusal(now, c.Key)
+		return false, true
+	}
+	return b.positive(cost, random), false
 }
 
 // positive reports whether the level is positive, once the random part of an oversized cost is
 // subtracted that covers describes.
 func (b *bucket) positive(cost float64, random func() float64) bool {
 	b.predebit(cost, random)
-	return b.level > 0
+	return b.level > 0 && b.level >= min(cost, b.capacity()/2)
 }
 
 // covers reports whether the bucket covers the whole cost. A cost above the bucket's
@@ -230,15 +237,12 @@
 func (b *bucket) update(now time.Time, l Limit, share float64) {
 	b.advance(now)
 	if lost := b.share - share; lost > 0 {
+		if b.level > 0 {
+			// Each side of a partition has the same balance, of which it may use its part only.
+			b.level *= share / b.share
+		}
 		b.level -= lost * l.Rate * detectionDelay.Seconds()
 	}
-	if l != b.limit {
-		// The price keeps its relation to the maximum, so that it needn't adapt anew.
-		before := b.maxPrice()
-		b.limit = l
-		b.price *= b.maxPrice() / before
-		b.meanPriceLog += math.Log(b.maxPrice() / before)
-	}
-	b.share = share
+	b.limit, b.share = l, share
 	b.level = min(b.level, b.capacity())
 }
--- a/quota/price.go
+++ b/quota/price.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"math"
 	"time"
 
@@ -10,18 +11,17 @@
 
 const (
 	// priceExponent is the exponent of a request's cost in the probability that it is admitted:
-	// a request of 15 times the cost is admitted about a third as often.
-	priceExponent = 0.4
-	// priceGain is the rate per second at which the logarithm of the price follows the level: a price
-	// adapts to a new load within a few seconds, without oscillating.
-	priceGain = 1.5
-	// minPriceShare bounds the price from below, as a fraction of the maximum.
-	minPriceShare = 1e-7
-	// maxPriceStep bounds the time for which one level changes the price.
-	maxPriceStep = time.Second
-	// meanPriceTime is the time constant of the mean price, by which bookings are made. The price of a
-	// quota that covers few requests at once varies a lot within a second.
-	meanPriceTime = 3 * time.Second
+	// a request of 16 times the cost is admitted a quarter as often.
+	priceExponent = 0.5
+	// scarceLevel and ampleLevel are the levels, as fractions of the capacity, below which there is a price, and from
+	// which on there is none any more.
+	scarceLevel = 0.2
+	ampleLevel  = 0.5
+	// priceSlope is the exponent of the level in the price: at a quarter of the capacity, the price is a 256th of
+	// its maximum.
+	priceSlope = 4
+	// largestTime is the time constant with which the largest cost is forgotten.
+	largestTime = 10 * time.Second
 	// drawSlot is how long the draw of a key stays the same, so that a caller that repeats at once
 	// gains nothing.
 	drawSlot = 2 * time.Second
@@ -30,40 +30,23 @@
 	rankSteps = 3
 )
 
-// maxPrice returns the price at which requests are admitted as if there were none.
-func (b *bucket) maxPrice() float64 { return max(b.limit.Burst, b.limit.Rate*minBurst.Seconds()) }
+// maxPrice returns the price at which requests are admitted as if there were none: the largest cost of the last
+// requests.
+func (b *bucket) maxPrice() float64 { return max(b.largest, 1) }
 
-// adaptPrice lowers the price while the level is below half of the capacity, and raises it while it
-// is above. A level of 0 or less admits nothing, so that it does not show what the price does.
-func (b *bucket) adaptPrice(step time.Duration) {
-	top := b.maxPrice()
-	full := b.capacity()
-	b.meanPriceLog += (math.Log(b.price) - b.meanPriceLog) * (1 - math.Exp(-step.Seconds()/meanPriceTime.Seconds()))
-	if full <= 0 || b.level <= 0 || b.price >= top && b.level >= full/2 {
-		b.price = min(b.price, top)
-		return
-	}
-	deviation := 2*b.level/full - 1
-	b.price *= math.Exp(priceGain * deviation * min(step, maxPriceStep).Seconds())
-	b.price = min(max(b.price, top*minPriceShare), top)
-}
-
-// effectivePrice returns the price at the current level. It differs from the adapted one so that the
-// level stays between 0 and the capacity while that one follows. ok is false while the price is at its
-// maximum.
+// effectivePrice returns the price at the current level. ok is false while there is none.
+//
+// The price follows from the level alone, so that it is the same at all schedulers, needs no time to adapt and does not
+// oscillate: the level settles where as much is admitted as the bucket gains.
 func (b *bucket) effectivePrice() (p float64, ok bool) {
-	full := b.capacity()
-	if b.level >= full {
+	x := b.level / max(b.capacity(), 1)
+	switch {
+	case !b.scarce:
 		return b.maxPrice(), false
-	}
-	if b.level <= 0 {
+	case x <= 0:
 		return 0, true
 	}
-	p = b.price * b.level / (full - b.level)
-	if p >= b.maxPrice() {
-		return b.maxPrice(), false
-	}
-	return p, true
+	return b.maxPrice() * math.Pow(x, priceSlope), true
 }
 
 // rankedCost returns the cost by which a request is priced.
@@ -80,6 +63,35 @@
 	return float64(xxh3.Hash(text[:])>>11) / (1 << 53)
 }
 
+// maxRefused bounds the keys of one account whose refusal is remembered.
+const maxRefused = 4096
+
+// rememberRefusal has a key refused until its draw changes. The price follows the level from moment to moment, and a
+// caller that repeats at once would be admitted at the first high one.
+func (b *bucket) rememberRefusal(now time.Time, key uint64) {
+	if len(b.refused) >= maxRefused {
+		maps.DeleteFunc(b.refused, func(_ uint64, until time.Time) bool { return !now.Before(until) })
+	}
+	if len(b.refused) >= maxRefused {
+		return
+	}
+	if b.refused == nil {
+		b.refused = map[uint64]time.Time{}
+	}
+	into := time.Duration((uint64(now.UnixNano()) + key%uint64(drawSlot)) % uint64(drawSlot))
+	b.refused[key] = now.Add(drawSlot - into)
+}
+
+// isRefused reports whether a key was refused by the price with its present draw.
+func (b *bucket) isRefused(now time.Time, key uint64) bool {
+	until, ok := b.refused[key]
+	if ok && !now.Before(until) {
+		delete(b.refused, key)
+		return false
+	}
+	return ok
+}
+
 // admitted reports whether a request with this draw is admitted at a price.
 func admitted(draw, price, cost, exponent float64) bool {
 	return price >= cost || draw < math.Pow(price/cost, exponent)
