Concurrency limits are decided only where the runs of half of the fleet are known

Cause: an instance that knows few others used its share of the slots, of 87 instances less than one, and refused.

Change: below half of the fleet's runs known, no limit is observed, as before there were limits.

--- a/balance/capacity.go
+++ b/balance/capacity.go
@@ -104,7 +104,8 @@
 }
 
 // SetKnown replaces the function that returns the share of the fleet whose runs this instance knows. An instance that
-// does not know what others have sent uses its share of the slots only. It is called in decisions.
+// does not know what others have sent uses its share of the slots only; at 0 it observes no limits. It is called in
+// decisions.
 func (s *State) SetKnown(known func() float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -129,18 +130,22 @@
 	return c
 }
 
-// allow returns the allowance of a request; nil if it has no latency target, so that it is sent as soon as an endpoint
-// takes it.
+// allow returns the allowance of a request; nil if it has no latency target, or if too little is known of other
+// instances' runs, so that it is sent as soon as an endpoint takes it.
 func (s *State) allow(now time.Time, q Query) *allowance {
 	if q.Target <= 0 {
 		return nil
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	known := s.knownShare(now)
+	if known <= 0 {
+		return nil
+	}
 	c := s.capacityFor(q.Service)
 	c.targets.add(now, q.Target)
 	a := &allowance{
-		capacity: c, target: c.targets.value(), known: s.knownShare(now), engine: q.Model != "", again: q.Again,
+		capacity: c, target: c.targets.value(), known: known, engine: q.Model != "", again: q.Again,
 		charge: charge{flow: fairshare.Flow{Organisation: q.Organisation, Rank: q.Rank}, measured: q.Model == ""},
 	}
 	a.charge.expected = float64(q.PromptTokens + q.OutputTokens)
--- a/hosted/capacity.go
+++ b/hosted/capacity.go
@@ -29,18 +29,25 @@
 	}
 }
 
-// knownShare returns the share of the fleet whose runs this instance knows. A scheduler receives those of all
-// instances that it reaches. One that has just started is not told of runs before, but learns from its own
-// within a second.
+// leastKnown is the share of the fleet whose runs a scheduler has to know to decide on limits.
+const leastKnown = 0.5
+
+// knownShare returns the share of the fleet whose runs this instance knows; 0 if it knows too little to refuse a request
+// for full slots. A scheduler receives the runs of all instances that it reaches. Any other instance, and one that has
+// just started and reaches few, knows next to none: after a restart of the whole fleet its share of the slots would be less than one,
+// and callers would be refused while the endpoints idle.
 func (i *Instance) knownShare() float64 {
 	r := i.reach()
 	switch {
 	case r.Listed == 0:
 		return 1
 	case !r.Scheduler:
-		return 1 / float64(r.Listed)
+		return 0
+	}
+	if known := min(1, float64(r.Live)/float64(r.Listed)); known >= leastKnown {
+		return known
 	}
-	return min(1, float64(r.Live)/float64(r.Listed))
+	return 0
 }
 
 // writeLimits writes the gauge of the concurrency limits, by service.
