--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -117,7 +117,7 @@
 	}
 	ranked := rankedCost(c.Cost, c.Rank)
 	b.largest = max(b.largest, ranked)
-	b.scarce = b.level < scarceLevel*b.capacity() || b.scarce && b.level < ampleLevel*b.capacity()
+	b.scarce = b.level < b.scarceBelow() || b.scarce && b.level < ampleLevel*b.capacity()
 	price, ok := b.effectivePrice()
 	if !ok {
 		return b.allows(now, cost, random), false
--- a/quota/price.go
+++ b/quota/price.go
@@ -30,6 +30,11 @@
 	rankSteps = 3
 )
 
+// scarceBelow returns the level below which there is a price. A new bucket, after a restart of the fleet, is above it.
+func (b *bucket) scarceBelow() float64 {
+	return min(scarceLevel*b.capacity(), b.rate()*startBalance.Seconds()/2)
+}
+
 // maxPrice returns the price at which requests are admitted as if there were none: the largest cost of the last
 // requests.
 func (b *bucket) maxPrice() float64 { return max(b.largest, 1) }
