--- a/gateway/place.go
+++ b/gateway/place.go
@@ -259,7 +259,7 @@
 			Account: r.organisation.Name, Tokens: r.call.PromptTokens + r.call.OutputTokens, Sized: r.call.Sized,
 		}
 		// Where the quota can't be read, the one before may be in force.
-		if r.organisation.Quota.Limited() || r.organisation.QuotaError != nil {
+		if r.srv.cfg.PriceQuotas && (r.organisation.Quota.Limited() || r.organisation.QuotaError != nil) {
 			content := r.content()
 			q.Charge.Key, q.Charge.Rank = binary.LittleEndian.Uint64(content[:])|1, q.Rank
 		}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -124,6 +124,8 @@
 	PeerRelay func(address string) *endpoint.Relay
 	// Slow bounds what is held for callers and endpoints that read slowly; nil for no bound.
 	Slow *SlowReaders
+	// PriceQuotas is set if requests carry a key by which their organisation's quota prices them.
+	PriceQuotas bool
 	// Started is when the process started; see warmUpTimeout.
 	Started time.Time
 	// HeaderBytes and BodyBytes bound the sizes of any request, whatever the records allow.
--- a/hosted/fixture_test.go
+++ b/hosted/fixture_test.go
@@ -90,7 +90,7 @@
 		change(listen)
 		var err error
 		i, err = Start(&settingspb.Hosted{
-			Instance: name, DataCentre: "dc-1", Store: f.store.Address(), Listen: listen, FirstStart: f.firstStart, MemoryMb: f.memoryMb,
+			Instance: name, DataCentre: "dc-1", Store: f.store.Address(), Listen: listen, FirstStart: f.firstStart, MemoryMb: f.memoryMb, PriceQuotas: true,
 			Bounds: &settingspb.HostedBounds{GraceSeconds: 4, LeaseMs: 1000, RetryRatio: 0.2, RetrySlack: f.retrySlack, RetryWindowSeconds: 10, WeightsMs: 8000, HeartbeatMs: 300},
 		})
 		if err != nil && try == tries {
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -179,7 +179,7 @@
 	i.server = gateway.NewServer(gateway.Config{
 		Instance: s.GetInstance(), DataCentre: s.GetDataCentre(), Table: i.table.Load, State: i.state, Budget: i.budget, Guard: i.guard, Gate: &i.gate, Paths: i.paths,
 		Broadcaster: i.node, Placer: i.placer, Statements: i.statements, Peers: i, Origins: i.origins, Dialect: platform.Dialect{}, Relay: i.relays.to, PeerRelay: i.peerRelays.to, Slow: i.slow,
-		Started: time.Now(), HeaderBytes: headerBytes, BodyBytes: bodyBytes,
+		PriceQuotas: s.GetPriceQuotas(), Started: time.Now(), HeaderBytes: headerBytes, BodyBytes: bodyBytes,
 	})
 	i.startTasks(ctx)
 	go func() { i.logServeError("callers", i.server.Serve(callersLn)) }()
--- a/hosted/reload.go
+++ b/hosted/reload.go
@@ -61,6 +61,7 @@
 	add("store", atStart.GetStore() != now.GetStore())
 	add("link_mbps", atStart.GetLinkMbps() != now.GetLinkMbps())
 	add("memory_mb", atStart.GetMemoryMb() != now.GetMemoryMb())
+	add("price_quotas", atStart.GetPriceQuotas() != now.GetPriceQuotas())
 	add("bounds.lease_ms", atStart.GetBounds().GetLeaseMs() != now.GetBounds().GetLeaseMs())
 	return names
 }
--- a/soak/sender_test.go
+++ b/soak/sender_test.go
@@ -244,7 +244,14 @@
 	if _, err := conn.Write(make([]byte, 300_000)); err != nil {
 		t.Fatal(err)
 	}
-	p := l.connFrom(accepted.RemoteAddr().String())
+	// The link registers a connection after it has made it.
+	var p *proxiedConn
+	for until := time.Now().Add(5 * time.Second); p == nil && time.Now().Before(until); time.Sleep(time.Millisecond) {
+		p = l.connFrom(accepted.RemoteAddr().String())
+	}
+	if p == nil {
+		t.Fatal("the link does not know the connection")
+	}
 	time.Sleep(3 * slowReadInterval)
 	if closed := p.callerClosed(); !closed.IsZero() {
 		t.Fatalf("closed at %v, it is open", closed)
