--- a/fairshare/fairshare_test.go
+++ b/fairshare/fairshare_test.go
@@ -7,7 +7,7 @@
 
 	"pgregory.net/rapid"
 
-	_ "github.com/sardinedock/sardinedock/internal/rapidseed"
+	"github.com/sardinedock/sardinedock/internal/rapidseed"
 )
 
 var start = time.Unix(1_700_000_000, 0)
@@ -51,25 +51,33 @@
 // Guards against an organisation that gets less than its max-min share because others ask for more, whatever the size
 // of their requests.
 func TestOrganisationsGetTheirMaxMinShare(t *testing.T) {
+	rapid.Check(t, organisationsGetTheirMaxMinShare)
+}
+
+// The same with the seed of a case in which a small organisation gets 0.83 of its share.
+func TestMaxMinShareWithSeedsThatFailed(t *testing.T) {
+	rapidseed.Use(t, 15033622743997888678)
+	rapid.Check(t, organisationsGetTheirMaxMinShare)
+}
+
+func organisationsGetTheirMaxMinShare(t *rapid.T) {
 	const capacity = 1000.0
-	rapid.Check(t, func(t *rapid.T) {
-		var senders []*sender
-		var asked []float64
-		for n := range rapid.IntRange(1, 12).Draw(t, "organisations") {
-			x := &sender{flow: Flow{Organisation: uint32(n + 1)}, perS: rapid.Float64Range(20, 2000).Draw(t, "work"), size: rapid.Float64Range(0.2, 10).Draw(t, "size")}
-			senders, asked = append(senders, x), append(asked, x.perS)
-		}
-		s := New()
-		now := play(s, start, 4*time.Second, capacity, senders)
-		const seconds = 8
-		play(s, now, seconds*time.Second, capacity, senders)
-		level := maxMin(asked, capacity)
-		for _, x := range senders {
-			if got, want := x.granted/seconds, min(x.perS, level); got < 0.85*want-2*x.size {
-				t.Fatalf("organisation %d asks for %.0f and gets %.0f, its share is %.0f", x.flow.Organisation, x.perS, got, want)
-			}
+	var senders []*sender
+	var asked []float64
+	for n := range rapid.IntRange(1, 12).Draw(t, "organisations") {
+		x := &sender{flow: Flow{Organisation: uint32(n + 1)}, perS: rapid.Float64Range(20, 2000).Draw(t, "work"), size: rapid.Float64Range(0.2, 10).Draw(t, "size")}
+		senders, asked = append(senders, x), append(asked, x.perS)
+	}
+	s := New()
+	now := play(s, start, 4*time.Second, capacity, senders)
+	const seconds = 8
+	play(s, now, seconds*time.Second, capacity, senders)
+	level := maxMin(asked, capacity)
+	for _, x := range senders {
+		if got, want := x.granted/seconds, min(x.perS, level); got < 0.85*want-2*x.size {
+			t.Fatalf("organisation %d asks for %.0f and gets %.0f, its share is %.0f", x.flow.Organisation, x.perS, got, want)
 		}
-	})
+	}
 }
 
 // Guards against a new organisation that is refused until the others' recent work is forgotten, and against one that
