quota: slots of a ledger hold keys only

The sums of reserved cost by slot were read by the check that kept newcomers out for bookings, which is gone. A lapsed booking is removed by the function that replaces one. 128 slots of 50 ms are more than the 3.4 s for which a booking is kept. The comments of bucket.positive said that any positive level is enough; it is coversPart now.

--- a/quota/book.go
+++ b/quota/book.go
@@ -206,7 +206,7 @@
 		d.Early = true
 	default:
 		k.advance(now)
-		passes = k.positive(float64(c.Cost), b.random) || k.level > -bookedOverdraft*k.capacity()
+		passes = k.coversPart(float64(c.Cost), b.random) || k.level > -bookedOverdraft*k.capacity()
 		d.Kept = passes
 	}
 	d.Balance = k.level
--- a/quota/booking.go
+++ b/quota/booking.go
@@ -28,10 +28,10 @@
 	// bookedOverdraft is how far below 0 the level may be for a caller with a booking, as a fraction of
 	// the capacity: its cost was reserved, and newcomers may have overdrawn the bucket.
 	bookedOverdraft = 0.5
-	// ledgerSlot is the resolution of the times at which booked cost is due, ledgerSlots how many of
+	// ledgerSlot is the resolution of the times at which bookings are due, ledgerSlots how many of
 	// them a ledger has: more than maxBookingDelay and lateRedemption.
 	ledgerSlot  = 50 * time.Millisecond
-	ledgerSlots = 256
+	ledgerSlots = 128
 )
 
 // Booking reserves cost for a caller that was refused and told when to come back.
@@ -57,13 +57,12 @@
 // ledger holds the bookings of one account.
 type ledger struct {
 	bookings map[uint64]*booked
-	// slots hold the reserved cost and the keys by the time at which they are due; first and last
-	// delimit those in use.
-	slots [ledgerSlots]dueSlot
+	// slots hold the keys of bookings by the time at which they are due; first and last delimit those in use.
+	slots [ledgerSlots][]uint64
 	// from is when slot 0 begins.
 	from        time.Time
 	first, last int64
-	// reserved is the sum over all slots.
+	// reserved is the sum over all bookings that are not redeemed.
 	reserved float64
 	// tail is when all booked cost would have been gained at bookedShare of the rate.
 	tail time.Time
@@ -71,11 +70,6 @@
 	lapsed int
 }
 
-type dueSlot struct {
-	reserved float64
-	keys     []uint64
-}
-
 func newLedger(now time.Time) *ledger {
 	return &ledger{bookings: map[uint64]*booked{}, from: now.Add(-lateRedemption)}
 }
@@ -83,14 +77,14 @@
 // slotOf returns the number of the slot of a time. Steps of the wall clock do not change it.
 func (l *ledger) slotOf(t time.Time) int64 { return max(int64(t.Sub(l.from)/ledgerSlot), 0) }
 
-func (l *ledger) slot(n int64) *dueSlot { return &l.slots[n%ledgerSlots] }
+func (l *ledger) slot(n int64) *[]uint64 { return &l.slots[n%ledgerSlots] }
 
 // expire drops the bookings that have lapsed.
 func (l *ledger) expire(now time.Time) {
 	until := l.slotOf(now.Add(-lateRedemption))
 	for ; l.first < until && l.first <= l.last; l.first++ {
 		s := l.slot(l.first)
-		for _, key := range s.keys {
+		for _, key := range *s {
 			b := l.bookings[key]
 			if b == nil || l.slotOf(b.due) != l.first {
 				continue
@@ -98,10 +92,9 @@
 			if !b.redeemed && b.own {
 				l.lapsed++
 			}
-			delete(l.bookings, key)
+			l.remove(key)
 		}
-		l.reserved -= s.reserved
-		*s = dueSlot{keys: s.keys[:0]}
+		*s = (*s)[:0]
 	}
 	l.first = max(l.first, until)
 	l.last = max(l.last, l.first)
@@ -128,8 +121,7 @@
 	l.bookings[key] = &b
 	n := l.slotOf(b.due)
 	s := l.slot(n)
-	s.reserved += b.reserved
-	s.keys = append(s.keys, key)
+	*s = append(*s, key)
 	l.reserved += b.reserved
 	l.last = max(l.last, n)
 	if l.tail.Before(now) {
@@ -138,16 +130,10 @@
 	l.tail = l.tail.Add(seconds(float64(b.cost) / (rate * bookedShare)))
 }
 
-// release frees the reserved cost of a booking.
-func (l *ledger) release(b *booked) {
-	l.slot(l.slotOf(b.due)).reserved -= b.reserved
-	l.reserved -= b.reserved
-}
-
 func (l *ledger) remove(key uint64) {
 	if b := l.bookings[key]; b != nil {
 		if !b.redeemed {
-			l.release(b)
+			l.reserved -= b.reserved
 		}
 		delete(l.bookings, key)
 	}
@@ -158,7 +144,7 @@
 	if b == nil || b.redeemed {
 		return false
 	}
-	l.release(b)
+	l.reserved -= b.reserved
 	b.redeemed = true
 	return true
 }
@@ -168,7 +154,6 @@
 	l.expire(now)
 	if b := l.bookings[key]; b != nil && b.redeemed {
 		b.redeemed = false
-		l.slot(l.slotOf(b.due)).reserved += b.reserved
 		l.reserved += b.reserved
 	}
 }
--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -107,8 +107,7 @@
 }
 
 // decide reports whether a request with a key may pass now, and whether its draw has refused it.
-// While there is a price, any positive level is sufficient: otherwise expensive requests would not
-// pass beside cheap ones.
+// While there is a price, a part of the cost is enough; see coversPart.
 func (b *bucket) decide(now time.Time, c Charge, draw float64, random func() float64) (passes, priced bool) {
 	b.advance(now)
 	cost := float64(c.Cost)
@@ -130,12 +129,13 @@
 		b.rememberRefusal(now, c.Key)
 		return false, true
 	}
-	return b.positive(cost, random), false
+	return b.coversPart(cost, random), false
 }
 
-// positive reports whether the level is positive, once the random part of an oversized cost is
-// subtracted that covers describes.
-func (b *bucket) positive(cost float64, random func() float64) bool {
+// coversPart reports whether the level is positive and covers the cost, or half of the capacity if that is less, once the
+// random part of an oversized cost is subtracted that covers describes. If the whole cost were needed, expensive
+// requests would not pass beside cheap ones.
+func (b *bucket) coversPart(cost float64, random func() float64) bool {
 	b.predebit(cost, random)
 	return b.level > 0 && b.level >= min(cost, b.capacity()/2)
 }
