gateway: one verdict for each update of a crash record

update asked for the verdict on a record twice, once for the time of its conviction and once for the log line, and the state dump listed the endpoints of its crashes with a loop of its own beside crashedEndpoints. Behaviour is unchanged.

--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -377,13 +377,14 @@
 // update counts the records, and notes since when a request is to be refused. The caller must hold mu.
 func (g *CrashGuard) update(now time.Time, content [16]byte, source string) {
 	g.records.Store(int64(g.crashes.Len()))
-	if verdict, _ := g.crashes.Verdict(now, content); verdict != policy.CrashRefused {
+	verdict, left := g.crashes.Verdict(now, content)
+	refused := verdict == policy.CrashRefused
+	if !refused {
 		delete(g.convicted, content)
 	} else if g.convicted[content].IsZero() {
 		g.convicted[content] = now
 	}
-	verdict, left := g.crashes.Verdict(now, content)
-	g.logRefusal(now, content, verdict == policy.CrashRefused && !g.unchecked(now, content), left, source)
+	g.logRefusal(now, content, refused && !g.unchecked(now, content), left, source)
 }
 
 // logRefusal logs that a request is refused from now on, for the given time, or that it is not any more.
@@ -396,7 +397,8 @@
 	what := "request"
 	if state, _ := g.crashes.State(now, content); state != nil && state.Part {
 		what = "part of prompts"
-		entry = entry.WithField("crashed", crashedEndpoints(state))
+		crashed := slices.Compact(slices.Sorted(slices.Values(crashedEndpoints(state))))
+		entry = entry.WithField("crashed", strings.Join(crashed, ","))
 	}
 	if refused {
 		g.refused[content] = true
@@ -408,15 +410,14 @@
 	entry.Info(what + " is not refused any more")
 }
 
-// crashedEndpoints returns the endpoints of the crashes that count.
-func crashedEndpoints(s *policy.CrashState) string {
-	var list []string
+// crashedEndpoints returns the endpoint of each crash that counts.
+func crashedEndpoints(s *policy.CrashState) (list []string) {
 	for _, c := range s.Crashes {
 		if !c.Cleared {
 			list = append(list, c.Endpoint)
 		}
 	}
-	return strings.Join(slices.Compact(slices.Sorted(slices.Values(list))), ",")
+	return list
 }
 
 // publish broadcasts the records of the given requests.
@@ -496,13 +497,7 @@
 		if verdict == policy.CrashClean || state == nil {
 			continue
 		}
-		v := SuspectView{Content: contentID(content), Part: state.Part, Verdict: verdict.String(), LeftMs: left.Milliseconds()}
-		for _, c := range state.Crashes {
-			if !c.Cleared {
-				v.Crashes = append(v.Crashes, c.Endpoint)
-			}
-		}
-		list = append(list, v)
+		list = append(list, SuspectView{Content: contentID(content), Part: state.Part, Verdict: verdict.String(), LeftMs: left.Milliseconds(), Crashes: crashedEndpoints(state)})
 	}
 	return list
 }
