--- a/hosted/capacity.go
+++ b/hosted/capacity.go
@@ -44,7 +44,7 @@
 	case !r.Scheduler:
 		return 0
 	}
-	if known := min(1, float64(r.Live)/float64(r.Listed)); known >= leastKnown {
+	if known := r.Share(); known >= leastKnown {
 		return known
 	}
 	return 0
--- a/quota/book.go
+++ b/quota/book.go
@@ -99,9 +99,9 @@
 		known := cmp.Or(b.buckets[name], b.removed[name])
 		delete(b.removed, name)
 		if known == nil {
-			known = newBucket(now, l, b.reach.share())
+			known = newBucket(now, l, b.reach.Share())
 		}
-		known.update(now, l, b.reach.share())
+		known.update(now, l, b.reach.Share())
 		b.buckets[name] = known
 	}
 }
@@ -138,7 +138,7 @@
 	}
 	b.reach = r
 	for _, k := range b.buckets {
-		k.update(now, k.limit, r.share())
+		k.update(now, k.limit, r.Share())
 	}
 }
 
@@ -150,7 +150,7 @@
 		b.certainAt = c
 	}
 	for name, k := range b.buckets {
-		fresh := newBucket(now, k.limit, r.share())
+		fresh := newBucket(now, k.limit, r.Share())
 		if r.Peers > 0 {
 			fresh.level = lowShare * fresh.capacity()
 		}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -141,10 +141,10 @@
 	Live, Listed int
 }
 
-// share returns the fraction of each quota that the instance may pass. The shares of
+// Share returns the fraction of the fleet for which the instance decides, and so of each quota that it may pass. The shares of
 // instances that cannot communicate add up to at most 1: in a partitioned fleet that used
 // the whole quota on each side, a multiple of it would pass.
-func (r Reach) share() float64 {
+func (r Reach) Share() float64 {
 	switch {
 	case r.Listed <= 0:
 		return 0
