balance: the limit of an endpoint is determined once a decision; one SetPace

Each decision determined the concurrency limit of each endpoint twice, for its excess and for the sum in a refusal. The pace that an endpoint states is recorded by the run at the instance that sent it, as at those that hear of it.

--- a/balance/capacity.go
+++ b/balance/capacity.go
@@ -164,9 +164,9 @@
 	return a.part(e.limit.Value(e.Slots, a.target), 1)
 }
 
-// excess returns by how many average requests an endpoint is above its limit; below 0 if it has room.
-func (a *allowance) excess(e *endpoint) float64 {
-	limit := a.limit(e)
+// excess returns by how many average requests an endpoint is above its limit, the result of limit; below 0 if it has
+// room.
+func (a *allowance) excess(e *endpoint, limit int) float64 {
 	over := e.load() - float64(limit)
 	if n, ok := e.limit.Cap(); ok {
 		over = max(over, float64(e.running-a.part(n, 1)))
--- a/balance/choose.go
+++ b/balance/choose.go
@@ -285,9 +285,10 @@
 	}
 	full := false
 	if c.allow != nil {
-		excess := c.allow.excess(e)
+		limit := c.allow.limit(e)
+		excess := c.allow.excess(e, limit)
 		full = excess >= 0
-		c.load.add(e, c.allow.limit(e), full)
+		c.load.add(e, limit, full)
 		if full && excess >= c.allow.beyond(e) {
 			return
 		}
--- a/balance/pace.go
+++ b/balance/pace.go
@@ -28,17 +28,8 @@
 	return 1 + (p.factor-1)*math.Exp(-age.Seconds()/paceMemory.Seconds())
 }
 
-// SetPace records what an endpoint has said of its machine's pace: work takes factor times as long as usual.
-func (s *State) SetPace(now time.Time, endpointID string, factor float64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if e, ok := s.endpoints[endpointID]; ok && factor > 0 {
-		e.pace = pace{factor, now}
-	}
-}
-
-// SetRunPace is SetPace for the endpoint of a run.
-func (s *State) SetRunPace(now time.Time, id RunID, factor float64) {
+// SetPace records what the endpoint of a run has said of its machine's pace: work takes factor times as long as usual.
+func (s *State) SetPace(now time.Time, id RunID, factor float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if r, ok := s.runs[id]; ok && factor > 0 {
--- a/balance/pace_test.go
+++ b/balance/pace_test.go
@@ -76,7 +76,7 @@
 					continue
 				}
 				if stated {
-					s.SetRunPace(e.at, e.run, machines[e.on].pace(e.at))
+					s.SetPace(e.at, e.run, machines[e.on].pace(e.at))
 				}
 				s.SetStage(e.at, e.run, Answering)
 				s.SetStage(e.at, e.run, Done)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -207,7 +207,7 @@
 		return
 	}
 	m.PacePercent = int32(math.Round(100 * a.head.Pace))
-	a.req.srv.cfg.State.SetPace(time.Now(), a.place.Endpoint.ID, a.head.Pace)
+	a.req.srv.cfg.State.SetPace(time.Now(), a.run, a.head.Pace)
 }
 
 // stageForOthers returns the stage of a run as the other instances need to know it. That an endpoint could
--- a/hosted/updates.go
+++ b/hosted/updates.go
@@ -134,7 +134,7 @@
 		h.state.Misdirected(balance.RunID(m.GetRun()), m.GetVersion())
 	}
 	if pace := m.GetPacePercent(); pace > 0 {
-		h.state.SetRunPace(time.Now(), balance.RunID(m.GetRun()), float64(pace)/100)
+		h.state.SetPace(time.Now(), balance.RunID(m.GetRun()), float64(pace)/100)
 	}
 	h.state.SetStage(time.Now(), balance.RunID(m.GetRun()), balance.Stage(m.GetStage()))
 	h.origins.Began(origin.Key(m.GetStream()), m.GetRelease(), time.Duration(m.GetStreamMs())*time.Millisecond)
