--- a/internal/sockstate/queues_linux_test.go
+++ b/internal/sockstate/queues_linux_test.go
@@ -13,17 +13,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = ln.Close() }()
-	near, err := net.Dial("tcp4", ln.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = near.Close() }()
-	far, err := ln.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = far.Close() }()
+	near, far := accept(t, ln, net.Dial)
 	if n, ok := Unsent(near); !ok || n != 0 {
 		t.Fatalf("%d bytes unsent on a new connection, known: %v", n, ok)
 	}
--- a/internal/sockstate/timeout_linux_test.go
+++ b/internal/sockstate/timeout_linux_test.go
@@ -17,18 +17,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = ln.Close() }()
 	d := net.Dialer{Control: UserTimeout(timeout)}
-	near, err := d.Dial("tcp", ln.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = near.Close() }()
-	far, err := ln.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = far.Close() }()
+	near, far := accept(t, ln, d.Dial)
 	for name, c := range map[string]net.Conn{"dialled": near, "accepted": far} {
 		if got := userTimeout(t, c); got != timeout {
 			t.Errorf("%s connection: user timeout %v, want %v", name, got, timeout)
@@ -54,16 +44,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = ln.Close() }()
-	near, err := net.Dial("tcp", ln.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	far, err := ln.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = far.Close() }()
+	near, far := accept(t, ln, net.Dial)
 	if got := Of(far); got != Idle {
 		t.Fatalf("open connection: state %d", got)
 	}
