internal/ewma: one exponentially weighted average for concurrency, fairshare and balance

Both new packages had a type of the same shape and rule, and balance calculated the same for the rate of an endpoint. Behaviour is unchanged.

--- a/balance/rates.go
+++ b/balance/rates.go
@@ -26,8 +26,7 @@
 		return
 	}
 	rate := e.pace.now(now) * float64(r.ahead+r.Uncached) / float64((took-fixedTime).Milliseconds()+1)
-	e.measured++
-	e.rate += max(rateWeight, 1/float64(e.measured)) * (rate - e.rate)
+	e.rate.Add(rate, rateWeight)
 	s.rates[e.Service] = s.poolRate(e.Service) + rateWeight*(rate-s.poolRate(e.Service))
 }
 
@@ -41,8 +40,8 @@
 // rateOf returns the rate at which an endpoint reads prompts now.
 func (s *State) rateOf(now time.Time, e *endpoint) float64 {
 	rate := s.poolRate(e.Service)
-	if e.measured >= enoughMeasured {
-		rate = e.rate
+	if e.rate.N >= enoughMeasured {
+		rate = e.rate.Value
 	}
 	return rate / e.pace.now(now)
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sardinedock/sardinedock/concurrency"
+	"github.com/sardinedock/sardinedock/internal/ewma"
 	"github.com/sardinedock/sardinedock/prefix"
 )
 
@@ -119,10 +120,8 @@
 	roomAt time.Time
 	// pace is what the endpoint has last said of its machine.
 	pace pace
-	// rate is the measured rate at which the endpoint reads prompts at its usual pace, in tokens per ms,
-	// and measured the number of measurements.
-	rate     float64
-	measured int
+	// rate is the average rate at which the endpoint reads prompts at its usual pace, in tokens per ms.
+	rate ewma.Average
 	// limit bounds the requests at the endpoint. waiting are those of the running ones that have no slot there yet, in
 	// order, and waitingWork their expected time in a slot, in seconds.
 	limit       concurrency.Limit
--- a/concurrency/concurrency.go
+++ b/concurrency/concurrency.go
@@ -7,7 +7,11 @@
 // a small part of the latency target.
 package concurrency
 
-import "time"
+import (
+	"time"
+
+	"github.com/sardinedock/sardinedock/internal/ewma"
+)
 
 const (
 	// latencyWeight is the smoothing factor of the newest run. At 8 slots, most of a change of speed is known after
@@ -16,6 +20,8 @@
 	// heldRuns is the number of average runs from which the time in a slot is averaged. An endpoint with 8 slots that
 	// has been 9 times slower than usual has its limit again after a second.
 	heldRuns = 10
+	// leastHold is the shortest time in a slot, in seconds, that counts.
+	leastHold = 1e-6
 	// enoughRuns is the number of runs from which an average is used.
 	enoughRuns = 4
 	// queueShare is the part of the time between latency and target that a request may wait in the endpoint's
@@ -49,10 +55,10 @@
 type Limit struct {
 	// hold is the time for which a slot is held by one run, on average over time and not over runs: where short and
 	// long runs share the slots, it says how long a request waits for one.
-	hold timeAverage
+	hold ewma.Average
 	// loaded and unloaded are the durations of runs that found the endpoint full, and at most a quarter full. first
 	// is the time to the first token or event of streams that found a free slot. All in seconds.
-	loaded, unloaded, first average
+	loaded, unloaded, first ewma.Average
 	// cap is the limit that overdue runs and rejections have led to, if capped is set. cappedAt is when overdue runs
 	// last reduced it; it does not grow before heldUntil.
 	cap                 float64
@@ -60,30 +66,8 @@
 	cappedAt, heldUntil time.Time
 }
 
-// average is an exponentially smoothed average of n values.
-type average struct {
-	value float64
-	n     int
-}
-
-// add adds a value. The first ones count equally, so that the average does not begin at 0.
-func (a *average) add(value float64) {
-	a.n++
-	a.value += max(latencyWeight, 1/float64(a.n)) * (value - a.value)
-}
-
-func (a *average) known() bool { return a.n >= enoughRuns }
-
-// timeAverage is an average of durations in seconds, each weighted by itself.
-type timeAverage struct{ average }
-
-// add adds a duration. The sum of those that count is that of about heldRuns average ones.
-func (a *timeAverage) add(seconds float64) {
-	const least = 1e-6
-	seconds = max(seconds, least)
-	a.n++
-	a.value += max(seconds/(seconds+heldRuns*a.value), 1/float64(a.n)) * (seconds - a.value)
-}
+// known reports whether an average is of enough runs to be used.
+func known(a ewma.Average) bool { return a.N >= enoughRuns }
 
 // Run describes a run that has ended, or has brought its first token.
 type Run struct {
@@ -117,15 +101,15 @@
 		return unstatedSlots
 	}
 	n := float64(slots)
-	if !l.hold.known() {
+	if !known(l.hold) {
 		return n + min(n, smallQueue)
 	}
-	latency := l.hold.value
-	if l.first.known() {
-		latency = l.first.value
+	latency := l.hold.Value
+	if known(l.first) {
+		latency = l.first.Value
 	}
 	wait := queueShare * (target.Seconds() - latency)
-	return n + max(0, min(max(n, smallQueue), n*wait/max(l.hold.value, 1e-6)))
+	return n + max(0, min(max(n, smallQueue), n*wait/max(l.hold.Value, 1e-6)))
 }
 
 // Cap returns the number of requests, whatever their length, that overdue runs and rejections allow. ok is false if
@@ -134,10 +118,10 @@
 
 // Hold returns the average time for which a slot is held by one run; 0 if it is not known yet.
 func (l *Limit) Hold() time.Duration {
-	if !l.hold.known() {
+	if !known(l.hold) {
 		return 0
 	}
-	return time.Duration(l.hold.value * float64(time.Second))
+	return time.Duration(l.hold.Value * float64(time.Second))
 }
 
 // SharedSlotTime returns the part of a run's duration in which it had a slot, if it is not known when it got one: as
@@ -154,10 +138,10 @@
 func (l *Limit) Completed(now time.Time, r Run) {
 	l.addHold(r)
 	if r.Beside <= max(1, l.fullAt(r.Slots)/4) {
-		l.unloaded.add(r.Took.Seconds())
+		l.unloaded.Add(r.Took.Seconds(), latencyWeight)
 	}
 	if l.full(r) {
-		l.loaded.add(r.Took.Seconds())
+		l.loaded.Add(r.Took.Seconds(), latencyWeight)
 	}
 	if l.inGoodTime(r.Took.Seconds(), r.Target) {
 		l.grow(now, r)
@@ -176,16 +160,18 @@
 // after a long one.
 func (l *Limit) addHold(r Run) {
 	held := r.InSlot
-	if r.Target > 0 && l.first.n == 0 {
+	if r.Target > 0 && l.first.N == 0 {
 		held = min(held, r.Target)
 	}
-	l.hold.add(held.Seconds())
+	// Weighted by itself, so that the sum of those that count is that of about heldRuns average ones.
+	seconds := max(held.Seconds(), leastHold)
+	l.hold.Add(seconds, seconds/(seconds+heldRuns*l.hold.Value))
 }
 
 // FirstToken records that a run has brought the first token or event of a stream.
 func (l *Limit) FirstToken(r Run) {
 	if r.Beside <= r.Slots {
-		l.first.add(r.Took.Seconds())
+		l.first.Add(r.Took.Seconds(), latencyWeight)
 	}
 }
 
@@ -193,7 +179,7 @@
 // then, it counts as one: an endpoint that has become very slow completes none.
 func (l *Limit) GivenUp(now time.Time, r Run) {
 	if l.full(r) && l.isOverdue(r.Took.Seconds(), r.Target) {
-		l.loaded.add(r.Took.Seconds())
+		l.loaded.Add(r.Took.Seconds(), latencyWeight)
 		l.reduce(now, r)
 	}
 }
@@ -229,8 +215,8 @@
 // isOverdue reports whether a duration in seconds is longer than the target allows, and than the work explains.
 func (l *Limit) isOverdue(seconds float64, target time.Duration) bool {
 	allowed := target.Seconds()
-	if l.unloaded.n > 0 {
-		allowed = max(allowed, overdueFactor*l.unloaded.value)
+	if l.unloaded.N > 0 {
+		allowed = max(allowed, overdueFactor*l.unloaded.Value)
 	}
 	return target > 0 && seconds > allowed
 }
@@ -238,22 +224,22 @@
 // inGoodTime reports whether a duration in seconds leaves room for a higher limit. If every run in time raised it, it
 // would return to where runs are overdue before these have ended.
 func (l *Limit) inGoodTime(seconds float64, target time.Duration) bool {
-	return seconds <= max(goodShare*target.Seconds(), goodFactor*l.unloaded.value)
+	return seconds <= max(goodShare*target.Seconds(), goodFactor*l.unloaded.Value)
 }
 
 // reduce lowers the limit if the runs of the full endpoint are overdue on average. A single long one may be due to
 // its work.
 func (l *Limit) reduce(now time.Time, r Run) {
-	if !l.loaded.known() || !l.isOverdue(l.loaded.value, r.Target) {
+	if !known(l.loaded) || !l.isOverdue(l.loaded.Value, r.Target) {
 		return
 	}
 	from := float64(r.Beside)
 	if l.capped {
 		from = min(from, l.cap)
 	}
-	factor := min(max(cutShare*r.Target.Seconds()/l.loaded.value, lowestCut), highestCut)
+	factor := min(max(cutShare*r.Target.Seconds()/l.loaded.Value, lowestCut), highestCut)
 	l.cap, l.capped, l.cappedAt = max(1, from*factor), true, now
-	l.loaded = average{}
+	l.loaded = ewma.Average{}
 }
 
 // grow raises a reduced limit by one, until it is no longer lower than without reductions.
--- a/fairshare/fairshare.go
+++ b/fairshare/fairshare.go
@@ -15,6 +15,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/sardinedock/sardinedock/internal/ewma"
 )
 
 const (
@@ -74,7 +76,7 @@
 	challenger uint32
 	lead       float64
 	// all is the average work of a request.
-	all average
+	all ewma.Average
 	// ranks counts the requests that compete with others: those of organisations that are not under their share.
 	ranks [ranks]rank
 	// level is the fair share of an organisation that asks for more than it; infinite without contention. It was
@@ -87,7 +89,7 @@
 // organisation is the recent work of one organisation.
 type organisation struct {
 	asked, admitted float64
-	work            average
+	work            ewma.Average
 }
 
 // rank is the recent number of requests of one rank.
@@ -101,16 +103,6 @@
 	return r.admitted / r.asked
 }
 
-type average struct {
-	value float64
-	n     int
-}
-
-func (a *average) add(value float64) {
-	a.n++
-	a.value += max(workWeight, 1/float64(a.n)) * (value - a.value)
-}
-
 // New returns the shares of a service without requests.
 func New() *Shares { return &Shares{tracked: map[uint32]*organisation{}, level: math.Inf(1)} }
 
@@ -121,10 +113,10 @@
 		o = &s.others
 	}
 	switch {
-	case o.work.n > 0:
-		return o.work.value
-	case s.all.n > 0:
-		return s.all.value
+	case o.work.N > 0:
+		return o.work.Value
+	case s.all.N > 0:
+		return s.all.Value
 	}
 	return 1
 }
@@ -170,8 +162,8 @@
 	o := s.entry(f.Organisation)
 	o.admitted = max(0, o.admitted+needed-expected)
 	o.asked = max(0, o.asked+needed-expected)
-	o.work.add(needed)
-	s.all.add(needed)
+	o.work.Add(needed, workWeight)
+	s.all.Add(needed, workWeight)
 }
 
 // decay forgets past work, in steps of levelInterval. Organisations without recent work are not tracked any more.
@@ -185,7 +177,7 @@
 	for h, o := range s.tracked {
 		o.asked *= factor
 		o.admitted *= factor
-		if max(o.asked, o.admitted) < forgottenWork*s.all.value {
+		if max(o.asked, o.admitted) < forgottenWork*s.all.Value {
 			delete(s.tracked, h)
 		}
 	}
