Retries charged to the fleet's limit are counted and logged

Before the logic of the retry limit is changed, logs and metrics have to tell three hypotheses apart: a full budget at each start, a divisor of 1 in the first second, retries that nobody charges.

Adds the number of charged retries to request lines, a line when the divisor changes, the limit's state to the dump, and a counter of retries sent and refused.

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -105,6 +105,8 @@
 	// has stated, and passedFor what that is.
 	passedOver string
 	passedFor  balance.Obstacle
+	// retried counts the sends that were charged to the fleet's retry budget.
+	retried int
 	// outOfRetries is set if the request was not retried because the fleet's retry budget is used
 	// up.
 	outOfRetries bool
@@ -300,8 +302,7 @@
 			return false
 		}
 	}
-	r.outOfRetries = !r.srv.cfg.Budget.Retry(time.Now(), r.service.Name)
-	return !r.outOfRetries
+	return r.chargeRetry()
 }
 
 // maxAttempts returns how many endpoints may run the request.
@@ -473,6 +474,9 @@
 	if r.firstErr != nil && r.firstErr.Error() != f["why"] {
 		f["first_why"] = r.firstErr.Error()
 	}
+	if r.retried > 0 {
+		f["retried"] = r.retried
+	}
 	if r.outOfRetries {
 		f["retries"] = "used up"
 	}
--- a/hosted/dump.go
+++ b/hosted/dump.go
@@ -12,6 +12,7 @@
 	"github.com/sardinedock/sardinedock/gateway"
 	"github.com/sardinedock/sardinedock/lease"
 	"github.com/sardinedock/sardinedock/overload"
+	"github.com/sardinedock/sardinedock/policy"
 	"github.com/sardinedock/sardinedock/quota"
 	"github.com/sardinedock/sardinedock/ratelimit"
 	"github.com/sardinedock/sardinedock/reachability"
@@ -54,6 +55,8 @@
 	Endpoints   []balance.View      `json:"endpoints"`
 	// Pools are the concurrency limits and the shares in force, by service.
 	Pools []balance.PoolView `json:"pools"`
+	// Retries is this instance's part of the limit on the fleet's retries.
+	Retries policy.RetryLimitView `json:"retry_limit"`
 }
 
 // pausedEndpoint is an endpoint that wants no requests from this instance.
@@ -77,6 +80,7 @@
 	d := dump{
 		Instance: i.settings.GetInstance(), Ready: i.Ready(), Leaving: i.leaving.Load(), Open: i.server.Open(),
 		Scheduler: i.node.IsScheduler(), Others: i.node.Schedulers(), Live: i.node.Live(), Lease: i.lease.Dump(), Weights: i.rollout.Wanted(), Quotas: i.quotas.Views(now), Streams: i.origins.book.Streams(), Releases: viewReleases(i.recorder, i.origins.record), Rates: i.statements.limits.Views(now), Departures: i.statements.departures.Endpoints(), Brittle: i.statements.brittle.Endpoints(), Suspects: i.guard.Views(now), Overload: i.gate.State(), SlowReaders: i.slow.View(), Unreachable: i.paths.Views(now), Endpoints: i.state.Endpoints("", now), Pools: i.state.Pools(now),
+		Retries: i.budget.View(now),
 	}
 	for _, p := range i.statements.pauses.All(now) {
 		d.Pauses = append(d.Pauses, pausedEndpoint{p.Endpoint, p.Left.Milliseconds()})
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -361,7 +361,15 @@
 		i.origins.book.Sweep(now)
 		i.guard.Repeat(now, i.repeater())
 		i.changeLog.flush(now)
-		i.budget.SetInstances(i.node.Live())
+		i.divideRetries()
+	}
+}
+
+// divideRetries divides the fleet's retry limit by the number of live instances.
+func (i *Instance) divideRetries() {
+	live := i.node.Live()
+	if before := i.budget.SetInstances(live); before != live {
+		log.WithField("instances", live).WithField("before", before).WithField("up_ms", time.Since(i.started).Milliseconds()).Info("retry limit divided anew")
 	}
 }
 
--- a/policy/fleetretry.go
+++ b/policy/fleetretry.go
@@ -1,7 +1,9 @@
 package policy
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"sync"
 	"time"
 )
@@ -35,12 +37,35 @@
 	services  map[string]*retryBucket
 }
 
+// RetryLimitView is the state of the retry limit at one instance.
+type RetryLimitView struct {
+	// Ratio, Slack and WindowSeconds apply to the whole fleet.
+	Ratio         float64 `json:"ratio"`
+	Slack         float64 `json:"slack"`
+	WindowSeconds float64 `json:"window_s"`
+	// Instances is the number of instances that the slack is divided by.
+	Instances int                `json:"instances"`
+	Services  []ServiceRetryView `json:"services"`
+}
+
+// ServiceRetryView is the state of the retry limit of one service at one instance.
+type ServiceRetryView struct {
+	Service string `json:"service"`
+	// Retries and Refused count the retries that were sent and refused since the start of the process.
+	Retries int `json:"retries_total"`
+	Refused int `json:"refused_total"`
+	// Available is the number of retries that may be sent now.
+	Available float64 `json:"available"`
+}
+
 // retryBucket is the token bucket of one service.
 type retryBucket struct {
 	tokens float64
 	last   time.Time
 	// accepted approximates the number of requests in the last window.
 	accepted float64
+	// retries and refused count all retries that were sent and refused.
+	retries, refused int
 }
 
 // NewFleetRetries returns full budgets. ratio, slack and window apply to the whole fleet.
@@ -55,11 +80,12 @@
 	f.ratio, f.slack, f.window = ratio, slack, window
 }
 
-// SetInstances sets the number of instances that share the budget.
-func (f *FleetRetries) SetInstances(n int) {
+// SetInstances sets the number of instances that share the budget, and returns the one before.
+func (f *FleetRetries) SetInstances(n int) (before int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.instances = max(n, 1)
+	before, f.instances = f.instances, max(n, 1)
+	return before
 }
 
 // Accepted adds the budget that one request to the service earns.
@@ -78,12 +104,26 @@
 	defer f.mu.Unlock()
 	b := f.bucket(now, service)
 	if b.tokens < 1 {
+		b.refused++
 		return false
 	}
 	b.tokens--
+	b.retries++
 	return true
 }
 
+// View returns the state of the limit, with the services in alphabetical order.
+func (f *FleetRetries) View(now time.Time) RetryLimitView {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	v := RetryLimitView{Ratio: f.ratio, Slack: f.slack, WindowSeconds: f.window.Seconds(), Instances: f.instances}
+	for _, name := range slices.Sorted(maps.Keys(f.services)) {
+		b := f.bucket(now, name)
+		v.Services = append(v.Services, ServiceRetryView{Service: name, Retries: b.retries, Refused: b.refused, Available: b.tokens})
+	}
+	return v
+}
+
 func (f *FleetRetries) share() float64 { return f.slack * usableSlack / float64(f.instances) }
 
 func (f *FleetRetries) burst() float64 { return max(f.share()*burstOfSlack, 1) }
