--- a/hosted/releases_test.go
+++ b/hosted/releases_test.go
@@ -49,8 +49,15 @@
 	return f
 }
 
-// restart kills all instances, calls meanwhile and starts as many again.
+// restart is restartInstances of a restartFixture.
 func (f *fixture) restart(meanwhile func()) {
+	f.restartInstances(meanwhile)
+	f.serve(2, longStreams)
+	f.awaitPeers()
+}
+
+// restartInstances kills all instances, calls meanwhile and starts as many again.
+func (f *fixture) restartInstances(meanwhile func()) {
 	killed := f.instances
 	for _, i := range killed {
 		i.Kill()
@@ -60,8 +67,6 @@
 	for k := range killed {
 		f.start(fmt.Sprintf("instance-%d", k))
 	}
-	f.serve(2, longStreams)
-	f.awaitPeers()
 }
 
 // Guards against streams that are refused after all instances were killed, although their service has had one release since
