Soak: the limit on retries is checked in every window; instances are killed while all endpoints of a service fail

Now the retries that endpoints see are compared with the users' limit in every window, by service (policy/retrytest, which the tests of policy use too). Instances of the first start state first_start.

--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -72,6 +72,8 @@
 	violations []string
 	// counts are the event counts of the summary.
 	counts map[string]int
+	// retries are the times, by service, at which requests reached endpoints again.
+	retries map[string][]time.Time
 	// scopes maps each cache salt to its first use.
 	scopes map[string]scopeUse
 }
@@ -84,7 +86,7 @@
 }
 
 func newChecker() *checker {
-	return &checker{calls: map[string]*call{}, counts: map[string]int{}, scopes: map[string]scopeUse{}}
+	return &checker{calls: map[string]*call{}, counts: map[string]int{}, retries: map[string][]time.Time{}, scopes: map[string]scopeUse{}}
 }
 
 // addViolation records a broken guarantee.
@@ -112,9 +114,9 @@
 	ck.counts["sent"]++
 }
 
-// arrived records that a request has reached an endpoint. It returns nil if no caller sent a
+// arrived records that a request has reached an endpoint of a service. It returns nil if no caller sent a
 // request with that id.
-func (ck *checker) arrived(id string) *call {
+func (ck *checker) arrived(id, service string) *call {
 	ck.mu.Lock()
 	defer ck.mu.Unlock()
 	c := ck.calls[id]
@@ -122,7 +124,9 @@
 		ck.addViolationLocked("UNASKED: request %q came from no caller", id)
 		return nil
 	}
-	c.arrivals++
+	if c.arrivals++; c.arrivals > 1 {
+		ck.retries[service] = append(ck.retries[service], time.Now())
+	}
 	return c
 }
 
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -39,26 +39,7 @@
 			time.Sleep(duration / 8)
 		}
 	}},
-	{"all instances killed", func(s *soak, _ *rand.Rand, duration time.Duration) {
-		var killed []*instance
-		var ends []func()
-		for _, i := range s.instances {
-			if !i.lifecycle.TryLock() {
-				continue
-			}
-			killed, ends = append(killed, i), append(ends, i.faults.begin())
-			i.signal(syscall.SIGKILL)
-		}
-		for _, i := range killed {
-			i.waitExit(5 * time.Second)
-		}
-		time.Sleep(duration / 8)
-		for k, i := range killed {
-			i.start()
-			i.lifecycle.Unlock()
-			ends[k]()
-		}
-	}},
+	{"all instances killed", func(s *soak, _ *rand.Rand, duration time.Duration) { s.killAll(duration / 8) }},
 	{"instance paused", func(s *soak, rng *rand.Rand, duration time.Duration) {
 		s.disturbInstance(rng, func(i *instance) {
 			end := i.suspensions.begin()
@@ -194,6 +175,8 @@
 // faultsOf returns the faults that a seed draws from.
 func faultsOf(seed uint64) []fault {
 	switch {
+	case seed >= firstRetrySeed:
+		return retryFaultsOf()
 	case seed >= firstScarceSeed:
 		return scarceFaultsOf()
 	case seed >= firstCrashingSeed:
@@ -218,6 +201,28 @@
 	end()
 }
 
+// killAll kills all instances that are not being restarted, and starts them again after a pause.
+func (s *soak) killAll(pause time.Duration) {
+	var killed []*instance
+	var ends []func()
+	for _, i := range s.instances {
+		if !i.lifecycle.TryLock() {
+			continue
+		}
+		killed, ends = append(killed, i), append(ends, i.faults.begin())
+		i.signal(syscall.SIGKILL)
+	}
+	for _, i := range killed {
+		i.waitExit(5 * time.Second)
+	}
+	time.Sleep(pause)
+	for k, i := range killed {
+		i.start()
+		i.lifecycle.Unlock()
+		ends[k]()
+	}
+}
+
 // disturbStore calls run and records its time as a disturbance of all instances.
 func (s *soak) disturbStore(run func()) {
 	var ends []func()
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -20,7 +20,6 @@
 	leaseMs      = 1000
 	weightsMs    = 4000
 	heartbeatMs  = 300
-	retryRatio   = 0.2
 	retrySlack   = 50
 	retryWindow  = 10
 	// stabilisationTime is how long an instance must have been undisturbed before
@@ -30,14 +29,16 @@
 
 // instance is one instance of the program under test, which may be restarted.
 type instance struct {
-	n       int
-	name    string
-	binary  string
-	dir     string
-	listen  [4]string
-	callers *link
-	store   *link
-	checker *checker
+	n      int
+	name   string
+	binary string
+	dir    string
+	listen [4]string
+	// settings are those of each start but for first_start.
+	settings string
+	callers  *link
+	store    *link
+	checker  *checker
 
 	// lifecycle is held while the process is ended and started again.
 	lifecycle sync.Mutex
@@ -119,7 +120,7 @@
 }
 
 // newInstance prepares an instance without starting its process.
-func newInstance(t testing.TB, n int, binary, dir, store string, ck *checker) *instance {
+func newInstance(t testing.TB, n int, binary, dir, store string, retryRatio float64, ck *checker) *instance {
 	t.Helper()
 	i := &instance{n: n, name: fmt.Sprintf("front-%d", n), binary: binary, dir: dir, checker: ck}
 	for k := range i.listen {
@@ -136,17 +137,15 @@
 	if i.store, err = newLink(store); err != nil {
 		t.Fatal(err)
 	}
-	settings := fmt.Sprintf("instance: %s\ndata_centre: dc-%d\nstore: %s\nlisten:\n  callers: %s\n  ready: %s\n  gossip: %s\n  metrics: %s\n"+
+	i.settings = fmt.Sprintf("instance: %s\ndata_centre: dc-%d\nstore: %s\nlisten:\n  callers: %s\n  ready: %s\n  gossip: %s\n  metrics: %s\n"+
 		"bounds:\n  grace_seconds: %d\n  lease_ms: %d\n  retry_ratio: %v\n  retry_slack: %d\n  retry_window_seconds: %d\n  weights_ms: %d\n  heartbeat_ms: %d\n",
 		i.name, n%3, i.store.address(), i.listen[0], i.listen[1], i.listen[2], i.listen[3],
 		graceSeconds, leaseMs, retryRatio, retrySlack, retryWindow, weightsMs, heartbeatMs)
-	if err := os.WriteFile(i.settings(), []byte(settings), 0o600); err != nil {
-		t.Fatal(err)
-	}
 	return i
 }
 
-func (i *instance) settings() string { return filepath.Join(i.dir, i.name+".yaml") }
+// settingsFile is the file that start writes.
+func (i *instance) settingsFile() string { return filepath.Join(i.dir, i.name+".yaml") }
 
 // start starts the process and watches for its exit.
 func (i *instance) start() {
@@ -157,7 +156,12 @@
 		i.checker.addViolation("start %s: %v", i.name, err)
 		return
 	}
-	cmd := exec.Command(i.binary, "host", "--settings", i.settings())
+	settings := fmt.Sprintf("%sfirst_start: %v\n", i.settings, i.incarnation == 0)
+	if err := os.WriteFile(i.settingsFile(), []byte(settings), 0o600); err != nil {
+		i.checker.addViolation("start %s: %v", i.name, err)
+		return
+	}
+	cmd := exec.Command(i.binary, "host", "--settings", i.settingsFile())
 	cmd.Stdout, cmd.Stderr = out, out
 	err = cmd.Start()
 	_ = out.Close()
--- a/soak/pool_test.go
+++ b/soak/pool_test.go
@@ -243,7 +243,7 @@
 
 // handle answers one request as an endpoint of the platform does, according to its behaviour.
 func (x *server) handle(e *platformtest.Exchange) bool {
-	c := x.soak.checker.arrived(e.ID())
+	c := x.soak.checker.arrived(e.ID(), x.service)
 	if c == nil {
 		e.Reject(503)
 		return true
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -180,7 +180,7 @@
 	}
 	s.writeRecords()
 	for n := range *size {
-		i := newInstance(t, n, binary, dir, s.store.Address(), s.checker)
+		i := newInstance(t, n, binary, dir, s.store.Address(), retryRatioOf(s.seed), s.checker)
 		s.instances = append(s.instances, i)
 		if s.seed >= firstScarceSeed {
 			i.callers.pressBack()
@@ -259,7 +259,7 @@
 // checkEnd checks the guarantees that have to hold at the end of a run.
 func (s *soak) checkEnd(stableSince time.Time) {
 	ck := s.checker
-	served, sent, repeats := 0, 0, 0
+	served, sent := 0, 0
 	calls := s.checker.finalCalls()
 	s.checkQuota(calls)
 	s.checkCrashing()
@@ -271,7 +271,6 @@
 				served++
 			}
 		}
-		repeats += max(0, c.arrivals-1)
 		if !c.leftAt.IsZero() {
 			s.checkAbandoned(&c)
 		}
@@ -279,10 +278,7 @@
 	if float64(served) < minServedRatio*float64(sent) || sent == 0 {
 		ck.addViolation("RECOVER: %d of %d requests served after recovery", served, sent)
 	}
-	windows := (warmUp+faultPhase+recoveryTime).Seconds()/retryWindow + 1
-	if allowed := retryRatio*float64(len(ck.calls)) + retrySlack*windows; float64(repeats) > allowed {
-		ck.addViolation("BUDGET: %d repeats, %.0f are allowed", repeats, allowed)
-	}
+	s.checkRetries(calls)
 	for _, x := range s.liveServers() {
 		if x.engine == nil {
 			continue
--- a/soak/surge_bench_test.go
+++ b/soak/surge_bench_test.go
@@ -76,7 +76,7 @@
 	store.Put("config", "main", platformtest.Records(1, "desk.example", model))
 	var instances []*instance
 	for n := range surgeInstances {
-		i := newInstance(tb, n, binary, tb.TempDir(), store.Address(), newChecker())
+		i := newInstance(tb, n, binary, tb.TempDir(), store.Address(), retryRatioOf(0), newChecker())
 		instances = append(instances, i)
 		i.start()
 		defer i.close()
