--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -47,6 +47,10 @@
 	Price  float64
 	Booked time.Duration
 	Final  bool
+	// Retried counts the sends that were charged to the fleet's retry limit; RetryLimit is set if that limit prevented another
+	// one, to what bound.
+	Retried    int
+	RetryLimit string
 }
 
 // ArrivedAt returns when the request arrived.
@@ -81,6 +85,8 @@
 	Price          float64   `json:"price"`
 	BookedMs       float64   `json:"booked_ms"`
 	Final          bool      `json:"final"`
+	Retried        int       `json:"retried"`
+	RetryLimit     string    `json:"retry_limit"`
 	Status         int       `json:"status"`
 	Sends          int       `json:"sends"`
 	Why            string    `json:"why"`
@@ -171,6 +177,7 @@
 		Uncached: w.Uncached, Shared: w.SharedRead, Ahead: w.Ahead,
 		Organisation: w.Organisation, Rank: w.Priority, Limit: w.Limit, OverShare: w.OverShare,
 		Cost: w.Cost, Price: w.Price, Booked: milliseconds(w.BookedMs), Final: w.Final,
+		Retried: w.Retried, RetryLimit: w.RetryLimit,
 	}
 }
 
--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -139,3 +139,20 @@
 		t.Errorf("%q is missing in\n%s", want, out.String())
 	}
 }
+
+// Guards against an on-call engineer who can't tell a fleet at its retry limit from processes that have just started.
+func TestRetriesAreSummedUpByRoute(t *testing.T) {
+	const lines = `{"at":"2026-02-10T05:32:00Z","event":"request","route":"stock","status":200,"sends":2,"retried":1}
+{"at":"2026-02-10T05:32:01Z","event":"request","route":"stock","status":500,"sends":1,"retries":"used up","retry_limit":"recent start"}
+{"at":"2026-02-10T05:32:02Z","event":"request","route":"stock","status":500,"sends":2,"retried":1,"retries":"used up","retry_limit":"window"}
+{"at":"2026-02-10T05:32:03Z","event":"request","route":"drafts","status":200,"sends":1}
+`
+	var l Log
+	if err := l.Read(strings.NewReader(lines)); err != nil {
+		t.Fatal(err)
+	}
+	want := map[string]RetryRow{"stock": {Requests: 3, Retries: 2, Refused: 2, RefusedStarting: 1}}
+	if got := l.ByRetries(); !maps.Equal(got, want) {
+		t.Errorf("rows %v, want %v", got, want)
+	}
+}
--- a/internal/account/table.go
+++ b/internal/account/table.go
@@ -132,6 +132,7 @@
 	}
 	l.writeSlots(w)
 	l.writeQuotas(w, o)
+	l.writeRetries(w)
 	header(w, "from second")
 	windows := l.ByWindow(o)
 	slices.SortStableFunc(windows, func(a, b Window) int { return int(1e6*b.failureRatio()) - int(1e6*a.failureRatio()) })
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -79,8 +79,10 @@
 		fmt.Fprintln(out, e.text)
 	}
 	for _, r := range requests {
-		if text := quotaReason(r); text != "" {
-			fmt.Fprintln(out, text)
+		for _, reason := range []func(logEntry) string{quotaReason, retryReason} {
+			if text := reason(r); text != "" {
+				fmt.Fprintln(out, text)
+			}
 		}
 	}
 	return nil
