Retry limit: a change of the window in force counts as a start

A property test of the slots (TestSlotsNeverLeaveMoreRoomThanTheLimit) found that counts which are moved to the slots of another window leave up to one retry too much room: a request moved to an earlier slot counted in a window that had ended before it, and the current slot lay ahead of the time, so that a retry left the window early.

--- a/policy/fleetretry.go
+++ b/policy/fleetretry.go
@@ -54,7 +54,7 @@
 	Requests, Retries int
 	// Allowed is the number of retries that this instance may send in that window.
 	Allowed float64
-	// Starting is set if the process has not run for a window yet.
+	// Starting is set if the process has not run for a window yet, or not since the window was changed.
 	Starting bool
 }
 
@@ -96,16 +96,15 @@
 	f.completeFrom = time.Time{}
 }
 
-// SetLimits replaces ratio, slack and window. What was counted before still counts.
+// SetLimits replaces ratio, slack and window. Retries that were sent before still count. After a change of the window, the
+// process is limited as one that has just started.
 func (f *FleetRetries) SetLimits(now time.Time, ratio, slack float64, window time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if window != f.window {
-		if counted := now.Add(-f.window); counted.After(f.completeFrom) {
-			f.completeFrom = counted
-		}
+		f.completeFrom = now
 		for _, s := range f.services {
-			s.recent = s.recent.resized(f.window, window)
+			s.recent = s.recent.resized(now.Sub(f.started), f.window, window)
 		}
 	}
 	f.ratio, f.slack, f.window = ratio, slack, window
--- a/policy/recentretries.go
+++ b/policy/recentretries.go
@@ -74,19 +74,14 @@
 	return tightest
 }
 
-// resized returns the counts in the slots of another window. Requests move to the earliest, retries to the latest slot that
-// they may belong to.
-func (r *recentRetries) resized(from, to time.Duration) recentRetries {
-	slot := slotLength(from)
-	start := func(number int64) time.Duration { return time.Duration(number-keptSlots) * slot }
-	next := recentRetries{current: slotOf(start(r.current+1), to)}
+// resized returns the retries in the slots of another window, each in the latest slot that it may belong to, at a time after the
+// start of the process. The requests are left out, since it is not known which of the new windows they lie in.
+func (r *recentRetries) resized(since, from, to time.Duration) recentRetries {
+	next := recentRetries{current: slotOf(since, to)}
 	for number := max(r.current-keptSlots+1, keptSlots); number <= r.current; number++ {
-		counts := *r.slot(number)
-		if first := slotOf(start(number), to); next.current-first < keptSlots {
-			next.slot(first).requests += counts.requests
-		}
-		if last := slotOf(start(number+1), to); next.current-last < keptSlots {
-			next.slot(last).retries += counts.retries
+		end := time.Duration(number+1-keptSlots) * slotLength(from)
+		if last := min(slotOf(end, to), next.current); next.current-last < keptSlots {
+			next.slot(last).retries += r.slot(number).retries
 		}
 	}
 	return next
