Comments: terms of the field for told, heard, taken for and gone

Beside them, one expression in the retry limit is shorter (the position is below the number of instances already).

--- a/balance/capacity_test.go
+++ b/balance/capacity_test.go
@@ -21,7 +21,7 @@
 )
 
 // slotService simulates, in virtual time, a plain service of two endpoints that run slotsPerEndpoint requests at once,
-// queue the others without bound, also those whose callers have gone, and report nothing.
+// queue the others without bound, also those whose callers have disconnected, and report nothing.
 type slotService struct {
 	state     *State
 	rng       *rand.Rand
--- a/balance/pace.go
+++ b/balance/pace.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// paceMemory is the time constant with which what an endpoint has said of its machine's pace is forgotten. Other work on
+// paceMemory is the time constant with which what an endpoint has reported about its machine's pace expires. Other work on
 // that machine comes and goes within some hundred ms.
 const paceMemory = 500 * time.Millisecond
 
@@ -28,7 +28,7 @@
 	return 1 + (p.factor-1)*math.Exp(-age.Seconds()/paceMemory.Seconds())
 }
 
-// SetPace records what the endpoint of a run has said of its machine's pace: work takes factor times as long as usual.
+// SetPace records what the endpoint of a run has reported about its machine's pace: work takes factor times as long as usual.
 func (s *State) SetPace(now time.Time, id RunID, factor float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/balance/pace_test.go
+++ b/balance/pace_test.go
@@ -104,7 +104,7 @@
 	}
 }
 
-// Guards against a pace that outlives what the endpoint has said of it.
+// Guards against a pace that outlives what the endpoint has reported of it.
 func TestPaceIsForgotten(t *testing.T) {
 	p := pace{slowFactor, start}
 	if got := p.now(start); got != slowFactor {
--- a/balance/room.go
+++ b/balance/room.go
@@ -7,7 +7,7 @@
 const roomRecovery = time.Second
 
 // borrowInterval is the time between two requests for which an instance uses the places of others: twice
-// the usual time until it hears what they have sent.
+// the usual time until it receives reports on what they have sent.
 const borrowInterval = 20 * time.Millisecond
 
 // Turn is this instance's part in decisions on one endpoint that other instances decide on at the same time.
@@ -42,7 +42,7 @@
 //
 // What others have sent in the last some ms is not known here, and in a burst all instances see the same
 // places free. So each instance has its own part of them. It uses those of the others only while they have
-// nothing there, one at a time, so that it would have heard of them in between.
+// nothing there, one at a time, so that it would have received a report on them in between.
 func (e *endpoint) hasRoomFor(now time.Time, t Turn) bool {
 	room := e.roomFor(now, t.Known)
 	if e.running >= room {
--- a/balance/room_test.go
+++ b/balance/room_test.go
@@ -8,7 +8,7 @@
 )
 
 // brittleModel replays a service with brittle endpoints in virtual time: instances that decide on their own
-// and hear after noticeDelay what the others have sent, and endpoints that reject what they have no slot
+// and receive after noticeDelay what the others have sent, and endpoints that reject what they have no slot
 // for.
 type brittleModel struct {
 	rng       *rand.Rand
@@ -156,7 +156,7 @@
 	return most
 }
 
-// Bursts reach brittle endpoints from instances that hear of each other's requests late, or not at all. An
+// Bursts reach brittle endpoints from instances that receive reports on each other's requests late, or not at all. An
 // endpoint must not have to reject more than a few requests a second, and the bursts must be served.
 func TestBurstsAtBrittleEndpoints(t *testing.T) {
 	const tolerated = 3
--- a/balance/state.go
+++ b/balance/state.go
@@ -118,7 +118,7 @@
 	// roomFor.
 	room   int
 	roomAt time.Time
-	// pace is what the endpoint has last said of its machine.
+	// pace is what the endpoint last reported about its machine.
 	pace pace
 	// rate is the average rate at which the endpoint reads prompts at its usual pace, in tokens per ms.
 	rate ewma.Average
--- a/concurrency/concurrency.go
+++ b/concurrency/concurrency.go
@@ -175,7 +175,7 @@
 	}
 }
 
-// GivenUp records that the caller of a run of a plain service has gone before the answer. If the run was overdue by
+// GivenUp records that the caller of a run of a plain service has disconnected before the answer. If the run was overdue by
 // then, it counts as one: an endpoint that has become very slow completes none.
 func (l *Limit) GivenUp(now time.Time, r Run) {
 	if l.full(r) && l.isOverdue(r.Took.Seconds(), r.Target) {
--- a/endpoint/crash.go
+++ b/endpoint/crash.go
@@ -21,7 +21,7 @@
 	Probe(ctx context.Context) error
 }
 
-// ProbeCrash tells whether an endpoint that has broken a connection has crashed. It returns the error of
+// ProbeCrash checks whether an endpoint that has broken a connection has crashed. It returns the error of
 // a connection that could not be made, and nil if the endpoint accepts connections, since one that has
 // crashed takes seconds to start again. It blocks for CrashProbeInterval in that case.
 func ProbeCrash(ctx context.Context, p Prober) error {
--- a/endpoint/crash_test.go
+++ b/endpoint/crash_test.go
@@ -18,7 +18,7 @@
 	return errors.New("connection refused")
 }
 
-// Guards against crashes that are taken for broken connections, since the listener of a process that ends
+// Guards against crashes that are mistaken for broken connections, since the listener of a process that ends
 // outlives its connections by some ms.
 func TestProcessThatClosesItsListenerLastHasCrashed(t *testing.T) {
 	for _, c := range []struct {
--- a/fairshare/fairshare_test.go
+++ b/fairshare/fairshare_test.go
@@ -99,7 +99,7 @@
 	}
 }
 
-// Guards against state that grows with the number of organisations, and against large ones that are not told apart
+// Guards against state that grows with the number of organisations, and against large ones that are not distinguished
 // from the small ones because these came first.
 func TestLargestOrganisationsAreTracked(t *testing.T) {
 	s := New()
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -1,5 +1,5 @@
 // Package fault holds the error kinds by which sardinedock's code, its callers and its operators
-// distinguish errors. Every fault carries a remedy: text that tells its reader what to do.
+// distinguish errors. Every fault carries a remedy: text that states what the reader has to do.
 package fault
 
 import (
--- a/frontend/api_test.go
+++ b/frontend/api_test.go
@@ -208,7 +208,7 @@
 }
 
 // A request arrives at an instance that has no records yet. Its refusal once had no request
-// ID, so that a later attempt of the same request, which ran, was taken for the refused one,
+// ID, so that a later attempt of the same request, which ran, was mistaken for the refused one,
 // and a correct not-run was counted as false.
 func TestEachRefusalHasItsOwnRequestID(t *testing.T) {
 	r := newFixture(t, fixtureConfig{engines: 1})
--- a/frontend/claim_guard.go
+++ b/frontend/claim_guard.go
@@ -203,7 +203,7 @@
 	return fault.WithRetryAfter(err, storeRetryAfter)
 }
 
-// recordNotRun records that the request did not run, so that the caller can be told so.
+// recordNotRun records that the request did not run, so that the caller can be informed.
 // Without the record, another waiting attempt with the same key could still run the request
 // and make that answer wrong. If the record cannot be written, the outcome stays unknown. It
 // returns the error for the caller: err, or the recorded state of the request if another
--- a/frontend/send.go
+++ b/frontend/send.go
@@ -33,7 +33,7 @@
 }
 
 // runID returns the ID of the current send. Each send has an ID of its own, so that a late
-// piece of an earlier send is not taken for a piece of a later one.
+// piece of an earlier send is not mistaken for a piece of a later one.
 func (a *answer) runID() string {
 	if a.sends == 1 {
 		return a.req.id
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -43,7 +43,7 @@
 type CrashGuard interface {
 	// CrashVerdict returns how to treat a call, and for how long that applies.
 	CrashVerdict(content placement.Fingerprint) (policy.CrashVerdict, time.Duration)
-	// CallCrashed records that an endpoint crashed while it ran a call. crash tells it from other
+	// CallCrashed records that an endpoint crashed while it ran a call. crash distinguishes it from other
 	// crashes of the endpoint; alone is set if the call was a suspect, and the only one there.
 	CallCrashed(content placement.Fingerprint, endpoint string, crash uint64, alone, repeatable bool)
 	// CallCompleted clears a call that has run to its end.
@@ -124,7 +124,7 @@
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
-	// The ID is set before any refusal, because a refusal without an ID could not be told
+	// The ID is set before any refusal, because a refusal without an ID could not be distinguished
 	// apart from those of other attempts of the same caller.
 	id := s.cfg.NewID()
 	ctx.Response.Header.Set(headerRequestID, id)
--- a/frontend/suspects.go
+++ b/frontend/suspects.go
@@ -13,7 +13,7 @@
 	"github.com/sardinedock/sardinedock/schema/recordspb"
 )
 
-// crashDialTimeout bounds the connections that tell a crashed endpoint from a broken connection.
+// crashDialTimeout bounds the connections that distinguish a crashed endpoint from a broken connection.
 const crashDialTimeout = 300 * time.Millisecond
 
 // suspectCalls are the calls of plain services that this instance runs and that are suspected of crashing
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -201,7 +201,7 @@
 	a.req.srv.cfg.Broadcaster.ReportStage(m, a.place.PlacedBy)
 }
 
-// reportPace records what the response said of the pace of the endpoint's machine, and adds it to a report.
+// reportPace records what the response stated about the pace of the endpoint's machine, and adds it to a report.
 func (a *attempt) reportPace(m *gossippb.RunStage) {
 	if a.head.Pace == 0 || !a.writtenByEndpoint() {
 		return
@@ -376,7 +376,7 @@
 	a.finish(balance.Failed)
 }
 
-// avoid has this and all other instances avoid an endpoint for d. The others are told after avoidSettle, and
+// avoid has this and all other instances avoid an endpoint for d. The others are notified after avoidSettle, and
 // not if the fault is probably on this side: a partitioned instance loses one path first. What can't be reached
 // from here is avoided here in any case.
 func (s *Server) avoid(endpointID string, now time.Time, d time.Duration) {
--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -32,7 +32,7 @@
 	// is not reported.
 	maxTrialLeft = time.Minute
 	// convictionDelay is how long a request that is to be refused waits instead: other instances check
-	// meanwhile whether its endpoints have crashed, and one that is partitioned from them can't tell.
+	// meanwhile whether its endpoints have crashed, and one that is partitioned from them can't find out.
 	convictionDelay = 200 * time.Millisecond
 	// freshCrash is how old a reported crash may be for another instance to check it. Later, the endpoint
 	// may have started again.
@@ -67,7 +67,7 @@
 	mu      sync.Mutex
 	crashes *policy.CrashGuard
 	trials  *policy.Trials
-	// checking is the number of a request's crashes that are being told from broken connections, from
+	// checking is the number of a request's crashes that are being distinguished from broken connections, from
 	// crashed to confirm or disprove.
 	checking map[[16]byte]int
 	// learned is when this instance learned of a record itself.
@@ -204,7 +204,7 @@
 	return g.trials.Alone(now, t)
 }
 
-// confirm ends the check of a crash that was one, as far as can be told from here, and notifies the other
+// confirm ends the check of a crash that was one, as far as can be seen from here, and notifies the other
 // instances of it.
 func (g *CrashGuard) confirm(now time.Time, held [][16]byte) {
 	g.mu.Lock()
@@ -278,7 +278,7 @@
 }
 
 // answered is called when an endpoint has answered on a connection that was made at the given time: what
-// is taken for a crash of that process since then was a broken connection.
+// is treated as a crash of that process since then was a broken connection.
 func (g *CrashGuard) answered(now time.Time, endpointID string, connected time.Time) {
 	g.mu.Lock()
 	cleared := g.crashes.Alive(now, endpointID, connected)
--- a/gateway/open.go
+++ b/gateway/open.go
@@ -67,5 +67,5 @@
 //
 // Without this final answer and its log line, the process would exit in the middle of an answer:
 // the caller's connection would break as in a crash, and no log line would have the request's ID,
-// so that on-call could not tell it from a request that never arrived.
+// so that on-call could not distinguish it from a request that never arrived.
 var errAborted = fault.New(fault.Broken, "look up whether it has run; give the process more time to end", "cut: this instance has ended")
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -277,7 +277,7 @@
 	return q
 }
 
-// organisationHash returns the hash by which schedulers tell organisations apart; it is never 0.
+// organisationHash returns the hash by which schedulers distinguish organisations; it is never 0.
 func organisationHash(name string) uint32 { return max(1, uint32(xxh3.HashString(name))) }
 
 // wall returns the name of the group whose requests may share cached prompt parts with this one:
--- a/gateway/quota_test.go
+++ b/gateway/quota_test.go
@@ -7,7 +7,7 @@
 	"github.com/sardinedock/sardinedock/quota"
 )
 
-// Guards against callers that miss their booking, since the time they are told was cut or spread, and against
+// Guards against callers that miss their booking, since the time they are given was cut or spread, and against
 // times for callers that have none.
 func TestRetryAfterIsExactlyAsBooked(t *testing.T) {
 	const due = 2 * time.Second
--- a/gateway/slowreaders_test.go
+++ b/gateway/slowreaders_test.go
@@ -12,7 +12,7 @@
 	"github.com/sardinedock/sardinedock/logline/logtest"
 )
 
-// Guards against unbounded memory where the kernel does not tell what it holds: a pipe has no socket to ask.
+// Guards against unbounded memory where the kernel does not report what it holds: a pipe has no socket to ask.
 func TestBoundAppliesWhereTheKernelDoesNotTell(t *testing.T) {
 	const bound, answer = 1 << 20, 200 << 10
 	slow := NewSlowReaders(bound)
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -224,7 +224,7 @@
 // part of its prompt: the prompt has been read, and the endpoint has lived on.
 const answerBegun = 500 * time.Millisecond
 
-// crashChecks tells crashes of endpoints from broken connections. It is safe for concurrent use.
+// crashChecks distinguishes crashes of endpoints from broken connections. It is safe for concurrent use.
 type crashChecks struct {
 	mu      sync.Mutex
 	pending map[string]*crashCheck
--- a/gossip/admit_test.go
+++ b/gossip/admit_test.go
@@ -30,7 +30,7 @@
 	}
 }
 
-// Guards against a peer that is a scheduler and is taken for none, since a scheduler has forwarded an older datagram
+// Guards against a peer that is a scheduler and is treated as none, since a scheduler has forwarded an older datagram
 // of it late: the end of a run that is reported meanwhile would never reach it.
 func TestForwardedOlderDatagramDoesNotChangeTheStateOfItsSender(t *testing.T) {
 	n := &Node{name: "self", states: map[string]peerState{}}
--- a/gossip/forwarders.go
+++ b/gossip/forwarders.go
@@ -8,7 +8,7 @@
 
 // Forwarders returns the instances through which requests for a service can be sent: those that are alive,
 // as far as is known here, do not shut down and have not announced that they reach none of its
-// endpoints. In a large fleet most instances are not heard of here and count as alive.
+// endpoints. In a large fleet most instances send no messages to this one and count as alive.
 func (n *Node) Forwarders(service string) []Peer {
 	now := time.Now()
 	n.mu.Lock()
--- a/gossip/forwarders_test.go
+++ b/gossip/forwarders_test.go
@@ -9,7 +9,7 @@
 )
 
 // Guards against requests forwarded to an instance that leaves, is dead, or has lost the service itself; and
-// against instances of a large fleet that are taken for dead since they are not heard of here.
+// against instances of a large fleet that are treated as dead since they send no messages to this one.
 func TestForwardersAreInstancesThatCanServe(t *testing.T) {
 	names := func(n *Node) (list []string) {
 		for _, p := range n.Forwarders("orders") {
--- a/hosted/capacity_test.go
+++ b/hosted/capacity_test.go
@@ -29,7 +29,7 @@
 )
 
 // slotted returns a handler that runs up to capacitySlots requests at once and queues the others in order of
-// arrival, also those whose callers have gone. It states nothing about its load.
+// arrival, also those whose callers have disconnected. It states nothing about its load.
 func slotted() func(*platformtest.Exchange) bool {
 	slots := make(chan struct{}, capacitySlots)
 	return func(x *platformtest.Exchange) bool {
@@ -112,7 +112,7 @@
 	return n
 }
 
-// Guards against queues at endpoints that grow until all requests are answered after their callers have gone: at 1.9
+// Guards against queues at endpoints that grow until all requests are answered after their callers have disconnected: at 1.9
 // times the capacity, what the endpoints can run is answered in time and the rest refused at once.
 func TestOverloadedPoolServesItsCapacity(t *testing.T) {
 	f, endpoints := capacityFixture(t)
--- a/hosted/crash_test.go
+++ b/hosted/crash_test.go
@@ -45,7 +45,7 @@
 	return f, crashed
 }
 
-// awaitPeers waits until all instances have heard of each other.
+// awaitPeers waits until all instances have received messages from each other.
 func (f *fixture) awaitPeers() {
 	f.eventually("all instances known to each other", func() bool {
 		return !slices.ContainsFunc(f.instances, func(i *Instance) bool { return i.node.Live() < len(f.instances) })
@@ -85,7 +85,7 @@
 	}
 }
 
-// Guards against crashes that are taken for broken connections, since an endpoint that ends still accepts
+// Guards against crashes that are mistaken for broken connections, since an endpoint that ends still accepts
 // connections for some ms after it has broken those that were open.
 func TestCrashIsFoundThoughTheListenerOutlivesTheConnections(t *testing.T) {
 	const endpoints, sends, allowed, outlives = 10, 8, 2, 30 * time.Millisecond
@@ -131,7 +131,7 @@
 	}
 }
 
-// Guards against an instance that starts and has not heard which requests crash endpoints.
+// Guards against an instance that starts and has not received which requests crash endpoints.
 func TestInstanceThatStartsKnowsTheCrashingRequests(t *testing.T) {
 	f, crashed := crashFixture(t, 2, 24)
 	for k := range 8 {
@@ -196,7 +196,7 @@
 	}
 }
 
-// Guards against requests that are taken for ones that crash endpoints, since connections broke while
+// Guards against requests that are mistaken for ones that crash endpoints, since connections broke while
 // the endpoints live.
 func TestBrokenConnectionsDoNotMakeARequestRefused(t *testing.T) {
 	f := newFixture(t, 2)
--- a/hosted/drain_test.go
+++ b/hosted/drain_test.go
@@ -72,7 +72,7 @@
 
 // An instance shuts down while its callers go on using open connections. If a request with a long
 // answer were accepted then, it would be aborted at the end of the grace period after it has run,
-// and its caller could not tell; the log would show `stopping`, and a second or two later `requests
+// and its caller could not know; the log would show `stopping`, and a second or two later `requests
 // cut at the end of the grace`. It must be refused at once as not run, so that another instance
 // serves it. A short one still fits and is served.
 func TestDrainingInstanceAcceptsOnlyRequestsThatFit(t *testing.T) {
--- a/hosted/forward_test.go
+++ b/hosted/forward_test.go
@@ -195,7 +195,7 @@
 	}
 }
 
-// Guards against a caller who is told that its request has not run, by the instance that it was forwarded to,
+// Guards against a caller who is informed that its request has not run, by the instance that it was forwarded to,
 // although it has run before it was forwarded.
 func TestForwardedRequestThatHasRunIsNotAnsweredAsNotRun(t *testing.T) {
 	f := newFixture(t, 2)
@@ -245,7 +245,7 @@
 	f.eventually("each call charged once", func() bool { return charged() == calls*cost })
 }
 
-// Guards against lines that do not tell through which instance a request went.
+// Guards against lines that do not state through which instance a request went.
 func TestLogLinesNameBothInstancesOfAForwardedRequest(t *testing.T) {
 	lines := logtest.Record(t)
 	f, _ := forwardFixture(t, 2, "orders", ok)
--- a/hosted/leaving_test.go
+++ b/hosted/leaving_test.go
@@ -94,7 +94,7 @@
 }
 
 // Guards against an endpoint that is lost for good although its departure was called off: an instance
-// that has not heard of it gets an answer without the statement.
+// that has not received it gets an answer without the statement.
 func TestDepartureThatIsCalledOffEnds(t *testing.T) {
 	f := newFixture(t, 2)
 	var leaving atomic.Bool
--- a/hosted/logs_test.go
+++ b/hosted/logs_test.go
@@ -60,7 +60,7 @@
 	}
 }
 
-// A request breaks off at two endpoints, and comes again. On-call could not tell whether the requests
+// A request breaks off at two endpoints, and comes again. On-call could not see whether the requests
 // at which endpoints crash are the same one.
 func TestLogLinesOfTheSameContentThatBrokeHaveTheSameHash(t *testing.T) {
 	lines := logtest.Record(t)
@@ -85,7 +85,7 @@
 	}
 }
 
-// Requests that are not alike break off. On-call could not tell whether a part of their prompts is the same, nor
+// Requests that are not alike break off. On-call could not see whether a part of their prompts is the same, nor
 // which one.
 func TestLogLinesOfBrokenPromptsNameTheirSharedParts(t *testing.T) {
 	lines := logtest.Record(t)
@@ -109,7 +109,7 @@
 }
 
 // A request is rejected by two endpoints and served by the third, which alone was named. On-call could
-// not tell which endpoints reject, nor which of them had asked for no more requests.
+// not state which endpoints reject, nor which of them had asked for no more requests.
 func TestLogLineNamesEveryEndpointThatRejected(t *testing.T) {
 	lines := logtest.Record(t)
 	f := newFixture(t, 1)
--- a/hosted/part_crash_test.go
+++ b/hosted/part_crash_test.go
@@ -346,7 +346,7 @@
 	}
 }
 
-// Guards against an instance that starts and has not heard which parts of prompts crash endpoints.
+// Guards against an instance that starts and has not received which parts of prompts crash endpoints.
 func TestInstanceThatStartsKnowsTheCrashingParts(t *testing.T) {
 	p := startPartPlay(t, partPlay{crashing: []string{"company:300,bad:200,catalogue:600"}, sound: []string{"company:300,catalogue:600"}, events: 2})
 	p.play(1, func(d time.Duration) bool { return d < 4*time.Second })
--- a/hosted/partition_test.go
+++ b/hosted/partition_test.go
@@ -326,7 +326,7 @@
 	f.eventually("the new weights loaded", func() bool { v, _ := engine.Version(); return v == 2 })
 }
 
-// Guards against requests that were running when an instance was partitioned, and that are taken for ones
+// Guards against requests that were running when an instance was partitioned, and that are mistaken for ones
 // that crash endpoints: refused there for a minute, and run one at a time everywhere else.
 func TestPartitionMakesNoRequestASuspect(t *testing.T) {
 	const copies, rounds = 12, 3
--- a/hosted/placing.go
+++ b/hosted/placing.go
@@ -35,7 +35,7 @@
 	// can't place well yet, since endpoints have not reported their cache contents. They do so
 	// within 0.1 s.
 	warmUpPeriod = 400 * time.Millisecond
-	// maxAskedPauses bounds the pauses that a scheduler is told of, since they must fit into one
+	// maxAskedPauses bounds the pauses that a scheduler is sent, since they must fit into one
 	// datagram. A placement at another endpoint that pauses is refused here, and excluded from the
 	// next ask.
 	maxAskedPauses = 64
@@ -184,7 +184,7 @@
 }
 
 // resolve is balance.State.Resolve, and refuses endpoints that have asked this instance for a pause
-// which the scheduler was not told of.
+// which the scheduler was not sent.
 func (p *placer) resolve(a balance.Ask, place balance.Placement) (balance.Placement, bool) {
 	if p.pauses.Left(time.Now(), place.Endpoint.ID) > 0 {
 		return place, false
--- a/hosted/quotas_test.go
+++ b/hosted/quotas_test.go
@@ -60,7 +60,7 @@
 func TestQuotaHoldsOverAllInstances(t *testing.T) {
 	for _, instances := range []int{3, gossip.SmallFleet + 4} {
 		f := quotaFixture(t, instances, map[string]any{"ratePerS": 2000, "burst": 6000}, ok)
-		// An instance that has not heard of another one for a moment starts again with its own share.
+		// An instance that has received nothing from another one for a moment starts again with its own share.
 		f.eventually("the whole quota at all schedulers", func() bool {
 			for _, i := range f.instances {
 				partial := func(v quota.View) bool { return v.Share < 1 || v.Balance < v.Burst }
@@ -97,8 +97,8 @@
 	}
 }
 
-// A caller that comes back exactly at the time it was told, at another instance and with another request
-// ID, must be served before callers that were told none; one that comes earlier must get the same time.
+// A caller that comes back exactly at the time it was given, at another instance and with another request
+// ID, must be served before callers that were given none; one that comes earlier must get the same time.
 func TestRefusedCallerIsServedAtItsTime(t *testing.T) {
 	f := quotaFixture(t, 3, map[string]any{"ratePerS": 1000, "burst": 4000}, ok)
 	callers := slices.Clone(f.callers)
--- a/hosted/releases.go
+++ b/hosted/releases.go
@@ -25,14 +25,14 @@
 	// recordInterval is the time between two writes of the record: 0.2 writes a second. The record stays valid between
 	// two of them, since its readers get the changes after its revision from the store's history.
 	recordInterval = 5 * time.Second
-	// maxLagChecks is after how many checks a record whose revision this instance's watch has not reached is taken for one
+	// maxLagChecks is after how many checks a record whose revision this instance's watch has not reached is treated as one
 	// of a store that was replaced. An idle watch reports its progress every 25 s.
 	maxLagChecks = 12
 	// recordWait bounds how long a resumed stream waits for the record, and recordRetry is the time between two reads while
 	// the store does not answer.
 	recordWait  = 300 * time.Millisecond
 	recordRetry = 2 * time.Second
-	// recordAgeAlone is for how long an instance that hears from no other uses the changes that it has read. It is not told
+	// recordAgeAlone is for how long an instance that receives messages from no other uses the changes that it has read. It is not notified
 	// of endpoints that come and go, and others may begin streams there.
 	recordAgeAlone = time.Second
 	// maxLoggedServices bounds the services in one log line.
@@ -248,7 +248,7 @@
 }
 
 // recordReader reads the record of releases for an instance that was restarted with all others: once, and the changes since
-// again only while the instance hears from no other.
+// again only while the instance receives messages from no other.
 type recordReader struct {
 	ctx   context.Context
 	store *platform.Store
@@ -267,7 +267,7 @@
 
 // certain returns the release that began every stream of a service which has lasted for at most the given life, by the
 // record; empty if that is not certain, or not known within recordWait. known are the releases that this instance knows.
-// alone states that this instance hears from no other.
+// alone states that this instance receives messages from no other.
 func (r *recordReader) certain(ctx context.Context, service string, known []string, life time.Duration, alone bool) string {
 	if !r.await(ctx, alone) {
 		return ""
--- a/hosted/retries_test.go
+++ b/hosted/retries_test.go
@@ -69,7 +69,7 @@
 	f.expectWithin(slack)
 }
 
-// Guards against a fleet that spends its retries once in each part that it falls apart into: an instance that hears from few
+// Guards against a fleet that spends its retries once in each part that a partition divides it into: an instance that receives messages from few
 // others does not know whether the rest serve callers too.
 func TestPartitionedInstancesStayBelowRetryLimit(t *testing.T) {
 	const slack, windowSeconds, listed, requests = 80, 1, 16, 150
--- a/hosted/retryafter_test.go
+++ b/hosted/retryafter_test.go
@@ -129,7 +129,7 @@
 	f.sendUntilServed((n+1)%len(f.instances), e3)
 }
 
-// Guards against a Retry-After that can't be read being taken for a pause, or logged for each
+// Guards against a Retry-After that can't be read being mistaken for a pause, or logged for each
 // response.
 func TestUnreadableRetryAfterIsLoggedOnce(t *testing.T) {
 	lines := logtest.Record(t)
--- a/hosted/slow_readers_test.go
+++ b/hosted/slow_readers_test.go
@@ -45,7 +45,7 @@
 	return c
 }
 
-// kernelBytes returns what the kernel holds for all TCP connections of the machine; 0 if it does not tell.
+// kernelBytes returns what the kernel holds for all TCP connections of the machine; 0 if it does not report that.
 func kernelBytes() uint64 {
 	data, _ := os.ReadFile("/proc/net/sockstat")
 	_, after, _ := strings.Cut(string(data), "\nTCP: ")
--- a/hosted/statements.go
+++ b/hosted/statements.go
@@ -338,7 +338,7 @@
 }
 
 // move assigns what an endpoint has stated since it restarted to its new incarnation. Until the list
-// shows that, responses are taken for those of the incarnation before.
+// shows that, responses are treated as those of the incarnation before.
 func (s *statements) move(before, after balance.Endpoint) {
 	if after.Born == 0 {
 		return
--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -42,7 +42,7 @@
 	Limit     int
 	OverShare string
 	// Cost and the following are set if the organisation's quota refused the request. Booked is when its
-	// caller was told to come back, Final whether it was told no time.
+	// caller was asked to come back, Final whether it was given no time.
 	Cost   int64
 	Price  float64
 	Booked time.Duration
--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -75,7 +75,7 @@
 	}
 }
 
-// Guards against refusals for full slots that are not told apart by whose they are, or are taken for another reason.
+// Guards against refusals for full slots that are not distinguished by whose they are, or are mistaken for another reason.
 func TestRefusalsForFullSlotsAreSummedByOrganisationAndRank(t *testing.T) {
 	const refused = `{"at":"2026-01-01T10:00:00.500Z","event":"request","instance":"a","ms":1,"route":"stock","status":503,"waited_ms":1,"why":"the slots of x are in use",`
 	text := strings.Join([]string{
@@ -140,7 +140,7 @@
 	}
 }
 
-// Guards against an on-call engineer who can't tell a fleet at its retry limit from processes that have just started.
+// Guards against an on-call engineer who can't distinguish a fleet at its retry limit from processes that have just started.
 func TestRetriesAreSummedUpByRoute(t *testing.T) {
 	const lines = `{"at":"2026-02-10T05:32:00Z","event":"request","route":"stock","status":200,"sends":2,"retried":1}
 {"at":"2026-02-10T05:32:01Z","event":"request","route":"stock","status":500,"sends":1,"retries":"used up","retry_limit":"recent start"}
--- a/internal/account/quota.go
+++ b/internal/account/quota.go
@@ -11,12 +11,12 @@
 type QuotaRow struct {
 	Organisation string
 	// Requests counts all requests of the organisation, Refused those that its quota refused; Booked of
-	// these were told when to come back, Final that there is no room in the time they have left.
+	// these were given a time to come back, Final that there is no room in the time they have left.
 	Requests, Refused, Booked, Final int
 	// Cost is the cost of the refused requests, Price the sum of the prices in force when they were refused.
 	Cost  int64
 	Price float64
-	// LatestBooking is the longest time that a caller was told.
+	// LatestBooking is the longest time that a caller was given.
 	LatestBooking time.Duration
 }
 
--- a/internal/sendqueue/sendqueue.go
+++ b/internal/sendqueue/sendqueue.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// pieceBytes is the size of one write to the kernel. Where the kernel does not tell what it holds, only the end of
+	// pieceBytes is the size of one write to the kernel. Where the kernel does not report what it holds, only the end of
 	// a write shows that the peer reads.
 	pieceBytes = 32 << 10
 	// kernelBytes bounds what the kernel holds for one connection that is written more at a time, or whose peer reads
@@ -28,7 +28,7 @@
 	// Retained is the size of the data of the write that waits, none of which can be released before its end.
 	Retained int64
 	// Offered counts all bytes to be written, Read those that the peer has acknowledged or, where the kernel does not
-	// tell, those that the kernel has taken.
+	// report that, those that the kernel has taken.
 	Offered, Read int64
 }
 
--- a/outcome/claim/claim_test.go
+++ b/outcome/claim/claim_test.go
@@ -100,7 +100,7 @@
 }
 
 // Guards against refusing a request that no instance runs, because the store's reply to its
-// claim was lost and the claim is taken for another attempt's. The stored attempt id shows
+// claim was lost and the claim is mistaken for another attempt's. The stored attempt id shows
 // whose it is.
 func TestLostReplyIsResolvedByReading(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/policy/crash.go
+++ b/policy/crash.go
@@ -71,7 +71,7 @@
 	Proven bool
 }
 
-// merge adds what another instance knows of the same crash. It reports whether that is news. Each field takes the
+// merge adds what another instance knows of the same crash. It reports whether that is new. Each field takes the
 // greater value, or the earlier time, so that the order of merges does not matter.
 func (c *Crash) merge(o Crash) bool {
 	merged := *c
@@ -153,7 +153,7 @@
 // Merging the states of several instances is commutative, associative and idempotent: a record is a set of crashes
 // by ID, of which the greatest maxCrashes IDs are kept, and each field of a crash only grows. A crash that
 // was dropped therefore never returns, and verdicts depend on nothing but the set. Records expire at the latest time
-// that any instance has told.
+// that any instance has sent.
 type CrashGuard struct {
 	ttl     time.Duration
 	records map[[16]byte]*crashRecord
--- a/policy/crash_load_test.go
+++ b/policy/crash_load_test.go
@@ -35,7 +35,7 @@
 	id       int
 }
 
-// crashModel replays a service in virtual time: instances that hear of each other after noticeDelay, and
+// crashModel replays a service in virtual time: instances that receive messages from each other after noticeDelay, and
 // endpoints that are down for some seconds after a crash. Callers send harmless requests, of which some
 // are for popular things, and one caller repeats a request that crashes whatever runs it.
 type crashModel struct {
--- a/policy/crash_parts.go
+++ b/policy/crash_parts.go
@@ -51,7 +51,7 @@
 
 // crashParts is the part of a CrashGuard that concerns parts of prompts.
 type crashParts struct {
-	// convicted are the parts that are taken for the cause of crashes, and explained the endpoints that
+	// convicted are the parts that count as the cause of crashes, and explained the endpoints that
 	// crashed for it. Both are computed when needed, if stale is set.
 	convicted map[[16]byte]*conviction
 	explained map[string]bool
@@ -69,7 +69,7 @@
 	stagger                    uint64
 }
 
-// conviction is a set of parts that can't be told apart: each was in flight at the same crashes. Mostly it is
+// conviction is a set of parts that can't be distinguished: each was in flight at the same crashes. Mostly it is
 // a single one.
 type conviction struct {
 	parts [][16]byte
@@ -174,7 +174,7 @@
 		}
 		verdict, left := g.partVerdict(now, r, c)
 		if c != nil && !c.coveredBy(s.Parts) {
-			// One of several parts that can't be told apart. Its trial tells.
+			// One of several parts that can't be distinguished. Its trial decides.
 			verdict = CrashConfined
 		}
 		if verdict != CrashClean {
--- a/policy/crash_parts_test.go
+++ b/policy/crash_parts_test.go
@@ -124,7 +124,7 @@
 }
 
 // Guards against a popular part that is refused, since several requests that crash endpoints by themselves have it in
-// common, here or at an instance that hears of it by message.
+// common, here or at an instance that is notified of it.
 func TestPartThatCrashingRequestsHaveInCommonIsNotRefused(t *testing.T) {
 	seen, told := NewCrashGuard(time.Hour), NewCrashGuard(time.Hour)
 	seen.PartCompleted(start, crashingPart)
@@ -186,7 +186,7 @@
 }
 
 // Guards against instances that decide differently, since messages about parts reached them in another order or
-// more than once, and against crashes that look simultaneous to an instance that hears of them later.
+// more than once, and against crashes that look simultaneous to an instance that is notified of them later.
 func TestInstancesAgreeOnPartsWhateverTheOrderOfMessages(t *testing.T) {
 	rapid.Check(t, instancesAgreeOnParts)
 }
--- a/policy/fleetretry.go
+++ b/policy/fleetretry.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -140,6 +139,7 @@
 	return d
 }
 
+// decide decides on one more retry without counting it.
 func (f *FleetRetries) decide(now time.Time, s *serviceRetries) RetryDecision {
 	share, slack, rounding := usableShare, f.slackPart(), f.rounding()
 	starting := f.starting(now)
@@ -169,7 +169,7 @@
 	if f.instances == 0 {
 		return 0
 	}
-	return math.Mod(float64(f.position), float64(f.instances)) / float64(f.instances)
+	return float64(f.position) / float64(f.instances)
 }
 
 // View returns the state of the limit, with the services in alphabetical order.
--- a/quota/booking.go
+++ b/quota/booking.go
@@ -34,7 +34,7 @@
 	ledgerSlots = 128
 )
 
-// Booking reserves cost for a caller that was refused and told when to come back.
+// Booking reserves cost for a caller that was refused and given a time to come back.
 type Booking struct {
 	Account string
 	Key     uint64
--- a/quota/booking_test.go
+++ b/quota/booking_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 )
 
-// Guards against callers that are told a time, come back then, once, to any instance, and are refused
+// Guards against callers that are given a time, come back then, once, to any instance, and are refused
 // again, also when a scheduler is lost in between.
 func TestCallersWithABookingAreServed(t *testing.T) {
 	for _, c := range []struct {
@@ -35,7 +35,7 @@
 		for _, size := range c.sizes {
 			for _, limit := range []Limit{smallLimit, largeLimit} {
 				t.Run(fmt.Sprintf("%s, %d instances, %.0f a second", c.name, size, limit.Rate), func(t *testing.T) {
-					// At a small quota few are told a time in one run.
+					// At a small quota few are given a time in one run.
 					var m *fleetModel
 					told, kept := 0, 0
 					for seed := uint64(1); seed == 1 || told < 10 && seed < 20; seed++ {
@@ -72,7 +72,7 @@
 }
 
 // Guards against callers that repeat at once getting another time, or being served before it; against
-// bookings that admit twice, too late, or after the scheduler that made them is gone.
+// bookings that admit twice, too late, or after the scheduler that made them has ended.
 func TestBookingAdmitsItsCallerOnceAtItsTime(t *testing.T) {
 	b, now := indebted()
 	peer := NewBook(bookStart, "b", 1)
@@ -114,7 +114,7 @@
 	}
 }
 
-// Guards against callers being told times that they will not wait for.
+// Guards against callers being given times that they will not wait for.
 func TestNoBookingBeyondAThirdOfTheTimeLeft(t *testing.T) {
 	b, now := indebted()
 	c := keyed(5, 100)
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -64,16 +64,16 @@
 	counted   bool
 	window    time.Duration
 	tolerated func(l Limit) float64
-	// patience is how long callers wait; they return once if they are told a time. mix replaces the
+	// patience is how long callers wait; they return once if they are given a time. mix replaces the
 	// sizes of requests, of which the mean is mixMean, if it is set.
 	patience time.Duration
 	mix      func() (kind string, cost int64)
 	mixMean  float64
-	// told counts callers that were told a time, after statsFrom, and kept those of them that were
+	// told counts callers that were given a time, after statsFrom, and kept those of them that were
 	// served on their return.
 	told, kept int
 	// kills are the times at which the test has killed a scheduler. toldAcross and keptAcross are told and
-	// kept for callers that were told a time before one and returned after it.
+	// kept for callers that were given a time before one and returned after it.
 	kills                  []time.Time
 	toldAcross, keptAcross int
 	statsFrom              time.Duration
@@ -102,7 +102,7 @@
 	until    time.Time
 	returned bool
 	across   bool
-	// repeats is how often the caller repeats at once when it is told no time.
+	// repeats is how often the caller repeats at once when it is given no time.
 	repeats int
 }
 
@@ -387,7 +387,7 @@
 	}
 }
 
-// refuse makes a caller that was told a time return then, once, to another random instance.
+// refuse makes a caller that was given a time return then, once, to another random instance.
 func (m *fleetModel) refuse(c *caller, d Decision) {
 	m.refused++
 	if c.repeats > 0 && !d.Booked {
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -9,8 +9,8 @@
 //
 // While an account asks for several times its limit, a price that follows the bucket's level
 // decides, so that requests of all costs are served: without it, expensive requests drive the
-// level below 0 and cheap ones are refused. A refused caller is told a time for which its cost is
-// booked: without bookings, callers that return when they are told find the bucket used by others.
+// level below 0 and cheap ones are refused. A refused caller is given a time for which its cost is
+// booked: without bookings, callers that return at the time they were given find the bucket used by others.
 package quota
 
 import "time"
--- a/reachability/reachability.go
+++ b/reachability/reachability.go
@@ -26,7 +26,7 @@
 	probesToReturn = 2
 	// confirmInterval is the time between these.
 	confirmInterval = 100 * time.Millisecond
-	// recentlyReceived is how long after bytes from an endpoint the path to it is taken for open without a
+	// recentlyReceived is how long after bytes from an endpoint the path to it counts as open without a
 	// probe.
 	recentlyReceived = 300 * time.Millisecond
 	// lossWindow and suspiciousLosses: as many paths lost within that time raise the question whether
@@ -40,7 +40,7 @@
 	maxProbes = 32
 	// While a service is out of reach, a sample of its endpoints is probed, one each sampleInterval: many
 	// instances may be cut off together, and each endpoint would have to accept connections from all of
-	// them at the moment of their return. Once returnSample endpoints are back, all are taken for it.
+	// them at the moment of their return. Once returnSample endpoints are back, all count as reachable.
 	sampleInterval = 100 * time.Millisecond
 	returnSample   = 3
 	// isolatedShare is the fraction, 1/isolatedShare, of the endpoints in use that have to be out of
--- a/reachability/reachability_test.go
+++ b/reachability/reachability_test.go
@@ -16,7 +16,7 @@
 // at returns the time ms milliseconds after start.
 func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
-// tableOf returns a table with n endpoints of a service, all heard from at the start.
+// tableOf returns a table with n endpoints of a service, all in reach at the start.
 func tableOf(service string, n int) *Table {
 	t := NewTable()
 	for k := range n {
@@ -205,7 +205,7 @@
 	}
 }
 
-// Guards against endpoints that are taken for reachable for good because a sample of their service is.
+// Guards against endpoints that count as reachable for good because a sample of their service is.
 func TestEndpointThatStaysOutOfReachIsLostAgain(t *testing.T) {
 	paths := lostService(20)
 	reached := func(endpoint string) bool { return endpoint != "a7" }
--- a/soak/sender_test.go
+++ b/soak/sender_test.go
@@ -119,8 +119,8 @@
 	})
 }
 
-// An endpoint that rejected a forwarded request has told the instance that sent it, not the caller's, for
-// how long it wants none: the soak reported an instance that had been told nothing.
+// An endpoint that rejected a forwarded request has informed the instance that sent it, not the caller's, for
+// how long it wants none: the soak reported an instance that had been informed of nothing.
 func TestPauseIsOfTheSendingInstance(t *testing.T) {
 	s := &soak{checker: newChecker(), told: map[told]time.Time{}, instances: []*instance{{n: 0}, {n: 1}}}
 	x := &server{soak: s, Endpoint: &platformtest.Endpoint{ID: "pool-1"}}
@@ -140,7 +140,7 @@
 	}
 }
 
-// An endpoint's rejection that a silent link has dropped tells nobody for how long the endpoint wants no
+// An endpoint's rejection that a silent link has dropped informs nobody for how long the endpoint wants no
 // requests: the soak reported an instance that had not got it.
 func TestPauseThatWasNotDeliveredBindsNobody(t *testing.T) {
 	s := &soak{checker: newChecker(), told: map[told]time.Time{}, instances: []*instance{{n: 0}}}
