--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -58,6 +58,12 @@
 	return s
 }
 
+// number returns a numeric field, or 0 if it is missing or not a number.
+func (e logEntry) number(name string) float64 {
+	v, _ := e.fields[name].(float64)
+	return v
+}
+
 func (c *explainCommand) run(out, _ io.Writer) error {
 	var all []logEntry
 	for _, name := range c.files {
--- a/internal/cli/explain_retries.go
+++ b/internal/cli/explain_retries.go
@@ -7,12 +7,8 @@
 	if request.stringField("retries") == "" {
 		return ""
 	}
-	number := func(name string) float64 {
-		v, _ := request.fields[name].(float64)
-		return v
-	}
 	text := fmt.Sprintf("request %s was not sent again: %s had sent %.0f retries for %.0f requests in a window and may send %.1f", request.stringField("request"),
-		request.stringField("instance"), number("window_retries"), number("window_requests"), number("window_allowed"))
+		request.stringField("instance"), request.number("window_retries"), request.number("window_requests"), request.number("window_allowed"))
 	if request.stringField("retry_limit") == "recent start" {
 		text += "; its process had not run for a window yet"
 	}
