Test of stopped callers counts the kernel's memory for its own sockets

Now it sums what the kernel reports for each socket of the process, plus closed sockets of connections to its ports.

The bound and the check are the same.

--- a/hosted/slow_readers_test.go
+++ b/hosted/slow_readers_test.go
@@ -6,11 +6,9 @@
 	"io"
 	"math"
 	"net"
-	"os"
 	"runtime"
 	"runtime/debug"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -45,16 +43,6 @@
 	return c
 }
 
-// kernelBytes returns what the kernel holds for all TCP connections of the machine; 0 if it does not report that.
-func kernelBytes() uint64 {
-	data, _ := os.ReadFile("/proc/net/sockstat")
-	_, after, _ := strings.Cut(string(data), "\nTCP: ")
-	line, _, _ := strings.Cut(after, "\n")
-	_, pages, _ := strings.Cut(line, " mem ")
-	n, _ := strconv.ParseUint(strings.TrimSpace(pages), 10, 64)
-	return n * uint64(os.Getpagesize())
-}
-
 // p99Beside has 1,000 callers begin, one each 3 ms, and returns the 99th percentile of how long others wait for small
 // answers meanwhile. sample is called between these.
 func (f *fixture) p99Beside(caller, sample func()) time.Duration {
@@ -103,7 +91,8 @@
 	runtime.GC()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
-	baseHeap, baseKernel, sampled := m.HeapInuse, kernelBytes(), time.Now()
+	ports := listeningPorts(t)
+	baseHeap, baseKernel, sampled := m.HeapInuse, ports.kernelBytes(t), time.Now()
 	var peak, peakHeap, peakKernel uint64
 	during := f.p99Beside(func() { f.slowCaller("/stock/large") }, func() {
 		if time.Since(sampled) < 50*time.Millisecond {
@@ -111,7 +100,7 @@
 		}
 		sampled = time.Now()
 		runtime.ReadMemStats(&m)
-		heap, kernel := max(m.HeapInuse, baseHeap)-baseHeap, max(kernelBytes(), baseKernel)-baseKernel
+		heap, kernel := max(m.HeapInuse, baseHeap)-baseHeap, max(ports.kernelBytes(t), baseKernel)-baseKernel
 		peak, peakHeap, peakKernel = max(peak, heap+kernel), max(peakHeap, heap), max(peakKernel, kernel)
 	})
 	t.Logf("others' p99 %v beside callers that read, %v beside callers that stop; grew at most: heap %d MB, kernel %d MB, both %d MB",
