A forwarded request that an endpoint rejected is not sent again uncharged

What callers' requests did: an instance that reaches no endpoint forwards a request; the second instance sends it to an endpoint, which rejects it; the fleet's limit refuses a retry there; meanwhile that instance has lost its paths to the service too. It then refused the request as one that a further instance may serve, and the first instance sent it again, to an endpoint or through a third instance. That send is a retry, and neither had charged it.

Cause: whether a forwarded request may go elsewhere was decided by "it has not run", not by whether another arrival is paid for.

Now a request that endpoints have got more often than retries were charged here is refused for good.

--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -210,10 +210,11 @@
 }
 
 // asForwardRefusal returns the error with which a forwarded request is refused: if another instance may
-// serve it, that is one of errForwardRefused.
+// serve it, that is one of errForwardRefused. That instance does not charge its send to the fleet's retry limit, so none may
+// if an endpoint has got the request and no retry was charged here since.
 func (r *request) asForwardRefusal(err error) error {
 	switch {
-	case !r.conn.forwarded():
+	case !r.conn.forwarded(), r.ran+r.rejected > r.retried:
 		return err
 	case errors.Is(err, errShuttingDown):
 		return errForwardRefused[refusedLeaving]
--- a/hosted/forward_test.go
+++ b/hosted/forward_test.go
@@ -17,6 +17,7 @@
 	"github.com/sardinedock/sardinedock/gossip"
 	"github.com/sardinedock/sardinedock/logline/logtest"
 	"github.com/sardinedock/sardinedock/platform/platformtest"
+	"github.com/sardinedock/sardinedock/reachability"
 	"github.com/sardinedock/sardinedock/schema/settingspb"
 )
 
@@ -219,6 +220,40 @@
 	}
 }
 
+// Guards against a retry that nobody has charged to the fleet's limit: an endpoint rejected the forwarded request, the limit
+// refused another send, and as the instance had lost its paths meanwhile, the first one sent the request again.
+func TestForwardedRequestThatWasRejectedIsNotSentAgainUncharged(t *testing.T) {
+	f := newFixtureWith(t, 2, 0)
+	near := partitioned(f.instances[0])
+	var arrivals atomic.Int64
+	f.endpoint("e1", "orders", func(x *platformtest.Exchange) bool {
+		if !strings.HasSuffix(string(x.Request.URI().Path()), "/once") {
+			return ok(x)
+		}
+		if arrivals.Add(1) == 1 {
+			near.cut(cutNothing)
+			now := time.Now()
+			f.instances[0].paths.Received(now, "e1", now)
+			f.instances[1].paths.Lost(now, "e1", reachability.NoConnections)
+		}
+		x.Reject(503)
+		return true
+	})
+	f.serve(1, nil)
+	f.awaitPeers()
+	near.cut(cutWithReset)
+	f.eventually("the loss known", func() bool {
+		f.do(f.request("GET", "/stock/probe", ""))
+		return len(f.instances[0].paths.LostServices()) > 0
+	})
+	if a := f.do(f.request("GET", "/stock/once", "")); a.status != 503 {
+		t.Errorf("%+v, want 503: it has not run", a)
+	}
+	if n := arrivals.Load(); n != 1 {
+		t.Errorf("it reached endpoints %d times without a retry", n)
+	}
+}
+
 // Guards against an organisation that is charged at both instances for one request.
 func TestForwardedRequestIsChargedOnce(t *testing.T) {
 	f := newFixture(t, 2)
