Crash guard: test of a request through two instances while a message is lost

In virtual time, with messages that arrive before the next send: two, and at most three whichever message is lost. Passed at once; no change of the code. With sockets and real loss it was not measured.

--- a/policy/crash_test.go
+++ b/policy/crash_test.go
@@ -57,6 +57,39 @@
 	}
 }
 
+// A request that crashes endpoints is sent through two instances in turn. It must crash no more than two endpoints, and three
+// if one message between the instances is lost, whichever that is.
+func TestLostMessageCostsOneMoreEndpoint(t *testing.T) {
+	const sends, none = 8, -1
+	for lost := none; lost < sends; lost++ {
+		guards := [2]*CrashGuard{NewCrashGuard(time.Hour), NewCrashGuard(time.Hour)}
+		fp, crashed := [16]byte{1}, 0
+		for n := range sends {
+			now, g, other := start.Add(time.Duration(n)*30*time.Millisecond), guards[n%2], guards[(n+1)%2]
+			crash := crashOf(string(rune('a' + n)))
+			switch v, _ := g.Verdict(now, fp); v {
+			case CrashRefused:
+				continue
+			case CrashSuspect, CrashConfined:
+				crash = trialAt(string(rune('a' + n)))
+			}
+			g.Crashed(now, fp, crash)
+			if crashed++; crashed == lost+1 {
+				g.Changed()
+				continue
+			}
+			exchange(g, other, now)
+		}
+		want := 3
+		if lost == none {
+			want = 2
+		}
+		if crashed > want {
+			t.Errorf("message %d is lost: %d endpoints crashed, want at most %d", lost, crashed, want)
+		}
+	}
+}
+
 // Several endpoints are lost together, and a harmless request for a popular thing was in flight at
 // more than one. It must be run again, and cleared when it completes.
 func TestRequestAtEndpointsLostTogetherIsNotRefused(t *testing.T) {
