Fair shares hold as soon as a service refuses more than a hundredth

Cause: shares were computed only if more than 1.05 times what is admitted was asked for. What is estimated wrongly is added to both sides once it is known, so it needs no margin of 0.05.

The margin is now 0.01.

--- a/fairshare/fairshare.go
+++ b/fairshare/fairshare.go
@@ -33,7 +33,7 @@
 	underShare = 0.95
 	// contention is the least ratio of work asked for to work admitted at which shares are needed; below it, the
 	// difference may be due to estimated work.
-	contention = 1.05
+	contention = 1.01
 	// forgottenWork is the recent work, relative to that of an average request, below which an organisation is no
 	// longer tracked. One request is forgotten after 10 s.
 	forgottenWork = 0.001
