--- a/fairshare/fairshare.go
+++ b/fairshare/fairshare.go
@@ -31,8 +31,8 @@
 	// underShare is the part of the fair share below which an organisation is under it. Where one organisation is
 	// served alone its share is all that is admitted, and without a margin noise would decide.
 	underShare = 0.95
-	// contention is the least ratio of work asked for to work admitted at which shares are needed; below it, the
-	// difference may be due to estimated work.
+	// contention is the least ratio of work asked for to work admitted at which shares are needed. Estimates that turn out
+	// wrong change both sides alike.
 	contention = 1.01
 	// forgottenWork is the recent work, relative to that of an average request, below which an organisation is no
 	// longer tracked. One request is forgotten after 10 s.
