One reader of socket states for the tests of hosted and soak

Both are now internal/sockdiag: Between for one socket, All for those in the kernel's tables. The tests, their bounds and what they assert are as they were; each call still asks for the one attribute that it needs.

--- a/hosted/kernelbytes_linux_test.go
+++ b/hosted/kernelbytes_linux_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"encoding/binary"
 	"net"
 	"os"
 	"os/exec"
@@ -10,27 +9,12 @@
 	"syscall"
 	"testing"
 	"unsafe"
-)
 
-// Sizes, offsets and values of sock_diag(7).
-const (
-	diagByFamily, diagMemory      = 20, 7
-	diagRequestSize               = 56
-	diagMessageSize               = 72
-	diagLocalPort, diagRemotePort = 4, 6
-	diagInode                     = 68
-	tcpListen                     = 10
-	// Socket options, and the number of values of the second.
-	soProtocol, soMeminfo, memoryValues = 38, 55, 9
+	"github.com/sardinedock/sardinedock/internal/sockdiag"
 )
 
-// tcpSocket is a TCP socket of the machine that is not closed at both ends. Its inode is 0 once its process has closed it.
-type tcpSocket struct {
-	inode         uint32
-	local, remote uint16
-	listens       bool
-	memory        int64
-}
+// Socket options of linux/socket.h.
+const soProtocol, soMeminfo = 38, 55
 
 // ownPorts are the ports at which this process listens.
 type ownPorts map[uint16]bool
@@ -44,8 +28,8 @@
 		}
 	}
 	for _, s := range tcpSockets(t) {
-		if s.listens && own[s.inode] {
-			listens[s.local] = true
+		if s.State == sockdiag.Listen && own[s.Inode] {
+			listens[s.LocalPort] = true
 		}
 	}
 	return listens
@@ -61,8 +45,8 @@
 		}
 	}
 	for _, s := range tcpSockets(t) {
-		if s.inode == 0 && (listens[s.local] || listens[s.remote]) {
-			sum += s.memory
+		if s.Inode == 0 && (listens[s.LocalPort] || listens[s.RemotePort]) {
+			sum += s.Memory
 		}
 	}
 	return uint64(max(sum, 0))
@@ -86,88 +70,23 @@
 // memoryOf returns the bytes that a socket occupies; 0 if it is closed. A socket whose connection was reset still holds what was
 // not read, but is in no table of the kernel.
 func memoryOf(fd int) int64 {
-	var values [memoryValues]uint32
+	var values [sockdiag.MemoryValues]uint32
 	size := uint32(unsafe.Sizeof(values))
 	_, _, failed := syscall.Syscall6(syscall.SYS_GETSOCKOPT, uintptr(fd), syscall.SOL_SOCKET, soMeminfo, uintptr(unsafe.Pointer(&values)), uintptr(unsafe.Pointer(&size)), 0)
 	if failed != 0 {
 		return 0
 	}
-	return occupied(values[:])
-}
-
-// occupied sums up the bytes that were received, those reserved for either direction, which may be negative, and those to be
-// sent, in the values of linux/sock_diag.h.
-func occupied(values []uint32) (sum int64) {
-	const received, reserved, sending = 0, 4, 5
-	for _, at := range []int{received, reserved, sending} {
-		sum += int64(int32(values[at]))
-	}
-	return sum
+	return sockdiag.Occupied(values)
 }
 
 // tcpSockets returns the machine's TCP sockets.
-func tcpSockets(t testing.TB) []tcpSocket {
-	return append(tcpSocketsOf(t, syscall.AF_INET), tcpSocketsOf(t, syscall.AF_INET6)...)
-}
-
-func tcpSocketsOf(t testing.TB, family byte) (list []tcpSocket) {
+func tcpSockets(t testing.TB) []sockdiag.Socket {
 	t.Helper()
-	fd, err := syscall.Socket(syscall.AF_NETLINK, syscall.SOCK_RAW|syscall.SOCK_CLOEXEC, syscall.NETLINK_INET_DIAG)
+	list, err := sockdiag.All()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = syscall.Close(fd) }()
-	q := binary.NativeEndian.AppendUint32(nil, syscall.NLMSG_HDRLEN+diagRequestSize)
-	q = binary.NativeEndian.AppendUint16(q, diagByFamily)
-	q = binary.NativeEndian.AppendUint16(q, syscall.NLM_F_REQUEST|syscall.NLM_F_DUMP)
-	q = append(q, make([]byte, 8)...)
-	q = append(q, family, syscall.IPPROTO_TCP, 1<<(diagMemory-1), 0)
-	q = binary.NativeEndian.AppendUint32(q, ^uint32(0))
-	q = append(q, make([]byte, diagRequestSize-8)...)
-	if err := syscall.Sendto(fd, q, 0, &syscall.SockaddrNetlink{Family: syscall.AF_NETLINK}); err != nil {
-		t.Fatal(err)
-	}
-	buf := make([]byte, 64<<10)
-	for {
-		n, _, err := syscall.Recvfrom(fd, buf, 0)
-		if err != nil {
-			t.Fatal(err)
-		}
-		messages, err := syscall.ParseNetlinkMessage(buf[:n])
-		if err != nil {
-			t.Fatal(err)
-		}
-		for i := range messages {
-			m := &messages[i]
-			if m.Header.Type != diagByFamily || len(m.Data) < diagMessageSize {
-				return list
-			}
-			list = append(list, tcpSocket{
-				inode: binary.NativeEndian.Uint32(m.Data[diagInode:]), local: binary.BigEndian.Uint16(m.Data[diagLocalPort:]),
-				remote: binary.BigEndian.Uint16(m.Data[diagRemotePort:]), listens: m.Data[1] == tcpListen, memory: socketMemory(m.Data[diagMessageSize:]),
-			})
-		}
-	}
-}
-
-// socketMemory returns the bytes that a socket occupies, from the attributes of its message.
-func socketMemory(attributes []byte) int64 {
-	const header = 4
-	for len(attributes) >= header {
-		size := int(binary.NativeEndian.Uint16(attributes))
-		if size < header || size > len(attributes) {
-			return 0
-		}
-		if binary.NativeEndian.Uint16(attributes[2:]) == diagMemory && size >= header+4*memoryValues {
-			var values [memoryValues]uint32
-			for n := range values {
-				values[n] = binary.NativeEndian.Uint32(attributes[header+4*n:])
-			}
-			return occupied(values[:])
-		}
-		attributes = attributes[min(len(attributes), (size+3)&^3):]
-	}
-	return 0
+	return list
 }
 
 // unreadBytes is what the tests below leave unread on each of unreadConns connections.
--- a/soak/link_test.go
+++ b/soak/link_test.go
@@ -261,7 +261,7 @@
 
 // unread reports whether the link or the caller has not read all that the router has sent.
 func (d downstream) unread() bool {
-	return unreadBy(d.caller.LocalAddr(), d.caller.RemoteAddr()) > 0 || d.conn != nil && unreadBy(d.conn.target.LocalAddr(), d.conn.target.RemoteAddr()) > 0
+	return unreadBy(d.caller) > 0 || d.conn != nil && unreadBy(d.conn.target) > 0
 }
 
 // sent returns the number of bytes that the router's process has sent, to within controlBytes; 0 if the link had closed the
@@ -270,10 +270,10 @@
 	if d.conn == nil {
 		return 0
 	}
-	if n, known := sentBy(d.conn.target.RemoteAddr(), d.conn.target.LocalAddr()); known {
+	if n, known := sentByPeer(d.conn.target); known {
 		return n
 	}
-	return d.conn.readDown.Load() + unreadBy(d.conn.target.LocalAddr(), d.conn.target.RemoteAddr())
+	return d.conn.readDown.Load() + unreadBy(d.conn.target)
 }
 
 // delayOrDrop waits for the link's delay and reports whether the data is to be dropped.
--- a/soak/sender_test.go
+++ b/soak/sender_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"encoding/binary"
 	"errors"
 	"fmt"
 	"net"
@@ -9,10 +8,10 @@
 	"path/filepath"
 	"slices"
 	"strconv"
-	"syscall"
 	"testing"
 	"time"
 
+	"github.com/sardinedock/sardinedock/internal/sockdiag"
 	"github.com/sardinedock/sardinedock/platform/platformtest"
 )
 
@@ -35,12 +34,12 @@
 
 // ownerOf returns the process at the other end of an accepted connection.
 func (s *soak) ownerOf(accepted net.Conn) (owner sender, ok bool) {
-	inode, _, err := socketBetween(accepted.RemoteAddr(), accepted.LocalAddr())
+	socket, err := sockdiag.Between(accepted.RemoteAddr(), accepted.LocalAddr())
 	if err != nil {
 		return sender{}, false
 	}
 	for _, i := range s.instances {
-		if pid, incarnation := i.process(); ownsSocket(pid, inode) {
+		if pid, incarnation := i.process(); ownsSocket(pid, socket.Inode) {
 			return sender{i.n, incarnation}, true
 		}
 	}
@@ -50,111 +49,32 @@
 // closedByPeer reports whether the process at the other end has closed a connection. It asks for the state
 // of that end's socket: until all data has been received, nothing of the close arrives at this end.
 func closedByPeer(c net.Conn) bool {
-	_, state, err := socketBetween(c.RemoteAddr(), c.LocalAddr())
-	return errors.Is(err, errNoSocket) || err == nil && state != tcpEstablished && state != tcpCloseWait
+	s, err := sockdiag.Between(c.RemoteAddr(), c.LocalAddr())
+	return errors.Is(err, sockdiag.ErrNoSocket) || err == nil && s.State != sockdiag.Established && s.State != sockdiag.CloseWait
 }
 
-var errNoSocket = errors.New("no such socket")
-
-// Sizes and values of sock_diag(7), and states of a socket that its process has not closed.
-const (
-	tcpEstablished   = 1
-	tcpCloseWait     = 8
-	sockDiagByFamily = 20
-	inetDiagReqSize  = 56
-	inetDiagMsgSize  = 72
-	// Offsets in the message on a socket.
-	inetDiagState, inetDiagReceiveQueue, inetDiagSendQueue, inetDiagInode = 1, 56, 60, 68
-	// The attribute with the struct tcp_info of linux/tcp.h, and the offset of tcpi_bytes_acked in it.
-	inetDiagInfo, tcpInfoBytesAcked = 2, 120
-	noCookie                        = 0xffffffff
-)
-
-// socketBetween returns the inode and the state of the TCP socket between two local IPv4 addresses.
-func socketBetween(localAddr, remoteAddr net.Addr) (inode uint32, state byte, err error) {
-	data, err := diagnose(localAddr, remoteAddr)
-	if err != nil {
-		return 0, 0, err
-	}
-	return binary.NativeEndian.Uint32(data[inetDiagInode:]), data[inetDiagState], nil
-}
-
-// unreadBy returns the number of bytes that the process of the TCP socket between two local IPv4 addresses has not read.
-func unreadBy(localAddr, remoteAddr net.Addr) int64 {
-	data, err := diagnose(localAddr, remoteAddr)
+// unreadBy returns the number of bytes that this process has not read of a connection.
+func unreadBy(c net.Conn) int64 {
+	s, err := sockdiag.Between(c.LocalAddr(), c.RemoteAddr())
 	if err != nil {
 		return 0
 	}
-	return int64(binary.NativeEndian.Uint32(data[inetDiagReceiveQueue:]))
+	return s.Unread
 }
 
-// sentBy returns the number of bytes that the process of the TCP socket between two local IPv4 addresses has written to it, to
-// within controlBytes; false if the kernel has forgotten the socket.
-func sentBy(localAddr, remoteAddr net.Addr) (bytes int64, known bool) {
-	data, err := diagnose(localAddr, remoteAddr)
-	if err != nil {
+// sentByPeer returns the number of bytes that the process at the other end has written to a connection, to within
+// controlBytes; false if the kernel has forgotten that.
+func sentByPeer(c net.Conn) (bytes int64, known bool) {
+	s, err := sockdiag.Between(c.RemoteAddr(), c.LocalAddr())
+	if err != nil || s.Acknowledged < 0 {
 		return 0, false
 	}
-	unacknowledged := int64(binary.NativeEndian.Uint32(data[inetDiagSendQueue:]))
-	const header = 4
-	for rest := data[inetDiagMsgSize:]; len(rest) >= header; {
-		size := int(binary.NativeEndian.Uint16(rest))
-		if size < header || size > len(rest) {
-			break
-		}
-		if binary.NativeEndian.Uint16(rest[2:]) == inetDiagInfo && size >= header+tcpInfoBytesAcked+8 {
-			return int64(binary.NativeEndian.Uint64(rest[header+tcpInfoBytesAcked:])) + unacknowledged, true
-		}
-		rest = rest[min(len(rest), (size+3)&^3):]
-	}
-	return 0, false
+	return s.Acknowledged + s.Unsent, true
 }
 
 // controlBytes is by how much the opening and the close of a connection may change its counts of bytes.
 const controlBytes = 2
 
-// diagnose returns the kernel's message on the TCP socket between two local IPv4 addresses. The kernel
-// is asked for this one socket: the table in /proc/net/tcp may lack sockets while others open and close.
-func diagnose(localAddr, remoteAddr net.Addr) (message []byte, err error) {
-	local, remote := localAddr.(*net.TCPAddr), remoteAddr.(*net.TCPAddr)
-	fd, err := syscall.Socket(syscall.AF_NETLINK, syscall.SOCK_RAW|syscall.SOCK_CLOEXEC, syscall.NETLINK_INET_DIAG)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = syscall.Close(fd) }()
-	var q []byte
-	q = binary.NativeEndian.AppendUint32(q, syscall.NLMSG_HDRLEN+inetDiagReqSize)
-	q = binary.NativeEndian.AppendUint16(q, sockDiagByFamily)
-	q = binary.NativeEndian.AppendUint16(q, syscall.NLM_F_REQUEST)
-	q = append(q, make([]byte, 8)...)
-	q = append(q, syscall.AF_INET, syscall.IPPROTO_TCP, 1<<(inetDiagInfo-1), 0)
-	q = binary.NativeEndian.AppendUint32(q, ^uint32(0))
-	q = binary.BigEndian.AppendUint16(q, uint16(local.Port))
-	q = binary.BigEndian.AppendUint16(q, uint16(remote.Port))
-	for _, ip := range []net.IP{local.IP, remote.IP} {
-		q = append(append(q, ip.To4()...), make([]byte, 12)...)
-	}
-	q = binary.NativeEndian.AppendUint32(q, 0)
-	q = binary.NativeEndian.AppendUint32(q, noCookie)
-	q = binary.NativeEndian.AppendUint32(q, noCookie)
-	if err := syscall.Sendto(fd, q, 0, &syscall.SockaddrNetlink{Family: syscall.AF_NETLINK}); err != nil {
-		return nil, err
-	}
-	buf := make([]byte, 4096)
-	n, _, err := syscall.Recvfrom(fd, buf, 0)
-	if err != nil {
-		return nil, err
-	}
-	answers, err := syscall.ParseNetlinkMessage(buf[:n])
-	if err != nil {
-		return nil, err
-	}
-	if len(answers) == 0 || answers[0].Header.Type != sockDiagByFamily || len(answers[0].Data) < inetDiagMsgSize {
-		return nil, fmt.Errorf("%w between %v and %v", errNoSocket, local, remote)
-	}
-	return answers[0].Data, nil
-}
-
 // ownsSocket reports whether a process has the socket open.
 func ownsSocket(pid int, inode uint32) bool {
 	files, _ := filepath.Glob(filepath.Join("/proc", strconv.Itoa(pid), "fd", "*"))
