--- a/soak/sender_test.go
+++ b/soak/sender_test.go
@@ -129,21 +129,28 @@
 	}
 }
 
-// The sender of a request is the process whose socket the connection to the endpoint is, also while other
-// connections come and go; the soak reported instances for requests that others had sent. It is unknown
-// once it has closed the connection.
-func TestSenderOfAConnection(t *testing.T) {
+// startLink starts a link to a target that the test accepts connections at.
+func startLink(t *testing.T) (target net.Listener, l *link) {
+	t.Helper()
 	target, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = target.Close() }()
-	l, err := newLink(target.Addr().String())
-	if err != nil {
+	t.Cleanup(func() { _ = target.Close() })
+	if l, err = newLink(target.Addr().String()); err != nil {
 		t.Fatal(err)
 	}
-	defer l.close()
+	t.Cleanup(l.close)
+	return target, l
+}
+
+// The sender of a request is the process whose socket the connection to the endpoint is, also while other
+// connections come and go; the soak reported instances for requests that others had sent. It is unknown
+// once it has closed the connection.
+func TestSenderOfAConnection(t *testing.T) {
+	target, l := startLink(t)
 	connect := func() (conn, accepted net.Conn) {
+		var err error
 		if conn, err = net.Dial("tcp4", l.address()); err == nil {
 			accepted, err = target.Accept()
 		}
@@ -185,16 +192,7 @@
 // A link that reads slowly sees the close of its caller's side while earlier data is unread. The soak reported
 // instances that had closed at once: the close arrives only after all data.
 func TestCloseBehindUnreadDataIsSeen(t *testing.T) {
-	target, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = target.Close() }()
-	l, err := newLink(target.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.close()
+	target, l := startLink(t)
 	l.pressBack()
 	l.set(impairment{upRate: 100_000})
 	conn, err := net.Dial("tcp4", l.address())
@@ -248,22 +246,14 @@
 		"sends more, then closes": {sent: answer, sentLater: answer, closes: true, late: true},
 		"sends a short answer":    {sentLater: 100, late: true},
 	} {
-		router, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer func() { _ = router.Close() }()
-		l, err := newLink(router.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer l.close()
+		router, l := startLink(t)
 		l.pressBack()
 		ck := newChecker()
-		x := &caller{soak: &soak{checker: ck}, instance: &instance{callers: l}}
-		if x.conn, err = net.Dial("tcp4", l.address()); err != nil {
+		conn, err := net.Dial("tcp4", l.address())
+		if err != nil {
 			t.Fatal(err)
 		}
+		x := &caller{soak: &soak{checker: ck}, instance: &instance{callers: l}, conn: conn}
 		answering, err := router.Accept()
 		if err != nil {
 			t.Fatal(err)
