Retry limit: divided when the list of instances changes only

The slack is divided by the listed instances, and the list changes in one place, where it is divided already.

hosted: the tests on retries, partitions, forwarding and reloading passed with the race detector.

--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -364,7 +364,6 @@
 		i.origins.book.Sweep(now)
 		i.guard.Repeat(now, i.repeater())
 		i.changeLog.flush(now)
-		i.divideRetries()
 	}
 }
 
