Log and count how connections of unframed answers end

Three places close such connections: the writer, which wants a reset; the queue for slow readers, which closes in order; the linger after an unread request, which does too. No log line or metric told which of them did, or what the writer knew.

The writer now states whole or broken and who ended the answer; the close logs that with the manner of the close, and counts it. 'explain' shows the line with its request's.

--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -111,6 +110,8 @@
 	// readAhead holds the bytes that watch read of the next request.
 	readAhead []byte
 	watch     watch
+	// unframed is the answer without framing that ends the connection; nil if there is none.
+	unframed atomic.Pointer[unframedAnswer]
 	// sender counts what the caller has not read; nil if that has no bound.
 	sender *sender
 }
@@ -192,35 +193,6 @@
 	return n, err
 }
 
-// Close implements net.Conn. The HTTP server calls it after the last answer is written, or earlier
-// if no request is being answered.
-func (c *callerConn) Close() error {
-	c.closing.Do(func() {
-		c.open.Add(-1)
-		c.linger()
-	})
-	if c.sender != nil && c.sender.drain() {
-		return nil
-	}
-	return c.Conn.Close()
-}
-
-// linger reads and discards the unread rest of a request until the caller closes the connection or
-// lingerTimeout has passed.
-//
-// Without it, closing a connection with unread bytes, or one that receives more, resets it, and a
-// caller that is still sending its request gets a connection error instead of the refusal.
-func (c *callerConn) linger() {
-	half, ok := c.Conn.(interface{ CloseWrite() error })
-	if !ok || !c.unread.Load() || half.CloseWrite() != nil {
-		return
-	}
-	if c.SetReadDeadline(time.Now().Add(lingerTimeout)) == nil {
-		// Ends at the deadline or when the caller closes or resets the connection.
-		_, _ = io.Copy(io.Discard, c.Conn)
-	}
-}
-
 // sends states for which request bytes are written from now on; nil for none.
 func (c *callerConn) sends(s *sending) {
 	if c.sender != nil {
--- a/gateway/framing.go
+++ b/gateway/framing.go
@@ -1,11 +1,7 @@
 package gateway
 
 import (
-	"io"
-	"net"
-
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/apex/log"
 
 	"github.com/sardinedock/sardinedock/endpoint"
 	"github.com/sardinedock/sardinedock/fault"
@@ -111,49 +107,3 @@
 // passesUnframed reports whether the caller's answer has to be passed on without framing: a length or a last
 // chunk would state that it is whole.
 func (r *request) passesUnframed(a *attempt) bool { return r.origin == "" && a.unframed() }
-
-// unframedBufferBytes is the size of a write of an unframed body; an event usually has a tenth of it.
-const unframedBufferBytes = 2 << 10
-
-// identityLength is the content length by which the HTTP library writes a header without framing.
-const identityLength = -2
-
-// writeUnframed writes an answer whose body ends with the connection. The HTTP library would add a length or
-// chunks.
-//
-// It writes to the connection directly: the HTTP library has flushed the answers before this one, since it
-// keeps no writer between two requests (ReduceMemoryUsage).
-func (r *request) writeUnframed() {
-	h := &r.ctx.Response.Header
-	h.SetContentLength(identityLength)
-	r.conn.resetOnClose(true)
-	_, err := r.conn.Write(h.Header())
-	if err == nil {
-		_, err = io.CopyBuffer(r.conn, r.unframed, make([]byte, unframedBufferBytes))
-	}
-	if closeErr := r.unframed.Close(); err == nil {
-		err = closeErr
-	}
-	if err == nil {
-		r.conn.resetOnClose(false)
-	}
-	r.ctx.HijackSetNoResponse(true)
-	r.ctx.Hijack(closeHijacked)
-}
-
-// closeHijacked ends a connection whose answer is written; the HTTP library closes it.
-func closeHijacked(net.Conn) {}
-
-// resetOnClose sets whether closing the connection resets it, so that an answer without framing does not look complete
-// until it is. The kernel closes the connections of a process that is killed in the same manner.
-func (c *callerConn) resetOnClose(reset bool) {
-	const abort, byDefault = 0, -1
-	linger := byDefault
-	if reset {
-		linger = abort
-	}
-	tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error })
-	if !ok || tcp.SetLinger(linger) != nil {
-		log.WithField("request", c.request).Error("connection of an answer without framing can't be reset; if truncated, it looks complete")
-	}
-}
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -26,8 +26,12 @@
 	maxLogLine = 1 << 20
 )
 
-// slowReaderClosed is the event of the line on a connection that was closed since its peer reads slowly.
-const slowReaderClosed = "connection of a slow reader closed"
+// The events of the lines on a caller's connection that was closed since the caller reads slowly, and on one that an answer without
+// framing has ended.
+const (
+	slowReaderClosed = "connection of a slow reader closed"
+	unframedClosed   = "connection of an answer without framing closed"
+)
 
 // explainCommand prints the log lines of all instances that concern one request.
 type explainCommand struct {
@@ -156,7 +160,8 @@
 	for _, e := range all {
 		ofEndpoint := endpoint != "" && e.stringField("endpoint") == endpoint && e.stringField("event") != "request" && !e.at.After(to.Add(-explainAfter))
 		// The connection may be closed long after the request's line, since its caller does not read the answer.
-		ofRequest := e.stringField("event") == slowReaderClosed && slices.ContainsFunc(requests, func(r logEntry) bool { return related(e, r) })
+		event := e.stringField("event")
+		ofRequest := (event == slowReaderClosed || event == unframedClosed) && slices.ContainsFunc(requests, func(r logEntry) bool { return related(e, r) })
 		near := !e.at.Before(from) && !e.at.After(to)
 		ofCause := !e.at.After(to) && slices.ContainsFunc(requests, func(r logEntry) bool { return aboutCause(e, r) })
 		if ofEndpoint || ofCause || ofRequest || near && slices.ContainsFunc(requests, func(r logEntry) bool { return related(e, r) }) {
