Only the writer's word decides how an unframed answer's connection ends

Cause: the writer requests a reset of the connection until the answer is whole. Close, which is called later, offered the connection first to the queue for slow readers. With 16 KiB or more unread that kept it and closed the direction to the caller, a FIN, which SO_LINGER does not change.

Change: the writer states whole or broken; until then the answer counts as broken. callerConn.finish alone chooses between an orderly end and a reset, and a broken answer is not kept. The reverse on the same path: a whole answer was reset if its caller had sent bytes that nobody reads; these are discarded first.

The test failed before: 11 of 32 cases looked complete or were reset though whole (answers of 120 events that are reset, cut by a crash or inside an event, direct and forwarded; forwarded ones at the deadline; whole ones followed by further bytes), and 6 more named another party, of which two by the test's own route timeout.

--- a/gateway/connend.go
+++ b/gateway/connend.go
@@ -10,6 +10,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
+
+	"github.com/sardinedock/sardinedock/internal/sockstate"
 )
 
 // unframedAnswer is an answer without framing that was begun on a caller's connection. How the connection ends is the only
@@ -23,9 +25,10 @@
 	why error
 }
 
-// Who ends an answer without framing, in log lines and metrics.
+// Who ends an answer without framing, in log lines and metrics. An instance is the one that the request was forwarded to.
 const (
 	byEndpoint   = "endpoint"
+	byInstance   = "instance"
 	byCaller     = "caller"
 	byDeadline   = "deadline"
 	byShutdown   = "shutdown"
@@ -88,7 +91,11 @@
 	if closeErr := r.unframed.Close(); err == nil {
 		err = closeErr
 	}
-	r.conn.endUnframed(err, endedBy(err, cancelCause(r.reqCtx)))
+	by := endedBy(err, cancelCause(r.reqCtx))
+	if by == byEndpoint && len(r.forwardedTo) > 0 {
+		by = byInstance
+	}
+	r.conn.endUnframed(err, by)
 	r.ctx.HijackSetNoResponse(true)
 	r.ctx.Hijack(closeHijacked)
 }
@@ -141,20 +148,33 @@
 	c.closing.Do(func() {
 		first = true
 		c.open.Add(-1)
-		c.linger()
 	})
-	closed, err := closedInOrder, error(nil)
-	if c.sender != nil && c.sender.drain() {
-		closed = closedLater
-	} else {
-		err = c.Conn.Close()
-	}
+	closed, err := c.finish(first)
 	if a := c.unframed.Load(); a != nil && first {
 		a.logClosed(closed)
 	}
 	return err
 }
 
+// finish ends the connection, or has it ended once a slow caller has read the rest. No other place chooses between an orderly
+// end and a reset.
+func (c *callerConn) finish(first bool) (closed string, err error) {
+	if a := c.unframed.Load(); a != nil && !a.whole {
+		if c.sender != nil {
+			c.sender.queue.Ended()
+		}
+		// The reset was requested by beginUnframed.
+		return closedByReset, c.Conn.Close()
+	}
+	if first {
+		c.linger()
+	}
+	if c.sender != nil && c.sender.drain() {
+		return closedLater, nil
+	}
+	return closedInOrder, c.Conn.Close()
+}
+
 // logClosed writes the line on the end of the answer's connection.
 func (a *unframedAnswer) logClosed(closed string) {
 	end := "whole"
@@ -169,14 +189,14 @@
 	log.WithFields(f).Info("connection of an answer without framing closed")
 }
 
-// linger reads and discards the unread rest of a request until the caller closes the connection or
-// lingerTimeout has passed.
+// linger reads and discards what is unread, the rest of a refused request or requests after the last that is answered, until the
+// caller closes the connection or lingerTimeout has passed.
 //
-// Without it, closing a connection with unread bytes, or one that receives more, resets it, and a
-// caller that is still sending its request gets a connection error instead of the refusal.
+// Without it, closing a connection with unread bytes, or one that receives more, resets it, and the caller gets a connection
+// error instead of the answer.
 func (c *callerConn) linger() {
 	half, ok := c.Conn.(interface{ CloseWrite() error })
-	if !ok || !c.unread.Load() || half.CloseWrite() != nil {
+	if received, _ := sockstate.Unread(c.Conn); !ok || !c.unread.Load() && received == 0 || half.CloseWrite() != nil {
 		return
 	}
 	if c.SetReadDeadline(time.Now().Add(lingerTimeout)) == nil {
