Cache groups are named after the organisations that they exclude

What callers saw: nothing.

Cause: all organisations that are not isolated formed one group with a fixed name, 'all'. One that left the group left its parts under that name. Evidence: the scope of the others is all/v1 before and after the change, at all instances, in the endpoints' record of a new test; that instances apply the records late is spoken against by uses that do not end. A second one on the way: a request that is sent again after the change went by the records of its admission.

Change: route.Table.CacheGroup names the group by a hash of the isolated organisations' names, from the records alone, and each send asks the records in force. What crashes endpoints is still recognised as before: the new name is not in its fingerprint.

Tests failed before: five of seven orders of changes (4 to 12 uses across a wall each), and the request that is sent again. The property test fails with the fixed name, and passes 3,000 checks with fresh seeds.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -167,9 +167,13 @@
 		s.Organisation = r.organisation.Name
 	}
 	if r.service.Engine != nil {
+		wall := r.wall()
 		s.Version = p.Version
-		s.CacheScope = balance.Scope(r.wall(), p.Version)
-		s.FetchFrom, s.SaveTo = p.FetchFrom, p.SaveTo
+		s.CacheScope = balance.Scope(wall, p.Version)
+		s.SaveTo = p.SaveTo
+		if wall == r.placedWall {
+			s.FetchFrom = p.FetchFrom
+		}
 		s.Priority = r.priority()
 	}
 	return s
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -91,6 +91,10 @@
 		avoid = nil
 	}
 	s.query.Exclude = append(slices.Clip(s.exclude), avoid...)
+	if s.service.Engine != nil {
+		// The records may have changed while the request waited.
+		s.query.Wall = s.wall()
+	}
 	s.query.Elapsed = now.Sub(s.began)
 	if s.query.Charge.Key != 0 {
 		s.query.Charge.Left = max(s.patience.Sub(now), 0)
@@ -101,6 +105,7 @@
 		return p, false, context.Cause(s.reqCtx)
 	}
 	if v.Admission == balance.Send {
+		s.placedWall = s.query.Wall
 		ok, err := s.confirmTrial(run, v, confined)
 		return v.Placement, ok, err
 	}
@@ -280,14 +285,9 @@
 // organisationHash returns the hash by which schedulers distinguish organisations; it is never 0.
 func organisationHash(name string) uint32 { return max(1, uint32(xxh3.HashString(name))) }
 
-// wall returns the name of the group whose requests may share cached prompt parts with this one:
-// the organisation alone if it is isolated, otherwise all others together.
-func (r *request) wall() string {
-	if r.organisation != nil && r.organisation.Isolated {
-		return "o/" + r.organisation.Name
-	}
-	return "all"
-}
+// wall returns the name of the group whose requests may share cached prompt parts with this one, by the records now in force:
+// a request may be sent long after those were replaced under which it was admitted.
+func (r *request) wall() string { return r.srv.cfg.Table().CacheGroup(r.organisation) }
 
 // routeRanks is the number of distinct route priorities within one priority of an organisation.
 // Endpoints have ten ranks in all.
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -72,6 +72,8 @@
 	// sentAt is the time of the first send.
 	sentAt time.Time
 	waited time.Duration
+	// placedWall is the wall for which the last placement was made.
+	placedWall string
 	// waitedMemory is the part of waited in which no endpoint had enough free memory for the
 	// request.
 	waitedMemory time.Duration
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -58,7 +58,10 @@
 	if r.parts != nil || len(r.call.Parts) < 2 {
 		return r.parts
 	}
-	wall := r.wall()
+	wall := "all"
+	if r.organisation != nil && r.organisation.Isolated {
+		wall = "o/" + r.organisation.Name
+	}
 	for _, p := range r.call.Parts[:len(r.call.Parts)-1] {
 		var hash xxh3.Hasher
 		for _, s := range []string{wall, r.call.Model, p.ID} {
--- a/hosted/updates.go
+++ b/hosted/updates.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
 	"github.com/sardinedock/sardinedock/balance"
@@ -26,15 +27,23 @@
 	}
 }
 
+var cacheGroupChanges = metrics.GetOrCreateCounter("sardinedock_cache_group_changes_total")
+
 func (i *Instance) setRecords(obj objectapi.Object) {
 	t, err := platform.Records(obj)
 	if err != nil {
 		log.WithError(err).WithField("revision", uint64(obj.Version)).Error("records refused; those before stay in force")
 		return
 	}
-	if old := i.table.Load(); old != nil && old.Version() >= t.Version() {
+	old := i.table.Load()
+	if old != nil && old.Version() >= t.Version() {
 		return
 	}
+	if group := t.CacheGroup(nil); old != nil && old.CacheGroup(nil) != group {
+		cacheGroupChanges.Inc()
+		log.WithField("records", t.Version()).WithField("group", group).WithField("before", old.CacheGroup(nil)).
+			Info("isolated organisations changed; the others' cached prompt parts are out of use")
+	}
 	pools := map[string]balance.Pool{}
 	t.Services(func(s *route.Service) {
 		if s.Engine != nil {
--- a/route/table.go
+++ b/route/table.go
@@ -28,6 +28,9 @@
 	byKey         map[string]*Organisation
 	cacheStores   []*Service
 	routes        int
+	// isolated are the names of isolated organisations, sharedGroup the cache group of all others.
+	isolated    map[string]bool
+	sharedGroup string
 }
 
 // NewTable validates and indexes the records. Errors are of kind fault.Invalid; on an error the
@@ -41,6 +44,7 @@
 		organisations: map[string]*Organisation{},
 		byKey:         map[string]*Organisation{},
 		routes:        len(r.Routes),
+		isolated:      map[string]bool{},
 	}
 	for i := range r.Services {
 		s := &r.Services[i]
@@ -52,6 +56,7 @@
 	for i := range r.Organisations {
 		t.addOrganisation(&r.Organisations[i])
 	}
+	t.sharedGroup = sharedGroup(t.isolated)
 	for i := range r.Routes {
 		if err := t.addRoute(&r.Routes[i]); err != nil {
 			return nil, err
@@ -68,6 +73,9 @@
 	for _, key := range o.Keys {
 		t.byKey[key] = o
 	}
+	if o.Isolated {
+		t.isolated[o.Name] = true
+	}
 }
 
 func (t *Table) addRoute(r *Route) error {
