A crashing part is the same for isolated organisations

Cause: the part's fingerprint held the wall within which its cache is shared, so that the crash guard started from nothing for each isolated organisation. Evidence: three crashes for each of the two, three for all others.

Change: the fingerprint holds the model and the part. Whom a crash counts against is decided by organisation, as before. It also no longer depends on which organisations are isolated, so that a change of the records forgets no such part.

--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -52,19 +52,15 @@
 }
 
 // sharedParts returns the fingerprints of the parts of the prompt that other requests may share, in order.
-// The last part belongs to the request itself. A part is the same for all requests that may share its cache,
-// whatever precedes it.
+// The last part belongs to the request itself. A part is the same whatever precedes it and whoever sends it: it crashes
+// endpoints for all, also for organisations that share no cache.
 func (r *request) sharedParts() [][16]byte {
 	if r.parts != nil || len(r.call.Parts) < 2 {
 		return r.parts
 	}
-	wall := "all"
-	if r.organisation != nil && r.organisation.Isolated {
-		wall = "o/" + r.organisation.Name
-	}
 	for _, p := range r.call.Parts[:len(r.call.Parts)-1] {
 		var hash xxh3.Hasher
-		for _, s := range []string{wall, r.call.Model, p.ID} {
+		for _, s := range []string{r.call.Model, p.ID} {
 			_, _ = hash.WriteString(s)
 			_, _ = hash.Write([]byte{0})
 		}
--- a/hosted/part_crash_test.go
+++ b/hosted/part_crash_test.go
@@ -32,8 +32,9 @@
 	pause  time.Duration
 	// unframed has answers end with their connections.
 	unframed bool
-	// keys are those of the organisations that send requests.
-	keys []string
+	// keys are those of the organisations that send requests, of which the first isolated are isolated.
+	keys     []string
+	isolated int
 	// lossEvery is the time between two losses of an endpoint that no request causes; 0 for none.
 	lossEvery time.Duration
 	// restartAt is when an instance is killed and another one started; 0 for never.
@@ -156,11 +157,18 @@
 
 // ask sends a prompt through an instance and reports whether it was served.
 func (p *partRun) ask(instance int, parts string, own int) bool {
-	req := prompt(p.request("POST", fmt.Sprintf("/check/%d", own), "x"))
-	req.Header.Set("Sardinedock-Prompt-Prefix", fmt.Sprintf("%s,own-%d:100", parts, own))
+	key := deskKey
 	if len(p.keys) > 0 {
-		req.Header.Set("Authorization", "Bearer "+p.keys[rand.IntN(len(p.keys))])
+		key = p.keys[rand.IntN(len(p.keys))]
 	}
+	return p.askWith(key, instance, parts, own)
+}
+
+// askWith is ask with the key of an organisation.
+func (p *partRun) askWith(key string, instance int, parts string, own int) bool {
+	req := prompt(p.request("POST", fmt.Sprintf("/check/%d", own), "x"))
+	req.Header.Set("Sardinedock-Prompt-Prefix", fmt.Sprintf("%s,own-%d:100", parts, own))
+	req.Header.Set("Authorization", "Bearer "+key)
 	a := p.sendTo(instance, req)
 	return a.status == http.StatusOK && !a.truncated
 }
@@ -269,16 +277,7 @@
 	for range partEndpoints {
 		p.addEndpoint()
 	}
-	p.serve(partEndpoints, func(records map[string]any) {
-		if len(p.keys) == 0 {
-			return
-		}
-		var organisations []any
-		for _, key := range p.keys {
-			organisations = append(organisations, map[string]any{"name": "of-" + key, "apiKeys": []string{key}, "priority": 0})
-		}
-		records["tenants"] = organisations
-	})
+	p.serve(partEndpoints, p.addOrganisations)
 	p.awaitPeers()
 	var wg sync.WaitGroup
 	for k := range 40 {
@@ -289,6 +288,18 @@
 	return p
 }
 
+// addOrganisations adds the organisations that send requests to the records.
+func (p *partRun) addOrganisations(records map[string]any) {
+	if len(p.keys) == 0 {
+		return
+	}
+	var organisations []any
+	for k, key := range p.keys {
+		organisations = append(organisations, map[string]any{"name": "of-" + key, "apiKeys": []string{key}, "priority": 0, "isolated": k < p.isolated})
+	}
+	records["tenants"] = organisations
+}
+
 // check fails the test if too many requests with a crashing part reached endpoints, or a smaller share than least of
 // the sound ones was served.
 func (p *partRun) check(least float64) {
@@ -366,6 +377,39 @@
 	}
 }
 
+// Guards against a crashing part that is found anew for each organisation that shares no cache with others, and once more when
+// the records change which organisations these are.
+func TestCrashingPartIsKnownForIsolatedOrganisationsToo(t *testing.T) {
+	const rounds, settle = 4, 150 * time.Millisecond
+	p := startPartPlay(t, partPlay{
+		crashing: []string{"company:300,bad:200,catalogue:600"}, sound: []string{"company:300,catalogue:600"}, events: 2,
+		keys: []string{"one", "two", "three", "four", "five", "six"}, isolated: 4,
+	})
+	crashed := func(round string) int {
+		for k := range rounds * len(p.keys) {
+			p.askWith(p.keys[k%len(p.keys)], k%partInstances, p.crashing[0], 10000+p.nextID)
+			time.Sleep(settle)
+		}
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		n := len(p.crashes["bad:200"])
+		t.Logf("%s: %d endpoints crashed until now", round, n)
+		return n
+	}
+	known := crashed("first")
+	if known > partCrashes {
+		t.Errorf("%d endpoints crashed, %d show which part is at fault", known, partCrashes)
+	}
+	p.isolated = 2
+	p.mu.Lock()
+	alive := len(p.alive)
+	p.mu.Unlock()
+	p.serve(alive, p.addOrganisations)
+	if n := crashed("after the records changed"); n > known {
+		t.Errorf("%d more endpoints crashed after the records changed", n-known)
+	}
+}
+
 // randomPartPlay returns a play with one to three crashing parts at random places, sent by one to three
 // organisations, beside losses of endpoints and the restart of an instance.
 func randomPartPlay(rng *rand.Rand) partPlay {
@@ -381,6 +425,7 @@
 	for k := range 1 + rng.IntN(3) {
 		play.keys = append(play.keys, fmt.Sprintf("key-%d", k))
 	}
+	play.isolated = rng.IntN(len(play.keys) + 1)
 	if rng.IntN(2) == 0 {
 		play.lossEvery = time.Duration(500+rng.IntN(1500)) * time.Millisecond
 	}
