Own interface: bytes after an answer are not read when its connection is closed

A connection that is closed in order may be crossed by its caller's next request. Unread, the reset tells the caller that nobody has read it, and that it may be sent again, also if it must run at most once. Read and discarded, it looks accepted and lost. The answer before it is whole by its framing in any case.

--- a/frontend/listener.go
+++ b/frontend/listener.go
@@ -9,8 +9,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-
-	"github.com/sardinedock/sardinedock/internal/sockstate"
 )
 
 const (
@@ -73,13 +71,12 @@
 }
 
 // Close implements net.Conn. The kernel resets a connection that is closed with unread data,
-// and the reset can overtake the answer: a caller that sent too large a body, or its next
-// request, would see a connection error instead of the answer. Unread data is therefore read
-// and discarded first.
+// and the reset can overtake the answer: a caller that sent too large a body would see a
+// connection error instead of the status. After such a refusal the rest of the body is
+// therefore read and discarded first.
 func (c *callerConn) Close() error {
 	cw, ok := c.Conn.(interface{ CloseWrite() error })
-	unread, _ := sockstate.Unread(c.Conn)
-	if ok && (c.linger.Swap(false) || unread > 0) && cw.CloseWrite() == nil {
+	if ok && c.linger.Swap(false) && cw.CloseWrite() == nil {
 		_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
 		_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, maxLingerBytes))
 	}
