A request that crosses the end of its connection is not read

A request that crosses a close would be read for a second and then lost; its caller could not tell that from one that was accepted. Reading is confined to connections that an unframed answer ends, as the fault required.

Events of streams are no longer copied once more where no comment precedes them.

--- a/gateway/connend.go
+++ b/gateway/connend.go
@@ -189,14 +189,15 @@
 	log.WithFields(f).Info("connection of an answer without framing closed")
 }
 
-// linger reads and discards what is unread, the rest of a refused request or requests after the last that is answered, until the
-// caller closes the connection or lingerTimeout has passed.
+// linger reads and discards the unread rest of a refused request, or what follows after a request whose answer has no framing,
+// until the caller closes the connection or lingerTimeout has passed.
 //
-// Without it, closing a connection with unread bytes, or one that receives more, resets it, and the caller gets a connection
-// error instead of the answer.
+// Without it, closing a connection with unread bytes, or one that receives more, resets it. The caller would get a connection
+// error instead of the refusal, or take the answer for a broken one. In all other cases the reset is wanted: it tells the caller
+// that its next request, which has crossed the end of the connection, was not read.
 func (c *callerConn) linger() {
 	half, ok := c.Conn.(interface{ CloseWrite() error })
-	if received, _ := sockstate.Unread(c.Conn); !ok || !c.unread.Load() && received == 0 || half.CloseWrite() != nil {
+	if !ok || !c.unread.Load() && !c.unreadAfterUnframed() || half.CloseWrite() != nil {
 		return
 	}
 	if c.SetReadDeadline(time.Now().Add(lingerTimeout)) == nil {
@@ -204,3 +205,9 @@
 		_, _ = io.Copy(io.Discard, c.Conn)
 	}
 }
+
+// unreadAfterUnframed reports whether there are unread bytes after a request whose answer has no framing.
+func (c *callerConn) unreadAfterUnframed() bool {
+	received, _ := sockstate.Unread(c.Conn)
+	return received > 0 && c.unframed.Load() != nil
+}
--- a/gateway/connend_test.go
+++ b/gateway/connend_test.go
@@ -90,3 +90,33 @@
 		})
 	}
 }
+
+// Guards against a request that crosses the end of its connection and is read and discarded, so that its caller takes it for accepted
+// and lost; the reset tells that nobody has read it.
+func TestRequestThatCrossesTheEndOfItsConnectionIsNotRead(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	caller, err := net.Dial("tcp4", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = caller.Close() }()
+	accepted, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := (&listener{slow: NewSlowReaders(1 << 30), open: new(atomic.Int64)}).newConn(accepted)
+	if _, err := caller.Write([]byte("POST /confirm HTTP/1.1\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(20 * time.Millisecond)
+	began := time.Now()
+	_ = c.Close()
+	_ = caller.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, err := caller.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) || time.Since(began) > lingerTimeout/2 {
+		t.Errorf("%v after %v, want a reset at once", err, time.Since(began))
+	}
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -98,7 +98,9 @@
 	var lead []byte
 	for {
 		event, id, err := s.reader.next()
-		s.pending = append(lead, event...)
+		if s.pending = event; len(lead) > 0 {
+			s.pending = append(lead, event...)
+		}
 		switch {
 		case err != nil:
 			if errors.Is(err, errEventCut) {
