--- a/hosted/endless_test.go
+++ b/hosted/endless_test.go
@@ -33,7 +33,9 @@
 		repeat(nothing, body),
 		repeat(func() { x.Write("HTTP/1.1 200 OK\r\n") }, "A: b\r\n"),
 		repeat(func() { x.Write("HTTP/1.1 503 X\r\nSardinedock-Not-Executed: 1\r\n\r\n") }, body),
-		repeat(func() { x.Write("HTTP/1.1 500 X\r\nSardinedock-Request-Id: %s\r\nSardinedock-Response-Signature: s\r\n\r\n", x.ID()) }, body),
+		repeat(func() {
+			x.Write("HTTP/1.1 500 X\r\nSardinedock-Request-Id: %s\r\nSardinedock-Response-Signature: s\r\n\r\n", x.ID())
+		}, body),
 	}
 }
 
