Chunks with hardly any content do not keep an answer without end going

Cause: the bound counts content, of which such chunks have a sixth; the rest is parsed for nothing.

An answer that has received over 64 KB more than twice its content is ended.

--- a/endpoint/collect.go
+++ b/endpoint/collect.go
@@ -22,6 +22,9 @@
 	pieceBytes = 32 << 10
 	// maxDiscarded bounds what is read of a body that nobody wants, so that its connection can be used again.
 	maxDiscarded = 64 << 10
+	// maxFraming bounds the bytes received beyond twice the content of a body, such as those of chunk heads. Chunks with hardly any
+	// content would take long to be as much as the bound on content allows.
+	maxFraming = 64 << 10
 	// maxInformational bounds the informational (1xx) responses before the final one.
 	maxInformational = 8
 )
@@ -29,6 +32,7 @@
 var (
 	errInformational = errors.New("too many informational responses before the final one")
 	errTooLong       = fault.New(fault.Broken, "look at the endpoint's log", "answer over %d bytes", maxResponseBytes)
+	errFraming       = fault.New(fault.Broken, "look at the endpoint's log", "chunks with hardly any content")
 	errNotDiscarded  = fault.New(fault.Broken, "look at the endpoint's log", "over %d bytes in an answer that nobody wants", maxDiscarded)
 
 	answersTooLarge = metrics.GetOrCreateCounter("sardinedock_intake_ended_total")
@@ -75,15 +79,16 @@
 		return nil, err
 	}
 	first := make([]byte, firstPieceBytes)
+	before := resp.conn.received
 	n, err := fill(resp.body, first)
 	if err != nil {
 		return first[:n], notEOF(err)
 	}
-	return resp.collectPieces(c, first)
+	return resp.collectPieces(c, first, before)
 }
 
-// collectPieces reads what follows after the first bytes of a body.
-func (resp *response) collectPieces(c *bufferlimit.Collection, first []byte) ([]byte, error) {
+// collectPieces reads what follows after the first bytes of a body. before is what had been received on the connection before them.
+func (resp *response) collectPieces(c *bufferlimit.Collection, first []byte, before int) ([]byte, error) {
 	var list []*[pieceBytes]byte
 	defer func() {
 		for _, p := range list {
@@ -98,8 +103,11 @@
 		list = append(list, p)
 		n, err := fill(resp.body, p[:])
 		size += n
-		if size > maxResponseBytes {
+		switch {
+		case size > maxResponseBytes:
 			return nil, errTooLong
+		case resp.conn.received-before > 2*size+maxFraming:
+			return nil, errFraming
 		}
 		if err == nil {
 			continue
--- a/endpoint/conn.go
+++ b/endpoint/conn.go
@@ -49,8 +49,8 @@
 	// idleTimeout is how long the connection may stay idle and still be reused.
 	idleTimeout time.Duration
 	reused      bool
-	// written counts the bytes accepted by the kernel.
-	written int
+	// written counts the bytes accepted by the kernel, received those that were read from it.
+	written, received int
 	// limited is set once the kernel's buffer for received bytes was bounded, which can't be undone.
 	limited atomic.Bool
 	// intake bounds the bodies that are read whole; nil for sharedIntake.
@@ -67,7 +67,9 @@
 			return 0, err
 		}
 	}
-	return c.Conn.Read(p)
+	n, err := c.Conn.Read(p)
+	c.received += n
+	return n, err
 }
 
 // Write counts the bytes written, so that an error can state whether any were sent.
