One place sets the wall of a placement; one listener and one pair in tests

The wall was computed twice before the first placement: in query, which is called before a request waits, and in try, which sets it for each placement. Only try sets it now. The stand-ins of endless and small answers had the same accept loop, and two tests of callers' connections the same pair of sockets. Two comments in plainer words. Behaviour and assertions are unchanged.

--- a/endpoint/endless_test.go
+++ b/endpoint/endless_test.go
@@ -32,15 +32,13 @@
 	"old head":            {"HTTP/1.0 200 OK\r\n", "A: b\r\n"},
 }
 
-// serveEndless answers on all connections with head and then repeated, as fast as it is read, and counts the bytes that were sent.
-func serveEndless(t *testing.T, head, repeated string) (address string, sent *atomic.Int64) {
+// serveConns has handle serve each connection to a listener, and closes it afterwards.
+func serveConns(t *testing.T, handle func(net.Conn)) (address string) {
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = ln.Close() })
-	sent = &atomic.Int64{}
-	block := []byte(strings.Repeat(repeated, 1+(32<<10)/len(repeated)))
 	go func() {
 		for {
 			c, err := ln.Accept()
@@ -49,16 +47,25 @@
 			}
 			go func() {
 				defer func() { _ = c.Close() }()
-				_, _ = bufio.NewReader(c).ReadString('\n')
-				_, err := io.WriteString(c, head)
-				for n := 0; err == nil; {
-					n, err = c.Write(block)
-					sent.Add(int64(n))
-				}
+				handle(c)
 			}()
 		}
 	}()
-	return ln.Addr().String(), sent
+	return ln.Addr().String()
+}
+
+// serveEndless answers on all connections with head and then repeated, as fast as it is read, and counts the bytes that were sent.
+func serveEndless(t *testing.T, head, repeated string) (address string, sent *atomic.Int64) {
+	sent = &atomic.Int64{}
+	block := []byte(strings.Repeat(repeated, 1+(32<<10)/len(repeated)))
+	return serveConns(t, func(c net.Conn) {
+		_, _ = bufio.NewReader(c).ReadString('\n')
+		_, err := io.WriteString(c, head)
+		for n := 0; err == nil; {
+			n, err = c.Write(block)
+			sent.Add(int64(n))
+		}
+	}), sent
 }
 
 const (
@@ -107,7 +114,7 @@
 	const endlessAtOnce, others = 10, 200
 	intake := bufferlimit.NewIntake(endlessBound)
 	address, _ := serveEndless(t, endless["body"].head, endless["body"].repeated)
-	small, _ := serveSmall(t)
+	small := serveSmall(t)
 	stop := make(chan struct{})
 	var peak atomic.Int64
 	var wg sync.WaitGroup
@@ -146,33 +153,14 @@
 }
 
 // serveSmall answers with a short body that ends with the connection.
-func serveSmall(t *testing.T) (address string, served *atomic.Int64) {
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = ln.Close() })
-	served = &atomic.Int64{}
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				br := bufio.NewReader(c)
-				for line := "x"; strings.TrimSpace(line) != ""; {
-					if line, err = br.ReadString('\n'); err != nil {
-						break
-					}
-				}
-				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nsmall")
-				served.Add(1)
-				_ = c.Close()
-			}()
+func serveSmall(t *testing.T) (address string) {
+	return serveConns(t, func(c net.Conn) {
+		br := bufio.NewReader(c)
+		for line, err := "x", error(nil); err == nil && strings.TrimSpace(line) != ""; {
+			line, err = br.ReadString('\n')
 		}
-	}()
-	return ln.Addr().String(), served
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nsmall")
+	})
 }
 
 // Guards against an engine's stream that keeps its reader busy, and its request's slot occupied, with bytes that are no event.
--- a/gateway/connend.go
+++ b/gateway/connend.go
@@ -193,8 +193,8 @@
 // until the caller closes the connection or lingerTimeout has passed.
 //
 // Without it, closing a connection with unread bytes, or one that receives more, resets it. The caller would get a connection
-// error instead of the refusal, or take the answer for a broken one. In all other cases the reset is wanted: it shows the caller
-// that its next request, which has crossed the end of the connection, was not read.
+// error instead of the refusal, or treat the answer as truncated. In all other cases the reset has to be sent: it is how the caller
+// learns that its next request, which was on its way when the connection ended, was not read.
 func (c *callerConn) linger() {
 	half, ok := c.Conn.(interface{ CloseWrite() error })
 	if !ok || !c.unread.Load() && !c.unreadAfterUnframed() || half.CloseWrite() != nil {
--- a/gateway/connend_test.go
+++ b/gateway/connend_test.go
@@ -91,24 +91,10 @@
 	}
 }
 
-// Guards against a request that crosses the end of its connection and is read and discarded, so that its caller takes it for accepted
-// and lost; the reset tells that nobody has read it.
+// Guards against a request that is on its way when its connection ends, and is read and discarded, so that its caller treats it as
+// accepted; the reset states that it was not read.
 func TestRequestThatCrossesTheEndOfItsConnectionIsNotRead(t *testing.T) {
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = ln.Close() }()
-	caller, err := net.Dial("tcp4", ln.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = caller.Close() }()
-	accepted, err := ln.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	c := (&listener{slow: NewSlowReaders(1 << 30), open: new(atomic.Int64)}).newConn(accepted)
+	c, caller := connect(t, NewSlowReaders(1<<30))
 	if _, err := caller.Write([]byte("POST /confirm HTTP/1.1\r\n\r\n")); err != nil {
 		t.Fatal(err)
 	}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -253,6 +253,7 @@
 	return nil
 }
 
+// query returns what does not change while the request waits; see placing.try.
 func (r *request) query() balance.Query {
 	q := balance.Query{Ask: balance.Ask{
 		Service: r.service.Name, DataCentre: r.srv.cfg.DataCentre, Exclude: r.exclude, Again: r.ran > 0, Release: r.release,
@@ -275,7 +276,7 @@
 	if r.service.Engine == nil {
 		return q
 	}
-	q.Model, q.Wall, q.Parts, q.PromptTokens = r.call.Model, r.wall(), r.call.Parts, r.call.PromptTokens
+	q.Model, q.Parts, q.PromptTokens = r.call.Model, r.call.Parts, r.call.PromptTokens
 	if q.Target > 0 {
 		q.Patience = min(r.deadline.Sub(r.began), r.route.StreamIdleTimeout())
 	}
--- a/gateway/slowreaders_test.go
+++ b/gateway/slowreaders_test.go
@@ -48,27 +48,32 @@
 	}
 }
 
-// A caller wants its connection closed after the answer, which is in the kernel's buffers, and does not read. Guards against
-// memory that nothing counts once the connection is closed, and against an answer cut by that.
-func TestClosedConnectionsAreCountedUntilTheirCallersHaveRead(t *testing.T) {
-	slow := NewSlowReaders(1 << 30)
-	go slow.Run(t.Context())
+// connect returns both ends of a caller's connection.
+func connect(t *testing.T, slow *SlowReaders) (c *callerConn, caller net.Conn) {
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer func() { _ = ln.Close() }()
-	caller, err := net.Dial("tcp4", ln.Addr().String())
-	if err != nil {
+	if caller, err = net.Dial("tcp4", ln.Addr().String()); err != nil {
 		t.Fatal(err)
 	}
-	_ = caller.(*net.TCPConn).SetReadBuffer(32 << 10)
+	t.Cleanup(func() { _ = caller.Close() })
 	accepted, err := ln.Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
+	return (&listener{slow: slow, open: new(atomic.Int64)}).newConn(accepted), caller
+}
+
+// A caller wants its connection closed after the answer, which is in the kernel's buffers, and does not read. Guards against
+// memory that nothing counts once the connection is closed, and against an answer cut by that.
+func TestClosedConnectionsAreCountedUntilTheirCallersHaveRead(t *testing.T) {
+	slow := NewSlowReaders(1 << 30)
+	go slow.Run(t.Context())
+	c, caller := connect(t, slow)
+	_ = caller.(*net.TCPConn).SetReadBuffer(32 << 10)
 	const answer = 256 << 10
-	c := (&listener{slow: slow, open: new(atomic.Int64)}).newConn(accepted)
 	if _, err := c.Write(make([]byte, 64<<10)); err != nil {
 		t.Fatal(err)
 	}
