Orders of a former lease holder no longer arrive after those of its successor

Weights that the newer holder had ordered could be replaced.

Cause: authority ended by the clock of the one who decides, while what was done under it still travelled. Three ways: - Shutdown and an unfit holder released the lease at once, whatever orders were on their way. - The lease was checked before the dial. An order was written up to 0.4 s later, and its call ended 1 s after it had begun, 0.7 s after another instance may have taken the lease over. After that the kernel went on to retransmit it. - A lease that had lapsed and was renewed, with nobody else in between, got a higher fencing number, so that a late order of the same holder had a lower one. On the same path: a machine that was suspended relied on its lease by a clock that had stood still; and a release right after a takeover let two holders take turns within the lease's length.

Change: lease.Machine owns the end of a term. Orders are actions under the lease: they begin only with enough time left, are checked once more when there is a connection, and are given up a quarter of the lease's length before others may take over: the connection is reset, and the kernel discards what is not acknowledged, also if the process has ended or is paused. A release waits for orders in progress, and is left out while one is in doubt or the term is shorter than the lease. The number is kept until another instance has held the lease. The clock counts suspensions. rollout.Hosted and rollout.Manager had the same check twice; both use Manager.Act. Log lines: order begun, lease given up; two counters; the dump has the orders in progress.

Not promised: an order that is delayed in the network for longer than a quarter of the lease's length after it was sent.

--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -78,12 +78,27 @@
 }
 
 // Order implements Controller.
-func (c *Client) Order(ctx context.Context, o Order) error {
+func (c *Client) Order(ctx context.Context, o Order, ready func() error) error {
 	body, err := json.Marshal(o)
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "report it", "encode an order")
 	}
-	_, err = c.call(ctx, c.request(fasthttp.MethodPost, "/v1/orders", body), true)
+	cn, err := c.pool.get(ctx, true, c.readTimeout)
+	if err != nil {
+		return err
+	}
+	cn.abortOnClose(ctx)
+	if ready != nil {
+		if err := ready(); err != nil {
+			c.pool.put(cn)
+			return err
+		}
+	}
+	resp, err := exchange(cn, c.request(fasthttp.MethodPost, "/v1/orders", body))
+	if err != nil {
+		return err
+	}
+	_, err = c.readBody(resp)
 	return err
 }
 
@@ -127,6 +142,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return c.readBody(resp)
+}
+
+// readBody reads the rest of a response and returns its connection to the pool.
+func (c *Client) readBody(resp *response) ([]byte, error) {
 	body, err := resp.readAll()
 	if err != nil {
 		resp.conn.drop()
@@ -142,8 +162,14 @@
 	if err != nil {
 		return nil, err
 	}
+	return exchange(cn, req)
+}
+
+// exchange sends a request on a connection and reads the header of the response.
+func exchange(cn *conn, req *fasthttp.Request) (*response, error) {
 	resp := &response{conn: cn}
-	if err = cn.send(req); err == nil {
+	err := cn.send(req)
+	if err == nil {
 		err = resp.readHeader(false)
 	}
 	if err == nil && resp.header.StatusCode() >= 300 {
--- a/endpoint/conn.go
+++ b/endpoint/conn.go
@@ -55,6 +55,8 @@
 	limited atomic.Bool
 	// intake bounds the bodies that are read whole; nil for sharedIntake.
 	intake *bufferlimit.Intake
+	// aborts is set while the connection is reset when it is closed.
+	aborts bool
 	// stop detaches the connection from the context of its request.
 	stop func() bool
 }
@@ -84,6 +86,32 @@
 	c.stop = context.AfterFunc(ctx, func() { _ = c.Conn.Close() })
 }
 
+// lingerer is a connection whose close can be turned into a reset.
+type lingerer interface{ SetLinger(seconds int) error }
+
+// abortOnClose has the kernel discard unacknowledged data when the connection is closed, or at the
+// deadline of ctx at the latest, until keepOnClose is called.
+func (c *conn) abortOnClose(ctx context.Context) {
+	l, ok := c.Conn.(lingerer)
+	if !ok {
+		return
+	}
+	c.aborts = true
+	_ = l.SetLinger(0)
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = sockstate.SetUserTimeout(c.Conn, min(max(time.Until(deadline), time.Millisecond), unackedTimeout))
+	}
+}
+
+// keepOnClose undoes abortOnClose once a response was read.
+func (c *conn) keepOnClose() {
+	if l, ok := c.Conn.(lingerer); ok && c.aborts {
+		c.aborts = false
+		_ = l.SetLinger(-1)
+		_ = sockstate.SetUserTimeout(c.Conn, unackedTimeout)
+	}
+}
+
 // IsTimeout reports whether err is a time-out, such as that of a read on which nothing was received
 // within the bound.
 func IsTimeout(err error) bool {
@@ -211,6 +239,7 @@
 		_ = c.Conn.Close()
 		return
 	}
+	c.keepOnClose()
 	_ = c.SetReadDeadline(time.Time{})
 	c.idleAt = time.Now()
 	c.idleTimeout = p.idleLimit(c.idleTimeout)
--- a/endpoint/engine.go
+++ b/endpoint/engine.go
@@ -161,9 +161,10 @@
 
 // Controller sends orders to an engine and has it save and restore KV cache.
 type Controller interface {
-	// Order sends an order. An error of kind fault.StaleFence means that the engine rejected its
-	// fencing number.
-	Order(ctx context.Context, o Order) error
+	// Order sends an order, on a new connection that is reset if there is no answer when ctx is done. It
+	// calls ready, if it is set, before, and sends nothing if that returns an error. An error of kind fault.StaleFence means that
+	// the engine rejected its fencing number.
+	Order(ctx context.Context, o Order, ready func() error) error
 	// Export saves blocks and Import loads saved blocks; both return the number of blocks
 	// concerned.
 	Export(ctx context.Context, h KVHandle) (int, error)
--- a/endpoint/relay.go
+++ b/endpoint/relay.go
@@ -68,6 +68,10 @@
 	// Ready, if set, is called once there is a connection. If it returns an error, nothing is sent and
 	// Open returns that error.
 	Ready func() error
+	// Abort has the kernel discard what the endpoint has not acknowledged when the call ends without a
+	// response, also by the end of the process, and when the deadline of ctx has passed, also while the process is
+	// paused. Otherwise it would go on to retransmit the request.
+	Abort bool
 	// Fresh requires a connection that was not used before.
 	Fresh bool
 	// Send, if set, writes a request that is written in the background. The connection stays the relay's.
@@ -96,6 +100,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if o.Abort {
+		cn.abortOnClose(ctx)
+	}
 	if o.Ready != nil {
 		if err := o.Ready(); err != nil {
 			r.pool.put(cn)
--- a/endpoint/response.go
+++ b/endpoint/response.go
@@ -156,6 +156,7 @@
 // finish returns the connection to the pool if it can be reused. The body must have been read to
 // its end.
 func (resp *response) finish(p *pool) {
+	resp.conn.keepOnClose()
 	if resp.framing == ByClose || resp.header.ConnectionClose() || !resp.readTail() {
 		resp.conn.drop()
 		return
--- a/frontend/faults_test.go
+++ b/frontend/faults_test.go
@@ -204,7 +204,7 @@
 	e := r.Engines[0]
 	client := endpoint.NewClient(e.Addr(), time.Second, testSilence)
 	order := endpoint.Order{Fence: 1, Kind: endpoint.OrderLoadModel, Model: "counter", Version: "0"}
-	if err := client.Order(context.Background(), order); err != nil {
+	if err := client.Order(context.Background(), order, nil); err != nil {
 		t.Fatal(err)
 	}
 	waitVersion(t, client, "0")
@@ -214,7 +214,7 @@
 	}
 	r.startStream(t, long, 2, nil).rest().wantComplete(long, 2)
 	order.Version = "1"
-	if err := client.Order(context.Background(), order); err != nil {
+	if err := client.Order(context.Background(), order, nil); err != nil {
 		t.Fatal(err)
 	}
 	waitVersion(t, client, "1")
--- a/instance/rollout_test.go
+++ b/instance/rollout_test.go
@@ -100,7 +100,7 @@
 			if checks {
 				awaitState(e.Engines[0], func(s endpoint.State) bool { return s.Fence >= next })
 			}
-			err := stale.Order(context.Background(), endpoint.Order{Fence: fence, Kind: endpoint.OrderLoadModel, Model: "counter", Version: "1"})
+			err := stale.Order(context.Background(), endpoint.Order{Fence: fence, Kind: endpoint.OrderLoadModel, Model: "counter", Version: "1"}, nil)
 			if fault.Is(err, fault.StaleFence) != checks {
 				t.Fatalf("the late order ended with %v", err)
 			}
--- a/internal/sockstate/timeout_linux.go
+++ b/internal/sockstate/timeout_linux.go
@@ -1,6 +1,8 @@
 package sockstate
 
 import (
+	"errors"
+	"net"
 	"syscall"
 	"time"
 )
@@ -15,14 +17,29 @@
 // unacknowledged, so only this timeout detects the failure. Accepted connections inherit it from
 // their listener.
 func UserTimeout(timeout time.Duration) func(network, address string, c syscall.RawConn) error {
-	return func(_, _ string, c syscall.RawConn) error {
-		var err error
-		ctrlErr := c.Control(func(fd uintptr) {
-			err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(timeout.Milliseconds()))
-		})
-		if ctrlErr != nil {
-			return ctrlErr
-		}
+	return func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c, timeout) }
+}
+
+// SetUserTimeout sets TCP_USER_TIMEOUT on an open connection; see UserTimeout.
+func SetUserTimeout(c net.Conn, timeout time.Duration) error {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
 		return err
 	}
+	return setUserTimeout(raw, timeout)
+}
+
+func setUserTimeout(c syscall.RawConn, timeout time.Duration) error {
+	var err error
+	ctrlErr := c.Control(func(fd uintptr) {
+		err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(timeout.Milliseconds()))
+	})
+	if ctrlErr != nil {
+		return ctrlErr
+	}
+	return err
 }
--- a/internal/sockstate/timeout_other.go
+++ b/internal/sockstate/timeout_other.go
@@ -3,6 +3,8 @@
 package sockstate
 
 import (
+	"errors"
+	"net"
 	"syscall"
 	"time"
 )
@@ -11,3 +13,6 @@
 func UserTimeout(time.Duration) func(network, address string, c syscall.RawConn) error {
 	return nil
 }
+
+// SetUserTimeout returns an error: it is only implemented on Linux.
+func SetUserTimeout(net.Conn, time.Duration) error { return errors.ErrUnsupported }
--- a/lease/machine.go
+++ b/lease/machine.go
@@ -28,6 +28,12 @@
 	// retryDivisor is the divisor of the length that gives the delay before a failed call is
 	// retried.
 	retryDivisor = 12
+	// actionDivisor is the divisor of the length that gives the time before others may take the lease
+	// over by which an action under the lease is given up. An action that was sent may arrive that much
+	// later, and a process may be paused for that long between its last check and the send.
+	actionDivisor = 4
+	// minActionDivisor is the divisor of the length that gives the least time that an action is given.
+	minActionDivisor = 12
 	// maxPendingWrites bounds the number of writes with an unknown outcome. A later write under
 	// the same condition rules an earlier one out, so a few are enough.
 	maxPendingWrites = 4
@@ -89,7 +95,18 @@
 
 	fence      objectapi.Version
 	validUntil time.Time
-	renewAt    time.Time
+	// actUntil is when actions under the lease are given up at the latest.
+	actUntil time.Time
+	renewAt  time.Time
+	// termBegan is when this machine took the lease over from another holder.
+	termBegan time.Time
+
+	// open is the number of actions in progress, of all terms.
+	open int
+	// doubtUntil is until when an action whose outcome is unknown rules out a release.
+	doubtUntil time.Time
+	// resigned reports that the lease is not renewed and no action begins.
+	resigned bool
 
 	pendingWrites []pendingWrite
 }
@@ -100,6 +117,11 @@
 	at      time.Time
 	// creates reports that the write only creates the object and acquires no lease.
 	creates bool
+	// continues reports that the condition is on this machine's own last version, so that nobody else
+	// has held the lease in between if the write takes effect.
+	continues bool
+	// renewal reports that the lease was held, and not resigned, when the write was sent.
+	renewal bool
 }
 
 // NewMachine returns a machine without any knowledge of the object. newAttempt must return
@@ -124,7 +146,7 @@
 	if m.confirmed && !now.Before(writeAt) {
 		return m.write(now)
 	}
-	reads := !m.confirmed || !m.own
+	reads := !m.confirmed || !m.holds()
 	if reads && !now.Before(m.readDue) {
 		return Step{Kind: StepRead}
 	}
@@ -143,7 +165,7 @@
 func (m *Machine) writeAt() time.Time {
 	at := m.seenAt.Add(m.length)
 	switch {
-	case m.own:
+	case m.holds():
 		at = m.renewAt
 	case m.released, m.absent:
 		at = m.seenAt
@@ -163,7 +185,7 @@
 	if m.absent {
 		s.Expected = 0
 	}
-	m.pendingWrites = append(m.pendingWrites, pendingWrite{attempt: s.Attempt, at: now, creates: m.absent})
+	m.pendingWrites = append(m.pendingWrites, pendingWrite{attempt: s.Attempt, at: now, creates: m.absent, continues: m.own && !m.absent, renewal: m.holds()})
 	if over := len(m.pendingWrites) - maxPendingWrites; over > 0 {
 		m.pendingWrites = m.pendingWrites[over:]
 	}
@@ -182,13 +204,16 @@
 		m.readDue = now.Add(m.length / pollDivisor)
 		return
 	}
-	if _, held := m.Held(now); !held {
+	if !pending.continues {
 		invariant.Check(version > m.fence, "fencing_numbers_rise", "fence %d after %d", version, m.fence)
 		m.fence = version
+		m.termBegan = now
 	}
 	m.setVersion(now, version)
 	m.own, m.released, m.confirmed = true, false, true
+	m.resigned = m.resigned && pending.renewal
 	m.validUntil = pending.at.Add(m.length - m.length/driftDivisor)
+	m.actUntil = pending.at.Add(m.length - m.length/actionDivisor)
 	m.renewAt = pending.at.Add(m.length / renewDivisor)
 	m.pendingWrites = nil
 }
@@ -255,14 +280,81 @@
 // invalidate invalidates the lease on this instance at once, because it was released or the
 // object has changed.
 func (m *Machine) invalidate() {
-	m.own = false
+	m.own, m.resigned = false, false
 	m.validUntil = time.Time{}
 }
 
+// holds reports whether this machine keeps the lease by renewing it.
+func (m *Machine) holds() bool { return m.own && !m.resigned }
+
+// Begin begins an action under the lease, such as an order to an endpoint, whose effect others see after
+// it was sent. until is when it has to be given up, so that it arrives before those of the next holder. ok
+// is false if the term of that fencing number has ended or hardly any time is left. End has to be called
+// once for each action that began.
+func (m *Machine) Begin(now time.Time, fence objectapi.Version) (until time.Time, ok bool) {
+	if !m.MayAct(now.Add(m.length/minActionDivisor), fence) || m.resigned {
+		return time.Time{}, false
+	}
+	m.open++
+	return m.actUntil, true
+}
+
+// MayAct reports whether an action that began under the fencing number may be sent now.
+func (m *Machine) MayAct(now time.Time, fence objectapi.Version) bool {
+	held, ok := m.Held(now)
+	return ok && held == fence && now.Before(m.actUntil)
+}
+
+// End ends an action. settled reports that it was answered or never sent; any other may arrive later.
+func (m *Machine) End(now time.Time, settled bool) {
+	m.open--
+	if !settled {
+		m.doubtUntil = now.Add(m.length)
+	}
+}
+
+// Blocker is why a lease can't be released.
+type Blocker string
+
+// The blockers.
+const (
+	// NotBlocked means that nothing speaks against a release.
+	NotBlocked Blocker = ""
+	// NotHolder means that the lease is not held.
+	NotHolder Blocker = "not held"
+	// ActionsOpen means that actions are in progress.
+	ActionsOpen Blocker = "actions in progress"
+	// ActionsInDoubt means that an action with an unknown outcome may still arrive.
+	ActionsInDoubt Blocker = "actions in doubt"
+	// TermTooShort means that the holder before could be the next one within the lease's length: two
+	// holders would take turns.
+	TermTooShort Blocker = "term too short"
+)
+
+// Resign ends the term: no action begins, and the lease is not renewed. It expires unless Release
+// succeeds. If nobody takes it over, this machine may acquire it again once it has expired.
+func (m *Machine) Resign() { m.resigned = m.own }
+
+// Blocker returns what speaks against a release now.
+func (m *Machine) Blocker(now time.Time) Blocker {
+	_, held := m.Held(now)
+	switch {
+	case !held:
+		return NotHolder
+	case m.open > 0:
+		return ActionsOpen
+	case now.Before(m.doubtUntil):
+		return ActionsInDoubt
+	case now.Before(m.termBegan.Add(m.length)):
+		return TermTooShort
+	}
+	return NotBlocked
+}
+
 // Release invalidates the lease on this instance and returns the write that lets others
-// acquire it at once. ok is false if the lease is not held.
+// acquire it at once. ok is false if there is a Blocker.
 func (m *Machine) Release(now time.Time) (s Step, ok bool) {
-	if _, held := m.Held(now); !held {
+	if m.Blocker(now) != NotBlocked {
 		return Step{}, false
 	}
 	expected := m.seen
--- a/lease/manager.go
+++ b/lease/manager.go
@@ -33,8 +33,14 @@
 	takenTotal = metrics.GetOrCreateCounter("sardinedock_lease_taken_total")
 	lostTotal  = metrics.GetOrCreateCounter("sardinedock_lease_lost_total")
 	failsTotal = metrics.GetOrCreateCounter("sardinedock_lease_failures_total")
+	doubtTotal = metrics.GetOrCreateCounter("sardinedock_lease_actions_in_doubt_total")
 )
 
+// endedTotal counts the terms that this instance ended by itself, by outcome.
+func endedTotal(outcome string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(`sardinedock_lease_given_up_total{outcome="` + outcome + `"}`)
+}
+
 // Config configures a Manager.
 type Config struct {
 	Store objectapi.Store
@@ -52,6 +58,8 @@
 	// Unfit reports whether a holder should give the lease to another instance, since it can't do what
 	// the lease is for. Nil means that it need not.
 	Unfit func() bool
+	// Clock counts the time that the machine is suspended; nil means clock.Boot.
+	Clock clock.Clock
 }
 
 // Manager acquires a lease and renews it in a goroutine of its own. Held may be called from
@@ -61,6 +69,9 @@
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 
+	// actionEnded is sent to when an action ends.
+	actionEnded chan struct{}
+
 	mu      sync.Mutex
 	machine *Machine
 	held    bool
@@ -77,7 +88,10 @@
 	if cfg.Unfit == nil {
 		cfg.Unfit = func() bool { return false }
 	}
-	return &Manager{cfg: cfg, machine: NewMachine(cfg.Length, objectapi.NewAttempt)}
+	if cfg.Clock == nil {
+		cfg.Clock = clock.Boot{}
+	}
+	return &Manager{cfg: cfg, actionEnded: make(chan struct{}, 1), machine: NewMachine(cfg.Length, objectapi.NewAttempt)}
 }
 
 // Start begins to acquire the lease.
@@ -99,28 +113,73 @@
 func (m *Manager) Held() (fence uint64, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	f, ok := m.machine.Held(time.Now())
+	f, ok := m.machine.Held(m.cfg.Clock.Now())
 	return uint64(f), ok
 }
 
+// errTermEnded is of kind Unavailable, as all errors of calls of which nothing was sent.
+var errTermEnded = fault.New(fault.Unavailable, "the holder of the lease sends it", "the lease has ended before the call was sent")
+
+// Act runs act, which makes a call under the lease whose effect others see, such as an order to an endpoint.
+// The call has to be given up when ctx is done, so that it arrives before those of the next holder. act calls
+// check right before it sends, and sends nothing if that returns an error. It reports whether the outcome
+// is settled: answered, or nothing sent. Act returns false without a call of act if this instance doesn't hold the
+// lease under the fencing number any more, or hardly any time is left.
+func (m *Manager) Act(ctx context.Context, fence uint64, act func(ctx context.Context, check func() error) (settled bool)) bool {
+	m.mu.Lock()
+	now := m.cfg.Clock.Now()
+	until, ok := m.machine.Begin(now, objectapi.Version(fence))
+	m.mu.Unlock()
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, until.Sub(now))
+	defer cancel()
+	settled := act(ctx, func() error {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if !m.machine.MayAct(m.cfg.Clock.Now(), objectapi.Version(fence)) {
+			return errTermEnded
+		}
+		return nil
+	})
+	if !settled {
+		doubtTotal.Inc()
+	}
+	m.mu.Lock()
+	m.machine.End(m.cfg.Clock.Now(), settled)
+	m.mu.Unlock()
+	select {
+	case m.actionEnded <- struct{}{}:
+	default:
+	}
+	return true
+}
+
 // Dump is the lease's part of the state dump.
 type Dump struct {
 	Lease string `json:"lease"`
 	Held  bool   `json:"held"`
 	Fence uint64 `json:"fence"`
+	// Actions are the orders in progress under the lease. ReleaseBlocker is why it would be left to expire
+	// if this instance gave it up now.
+	Actions        int     `json:"actions"`
+	ReleaseBlocker Blocker `json:"release_blocker,omitempty"`
 }
 
 // Dump returns the state of the lease on this instance.
 func (m *Manager) Dump() Dump {
 	fence, held := m.Held()
-	return Dump{Lease: m.cfg.Name, Held: held, Fence: fence}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return Dump{Lease: m.cfg.Name, Held: held, Fence: fence, Actions: m.machine.open, ReleaseBlocker: m.machine.Blocker(m.cfg.Clock.Now())}
 }
 
 func (m *Manager) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		m.recordTransition()
 		if m.isHolder() && m.cfg.Unfit() {
-			m.Release()
+			m.giveUp("unfit")
 			m.recordTransition()
 		}
 		if !m.isHolder() && !m.cfg.Candidate() {
@@ -128,11 +187,12 @@
 			continue
 		}
 		m.mu.Lock()
-		s := m.machine.Next(time.Now())
+		now := m.cfg.Clock.Now()
+		s := m.machine.Next(now)
 		m.mu.Unlock()
 		switch s.Kind {
 		case StepWait:
-			_ = clock.Sleep(ctx, min(time.Until(s.At)+m.jitter(), m.cfg.Length/unfitDivisor))
+			_ = clock.Sleep(ctx, min(s.At.Sub(now)+m.jitter(), m.cfg.Length/unfitDivisor))
 		case StepRead:
 			m.read(ctx)
 		case StepWrite:
@@ -141,12 +201,12 @@
 	}
 }
 
-// isHolder reports whether this instance holds the lease, or has held it and has not yet
+// isHolder reports whether this instance keeps the lease, or has kept it and has not yet
 // read or written since.
 func (m *Manager) isHolder() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.machine.own
+	return m.machine.holds()
 }
 
 // jitter spreads the calls of instances that wait for the same moment.
@@ -160,7 +220,7 @@
 	defer m.mu.Unlock()
 	if err != nil && !fault.Is(err, fault.NotFound) {
 		failsTotal.Inc()
-		m.machine.ReadFailed(time.Now())
+		m.machine.ReadFailed(m.cfg.Clock.Now())
 		return
 	}
 	var v Value
@@ -168,7 +228,7 @@
 		// The version of the object counts even if its value is missing or unreadable.
 		v = Value{}
 	}
-	m.machine.Observed(time.Now(), obj, v)
+	m.machine.Observed(m.cfg.Clock.Now(), obj, v)
 }
 
 func (m *Manager) write(ctx context.Context, s Step) {
@@ -177,10 +237,10 @@
 	defer m.mu.Unlock()
 	if err != nil {
 		failsTotal.Inc()
-		m.machine.WriteFailed(time.Now())
+		m.machine.WriteFailed(m.cfg.Clock.Now())
 		return
 	}
-	m.machine.Wrote(time.Now(), s.Attempt, version)
+	m.machine.Wrote(m.cfg.Clock.Now(), s.Attempt, version)
 }
 
 func (m *Manager) put(ctx context.Context, s Step, v Value) (objectapi.Version, error) {
@@ -192,13 +252,32 @@
 	return m.cfg.Store.Put(ctx, obj, s.Expected)
 }
 
-// Release gives up the lease, if it is held, so that another instance can acquire it soon. Callers
-// from other goroutines have to call Stop before. It blocks for at most half a second.
-func (m *Manager) Release() {
+// Release gives up the lease, if it is held, so that another instance can acquire it soon. It waits for
+// the actions in progress, at most until the lease expires, and half a second more. Where an action is in doubt, or
+// the term was short, the lease is left to expire. Callers from other goroutines have to call Stop before.
+func (m *Manager) Release() { m.giveUp("stop") }
+
+func (m *Manager) giveUp(why string) {
 	m.mu.Lock()
-	s, ok := m.machine.Release(time.Now())
+	fence, held := m.machine.Held(m.cfg.Clock.Now())
+	m.machine.Resign()
+	open := m.machine.open
 	m.mu.Unlock()
-	if !ok {
+	if !held {
+		return
+	}
+	began := m.cfg.Clock.Now()
+	s, blocker := m.awaitRelease()
+	outcome := "released"
+	if blocker != NotBlocked {
+		outcome = "left to expire"
+	}
+	endedTotal(outcome).Inc()
+	log.WithFields(log.Fields{
+		"lease": m.cfg.Name, "fence": uint64(fence), "why": why, "outcome": outcome, "blocker": string(blocker), "actions": open,
+		"ms": m.cfg.Clock.Now().Sub(began).Milliseconds(),
+	}).Info("lease given up")
+	if blocker != NotBlocked {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
@@ -208,6 +287,26 @@
 	}
 }
 
+// awaitRelease waits until no action is in progress, and returns the write that releases the lease, or why
+// it can't be released.
+func (m *Manager) awaitRelease() (Step, Blocker) {
+	for {
+		m.mu.Lock()
+		now := m.cfg.Clock.Now()
+		blocker := m.machine.Blocker(now)
+		s, _ := m.machine.Release(now)
+		left := m.machine.validUntil.Sub(now)
+		m.mu.Unlock()
+		if blocker != ActionsOpen {
+			return s, blocker
+		}
+		select {
+		case <-m.actionEnded:
+		case <-time.After(left):
+		}
+	}
+}
+
 // recordTransition logs and counts that the lease was acquired or lost.
 func (m *Manager) recordTransition() {
 	fence, held := m.Held()
--- a/lease/manager_test.go
+++ b/lease/manager_test.go
@@ -6,13 +6,14 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/sardinedock/sardinedock/clock"
 	"github.com/sardinedock/sardinedock/objectapi/objecttest"
 )
 
 func startManagers(s *objecttest.Store, n int) []*Manager {
 	managers := make([]*Manager, n)
 	for i := range managers {
-		managers[i] = NewManager(Config{Store: s, Name: "rollout", Self: fmt.Sprintf("entry-%d", i)})
+		managers[i] = NewManager(Config{Store: s, Name: "rollout", Self: fmt.Sprintf("entry-%d", i), Clock: clock.System{}})
 		managers[i].Start()
 	}
 	return managers
@@ -88,7 +89,7 @@
 func TestNonCandidateMakesNoCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &objecttest.Store{}
-		m := NewManager(Config{Store: s, Name: "rollout", Self: "entry-0", Candidate: func() bool { return false }})
+		m := NewManager(Config{Store: s, Name: "rollout", Self: "entry-0", Clock: clock.System{}, Candidate: func() bool { return false }})
 		m.Start()
 		time.Sleep(time.Minute)
 		m.Stop()
--- a/rollout/hosted.go
+++ b/rollout/hosted.go
@@ -41,7 +41,9 @@
 
 // Control sends orders and queries to endpoints.
 type Control interface {
-	Load(ctx context.Context, t Target, o LoadOrder) (Verdict, error)
+	// Load sends an order. It calls ready before, and sends nothing if that returns an error. When ctx is done
+	// without an answer, what the endpoint has not received is discarded.
+	Load(ctx context.Context, t Target, o LoadOrder, ready func() error) (Verdict, error)
 	Report(ctx context.Context, t Target) (Report, error)
 }
 
@@ -232,20 +234,40 @@
 		h.endOrder(t, retryDelay)
 		return
 	}
-	if now, held := h.cfg.Lease.Held(); !held || now != fence {
+	var verdict Verdict
+	sentAt := time.Now()
+	began := h.cfg.Lease.Act(ctx, fence, func(ctx context.Context, check func() error) bool {
+		o := LoadOrder{Weights: w, Mode: LoadAtOnce, Holder: h.cfg.Self, Fence: fence, Expect: &expect}
+		var err error
+		verdict, err = h.sendOrder(ctx, t, o, check)
+		return verdict != Unanswered || settled(err)
+	})
+	if !began {
 		h.endOrder(t, 0)
 		return
 	}
+	h.handleVerdict(ctx, t, w, verdict, fence, expect, sentAt)
+}
+
+// sendOrder sends one order. Its start is logged too, so that the logs show what was on its way when a
+// term ended.
+func (h *Hosted) sendOrder(ctx context.Context, t Target, o LoadOrder, check func() error) (Verdict, error) {
 	ordersTotal.Inc()
 	h.cfg.Loading(t.ID, h.averageLoadTime())
 	sentAt := time.Now()
-	verdict, err := h.cfg.Control.Load(ctx, t, LoadOrder{Weights: w, Mode: LoadAtOnce, Holder: h.cfg.Self, Fence: fence, Expect: &expect})
-	line := log.WithFields(log.Fields{"endpoint": t.ID, "model": w.Model, "version": w.Version, "fence": fence, "expect": expect, "verdict": int(verdict)})
+	fields := log.Fields{"endpoint": t.ID, "model": o.Model, "version": o.Version, "fence": o.Fence, "expect": *o.Expect}
+	begun := log.WithFields(fields)
+	if deadline, ok := ctx.Deadline(); ok {
+		begun = begun.WithField("within_ms", time.Until(deadline).Milliseconds())
+	}
+	begun.Info("order begun")
+	verdict, err := h.cfg.Control.Load(ctx, t, o, check)
+	line := log.WithFields(fields).WithField("verdict", int(verdict)).WithField("ms", time.Since(sentAt).Milliseconds())
 	if err != nil {
 		line = line.WithField("why", err.Error())
 	}
 	line.Info("order")
-	h.handleVerdict(ctx, t, w, verdict, fence, expect, sentAt)
+	return verdict, err
 }
 
 // expectedOrders returns how many orders the endpoint has accepted so far. If that
--- a/rollout/manager.go
+++ b/rollout/manager.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -51,13 +52,23 @@
 // Engine is the part of an engine's interface that a rollout uses.
 type Engine interface {
 	State(ctx context.Context) (endpoint.State, error)
-	Order(ctx context.Context, o endpoint.Order) error
+	Order(ctx context.Context, o endpoint.Order, ready func() error) error
 }
 
-// Lease is the pool's lease.
+// Lease is the pool's lease; see lease.Manager.
 type Lease interface {
 	// Held reports whether this instance holds the lease, and with which fencing number.
 	Held() (fence uint64, ok bool)
+	// Act runs act, which sends an order under the lease. It returns false without a call of act if no order may be
+	// sent under the fencing number.
+	Act(ctx context.Context, fence uint64, act func(ctx context.Context, check func() error) (settled bool)) bool
+}
+
+// settled reports whether the outcome of a call that sent an order is known: it was answered, or nothing
+// was sent. Any other order may still arrive.
+func settled(err error) bool {
+	var answered *endpoint.StatusError
+	return err == nil || fault.Is(err, fault.Unavailable) || errors.As(err, &answered)
 }
 
 // Config configures a Manager.
@@ -244,34 +255,37 @@
 	m.inFlight = remaining
 }
 
-// send sends the orders. This instance may have been paused for longer than the
-// lease since the plan was made, so the lease is checked before each order.
+// send sends the orders, each under the lease: this instance may have been paused for longer than the
+// lease since the plan was made.
 func (m *Manager) send(ctx context.Context, endpoints []*recordspb.Endpoint, orders []Order, fence uint64) {
 	addresses := map[string]string{}
 	for _, e := range endpoints {
 		addresses[e.GetName()] = e.GetAddress()
 	}
 	for _, o := range orders {
-		if now, held := m.cfg.Lease.Held(); !held || now != fence {
-			return
-		}
 		o.Order.Fence = fence
-		m.inFlight = append(m.inFlight, InFlight{Order: o, Since: time.Now()})
-		if !m.sendOrder(ctx, addresses[o.Endpoint], o) {
+		goOn := false
+		m.cfg.Lease.Act(ctx, fence, func(ctx context.Context, check func() error) bool {
+			m.inFlight = append(m.inFlight, InFlight{Order: o, Since: time.Now()})
+			err := m.sendOrder(ctx, addresses[o.Endpoint], o, check)
+			goOn = !fault.Is(err, fault.StaleFence)
+			return settled(err)
+		})
+		if !goOn {
 			return
 		}
 	}
 }
 
-// sendOrder sends one order. It returns false if the endpoint has already seen a
+// sendOrder sends one order. An error of kind fault.StaleFence means that the endpoint has already seen a
 // newer lease holder.
-func (m *Manager) sendOrder(ctx context.Context, address string, o Order) bool {
+func (m *Manager) sendOrder(ctx context.Context, address string, o Order, check func() error) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	ordersTotal.Inc()
-	err := m.cfg.Dial(address).Order(ctx, o.Order)
+	err := m.cfg.Dial(address).Order(ctx, o.Order, check)
 	if err == nil {
-		return true
+		return nil
 	}
 	orderFailures.Inc()
 	m.mu.Lock()
@@ -279,9 +293,8 @@
 	m.mu.Unlock()
 	if fault.Is(err, fault.StaleFence) {
 		staleOrders.Inc()
-		return false
 	}
-	return true
+	return err
 }
 
 func (m *Manager) converged() bool {
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -65,7 +65,12 @@
 }
 
 // Order implements Engine.
-func (e *engine) Order(_ context.Context, o endpoint.Order) error {
+func (e *engine) Order(_ context.Context, o endpoint.Order, ready func() error) error {
+	if ready != nil {
+		if err := ready(); err != nil {
+			return err
+		}
+	}
 	e.pool.mu.Lock()
 	defer e.pool.mu.Unlock()
 	if e.checksFencing && o.Fence < e.state.Fence {
@@ -142,6 +147,14 @@
 	return l.fence, l.fence > 0
 }
 
+func (l *lease) Act(ctx context.Context, fence uint64, act func(context.Context, func() error) bool) bool {
+	if held, ok := l.Held(); !ok || held != fence {
+		return false
+	}
+	act(ctx, func() error { return nil })
+	return true
+}
+
 func startManager(p *enginePool, l Lease, records func() *record.Snapshot) *Manager {
 	m := NewManager(Config{Pool: "engines", Lease: l, Records: records, Dial: p.dial})
 	m.Start()
@@ -190,7 +203,7 @@
 			defer m.Stop()
 			time.Sleep(time.Minute)
 			late := endpoint.Order{Fence: 5, Kind: endpoint.OrderLoadModel, Model: "counter", Version: "1"}
-			err := p.engines["127.0.0.1:2"].Order(context.Background(), late)
+			err := p.engines["127.0.0.1:2"].Order(context.Background(), late, nil)
 			if fault.Is(err, fault.StaleFence) != checks {
 				t.Fatalf("checks fencing %v: got %v", checks, err)
 			}
--- a/rollout/weights_test.go
+++ b/rollout/weights_test.go
@@ -62,6 +62,11 @@
 
 func (heldLease) Held() (uint64, bool) { return 7, true }
 
+func (heldLease) Act(ctx context.Context, _ uint64, act func(context.Context, func() error) bool) bool {
+	act(ctx, func() error { return nil })
+	return true
+}
+
 // engines is a pool whose endpoints take 400 ms to load a version.
 type engines struct {
 	mu       sync.Mutex
@@ -72,7 +77,7 @@
 
 var errRefused = errors.New("connection refused")
 
-func (e *engines) Load(_ context.Context, t Target, o LoadOrder) (Verdict, error) {
+func (e *engines) Load(_ context.Context, t Target, o LoadOrder, _ func() error) (Verdict, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.dead[t.ID] {
