A restarted instance does not take its start for the fleet's first

What callers could see: all instances were killed, the older of two releases had left before or while they were down, and a stream that it had begun went on at the newer one, answered 200 to the end.

Cause: an instance that states first_start vouches for the only release at once, since no stream can be older than the fleet. It took that from the settings alone. The platform states bootstrap only at the first start of all, but settings that are kept for the next process, as a supervisor does that starts it again from the same file, state it again.

Change: the settings count only if the instance's own entry in the store did not exist before this start. Registration finds that out already, so there is no further call. Between the start and the registration nothing is vouched for; other instances can't ask before, since they do not know the instance.

The settings' other use, retries that no predecessor has sent, is not changed here.

--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -172,7 +172,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
 	i.origins = &origins{
-		book: origin.NewBook(s.GetFirstStart()), state: i.state, node: i.node, started: i.started, settled: &i.settled,
+		book: origin.NewBook(), state: i.state, node: i.node, started: i.started, settled: &i.settled,
 		record: &recordReader{ctx: ctx, store: i.store},
 	}
 	i.recorder = i.newRecorder()
--- a/hosted/members.go
+++ b/hosted/members.go
@@ -48,8 +48,13 @@
 // fleet start for the first time, within 0.3 s, each would otherwise read a nearly empty list,
 // consider itself one of a few, watch every kind, and be notified by the store of each of the
 // others: 29 calls an instance. An instance that was registered before finds the others listed.
+//
+// It has then also run before: settings that still state the first start are those of a process that has ended.
 func (i *Instance) join(ctx context.Context) {
 	created := i.register(ctx)
+	if created && i.settings.GetFirstStart() {
+		i.origins.book.NoEarlierStreams()
+	}
 	if created {
 		_ = clock.Sleep(ctx, joinDelay)
 	}
--- a/hosted/release_test.go
+++ b/hosted/release_test.go
@@ -77,7 +77,12 @@
 // those events and a function that closes the connection.
 func (f *fixture) begin(instance int, path string) (id, read string, hangUp func()) {
 	f.t.Helper()
-	req := prompt(f.request("POST", path, "p"))
+	return f.beginWith(instance, prompt(f.request("POST", path, "p")))
+}
+
+// beginWith is begin with the given request.
+func (f *fixture) beginWith(instance int, req *http.Request) (id, read string, hangUp func()) {
+	f.t.Helper()
 	req.URL.Host = f.callers[instance]
 	resp, err := f.client.Do(req)
 	if err != nil {
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -55,10 +55,16 @@
 	first bool
 }
 
-// NewBook returns a Book that knows nothing. first states that the whole fleet starts for the first time, so that no
-// stream has begun before.
-func NewBook(first bool) *Book {
-	return &Book{streams: map[Key]stream{}, seen: map[string]map[string]time.Time{}, first: first}
+// NewBook returns a Book that knows nothing.
+func NewBook() *Book {
+	return &Book{streams: map[Key]stream{}, seen: map[string]map[string]time.Time{}}
+}
+
+// NoEarlierStreams states that no stream has begun before this instance started.
+func (b *Book) NoEarlierStreams() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.first = true
 }
 
 // Began records which release wrote the first event of a stream that may be resumed for the given time. The first
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -12,7 +12,7 @@
 
 // Guards against a stream whose release is taken from a later request with the same ID, or is known for ever.
 func TestFirstReportOfAStreamCountsUntilItsTimeIsOver(t *testing.T) {
-	b := origin.NewBook(false)
+	b := origin.NewBook()
 	k := origin.KeyOf("kumasi", "id-1")
 	b.Began(start, k, "v1", 10*time.Second)
 	b.Began(start.Add(time.Second), k, "v2", 10*time.Second)
@@ -45,7 +45,7 @@
 // Guards against memory that grows with the streams of callers.
 func TestStreamsAreBounded(t *testing.T) {
 	const sent, limit = 1<<17 + 1000, 1 << 17
-	b := origin.NewBook(false)
+	b := origin.NewBook()
 	for n := range sent {
 		b.Began(start, origin.KeyOf("o", fmt.Sprint(n)), "v1", time.Minute)
 	}
@@ -58,7 +58,7 @@
 // when it did not follow the endpoints.
 func TestOnlyReleaseIsKnownAfterTheLifeOfAStream(t *testing.T) {
 	const life = 30 * time.Second
-	b := origin.NewBook(false)
+	b := origin.NewBook()
 	at := func(d time.Duration) origin.Releases { return b.Releases(start.Add(d), "pool", []string{"v1"}, life) }
 	b.Seen(start, "pool", "v1")
 	if r := at(time.Hour); r.Only != "" {
@@ -78,8 +78,12 @@
 	if r := at(time.Minute + life); r.Only != "v1" {
 		t.Errorf("%+v, want v1 only", r)
 	}
-	first := origin.NewBook(true)
+	first := origin.NewBook()
 	first.Follow(start)
+	if r := first.Releases(start, "pool", []string{"v1"}, life); r.Only != "" {
+		t.Errorf("%+v before it is known that no stream is older", r)
+	}
+	first.NoEarlierStreams()
 	if r := first.Releases(start, "pool", []string{"v1"}, life); r.Only != "v1" {
 		t.Errorf("%+v at the first start of all, want v1 only", r)
 	}
