A read of a response's head ends at its first time-out

The check for HTTP/1.0 with a transfer coding reads ahead, ignores errors, and leaves the report of an error to the HTTP library. A time-out is not an error that comes again: the library's read starts with a new deadline. A peer that was silent from the start, or in the first eight bytes of the head, or anywhere in a head of HTTP/1.0, was found after twice the configured silence, and callers waited as long for the request to be resumed or sent again.

The check now returns the error.

--- a/endpoint/response.go
+++ b/endpoint/response.go
@@ -106,7 +106,9 @@
 			return brokenError(errInformational)
 		}
 		resp.header.Reset()
-		if hasHTTP10Coding(resp.conn.br) {
+		if coded, err := hasHTTP10Coding(resp.conn.br); err != nil {
+			return brokenError(err)
+		} else if coded {
 			return brokenError(errHTTP10Coding)
 		}
 		if err := resp.header.Read(resp.conn.br); err != nil {
@@ -138,17 +140,21 @@
 var errHTTP10Coding = errors.New("HTTP/1.0 response with a transfer coding")
 
 // hasHTTP10Coding reports whether the next response is of HTTP/1.0 and has a transfer coding. The HTTP library
-// ignores the coding, so that the body would have the lines of its chunks.
-func hasHTTP10Coding(br *bufio.Reader) bool {
+// ignores the coding, so that the body would have the lines of its chunks. After an error nothing more may be read: each
+// read has a time-out of its own.
+func hasHTTP10Coding(br *bufio.Reader) (bool, error) {
 	const version = "HTTP/1.0"
 	if start, err := br.Peek(len(version)); err != nil || string(start) != version {
-		return false
+		return false, err
 	}
 	for n := br.Buffered(); ; n = max(br.Buffered(), n+1) {
 		data, err := br.Peek(n)
 		head, _, whole := bytes.Cut(bytes.ReplaceAll(data, []byte("\r\n"), []byte("\n")), []byte("\n\n"))
-		if whole || err != nil {
-			return bytes.Contains(bytes.ToLower(head), []byte("\ntransfer-encoding:"))
+		switch {
+		case whole:
+			return bytes.Contains(bytes.ToLower(head), []byte("\ntransfer-encoding:")), nil
+		case err != nil:
+			return false, err
 		}
 	}
 }
