--- a/endpoint/cut_head_test.go
+++ b/endpoint/cut_head_test.go
@@ -38,7 +38,7 @@
 	"client": {
 		func(ctx context.Context, c *caller) error { _, err := c.client.Load(ctx); return err },
 		func(ctx context.Context, c *caller) error { _, err := c.client.State(ctx); return err },
-		func(ctx context.Context, c *caller) error { return c.client.Order(ctx, endpoint.Order{}) },
+		func(ctx context.Context, c *caller) error { return c.client.Order(ctx, endpoint.Order{}, nil) },
 		func(ctx context.Context, c *caller) error { return c.client.Cancel(ctx, "r") },
 		func(ctx context.Context, c *caller) error {
 			_, err := c.client.Export(ctx, endpoint.KVHandle{})
--- a/hosted/rejoined_test.go
+++ b/hosted/rejoined_test.go
@@ -45,7 +45,20 @@
 func nothing(*rejoin) {}
 
 // rejoinFleets are the ways in which the instances are killed and start again.
-var rejoinFleets = []struct {
+var rejoinFleets = []rejoinFleet{
+	{name: "all killed"},
+	oneLives,
+	{name: "store down at the start", storeDown: true},
+	{name: "record from before", recorded: true},
+	{name: "killed after the first start", firstStart: true},
+	{name: "settings still state the first start", firstStart: true, restart: true},
+	{name: "one lives, settings still state the first start", firstStart: true, restart: true, lives: 1},
+}
+
+var oneLives = rejoinFleet{name: "one lives", lives: 1}
+
+// rejoinFleet is a way in which the instances are killed and start again.
+type rejoinFleet struct {
 	name string
 	// firstStart and restart are what the settings state at the first start and at the second one.
 	firstStart, restart bool
@@ -55,14 +68,6 @@
 	storeDown bool
 	// recorded is set if the store has a record from before the newer release.
 	recorded bool
-}{
-	{name: "all killed"},
-	{name: "one lives", lives: 1},
-	{name: "store down at the start", storeDown: true},
-	{name: "record from before", recorded: true},
-	{name: "killed after the first start", firstStart: true},
-	{name: "settings still state the first start", firstStart: true, restart: true},
-	{name: "one lives, settings still state the first start", firstStart: true, restart: true, lives: 1},
 }
 
 // rejoinNames are which of its requests a caller names when it resumes a stream.
@@ -281,44 +286,57 @@
 // while two releases served or the older one had just left.
 func TestStreamsOfTwoReleasesAfterAllInstancesWereKilled(t *testing.T) {
 	for _, fleet := range rejoinFleets {
-		counts := &rejoinCounts{}
-		t.Run(fleet.name, func(t *testing.T) {
-			for _, old := range rejoinOlds {
-				t.Run(old.name, func(t *testing.T) {
-					t.Parallel()
-					r := newRejoin(t, fleet.firstStart, fleet.recorded)
-					streams := r.beginStreams()
-					old.before(r)
-					killedAt := time.Now()
-					r.firstStart = fleet.restart
-					r.restart(fleet.lives, func() {
-						old.meanwhile(r)
-						if fleet.storeDown {
-							r.store.Refuse(http.StatusServiceUnavailable)
-							time.AfterFunc(rejoinOutage, func() { r.store.Refuse(0) })
-						}
-					})
-					old.after(r)
-					began := map[string]bool{}
-					var wg sync.WaitGroup
-					for k, s := range streams {
-						release := s.release()
-						began[release] = true
-						wg.Go(func() {
-							a := r.resume(k, s, killedAt)
-							counts.add(s, a, old.served || release == "v2", fleet.lives > 0 && s.resumes != "")
-							if len(releasesOf(s.read+a.body)) > 1 {
-								t.Errorf("resumed %v after the kill, names %q: began with %q, goes on with %+v", s.at, s.resumes, s.read, a)
-							}
-						})
-					}
-					wg.Wait()
-					if len(began) != 2 {
-						t.Errorf("streams of %v only", began)
+		t.Logf("%s: %v", fleet.name, fleet.play(t))
+	}
+}
+
+// Guards against resumptions that are refused although an instance that was not killed knows the stream, and endpoints of its
+// release serve.
+func TestStreamsThatALivingInstanceKnowsGoOn(t *testing.T) {
+	if counts := oneLives.play(t); counts.known > 0 {
+		t.Error(counts)
+	}
+}
+
+// play resumes streams after each fate of the older release, and returns the outcomes.
+func (fleet rejoinFleet) play(t *testing.T) *rejoinCounts {
+	counts := &rejoinCounts{}
+	t.Run(fleet.name, func(t *testing.T) {
+		for _, old := range rejoinOlds {
+			t.Run(old.name, func(t *testing.T) {
+				t.Parallel()
+				r := newRejoin(t, fleet.firstStart, fleet.recorded)
+				streams := r.beginStreams()
+				old.before(r)
+				killedAt := time.Now()
+				r.firstStart = fleet.restart
+				r.restart(fleet.lives, func() {
+					old.meanwhile(r)
+					if fleet.storeDown {
+						r.store.Refuse(http.StatusServiceUnavailable)
+						time.AfterFunc(rejoinOutage, func() { r.store.Refuse(0) })
 					}
 				})
-			}
-		})
-		t.Logf("%s: %v", fleet.name, counts)
-	}
+				old.after(r)
+				began := map[string]bool{}
+				var wg sync.WaitGroup
+				for k, s := range streams {
+					release := s.release()
+					began[release] = true
+					wg.Go(func() {
+						a := r.resume(k, s, killedAt)
+						counts.add(s, a, old.served || release == "v2", fleet.lives > 0 && s.resumes != "")
+						if len(releasesOf(s.read+a.body)) > 1 {
+							t.Errorf("resumed %v after the kill, names %q: began with %q, goes on with %+v", s.at, s.resumes, s.read, a)
+						}
+					})
+				}
+				wg.Wait()
+				if len(began) != 2 {
+					t.Errorf("streams of %v only", began)
+				}
+			})
+		}
+	})
+	return counts
 }
