--- a/lease/manager.go
+++ b/lease/manager.go
@@ -133,7 +133,7 @@
 	if !ok {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, until.Sub(now))
+	ctx, cancel := context.WithTimeout(ctx, until.Sub(m.cfg.Clock.Now()))
 	defer cancel()
 	settled := act(ctx, func() error {
 		m.mu.Lock()
--- a/rollout/hosted.go
+++ b/rollout/hosted.go
@@ -243,7 +243,7 @@
 		return verdict != Unanswered || settled(err)
 	})
 	if !began {
-		h.endOrder(t, 0)
+		h.endOrder(t, retryDelay)
 		return
 	}
 	h.handleVerdict(ctx, t, w, verdict, fence, expect, sentAt)
