Test of cut heads: the stand-in's state is shared without a race

With the race detector, TestAnswerCutInItsHeadIsBroken failed: the endpoint's handler read the case while the next one was set, after a connection that was reset.

--- a/endpoint/cut_head_test.go
+++ b/endpoint/cut_head_test.go
@@ -108,16 +108,17 @@
 	var wg sync.WaitGroup
 	for range parallel {
 		wg.Go(func() {
-			var c cutCase
-			var kept net.Conn
-			warm := false
+			var current atomic.Pointer[cutCase]
+			var kept atomic.Pointer[net.Conn]
+			var warm atomic.Bool
 			e, err := platformtest.NewEndpoint("e", func(x *platformtest.Exchange) bool {
-				if warm {
-					kept = x.Conn
+				c := current.Load()
+				if warm.Load() {
+					kept.Store(&x.Conn)
 					x.Write(emptyObject)
 					return true
 				}
-				if c.kept && x.Conn == kept {
+				if k := kept.Load(); c.kept && k != nil && x.Conn == *k {
 					reused.Add(1)
 				}
 				x.WriteCut(c.Cut, "")
@@ -129,13 +130,15 @@
 			}
 			defer e.Close()
 			for n := next.Add(1) - 1; int(n) < len(cases); n = next.Add(1) - 1 {
-				c = cases[n]
+				c := cases[n]
+				current.Store(&c)
 				by := newCaller(e.Address(), 10*time.Second)
-				if warm = c.kept; warm {
+				if c.kept {
+					warm.Store(true)
 					if err := readers[c.reader][0](t.Context(), by); err != nil {
 						t.Errorf("%+v: %v before the cut", c, err)
 					}
-					warm = false
+					warm.Store(false)
 				}
 				if err := readers[c.reader][c.call](t.Context(), by); !fault.Is(err, fault.Broken) {
 					t.Errorf("%+v: %v, want a broken connection", c, err)
