--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -45,7 +45,7 @@
 // Generate implements Generator.
 func (c *Client) Generate(ctx context.Context, r Request) (Stream, error) {
 	req := c.request(fasthttp.MethodPost, r.Path, r.Body)
-	req.Header.Set("X-Request-Id", r.ID)
+	req.Header.Set(headerRequestID, r.ID)
 	return c.stream(ctx, req, r.Fresh)
 }
 
@@ -83,7 +83,7 @@
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "report it", "encode an order")
 	}
-	cn, err := c.pool.get(ctx, true, c.readTimeout)
+	cn, err := c.pool.get(ctx, use{fresh: true, readTimeout: c.readTimeout})
 	if err != nil {
 		return err
 	}
@@ -158,7 +158,7 @@
 
 // open sends a request once and reads the header of the response.
 func (c *Client) open(ctx context.Context, req *fasthttp.Request, fresh bool) (*response, error) {
-	cn, err := c.pool.get(ctx, fresh, c.readTimeout)
+	cn, err := c.pool.get(ctx, use{fresh: fresh, readTimeout: c.readTimeout})
 	if err != nil {
 		return nil, err
 	}
@@ -168,7 +168,7 @@
 // exchange sends a request on a connection and reads the header of the response.
 func exchange(cn *conn, req *fasthttp.Request) (*response, error) {
 	resp := &response{conn: cn}
-	err := cn.send(req)
+	err := cn.send(req, string(req.Header.Peek(headerRequestID)))
 	if err == nil {
 		err = resp.readHeader(false)
 	}
--- a/endpoint/conn.go
+++ b/endpoint/conn.go
@@ -12,6 +12,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/sardinedock/sardinedock/attribution"
 	"github.com/sardinedock/sardinedock/bufferlimit"
 	"github.com/sardinedock/sardinedock/fault"
 	"github.com/sardinedock/sardinedock/internal/sockstate"
@@ -55,6 +56,8 @@
 	limited atomic.Bool
 	// intake bounds the bodies that are read whole; nil for sharedIntake.
 	intake *bufferlimit.Intake
+	// history is what was sent on it.
+	history attribution.History
 	// aborts is set while the connection is reset when it is closed.
 	aborts bool
 	// stop detaches the connection from the context of its request.
@@ -119,8 +122,9 @@
 	return errors.As(err, &t) && t.Timeout()
 }
 
-// send writes one request. The error is of kind Unavailable only if no byte of it was sent.
-func (c *conn) send(req *fasthttp.Request) error {
+// send writes one request with the given ID. The error is of kind Unavailable only if no byte of it was sent.
+func (c *conn) send(req *fasthttp.Request, id string) error {
+	c.history.Add(id)
 	c.written = 0
 	bw := bufio.NewWriter(c)
 	err := req.Write(bw)
@@ -159,17 +163,27 @@
 	pruning bool
 }
 
-// get returns a connection bound to ctx: an idle one, or a new one if there is none or fresh is
+// use is what a connection is needed for.
+type use struct {
+	// fresh requires a new connection.
+	fresh bool
+	// request is the ID of the request; empty if it has none. No connection on which it was sent before is used.
+	request string
+	// readTimeout is conn.readTimeout.
+	readTimeout time.Duration
+}
+
+// get returns a connection bound to ctx: an idle one, or a new one if there is none or u.fresh is
 // set. The error is of kind Unavailable.
-func (p *pool) get(ctx context.Context, fresh bool, readTimeout time.Duration) (*conn, error) {
-	c := p.takeIdle(fresh)
+func (p *pool) get(ctx context.Context, u use) (*conn, error) {
+	c := p.takeIdle(u)
 	if c == nil {
 		var err error
 		if c, err = p.dial(ctx); err != nil {
 			return nil, err
 		}
 	}
-	c.readTimeout = readTimeout
+	c.readTimeout = u.readTimeout
 	c.bind(ctx)
 	return c, nil
 }
@@ -195,7 +209,7 @@
 
 // probe makes a new connection and keeps it for the next request.
 func (p *pool) probe(ctx context.Context) error {
-	c, err := p.get(ctx, true, 0)
+	c, err := p.get(ctx, use{fresh: true})
 	if err != nil {
 		return err
 	}
@@ -206,15 +220,18 @@
 // takeIdle returns the most recently used connection that can be reused. An endpoint that
 // restarted has closed its connections; a request sent on one of them would fail without it
 // being known whether it ran. The state of the socket shows that the peer has closed it.
-func (p *pool) takeIdle(fresh bool) *conn {
-	if fresh {
+func (p *pool) takeIdle(u use) *conn {
+	if u.fresh {
 		return nil
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for len(p.idle) > 0 {
-		c := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
+	for k := len(p.idle) - 1; k >= 0; k-- {
+		c := p.idle[k]
+		if c.history.Carried(u.request) {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, k, k+1)
 		if time.Since(c.idleAt) < c.idleTimeout && sockstate.Of(c.Conn) == sockstate.Idle {
 			c.reused = true
 			return c
@@ -235,7 +252,7 @@
 
 // put returns a connection to the pool after a whole response was read from it.
 func (p *pool) put(c *conn) {
-	if !c.stop() || c.br.Buffered() > 0 || c.limited.Load() {
+	if !c.stop() || c.br.Buffered() > 0 || c.limited.Load() || c.history.Full() {
 		_ = c.Conn.Close()
 		return
 	}
--- a/endpoint/conn_test.go
+++ b/endpoint/conn_test.go
@@ -20,7 +20,7 @@
 	}
 	defer func() { _ = ln.Close() }()
 	p := &pool{addr: ln.Addr().String(), dialTimeout: time.Second}
-	c, err := p.get(context.Background(), false, 0)
+	c, err := p.get(context.Background(), use{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -36,7 +36,7 @@
 	for sockstate.Of(c.Conn) != sockstate.Closed {
 		runtime.Gosched()
 	}
-	if got := p.takeIdle(false); got != nil {
+	if got := p.takeIdle(use{}); got != nil {
 		t.Fatal("a closed connection was taken from the pool")
 	}
 }
@@ -51,7 +51,7 @@
 	defer func() { _ = ln.Close() }()
 	p := &pool{addr: ln.Addr().String(), dialTimeout: time.Second}
 	for range 3 {
-		c, err := p.get(context.Background(), true, 0)
+		c, err := p.get(context.Background(), use{fresh: true})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -80,7 +80,7 @@
 	p := &pool{addr: ln.Addr().String(), dialTimeout: time.Second, maxIdle: func() int { return 2 }}
 	var conns []*conn
 	for range 4 {
-		c, err := p.get(context.Background(), true, 0)
+		c, err := p.get(context.Background(), use{fresh: true})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/endpoint/engine.go
+++ b/endpoint/engine.go
@@ -7,6 +7,9 @@
 	"time"
 )
 
+// headerRequestID is the header with the ID of a request.
+const headerRequestID = "X-Request-Id"
+
 // Request is one model request as sent to an engine.
 type Request struct {
 	// ID is the router's own id, unique over all instances and attempts.
--- a/endpoint/relay.go
+++ b/endpoint/relay.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/sardinedock/sardinedock/attribution"
 	"github.com/sardinedock/sardinedock/bufferlimit"
 	"github.com/sardinedock/sardinedock/fault"
 	"github.com/sardinedock/sardinedock/internal/sockstate"
@@ -61,10 +62,13 @@
 type Outgoing struct {
 	// Head is the request line and header, with the empty line that ends them.
 	Head, Body []byte
+	// Request is the ID that the head states; empty if it states none. The request is sent on no connection on which one
+	// with the same ID was sent before.
+	Request string
 	// Accept reports whether a response belongs to the request. An endpoint may write a second
 	// response to an earlier request late, where the response to this one is due; responses that
 	// are not accepted are read and discarded.
-	Accept func(*fasthttp.ResponseHeader) bool
+	Accept func(*fasthttp.ResponseHeader, attribution.Circumstances) bool
 	// Ready, if set, is called once there is a connection. If it returns an error, nothing is sent and
 	// Open returns that error.
 	Ready func() error
@@ -96,7 +100,7 @@
 // fault.Unavailable means that nothing was sent; after any other error the request may have run.
 // ctx also bounds the reading of the body.
 func (r *Relay) Open(ctx context.Context, o Outgoing) (*Incoming, error) {
-	cn, err := r.pool.get(ctx, o.Fresh, 0)
+	cn, err := r.pool.get(ctx, use{fresh: o.Fresh, request: o.Request})
 	if err != nil {
 		return nil, err
 	}
@@ -110,6 +114,7 @@
 		}
 	}
 	in := &Incoming{response: response{conn: cn}, pool: &r.pool}
+	on := attribution.Circumstances{Earlier: cn.history.Requests(), Repeated: cn.history.Carried(o.Request)}
 	if err := in.send(o); err != nil {
 		cn.drop()
 		return nil, err
@@ -118,7 +123,8 @@
 		if err = in.response.readHeader(o.Bodiless); err != nil {
 			break
 		}
-		if o.Accept == nil || o.Accept(&in.response.header) {
+		on.Early = in.written != nil && len(in.written) == 0
+		if o.Accept == nil || o.Accept(&in.response.header, on) {
 			return in, nil
 		}
 		if err = in.skip(); err != nil {
@@ -133,6 +139,7 @@
 // send writes the request. A long one is written in the background while the response is read.
 func (in *Incoming) send(o Outgoing) error {
 	c := in.response.conn
+	c.history.Add(o.Request)
 	c.written = 0
 	data := append(o.Head, o.Body...)
 	if len(data) > asyncWriteBytes {
--- a/endpoint/relay_test.go
+++ b/endpoint/relay_test.go
@@ -34,7 +34,7 @@
 	if n, err := far.Read(make([]byte, 1)); n > 0 || !IsTimeout(err) {
 		t.Errorf("%d bytes, error %v; want an open connection without any", n, err)
 	}
-	if r.pool.takeIdle(false) == nil {
+	if r.pool.takeIdle(use{}) == nil {
 		t.Error("the connection is not kept for the next request")
 	}
 }
--- a/endpoint/service.go
+++ b/endpoint/service.go
@@ -53,7 +53,7 @@
 // run. A response with an error status is returned without an error, since the service itself
 // answered.
 func (s *Service) Do(ctx context.Context, r ServiceRequest) (*ServiceAnswer, error) {
-	cn, err := s.pool.get(ctx, r.Fresh, 0)
+	cn, err := s.pool.get(ctx, use{fresh: r.Fresh})
 	if err != nil {
 		return nil, err
 	}
@@ -61,7 +61,7 @@
 		cn.readTimeout = r.ReusedReadTimeout
 	}
 	resp := &response{conn: cn}
-	if err = cn.send(s.request(r)); err == nil {
+	if err = cn.send(s.request(r), r.ID); err == nil {
 		err = resp.readHeader(r.Method == fasthttp.MethodHead)
 	}
 	var body []byte
@@ -110,7 +110,7 @@
 	req.Header.SetMethod(r.Method)
 	req.SetRequestURI(r.URI)
 	req.SetHost(s.pool.addr)
-	req.Header.Set("X-Request-Id", r.ID)
+	req.Header.Set(headerRequestID, r.ID)
 	req.SetBodyRaw(r.Body)
 	return req
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/apex/log"
 	"github.com/valyala/fasthttp"
 
+	"github.com/sardinedock/sardinedock/attribution"
 	"github.com/sardinedock/sardinedock/balance"
 	"github.com/sardinedock/sardinedock/endpoint"
 	"github.com/sardinedock/sardinedock/fault"
@@ -29,7 +30,11 @@
 	sentAt time.Time
 	resp   *endpoint.Incoming
 	head   Answer
-	ended  bool
+	// verdict is what the response says about this send.
+	verdict attribution.Verdict
+	// ambiguous is set if the response states that the request was not run, and may belong to something else.
+	ambiguous bool
+	ended     bool
 	// unsent is set if no connection could be made, so that no byte reached the endpoint.
 	unsent bool
 	// trial is set if the request is suspected of crashing endpoints.
@@ -101,12 +106,14 @@
 	body := r.ctx.Request.Body()
 	head := r.srv.cfg.Dialect.AppendHead(nil, &r.ctx.Request.Header, r.outgoing(p, len(body), resumeAfter))
 	resp, err := r.srv.cfg.Relay(p.Endpoint.Address).Open(a.reqCtx, endpoint.Outgoing{
-		Head: head, Body: body, Accept: a.acceptHead, Bodiless: r.ctx.IsHead(), Ready: a.ready,
+		Head: head, Body: body, Request: r.call.ID, Accept: a.acceptHead, Bodiless: r.ctx.IsHead(), Ready: a.ready,
 		Fresh: r.needsCheckedPath(p.Endpoint.ID), Send: a.sendFunc(peerEndpoint),
 	})
 	if err != nil {
 		err = a.openError(err)
-		return nil, a.openFailed(err), err
+		o := a.openFailed(err)
+		r.noteFailure(a, o, err)
+		return nil, o, err
 	}
 	a.resp = resp
 	r.framing, r.answered = resp.Framing(), true
@@ -148,13 +155,6 @@
 	return nil
 }
 
-// acceptHead parses the head of a response and reports whether it belongs to this request. Endpoints echo the
-// request's ID in what they sign; only rejections may lack it.
-func (a *attempt) acceptHead(h *fasthttp.ResponseHeader) bool {
-	a.head = a.req.srv.cfg.Dialect.ParseAnswer(h)
-	return a.head.ID == a.req.call.ID || a.head.ID == "" && !a.head.Signed
-}
-
 func (r *request) outgoing(p balance.Placement, body int, resumeAfter string) Send {
 	s := Send{
 		Call:        r.call,
@@ -464,6 +464,9 @@
 	}
 	r.ran++
 	err := fault.New(fault.Broken, "look at the endpoint's log", "status %d is not the endpoint's signed word", a.head.Status)
+	if a.ambiguous {
+		err = errAmbiguous
+	}
 	a.finish(balance.Failed)
 	return r.handleSendFailure(outcomeBroken, err)
 }
@@ -511,12 +514,12 @@
 	case r.ran == 0:
 		r.refuseUnsent(err)
 	case errors.Is(cause, errTimeout):
-		writeRefusal(r.ctx, refusal{status: fasthttp.StatusGatewayTimeout, cause: cause})
+		r.writeRefusal(refusal{status: fasthttp.StatusGatewayTimeout, cause: cause})
 	case errors.Is(cause, errAborted):
 		r.lastErr = cause
-		writeRefusal(r.ctx, refusal{status: fasthttp.StatusBadGateway, cause: cause})
+		r.writeRefusal(refusal{status: fasthttp.StatusBadGateway, cause: cause})
 	default:
-		writeRefusal(r.ctx, refusal{status: fasthttp.StatusBadGateway, cause: err})
+		r.writeRefusal(refusal{status: fasthttp.StatusBadGateway, cause: err})
 	}
 	return false
 }
--- a/gateway/dialect.go
+++ b/gateway/dialect.go
@@ -129,6 +129,8 @@
 	ParseForward(h *fasthttp.RequestHeader) (f Forward, ok bool)
 	// ParseAnswer parses the head of an endpoint's response.
 	ParseAnswer(h *fasthttp.ResponseHeader) Answer
+	// NameRequest states in the header of a response which request it answers.
+	NameRequest(h *fasthttp.ResponseHeader, id string)
 	// CopyAnswer copies the end-to-end headers to the caller's response. The endpoint's signature
 	// is copied only if signed is true.
 	CopyAnswer(to, from *fasthttp.ResponseHeader, signed bool)
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -110,11 +110,13 @@
 		Body: len(body), ResumeAfter: resumeAfter, Release: r.release,
 	})
 	resp, err := r.srv.cfg.PeerRelay(to.Address).Open(a.reqCtx, endpoint.Outgoing{
-		Head: head, Body: body, Accept: a.acceptHead, Bodiless: r.ctx.IsHead(), Send: a.sendFunc(peerInstance),
+		Head: head, Body: body, Request: r.call.ID, Accept: a.acceptHead, Bodiless: r.ctx.IsHead(), Send: a.sendFunc(peerInstance),
 	})
 	if err != nil {
 		err = a.openError(err)
-		return nil, a.forwardFailed(err), err
+		o := a.forwardFailed(err)
+		r.noteFailure(a, o, err)
+		return nil, o, err
 	}
 	a.resp = resp
 	r.framing, r.answered = resp.Framing(), true
@@ -141,6 +143,11 @@
 // passOn passes on the answer of another instance to a forwarded request. It reports in retry whether the
 // request should be dispatched again.
 func (r *request) passOn(a *attempt) (stream *eventStream, retry bool) {
+	if a.ambiguous {
+		r.ran++
+		a.endBroken()
+		return nil, r.handleSendFailure(outcomeBroken, errAmbiguous)
+	}
 	reason := string(a.resp.Header().Peek(headerForwardRefused))
 	if reason != "" {
 		forwardRefused.Inc()
@@ -181,7 +188,7 @@
 	h := a.resp.Header()
 	defer a.finish(balance.Done)
 	if r.ran > 0 && statusImpliesNotRun(a.head.Status) {
-		writeRefusal(r.ctx, refusal{status: fasthttp.StatusBadGateway, cause: r.lastErr})
+		r.writeRefusal(refusal{status: fasthttp.StatusBadGateway, cause: r.lastErr})
 		return
 	}
 	r.ctx.Response.SetStatusCode(a.head.Status)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -69,6 +69,8 @@
 	trials int
 	// crashingPart is the ID of the part of its prompt for which the request is refused; empty for none.
 	crashingPart string
+	// sendRecords are what the sends came to, for the log line.
+	sendRecords []sendRecord
 	// sentAt is the time of the first send.
 	sentAt time.Time
 	waited time.Duration
@@ -223,9 +225,18 @@
 	r.log(r.ctx.Response.StatusCode())
 }
 
+// writeRefusal writes a final answer of the gateway itself. To another instance it names the request, as the answers of
+// endpoints do.
+func (r *request) writeRefusal(f refusal) {
+	if r.conn.forwarded() && r.call.ID != "" {
+		r.srv.cfg.Dialect.NameRequest(&r.ctx.Response.Header, r.call.ID)
+	}
+	writeRefusal(r.ctx, f)
+}
+
 // refuse answers a request that is refused before start, so that it was never sent.
 func (r *request) refuse(f refusal) {
-	writeRefusal(r.ctx, f)
+	r.writeRefusal(f)
 	r.conn.started = false
 	r.srv.open.remove(r)
 	answersTotal(f.status).Inc()
@@ -265,6 +276,11 @@
 	outcomeFailed
 )
 
+// String implements fmt.Stringer.
+func (o outcome) String() string {
+	return [...]string{"unplaced", "withdrawn", "unsent", "not forwarded", "rejected", "broken", "failed"}[o]
+}
+
 const (
 	// maxUnsent bounds the endpoints to which a connection is attempted; if more are unreachable,
 	// the fault is probably on this side.
@@ -340,11 +356,11 @@
 		err = r.asForwardRefusal(err)
 	}
 	if r.ran > 0 {
-		writeRefusal(r.ctx, refusal{status: fasthttp.StatusBadGateway, cause: err})
+		r.writeRefusal(refusal{status: fasthttp.StatusBadGateway, cause: err})
 		return
 	}
 	if fault.Is(err, fault.LimitExceeded) {
-		writeRefusal(r.ctx, refusal{status: fasthttp.StatusTooManyRequests, cause: err, retryAfter: r.quotaRetryAfter(fault.RetryAfter(err))})
+		r.writeRefusal(refusal{status: fasthttp.StatusTooManyRequests, cause: err, retryAfter: r.quotaRetryAfter(fault.RetryAfter(err))})
 		return
 	}
 	after := r.retryDelay(fault.RetryAfter(err))
@@ -357,7 +373,7 @@
 		// Waiting won't help. The caller may begin the stream anew at once.
 		after = 0
 	}
-	writeRefusal(r.ctx, refusal{status: fasthttp.StatusServiceUnavailable, cause: err, retryAfter: after})
+	r.writeRefusal(refusal{status: fasthttp.StatusServiceUnavailable, cause: err, retryAfter: after})
 }
 
 // retryDelay returns after how long a refused caller should retry: soon enough to be served before
@@ -476,6 +492,9 @@
 		f["first_why"] = r.firstErr.Error()
 	}
 	r.logRetries(f)
+	if sends := r.loggedSends(); len(sends) > 0 {
+		f["send_results"] = sends
+	}
 	if len(r.rejectedBy) > 0 {
 		f["rejected_by"] = strings.Join(r.rejectedBy, ",")
 	}
