Engines' rejections count only for the request that they are about; explain lists what each send came to

The same cause in our own interface: a 429 or 503 with the code not_started counted as not run whatever its connection had carried, so that an extra one after an earlier answer would have the request sent again. It has to name the request by X-Request-Id, or be alone on its connection; otherwise the request may have run. The stand-in engine echoes the ID. An error status has always closed the connection there, so a copy of a rejection itself could not come.

TestRejectionThatNamesNoRequestCountsOnANewConnectionOnly failed before for the kept connection without an ID ("kind overloaded", want broken). emulator, frontend, demo and endpoint pass.

--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -284,6 +284,9 @@
 		drop(ctx)
 		return
 	}
+	if id := ctx.Request.Header.Peek("X-Request-Id"); len(id) > 0 {
+		ctx.Response.Header.SetBytesV("X-Request-Id", id)
+	}
 	ctx.Response.Header.Set("X-Engine-Incarnation", strconv.FormatUint(p.incarnation, 10))
 	if e.cfg.Behaviour.ReportsLoad {
 		e.mu.Lock()
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/sardinedock/sardinedock/attribution"
 	"github.com/sardinedock/sardinedock/fault"
 )
 
@@ -168,12 +169,14 @@
 // exchange sends a request on a connection and reads the header of the response.
 func exchange(cn *conn, req *fasthttp.Request) (*response, error) {
 	resp := &response{conn: cn}
-	err := cn.send(req, string(req.Header.Peek(headerRequestID)))
+	id := string(req.Header.Peek(headerRequestID))
+	on := attribution.Circumstances{Earlier: cn.history.Requests(), Repeated: cn.history.Carried(id)}
+	err := cn.send(req, id)
 	if err == nil {
 		err = resp.readHeader(false)
 	}
 	if err == nil && resp.header.StatusCode() >= 300 {
-		err = resp.statusError()
+		err = resp.rejection(id, on, resp.statusError())
 	}
 	if err != nil {
 		cn.drop()
@@ -182,6 +185,16 @@
 	return resp, nil
 }
 
+// rejection returns the error of a response with an error status. One that states that the request was not started counts
+// only if it can't belong to an earlier request on the connection.
+func (resp *response) rejection(id string, on attribution.Circumstances, err error) error {
+	r := attribution.Response{ID: string(resp.header.Peek(headerRequestID)), NotRun: true}
+	if id == "" || !fault.Is(err, fault.Overloaded) || attribution.Judge(id, r, on) == attribution.NotRun {
+		return err
+	}
+	return fault.Wrap(err, fault.Broken, "have the engine echo "+headerRequestID, "the rejection may belong to another request")
+}
+
 func (c *Client) stream(ctx context.Context, req *fasthttp.Request, fresh bool) (Stream, error) {
 	resp, err := c.open(ctx, req, fresh)
 	if err != nil {
--- a/endpoint/client_test.go
+++ b/endpoint/client_test.go
@@ -118,6 +118,35 @@
 	}
 }
 
+// Guards against an extra rejection on a connection that is used again, which has a request sent twice.
+func TestRejectionThatNamesNoRequestCountsOnANewConnectionOnly(t *testing.T) {
+	for _, c := range []struct {
+		kept, named bool
+		want        fault.Kind
+	}{{false, false, fault.Overloaded}, {false, true, fault.Overloaded}, {true, false, fault.Broken}, {true, true, fault.Overloaded}} {
+		p := serve(t, func(n int64, w io.Writer) bool {
+			switch {
+			case c.kept && n == 1:
+				reply(w, "200 OK", "{}")
+			case c.named:
+				reply(w, "503 Unavailable\r\nX-Request-Id: r", `{"error":{"code":"not_started"}}`)
+			default:
+				reply(w, "503 Unavailable", `{"error":{"code":"not_started"}}`)
+			}
+			return true
+		})
+		client := p.client()
+		if c.kept {
+			if _, err := client.Load(context.Background()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if _, err := generate(client); fault.KindOf(err) != c.want {
+			t.Errorf("%+v: kind %s", c, fault.KindOf(err))
+		}
+	}
+}
+
 // The same for a plain service and every method that HTTP clients consider safe to retry.
 func TestDroppedServiceCallIsNotRetried(t *testing.T) {
 	for _, method := range []string{"GET", "PUT", "DELETE", "POST"} {
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -89,7 +89,7 @@
 		fmt.Fprintln(out, e.text)
 	}
 	for _, r := range requests {
-		for _, reason := range []func(logEntry) string{quotaReason, retryReason} {
+		for _, reason := range []func(logEntry) string{quotaReason, retryReason, sendsReason} {
 			if text := reason(r); text != "" {
 				fmt.Fprintln(out, text)
 			}
@@ -204,11 +204,14 @@
 	return content == request.stringField("content") || content == request.stringField("crashing_part")
 }
 
-// endpointsOf returns the endpoints that rejected a request, those at which it broke off, and the one
-// that was passed over.
+// endpointsOf returns the endpoints to which a request was sent, where its line lists them, those that rejected it, those at
+// which it broke off, and the one that was passed over.
 func endpointsOf(request logEntry) []string {
 	list := strings.Split(request.stringField("rejected_by"), ",")
 	list = append(list, strings.Split(request.stringField("broken_at"), ",")...)
+	for _, s := range sendsOf(request) {
+		list = append(list, s.Endpoint)
+	}
 	return append(list, request.stringField("passed_over"))
 }
 
