A stream goes on at the only known release only if the store confirms that there is no other

The only release now needs a read of the list's changes that begins after the stream came back, from the revision up to which whoever states it knows the list; instances send that revision with their answers. An answer of an instance of an earlier version has none and does not count. The record's reader, which read changes once while other instances answered, reads them again too. TestInstanceAloneReadsChangesAgain required that a connected instance goes on by an old read; its replacement requires that each stream waits for a read of its own time, and bounds the calls as before.

--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -173,7 +173,11 @@
 	i.cancel = cancel
 	i.origins = &origins{
 		book: origin.NewBook(), state: i.state, node: i.node, started: i.started, settled: &i.settled,
-		record: &recordReader{ctx: ctx, store: i.store},
+		record: &recordReader{ctx: ctx, store: i.store}, lists: &listReads{ctx: ctx, store: i.store},
+		listed: func() uint64 {
+			f := i.followers[platform.KindEndpoints]
+			return max(f.Revision(), uint64(f.Span().To))
+		},
 	}
 	i.recorder = i.newRecorder()
 	i.guard = gateway.NewCrashGuard(s.GetInstance(), i.node.BroadcastNotice)
--- a/hosted/origins.go
+++ b/hosted/origins.go
@@ -34,6 +34,9 @@
 	// settled is Instance.settled.
 	settled *atomic.Bool
 	record  *recordReader
+	lists   *listReads
+	// listed returns the store's revision up to which every change of the list of endpoints is known.
+	listed func() uint64
 }
 
 // Began implements gateway.Origins.
@@ -51,8 +54,12 @@
 	for until := time.Now().Add(originWait); len(answers) == 0 && o.isNew() && time.Now().Before(until) && clock.Sleep(ctx, originPoll) == nil; {
 		answers = o.ask(ctx, service, k, life)
 	}
-	alone := len(answers) == 0
 	answers = append(answers, o.answer(service, k, life))
+	for n, a := range answers {
+		if a.Release == "" {
+			answers[n] = o.lists.confirm(ctx, service, a)
+		}
+	}
 	if release, result, from = origin.Decide(answers); result != origin.Unknown || !origin.Uninformed(answers) {
 		return release, result, from
 	}
@@ -61,7 +68,7 @@
 	if len(listed) == 0 {
 		return "", origin.Unknown, ""
 	}
-	if release = o.record.certain(ctx, service, o.book.Known(service, listed), life, alone); release == "" {
+	if release = o.record.certain(ctx, service, o.book.Known(service, listed), life); release == "" {
 		return "", origin.Unknown, ""
 	}
 	return release, origin.Recorded, ""
@@ -72,8 +79,8 @@
 
 // answer returns what this instance knows.
 func (o *origins) answer(service string, k origin.Key, life time.Duration) origin.Answer {
-	now := time.Now()
-	return origin.Answer{Release: o.book.Release(now, k), Releases: o.book.Releases(now, service, o.state.Releases(service), life)}
+	now, revision := time.Now(), o.listed()
+	return origin.Answer{Release: o.book.Release(now, k), Releases: o.book.Releases(now, service, o.state.Releases(service), life), Revision: revision}
 }
 
 // ask returns what schedulers know that answer in time.
@@ -93,7 +100,7 @@
 			defer mu.Unlock()
 			answers = append(answers, origin.Answer{
 				Instance: to.Name, Release: m.GetRelease(),
-				Releases: origin.Releases{Only: m.GetOnlyRelease(), Several: m.GetSeveralReleases()},
+				Releases: origin.Releases{Only: m.GetOnlyRelease(), Several: m.GetSeveralReleases()}, Revision: m.GetListRevision(),
 			})
 		})
 	}
@@ -106,5 +113,6 @@
 	known := o.answer(a.GetOriginService(), origin.Key(a.GetOrigin()), time.Duration(a.GetOriginLifeMs())*time.Millisecond)
 	return &gossippb.Decision{
 		Run: a.GetRun(), Admission: int32(balance.Wait), Release: known.Release, OnlyRelease: known.Only, SeveralReleases: known.Several,
+		ListRevision: known.Revision,
 	}
 }
--- a/hosted/releases.go
+++ b/hosted/releases.go
@@ -32,9 +32,6 @@
 	// the store does not answer.
 	recordWait  = 300 * time.Millisecond
 	recordRetry = 2 * time.Second
-	// recordAgeAlone is for how long an instance that receives messages from no other uses the changes that it has read. It is not notified
-	// of endpoints that come and go, and others may begin streams there.
-	recordAgeAlone = time.Second
 	// maxLoggedServices bounds the services in one log line.
 	maxLoggedServices = 5
 )
@@ -230,25 +227,34 @@
 // readChanges reads the changes of the endpoints' list since a revision. The error has kind fault.Expired if the store's
 // history does not reach back to it.
 func readChanges(ctx context.Context, store *platform.Store, since uint64) (endpointChanges, error) {
-	list, asOf, err := store.Changes(ctx, platform.KindEndpoints, objectapi.Version(since))
+	d, asOf, err := readDelivered(ctx, store, since)
 	if err != nil {
 		return endpointChanges{}, err
 	}
-	var d origin.Delivered
+	releases, ok := d.Since(since)
+	if !ok {
+		return endpointChanges{}, fault.New(fault.Expired, "none: nothing is certain for the life of a stream", "too many releases since revision %d", since)
+	}
+	return endpointChanges{releases, asOf}, nil
+}
+
+// readDelivered reads the changes of the endpoints' list after a revision, and the revision up to which there are no others.
+func readDelivered(ctx context.Context, store *platform.Store, since uint64) (*origin.Delivered, uint64, error) {
+	list, asOf, err := store.Changes(ctx, platform.KindEndpoints, objectapi.Version(since))
+	if err != nil {
+		return nil, 0, err
+	}
+	d := &origin.Delivered{}
 	for _, obj := range list {
 		if e, err := platform.Endpoint(obj); err == nil {
 			d.Add(e.Service, e.Release, uint64(obj.Version))
 		}
 	}
-	releases, ok := d.Since(since)
-	if !ok {
-		return endpointChanges{}, fault.New(fault.Expired, "none: nothing is certain for the life of a stream", "too many releases since revision %d", since)
-	}
-	return endpointChanges{releases, uint64(asOf)}, nil
+	return d, uint64(asOf), nil
 }
 
 // recordReader reads the record of releases for an instance that was restarted with all others: once, and the changes since
-// again only while the instance receives messages from no other.
+// again for streams that come back later.
 type recordReader struct {
 	ctx   context.Context
 	store *platform.Store
@@ -266,10 +272,10 @@
 }
 
 // certain returns the release that began every stream of a service which has lasted for at most the given life, by the
-// record; empty if that is not certain, or not known within recordWait. known are the releases that this instance knows.
-// alone states that this instance receives messages from no other.
-func (r *recordReader) certain(ctx context.Context, service string, known []string, life time.Duration, alone bool) string {
-	if !r.await(ctx, alone) {
+// record and the changes since; empty if that is not certain, or not known within recordWait. known are the releases that
+// this instance knows.
+func (r *recordReader) certain(ctx context.Context, service string, known []string, life time.Duration) string {
+	if !r.await(ctx, time.Now()) {
 		return ""
 	}
 	r.mu.Lock()
@@ -277,40 +283,40 @@
 	return r.record.Certain(time.Now(), service, r.changes.releases[service], known, life)
 }
 
-// isCurrent reports whether what was read can be used. Without a record nothing is certain, and nothing is read again. The
-// caller must hold r.mu.
-func (r *recordReader) isCurrent(alone bool) bool {
-	return r.done && (!alone || r.record.Revision == 0 || time.Since(r.readAt) < recordAgeAlone)
+// isCurrent reports whether what was read can be used for a stream that came back at the given time. Without a record
+// nothing is certain, and nothing is read again. The caller must hold r.mu.
+func (r *recordReader) isCurrent(resumed time.Time) bool {
+	return r.done && (r.record.Revision == 0 || !r.readAt.Before(resumed))
 }
 
-// await reads what is missing, and reports whether all is there.
-func (r *recordReader) await(ctx context.Context, alone bool) bool {
-	r.mu.Lock()
-	if current := r.isCurrent(alone); current || !r.failedAt.IsZero() && time.Since(r.failedAt) < recordRetry {
-		defer r.mu.Unlock()
-		return current
-	}
-	if r.pending == nil {
-		r.pending = make(chan struct{})
-		go r.read()
-	}
-	pending := r.pending
-	r.mu.Unlock()
-	timer := time.NewTimer(recordWait)
-	defer timer.Stop()
-	select {
-	case <-pending:
-	case <-timer.C:
-	case <-ctx.Done():
+// await reads what is missing, and reports whether all is there. A read in progress may have begun before the stream came
+// back, so that another one is needed after it.
+func (r *recordReader) await(ctx context.Context, resumed time.Time) bool {
+	ctx, cancel := context.WithTimeout(ctx, recordWait)
+	defer cancel()
+	for {
+		r.mu.Lock()
+		if current := r.isCurrent(resumed); current || !r.failedAt.IsZero() && time.Since(r.failedAt) < recordRetry || ctx.Err() != nil {
+			defer r.mu.Unlock()
+			return current
+		}
+		if r.pending == nil {
+			r.pending = make(chan struct{})
+			go r.read(max(0, listReadInterval-time.Since(r.readAt)))
+		}
+		pending := r.pending
+		r.mu.Unlock()
+		select {
+		case <-pending:
+		case <-ctx.Done():
+		}
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.isCurrent(alone)
 }
 
-// read reads the record, unless that was done, and the changes since the last read. Each call to the store has its own
-// timeout.
-func (r *recordReader) read() {
+// read waits for d and reads the record, unless that was done, and the changes since the last read. Each call to the store
+// has its own timeout.
+func (r *recordReader) read(d time.Duration) {
+	_ = clock.Sleep(r.ctx, d)
 	began := time.Now()
 	r.mu.Lock()
 	record, changes := r.record, r.changes
--- a/hosted/releases_test.go
+++ b/hosted/releases_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -134,19 +135,29 @@
 	}
 }
 
-// Guards against an instance that is cut off from all others and continues a stream by what it has read some time ago,
-// and against calls for each stream.
-func TestInstanceAloneReadsChangesAgain(t *testing.T) {
+// Guards against an instance that continues a stream by what it has read before the stream came back, and against calls for
+// each stream.
+func TestRecordReaderReadsChangesAfterEachReturn(t *testing.T) {
+	const streams = 20
 	store, w, _ := newTestRecorder(t)
 	r := &recordReader{ctx: t.Context(), store: w.store}
-	certain := func(alone bool) string { return r.certain(t.Context(), "pool", []string{"v1"}, time.Minute, alone) }
-	if got := certain(true) + certain(true) + certain(false); got != "v1v1v1" || store.Calls("GET", "servers") != 1 {
-		t.Errorf("%q after %d calls, want v1 each time after one", got, store.Calls("GET", "servers"))
+	certain := func() string { return r.certain(t.Context(), "pool", []string{"v1"}, time.Minute) }
+	began := time.Now()
+	var wg sync.WaitGroup
+	for range streams {
+		wg.Go(func() {
+			if got := certain(); got != "v1" {
+				t.Errorf("%q, want v1", got)
+			}
+		})
+	}
+	wg.Wait()
+	if n := store.Calls("GET", "servers"); n > 2+int(time.Since(began)/listReadInterval) {
+		t.Errorf("%d reads of changes for %d streams in %v", n, streams, time.Since(began))
 	}
 	shortLived(store, "v2")
-	time.Sleep(recordAgeAlone)
-	if connected, alone := certain(false), certain(true); connected != "v1" || alone != "" || store.Calls("GET", kindReleases) != 1 {
-		t.Errorf("%q while others tell of changes, %q alone, want v1 and none", connected, alone)
+	if got := certain(); got != "" || store.Calls("GET", kindReleases) != 1 {
+		t.Errorf("%q after another release, want none", got)
 	}
 }
 
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -192,6 +192,9 @@
 	// Release that began the stream; empty if it is unknown.
 	Release string
 	Releases
+	// Revision is the store's up to which Releases takes every change of the list of endpoints into account; 0 if that is
+	// not known.
+	Revision uint64
 }
 
 // Result is how the release was found, or why it was not.
