One odd object in the store does not hide the others of its list

Reported by other operators: one odd entry among those of the endpoints, nested deeply, with a number too large or a port out of range, and the machines that read the list ended again and again or stopped following it.

No process ended here, but an entry nested deeper than the JSON library decodes, anywhere in it, failed the decoding of its whole page and of each watch that held it, so that no change was followed while it stood; so did a name or a revision of another type.

Lists and changes are split into their objects without decoding these, to any depth, and each object is decoded by itself.

--- a/internal/jsonscan/scan.go
+++ b/internal/jsonscan/scan.go
@@ -36,12 +36,35 @@
 	return s.end()
 }
 
+// SplitFields is Fields for values that may be nested at any depth. It finds their ends and does not check them otherwise.
+func SplitFields(data []byte, field func(name string, value []byte)) error {
+	s := scanner{data: data, unchecked: true}
+	s.space()
+	if !s.object(field) {
+		return s.fault()
+	}
+	return s.end()
+}
+
+// SplitElements is Elements for values that may be nested at any depth. It finds their ends and does not check them
+// otherwise.
+func SplitElements(data []byte, element func(value []byte)) error {
+	s := scanner{data: data, unchecked: true}
+	s.space()
+	if !s.array(element) {
+		return s.fault()
+	}
+	return s.end()
+}
+
 // scanner is a position in a JSON text. Its methods advance the position and report whether they
 // found the expected syntax.
 type scanner struct {
 	data  []byte
 	at    int
 	depth int
+	// unchecked has values skipped without a check of what is in them.
+	unchecked bool
 }
 
 func (s *scanner) fault() error {
@@ -152,10 +175,56 @@
 	return true
 }
 
+// skip advances past a value to the end of its outermost brackets, or to the next comma or bracket.
+func (s *scanner) skip() bool {
+	from := s.at
+	for open := 0; s.at < len(s.data); s.at++ {
+		switch s.data[s.at] {
+		case '"':
+			if !s.skipString() {
+				return false
+			}
+		case '{', '[':
+			open++
+			continue
+		case '}', ']':
+			if open == 0 {
+				return s.at > from
+			}
+			if open--; open == 0 {
+				s.at++
+				return true
+			}
+			continue
+		case ',', ' ', '\t', '\r', '\n':
+			if open == 0 {
+				return s.at > from
+			}
+		}
+	}
+	return false
+}
+
+// skipString advances to the quote that ends a string.
+func (s *scanner) skipString() bool {
+	for s.at++; s.at < len(s.data); s.at++ {
+		switch s.data[s.at] {
+		case '\\':
+			s.at++
+		case '"':
+			return true
+		}
+	}
+	return false
+}
+
 func (s *scanner) value() bool {
 	if s.at == len(s.data) {
 		return false
 	}
+	if s.unchecked {
+		return s.skip()
+	}
 	switch c := s.data[s.at]; {
 	case c == '"':
 		return s.str()
--- a/internal/jsonscan/scan_test.go
+++ b/internal/jsonscan/scan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"testing"
 )
 
@@ -31,6 +32,10 @@
 		if err != nil {
 			return
 		}
+		split := map[string]string{}
+		if err := SplitFields(data, func(name string, value []byte) { split[name] = string(value) }); err != nil || !maps.Equal(split, got) {
+			t.Fatalf("%q: split into %q, %v, want %q", data, split, err, got)
+		}
 		if len(got) != len(want) {
 			t.Fatalf("%q: %d fields, want %d", data, len(got), len(want))
 		}
