--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -175,6 +175,8 @@
 // faultsOf returns the faults that a seed draws from.
 func faultsOf(seed uint64) []fault {
 	switch {
+	case seed >= firstExtraSeed:
+		return extraFaultsOf()
 	case seed >= firstEndlessSeed:
 		return endlessFaultsOf()
 	case seed >= firstRetrySeed:
--- a/soak/pool_test.go
+++ b/soak/pool_test.go
@@ -60,6 +60,8 @@
 	pausing
 	// flooding endpoints send bytes without end; they are not drawn either.
 	flooding
+	// copying endpoints reject most requests, and write copies of rejections late; they are not drawn either.
+	copying
 )
 
 // server is one endpoint, behind a link. It may restart under the same id.
@@ -73,6 +75,7 @@
 	// startedAt is when it started, in Unix ms; 0 if its entry does not contain that.
 	startedAt atomic.Int64
 	nextRun   atomic.Int64
+	copies    lateCopies
 	// entries is the number of entries that it has written to the store.
 	entries atomic.Int64
 	// statesLeaving is set while its answers state that it leaves, retryAfter what it answers as
@@ -253,8 +256,13 @@
 	conn := x.link.connFrom(e.Conn.RemoteAddr().String())
 	from, open := x.senderOf(c, conn)
 	x.checkRequest(c, from, e)
+	x.copies.write(e)
 	behaviour := behaviour(x.behaviour.Load())
 	switch behaviour {
+	case copying:
+		if x.copies.reject(e, x.statements()) {
+			return true
+		}
 	case rejecting:
 		e.Reject(503, x.statements()...)
 		return true
