--- a/hosted/forward_test.go
+++ b/hosted/forward_test.go
@@ -254,6 +254,22 @@
 	}
 }
 
+// Guards against a forwarded request that is rejected by the only endpoint, and whose refusal by the other instance counts as
+// ambiguous, since it comes on a kept connection and names no request.
+func TestRefusalsOfForwardedRequestsNameThem(t *testing.T) {
+	f := newFixture(t, 2)
+	cut := partitioned(f.instances[0])
+	f.endpoint("e1", "orders", func(x *platformtest.Exchange) bool { x.Reject(503); return true })
+	f.serve(1, nil)
+	f.awaitPeers()
+	cut.cut(cutWithReset)
+	for n := range 4 {
+		if a := f.do(f.request("POST", "/confirm/1", "x")); a.status != 503 {
+			t.Errorf("request %d: %+v, want 503: it has not run", n, a)
+		}
+	}
+}
+
 // Guards against an organisation that is charged at both instances for one request.
 func TestForwardedRequestIsChargedOnce(t *testing.T) {
 	f := newFixture(t, 2)
