--- a/hosted/listreads.go
+++ b/hosted/listreads.go
@@ -112,16 +112,8 @@
 	listReadsTotal(outcome).Inc()
 }
 
-// confirm returns the answer with what its instance had missed of the list of endpoints. An answer that can't be confirmed
-// states no only release.
-func (l *listReads) confirm(ctx context.Context, service string, a origin.Answer) origin.Answer {
-	if a.Only == "" {
-		return a
-	}
-	releases, ok := l.releasesSince(ctx, a.Revision, service)
-	other := slices.ContainsFunc(releases, func(release string) bool { return release != a.Only })
-	if !ok || other {
-		a.Only, a.Several = "", other
-	}
-	return a
+// confirm reports whether the changes of the list after a revision show no other release of a service than the given one.
+func (l *listReads) confirm(ctx context.Context, service, only string, since uint64) bool {
+	releases, ok := l.releasesSince(ctx, since, service)
+	return ok && !slices.ContainsFunc(releases, func(release string) bool { return release != only })
 }
--- a/hosted/origins.go
+++ b/hosted/origins.go
@@ -55,12 +55,11 @@
 		answers = o.ask(ctx, service, k, life)
 	}
 	answers = append(answers, o.answer(service, k, life))
-	for n, a := range answers {
-		if a.Release == "" {
-			answers[n] = o.lists.confirm(ctx, service, a)
-		}
-	}
-	if release, result, from = origin.Decide(answers); result != origin.Unknown || !origin.Uninformed(answers) {
+	release, result, from = origin.Decide(answers)
+	switch {
+	case result == origin.OnlyRelease && !o.lists.confirm(ctx, service, release, origin.NewestRevision(answers)):
+		return "", origin.Unknown, ""
+	case result != origin.Unknown || !origin.Uninformed(answers):
 		return release, result, from
 	}
 	// Only instances that have started within the life of a stream get here, since all others know which releases there were.
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -222,6 +222,18 @@
 	return !slices.ContainsFunc(answers, func(a Answer) bool { return a.Release != "" || a.Only != "" || a.Several })
 }
 
+// NewestRevision returns the newest revision of the store up to which an instance that states an only release knows the list
+// of endpoints; 0 if there is none.
+func NewestRevision(answers []Answer) uint64 {
+	newest := uint64(0)
+	for _, a := range answers {
+		if a.Only != "" {
+			newest = max(newest, a.Revision)
+		}
+	}
+	return newest
+}
+
 // Decide returns the release that a stream may go on at, by what several instances know; empty if it must not. from is
 // the instance that knew, empty for this one.
 //
