--- a/attribution/attribution.go
+++ b/attribution/attribution.go
@@ -38,6 +38,11 @@
 // Requests returns the number of requests that were sent.
 func (h *History) Requests() int { return h.requests }
 
+// Circumstances returns those of a send of the request with the given ID that is not added yet.
+func (h *History) Circumstances(id string) Circumstances {
+	return Circumstances{Earlier: h.Requests(), Repeated: h.Carried(id)}
+}
+
 // Full reports whether the connection must not carry further requests.
 func (h *History) Full() bool { return h.requests >= maxRequests }
 
--- a/attribution/attribution_test.go
+++ b/attribution/attribution_test.go
@@ -72,7 +72,7 @@
 // send sends the request once. It returns what the router takes from the responses, and whether the request ran.
 func (s *sequence) send(id string) (v attribution.Verdict, ran bool) {
 	c := s.connection()
-	on := attribution.Circumstances{Earlier: c.history.Requests(), Repeated: c.history.Carried(id)}
+	on := c.history.Circumstances(id)
 	c.history.Add(id)
 	var responses []attribution.Response
 	for n := s.pick(maxExtra + 1); n > 0 && len(c.written) > 0; n-- {
--- a/endpoint/client.go
+++ b/endpoint/client.go
@@ -170,7 +170,7 @@
 func exchange(cn *conn, req *fasthttp.Request) (*response, error) {
 	resp := &response{conn: cn}
 	id := string(req.Header.Peek(headerRequestID))
-	on := attribution.Circumstances{Earlier: cn.history.Requests(), Repeated: cn.history.Carried(id)}
+	on := cn.history.Circumstances(id)
 	err := cn.send(req, id)
 	if err == nil {
 		err = resp.readHeader(false)
--- a/endpoint/relay.go
+++ b/endpoint/relay.go
@@ -114,7 +114,7 @@
 		}
 	}
 	in := &Incoming{response: response{conn: cn}, pool: &r.pool}
-	on := attribution.Circumstances{Earlier: cn.history.Requests(), Repeated: cn.history.Carried(o.Request)}
+	on := cn.history.Circumstances(o.Request)
 	if err := in.send(o); err != nil {
 		cn.drop()
 		return nil, err
--- a/soak/endless_test.go
+++ b/soak/endless_test.go
@@ -30,11 +30,11 @@
 	})
 }}
 
-// endlessFaultsOf returns the faults of a seed from firstEndlessSeed on, of which about half are its own.
-func endlessFaultsOf() []fault {
+// withOwnFault returns the faults of seeds whose own fault is about half of those that are drawn.
+func withOwnFault(own fault) []fault {
 	list := crashingFaultsOf()
 	for n := len(list); len(list) < 2*n; {
-		list = append(list, endlessFault)
+		list = append(list, own)
 	}
 	return list
 }
--- a/soak/extra_test.go
+++ b/soak/extra_test.go
@@ -24,15 +24,6 @@
 	})
 }}
 
-// extraFaultsOf returns the faults of a seed from firstExtraSeed on, of which about half are its own.
-func extraFaultsOf() []fault {
-	list := crashingFaultsOf()
-	for n := len(list); len(list) < 2*n; {
-		list = append(list, extraFault)
-	}
-	return list
-}
-
 // lateCopies holds the copies that an endpoint will write, by connection. Its zero value is ready to use.
 type lateCopies struct {
 	rejected atomic.Int64
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -176,9 +176,9 @@
 func faultsOf(seed uint64) []fault {
 	switch {
 	case seed >= firstExtraSeed:
-		return extraFaultsOf()
+		return withOwnFault(extraFault)
 	case seed >= firstEndlessSeed:
-		return endlessFaultsOf()
+		return withOwnFault(endlessFault)
 	case seed >= firstRetrySeed:
 		return retryFaultsOf()
 	case seed >= firstScarceSeed:
