Multipart bodies are passed on as they were sent

What callers saw: a multipart body reached the endpoint changed (175 bytes as 144: preamble, epilogue, fields of parts and the case of names gone), and one that is no form was refused with 400.

The pre-parsing is off now at both interfaces. No other use of the library's form parsing was found.

The stand-ins parsed such bodies too, and no longer do.

--- a/emulator/listener.go
+++ b/emulator/listener.go
@@ -46,10 +46,12 @@
 // per second (0 sets no limit).
 func listenHTTP(addr string, readRate float64, handler fasthttp.RequestHandler) (*listener, error) {
 	srv := &fasthttp.Server{
-		Handler:               handler,
-		NoDefaultServerHeader: true,
-		MaxRequestBodySize:    64 << 20,
-		Logger:                discardLogger{},
+		// Bodies are compared as they were sent.
+		DisablePreParseMultipartForm: true,
+		Handler:                      handler,
+		NoDefaultServerHeader:        true,
+		MaxRequestBodySize:           64 << 20,
+		Logger:                       discardLogger{},
 	}
 	return listenWith(addr, readRate, srv.Serve)
 }
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -104,7 +104,9 @@
 		Concurrency:           int(cfg.Limits.GetConnections()),
 		CloseOnShutdown:       true,
 		ErrorHandler:          readFailed,
-		Logger:                countLogger{},
+		// Bodies are passed on as bytes, whatever their type is.
+		DisablePreParseMultipartForm: true,
+		Logger:                       countLogger{},
 	}
 	go s.calls.cancelDisconnected(ctx)
 	return s
--- a/frontend/service_test.go
+++ b/frontend/service_test.go
@@ -37,6 +37,17 @@
 	}
 }
 
+// Guards against multipart bodies that reach the service changed, without their preamble, epilogue or own fields.
+func TestMultipartBodyReachesTheServiceUnchanged(t *testing.T) {
+	r := newFixture(t, fixtureConfig{services: 1})
+	const body = "a preamble\r\n--edge\r\ncontent-disposition: form-data; name=a\r\nX-Own: 1\r\n\r\none\r\n--edge--\r\nan epilogue"
+	resp := r.do(t, "POST", "/services/ordering/dispatch/7", http.Header{"Content-Type": {"multipart/form-data; boundary=edge"}}, body)
+	got, _ := io.ReadAll(resp.Body)
+	if want := emulator.ServiceAnswer("POST", "/dispatch/7", []byte(body)); string(got) != want {
+		t.Fatalf("status %d, got %q, want %q", resp.StatusCode, got, want)
+	}
+}
+
 // The service runs an order confirmation and crashes before it answers. A rerun would ship the
 // order twice.
 func TestServiceCrashAfterSideEffect(t *testing.T) {
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -182,7 +182,9 @@
 		// Header names are normalized and passed on in that form, not as the caller capitalized
 		// them.
 		DisableHeaderNamesNormalizing: false,
-		Logger:                        countingLogger{},
+		// Bodies are passed on as bytes, whatever their type is.
+		DisablePreParseMultipartForm: true,
+		Logger:                       countingLogger{},
 	}
 	return s
 }
