--- a/bufferlimit/intake_test.go
+++ b/bufferlimit/intake_test.go
@@ -1,7 +1,9 @@
 package bufferlimit
 
 import (
+	"errors"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 )
@@ -17,7 +19,7 @@
 		largest := func() int64 {
 			var size int64
 			for c, n := range sizes {
-				if !c.full {
+				if !c.Full() {
 					size = max(size, n)
 				}
 			}
@@ -36,12 +38,12 @@
 				open = append(open[:k], open[k+1:]...)
 			default:
 				c, n := open[k], rapid.Int64Range(0, bound).Draw(t, "bytes")
-				ended := c.full
+				ended := c.Full()
 				if !ended {
 					sizes[c] += n
 				}
 				others := largest()
-				err := c.Grow(n)
+				err := c.Grow(start, n)
 				if !ended && err != nil && sizes[c] < others {
 					t.Fatalf("an answer of %d bytes was ended, the largest has %d", sizes[c], others)
 				}
@@ -49,7 +51,7 @@
 					t.Fatalf("%v, full: %v", err, c.Full())
 				}
 			}
-			if v := i.View(); v.Held > bound || v.Held < 0 || v.Answers != len(open) {
+			if v := i.View(); v.Held > bound || v.Held < 0 || v.Messages != len(open) {
 				t.Fatalf("%+v, %d open", v, len(open))
 			}
 		}
@@ -57,7 +59,7 @@
 			c.End()
 			c.End()
 		}
-		if v := i.View(); v.Held != 0 || v.Answers != 0 {
+		if v := i.View(); v.Held != 0 || v.Messages != 0 {
 			t.Fatalf("%+v at the end", v)
 		}
 	})
@@ -80,12 +82,12 @@
 	var answers []*Collection
 	for n := range rounds {
 		k := n % endless
-		if err := flood[k].Grow(piece); err != nil {
+		if err := flood[k].Grow(start, piece); err != nil {
 			flood[k].End()
 			begin(k)
 		}
 		c := i.Begin(func() { t.Errorf("round %d: a small answer was stopped", n) })
-		if err := c.Grow(small); err != nil {
+		if err := c.Grow(start, small); err != nil {
 			t.Fatalf("round %d: %v", n, err)
 		}
 		if answers = append(answers, c); len(answers) > bound/2/small {
@@ -100,3 +102,108 @@
 		t.Errorf("%+v, no answer without end was ended", v)
 	}
 }
+
+// requestModel is what a request of TestRequestsYieldToOrdinaryOnes occupies.
+type requestModel struct {
+	size int64
+	// ending is what it occupies after it was given up.
+	ending            int64
+	complete, stopped bool
+}
+
+// Guards against a sum of requests over the bound, against memory that is not released, and against an ordinary request that is given
+// up for a larger unfinished one, in any order of events.
+func TestRequestsYieldToOrdinaryOnes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const bound = 16 << 20
+		i, now := NewRequestIntake(bound), start
+		open := map[*Collection]*requestModel{}
+		var order []*Collection
+		remove := func(k int) {
+			order[k].End()
+			delete(open, order[k])
+			order = append(order[:k], order[k+1:]...)
+		}
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+			k := rapid.IntRange(0, max(0, len(order)-1)).Draw(t, "request")
+			switch step := rapid.SampledFrom([]string{"head", "bytes", "bytes", "bytes", "shrink", "whole", "end"}).Draw(t, "step"); {
+			case step == "head" || len(order) == 0:
+				m := &requestModel{}
+				c := i.Begin(func() { m.stopped = true })
+				open[c], order = m, append(order, c)
+			case step == "whole":
+				if order[k].Complete() == nil {
+					open[order[k]].complete = true
+				}
+			case step == "end":
+				remove(k)
+			case step == "shrink":
+				m := open[order[k]]
+				if n := m.size / 2; !order[k].Full() && m.ending == 0 {
+					order[k].Shrink(n)
+					m.size -= n
+				}
+			default:
+				growRequest(t, i, now, open, order[k], rapid.SampledFrom([]int64{1, 1 << 10, SmallMessage, 1 << 20, 4 << 20}).Draw(t, "n"))
+			}
+			var sum, large int64
+			for _, m := range open {
+				sum += m.size + m.ending
+				large += largeSize(m.size) + largeSize(m.ending)
+			}
+			if v := i.View(); v.Held != sum || sum > bound || large > bound/4*3 {
+				t.Fatalf("%+v; held by requests: %d, of which %d by large ones", v, sum, large)
+			}
+		}
+		for len(order) > 0 {
+			remove(0)
+		}
+		if v := i.View(); v.Held != 0 || i.large != 0 || i.ending != 0 || i.endingLarge != 0 {
+			t.Fatalf("%+v at the end, %d large", v, i.large)
+		}
+		alone := i.Begin(func() { t.Fatal("a request that is alone was stopped") })
+		for range 4 {
+			if err := alone.Grow(now, 1<<20); err != nil {
+				t.Fatalf("a request at the limit, alone: %v", err)
+			}
+		}
+	})
+}
+
+// growRequest has a request grow, and checks who was given up for it.
+func growRequest(t *rapid.T, i *Intake, now time.Time, open map[*Collection]*requestModel, c *Collection, n int64) {
+	m := open[c]
+	if m.complete || c.Full() {
+		return
+	}
+	m.size += n
+	err := c.Grow(now, n)
+	if errors.Is(err, ErrIntakeBusy) && i.ending == 0 {
+		t.Fatal("growth deferred for nothing")
+	}
+	var largest int64
+	for other, o := range open {
+		if !o.complete && (!other.Full() || o.size > 0) {
+			largest = max(largest, o.size)
+		}
+	}
+	for other, o := range open {
+		if !other.Full() || o.size == 0 {
+			continue
+		}
+		if o.complete || other != c && !o.stopped {
+			t.Fatalf("%+v was given up", *o)
+		}
+		if o.size < largest/2 {
+			t.Fatalf("a request with %d bytes was given up for one with %d", o.size, largest)
+		}
+		if o.size, o.ending = 0, o.size; other == c {
+			// The growth was not allocated.
+			o.ending -= n
+		}
+	}
+	if errors.Is(err, ErrIntakeBusy) {
+		m.size -= n
+	}
+}
--- a/endpoint/collect.go
+++ b/endpoint/collect.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"sync"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -68,14 +69,14 @@
 func (resp *response) collect(c *bufferlimit.Collection) ([]byte, error) {
 	if l, ok := resp.body.(*lengthReader); ok && l.left <= maxPreallocated {
 		// The pieces would occupy the length once more when they are joined.
-		if err := c.Grow(int64(l.left)); err != nil {
+		if err := c.Grow(time.Now(), int64(l.left)); err != nil {
 			return nil, err
 		}
 		body := make([]byte, l.left)
 		_, err := io.ReadFull(l, body)
 		return body, err
 	}
-	if err := c.Grow(firstPieceBytes); err != nil {
+	if err := c.Grow(time.Now(), firstPieceBytes); err != nil {
 		return nil, err
 	}
 	first := make([]byte, firstPieceBytes)
@@ -96,7 +97,7 @@
 		}
 	}()
 	for size := len(first); ; {
-		if err := c.Grow(pieceBytes); err != nil {
+		if err := c.Grow(time.Now(), pieceBytes); err != nil {
 			return nil, err
 		}
 		p := pieces.Get().(*[pieceBytes]byte)
@@ -113,7 +114,7 @@
 			continue
 		}
 		if err = notEOF(err); err == nil {
-			err = c.Grow(int64(size))
+			err = c.Grow(time.Now(), int64(size))
 		}
 		if err != nil {
 			return nil, err
--- a/endpoint/endless_test.go
+++ b/endpoint/endless_test.go
@@ -147,7 +147,7 @@
 	}
 	close(stop)
 	wg.Wait()
-	if v := intake.View(); peak.Load() > endlessBound || v.Held != 0 || v.Ended == 0 || v.Answers != 0 {
+	if v := intake.View(); peak.Load() > endlessBound || v.Held != 0 || v.Ended == 0 || v.Messages != 0 {
 		t.Errorf("%d bytes held at most, bound %d; at the end %+v", peak.Load(), endlessBound, v)
 	}
 }
--- a/endpoint/fuzz_test.go
+++ b/endpoint/fuzz_test.go
@@ -79,7 +79,7 @@
 			return
 		}
 		body, err := resp.readAll()
-		if v := intake.View(); v.Held != 0 || v.Answers != 0 || len(body) > fuzzIntake {
+		if v := intake.View(); v.Held != 0 || v.Messages != 0 || len(body) > fuzzIntake {
 			t.Fatalf("%+v after a body of %d bytes", v, len(body))
 		}
 		if err != nil {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -312,7 +312,7 @@
 	if slow == nil {
 		return nil
 	}
-	use := &sending{request: r.call.ID, extra: int64(len(r.ctx.Request.Body())), cancel: a.cancel}
+	use := &sending{request: r.call.ID, cancel: a.cancel}
 	return func(c net.Conn, data []byte) (int, error) {
 		x := slow.newSender(c, peer)
 		x.use.Store(use)
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -12,15 +13,15 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
+	"github.com/sardinedock/sardinedock/inbound"
 	"github.com/sardinedock/sardinedock/overload"
 	"github.com/sardinedock/sardinedock/route"
 )
 
-// listener wraps accepted connections to apply the limits in force and to count those open.
+// listener wraps accepted connections to read requests from them and to count those open.
 type listener struct {
 	net.Listener
-	limits func() route.Limits
-	open   *atomic.Int64
+	open *atomic.Int64
 	// gate, if set, decides which connections are taken.
 	gate *overload.Gate
 	// isInstance is set if the listener is for requests that other instances forward; connections from
@@ -28,6 +29,19 @@
 	isInstance func(netip.Addr) bool
 	// slow, if set, bounds what is held for callers that read slowly.
 	slow *SlowReaders
+	// reading configures the reading of requests.
+	reading *inbound.Config
+	// conns bounds the number of connections.
+	conns *inbound.Connections
+
+	closing  sync.Once
+	closeErr error
+}
+
+// Close implements net.Listener. It may be called again.
+func (l *listener) Close() error {
+	l.closing.Do(func() { l.closeErr = l.Listener.Close() })
+	return l.closeErr
 }
 
 // acceptRetryDelay is the delay after a failed Accept, for example when the process has no free
@@ -45,12 +59,17 @@
 		}
 		if err == nil && l.gate != nil && !l.gate.Admit(time.Now()) {
 			connectionsShed.Inc()
-			closeUnread(c)
+			inbound.CloseUnread(c)
 			continue
 		}
 		if err == nil {
+			cc := l.newConn(c)
+			if !l.conns.Add(cc) {
+				inbound.CloseUnread(c)
+				continue
+			}
 			l.open.Add(1)
-			return l.newConn(c), nil
+			return cc, nil
 		}
 		if errors.Is(err, net.ErrClosed) {
 			return nil, err
@@ -60,7 +79,7 @@
 }
 
 func (l *listener) newConn(c net.Conn) *callerConn {
-	cc := &callerConn{Conn: c, limits: l.limits, open: l.open, fromInstance: l.isInstance != nil}
+	cc := &callerConn{Conn: c, open: l.open, fromInstance: l.isInstance != nil, reader: inbound.NewReader(c, l.reading), conns: l.conns}
 	if l.slow != nil {
 		peer := peerCaller
 		if cc.fromInstance {
@@ -73,14 +92,6 @@
 
 var connectionsShed = metrics.GetOrCreateCounter("sardinedock_gateway_connections_closed_unread_total")
 
-// closeUnread closes a connection with a reset, by which the caller knows that its request was not read.
-func closeUnread(c net.Conn) {
-	if tcp, ok := c.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-	_ = c.Close()
-}
-
 // accepts reports whether a connection may be made from its address.
 func (l *listener) accepts(c net.Conn) bool {
 	if l.isInstance == nil {
@@ -94,7 +105,10 @@
 // while a request is served, watch reads it from another.
 type callerConn struct {
 	net.Conn
-	limits func() route.Limits
+	// reader reads the requests.
+	reader *inbound.Reader
+	// conns has the connection until it is closed.
+	conns *inbound.Connections
 	// open counts all open connections; closing makes Close count this one once.
 	open    *atomic.Int64
 	closing sync.Once
@@ -102,14 +116,10 @@
 	fromInstance bool
 	// unread is set if the connection is to be closed with part of a request unread.
 	unread atomic.Bool
-	// started is set once bytes of the next request have been received.
-	started bool
 	// request is the ID of the request being answered; empty once a failure to write its answer has
 	// been logged.
 	request string
-	// readAhead holds the bytes that watch read of the next request.
-	readAhead []byte
-	watch     watch
+	watch   watch
 	// unframed is the answer without framing that ends the connection; nil if there is none.
 	unframed atomic.Pointer[unframedAnswer]
 	// sender counts what the caller has not read; nil if that has no bound.
@@ -135,43 +145,36 @@
 	defaultHeader = 5 * time.Second
 )
 
-// Read implements net.Conn. Limits.IdleTimeout bounds the time between requests, and
-// Limits.HeaderTimeout the time until the head has been received.
-func (c *callerConn) Read(p []byte) (int, error) {
-	if len(c.readAhead) > 0 {
-		n := copy(p, c.readAhead)
-		c.readAhead = c.readAhead[n:]
-		c.started = true
-		return n, nil
-	}
-	if err := c.SetReadDeadline(time.Now().Add(c.readTimeout())); err != nil {
-		return 0, err
-	}
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.started = true
+// Read implements net.Conn. The HTTP server gets heads only.
+func (c *callerConn) Read(p []byte) (int, error) { return c.reader.Read(p) }
+
+// timeouts returns how long callers may take for a request. Other instances close their idle connections sooner than defaultIdle.
+func timeouts(l route.Limits, fromInstance bool) inbound.Timeouts {
+	t := inbound.Timeouts{Idle: defaultIdle, Head: cmp.Or(l.HeaderTimeout, defaultHeader)}
+	if l.IdleTimeout > 0 && !fromInstance {
+		t.Idle = l.IdleTimeout
 	}
-	return n, err
+	t.Stall = t.Head
+	return t
 }
 
-// forwarded reports whether the requests on the connection are forwarded by another instance.
-func (c *callerConn) forwarded() bool { return c.fromInstance }
+// Stage implements inbound.Connection.
+func (c *callerConn) Stage() overload.Connection { return c.reader.Stage() }
 
-func (c *callerConn) readTimeout() time.Duration {
-	l := c.limits()
-	if c.started {
-		if l.HeaderTimeout > 0 {
-			return l.HeaderTimeout
-		}
-		return defaultHeader
+// GiveUp implements inbound.Connection.
+func (c *callerConn) GiveUp(in overload.Stage) bool {
+	if !c.reader.GiveUp(in) {
+		return false
 	}
-	// Another instance closes its idle connections sooner than defaultIdle.
-	if l.IdleTimeout > 0 && !c.fromInstance {
-		return l.IdleTimeout
+	if in != overload.StageBody {
+		inbound.CloseUnread(c.Conn)
 	}
-	return defaultIdle
+	return true
 }
 
+// forwarded reports whether the requests on the connection are forwarded by another instance.
+func (c *callerConn) forwarded() bool { return c.fromInstance }
+
 // Write implements net.Conn. Once a caller that stops reading has filled its buffers, the next
 // write fails after writeTimeout, which also ends the endpoint's work on the request.
 func (c *callerConn) Write(p []byte) (int, error) {
@@ -213,7 +216,7 @@
 // watchClose calls cancel when the caller closes its connection. Call stopWatch before the
 // connection is read again.
 func (c *callerConn) watchClose(cancel context.CancelCauseFunc) {
-	if len(c.readAhead) > 0 {
+	if c.reader.Buffered() > 0 {
 		return
 	}
 	w := &c.watch
@@ -243,8 +246,7 @@
 		_ = c.SetReadDeadline(time.Unix(1, 0))
 		w.wg.Wait()
 		if w.got {
-			c.readAhead = append(c.readAhead[:0], w.buf[0])
+			c.reader.Unread(w.buf[0])
 		}
 	}
-	c.started = false
 }
--- a/gateway/connend.go
+++ b/gateway/connend.go
@@ -148,6 +148,7 @@
 	c.closing.Do(func() {
 		first = true
 		c.open.Add(-1)
+		c.conns.Remove(c)
 	})
 	closed, err := c.finish(first)
 	if a := c.unframed.Load(); a != nil && first {
@@ -194,10 +195,15 @@
 //
 // Without it, closing a connection with unread bytes, or one that receives more, resets it. The caller would get a connection
 // error instead of the refusal, or treat the answer as truncated. In all other cases the reset has to be sent: it is how the caller
-// learns that its next request, which was on its way when the connection ended, was not read.
+// learns that its next request, which was on its way when the connection ended, was not read. Beside many that linger, a further
+// connection is reset too.
 func (c *callerConn) linger() {
 	half, ok := c.Conn.(interface{ CloseWrite() error })
-	if !ok || !c.unread.Load() && !c.unreadAfterUnframed() || half.CloseWrite() != nil {
+	if !ok || !c.unread.Load() && !c.unreadAfterUnframed() || !c.conns.BeginLinger() {
+		return
+	}
+	defer c.conns.EndLinger()
+	if half.CloseWrite() != nil {
 		return
 	}
 	if c.SetReadDeadline(time.Now().Add(lingerTimeout)) == nil {
--- a/gateway/connend_test.go
+++ b/gateway/connend_test.go
@@ -13,6 +13,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/sardinedock/sardinedock/inbound"
 )
 
 // endedEnv has the test binary run as the process that TestEndOfAProcessTellsWhetherItsAnswersAreWhole ends; its value is the way.
@@ -33,7 +35,7 @@
 	if err != nil {
 		panic(err)
 	}
-	c := (&listener{slow: slow, open: new(atomic.Int64)}).newConn(accepted)
+	c := (&listener{slow: slow, open: new(atomic.Int64), reading: &inbound.Config{}, conns: inbound.NewConnections(peerCaller, 0)}).newConn(accepted)
 	c.beginUnframed("id")
 	if _, err := c.Write(make([]byte, endedAnswerBytes)); err != nil {
 		panic(err)
--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -2,13 +2,17 @@
 
 import (
 	"errors"
+	"io"
 	"net"
+	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 	"github.com/valyala/fasthttp"
 
 	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/inbound"
 )
 
 // Causes for which a request ends before it is answered.
@@ -34,7 +38,9 @@
 	switch {
 	case forwardRefusal(err) != "":
 		return refusal{status: fasthttp.StatusServiceUnavailable, cause: err}
-	case errors.Is(err, errLongHead):
+	case errors.Is(err, inbound.ErrTimeout):
+		return refusal{status: fasthttp.StatusRequestTimeout, cause: err}
+	case errors.Is(err, errLongHead), errors.Is(err, inbound.ErrLongHead):
 		return refusal{status: fasthttp.StatusRequestHeaderFieldsTooLarge, cause: err}
 	case errors.Is(err, errNoRecords):
 		return refusal{status: fasthttp.StatusServiceUnavailable, cause: err, retryAfter: recordsRetry}
@@ -67,7 +73,32 @@
 	return errors.As(err, &t) && t.Timeout()
 }
 
-// handleUnreadable answers a request that could not be parsed and so was not run. Its ID is
+// unreadReason returns why a request could not be read, for log lines and metrics; empty if its caller closed the connection.
+func unreadReason(err error) string {
+	var small *fasthttp.ErrSmallBuffer
+	var broken *net.OpError
+	switch {
+	case errors.Is(err, inbound.ErrTimeout):
+		return "not received in time"
+	case errors.Is(err, inbound.ErrNoMemory):
+		return "memory for requests used up"
+	case errors.Is(err, inbound.ErrGivenUp):
+		return "connection given up"
+	case errors.Is(err, inbound.ErrTooLarge), errors.Is(err, fasthttp.ErrBodyTooLarge):
+		return "the body is too large"
+	case errors.As(err, &small), errors.Is(err, inbound.ErrLongHead):
+		return "the headers are too large"
+	case errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &broken):
+		return ""
+	}
+	return "malformed request"
+}
+
+func requestsUnread(reason string) *metrics.Counter {
+	return metrics.GetOrCreateCounter(`sardinedock_gateway_requests_unread_total{reason="` + reason + `"}`)
+}
+
+// handleUnreadable answers a request whose head could not be read and which so was not run. Its ID is
 // unknown, so the log line has the caller's address and the time.
 func handleUnreadable(ctx *fasthttp.RequestCtx, err error) {
 	ctx.Response.Reset()
@@ -78,18 +109,56 @@
 		c.sends(nil)
 		c.unread.Store(true)
 	}
-	status, why := fasthttp.StatusBadRequest, "malformed request"
-	var small *fasthttp.ErrSmallBuffer
+	reason := unreadReason(err)
+	f := refusal{status: fasthttp.StatusBadRequest, cause: errUnreadable}
 	switch {
-	case errors.As(err, &small):
-		status, why = fasthttp.StatusRequestHeaderFieldsTooLarge, "the headers are too large"
+	case reason == "":
+		reason = "connection closed"
+	case fault.Is(err, fault.Unavailable), fault.Is(err, fault.Expired), fault.Is(err, fault.TooLarge):
+		f = refusalOf(err)
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		status, why = fasthttp.StatusRequestEntityTooLarge, "the body is too large"
-	case isTimeout(err):
-		status, why = fasthttp.StatusRequestTimeout, "request not received in time"
+		f.status = fasthttp.StatusRequestEntityTooLarge
+	case errors.As(err, new(*fasthttp.ErrSmallBuffer)):
+		f.status = fasthttp.StatusRequestHeaderFieldsTooLarge
+	}
+	requestsUnread(reason).Inc()
+	answersTotal(f.status).Inc()
+	unreadLines.write(log.Fields{"status": f.status, "caller": ctx.RemoteAddr().String(), "why": reason}, "request unreadable")
+	writeRefusal(ctx, f)
+}
+
+// errUnreadable is the cause in the answer to a request that could not be read. The library's error may quote received bytes,
+// including the caller's key.
+var errUnreadable = fault.New(fault.BadRequest, "send a request that is whole and within the limits", "the request could not be read")
+
+// unreadLines writes the lines on requests that could not be read, of which crowds of clients cause many.
+var unreadLines = limitedLog{most: 20}
+
+// limitedLog writes a limited number of lines a second. It is safe for concurrent use.
+type limitedLog struct {
+	most int
+
+	mu      sync.Mutex
+	second  time.Time
+	written int
+	// omitted counts the lines that were not written since the last that was.
+	omitted int
+}
+
+func (l *limitedLog) write(f log.Fields, message string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now := time.Now(); now.Sub(l.second) >= time.Second {
+		l.second, l.written = now, 0
+	}
+	if l.written >= l.most {
+		l.omitted++
+		return
+	}
+	l.written++
+	if l.omitted > 0 {
+		f["omitted"] = l.omitted
 	}
-	answersTotal(status).Inc()
-	// The library's error may quote received bytes, including the caller's key.
-	log.WithField("status", status).WithField("caller", ctx.RemoteAddr().String()).WithField("why", why).Info("request unreadable")
-	writeRefusal(ctx, refusal{status: status, cause: fault.New(fault.BadRequest, "send a request that is whole and within the limits", "the request could not be read")})
+	l.omitted = 0
+	log.WithFields(f).Info(message)
 }
--- a/gateway/forward.go
+++ b/gateway/forward.go
@@ -13,6 +13,7 @@
 	"github.com/sardinedock/sardinedock/balance"
 	"github.com/sardinedock/sardinedock/endpoint"
 	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/inbound"
 	"github.com/sardinedock/sardinedock/reachability"
 )
 
@@ -227,6 +228,8 @@
 		return errForwardRefused[refusedLeaving]
 	case errors.Is(err, errNoRecords):
 		return errForwardRefused[refusedRecords]
+	case errors.Is(err, inbound.ErrNoMemory), errors.Is(err, inbound.ErrGivenUp):
+		return errForwardRefused[refusedBusy]
 	case r.service != nil && r.outOfReach():
 		return errForwardRefused[refusedUnreachable]
 	}
@@ -266,5 +269,7 @@
 // ServeForwarded answers requests that other instances forward, on the connections that ln accepts, until
 // Shutdown.
 func (s *Server) ServeForwarded(ln net.Listener) error {
-	return s.http.Serve(&listener{Listener: ln, limits: s.limits, open: &s.connections, isInstance: s.cfg.Peers.IsInstance, slow: s.cfg.Slow})
+	return s.serve(&listener{
+		Listener: ln, open: &s.connections, isInstance: s.cfg.Peers.IsInstance, slow: s.cfg.Slow, reading: s.reading(true), conns: s.instances,
+	})
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -17,6 +17,8 @@
 	"github.com/sardinedock/sardinedock/balance"
 	"github.com/sardinedock/sardinedock/endpoint"
 	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/inbound"
+	"github.com/sardinedock/sardinedock/overload"
 	"github.com/sardinedock/sardinedock/policy"
 	"github.com/sardinedock/sardinedock/quota"
 	"github.com/sardinedock/sardinedock/route"
@@ -116,12 +118,29 @@
 }
 
 func (r *request) serve() {
-	if err := r.admit(); err != nil {
+	framing := inbound.TakeFraming(&r.ctx.Request.Header)
+	err := r.admit(framing)
+	if err == nil {
+		err = r.receiveBody(framing)
+	} else {
+		r.leaveBody(framing)
+	}
+	if errors.Is(err, errCallerDisconnected) {
+		r.disconnected(err)
+		return
+	}
+	if err == nil {
+		err = r.refuseCrashing(r.assessCrashes(time.Now()))
+	}
+	if err != nil {
 		err = r.asForwardRefusal(err)
 		f := refusalOf(err)
 		if errors.Is(err, errShuttingDown) {
 			f.retryAfter = r.shutdownRetryAfter(time.Now())
 		}
+		if errors.Is(err, inbound.ErrNoMemory) || errors.Is(err, inbound.ErrGivenUp) {
+			f.retryAfter += r.spread(retrySpread)
+		}
 		r.refuse(f)
 		return
 	}
@@ -138,9 +157,9 @@
 	r.end()
 }
 
-// admit finds the route, organisation and service of the request. If it returns an error, nothing
-// has been sent.
-func (r *request) admit() error {
+// admit decides by the request's head whether it may go on: it finds the route, organisation and service. If it returns an error,
+// nothing has been sent, and the body is unread.
+func (r *request) admit(framing inbound.Framing) error {
 	h := &r.ctx.Request.Header
 	// Parse before any refusal: on-call has only the ID that the caller reports, so each refusal's
 	// log line needs it.
@@ -159,6 +178,9 @@
 			return err
 		}
 	}
+	if framing.Length > r.srv.cfg.BodyBytes {
+		return inbound.ErrTooLarge
+	}
 	// The sender of a forwarded request has checked its head and has added to it.
 	if limit := r.table.Limits().HeaderBytes; limit > 0 && r.origin == "" && len(h.RawHeaders()) > limit {
 		return errLongHead
@@ -166,26 +188,99 @@
 	if parseErr != nil {
 		return parseErr
 	}
+	if err := r.match(); err != nil {
+		return err
+	}
+	if framing.Length > r.maxBody() {
+		return inbound.ErrTooLarge
+	}
+	r.setDeadlines()
+	return nil
+}
+
+// match finds the route, organisation and service in the records of the request.
+func (r *request) match() error {
+	h := &r.ctx.Request.Header
 	path, _, _ := bytes.Cut(h.RequestURI(), []byte("?"))
 	r.route = r.table.Match(string(h.Host()), string(path))
 	if r.route == nil {
 		return errNoRoute
 	}
 	if r.table.RequiresKeys() && !r.route.Public {
-		if r.organisation = r.table.Organisation(call.Key); r.organisation == nil {
+		if r.organisation = r.table.Organisation(r.call.Key); r.organisation == nil {
 			return errNoKey
 		}
 	}
-	if limit := r.table.Limits().BodyBytes; limit > 0 && len(r.ctx.Request.Body()) > limit {
-		return fault.New(fault.TooLarge, "send a smaller body", "the body has over %d bytes", limit)
+	r.service = r.table.Service(r.route.Pick(xxh3.HashString(r.call.ID)))
+	return nil
+}
+
+// maxBody returns the bound of the body's size in bytes.
+func (r *request) maxBody() int {
+	return cmp.Or(min(r.table.Limits().BodyBytes, r.srv.cfg.BodyBytes), r.srv.cfg.BodyBytes)
+}
+
+// receiveBody reads the body. If it returns an error, nothing has been sent.
+func (r *request) receiveBody(framing inbound.Framing) error {
+	if framing.Length == 0 {
+		return nil
+	}
+	// A shutdown whose time is over ends what the caller sends.
+	r.srv.open.started(r, func(error) { r.conn.reader.GiveUp(overload.StageBody) })
+	body, err := r.conn.reader.ReadBody(framing, r.maxBody(), r.deadline, r.conn.Write)
+	if err != nil {
+		return r.bodyFailed(err)
+	}
+	r.ctx.Request.SetBodyRaw(body)
+	if r.srv.shuttingDown.Load() {
+		return errShuttingDown
 	}
-	r.service = r.table.Service(r.route.Pick(xxh3.HashString(call.ID)))
-	return r.refuseCrashing(r.assessCrashes(r.began))
+	table := r.srv.cfg.Table()
+	if table == r.table {
+		return nil
+	}
+	// Records that came meanwhile may allow less.
+	r.table = table
+	if err := r.match(); err != nil {
+		return err
+	}
+	if len(body) > r.maxBody() {
+		return inbound.ErrTooLarge
+	}
+	r.setDeadlines()
+	return nil
 }
 
-// start creates reqCtx, which is done when the caller disconnects, at the deadline, or when the
-// server aborts open requests.
-func (r *request) start() {
+// bodyFailed returns the error for which a request is refused whose body could not be read. Its connection can't be used again.
+func (r *request) bodyFailed(err error) error {
+	r.ctx.SetConnectionClose()
+	r.conn.unread.Store(true)
+	if reason := unreadReason(err); reason != "" {
+		requestsUnread(reason).Inc()
+		return err
+	}
+	return errCallerDisconnected
+}
+
+// leaveBody leaves the body of a refused request unread.
+func (r *request) leaveBody(framing inbound.Framing) {
+	if framing.Length == 0 {
+		return
+	}
+	r.conn.unread.Store(true)
+	if !r.conn.reader.LeaveRest(framing) {
+		r.ctx.SetConnectionClose()
+	}
+}
+
+// releaseBody has the memory of the body reused. The request is not sent again.
+func (r *request) releaseBody() {
+	r.ctx.Request.ResetBody()
+	r.conn.reader.Release()
+}
+
+// setDeadlines sets until when the request may take, from its head on.
+func (r *request) setDeadlines() {
 	r.deadline = r.began.Add(r.route.Timeout)
 	r.patience = r.deadline
 	if r.call.Patience > 0 {
@@ -194,6 +289,11 @@
 			r.deadline = r.patience
 		}
 	}
+}
+
+// start creates reqCtx, which is done when the caller disconnects, at the deadline, or when the
+// server aborts open requests.
+func (r *request) start() {
 	reqCtx, cancel := context.WithCancelCause(context.Background())
 	r.srv.open.started(r, cancel)
 	r.reqCtx, r.stop = context.WithDeadlineCause(reqCtx, r.deadline, errTimeout)
@@ -204,13 +304,12 @@
 	}
 }
 
-// sendsAnswer states what is held until the caller has read the answer: the request's body, and body bytes of an answer
-// that is written in parts. maxStall is how long the caller may read nothing.
+// sendsAnswer states what is held until the caller has read the answer: body bytes of an answer that is written in parts. maxStall is how long the caller may read nothing.
 func (r *request) sendsAnswer(maxStall time.Duration, body int) {
 	if r.conn.sender == nil {
 		return
 	}
-	r.conn.sends(&sending{request: r.call.ID, extra: int64(len(r.ctx.Request.Body()) + body), maxStall: maxStall, cancel: r.cancel})
+	r.conn.sends(&sending{request: r.call.ID, extra: int64(body), maxStall: maxStall, cancel: r.cancel})
 }
 
 // end releases the request's resources and records its result, once its answer is decided.
@@ -223,6 +322,7 @@
 	requestSeconds.UpdateDuration(r.began)
 	answersTotal(r.ctx.Response.StatusCode()).Inc()
 	r.log(r.ctx.Response.StatusCode())
+	r.releaseBody()
 }
 
 // writeRefusal writes a final answer of the gateway itself. To another instance it names the request, as the answers of
@@ -237,11 +337,20 @@
 // refuse answers a request that is refused before start, so that it was never sent.
 func (r *request) refuse(f refusal) {
 	r.writeRefusal(f)
-	r.conn.started = false
 	r.srv.open.remove(r)
 	answersTotal(f.status).Inc()
 	r.lastErr = f.cause
 	r.log(f.status)
+	r.releaseBody()
+}
+
+// disconnected ends a request whose caller closed its connection before the body was whole.
+func (r *request) disconnected(err error) {
+	r.abandon()
+	r.srv.open.remove(r)
+	answersTotal(statusCallerDisconnected).Inc()
+	r.lastErr = err
+	r.log(statusCallerDisconnected)
 }
 
 // answer sends the request until an endpoint answers, and writes that answer. It returns the stream
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,8 +15,11 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/sardinedock/sardinedock/balance"
+	"github.com/sardinedock/sardinedock/bufferlimit"
+	"github.com/sardinedock/sardinedock/clock"
 	"github.com/sardinedock/sardinedock/endpoint"
 	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/inbound"
 	"github.com/sardinedock/sardinedock/overload"
 	"github.com/sardinedock/sardinedock/policy"
 	"github.com/sardinedock/sardinedock/ratelimit"
@@ -130,6 +134,10 @@
 	Started time.Time
 	// HeaderBytes and BodyBytes bound the sizes of any request, whatever the records allow.
 	HeaderBytes, BodyBytes int
+	// Requests bounds what requests occupy in sum; nil for no bound.
+	Requests *bufferlimit.Intake
+	// MaxConnections bounds the connections of callers, MaxForwarded those of other instances; 0 for no bound.
+	MaxConnections, MaxForwarded int
 }
 
 // Server serves callers until Shutdown.
@@ -153,6 +161,11 @@
 	pathLog   pathLog
 	// forwardedOpen is the number of forwarded requests that are being served.
 	forwardedOpen atomic.Int64
+	// callers and instances are the connections of callers and of other instances.
+	callers, instances *inbound.Connections
+
+	mu        sync.Mutex
+	listeners []*listener
 }
 
 var (
@@ -168,8 +181,11 @@
 
 // NewServer returns a Server that accepts no connections before Serve is called.
 func NewServer(cfg Config) *Server {
-	s := &Server{cfg: cfg, activity: newActivityWatch()}
-	// callerConn applies the timeouts, since the records may change them at any time.
+	s := &Server{
+		cfg: cfg, activity: newActivityWatch(),
+		callers: inbound.NewConnections(peerCaller, cfg.MaxConnections), instances: inbound.NewConnections(peerInstance, cfg.MaxForwarded),
+	}
+	// callerConn reads requests; the library parses their heads.
 	s.http = &fasthttp.Server{
 		Handler:               s.handle,
 		ErrorHandler:          handleUnreadable,
@@ -177,21 +193,44 @@
 		NoDefaultDate:         true,
 		NoDefaultContentType:  true,
 		ReadBufferSize:        cfg.HeaderBytes,
-		MaxRequestBodySize:    cfg.BodyBytes,
 		ReduceMemoryUsage:     true,
+		HeaderReceived:        inbound.HeadReceived,
+		ConnState:             connectionState,
 		// Header names are normalized and passed on in that form, not as the caller capitalized
 		// them.
 		DisableHeaderNamesNormalizing: false,
-		// Bodies are passed on as bytes, whatever their type is.
-		DisablePreParseMultipartForm: true,
-		Logger:                       countingLogger{},
+		Logger:                        countingLogger{},
 	}
 	return s
 }
 
 // Serve answers requests on the connections that ln accepts, until Shutdown.
 func (s *Server) Serve(ln net.Listener) error {
-	return s.http.Serve(&listener{Listener: ln, limits: s.limits, open: &s.connections, gate: s.cfg.Gate, slow: s.cfg.Slow})
+	return s.serve(&listener{Listener: ln, open: &s.connections, gate: s.cfg.Gate, slow: s.cfg.Slow, reading: s.reading(false), conns: s.callers})
+}
+
+func (s *Server) serve(l *listener) error {
+	s.mu.Lock()
+	s.listeners = append(s.listeners, l)
+	s.mu.Unlock()
+	return s.http.Serve(l)
+}
+
+// reading returns how requests of callers, or of other instances, are read.
+func (s *Server) reading(fromInstance bool) *inbound.Config {
+	return &inbound.Config{
+		HeadBytes: s.cfg.HeaderBytes,
+		// The records may change them at any time.
+		Timeouts: func() inbound.Timeouts { return timeouts(s.limits(), fromInstance) },
+		Memory:   s.cfg.Requests,
+	}
+}
+
+// connectionState is the HTTP server's hook for the states of connections.
+func connectionState(c net.Conn, state fasthttp.ConnState) {
+	if cc, ok := c.(*callerConn); ok && (state == fasthttp.StateClosed || state == fasthttp.StateHijacked) {
+		cc.reader.Close()
+	}
 }
 
 func (s *Server) limits() route.Limits {
@@ -231,6 +270,11 @@
 // Connections returns the number of callers' connections.
 func (s *Server) Connections() int { return int(s.connections.Load()) }
 
+// ViewConnections returns the state of the connections of callers and of other instances.
+func (s *Server) ViewConnections() (callers, instances inbound.ConnectionsView) {
+	return s.callers.View(), s.instances.View()
+}
+
 // Open returns the number of requests that are being served.
 func (s *Server) Open() int { return s.open.count() }
 
@@ -242,6 +286,7 @@
 // at most abortFlushTimeout.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.shuttingDown.Store(true)
+	s.awaitHeads(ctx)
 	err := s.http.ShutdownWithContext(ctx)
 	if err == nil {
 		return nil
@@ -252,10 +297,26 @@
 		"%d requests were open when the time to drain was over, %d could not be told", aborted, s.Open())
 }
 
+// awaitHeads closes the listeners and waits until no head is unfinished, so that requests which have begun to arrive are refused by an
+// answer. The HTTP library takes connections without a whole head for idle, and closes them.
+func (s *Server) awaitHeads(ctx context.Context) {
+	s.mu.Lock()
+	for _, l := range s.listeners {
+		_ = l.Close()
+	}
+	s.mu.Unlock()
+	limits := timeouts(s.limits(), false)
+	for until := time.Now().Add(limits.Head); time.Now().Before(until); {
+		if s.callers.Count(overload.StageHead)+s.instances.Count(overload.StageHead) == 0 || clock.Sleep(ctx, abortFlushPoll) != nil {
+			return
+		}
+	}
+}
+
 const (
 	// abortFlushTimeout bounds the time for writing the answers of aborted requests.
 	abortFlushTimeout = 200 * time.Millisecond
-	// abortFlushPoll is the polling interval of awaitAbortedAnswers.
+	// abortFlushPoll is the polling interval of awaitAbortedAnswers and of awaitHeads.
 	abortFlushPoll = 5 * time.Millisecond
 )
 
@@ -273,6 +334,7 @@
 		ctx.SetConnectionClose()
 	}
 	r := &request{srv: s, ctx: ctx, conn: ctx.Conn().(*callerConn), began: time.Now()}
+	r.conn.unread.Store(false)
 	if r.conn.forwarded() {
 		s.forwardedOpen.Add(1)
 	}
--- a/gateway/slowreaders_test.go
+++ b/gateway/slowreaders_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/sardinedock/sardinedock/bufferlimit"
+	"github.com/sardinedock/sardinedock/inbound"
 	"github.com/sardinedock/sardinedock/logline/logtest"
 )
 
@@ -63,7 +64,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return (&listener{slow: slow, open: new(atomic.Int64)}).newConn(accepted), caller
+	return (&listener{slow: slow, open: new(atomic.Int64), reading: &inbound.Config{}, conns: inbound.NewConnections(peerCaller, 0)}).newConn(accepted), caller
 }
 
 // A caller wants its connection closed after the answer, which is in the kernel's buffers, and does not read. Guards against
--- a/hosted/dump.go
+++ b/hosted/dump.go
@@ -10,6 +10,7 @@
 	"github.com/sardinedock/sardinedock/balance"
 	"github.com/sardinedock/sardinedock/bufferlimit"
 	"github.com/sardinedock/sardinedock/gateway"
+	"github.com/sardinedock/sardinedock/inbound"
 	"github.com/sardinedock/sardinedock/lease"
 	"github.com/sardinedock/sardinedock/overload"
 	"github.com/sardinedock/sardinedock/policy"
@@ -52,6 +53,11 @@
 	SlowReaders bufferlimit.View `json:"slow_readers"`
 	// Intake is what is held of answers that are being received whole.
 	Intake bufferlimit.IntakeView `json:"intake"`
+	// Requests is what is held of requests until they are answered.
+	Requests bufferlimit.IntakeView `json:"requests"`
+	// Callers and Instances are the connections of callers and of other instances.
+	Callers   inbound.ConnectionsView `json:"caller_connections"`
+	Instances inbound.ConnectionsView `json:"instance_connections"`
 	// Unreachable are the endpoints to which this instance has no path.
 	Unreachable []reachability.View `json:"endpoints_out_of_reach"`
 	Endpoints   []balance.View      `json:"endpoints"`
@@ -81,9 +87,10 @@
 	now := time.Now()
 	d := dump{
 		Instance: i.settings.GetInstance(), Ready: i.Ready(), Leaving: i.leaving.Load(), Open: i.server.Open(),
-		Scheduler: i.node.IsScheduler(), Others: i.node.Schedulers(), Live: i.node.Live(), Lease: i.lease.Dump(), Weights: i.rollout.Wanted(), Quotas: i.quotas.Views(now), Streams: i.origins.book.Streams(), Releases: viewReleases(i.recorder, i.origins.record), Rates: i.statements.limits.Views(now), Departures: i.statements.departures.Endpoints(), Brittle: i.statements.brittle.Endpoints(), Suspects: i.guard.Views(now), Overload: i.gate.State(), SlowReaders: i.slow.View(), Intake: i.intake.View(), Unreachable: i.paths.Views(now), Endpoints: i.state.Endpoints("", now), Pools: i.state.Pools(now),
+		Scheduler: i.node.IsScheduler(), Others: i.node.Schedulers(), Live: i.node.Live(), Lease: i.lease.Dump(), Weights: i.rollout.Wanted(), Quotas: i.quotas.Views(now), Streams: i.origins.book.Streams(), Releases: viewReleases(i.recorder, i.origins.record), Rates: i.statements.limits.Views(now), Departures: i.statements.departures.Endpoints(), Brittle: i.statements.brittle.Endpoints(), Suspects: i.guard.Views(now), Overload: i.gate.State(), SlowReaders: i.slow.View(), Intake: i.intake.View(), Requests: i.requests.View(), Unreachable: i.paths.Views(now), Endpoints: i.state.Endpoints("", now), Pools: i.state.Pools(now),
 		Retries: i.budget.View(now),
 	}
+	d.Callers, d.Instances = i.server.ViewConnections()
 	for _, p := range i.statements.pauses.All(now) {
 		d.Pauses = append(d.Pauses, pausedEndpoint{p.Endpoint, p.Left.Milliseconds()})
 	}
--- a/hosted/endless_test.go
+++ b/hosted/endless_test.go
@@ -175,7 +175,7 @@
 	if n := len(ways.byEndpoint); n < endless/2 {
 		t.Errorf("%d endpoints have sent without end, too few to tell", n)
 	}
-	if v := f.instances[0].intake.View(); v.Held > v.Bound || v.Answers > 0 {
+	if v := f.instances[0].intake.View(); v.Held > v.Bound || v.Messages > 0 {
 		t.Errorf("%+v after all answers have ended", v)
 	}
 }
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -65,9 +65,17 @@
 	unreadShare = 4
 	// intakeShare is the same for answers that are being received whole.
 	intakeShare = 8
+	// requestShare is the same for requests until they are answered, minRequestBytes the least memory for them: one body of the
+	// largest size and the copy from which it has grown. defaultRequestBytes is the memory for them if none is stated.
+	requestShare        = 4
+	minRequestBytes     = 2 * bodyBytes
+	defaultRequestBytes = 256 << 20
 	// runtimeShare is the share of the instance's memory that the Go runtime may use before it collects garbage more
-	// often. The rest is for the program itself and for what the kernel holds for connections.
+	// often. The rest is for the program itself, programMb at least, and for what the kernel holds for connections.
 	runtimeShare = 0.7
+	programMb    = 24
+	// minRuntimeShare is the least share where programMb is much of the memory.
+	minRuntimeShare = 0.5
 	// sweepInterval is the time between two sweeps of expired state, such as runs without a
 	// reported end.
 	sweepInterval = time.Second
@@ -80,7 +88,8 @@
 // environment variable GOMEMLIMIT, it has no effect.
 func LimitMemory(s *settingspb.Hosted) {
 	if mb := s.GetMemoryMb(); mb > 0 && debug.SetMemoryLimit(-1) == math.MaxInt64 {
-		debug.SetMemoryLimit(int64(mb * bytesPerMB * runtimeShare))
+		limit := min(mb*runtimeShare, max(mb-programMb, mb*minRuntimeShare))
+		debug.SetMemoryLimit(int64(limit * bytesPerMB))
 	}
 }
 
@@ -117,6 +126,8 @@
 	server     *gateway.Server
 	// intake bounds the answers that are received whole; nil without a memory in the settings.
 	intake *bufferlimit.Intake
+	// requests bounds what requests of callers and of other instances occupy.
+	requests *bufferlimit.Intake
 	// slow bounds what is held for peers that read slowly; nil for no bound.
 	slow   *gateway.SlowReaders
 	cancel context.CancelFunc
@@ -151,10 +162,13 @@
 		store:       platform.NewStore(s.GetStore()),
 		paths:       reachability.NewTable(),
 	}
+	requestMemory := int64(defaultRequestBytes)
 	if mb := s.GetMemoryMb(); mb > 0 {
+		requestMemory = max(int64(mb*bytesPerMB/requestShare), minRequestBytes)
 		i.intake = bufferlimit.NewIntake(int64(mb * bytesPerMB / intakeShare))
 		i.slow = gateway.NewSlowReaders(int64(mb * bytesPerMB / unreadShare))
 	}
+	i.requests = bufferlimit.NewRequestIntake(requestMemory)
 	i.relays = newRelays(i.maxIdleConnections, i.intake)
 	i.peerRelays = newRelays(func(string) int { return math.MaxInt }, i.intake)
 	i.forwarders = newForwarders(s.GetDataCentre())
@@ -193,6 +207,7 @@
 		Instance: s.GetInstance(), DataCentre: s.GetDataCentre(), Table: i.table.Load, State: i.state, Budget: i.budget, Guard: i.guard, Gate: &i.gate, Paths: i.paths,
 		Broadcaster: i.node, Placer: i.placer, Statements: i.statements, Peers: i, Origins: i.origins, Dialect: platform.Dialect{}, Relay: i.relays.to, PeerRelay: i.peerRelays.to, Slow: i.slow,
 		PriceQuotas: s.GetPriceQuotas(), Started: time.Now(), HeaderBytes: headerBytes, BodyBytes: bodyBytes,
+		Requests: i.requests,
 	})
 	i.startTasks(ctx)
 	go func() { i.logServeError("callers", i.server.Serve(callersLn)) }()
--- /dev/null
+++ b/inbound/reader.go
@@ -0,0 +1,387 @@
+package inbound
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sardinedock/sardinedock/bufferlimit"
+	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/overload"
+)
+
+// Errors of reading a request. None of them leaves the connection in a state in which it can be used again.
+var (
+	ErrTimeout   = fault.New(fault.Expired, "send the request sooner, or ask for more time", "the request was not received in time")
+	ErrTooLarge  = fault.New(fault.TooLarge, "send a smaller body", "the body is over the limit")
+	ErrLongHead  = fault.New(fault.TooLarge, "send fewer or shorter headers", "the headers are over the limit")
+	ErrMalformed = fault.New(fault.BadRequest, "send a request that is whole and framed as HTTP/1.1 defines it", "the request is malformed")
+	// ErrNoMemory ends a request that was chosen to be given up since the memory for requests is used up.
+	ErrNoMemory = fault.New(fault.Unavailable, "send the request again later", "memory for requests is used up, and this one is among the largest that are not whole")
+	// ErrGivenUp ends a request whose connection is needed for others.
+	ErrGivenUp = fault.New(fault.Unavailable, "send the request again later", "too many connections are open, and the request was not whole")
+)
+
+const (
+	// bufferBytes is the size of the buffer of a connection on which a request begins. Most heads fit into it.
+	bufferBytes = 4 << 10
+	// maxDiscarded bounds the rest of a refused request that is read and discarded so that its connection can be used again, and
+	// discardTimeout the time for it.
+	maxDiscarded   = 64 << 10
+	discardTimeout = time.Second
+	// lineBytes is what the HTTP library allocates for a line of a head besides its text. It is counted if there are more than usualLines.
+	lineBytes, usualLines = 192, 64
+	// busyPause is the pause before memory that others have to release first is asked for again, maxBusy how often it is asked for.
+	busyPause, maxBusy = 2 * time.Millisecond, 100
+	// suspendedGrace is the time for another look at a connection whose time-out has passed: while the process was suspended, bytes may
+	// have arrived.
+	suspendedGrace = 10 * time.Millisecond
+)
+
+var buffers = sync.Pool{New: func() any { b := make([]byte, 0, bufferBytes); return &b }}
+
+// Timeouts bound how long a caller may take.
+type Timeouts struct {
+	// Idle bounds the time between two requests, Head that from the first byte of a request to the end of its head.
+	Idle, Head time.Duration
+	// Stall bounds the time without a byte in the middle of a body.
+	Stall time.Duration
+}
+
+// Config configures the Readers of a server.
+type Config struct {
+	// HeadBytes bounds a head.
+	HeadBytes int
+	// Timeouts returns those in force.
+	Timeouts func() Timeouts
+	// Memory bounds what requests occupy in sum; nil for no bound.
+	Memory *bufferlimit.Intake
+}
+
+// Reader reads the requests of one connection. Its methods are called from one goroutine, except GiveUp, Stage and Waits.
+type Reader struct {
+	conn net.Conn
+	cfg  *Config
+
+	// buffer holds received bytes, of which those before used are consumed; nil while there are none.
+	buffer *[]byte
+	used   int
+	// headLeft is how many bytes belong to a whole head that the HTTP library has not read yet.
+	headLeft int
+	// failed is returned to the HTTP library after the bytes of an unfinished head.
+	failed error
+	// rest is the framing of a body that nobody reads.
+	rest Framing
+
+	// bufferMemory and bodyMemory count what the buffer, beyond bufferBytes, and the body occupy; nil for nothing.
+	bufferMemory, bodyMemory *bufferlimit.Collection
+	stage                    stage
+	// givenUp is set once GiveUp has ended what the caller sends.
+	givenUp atomic.Bool
+}
+
+// NewReader returns a Reader of c.
+func NewReader(c net.Conn, cfg *Config) *Reader {
+	r := &Reader{conn: c, cfg: cfg}
+	r.stage.set(overload.StageIdle)
+	return r
+}
+
+// Buffered returns how many bytes were received and not consumed.
+func (r *Reader) Buffered() int {
+	if r.buffer == nil {
+		return 0
+	}
+	return len(*r.buffer) - r.used
+}
+
+func (r *Reader) unread() []byte { return (*r.buffer)[r.used:] }
+
+// consume marks n bytes as consumed, and releases the buffer after the last one.
+func (r *Reader) consume(n int) {
+	if r.used += n; r.used < len(*r.buffer) {
+		return
+	}
+	r.dropBuffer()
+	r.buffer, r.used = nil, 0
+	release(&r.bufferMemory)
+}
+
+// dropBuffer has the buffer's memory used again.
+func (r *Reader) dropBuffer() {
+	if cap(*r.buffer) != bufferBytes {
+		recycle(*r.buffer)
+		return
+	}
+	*r.buffer = (*r.buffer)[:0]
+	buffers.Put(r.buffer)
+}
+
+// Unread returns a byte, which was received on the connection after all others, to the Reader.
+func (r *Reader) Unread(b byte) {
+	r.needBuffer()
+	*r.buffer = append(*r.buffer, b)
+}
+
+func (r *Reader) needBuffer() {
+	if r.buffer == nil {
+		r.buffer = buffers.Get().(*[]byte)
+	}
+}
+
+// Read implements io.Reader for the HTTP library. It returns bytes of heads only: those of a head that is whole, or one byte of a
+// head that is not, followed by the reason.
+func (r *Reader) Read(p []byte) (int, error) {
+	if r.headLeft == 0 {
+		if r.failed != nil {
+			return 0, r.failed
+		}
+		if err := r.awaitHead(); err != nil {
+			if r.Buffered() == 0 {
+				return 0, err
+			}
+			// The library answers only if it has read a byte of the request.
+			r.headLeft, r.failed = 1, err
+		}
+	}
+	n := copy(p, r.unread()[:r.headLeft])
+	r.headLeft -= n
+	r.consume(n)
+	return n, nil
+}
+
+// awaitHead reads until there is a whole head.
+func (r *Reader) awaitHead() error {
+	if err := r.discardRest(); err != nil {
+		return err
+	}
+	t := r.cfg.Timeouts()
+	if r.Buffered() == 0 {
+		if !r.stage.enter(overload.StageIdle) {
+			return ErrGivenUp
+		}
+		var first [1]byte
+		if _, err := r.receive(first[:], time.Now().Add(t.Idle)); err != nil {
+			return err
+		}
+		r.Unread(first[0])
+	}
+	if !r.stage.enter(overload.StageHead) {
+		return ErrGivenUp
+	}
+	deadline := time.Now().Add(t.Head)
+	for searched := 0; ; {
+		b := r.unread()
+		end, err := headEnd(b, searched)
+		if err != nil {
+			return err
+		}
+		if end > 0 {
+			r.headLeft = end
+			break
+		}
+		searched = len(b)
+		if len(b) > r.cfg.HeadBytes {
+			return ErrLongHead
+		}
+		if err := r.fill(deadline); err != nil {
+			return err
+		}
+	}
+	if err := r.countLines(); err != nil {
+		return err
+	}
+	if r.bufferMemory != nil && r.bufferMemory.Complete() != nil || !r.stage.enter(overload.StageServed) {
+		return r.interruption()
+	}
+	return nil
+}
+
+// countLines counts the memory of the parsed head, until Release, if it has many lines.
+func (r *Reader) countLines() error {
+	lines := bytes.Count(r.unread()[:r.headLeft], []byte("\n"))
+	if lines <= usualLines {
+		return nil
+	}
+	return r.count(lines*lineBytes, &r.bodyMemory)
+}
+
+var (
+	endOfHead  = []byte("\r\n\r\n")
+	blankLines = [...][]byte{[]byte("\n\n"), []byte("\n\r\n")}
+)
+
+// headEnd returns the length of the head at the start of b, 0 if it is not whole; nothing ends before searched. A blank line that is
+// not ended as HTTP/1.1 defines it is an error: where the head ends would be open to interpretation.
+func headEnd(b []byte, searched int) (int, error) {
+	from := max(0, searched-len(endOfHead)+1)
+	// Empty lines before a request are skipped.
+	start := len(b) - len(bytes.TrimLeft(b, "\r\n"))
+	from = max(from, start)
+	k := bytes.Index(b[from:], endOfHead)
+	if k < 0 {
+		return 0, nil
+	}
+	end := from + k + len(endOfHead)
+	for _, blank := range blankLines {
+		if at := bytes.Index(b[start:end], blank); at >= 0 && start+at < end-len("\n\r\n") {
+			return 0, ErrMalformed
+		}
+	}
+	return end, nil
+}
+
+// fill receives more bytes into the buffer, which grows if it is full.
+func (r *Reader) fill(deadline time.Time) error {
+	r.needBuffer()
+	b := *r.buffer
+	if r.used > 0 {
+		b = b[:copy(b, b[r.used:])]
+		r.used = 0
+	}
+	if len(b) == cap(b) {
+		grown, err := r.grow(b, 2*cap(b), &r.bufferMemory)
+		if err != nil {
+			return err
+		}
+		if cap(b) == bufferBytes {
+			r.dropBuffer()
+		}
+		b = grown
+		r.buffer = &b
+	}
+	n, err := r.receive(b[len(b):cap(b)], deadline)
+	*r.buffer = b[:len(b)+n]
+	return err
+}
+
+// grow returns a copy of b with another capacity, counted by memory. The capacity of b is released if it was counted too.
+func (r *Reader) grow(b []byte, capacity int, memory **bufferlimit.Collection) ([]byte, error) {
+	counted := *memory != nil
+	if err := r.count(capacity, memory); err != nil {
+		return b, err
+	}
+	grown := append(allocate(capacity), b...)
+	if counted {
+		(*memory).Shrink(int64(cap(b)))
+	}
+	recycle(b)
+	return grown, nil
+}
+
+// count adds n bytes to the sum of all requests before they are allocated.
+func (r *Reader) count(n int, memory **bufferlimit.Collection) error {
+	if r.cfg.Memory == nil {
+		return nil
+	}
+	if *memory == nil {
+		*memory = r.cfg.Memory.Begin(r.interrupt)
+	}
+	for try := 1; ; try++ {
+		err := (*memory).Grow(time.Now(), int64(n))
+		switch {
+		case err == nil:
+			return nil
+		case !errors.Is(err, bufferlimit.ErrIntakeBusy):
+			return r.interruption()
+		case try == maxBusy:
+			return ErrNoMemory
+		}
+		time.Sleep(busyPause)
+	}
+}
+
+// Release states that the body of the last request is not used any more.
+func (r *Reader) Release() { release(&r.bodyMemory) }
+
+// Close releases all that is counted. The Reader is not used afterwards.
+func (r *Reader) Close() {
+	release(&r.bodyMemory)
+	release(&r.bufferMemory)
+}
+
+func release(memory **bufferlimit.Collection) {
+	if *memory != nil {
+		(*memory).End()
+		*memory = nil
+	}
+}
+
+// interrupt ends the receive that is waiting, if one is.
+func (r *Reader) interrupt() { _ = r.conn.SetReadDeadline(time.Unix(1, 0)) }
+
+// interruption returns the reason for which the request is not to be received further; nil if there is none.
+func (r *Reader) interruption() error {
+	switch {
+	case r.givenUp.Load():
+		return ErrGivenUp
+	case isFull(r.bodyMemory), isFull(r.bufferMemory):
+		return ErrNoMemory
+	}
+	return nil
+}
+
+func isFull(memory *bufferlimit.Collection) bool { return memory != nil && memory.Full() }
+
+// receive reads from the connection until the deadline.
+func (r *Reader) receive(p []byte, deadline time.Time) (int, error) {
+	if err := r.conn.SetReadDeadline(deadline); err != nil {
+		return 0, err
+	}
+	// Whoever interrupts sets the reason before the deadline, so that it is found here or by the read.
+	if err := r.interruption(); err != nil {
+		return 0, err
+	}
+	n, err := r.conn.Read(p)
+	if n > 0 || !isTimeout(err) {
+		return n, err
+	}
+	if reason := r.interruption(); reason != nil {
+		return 0, reason
+	}
+	if r.conn.SetReadDeadline(time.Now().Add(suspendedGrace)) == nil {
+		n, err = r.conn.Read(p)
+	}
+	if n > 0 || !isTimeout(err) {
+		return n, err
+	}
+	if reason := r.interruption(); reason != nil {
+		return 0, reason
+	}
+	return 0, ErrTimeout
+}
+
+func isTimeout(err error) bool {
+	var t net.Error
+	return errors.As(err, &t) && t.Timeout()
+}
+
+// LeaveRest states that nobody reads the body of the request. It returns false if the connection has to be closed after the answer:
+// there is too much left, or it is open whether the caller sends the body.
+func (r *Reader) LeaveRest(f Framing) bool {
+	if f.Continue && r.Buffered() == 0 || f.Length > maxDiscarded {
+		return false
+	}
+	r.rest = f
+	return true
+}
+
+// discardRest reads what LeaveRest has left.
+func (r *Reader) discardRest() error {
+	f := r.rest
+	if f == (Framing{}) {
+		return nil
+	}
+	r.rest = Framing{}
+	_, err := r.ReadBody(f, maxDiscarded, time.Now().Add(discardTimeout), nil)
+	r.Release()
+	if err != nil {
+		// The refusal was the last answer on the connection.
+		return io.EOF
+	}
+	return nil
+}
--- /dev/null
+++ b/inbound/stage.go
@@ -0,0 +1,53 @@
+package inbound
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/sardinedock/sardinedock/overload"
+)
+
+// stage is how far the request on a connection has come. Once the connection was given up it does not change any more.
+type stage struct {
+	now   atomic.Int32
+	since atomic.Int64
+}
+
+const stageGivenUp = -1
+
+func (s *stage) set(to overload.Stage) {
+	s.now.Store(int32(to))
+	s.since.Store(time.Now().UnixNano())
+}
+
+// enter begins a stage. It returns false if the connection was given up.
+func (s *stage) enter(to overload.Stage) bool {
+	for {
+		from := s.now.Load()
+		if from == stageGivenUp {
+			return false
+		}
+		if s.now.CompareAndSwap(from, int32(to)) {
+			if from != int32(to) {
+				s.since.Store(time.Now().UnixNano())
+			}
+			return true
+		}
+	}
+}
+
+// Stage returns the stage of the connection.
+func (r *Reader) Stage() overload.Connection {
+	return overload.Connection{Stage: overload.Stage(r.stage.now.Load()), Since: time.Unix(0, r.stage.since.Load())}
+}
+
+// GiveUp ends what the caller sends if the connection is still in the given stage, and reports whether it is. A body ends with
+// ErrGivenUp. A connection without a whole head has to be closed by the caller of GiveUp, and serves nothing any more.
+func (r *Reader) GiveUp(in overload.Stage) bool {
+	if in == overload.StageServed || !r.stage.now.CompareAndSwap(int32(in), stageGivenUp) {
+		return false
+	}
+	r.givenUp.Store(true)
+	r.interrupt()
+	return true
+}
