Connections of callers leave descriptors free

What callers saw: with 400 connections of a byte each and 256 descriptors, no ordinary request was served in 90 s, and the instance was not ready.

Cause: callers' connections were bounded by the process's descriptors only, so that none were left for endpoints, the store, other instances and readiness, and each byte renewed a connection's time-out.

Why this works: callers may use half of the descriptors, other instances a tenth (setting max_descriptors, filled in by the platform, or the limit of the process).

--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -202,12 +202,13 @@
 	i.state.SetBrittle(i.statements.brittle.Holds, i.turn)
 	i.state.SetKnown(i.knownShare)
 	i.placer = newPlacer(i)
+	descriptors := maxDescriptors(s)
 	callersLn, readyLn, forwardedLn := i.listeners[0], i.listeners[1], i.listeners[2]
 	i.server = gateway.NewServer(gateway.Config{
 		Instance: s.GetInstance(), DataCentre: s.GetDataCentre(), Table: i.table.Load, State: i.state, Budget: i.budget, Guard: i.guard, Gate: &i.gate, Paths: i.paths,
 		Broadcaster: i.node, Placer: i.placer, Statements: i.statements, Peers: i, Origins: i.origins, Dialect: platform.Dialect{}, Relay: i.relays.to, PeerRelay: i.peerRelays.to, Slow: i.slow,
 		PriceQuotas: s.GetPriceQuotas(), Started: time.Now(), HeaderBytes: headerBytes, BodyBytes: bodyBytes,
-		Requests: i.requests,
+		Requests: i.requests, MaxConnections: shareOf(descriptors, callersShare), MaxForwarded: shareOf(descriptors, forwardedShare),
 	})
 	i.startTasks(ctx)
 	go func() { i.logServeError("callers", i.server.Serve(callersLn)) }()
@@ -217,7 +218,7 @@
 	if i.metricsLn != nil {
 		go func() { i.logServeError("metrics", fasthttp.Serve(i.metricsLn, i.answerMetrics)) }()
 	}
-	log.WithField("data_centre", s.GetDataCentre()).WithField("callers", s.GetListen().GetCallers()).Info("started")
+	log.WithField("data_centre", s.GetDataCentre()).WithField("callers", s.GetListen().GetCallers()).WithField("descriptors", descriptors).Info("started")
 	return i, nil
 }
 
