The addresses of readiness and metrics bound what clients send and open

What callers saw: 210 MB resident with 40 clients that send bodies of 4 MiB to these addresses, where 64 MB are stated; and not ready in 90 s once 400 connections to them hold all descriptors.

Cause: both were served with the HTTP library's defaults: 4 MiB a request, allocated as announced, no time-out, any number of connections.

Why this works: a request there has a kilobyte of body at most and 10 s, and there are 16 connections for readiness and 8 for metrics, of which the oldest is closed for a new one.

--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -23,6 +23,7 @@
 	"github.com/sardinedock/sardinedock/fault"
 	"github.com/sardinedock/sardinedock/gateway"
 	"github.com/sardinedock/sardinedock/gossip"
+	"github.com/sardinedock/sardinedock/inbound"
 	"github.com/sardinedock/sardinedock/internal/sockstate"
 	"github.com/sardinedock/sardinedock/lease"
 	"github.com/sardinedock/sardinedock/origin"
@@ -76,6 +77,8 @@
 	programMb    = 24
 	// minRuntimeShare is the least share where programMb is much of the memory.
 	minRuntimeShare = 0.5
+	// maxReady and maxMetrics bound the connections to these addresses.
+	maxReady, maxMetrics = 16, 8
 	// sweepInterval is the time between two sweeps of expired state, such as runs without a
 	// reported end.
 	sweepInterval = time.Second
@@ -213,10 +216,13 @@
 	i.startTasks(ctx)
 	go func() { i.logServeError("callers", i.server.Serve(callersLn)) }()
 	go func() { i.logServeError("forwarded", i.server.ServeForwarded(forwardedLn)) }()
-	ready := &fasthttp.Server{Handler: i.answerReady, NoDefaultServerHeader: true, NoDefaultDate: true}
-	go func() { i.logServeError("ready", ready.Serve(readyLn)) }()
+	go func() {
+		i.logServeError("ready", inbound.NewProbeServer(i.answerReady).Serve(inbound.Limit(readyLn, "ready", maxReady)))
+	}()
 	if i.metricsLn != nil {
-		go func() { i.logServeError("metrics", fasthttp.Serve(i.metricsLn, i.answerMetrics)) }()
+		go func() {
+			i.logServeError("metrics", inbound.NewProbeServer(i.answerMetrics).Serve(inbound.Limit(i.metricsLn, "metrics", maxMetrics)))
+		}()
 	}
 	log.WithField("data_centre", s.GetDataCentre()).WithField("callers", s.GetListen().GetCallers()).WithField("descriptors", descriptors).Info("started")
 	return i, nil
