Own interface: requests occupy bounded memory in sum, by what has arrived

What callers saw: 64 clients with bodies of 8 MiB short of their end brought a process to 543 and 575 MB; up to 10,000 connections times 8 MiB were allowed.

Cause: as at the hosted interface, the HTTP library read bodies before the handler was called, and nothing bounded them in sum.

Why this works: the same package inbound reads heads and bodies, within limits.request_memory_mb (256) in sum. Key and path are looked at first. Callers have limits.connections and half of the process's descriptors at most; idle and unfinished connections are closed for new ones, where the library answered 503 to everybody. The address for operators bounds bodies, time and connections. The copy of each body that protected it from the library's reuse of memory is gone.

--- a/frontend/errors.go
+++ b/frontend/errors.go
@@ -11,6 +11,7 @@
 
 	"github.com/sardinedock/sardinedock/endpoint"
 	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/inbound"
 	"github.com/sardinedock/sardinedock/outcome"
 	"github.com/sardinedock/sardinedock/record"
 )
@@ -140,15 +141,28 @@
 	if c, ok := ctx.Conn().(*callerConn); ok {
 		c.linger.Store(true)
 	}
-	switch {
-	case errors.As(err, &small):
+	if errors.As(err, &small) || errors.Is(err, inbound.ErrLongHead) {
 		writeError(ctx, fault.New(fault.TooLarge, "send fewer or shorter headers", "the headers are too large"), verdict)
 		ctx.SetStatusCode(fasthttp.StatusRequestHeaderFieldsTooLarge)
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		writeError(ctx, fault.New(fault.TooLarge, "send a shorter prompt", "the body is too large"), verdict)
-	default:
-		writeError(ctx, fault.New(fault.BadRequest, "send a well-formed HTTP request in time", "the request could not be read"), verdict)
+		return
+	}
+	writeError(ctx, readError(err), verdict)
+}
+
+var (
+	errBodyTooLarge = fault.New(fault.TooLarge, "send a shorter prompt", "the body is too large")
+	errNotRead      = fault.New(fault.BadRequest, "send a well-formed HTTP request in time", "the request could not be read")
+)
+
+// readError returns the error for a request that could not be read.
+func readError(err error) error {
+	switch {
+	case errors.Is(err, inbound.ErrTooLarge):
+		return errBodyTooLarge
+	case errors.Is(err, inbound.ErrNoMemory), errors.Is(err, inbound.ErrGivenUp):
+		return err
 	}
+	return errNotRead
 }
 
 // retryAfter returns the Retry-After of err in whole seconds, rounded up, or the default.
--- a/frontend/listener_test.go
+++ b/frontend/listener_test.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/sardinedock/sardinedock/inbound"
 )
 
 // failingListener returns the errors one after the other, and a connection for nil.
@@ -28,7 +30,7 @@
 // A burst of connections uses up the process's file descriptors. The listener must continue to
 // accept once some are free again; callers would otherwise connect and never get an answer.
 func TestListenerSurvivesTransientAcceptErrors(t *testing.T) {
-	l := &listener{writeTimeout: time.Second, Listener: &failingListener{errs: []error{syscall.EMFILE, syscall.ECONNABORTED, nil, syscall.EINVAL}}}
+	l := &listener{writeTimeout: time.Second, conns: inbound.NewConnections("caller", 0), Listener: &failingListener{errs: []error{syscall.EMFILE, syscall.ECONNABORTED, nil, syscall.EINVAL}}}
 	if _, err := l.Accept(); err != nil {
 		t.Fatal(err)
 	}
--- a/frontend/request.go
+++ b/frontend/request.go
@@ -1,7 +1,6 @@
 package frontend
 
 import (
-	"bytes"
 	"slices"
 	"strings"
 	"time"
@@ -42,8 +41,7 @@
 // readModelRequest parses and validates a request against the records. Errors are final:
 // nothing was sent.
 func readModelRequest(ctx *fasthttp.RequestCtx, records *record.Snapshot, organisation, id string) (*modelRequest, error) {
-	// The HTTP server reuses the body's memory before a stream has ended.
-	f, err := parseFields(bytes.Clone(ctx.PostBody()))
+	f, err := parseFields(ctx.PostBody())
 	if err != nil {
 		return nil, err
 	}
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -14,8 +14,10 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
 
+	"github.com/sardinedock/sardinedock/bufferlimit"
 	"github.com/sardinedock/sardinedock/endpoint"
 	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/inbound"
 	"github.com/sardinedock/sardinedock/outcome"
 	"github.com/sardinedock/sardinedock/placement"
 	"github.com/sardinedock/sardinedock/policy"
@@ -65,6 +67,10 @@
 	Crashes CrashGuard
 	// NewID returns a unique request ID.
 	NewID func() string
+	// Requests bounds what requests occupy in sum until they are answered; nil for no bound.
+	Requests *bufferlimit.Intake
+	// MaxConnections bounds the connections of callers; 0 for no bound.
+	MaxConnections int
 }
 
 // Server serves the HTTP interface for callers. Its records can be replaced at any time.
@@ -79,6 +85,8 @@
 	metrics  *counters
 	draining atomic.Bool
 	stop     context.CancelFunc
+	// conns are the connections of callers.
+	conns *inbound.Connections
 }
 
 // NewServer returns a server without records; it answers 503 until SetRecords is called.
@@ -92,21 +100,23 @@
 		versions: newVersions(),
 		metrics:  newCounters(),
 		stop:     stop,
+		conns:    inbound.NewConnections("caller", cfg.MaxConnections),
 	}
 	// There is no WriteTimeout: it would limit the whole answer and cut off long streams. The
-	// listener sets a deadline for each write instead.
+	// listener sets a deadline for each write instead, and callerConn reads requests; the library parses their heads.
 	s.http = &fasthttp.Server{
 		Handler:               s.handle,
 		NoDefaultServerHeader: true,
 		ReadBufferSize:        int(cfg.Limits.GetHeaderBytes()),
-		MaxRequestBodySize:    int(cfg.Limits.GetBodyBytes()),
-		ReadTimeout:           time.Duration(cfg.Limits.GetReadTimeoutMs()) * time.Millisecond,
-		Concurrency:           int(cfg.Limits.GetConnections()),
-		CloseOnShutdown:       true,
-		ErrorHandler:          readFailed,
-		// Bodies are passed on as bytes, whatever their type is.
-		DisablePreParseMultipartForm: true,
-		Logger:                       countLogger{},
+		// The set of connections has the bound; those that are being closed count here too.
+		Concurrency:     2 * int(cfg.Limits.GetConnections()),
+		CloseOnShutdown: true,
+		// No read buffer is kept between requests.
+		ReduceMemoryUsage: true,
+		HeaderReceived:    inbound.HeadReceived,
+		ConnState:         connectionState,
+		ErrorHandler:      readFailed,
+		Logger:            countLogger{},
 	}
 	go s.calls.cancelDisconnected(ctx)
 	return s
@@ -118,7 +128,24 @@
 // Serve serves callers on ln until Shutdown.
 func (s *Server) Serve(ln net.Listener) error {
 	writeTimeout := time.Duration(s.cfg.Limits.GetWriteTimeoutMs()) * time.Millisecond
-	return s.http.Serve(&listener{Listener: ln, writeTimeout: writeTimeout})
+	timeout := s.readTimeout()
+	reading := &inbound.Config{
+		HeadBytes: int(s.cfg.Limits.GetHeaderBytes()), Memory: s.cfg.Requests,
+		Timeouts: func() inbound.Timeouts { return inbound.Timeouts{Idle: timeout, Head: timeout, Stall: timeout} },
+	}
+	return s.http.Serve(&listener{Listener: ln, writeTimeout: writeTimeout, reading: reading, conns: s.conns})
+}
+
+// readTimeout bounds the reading of one whole request.
+func (s *Server) readTimeout() time.Duration {
+	return time.Duration(s.cfg.Limits.GetReadTimeoutMs()) * time.Millisecond
+}
+
+// connectionState is the HTTP server's hook for the states of connections.
+func connectionState(c net.Conn, state fasthttp.ConnState) {
+	if cc, ok := c.(*callerConn); ok && state == fasthttp.StateClosed {
+		cc.reader.Close()
+	}
 }
 
 func (s *Server) silenceTimeout() time.Duration {
@@ -126,6 +153,7 @@
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	framing := inbound.TakeFraming(&ctx.Request.Header)
 	// The ID is set before any refusal, because a refusal without an ID could not be distinguished
 	// apart from those of other attempts of the same caller.
 	id := s.cfg.NewID()
@@ -133,27 +161,61 @@
 	if s.draining.Load() {
 		ctx.SetConnectionClose()
 	}
+	serve, err := s.handlerOf(ctx, id)
+	if err == nil {
+		err = s.receiveBody(ctx, framing)
+	} else {
+		leaveBody(ctx, framing)
+	}
+	if err != nil {
+		s.refuse(ctx, err)
+		return
+	}
+	serve()
+}
+
+// handlerOf returns what serves a request, by its head.
+func (s *Server) handlerOf(ctx *fasthttp.RequestCtx, id string) (serve func(), err error) {
 	records := s.records.Load()
 	if records == nil {
-		s.refuse(ctx, errNoRecords)
-		return
+		return nil, errNoRecords
 	}
 	organisation, err := authenticate(ctx, records)
 	if err != nil {
-		s.refuse(ctx, err)
-		return
+		return nil, err
 	}
 	switch path := string(ctx.Path()); {
 	case path == "/v1/models":
-		s.models(ctx, records, organisation)
+		return func() { s.models(ctx, records, organisation) }, nil
 	case strings.HasPrefix(path, modelsPath):
-		s.model(ctx, records, organisation, path[len(modelsPath):])
+		return func() { s.model(ctx, records, organisation, path[len(modelsPath):]) }, nil
 	case path == "/v1/completions" || path == "/v1/chat/completions":
-		s.generate(ctx, records, organisation, id)
+		return func() { s.generate(ctx, records, organisation, id) }, nil
 	case strings.HasPrefix(path, "/services/"):
-		s.service(ctx, records, organisation, id)
+		return func() { s.service(ctx, records, organisation, id) }, nil
 	default:
-		s.refuse(ctx, errNoPath(path))
+		return nil, errNoPath(path)
+	}
+}
+
+// receiveBody reads the body of a request. If it returns an error, nothing has been sent.
+func (s *Server) receiveBody(ctx *fasthttp.RequestCtx, framing inbound.Framing) error {
+	c := ctx.Conn().(*callerConn)
+	body, err := c.reader.ReadBody(framing, int(s.cfg.Limits.GetBodyBytes()), c.reader.Began().Add(s.readTimeout()), c.Write)
+	if err != nil {
+		ctx.SetConnectionClose()
+		c.linger.Store(true)
+		return readError(err)
+	}
+	ctx.Request.SetBodyRaw(body)
+	return nil
+}
+
+// leaveBody leaves the body of a refused request unread.
+func leaveBody(ctx *fasthttp.RequestCtx, framing inbound.Framing) {
+	if c := ctx.Conn().(*callerConn); framing.Length != 0 && !c.reader.LeaveRest(framing) {
+		ctx.SetConnectionClose()
+		c.linger.Store(true)
 	}
 }
 
@@ -208,15 +270,18 @@
 
 // serverDump is the server's part of the state dump.
 type serverDump struct {
-	Open     int        `json:"open"`
-	Draining bool       `json:"draining"`
-	Oldest   []callDump `json:"oldest"`
+	Open     int  `json:"open"`
+	Draining bool `json:"draining"`
+	// Requests is what is held of requests until they are answered.
+	Requests    bufferlimit.IntakeView  `json:"requests"`
+	Connections inbound.ConnectionsView `json:"connections"`
+	Oldest      []callDump              `json:"oldest"`
 }
 
 // Dump returns the open requests for the state dump.
 func (s *Server) Dump() any {
 	open, oldest := s.calls.dump()
-	return serverDump{Open: open, Draining: s.draining.Load(), Oldest: oldest}
+	return serverDump{Open: open, Draining: s.draining.Load(), Requests: s.cfg.Requests.View(), Connections: s.conns.View(), Oldest: oldest}
 }
 
 // countLogger counts the messages that the HTTP library would log. They report broken
--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -162,15 +162,7 @@
 func (c *callerConn) Stage() overload.Connection { return c.reader.Stage() }
 
 // GiveUp implements inbound.Connection.
-func (c *callerConn) GiveUp(in overload.Stage) bool {
-	if !c.reader.GiveUp(in) {
-		return false
-	}
-	if in != overload.StageBody {
-		inbound.CloseUnread(c.Conn)
-	}
-	return true
-}
+func (c *callerConn) GiveUp(in overload.Stage) bool { return c.reader.GiveUp(in, c.Conn) }
 
 // forwarded reports whether the requests on the connection are forwarded by another instance.
 func (c *callerConn) forwarded() bool { return c.fromInstance }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -226,7 +226,7 @@
 		return nil
 	}
 	// A shutdown whose time is over ends what the caller sends.
-	r.srv.open.started(r, func(error) { r.conn.reader.GiveUp(overload.StageBody) })
+	r.srv.open.started(r, func(error) { r.conn.GiveUp(overload.StageBody) })
 	body, err := r.conn.reader.ReadBody(framing, r.maxBody(), r.deadline, r.conn.Write)
 	if err != nil {
 		return r.bodyFailed(err)
--- a/inbound/reader.go
+++ b/inbound/reader.go
@@ -74,6 +74,8 @@
 	headLeft int
 	// failed is returned to the HTTP library after the bytes of an unfinished head.
 	failed error
+	// began is when the head began to be read.
+	began time.Time
 	// rest is the framing of a body that nobody reads.
 	rest Framing
 
@@ -91,6 +93,9 @@
 	return r
 }
 
+// Began returns when the head that was read last began to arrive.
+func (r *Reader) Began() time.Time { return r.began }
+
 // Buffered returns how many bytes were received and not consumed.
 func (r *Reader) Buffered() int {
 	if r.buffer == nil {
@@ -156,6 +161,7 @@
 
 // awaitHead reads until there is a whole head.
 func (r *Reader) awaitHead() error {
+	r.Release()
 	if err := r.discardRest(); err != nil {
 		return err
 	}
@@ -173,7 +179,8 @@
 	if !r.stage.enter(overload.StageHead) {
 		return ErrGivenUp
 	}
-	deadline := time.Now().Add(t.Head)
+	r.began = time.Now()
+	deadline := r.began.Add(t.Head)
 	for searched := 0; ; {
 		b := r.unread()
 		end, err := headEnd(b, searched)
@@ -295,7 +302,7 @@
 	}
 }
 
-// Release states that the body of the last request is not used any more.
+// Release states that the body of the last request is not used any more. The next head implies it.
 func (r *Reader) Release() { release(&r.bodyMemory) }
 
 // Close releases all that is counted. The Reader is not used afterwards.
--- a/inbound/reader_test.go
+++ b/inbound/reader_test.go
@@ -263,7 +263,7 @@
 	caller, server := net.Pipe()
 	defer func() { _, _ = caller.Close(), server.Close() }()
 	r := NewReader(server, testConfig(nil))
-	if r.GiveUp(overload.StageHead) {
+	if r.GiveUp(overload.StageHead, server) {
 		t.Error("an idle connection was given up as one with a head")
 	}
 	go func() { _, _ = caller.Write([]byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n")) }()
@@ -273,7 +273,7 @@
 		t.Fatal(err)
 	}
 	for _, stage := range []overload.Stage{overload.StageIdle, overload.StageHead, overload.StageBody, overload.StageServed} {
-		if r.GiveUp(stage) {
+		if r.GiveUp(stage, server) {
 			t.Fatalf("given up in stage %v while it is served", stage)
 		}
 	}
@@ -284,7 +284,7 @@
 		_, err := r.ReadBody(f, testBodyBytes, time.Now().Add(testTimeout), nil)
 		ended <- err
 	}()
-	for !r.GiveUp(overload.StageBody) {
+	for !r.GiveUp(overload.StageBody, server) {
 		time.Sleep(time.Millisecond)
 	}
 	if err := <-ended; !errors.Is(err, ErrGivenUp) {
--- a/inbound/stage.go
+++ b/inbound/stage.go
@@ -1,6 +1,7 @@
 package inbound
 
 import (
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -41,13 +42,16 @@
 	return overload.Connection{Stage: overload.Stage(r.stage.now.Load()), Since: time.Unix(0, r.stage.since.Load())}
 }
 
-// GiveUp ends what the caller sends if the connection is still in the given stage, and reports whether it is. A body ends with
-// ErrGivenUp. A connection without a whole head has to be closed by the caller of GiveUp, and serves nothing any more.
-func (r *Reader) GiveUp(in overload.Stage) bool {
+// GiveUp gives the connection up if it is still in the given stage, and reports whether it is. In the middle of a body, the body ends
+// with ErrGivenUp. Otherwise nothing of its request was read, and c, the connection below, is closed. The Reader serves nothing any more.
+func (r *Reader) GiveUp(in overload.Stage, c net.Conn) bool {
 	if in == overload.StageServed || !r.stage.now.CompareAndSwap(int32(in), stageGivenUp) {
 		return false
 	}
 	r.givenUp.Store(true)
 	r.interrupt()
+	if in != overload.StageBody {
+		CloseUnread(c)
+	}
 	return true
 }
--- a/instance/frontend.go
+++ b/instance/frontend.go
@@ -7,10 +7,12 @@
 	"net"
 	"time"
 
+	"github.com/sardinedock/sardinedock/bufferlimit"
 	"github.com/sardinedock/sardinedock/clock"
 	"github.com/sardinedock/sardinedock/endpoint"
 	"github.com/sardinedock/sardinedock/fault"
 	"github.com/sardinedock/sardinedock/frontend"
+	"github.com/sardinedock/sardinedock/inbound"
 	"github.com/sardinedock/sardinedock/internal/sockstate"
 	"github.com/sardinedock/sardinedock/outcome/claim"
 )
@@ -23,6 +25,9 @@
 // connection is closed.
 const callerKeepAliveProbes = 3
 
+// bytesPerMB is the unit of memory in the settings.
+const bytesPerMB = 1 << 20
+
 func (i *Instance) provisionFrontend() {
 	limits := i.settings.GetLimits()
 	readTimeout := time.Duration(limits.GetSilenceMs()) * time.Millisecond
@@ -31,18 +36,29 @@
 	i.admin.Register("claims", i.claims.Dump)
 	i.onKill = append(i.onKill, i.claims.Kill)
 	i.frontend = frontend.NewServer(frontend.Config{
-		Limits:      limits,
-		Placer:      i.placer(),
-		Dial:        func(addr string) frontend.Engine { return i.clients.Engine(addr) },
-		DialService: func(addr string) frontend.Service { return i.clients.Service(addr) },
-		Claims:      i.claims,
-		Crashes:     i.peers.placer,
-		NewID:       newID,
+		Limits:         limits,
+		Placer:         i.placer(),
+		Dial:           func(addr string) frontend.Engine { return i.clients.Engine(addr) },
+		DialService:    func(addr string) frontend.Service { return i.clients.Service(addr) },
+		Claims:         i.claims,
+		Crashes:        i.peers.placer,
+		NewID:          newID,
+		Requests:       bufferlimit.NewRequestIntake(max(limits.GetRequestMemoryMb()*bytesPerMB, 2*limits.GetBodyBytes())),
+		MaxConnections: maxConnections(int(limits.GetConnections())),
 	})
 	i.admin.Register("callers", i.frontend.Dump)
 	i.onKill = append(i.onKill, i.frontend.Kill, i.clients.Close)
 }
 
+// maxConnections returns how many connections callers may have: the stated number, and half of the process's descriptors at most.
+func maxConnections(stated int) int {
+	const callersShare = 2
+	if descriptors := inbound.MaxDescriptors(0); descriptors > 0 {
+		return min(stated, descriptors/callersShare)
+	}
+	return stated
+}
+
 // startCallers starts serving callers. TCP keep-alive and TCP_USER_TIMEOUT detect callers that
 // are unreachable.
 func (i *Instance) startCallers() error {
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -8,18 +8,20 @@
 	"net"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"github.com/sardinedock/sardinedock/admin"
 	"github.com/sardinedock/sardinedock/endpoint"
 	"github.com/sardinedock/sardinedock/fault"
 	"github.com/sardinedock/sardinedock/frontend"
+	"github.com/sardinedock/sardinedock/inbound"
 	"github.com/sardinedock/sardinedock/objectapi"
 	"github.com/sardinedock/sardinedock/outcome/claim"
 	"github.com/sardinedock/sardinedock/record"
 	"github.com/sardinedock/sardinedock/schema/settingspb"
 )
 
+// maxAdminConnections bounds the connections of operators and of their tools.
+const maxAdminConnections = 32
+
 // Instance is one instance of the router.
 type Instance struct {
 	settings *settingspb.Settings
@@ -77,8 +79,9 @@
 		return fault.Wrap(err, fault.Invalid, "choose a free address for listen.admin", "listen for operators")
 	}
 	i.adminLn = ln
-	server := &fasthttp.Server{Handler: i.admin.Serve, NoDefaultServerHeader: true}
-	go func() { _ = server.Serve(ln) }()
+	go func() {
+		_ = inbound.NewProbeServer(i.admin.Serve).Serve(inbound.Limit(ln, "admin", maxAdminConnections))
+	}()
 	return nil
 }
 
