--- a/bufferlimit/intake.go
+++ b/bufferlimit/intake.go
@@ -69,13 +69,19 @@
 // Begin returns an empty collection. stop is called, at most once, if the collection is ended while it waits for bytes; it must
 // not block.
 func (i *Intake) Begin(stop func()) *Collection {
-	c := &Collection{intake: i, stop: stop}
+	c := &Collection{}
+	i.BeginIn(c, stop)
+	return c
+}
+
+// BeginIn is Begin with a collection that is new, or that has ended and is used again.
+func (i *Intake) BeginIn(c *Collection, stop func()) {
+	*c = Collection{intake: i, stop: stop}
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.lastID++
 	c.id = i.lastID
 	i.open[c] = true
-	return c
 }
 
 // Grow adds n bytes before they are allocated. While a sum is over its bound, it ends a collection that is not complete, and returns
--- a/frontend/server.go
+++ b/frontend/server.go
@@ -201,7 +201,7 @@
 // receiveBody reads the body of a request. If it returns an error, nothing has been sent.
 func (s *Server) receiveBody(ctx *fasthttp.RequestCtx, framing inbound.Framing) error {
 	c := ctx.Conn().(*callerConn)
-	body, err := c.reader.ReadBody(framing, int(s.cfg.Limits.GetBodyBytes()), c.reader.Began().Add(s.readTimeout()), c.Write)
+	body, err := c.reader.ReadBody(framing, int(s.cfg.Limits.GetBodyBytes()), c.reader.Began().Add(s.readTimeout()), c)
 	if err != nil {
 		ctx.SetConnectionClose()
 		c.linger.Store(true)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -225,9 +225,11 @@
 	if framing.Length == 0 {
 		return nil
 	}
-	// A shutdown whose time is over ends what the caller sends.
-	r.srv.open.started(r, func(error) { r.conn.GiveUp(overload.StageBody) })
-	body, err := r.conn.reader.ReadBody(framing, r.maxBody(), r.deadline, r.conn.Write)
+	if framing.Length < 0 || framing.Length > r.conn.reader.Buffered() {
+		// A shutdown whose time is over ends what the caller sends.
+		r.srv.open.started(r, func(error) { r.conn.GiveUp(overload.StageBody) })
+	}
+	body, err := r.conn.reader.ReadBody(framing, r.maxBody(), r.deadline, r.conn)
 	if err != nil {
 		return r.bodyFailed(err)
 	}
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -223,6 +223,8 @@
 		// The records may change them at any time.
 		Timeouts: func() inbound.Timeouts { return timeouts(s.limits(), fromInstance) },
 		Memory:   s.cfg.Requests,
+		// Sends copy the body, and a request has ended with its answer.
+		RecycleBodies: true,
 	}
 }
 
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -66,10 +66,11 @@
 	unreadShare = 4
 	// intakeShare is the same for answers that are being received whole.
 	intakeShare = 8
-	// requestShare is the same for requests until they are answered, minRequestBytes the least memory for them: one body of the
-	// largest size and the copy from which it has grown. defaultRequestBytes is the memory for them if none is stated.
+	// requestShare is the same for requests until they are answered, minRequestBytes the least memory for them: a body of the largest
+	// size takes it twice while it is joined, in the part that large ones may use. defaultRequestBytes is the memory for them if none is
+	// stated.
 	requestShare        = 4
-	minRequestBytes     = 2 * bodyBytes
+	minRequestBytes     = 4 * bodyBytes
 	defaultRequestBytes = 256 << 20
 	// runtimeShare is the share of the instance's memory that the Go runtime may use before it collects garbage more
 	// often. The rest is for the program itself, programMb at least, and for what the kernel holds for connections.
--- a/inbound/body.go
+++ b/inbound/body.go
@@ -9,8 +9,9 @@
 )
 
 const (
-	// firstBytes is the capacity with which a body starts, unless it is shorter or more of it has arrived.
-	firstBytes = 4 << 10
+	// firstBytes is the capacity of a body's first piece, unless the body is shorter, and maxPiece that of the largest. A body in
+	// several pieces is joined once it is whole: those that never are then leave nothing behind but pieces of few sizes.
+	firstBytes, maxPiece = 32 << 10, 256 << 10
 	// maxChunkLine bounds the line before a chunk, extensions included, and maxTrailers all lines after the last chunk.
 	maxChunkLine = 256
 	maxTrailers  = 4 << 10
@@ -21,8 +22,8 @@
 var interimContinue = []byte("HTTP/1.1 100 Continue\r\n\r\n")
 
 // ReadBody reads the body of the request whose head was read last, and returns it; it is in use until Release. limit bounds its size
-// in bytes, deadline the time. write writes an interim response if the caller waits for one.
-func (r *Reader) ReadBody(f Framing, limit int, deadline time.Time, write func([]byte) (int, error)) ([]byte, error) {
+// in bytes, deadline the time. An interim response is written to interim if the caller waits for one.
+func (r *Reader) ReadBody(f Framing, limit int, deadline time.Time, interim io.Writer) ([]byte, error) {
 	if f.Length == 0 {
 		return nil, nil
 	}
@@ -32,25 +33,31 @@
 	if !r.stage.enter(overload.StageBody) {
 		return nil, ErrGivenUp
 	}
-	if f.Continue && r.Buffered() == 0 && write != nil {
-		if _, err := write(interimContinue); err != nil {
+	if f.Continue && r.Buffered() == 0 && interim != nil {
+		if _, err := interim.Write(interimContinue); err != nil {
 			return nil, err
 		}
 	}
-	b := &body{r: r, limit: limit, deadline: deadline}
+	b := body{r: r, limit: limit, deadline: deadline}
 	err := b.read(f)
-	if err == nil && (r.bodyMemory != nil && r.bodyMemory.Complete() != nil || !r.stage.enter(overload.StageServed)) {
+	if err == nil {
+		err = b.join()
+	}
+	if err == nil && (!r.bodyMemory.complete() || !r.stage.enter(overload.StageServed)) {
 		err = r.interruption()
 	}
 	if err != nil {
-		recycle(b.data)
+		b.dropPieces()
 		r.Close()
 		if err == io.EOF {
 			err = io.ErrUnexpectedEOF
 		}
 		return nil, err
 	}
-	return b.data, nil
+	if r.cfg.RecycleBodies {
+		r.body = b.last
+	}
+	return b.last, nil
 }
 
 // body is a body that is being read.
@@ -58,7 +65,10 @@
 	r        *Reader
 	limit    int
 	deadline time.Time
-	data     []byte
+	// full are the pieces before last, in order; size is the number of bytes in all of them.
+	full [][]byte
+	last []byte
+	size int
 	// lastLine is the memory of the last line.
 	lastLine []byte
 }
@@ -78,7 +88,7 @@
 			return ErrMalformed
 		case size == 0:
 			return b.skipTrailers()
-		case size > b.limit-len(b.data):
+		case size > b.limit-b.size:
 			return ErrTooLarge
 		}
 		if err := b.readBytes(size, b.limit); err != nil {
@@ -97,24 +107,22 @@
 	return ErrMalformed
 }
 
-// readBytes appends n bytes to the data, which will have most bytes at the end at most.
+// readBytes appends n bytes to the body, which will have most bytes at the end at most.
 func (b *body) readBytes(n, most int) error {
 	for n > 0 {
-		if arrived := min(n, b.r.Buffered()); arrived > 0 {
-			if err := b.makeRoom(arrived, most); err != nil {
-				return err
-			}
-			b.data = append(b.data, b.r.unread()[:arrived]...)
-			b.r.consume(arrived)
-			n -= arrived
-			continue
-		}
-		if err := b.makeRoom(1, most); err != nil {
+		if err := b.makeRoom(most); err != nil {
 			return err
 		}
-		room := b.data[len(b.data):min(cap(b.data), len(b.data)+n)]
-		got, err := b.r.receive(room, b.until())
-		b.data = b.data[:len(b.data)+got]
+		room := b.last[len(b.last):min(cap(b.last), len(b.last)+n)]
+		got, err := 0, error(nil)
+		if b.r.Buffered() > 0 {
+			got = copy(room, b.r.unread())
+			b.r.consume(got)
+		} else {
+			got, err = b.r.receive(room, b.until())
+		}
+		b.last = b.last[:len(b.last)+got]
+		b.size += got
 		if n -= got; err != nil && n > 0 {
 			return err
 		}
@@ -122,14 +130,52 @@
 	return nil
 }
 
-// makeRoom has the capacity of the data grow to twice its length or more if less than n bytes are free.
-func (b *body) makeRoom(n, most int) error {
-	if cap(b.data)-len(b.data) >= n {
+// makeRoom begins a new piece if the last one is full. Each is at most as large as those before it together.
+func (b *body) makeRoom(most int) error {
+	if len(b.last) < cap(b.last) {
 		return nil
 	}
-	grown, err := b.r.grow(b.data, roundUp(min(most, max(firstBytes, 2*len(b.data), len(b.data)+n))), &b.r.bodyMemory)
-	b.data = grown
-	return err
+	capacity := roundUp(min(most-b.size, max(firstBytes, b.size), maxPiece))
+	if err := b.r.count(capacity, &b.r.bodyMemory); err != nil {
+		return err
+	}
+	if b.last != nil {
+		b.full = append(b.full, b.last)
+	}
+	b.last = allocate(capacity)
+	return nil
+}
+
+// join moves a body in several pieces into one.
+func (b *body) join() error {
+	if len(b.full) == 0 {
+		return nil
+	}
+	capacity := b.size
+	if b.r.cfg.RecycleBodies {
+		capacity = roundUp(capacity)
+	}
+	if err := b.r.count(capacity, &b.r.bodyMemory); err != nil {
+		return err
+	}
+	joined := allocate(capacity)
+	for _, piece := range b.full {
+		joined = append(joined, piece...)
+	}
+	joined = append(joined, b.last...)
+	b.r.bodyMemory.shrink(b.dropPieces())
+	b.last = joined
+	return nil
+}
+
+// dropPieces has the memory of all pieces used again, and returns its size.
+func (b *body) dropPieces() (size int) {
+	for _, piece := range append(b.full, b.last) {
+		size += cap(piece)
+		recycle(piece)
+	}
+	b.full, b.last = nil, nil
+	return size
 }
 
 // until returns the end of the time for the next bytes.
--- a/inbound/framing.go
+++ b/inbound/framing.go
@@ -4,6 +4,7 @@
 package inbound
 
 import (
+	"bytes"
 	"strconv"
 	"strings"
 
@@ -43,31 +44,36 @@
 	if length == 0 || length < chunked {
 		return none
 	}
-	text := framingChunked
-	if length > 0 {
-		text = strconv.Itoa(length)
-	}
+	var text [len(framingContinue) + len(framingChunked) + maxLengthDigits]byte
+	value := text[:0]
 	if expects {
-		text = framingContinue + text
+		value = append(value, framingContinue...)
+	}
+	if length > 0 {
+		value = strconv.AppendInt(value, int64(length), 10)
+	} else {
+		value = append(value, framingChunked...)
 	}
 	h.SetContentLength(0)
-	h.Set(headerFraming, text)
+	h.SetBytesV(headerFraming, value)
 	return none
 }
 
+// maxLengthDigits is the most digits of a length.
+const maxLengthDigits = 20
+
 // TakeFraming returns the framing of a request whose head HeadReceived was called with, and removes it from the head.
 func TakeFraming(h *fasthttp.RequestHeader) (f Framing) {
 	value := h.Peek(headerFraming)
 	if len(value) == 0 {
 		return f
 	}
-	text := string(value)
-	h.Del(headerFraming)
-	text, f.Continue = strings.CutPrefix(text, framingContinue)
-	if text == framingChunked {
+	value, f.Continue = bytes.CutPrefix(value, []byte(framingContinue))
+	if string(value) == framingChunked {
 		f.Length = chunked
-		return f
+	} else {
+		f.Length, _ = strconv.Atoi(string(value))
 	}
-	f.Length, _ = strconv.Atoi(text)
+	h.Del(headerFraming)
 	return f
 }
--- a/inbound/reader.go
+++ b/inbound/reader.go
@@ -60,15 +60,21 @@
 	Timeouts func() Timeouts
 	// Memory bounds what requests occupy in sum; nil for no bound.
 	Memory *bufferlimit.Intake
+	// RecycleBodies is set if nothing refers to a body any more when the next head is read.
+	RecycleBodies bool
 }
 
 // Reader reads the requests of one connection. Its methods are called from one goroutine, except GiveUp, Stage and Waits.
 type Reader struct {
 	conn net.Conn
 	cfg  *Config
+	// stop is interrupt.
+	stop func()
 
-	// buffer holds received bytes, of which those before used are consumed; nil while there are none.
-	buffer *[]byte
+	// buffer holds received bytes, of which those before used are consumed; nil while there are none. pooled is its memory if that is of
+	// buffers, nil if it has grown.
+	buffer []byte
+	pooled *[]byte
 	used   int
 	// headLeft is how many bytes belong to a whole head that the HTTP library has not read yet.
 	headLeft int
@@ -79,9 +85,11 @@
 	// rest is the framing of a body that nobody reads.
 	rest Framing
 
-	// bufferMemory and bodyMemory count what the buffer, beyond bufferBytes, and the body occupy; nil for nothing.
-	bufferMemory, bodyMemory *bufferlimit.Collection
-	stage                    stage
+	// bufferMemory and bodyMemory count what the buffer, beyond bufferBytes, and the body occupy.
+	bufferMemory, bodyMemory memory
+	// body is the memory of the last body if it is to be recycled; nil if not.
+	body  []byte
+	stage stage
 	// givenUp is set once GiveUp has ended what the caller sends.
 	givenUp atomic.Bool
 }
@@ -89,6 +97,7 @@
 // NewReader returns a Reader of c.
 func NewReader(c net.Conn, cfg *Config) *Reader {
 	r := &Reader{conn: c, cfg: cfg}
+	r.stop = r.interrupt
 	r.stage.set(overload.StageIdle)
 	return r
 }
@@ -98,43 +107,41 @@
 
 // Buffered returns how many bytes were received and not consumed.
 func (r *Reader) Buffered() int {
-	if r.buffer == nil {
-		return 0
-	}
-	return len(*r.buffer) - r.used
+	return len(r.buffer) - r.used
 }
 
-func (r *Reader) unread() []byte { return (*r.buffer)[r.used:] }
+func (r *Reader) unread() []byte { return r.buffer[r.used:] }
 
 // consume marks n bytes as consumed, and releases the buffer after the last one.
 func (r *Reader) consume(n int) {
-	if r.used += n; r.used < len(*r.buffer) {
+	if r.used += n; r.used < len(r.buffer) {
 		return
 	}
 	r.dropBuffer()
 	r.buffer, r.used = nil, 0
-	release(&r.bufferMemory)
+	r.bufferMemory.release()
 }
 
 // dropBuffer has the buffer's memory used again.
 func (r *Reader) dropBuffer() {
-	if cap(*r.buffer) != bufferBytes {
-		recycle(*r.buffer)
+	if r.pooled == nil {
+		recycle(r.buffer)
 		return
 	}
-	*r.buffer = (*r.buffer)[:0]
-	buffers.Put(r.buffer)
+	buffers.Put(r.pooled)
+	r.pooled = nil
 }
 
 // Unread returns a byte, which was received on the connection after all others, to the Reader.
 func (r *Reader) Unread(b byte) {
 	r.needBuffer()
-	*r.buffer = append(*r.buffer, b)
+	r.buffer = append(r.buffer, b)
 }
 
 func (r *Reader) needBuffer() {
 	if r.buffer == nil {
-		r.buffer = buffers.Get().(*[]byte)
+		r.pooled = buffers.Get().(*[]byte)
+		r.buffer = (*r.pooled)[:0]
 	}
 }
 
@@ -162,6 +169,7 @@
 // awaitHead reads until there is a whole head.
 func (r *Reader) awaitHead() error {
 	r.Release()
+	r.recycleBody()
 	if err := r.discardRest(); err != nil {
 		return err
 	}
@@ -202,7 +210,7 @@
 	if err := r.countLines(); err != nil {
 		return err
 	}
-	if r.bufferMemory != nil && r.bufferMemory.Complete() != nil || !r.stage.enter(overload.StageServed) {
+	if !r.bufferMemory.complete() || !r.stage.enter(overload.StageServed) {
 		return r.interruption()
 	}
 	return nil
@@ -245,51 +253,73 @@
 // fill receives more bytes into the buffer, which grows if it is full.
 func (r *Reader) fill(deadline time.Time) error {
 	r.needBuffer()
-	b := *r.buffer
 	if r.used > 0 {
-		b = b[:copy(b, b[r.used:])]
+		r.buffer = r.buffer[:copy(r.buffer, r.buffer[r.used:])]
 		r.used = 0
 	}
-	if len(b) == cap(b) {
-		grown, err := r.grow(b, 2*cap(b), &r.bufferMemory)
-		if err != nil {
+	if len(r.buffer) == cap(r.buffer) {
+		if err := r.growBuffer(); err != nil {
 			return err
 		}
-		if cap(b) == bufferBytes {
-			r.dropBuffer()
-		}
-		b = grown
-		r.buffer = &b
 	}
-	n, err := r.receive(b[len(b):cap(b)], deadline)
-	*r.buffer = b[:len(b)+n]
+	n, err := r.receive(r.buffer[len(r.buffer):cap(r.buffer)], deadline)
+	r.buffer = r.buffer[:len(r.buffer)+n]
 	return err
 }
 
-// grow returns a copy of b with another capacity, counted by memory. The capacity of b is released if it was counted too.
-func (r *Reader) grow(b []byte, capacity int, memory **bufferlimit.Collection) ([]byte, error) {
-	counted := *memory != nil
-	if err := r.count(capacity, memory); err != nil {
-		return b, err
+// growBuffer doubles the capacity of the buffer.
+func (r *Reader) growBuffer() error {
+	capacity := 2 * cap(r.buffer)
+	if err := r.count(capacity, &r.bufferMemory); err != nil {
+		return err
 	}
-	grown := append(allocate(capacity), b...)
-	if counted {
-		(*memory).Shrink(int64(cap(b)))
+	grown := append(allocate(capacity), r.buffer...)
+	if r.pooled == nil {
+		r.bufferMemory.shrink(cap(r.buffer))
+	}
+	r.dropBuffer()
+	r.buffer = grown
+	return nil
+}
+
+// memory is what counts in the sum of all requests. Its zero value is ready to use.
+type memory struct {
+	collection bufferlimit.Collection
+	// begun is set while something is counted.
+	begun bool
+}
+
+// release states that nothing of it is used any more.
+func (m *memory) release() {
+	if m.begun {
+		m.collection.End()
+		m.begun = false
+	}
+}
+
+// complete has the request not given up any more. It returns false if it was before.
+func (m *memory) complete() bool { return !m.begun || m.collection.Complete() == nil }
+
+func (m *memory) full() bool { return m.begun && m.collection.Full() }
+
+// shrink states that n bytes of it are not used any more.
+func (m *memory) shrink(n int) {
+	if m.begun && n > 0 {
+		m.collection.Shrink(int64(n))
 	}
-	recycle(b)
-	return grown, nil
 }
 
 // count adds n bytes to the sum of all requests before they are allocated.
-func (r *Reader) count(n int, memory **bufferlimit.Collection) error {
+func (r *Reader) count(n int, m *memory) error {
 	if r.cfg.Memory == nil {
 		return nil
 	}
-	if *memory == nil {
-		*memory = r.cfg.Memory.Begin(r.interrupt)
+	if !m.begun {
+		r.cfg.Memory.BeginIn(&m.collection, r.stop)
+		m.begun = true
 	}
 	for try := 1; ; try++ {
-		err := (*memory).Grow(time.Now(), int64(n))
+		err := m.collection.Grow(time.Now(), int64(n))
 		switch {
 		case err == nil:
 			return nil
@@ -303,19 +333,19 @@
 }
 
 // Release states that the body of the last request is not used any more. The next head implies it.
-func (r *Reader) Release() { release(&r.bodyMemory) }
+func (r *Reader) Release() { r.bodyMemory.release() }
 
-// Close releases all that is counted. The Reader is not used afterwards.
-func (r *Reader) Close() {
-	release(&r.bodyMemory)
-	release(&r.bufferMemory)
+// recycleBody has the memory of the last body used again.
+func (r *Reader) recycleBody() {
+	recycle(r.body)
+	r.body = nil
 }
 
-func release(memory **bufferlimit.Collection) {
-	if *memory != nil {
-		(*memory).End()
-		*memory = nil
-	}
+// Close releases all that is counted. The Reader is not used afterwards, nor is a body to be recycled.
+func (r *Reader) Close() {
+	r.recycleBody()
+	r.bodyMemory.release()
+	r.bufferMemory.release()
 }
 
 // interrupt ends the receive that is waiting, if one is.
@@ -326,14 +356,12 @@
 	switch {
 	case r.givenUp.Load():
 		return ErrGivenUp
-	case isFull(r.bodyMemory), isFull(r.bufferMemory):
+	case r.bodyMemory.full(), r.bufferMemory.full():
 		return ErrNoMemory
 	}
 	return nil
 }
 
-func isFull(memory *bufferlimit.Collection) bool { return memory != nil && memory.Full() }
-
 // receive reads from the connection until the deadline.
 func (r *Reader) receive(p []byte, deadline time.Time) (int, error) {
 	if err := r.conn.SetReadDeadline(deadline); err != nil {
--- a/inbound/reader_test.go
+++ b/inbound/reader_test.go
@@ -65,7 +65,7 @@
 	}
 	HeadReceived(head)
 	f := TakeFraming(head)
-	body, err = r.ReadBody(f, limit, time.Now().Add(testTimeout), func(p []byte) (int, error) { return len(p), nil })
+	body, err = r.ReadBody(f, limit, time.Now().Add(testTimeout), io.Discard)
 	body = bytes.Clone(body)
 	r.Release()
 	return head, body, err
@@ -162,7 +162,7 @@
 		var text bytes.Buffer
 		var want [][]byte
 		for k := range rapid.IntRange(1, 5).Draw(t, "requests") {
-			body := bytes.Repeat([]byte{byte('a' + k)}, rapid.SampledFrom([]int{0, 1, 100, 4095, 4096, 5000, 70_000}).Draw(t, "size"))
+			body := bytes.Repeat([]byte{byte('a' + k)}, rapid.SampledFrom([]int{0, 1, 100, 4095, 4096, 5000, 70_000, 600_000}).Draw(t, "size"))
 			want = append(want, body)
 			fmt.Fprintf(&text, "POST /%d HTTP/1.1\r\nHost: h\r\n", k)
 			if rapid.Bool().Draw(t, "chunked") {
@@ -177,7 +177,7 @@
 				fmt.Fprintf(&text, "Content-Length: %d\r\n\r\n%s", len(body), body)
 			}
 		}
-		sizes := rapid.SliceOfN(rapid.IntRange(1, 9000), 0, 60).Draw(t, "segments")
+		sizes := rapid.SliceOfN(rapid.IntRange(1, 90_000), 0, 60).Draw(t, "segments")
 		memory := bufferlimit.NewRequestIntake(1 << 30)
 		r := NewReader(&segments{data: text.Bytes(), sizes: sizes}, testConfig(memory))
 		for k, body := range want {
--- a/inbound/recycle.go
+++ b/inbound/recycle.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// minRecycled is the least capacity of memory that is recycled, maxRecycledBits the binary logarithm of the largest. Bodies that are
-	// given up would leave large pieces to the garbage collector faster than it runs.
+	// minRecycled is the least capacity of memory that is recycled, maxRecycledBits the binary logarithm of the largest. Crowds of clients
+	// would leave large pieces to the garbage collector faster than it runs.
 	minRecycled     = 16 << 10
 	maxRecycledBits = 26
 )
@@ -36,7 +36,9 @@
 // recycle has memory used again to which nobody else refers.
 func recycle(b []byte) {
 	if class := classOf(cap(b)); class >= 0 {
-		recycled[class].Put(&b)
+		// Declared here, so that only what is recycled has its header on the heap.
+		header := b
+		recycled[class].Put(&header)
 	}
 }
 
--- a/instance/frontend.go
+++ b/instance/frontend.go
@@ -43,7 +43,7 @@
 		Claims:         i.claims,
 		Crashes:        i.peers.placer,
 		NewID:          newID,
-		Requests:       bufferlimit.NewRequestIntake(max(limits.GetRequestMemoryMb()*bytesPerMB, 2*limits.GetBodyBytes())),
+		Requests:       bufferlimit.NewRequestIntake(max(limits.GetRequestMemoryMb()*bytesPerMB, 4*limits.GetBodyBytes())),
 		MaxConnections: maxConnections(int(limits.GetConnections())),
 	})
 	i.admin.Register("callers", i.frontend.Dump)
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -175,6 +175,8 @@
 // faultsOf returns the faults that a seed draws from.
 func faultsOf(seed uint64) []fault {
 	switch {
+	case seed >= firstCrowdSeed:
+		return withOwnFault(crowdFault)
 	case seed >= firstExtraSeed:
 		return withOwnFault(extraFault)
 	case seed >= firstEndlessSeed:
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -182,7 +182,7 @@
 	for n := range *size {
 		i := newInstance(t, n, binary, dir, s.store.Address(), retryRatioOf(s.seed), s.checker)
 		s.instances = append(s.instances, i)
-		if s.seed >= firstEndlessSeed && s.seed < firstExtraSeed {
+		if s.seed >= firstEndlessSeed && s.seed < firstExtraSeed || s.seed >= firstCrowdSeed {
 			i.memoryMb = endlessMemoryMb
 		}
 		if s.seed >= firstScarceSeed {
