A refused body that was discarded does not have its connection linger; one bounded log

Found by reading the change: a connection whose refused body had been read and discarded still lingered at its close, which would have swallowed a request on its way there instead of telling its caller that it was not read. The reader now knows whether a rest is left. A head with many lines counts as received when its request has no body. The two bounded logs of package gateway are one.

--- a/frontend/listener.go
+++ b/frontend/listener.go
@@ -99,7 +99,7 @@
 func (c *callerConn) Close() error {
 	c.conns.Remove(c)
 	cw, ok := c.Conn.(interface{ CloseWrite() error })
-	if ok && c.linger.Swap(false) && c.conns.BeginLinger() {
+	if ok && (c.linger.Swap(false) || c.reader.RestLeft()) && c.conns.BeginLinger() {
 		defer c.conns.EndLinger()
 		if cw.CloseWrite() != nil {
 			return c.Conn.Close()
--- a/gateway/connend.go
+++ b/gateway/connend.go
@@ -199,7 +199,7 @@
 // connection is reset too.
 func (c *callerConn) linger() {
 	half, ok := c.Conn.(interface{ CloseWrite() error })
-	if !ok || !c.unread.Load() && !c.unreadAfterUnframed() || !c.conns.BeginLinger() {
+	if !ok || !c.unread.Load() && !c.reader.RestLeft() && !c.unreadAfterUnframed() || !c.conns.BeginLinger() {
 		return
 	}
 	defer c.conns.EndLinger()
--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"net"
-	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -88,7 +87,7 @@
 		return "the body is too large"
 	case errors.As(err, &small), errors.Is(err, inbound.ErrLongHead):
 		return "the headers are too large"
-	case errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &broken):
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &broken):
 		return ""
 	}
 	return "malformed request"
@@ -123,7 +122,7 @@
 	}
 	requestsUnread(reason).Inc()
 	answersTotal(f.status).Inc()
-	unreadLines.write(log.Fields{"status": f.status, "caller": ctx.RemoteAddr().String(), "why": reason}, "request unreadable")
+	unreadLines.write(time.Now(), log.Fields{"status": f.status, "caller": ctx.RemoteAddr().String(), "why": reason}, "request unreadable")
 	writeRefusal(ctx, f)
 }
 
@@ -133,32 +132,3 @@
 
 // unreadLines writes the lines on requests that could not be read, of which crowds of clients cause many.
 var unreadLines = limitedLog{most: 20}
-
-// limitedLog writes a limited number of lines a second. It is safe for concurrent use.
-type limitedLog struct {
-	most int
-
-	mu      sync.Mutex
-	second  time.Time
-	written int
-	// omitted counts the lines that were not written since the last that was.
-	omitted int
-}
-
-func (l *limitedLog) write(f log.Fields, message string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if now := time.Now(); now.Sub(l.second) >= time.Second {
-		l.second, l.written = now, 0
-	}
-	if l.written >= l.most {
-		l.omitted++
-		return
-	}
-	l.written++
-	if l.omitted > 0 {
-		f["omitted"] = l.omitted
-	}
-	l.omitted = 0
-	log.WithFields(f).Info(message)
-}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -222,9 +222,6 @@
 
 // receiveBody reads the body. If it returns an error, nothing has been sent.
 func (r *request) receiveBody(framing inbound.Framing) error {
-	if framing.Length == 0 {
-		return nil
-	}
 	if framing.Length < 0 || framing.Length > r.conn.reader.Buffered() {
 		// A shutdown whose time is over ends what the caller sends.
 		r.srv.open.started(r, func(error) { r.conn.GiveUp(overload.StageBody) })
@@ -233,6 +230,9 @@
 	if err != nil {
 		return r.bodyFailed(err)
 	}
+	if framing.Length == 0 {
+		return nil
+	}
 	r.ctx.Request.SetBodyRaw(body)
 	if r.srv.shuttingDown.Load() {
 		return errShuttingDown
@@ -266,12 +266,9 @@
 
 // leaveBody leaves the body of a refused request unread.
 func (r *request) leaveBody(framing inbound.Framing) {
-	if framing.Length == 0 {
-		return
-	}
-	r.conn.unread.Store(true)
-	if !r.conn.reader.LeaveRest(framing) {
+	if framing.Length != 0 && !r.conn.reader.LeaveRest(framing) {
 		r.ctx.SetConnectionClose()
+		r.conn.unread.Store(true)
 	}
 }
 
@@ -306,7 +303,8 @@
 	}
 }
 
-// sendsAnswer states what is held until the caller has read the answer: body bytes of an answer that is written in parts. maxStall is how long the caller may read nothing.
+// sendsAnswer states what is held until the caller has read the answer: body bytes of an answer that is written in parts.
+// maxStall is how long the caller may read nothing.
 func (r *request) sendsAnswer(maxStall time.Duration, body int) {
 	if r.conn.sender == nil {
 		return
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -336,7 +336,6 @@
 		ctx.SetConnectionClose()
 	}
 	r := &request{srv: s, ctx: ctx, conn: ctx.Conn().(*callerConn), began: time.Now()}
-	r.conn.unread.Store(false)
 	if r.conn.forwarded() {
 		s.forwardedOpen.Add(1)
 	}
--- a/gateway/slowreaders.go
+++ b/gateway/slowreaders.go
@@ -214,7 +214,7 @@
 // Run looks at the connections until ctx is done.
 func (s *SlowReaders) Run(ctx context.Context) {
 	table := bufferlimit.NewTable(s.bound)
-	var lines slowLog
+	lines := limitedLog{most: slowLines}
 	tick := time.NewTicker(slowCheckInterval)
 	defer tick.Stop()
 	for {
@@ -232,7 +232,7 @@
 }
 
 // look observes all watched connections and closes those that the table names.
-func (s *SlowReaders) look(now time.Time, table *bufferlimit.Table, lines *slowLog) {
+func (s *SlowReaders) look(now time.Time, table *bufferlimit.Table, lines *limitedLog) {
 	s.mu.Lock()
 	peers := make(map[uint64]*sender, len(s.peers))
 	for id, x := range s.peers {
@@ -264,7 +264,7 @@
 		x.reset(c.Reason)
 		s.unwatch(c.ID, x)
 		slowClosed(x.peer, c.Reason).Inc()
-		lines.write(now, x, c, table)
+		logClosed(now, lines, x, c, table)
 	}
 	s.estimate.Store(table.Held())
 	slowHeld.Set(float64(table.Held()))
@@ -280,30 +280,14 @@
 	x.watched.Store(false)
 }
 
-// slowLog writes the log lines on closed connections, at most slowLines a second.
-type slowLog struct {
-	second  time.Time
-	written int
-	// omitted counts the lines that were not written since the last that was.
-	omitted int
-}
-
-func (l *slowLog) write(now time.Time, x *sender, c bufferlimit.Closing, table *bufferlimit.Table) {
-	if now.Sub(l.second) >= time.Second {
-		l.second, l.written = now, 0
-	}
-	if l.written >= slowLines {
-		l.omitted++
-		return
-	}
-	l.written++
+// logClosed writes the line on a connection that was closed.
+func logClosed(now time.Time, lines *limitedLog, x *sender, c bufferlimit.Closing, table *bufferlimit.Table) {
 	request := ""
 	if use := x.use.Load(); use != nil {
 		request = use.request
 	}
-	log.WithFields(log.Fields{
+	lines.write(now, log.Fields{
 		"peer": x.peer, "address": x.address, "request": request, "reason": c.Reason.String(), "held": c.Held,
-		"stalled_ms": c.Stalled.Milliseconds(), "rate": int64(c.Rate), "held_by_all": table.Held(), "bound": table.Bound(), "omitted": l.omitted,
-	}).Info("connection of a slow reader closed")
-	l.omitted = 0
+		"stalled_ms": c.Stalled.Milliseconds(), "rate": int64(c.Rate), "held_by_all": table.Held(), "bound": table.Bound(),
+	}, "connection of a slow reader closed")
 }
--- a/gateway/slowreaders_test.go
+++ b/gateway/slowreaders_test.go
@@ -99,12 +99,12 @@
 	table := bufferlimit.NewTable(1)
 	near, _ := net.Pipe()
 	x := NewSlowReaders(1).newSender(near, peerCaller)
-	var l slowLog
+	l := limitedLog{most: slowLines}
 	now := time.Unix(1_700_000_000, 0)
 	for range 1000 {
-		l.write(now, x, bufferlimit.Closing{}, table)
+		logClosed(now, &l, x, bufferlimit.Closing{}, table)
 	}
-	l.write(now.Add(time.Second), x, bufferlimit.Closing{}, table)
+	logClosed(now.Add(time.Second), &l, x, bufferlimit.Closing{}, table)
 	got := lines.Lines("connection of a slow reader closed")
 	if len(got) != slowLines+1 || got[slowLines]["omitted"] != 1000-slowLines {
 		t.Errorf("%d lines, the last %v", len(got), got[len(got)-1])
--- a/inbound/body.go
+++ b/inbound/body.go
@@ -25,6 +25,9 @@
 // in bytes, deadline the time. An interim response is written to interim if the caller waits for one.
 func (r *Reader) ReadBody(f Framing, limit int, deadline time.Time, interim io.Writer) ([]byte, error) {
 	if f.Length == 0 {
+		if !r.bodyMemory.complete() {
+			return nil, r.interruption()
+		}
 		return nil, nil
 	}
 	if f.Length > limit {
--- a/inbound/reader.go
+++ b/inbound/reader.go
@@ -33,10 +33,6 @@
 	// discardTimeout the time for it.
 	maxDiscarded   = 64 << 10
 	discardTimeout = time.Second
-	// lineBytes is what the HTTP library allocates for a line of a head besides its text. It is counted if there are more than usualLines.
-	lineBytes, usualLines = 192, 64
-	// busyPause is the pause before memory that others have to release first is asked for again, maxBusy how often it is asked for.
-	busyPause, maxBusy = 2 * time.Millisecond, 100
 	// suspendedGrace is the time for another look at a connection whose time-out has passed: while the process was suspended, bytes may
 	// have arrived.
 	suspendedGrace = 10 * time.Millisecond
@@ -64,7 +60,7 @@
 	RecycleBodies bool
 }
 
-// Reader reads the requests of one connection. Its methods are called from one goroutine, except GiveUp, Stage and Waits.
+// Reader reads the requests of one connection. Its methods are called from one goroutine, except GiveUp, Stage and RestLeft.
 type Reader struct {
 	conn net.Conn
 	cfg  *Config
@@ -82,8 +78,9 @@
 	failed error
 	// began is when the head began to be read.
 	began time.Time
-	// rest is the framing of a body that nobody reads.
-	rest Framing
+	// rest is the framing of a body that nobody reads, restLeft is set while it is not discarded.
+	rest     Framing
+	restLeft atomic.Bool
 
 	// bufferMemory and bodyMemory count what the buffer, beyond bufferBytes, and the body occupy.
 	bufferMemory, bodyMemory memory
@@ -216,15 +213,6 @@
 	return nil
 }
 
-// countLines counts the memory of the parsed head, until Release, if it has many lines.
-func (r *Reader) countLines() error {
-	lines := bytes.Count(r.unread()[:r.headLeft], []byte("\n"))
-	if lines <= usualLines {
-		return nil
-	}
-	return r.count(lines*lineBytes, &r.bodyMemory)
-}
-
 var (
 	endOfHead  = []byte("\r\n\r\n")
 	blankLines = [...][]byte{[]byte("\n\n"), []byte("\n\r\n")}
@@ -282,65 +270,9 @@
 	return nil
 }
 
-// memory is what counts in the sum of all requests. Its zero value is ready to use.
-type memory struct {
-	collection bufferlimit.Collection
-	// begun is set while something is counted.
-	begun bool
-}
-
-// release states that nothing of it is used any more.
-func (m *memory) release() {
-	if m.begun {
-		m.collection.End()
-		m.begun = false
-	}
-}
-
-// complete has the request not given up any more. It returns false if it was before.
-func (m *memory) complete() bool { return !m.begun || m.collection.Complete() == nil }
-
-func (m *memory) full() bool { return m.begun && m.collection.Full() }
-
-// shrink states that n bytes of it are not used any more.
-func (m *memory) shrink(n int) {
-	if m.begun && n > 0 {
-		m.collection.Shrink(int64(n))
-	}
-}
-
-// count adds n bytes to the sum of all requests before they are allocated.
-func (r *Reader) count(n int, m *memory) error {
-	if r.cfg.Memory == nil {
-		return nil
-	}
-	if !m.begun {
-		r.cfg.Memory.BeginIn(&m.collection, r.stop)
-		m.begun = true
-	}
-	for try := 1; ; try++ {
-		err := m.collection.Grow(time.Now(), int64(n))
-		switch {
-		case err == nil:
-			return nil
-		case !errors.Is(err, bufferlimit.ErrIntakeBusy):
-			return r.interruption()
-		case try == maxBusy:
-			return ErrNoMemory
-		}
-		time.Sleep(busyPause)
-	}
-}
-
 // Release states that the body of the last request is not used any more. The next head implies it.
 func (r *Reader) Release() { r.bodyMemory.release() }
 
-// recycleBody has the memory of the last body used again.
-func (r *Reader) recycleBody() {
-	recycle(r.body)
-	r.body = nil
-}
-
 // Close releases all that is counted. The Reader is not used afterwards, nor is a body to be recycled.
 func (r *Reader) Close() {
 	r.recycleBody()
@@ -402,9 +334,13 @@
 		return false
 	}
 	r.rest = f
+	r.restLeft.Store(true)
 	return true
 }
 
+// RestLeft reports whether a body that nobody reads may be on its way.
+func (r *Reader) RestLeft() bool { return r.restLeft.Load() }
+
 // discardRest reads what LeaveRest has left.
 func (r *Reader) discardRest() error {
 	f := r.rest
@@ -418,5 +354,6 @@
 		// The refusal was the last answer on the connection.
 		return io.EOF
 	}
+	r.restLeft.Store(false)
 	return nil
 }
