A body is not held after its memory was released

Cause: a whole body was kept for recycling until the next head, also while its answer waited for a caller that does not read, though it no longer counted. Found by reading the change. Release now recycles it.

TestReleasedBodyIsNotHeld failed (1 MiB held, 0 counted) and passes.

--- a/crowd/memory_test.go
+++ b/crowd/memory_test.go
@@ -109,6 +109,10 @@
 		c.send(s.head("POST", "/stock/large", fmt.Sprintf("Content-Length: %d", maxBodyBytes)))
 		c.sendBytes(maxBodyBytes, maxBodyBytes, "", "")
 	}, nil},
+	{"whole, and an answer that the kernel does not hold is not read", func(s *site, c *client) {
+		c.send(s.head("POST", "/stock/huge", fmt.Sprintf("Content-Length: %d", maxBodyBytes)))
+		c.sendBytes(maxBodyBytes, maxBodyBytes, "", "")
+	}, nil},
 	{"requests behind one that is being served", func(s *site, c *client) {
 		c.send(s.head("GET", "/confirm/hold"))
 		c.send(s.head("POST", "/stock/x", fmt.Sprintf("Content-Length: %d", maxBodyBytes)))
--- a/crowd/process_test.go
+++ b/crowd/process_test.go
@@ -29,6 +29,8 @@
 	idleTimeoutMs   = 15000
 	// answerBytes is the size of an endpoint's answer to a request whose path asks for a large one.
 	answerBytes = 256 << 10
+	// hugeAnswerBytes is the same for one that is more than the kernel takes for a client that does not read.
+	hugeAnswerBytes = 6 << 20
 	// patience bounds each wait of a test. It is no requirement on the time that the program takes.
 	patience = 90 * time.Second
 )
@@ -218,6 +220,8 @@
 		return false
 	case strings.Contains(path, "large"):
 		x.Answer(200, strings.Repeat("a", answerBytes))
+	case strings.Contains(path, "huge"):
+		x.Answer(200, strings.Repeat("a", hugeAnswerBytes))
 	default:
 		x.Answer(200, fmt.Sprint(len(x.Request.Body())))
 	}
--- a/inbound/memory.go
+++ b/inbound/memory.go
@@ -73,9 +73,3 @@
 	}
 	return r.count(lines*lineBytes, &r.bodyMemory)
 }
-
-// recycleBody has the memory of the last body used again.
-func (r *Reader) recycleBody() {
-	recycle(r.body)
-	r.body = nil
-}
--- a/inbound/reader.go
+++ b/inbound/reader.go
@@ -56,7 +56,7 @@
 	Timeouts func() Timeouts
 	// Memory bounds what requests occupy in sum; nil for no bound.
 	Memory *bufferlimit.Intake
-	// RecycleBodies is set if nothing refers to a body any more when the next head is read.
+	// RecycleBodies is set if nothing refers to a body any more after Release.
 	RecycleBodies bool
 }
 
@@ -166,7 +166,6 @@
 // awaitHead reads until there is a whole head.
 func (r *Reader) awaitHead() error {
 	r.Release()
-	r.recycleBody()
 	if err := r.discardRest(); err != nil {
 		return err
 	}
@@ -271,12 +270,15 @@
 }
 
 // Release states that the body of the last request is not used any more. The next head implies it.
-func (r *Reader) Release() { r.bodyMemory.release() }
+func (r *Reader) Release() {
+	r.bodyMemory.release()
+	recycle(r.body)
+	r.body = nil
+}
 
 // Close releases all that is counted. The Reader is not used afterwards, nor is a body to be recycled.
 func (r *Reader) Close() {
-	r.recycleBody()
-	r.bodyMemory.release()
+	r.Release()
 	r.bufferMemory.release()
 }
 
--- a/inbound/reader_test.go
+++ b/inbound/reader_test.go
@@ -294,3 +294,17 @@
 		t.Errorf("the next head: %v", err)
 	}
 }
+
+// Guards against a body that is held, and not counted, while its answer waits for a caller that does not read.
+func TestReleasedBodyIsNotHeld(t *testing.T) {
+	cfg := testConfig(bufferlimit.NewRequestIntake(1 << 30))
+	cfg.RecycleBodies = true
+	text := fmt.Sprintf("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", testBodyBytes, strings.Repeat("b", testBodyBytes))
+	r := NewReader(&segments{data: []byte(text)}, cfg)
+	if _, body, err := readRequest(r, testBodyBytes); err != nil || len(body) != testBodyBytes {
+		t.Fatalf("%d bytes, %v", len(body), err)
+	}
+	if held := cfg.Memory.View().Held; held != 0 || r.body != nil {
+		t.Errorf("%d bytes are counted, %d are held", held, cap(r.body))
+	}
+}
