--- a/hosted/fleetcost_test.go
+++ b/hosted/fleetcost_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/sardinedock/sardinedock/balance"
 	"github.com/sardinedock/sardinedock/gossip"
+	"github.com/sardinedock/sardinedock/origin"
 	"github.com/sardinedock/sardinedock/prefix"
 	"github.com/sardinedock/sardinedock/quota"
 	"github.com/sardinedock/sardinedock/ratelimit"
@@ -45,6 +46,7 @@
 			b.Fatal(err)
 		}
 		i.node = node
+		i.origins = &origins{book: origin.NewBook(), state: i.state, node: node, started: time.Now(), settled: &i.settled}
 		i.statements = newStatements(ratelimit.NewLimits(time.Now(), self.Name, 1), i.state.ServiceOf, node.BroadcastNotice)
 		i.placer = newPlacer(i)
 		f.instances = append(f.instances, i)
