--- a/crowd/doors_test.go
+++ b/crowd/doors_test.go
@@ -214,14 +214,20 @@
 	if err := os.WriteFile(records, []byte(moved), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	store, callers := freeAddress(t), freeAddress(t)
-	lines := fmt.Sprintf("fleet: kwabena\ninstance: entry-1\ndata_centre: accra-1\nlisten:\n  callers: %s\n  admin: %s\n  fleet: %s\nplatform:\n  address: %s\n",
-		callers, freeAddress(t), freeAddress(t), store)
-	if err := os.WriteFile(settings, []byte(lines), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	startProcess(t, 0, "emulate", "--records", records, "--store", store)
-	p = startProcess(t, 0, "serve", "--settings", settings)
+	store := ""
+	startListening(t, 0, func() (string, []string) {
+		store = freeAddress(t)
+		return store, []string{"emulate", "--records", records, "--store", store}
+	})
+	p = startListening(t, 0, func() (string, []string) {
+		callers = freeAddress(t)
+		lines := fmt.Sprintf("fleet: kwabena\ninstance: entry-1\ndata_centre: accra-1\nlisten:\n  callers: %s\n  admin: %s\n  fleet: %s\nplatform:\n  address: %s\n",
+			callers, freeAddress(t), freeAddress(t), store)
+		if err := os.WriteFile(settings, []byte(lines), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return callers, []string{"serve", "--settings", settings}
+	})
 	ownOrdinary(t, p, callers)
 	return callers, p
 }
--- a/crowd/process_test.go
+++ b/crowd/process_test.go
@@ -94,6 +94,43 @@
 	return p
 }
 
+// maxStarts bounds how often a process is started whose free ports others have bound first.
+const maxStarts = 10
+
+// startListening starts the program until it listens. prepare returns new addresses in the arguments, and that to wait for.
+func startListening(t testing.TB, descriptors int, prepare func() (address string, arguments []string)) *process {
+	t.Helper()
+	for range maxStarts {
+		address, arguments := prepare()
+		if p := startProcess(t, descriptors, arguments...); p.listens(address) {
+			return p
+		}
+	}
+	t.Fatalf("no free ports in %d starts", maxStarts)
+	return nil
+}
+
+// listens waits until the process listens at an address. It returns false if another process has bound one of its ports before.
+func (p *process) listens(address string) bool {
+	p.t.Helper()
+	for until := time.Now().Add(patience); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+		select {
+		case <-p.exited:
+			if text, _ := os.ReadFile(p.log); bytes.Contains(text, []byte("address already in use")) {
+				return false
+			}
+			p.alive()
+		default:
+		}
+		if c, err := net.Dial("tcp4", address); err == nil {
+			_ = c.Close()
+			return true
+		}
+	}
+	p.t.Fatalf("not listening in %v", patience)
+	return false
+}
+
 // alive fails the test if the process has ended.
 func (p *process) alive() {
 	p.t.Helper()
@@ -196,19 +233,21 @@
 // start starts the process.
 func (s *site) start(t *testing.T, cfg siteConfig) {
 	t.Helper()
-	listen := make([]string, 4)
-	for k := range listen {
-		listen[k] = freeAddress(t)
-	}
-	s.callers, s.ready, s.forwarded, s.metrics = listen[0], listen[1], listen[2], listen[3]
-	settings := fmt.Sprintf("instance: front-1\ndata_centre: dc-1\nstore: %s\nfirst_start: true\nmemory_mb: %d\nlisten:\n  callers: %s\n  ready: %s\n  gossip: %s\n  metrics: %s\n"+
-		"bounds:\n  grace_seconds: 4\n  lease_ms: 1000\n  retry_ratio: 0.2\n  retry_slack: 50\n  retry_window_seconds: 10\n  weights_ms: 8000\n  heartbeat_ms: 300\n",
-		s.store.Address(), cfg.memoryMb, s.callers, s.ready, s.forwarded, s.metrics)
-	file := filepath.Join(t.TempDir(), "settings.yaml")
-	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	s.process = startProcess(t, cfg.descriptors, "host", "--settings", file)
+	s.process = startListening(t, cfg.descriptors, func() (string, []string) {
+		listen := make([]string, 4)
+		for k := range listen {
+			listen[k] = freeAddress(t)
+		}
+		s.callers, s.ready, s.forwarded, s.metrics = listen[0], listen[1], listen[2], listen[3]
+		settings := fmt.Sprintf("instance: front-1\ndata_centre: dc-1\nstore: %s\nfirst_start: true\nmemory_mb: %d\nlisten:\n  callers: %s\n  ready: %s\n  gossip: %s\n  metrics: %s\n"+
+			"bounds:\n  grace_seconds: 4\n  lease_ms: 1000\n  retry_ratio: 0.2\n  retry_slack: 50\n  retry_window_seconds: 10\n  weights_ms: 8000\n  heartbeat_ms: 300\n",
+			s.store.Address(), cfg.memoryMb, s.callers, s.ready, s.forwarded, s.metrics)
+		file := filepath.Join(t.TempDir(), "settings.yaml")
+		if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return s.callers, []string{"host", "--settings", file}
+	})
 }
 
 // answer is the endpoints' handler: requests whose path has "hold" are not answered before the test ends.
