--- a/hosted/descriptors.go
+++ b/hosted/descriptors.go
@@ -5,6 +5,8 @@
 	// may use. The rest is for endpoints, the store, readiness, metrics and files.
 	callersShare   = 0.5
 	forwardedShare = 0.1
+	// defaultDescriptors is the number of descriptors if none is stated.
+	defaultDescriptors = 4096
 )
 
 // shareOf returns a share of the descriptors, and 0, for no bound, if their number is not known.
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -4,6 +4,7 @@
 package hosted
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"net"
@@ -206,7 +207,7 @@
 	i.state.SetBrittle(i.statements.brittle.Holds, i.turn)
 	i.state.SetKnown(i.knownShare)
 	i.placer = newPlacer(i)
-	descriptors := inbound.MaxDescriptors(int(s.GetMaxDescriptors()))
+	descriptors := inbound.MaxDescriptors(cmp.Or(int(s.GetMaxDescriptors()), defaultDescriptors))
 	callersLn, readyLn, forwardedLn := i.listeners[0], i.listeners[1], i.listeners[2]
 	i.server = gateway.NewServer(gateway.Config{
 		Instance: s.GetInstance(), DataCentre: s.GetDataCentre(), Table: i.table.Load, State: i.state, Budget: i.budget, Guard: i.guard, Gate: &i.gate, Paths: i.paths,
