--- a/gateway/conn.go
+++ b/gateway/conn.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
+	"github.com/sardinedock/sardinedock/endpoint"
 	"github.com/sardinedock/sardinedock/inbound"
 	"github.com/sardinedock/sardinedock/overload"
 	"github.com/sardinedock/sardinedock/route"
@@ -223,7 +224,7 @@
 		switch {
 		case n == 1:
 			w.got = true
-		case isTimeout(err):
+		case endpoint.IsTimeout(err):
 		default:
 			cancel(errCallerDisconnected)
 		}
--- a/gateway/errors.go
+++ b/gateway/errors.go
@@ -67,11 +67,6 @@
 // momentarily full.
 const shortRetry = 200 * time.Millisecond
 
-func isTimeout(err error) bool {
-	var t net.Error
-	return errors.As(err, &t) && t.Timeout()
-}
-
 // unreadReason returns why a request could not be read, for log lines and metrics; empty if its caller closed the connection.
 func unreadReason(err error) string {
 	var small *fasthttp.ErrSmallBuffer
--- a/hosted/descriptors.go
+++ b/hosted/descriptors.go
@@ -9,5 +9,5 @@
 	defaultDescriptors = 4096
 )
 
-// shareOf returns a share of the descriptors, and 0, for no bound, if their number is not known.
+// shareOf returns a share of the descriptors.
 func shareOf(descriptors int, share float64) int { return int(float64(descriptors) * share) }
--- a/inbound/reader.go
+++ b/inbound/reader.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/sardinedock/sardinedock/bufferlimit"
+	"github.com/sardinedock/sardinedock/endpoint"
 	"github.com/sardinedock/sardinedock/fault"
 	"github.com/sardinedock/sardinedock/overload"
 )
@@ -296,26 +297,25 @@
 	return nil
 }
 
-// receive reads from the connection until the deadline.
+// receive reads from the connection until the deadline, and once more if it has passed.
 func (r *Reader) receive(p []byte, deadline time.Time) (int, error) {
+	n, err := r.receiveUntil(p, deadline)
+	if errors.Is(err, ErrTimeout) {
+		n, err = r.receiveUntil(p, time.Now().Add(suspendedGrace))
+	}
+	return n, err
+}
+
+func (r *Reader) receiveUntil(p []byte, deadline time.Time) (int, error) {
 	if err := r.conn.SetReadDeadline(deadline); err != nil {
 		return 0, err
 	}
-	// Whoever interrupts sets the reason before the deadline, so that it is found here or by the read.
+	// Whoever interrupts sets the reason before the deadline, so that it is found here or after the read.
 	if err := r.interruption(); err != nil {
 		return 0, err
 	}
 	n, err := r.conn.Read(p)
-	if n > 0 || !isTimeout(err) {
-		return n, err
-	}
-	if reason := r.interruption(); reason != nil {
-		return 0, reason
-	}
-	if r.conn.SetReadDeadline(time.Now().Add(suspendedGrace)) == nil {
-		n, err = r.conn.Read(p)
-	}
-	if n > 0 || !isTimeout(err) {
+	if n > 0 || !endpoint.IsTimeout(err) {
 		return n, err
 	}
 	if reason := r.interruption(); reason != nil {
@@ -324,11 +324,6 @@
 	return 0, ErrTimeout
 }
 
-func isTimeout(err error) bool {
-	var t net.Error
-	return errors.As(err, &t) && t.Timeout()
-}
-
 // LeaveRest states that nobody reads the body of the request. It returns false if the connection has to be closed after the answer:
 // there is too much left, or it is open whether the caller sends the body.
 func (r *Reader) LeaveRest(f Framing) bool {
