Crowds: one loop that waits for an answer in place of four

served, readyOnce, forwards and ownOrdinary each had a loop that sends until an answer is whole and right. eventually and answered serve all of them.

--- a/crowd/doors_test.go
+++ b/crowd/doors_test.go
@@ -73,26 +73,16 @@
 // forwards waits until requests that another instance forwards are answered.
 func (s *site) forwards() {
 	s.t.Helper()
-	client := &http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
-	last := ""
-	for until := time.Now().Add(patience); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+	client := newClient(patience)
+	s.eventually("a forwarded request is served", func() error {
 		req, _ := http.NewRequest("GET", "http://"+s.forwarded+"/stock/x", nil)
 		req.Host = callersHost
 		for name, value := range map[string]string{"Sardinedock-Request-Id": fmt.Sprintf("forwarded-%d", s.requests.Add(1)), "Sardinedock-Forward": "3,1,front-9", "Sardinedock-Deadline-Ms": "5000"} {
 			req.Header.Set(name, value)
 		}
-		resp, err := client.Do(req)
-		if err != nil {
-			last = err.Error()
-			continue
-		}
-		_ = resp.Body.Close()
-		if resp.StatusCode == 200 {
-			return
-		}
-		last = resp.Status
-	}
-	s.t.Fatalf("no forwarded request was served in %v; last: %s", patience, last)
+		_, err := answered(client, req)
+		return err
+	})
 }
 
 // Guards against bodies at the addresses of readiness and metrics, which read none.
@@ -235,25 +225,14 @@
 // ownOrdinary sends a small request to the router's own interface until one is answered.
 func ownOrdinary(t *testing.T, p *process, callers string) {
 	t.Helper()
-	client := &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	last := ""
-	for until := time.Now().Add(patience); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
-		p.alive()
+	client := newClient(10 * time.Second)
+	p.eventually("an ordinary request is served", func() error {
 		req, err := http.NewRequest("POST", "http://"+callers+"/v1/completions", strings.NewReader(`{"model":"counter","prompt":"ten anchors","max_tokens":2}`))
 		if err != nil {
 			t.Fatal(err)
 		}
 		req.Header.Set("Authorization", "Bearer kumasi-key")
-		resp, err := client.Do(req)
-		if err != nil {
-			last = err.Error()
-			continue
-		}
-		_ = resp.Body.Close()
-		if resp.StatusCode == 200 {
-			return
-		}
-		last = resp.Status
-	}
-	t.Fatalf("no ordinary request was served in %v; last: %s", patience, last)
+		_, err = answered(client, req)
+		return err
+	})
 }
--- a/crowd/process_test.go
+++ b/crowd/process_test.go
@@ -286,10 +286,8 @@
 // served sends requests with the given body until one is answered by an endpoint that received all of it.
 func (s *site) served(when, body string) {
 	s.t.Helper()
-	client := &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	last := ""
-	for until := time.Now().Add(patience); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
-		s.alive()
+	client := newClient(10 * time.Second)
+	s.eventually(fmt.Sprintf("%s: a request with %d bytes is served", when, len(body)), func() error {
 		req, err := http.NewRequest("POST", "http://"+s.callers+"/stock/x", strings.NewReader(body))
 		if err != nil {
 			s.t.Fatal(err)
@@ -297,39 +295,57 @@
 		req.Host = callersHost
 		req.Header.Set("Sardinedock-Request-Id", fmt.Sprintf("ordinary-%d", s.requests.Add(1)))
 		req.Header.Set("Sardinedock-Deadline-Ms", "5000")
-		resp, err := client.Do(req)
-		if err != nil {
-			last = err.Error()
-			continue
-		}
-		text, err := io.ReadAll(resp.Body)
-		_ = resp.Body.Close()
-		if err == nil && resp.StatusCode == 200 && string(text) == strconv.Itoa(len(body)) {
-			return
+		text, err := answered(client, req)
+		if err == nil && text != strconv.Itoa(len(body)) {
+			err = fmt.Errorf("answer %q", text)
 		}
-		last = fmt.Sprintf("%d %q %v", resp.StatusCode, text, err)
-	}
-	s.t.Fatalf("%s: no request with %d bytes was served in %v; last: %s", when, len(body), patience, last)
+		return err
+	})
 }
 
 // readyOnce fails the test if the instance never reports that it is ready.
 func (s *site) readyOnce(when string) {
 	s.t.Helper()
-	client := &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := newClient(2 * time.Second)
+	s.eventually(when+": ready", func() error {
+		req, err := http.NewRequest("GET", "http://"+s.ready+"/", nil)
+		if err == nil {
+			_, err = answered(client, req)
+		}
+		return err
+	})
+}
+
+// eventually tries until it succeeds, and fails the test if it never does or the process ends.
+func (p *process) eventually(what string, try func() error) {
+	p.t.Helper()
 	var last error
 	for until := time.Now().Add(patience); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
-		s.alive()
-		resp, err := client.Get("http://" + s.ready + "/")
-		if err == nil {
-			_ = resp.Body.Close()
-			if resp.StatusCode == 200 {
-				return
-			}
-			err = fmt.Errorf("status %d", resp.StatusCode)
+		p.alive()
+		if last = try(); last == nil {
+			return
 		}
-		last = err
 	}
-	s.t.Fatalf("%s: not ready in %v: %v", when, patience, last)
+	p.t.Fatalf("not within %v: %s; last: %v", patience, what, last)
+}
+
+// newClient returns a client that opens a connection for each request.
+func newClient(timeout time.Duration) *http.Client {
+	return &http.Client{Timeout: timeout, Transport: &http.Transport{DisableKeepAlives: true}}
+}
+
+// answered returns the body of a complete answer with status 200; all else is an error.
+func answered(client *http.Client, req *http.Request) (body string, err error) {
+	resp, err := client.Do(req)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = fmt.Errorf("%s %q", resp.Status, text)
+	}
+	return string(text), err
 }
 
 func freeAddress(t testing.TB) string {
