--- a/review/lab/parts.go
+++ b/review/lab/parts.go
@@ -22,8 +22,6 @@
 	requestsPerSecond = 120
 	partsSeconds      = 80
 	ordinaryShare     = 24
-	// endsToBreak is how often processes have to end on each of machinesToBreak machines for the rule to be broken.
-	endsToBreak, machinesToBreak = 3, 2
 )
 
 // playParts has one client send requests whose prompts name many parts without tokens, inside the limits for headers.
@@ -58,7 +56,7 @@
 	var limiters sync.WaitGroup
 	stop := make(chan struct{})
 	for _, p := range l.processes {
-		limiters.Go(func() { p.limitMemory(stop) })
+		limiters.Go(func() { p.limitMemory(memoryMb, stop) })
 	}
 	l.sendParts()
 	close(stop)
@@ -69,18 +67,7 @@
 	for _, p := range l.processes {
 		l.record("%s: peak %.0f of %d MB, killed for its memory %d times, ended by itself %d times", p.name, p.peakMb, memoryMb, p.overMemory.Load(), p.endedByItself())
 	}
-	return l.partsBroken(), nil
-}
-
-// partsBroken reports whether processes have ended often enough for the rule to be broken.
-func (l *lab) partsBroken() bool {
-	machines := 0
-	for _, p := range l.processes {
-		if int(p.overMemory.Load())+p.endedByItself() >= endsToBreak {
-			machines++
-		}
-	}
-	return machines >= machinesToBreak
+	return l.endedOften(), nil
 }
 
 // sendParts sends the requests.
@@ -91,7 +78,7 @@
 	tick := time.NewTicker(time.Second / requestsPerSecond)
 	defer tick.Stop()
 	began, n := time.Now(), 0
-	for ; time.Since(began) < partsSeconds*time.Second && !l.partsBroken(); n++ {
+	for ; time.Since(began) < partsSeconds*time.Second && !l.endedOften(); n++ {
 		<-tick.C
 		kind := "other"
 		if n%ordinaryShare == 0 {
@@ -136,26 +123,3 @@
 	return l.request("POST", "/draft/a", l.id(), 3*time.Second, []byte("a body"), l.wire["model"]+": "+model,
 		fmt.Sprintf("%s: %d,3", l.wire["usage"], shared+own), l.wire["prefix"]+": "+parts.String(), "Connection: close")
 }
-
-// limitMemory kills the process when it exceeds its memory and starts it again, as the platform does, until stop is closed.
-func (p *process) limitMemory(stop chan struct{}) {
-	const restartDelay = 300 * time.Millisecond
-	for {
-		select {
-		case <-stop:
-			return
-		case <-time.After(50 * time.Millisecond):
-		}
-		used := p.memory("VmRSS")
-		p.peakMb = max(p.peakMb, used)
-		if used <= memoryMb {
-			continue
-		}
-		p.lab.record("%s has %.0f MB of %d: killed, time %d", p.name, used, memoryMb, p.overMemory.Add(1))
-		p.kill()
-		time.Sleep(restartDelay)
-		if p.start() != nil {
-			return
-		}
-	}
-}
