--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -101,15 +102,25 @@
 	overMemory atomic.Int64
 }
 
-// freeAddresses returns n loopback addresses that are free now.
+// The ports of processes are below the system's ephemeral range, from which connections get theirs.
+const firstPort, lastPort = 12000, 30000
+
+// freeAddresses returns n loopback addresses that are free now, for TCP and UDP.
 func freeAddresses(n int) (list []string, err error) {
-	for range n {
-		ln, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
+	for tries := 0; len(list) < n; tries++ {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		ln, err := net.Listen("tcp4", address)
+		if err == nil {
+			defer func() { _ = ln.Close() }()
+			var packets net.PacketConn
+			if packets, err = net.ListenPacket("udp4", address); err == nil {
+				defer func() { _ = packets.Close() }()
+				list = append(list, address)
+			}
+		}
+		if err != nil && tries > lastPort-firstPort {
 			return nil, err
 		}
-		defer func() { _ = ln.Close() }()
-		list = append(list, ln.Addr().String())
 	}
 	return list, nil
 }
@@ -230,7 +241,12 @@
 }
 
 // exchange sends bytes on a new connection and reads until the other side closes it.
-func exchange(address string, request []byte, d time.Duration) (a reply) {
+func exchange(address string, request []byte, d time.Duration) reply {
+	return exchangeEvents(address, request, d, func() {})
+}
+
+// exchangeEvents is exchange, and calls begun once an event has been received.
+func exchangeEvents(address string, request []byte, d time.Duration, begun func()) (a reply) {
 	c, err := net.DialTimeout("tcp4", address, time.Second)
 	if err != nil {
 		return reply{err: err}
@@ -238,10 +254,14 @@
 	defer func() { _ = c.Close() }()
 	_ = c.SetDeadline(time.Now().Add(d))
 	go func() { _, _ = c.Write(request) }()
-	buf := make([]byte, 64<<10)
+	buf, seen := make([]byte, 64<<10), false
 	for {
 		n, err := c.Read(buf)
 		a.raw = append(a.raw, buf[:n]...)
+		if !seen && bytes.Contains(a.raw, []byte("data:")) {
+			seen = true
+			begun()
+		}
 		if err != nil {
 			a.err = err
 			break
