--- a/review/lab/behind.go
+++ b/review/lab/behind.go
@@ -58,12 +58,14 @@
 		r.(map[string]any)[l.wire["timeout"]] = 15000
 	}
 	l.store.Put("config", "main", records)
+	var servers []*modelServer
 	for k := range modelServers + 3 {
 		ln, err := net.Listen("tcp4", "127.0.0.1:0")
 		if err != nil {
 			return false, err
 		}
 		s := &outputServer{&modelServer{lab: l, id: fmt.Sprintf("i-%d", k), address: ln.Addr().String(), cached: map[[2]string]int{}, next: 1, changed: make(chan struct{})}}
+		servers = append(servers, s.modelServer)
 		go func() { _ = http.Serve(ln, s) }()
 		service, versions := "pool", map[string]int64{model: 1}
 		if k >= modelServers {
@@ -119,6 +121,7 @@
 	for _, p := range l.processes {
 		l.record("%s: peak %.0f of %d MB, killed for its memory %d times, ended by itself %d times", p.name, p.peakMb, memoryMb, p.overMemory.Load(), p.endedByItself())
 	}
+	l.recordRuns(servers)
 	l.record("%d connections, %d of them with a large request that was sent before the stream had ended", connections.Load(), behind.Load())
 	return l.endedOften(), nil
 }
--- a/review/lab/parts.go
+++ b/review/lab/parts.go
@@ -61,9 +61,7 @@
 	l.sendParts()
 	close(stop)
 	limiters.Wait()
-	for _, x := range servers {
-		l.record("server %s has run %d requests", x.id, x.ran)
-	}
+	l.recordRuns(servers)
 	for _, p := range l.processes {
 		l.record("%s: peak %.0f of %d MB, killed for its memory %d times, ended by itself %d times", p.name, p.peakMb, memoryMb, p.overMemory.Load(), p.endedByItself())
 	}
--- a/review/lab/server.go
+++ b/review/lab/server.go
@@ -103,6 +103,15 @@
 	}
 }
 
+// recordRuns records how many requests each server has run.
+func (l *lab) recordRuns(servers []*modelServer) {
+	for _, s := range servers {
+		s.mu.Lock()
+		l.record("server %s has run %d requests", s.id, s.ran)
+		s.mu.Unlock()
+	}
+}
+
 // addEvent records a change of the cache. s.mu is held.
 func (s *modelServer) addEvent(op string, key [2]string, tokens int) {
 	s.next++
--- a/review/lab/sizes.go
+++ b/review/lab/sizes.go
@@ -20,10 +20,11 @@
 	// sizesTime is how long ordinary callers send two requests of each kind a second to each instance.
 	sizesTime     = 100 * time.Second
 	sizesInterval = 500 * time.Millisecond
-	// pairs with each of largeParts are sent by one client from pairsFrom on, pairGap apart. Both requests of a pair have the same two
-	// parts, the first of samePart tokens. Of the second part the first request states as many tokens as largeParts has, and the other one,
-	// which is sent once the first has begun to be answered, smallPart.
-	pairs     = 30
+	// From pairsFrom on, one client sends pairs with each of largeParts to each instance, rounds times, pairGap apart. Both requests of a pair
+	// have the same two parts, the first of samePart tokens. Of the second part the first request states as many tokens as largeParts has,
+	// and the other one, which is sent once the first has begun to be answered, smallPart.
+	rounds    = 3
+	pairs     = 12
 	pairsFrom = time.Second
 	pairGap   = 50 * time.Millisecond
 	samePart  = 1000
@@ -32,8 +33,7 @@
 	firstOutput, secondOutput = 10, 20
 )
 
-// The later ones are for instances that have missed some of the others.
-var largeParts = []int{100000, 40000, 15000, 5000, 40000, 15000, 5000, 5000}
+var largeParts = []int{100000, 40000, 15000, 5000}
 
 // outputServer is a stand-in for a server of any service. Its streams have as many events as the request states output tokens.
 type outputServer struct{ *modelServer }
@@ -51,6 +51,7 @@
 	h.Set(wire["signature"], "sig-"+s.id)
 	_, output, isStream := strings.Cut(req.Header.Get(wire["usage"]), ",")
 	if !isStream {
+		s.run("", "")
 		_, _ = io.WriteString(w, "an answer")
 		return
 	}
@@ -107,12 +108,14 @@
 		r.(map[string]any)[l.wire["timeout"]] = 15000
 	}
 	l.store.Put("config", "main", records)
+	var servers []*modelServer
 	for k := range modelServers + 2 {
 		ln, err := net.Listen("tcp4", "127.0.0.1:0")
 		if err != nil {
 			return false, err
 		}
 		s := &outputServer{&modelServer{lab: l, id: fmt.Sprintf("i-%d", k), address: ln.Addr().String(), cached: map[[2]string]int{}, next: 1, changed: make(chan struct{})}}
+		servers = append(servers, s.modelServer)
 		go func() { _ = http.Serve(ln, s) }()
 		service, versions := "pool", map[string]int64{model: 1}
 		if k >= modelServers {
@@ -161,6 +164,7 @@
 		time.Sleep(sizesInterval)
 	}
 	open.Wait()
+	l.recordRuns(servers)
 	l.record("ordinary callers: %v sent, %v answered 200; of those in the second half %v and %v", all.sent, all.served, last.sent, last.served)
 	streams, both := all.share("stream"), all.share("stream", "call")
 	l.record("share of streams that were served: %.3f, of all requests: %.3f", streams, both)
@@ -174,8 +178,8 @@
 	answers := map[int]int{}
 	var mu sync.Mutex
 	var open sync.WaitGroup
-	send := func(k, size, output int, part uint32, begun func()) {
-		id, p := l.id(), l.processes[k%len(l.processes)]
+	send := func(p *process, size, output int, part uint32, begun func()) {
+		id := l.id()
 		const own, patience = 10, 6 * time.Second
 		a := exchangeEvents(p.callers, l.request("POST", "/draft/"+id, id, patience, []byte("a body"), l.wire["model"]+": "+model,
 			fmt.Sprintf("%s: %d,%d", l.wire["usage"], samePart+size+own, output),
@@ -184,22 +188,23 @@
 		defer mu.Unlock()
 		answers[a.status]++
 	}
-	for _, large := range largeParts {
-		for k := range pairs {
-			part, second := rand.Uint32(), large
+	for n := range rounds * pairs * len(largeParts) {
+		for _, p := range l.processes {
+			part, large := rand.Uint32(), largeParts[n/pairs%len(largeParts)]
+			second := large
 			if l.trouble {
 				second = smallPart
 			}
 			open.Go(func() {
-				send(k, large, firstOutput, part, func() {
-					open.Go(func() { send(k, second, secondOutput, part, func() {}) })
+				send(p, large, firstOutput, part, func() {
+					open.Go(func() { send(p, second, secondOutput, part, func() {}) })
 				})
 			})
-			time.Sleep(pairGap)
 		}
+		time.Sleep(pairGap)
 	}
 	open.Wait()
-	l.record("%d pairs were begun by the other client; its answers by status: %v; it sends no more", pairs*len(largeParts), answers)
+	l.record("%d pairs were begun by the other client; its answers by status: %v; it sends no more", len(l.processes)*rounds*pairs*len(largeParts), answers)
 }
 
 // ordinaryRequest returns a request of another organisation: a stream, or a call to the other service.
