--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -28,6 +29,8 @@
 	store   *platformtest.Store
 	began   time.Time
 
+	// closed is set once close was called.
+	closed atomic.Bool
 	// resumed counts the streams that went on at a server.
 	resumed atomic.Int64
 
@@ -49,10 +52,12 @@
 	if l.dir, err = os.MkdirTemp("", "lab"); err != nil {
 		return nil, err
 	}
-	if l.log, err = os.Create(recordFile); err != nil {
-		return nil, err
+	if l.log, err = os.Create(recordFile); err == nil {
+		l.store, err = platformtest.NewStore()
+	}
+	if err != nil {
+		_ = os.RemoveAll(l.dir)
 	}
-	l.store, err = platformtest.NewStore()
 	return l, err
 }
 
@@ -63,8 +68,9 @@
 	fmt.Fprintf(l.log, "%9.3f  %s\n", time.Since(l.began).Seconds(), fmt.Sprintf(format, args...))
 }
 
-// close ends all processes and removes the temporary folder.
+// close ends all processes and removes the temporary folder. No process starts afterwards.
 func (l *lab) close() {
+	l.closed.Store(true)
 	for _, p := range l.processes {
 		p.kill()
 	}
@@ -155,6 +161,9 @@
 func (p *process) start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.lab.closed.Load() {
+		return errors.New("the scenario has ended")
+	}
 	p.cmd = exec.Command(p.lab.binary, "host")
 	p.cmd.Env = append(os.Environ(), "SARDINEDOCK_CONFIG="+p.settings)
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
@@ -193,8 +202,11 @@
 
 func (p *process) kill() {
 	p.signal(syscall.SIGKILL)
-	if p.exited != nil {
-		<-p.exited
+	p.mu.Lock()
+	exited := p.exited
+	p.mu.Unlock()
+	if exited != nil {
+		<-exited
 	}
 }
 
