An answer with the status 000 or a foreign version is a broken answer

Cause: the HTTP library keeps 0 for a status that is not set and returns 200 for it, and reads versions that it does not know as an old HTTP/1. readHeader concluded from what the library returned.

All other forms of a status were refused already; their tests stay.

Change: the whole head is checked before the library reads it: version 1.0 or 1.1, three digits from 100 on, no 101 as nobody asks for it, transfer codings in HTTP/1.1 only (was hasHTTP10Coding). A head that fails is a broken answer, whose request may have run; that holds for rejections too. Where a head ends was found in package inbound for requests; both use that piece now.

It works as nothing is read from a head that has not passed.

--- a/endpoint/response.go
+++ b/endpoint/response.go
@@ -1,10 +1,7 @@
 package endpoint
 
 import (
-	"bufio"
-	"bytes"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http/httputil"
@@ -13,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/internal/httphead"
 )
 
 // codeNotStarted is the error code by which an engine reports that it did not start a request.
@@ -106,12 +104,7 @@
 			return brokenError(errInformational)
 		}
 		resp.header.Reset()
-		if coded, err := hasHTTP10Coding(resp.conn.br); err != nil {
-			return brokenError(err)
-		} else if coded {
-			return brokenError(errHTTP10Coding)
-		}
-		if err := resp.header.Read(resp.conn.br); err != nil {
+		if err := httphead.ReadResponse(resp.conn.br, &resp.header); err != nil {
 			return brokenError(err)
 		}
 		if status := resp.header.StatusCode(); status >= 200 {
@@ -136,29 +129,6 @@
 	return nil
 }
 
-// errHTTP10Coding is returned for a response whose framing is faulty; see RFC 9112, section 6.1.
-var errHTTP10Coding = errors.New("HTTP/1.0 response with a transfer coding")
-
-// hasHTTP10Coding reports whether the next response is of HTTP/1.0 and has a transfer coding. The HTTP library
-// ignores the coding, so that the body would have the lines of its chunks. After an error nothing more may be read: each
-// read has a time-out of its own.
-func hasHTTP10Coding(br *bufio.Reader) (bool, error) {
-	const version = "HTTP/1.0"
-	if start, err := br.Peek(len(version)); err != nil || string(start) != version {
-		return false, err
-	}
-	for n := br.Buffered(); ; n = max(br.Buffered(), n+1) {
-		data, err := br.Peek(n)
-		head, _, whole := bytes.Cut(bytes.ReplaceAll(data, []byte("\r\n"), []byte("\n")), []byte("\n\n"))
-		switch {
-		case whole:
-			return bytes.Contains(bytes.ToLower(head), []byte("\ntransfer-encoding:")), nil
-		case err != nil:
-			return false, err
-		}
-	}
-}
-
 // finish returns the connection to the pool if it can be reused. The body must have been read to
 // its end.
 func (resp *response) finish(p *pool) {
--- a/hosted/cut_head_test.go
+++ b/hosted/cut_head_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -16,11 +15,13 @@
 	"github.com/sardinedock/sardinedock/platform/platformtest"
 )
 
-// cutRoutes are the kinds of requests; once is set for those that may run once at most.
-var cutRoutes = []struct {
+// cutRoute is a kind of requests; once is set for those that may run once at most.
+type cutRoute struct {
 	method, path string
 	once         bool
-}{{"POST", "/confirm/", true}, {"POST", "/draft/", true}, {"GET", "/stock/", false}, {"HEAD", "/stock/", false}, {"POST", "/check/", false}}
+}
+
+var cutRoutes = []cutRoute{{"POST", "/confirm/", true}, {"POST", "/draft/", true}, {"GET", "/stock/", false}, {"HEAD", "/stock/", false}, {"POST", "/check/", false}}
 
 // newCutFixture returns instances before two plain endpoints and two engines. If there are several, the first is cut off
 // from all endpoints, and connects to the others with dialer, if that is set.
@@ -65,52 +66,18 @@
 }
 
 func testCutHeads(t *testing.T, forwarded bool) {
-	const parallel, idForm, second = 8, "cut-%06d", "second"
 	// Package endpoint cuts at every byte.
 	const step = 5
-	cuts := slices.DeleteFunc(platformtest.Cuts(signedFields(fmt.Sprintf(idForm, 0), "sig-e1")), func(c platformtest.Cut) bool {
+	cuts := slices.DeleteFunc(platformtest.Cuts(signedFields(fmt.Sprintf(brokenID, 0), "sig-e1")), func(c platformtest.Cut) bool {
 		return c.At%step != 0 || c.Reset == (c.At/step%2 == 0)
 	})
-	var sent sync.Map
-	handler := func(x *platformtest.Exchange) bool {
-		n := -1
-		if _, err := fmt.Sscanf(x.ID(), idForm, &n); err != nil {
-			return oneEvent(x)
-		}
-		if _, again := sent.LoadOrStore(n, true); again {
-			x.AnswerWith(200, second, "X-Second: 1")
-			return true
-		}
-		x.WriteCut(cuts[n], signedFields(x.ID(), "sig-e1"))
-		return false
-	}
-	instances := 1
-	if forwarded {
-		instances = 2
-	}
-	f := newCutFixture(t, instances, nil, handler)
-	var next atomic.Int64
-	var repeated atomic.Int64
-	var wg sync.WaitGroup
-	for range parallel {
-		wg.Go(func() {
-			for n := int(next.Add(1)) - 1; n < len(cuts); n = int(next.Add(1)) - 1 {
-				route := cutRoutes[n%len(cutRoutes)]
-				req := f.request(route.method, route.path+fmt.Sprint(n), "")
-				req.Header.Set("Sardinedock-Request-Id", fmt.Sprintf(idForm, n))
-				a := f.do(prompt(req))
-				whole := a.status == 200 && a.header.Get("X-Second") != "" && (a.body == second || route.method == "HEAD")
-				switch once := route.once; {
-				case !once && whole && !a.truncated:
-					repeated.Add(1)
-				case !a.truncated && a.status != 502 && (once || a.status != 503):
-					t.Errorf("%s %s, %+v: %+v", route.method, route.path, cuts[n], a)
-				}
-			}
-		})
+	var cases []brokenCase
+	for n, c := range cuts {
+		cases = append(cases, brokenCase{cutRoutes[n%len(cutRoutes)], fmt.Sprintf("%+v", c), func(x *platformtest.Exchange) {
+			x.WriteCut(c, signedFields(x.ID(), "sig-e1"))
+		}})
 	}
-	wg.Wait()
-	t.Logf("%d cases, %d sent again and answered whole", len(cuts), repeated.Load())
+	testBrokenHeads(t, forwarded, cases)
 }
 
 // headCutter makes connections of which one ends inside the head of an answer.
--- a/inbound/reader.go
+++ b/inbound/reader.go
@@ -1,7 +1,6 @@
 package inbound
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -12,6 +11,7 @@
 	"github.com/sardinedock/sardinedock/bufferlimit"
 	"github.com/sardinedock/sardinedock/endpoint"
 	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/internal/httphead"
 	"github.com/sardinedock/sardinedock/overload"
 )
 
@@ -188,9 +188,9 @@
 	deadline := r.began.Add(t.Head)
 	for searched := 0; ; {
 		b := r.unread()
-		end, err := headEnd(b, searched)
-		if err != nil {
-			return err
+		end, ok := httphead.End(b, searched)
+		if !ok {
+			return ErrMalformed
 		}
 		if end > 0 {
 			r.headLeft = end
@@ -213,31 +213,6 @@
 	return nil
 }
 
-var (
-	endOfHead  = []byte("\r\n\r\n")
-	blankLines = [...][]byte{[]byte("\n\n"), []byte("\n\r\n")}
-)
-
-// headEnd returns the length of the head at the start of b, 0 if it is not whole; nothing ends before searched. A blank line that is
-// not ended as HTTP/1.1 defines it is an error: where the head ends would be open to interpretation.
-func headEnd(b []byte, searched int) (int, error) {
-	from := max(0, searched-len(endOfHead)+1)
-	// Empty lines before a request are skipped.
-	start := len(b) - len(bytes.TrimLeft(b, "\r\n"))
-	from = max(from, start)
-	k := bytes.Index(b[from:], endOfHead)
-	if k < 0 {
-		return 0, nil
-	}
-	end := from + k + len(endOfHead)
-	for _, blank := range blankLines {
-		if at := bytes.Index(b[start:end], blank); at >= 0 && start+at < end-len("\n\r\n") {
-			return 0, ErrMalformed
-		}
-	}
-	return end, nil
-}
-
 // fill receives more bytes into the buffer, which grows if it is full.
 func (r *Reader) fill(deadline time.Time) error {
 	r.needBuffer()
--- /dev/null
+++ b/internal/httphead/httphead.go
@@ -0,0 +1,143 @@
+// Package httphead finds the heads of HTTP/1 messages and checks those of responses. The HTTP library accepts responses that RFC 9112
+// does not allow, and reads another response from them than was sent.
+package httphead
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/valyala/fasthttp"
+)
+
+var (
+	endOfHead  = []byte("\r\n\r\n")
+	blankLines = [...][]byte{[]byte("\n\n"), []byte("\n\r\n")}
+)
+
+// End returns the length of the head at the start of b, 0 if it is not whole; nothing ends before searched. ok is false if the head
+// has a blank line that is not ended as HTTP/1.1 defines it: where the head ends would be open to interpretation.
+func End(b []byte, searched int) (length int, ok bool) {
+	from := max(0, searched-len(endOfHead)+1)
+	start := len(b) - len(skipEmptyLines(b))
+	from = max(from, start)
+	k := bytes.Index(b[from:], endOfHead)
+	if k < 0 {
+		return 0, true
+	}
+	end := from + k + len(endOfHead)
+	for _, blank := range blankLines {
+		if at := bytes.Index(b[start:end], blank); at >= 0 && start+at < end-len("\n\r\n") {
+			return 0, false
+		}
+	}
+	return end, true
+}
+
+// Part is a part of a response's head.
+type Part string
+
+// The parts that are checked.
+const (
+	Version Part = "version"
+	Status  Part = "status"
+	Framing Part = "framing"
+)
+
+// Error is returned for a head that no HTTP/1 response has.
+type Error struct {
+	Part Part
+	// Text is the start of the line at fault.
+	Text string
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("malformed %s in the head of a response: %q", e.Part, e.Text)
+}
+
+// maxErrorText bounds Error.Text, in bytes.
+const maxErrorText = 80
+
+func malformed(part Part, line []byte) error {
+	metrics.GetOrCreateCounter(fmt.Sprintf("sardinedock_malformed_response_heads_total{part=%q}", part)).Inc()
+	return &Error{part, string(line[:min(len(line), maxErrorText)])}
+}
+
+// ReadResponse reads the head of the next response, which may be an informational (1xx) one. It returns an *Error, and reads nothing, if
+// the head is malformed. After any other error nothing more may be read: each read of br may have a time-out of its own.
+func ReadResponse(br *bufio.Reader, h *fasthttp.ResponseHeader) error {
+	head, err := await(br)
+	if err != nil {
+		return err
+	}
+	if err := checkResponse(head); err != nil {
+		return err
+	}
+	return h.Read(br)
+}
+
+// await reads until a whole head is buffered, and returns it.
+func await(br *bufio.Reader) ([]byte, error) {
+	for searched := 0; ; {
+		b, err := br.Peek(max(br.Buffered(), searched+1))
+		end, ok := End(b, searched)
+		switch {
+		case !ok:
+			return nil, malformed(Framing, skipEmptyLines(b))
+		case end > 0:
+			return b[:end], nil
+		case err != nil:
+			return nil, err
+		}
+		searched = len(b)
+	}
+}
+
+// checkResponse returns an error unless head is the head of a response.
+func checkResponse(head []byte) error {
+	line, fields := cutLine(skipEmptyLines(head))
+	version, rest, _ := bytes.Cut(line, []byte(" "))
+	http10 := string(version) == "HTTP/1.0"
+	if !http10 && string(version) != "HTTP/1.1" {
+		return malformed(Version, line)
+	}
+	if code, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" ")); !isStatus(code) {
+		return malformed(Status, line)
+	}
+	for {
+		line, fields = cutLine(fields)
+		if len(line) == 0 {
+			return nil
+		}
+		name, _, _ := bytes.Cut(line, []byte(":"))
+		// The HTTP library ignores the coding, so that the body would have the lines of its chunks; see RFC 9112, section 6.1.
+		if http10 && bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding)) {
+			return malformed(Framing, line)
+		}
+	}
+}
+
+// skipEmptyLines returns b without the line breaks before a message.
+func skipEmptyLines(b []byte) []byte { return bytes.TrimLeft(b, "\r\n") }
+
+// cutLine returns the first line of b without its end, and what follows.
+func cutLine(b []byte) (line, rest []byte) {
+	line, rest, _ = bytes.Cut(b, []byte("\n"))
+	return bytes.TrimSuffix(line, []byte("\r")), rest
+}
+
+// isStatus reports whether code is the status of a response. Those over 599 are in no class, and are processed as a 5xx; see
+// RFC 9110, section 15. No request asks to switch protocols.
+func isStatus(code []byte) bool {
+	if len(code) != len("200") || string(code) == "101" {
+		return false
+	}
+	for _, c := range code {
+		if c < '0' || c > '9' {
+			return false
+		}
+	}
+	return code[0] != '0'
+}
