An unframed answer is whole only if its request was written

Callers saw: an endpoint answers a long upload at once with a 200 without a length, sends a part of the body and resets the connection while the upload is being written.

Cause: a socket reports its pending error once. Requests over 16 KB are written by a goroutine of their own; if that one gets the ECONNRESET, the reader sees an orderly end, which is what ends a body without framing. The probe after the end finds an endpoint that lives, and the end counts as verified.

Change: at the end of its connection, a body without framing waits until the request is written, and has broken off if that has failed. The wait ends with the request's deadline at the latest. An endpoint that ends its answer and reads the rest of the request first is still believed, as are answers with a length or chunks.

It works as the error is seen by the reader or by the writer, and both are asked now. Nobody else reads the state of such a socket: sockstate.Of is for idle connections and for those of callers. The tests fail before, pass now; those of early answers that are whole pass before and now.

--- a/endpoint/relay.go
+++ b/endpoint/relay.go
@@ -89,7 +89,8 @@
 type Incoming struct {
 	response response
 	pool     *pool
-	written  chan error
+	// upload is the request if it is written while the response is read; nil if it was written before.
+	upload *upload
 }
 
 // maxSkipped bounds the responses to other requests that are discarded before the connection is
@@ -123,8 +124,9 @@
 		if err = in.response.readHeader(o.Bodiless); err != nil {
 			break
 		}
-		on.Early = in.written != nil && len(in.written) == 0
+		on.Early = in.upload != nil && !in.upload.ended()
 		if o.Accept == nil || o.Accept(&in.response.header, on) {
+			in.checkUnframedEnd()
 			return in, nil
 		}
 		if err = in.skip(); err != nil {
@@ -143,14 +145,14 @@
 	c.written = 0
 	data := append(o.Head, o.Body...)
 	if len(data) > asyncWriteBytes {
-		in.written = make(chan error, 1)
+		in.upload = newUpload()
 		write := func(c net.Conn, data []byte) (int, error) { return c.Write(data) }
 		if o.Send != nil {
 			write = o.Send
 		}
 		go func() {
 			_, err := write(c.Conn, data)
-			in.written <- err
+			in.upload.end(err)
 		}()
 		return nil
 	}
@@ -216,7 +218,7 @@
 
 // Finish returns the connection to the pool. The body must have been read to its end.
 func (in *Incoming) Finish() {
-	if !in.requestWritten() {
+	if in.upload != nil && !(in.upload.ended() && in.upload.err == nil) {
 		// The endpoint still expects the rest of this request's body and would take the next
 		// request's bytes for it.
 		in.Drop()
@@ -226,18 +228,6 @@
 	in.response.finish(in.pool)
 }
 
-func (in *Incoming) requestWritten() bool {
-	if in.written == nil {
-		return true
-	}
-	select {
-	case err := <-in.written:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 // Drop closes the connection, which signals the endpoint to stop its work on the request.
 func (in *Incoming) Drop() { in.response.conn.drop() }
 
