An answer with a blank or a control byte in a field's name is a broken answer

Cause: the HTTP library lets names with inner and trailing blanks pass, and reads "Content-Length : 1" before a body of two bytes as a length of one. It passes on reasons with control bytes, too.

Change: each line of a head before it is read has a name that is a token (RFC 9110, 5.1) and no control bytes but tabs, or it continues the value of the one before.

It works as the library sees no head that it could read in another way.

--- a/endpoint/malformed_head_test.go
+++ b/endpoint/malformed_head_test.go
@@ -46,3 +46,31 @@
 func TestMalformedStatusLineIsBroken(t *testing.T) {
 	testMalformed(t, platformtest.MalformedStatuses(""))
 }
+
+// Guards against an answer in whose head the name of a field has a blank or a control byte, or a value has one, and that is read as
+// an answer, with that line or with another body than was sent.
+func TestMalformedFieldIsBroken(t *testing.T) {
+	testMalformed(t, platformtest.MalformedFields(""))
+}
+
+// Guards against a check of heads that rejects what servers send and RFC 9110 allows.
+func TestUnusualHeadsAreAnswers(t *testing.T) {
+	for _, a := range platformtest.UnusualHeads("") {
+		e, err := platformtest.NewEndpoint("e", func(x *platformtest.Exchange) bool {
+			x.Write("%s", a.Text)
+			return false
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		by := newCaller(e.Address(), 10*time.Second)
+		for _, name := range []string{"client", "service", "relay"} {
+			// The first way to read an answer, which is an empty object, reads it whole.
+			if err := readers[name][0](t.Context(), by); err != nil {
+				t.Errorf("%s, %s: %v", name, a.Name, err)
+			}
+		}
+		by.close()
+		e.Close()
+	}
+}
--- a/hosted/broken_head_test.go
+++ b/hosted/broken_head_test.go
@@ -111,12 +111,23 @@
 	return cases
 }
 
-// Guards against an answer whose status line is malformed, such as with the status 000, and that its caller gets as a 200.
-func TestMalformedStatusLineDoesNotReachTheCaller(t *testing.T) {
+// testMalformed has endpoints send these answers, directly and to an instance that passes them on to another.
+func testMalformed(t *testing.T, answers func(fields string) []platformtest.Answer) {
 	for _, forwarded := range []bool{false, true} {
 		t.Run(fmt.Sprintf("forwarded %v", forwarded), func(t *testing.T) {
 			t.Parallel()
-			testBrokenHeads(t, forwarded, malformedCases(platformtest.MalformedStatuses))
+			testBrokenHeads(t, forwarded, malformedCases(answers))
 		})
 	}
 }
+
+// Guards against an answer whose status line is malformed, such as with the status 000, and that its caller gets as a 200.
+func TestMalformedStatusLineDoesNotReachTheCaller(t *testing.T) {
+	testMalformed(t, platformtest.MalformedStatuses)
+}
+
+// Guards against an answer with a blank or a control byte in the name of a field that reaches its caller, with that line or with a body
+// that is not the endpoint's.
+func TestMalformedFieldDoesNotReachTheCaller(t *testing.T) {
+	testMalformed(t, platformtest.MalformedFields)
+}
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -42,6 +42,8 @@
 const (
 	Version Part = "version"
 	Status  Part = "status"
+	Name    Part = "name"
+	Value   Part = "value"
 	Framing Part = "framing"
 )
 
@@ -103,15 +105,22 @@
 	if !http10 && string(version) != "HTTP/1.1" {
 		return malformed(Version, line)
 	}
-	if code, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" ")); !isStatus(code) {
+	code, reason, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
+	if !isStatus(code) || !isText(reason) {
 		return malformed(Status, line)
 	}
-	for {
+	for first := true; ; first = false {
 		line, fields = cutLine(fields)
 		if len(line) == 0 {
 			return nil
 		}
-		name, _, _ := bytes.Cut(line, []byte(":"))
+		name, value, err := cutField(line, first)
+		if err != nil {
+			return err
+		}
+		if !isText(value) {
+			return malformed(Value, line)
+		}
 		// The HTTP library ignores the coding, so that the body would have the lines of its chunks; see RFC 9112, section 6.1.
 		if http10 && bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding)) {
 			return malformed(Framing, line)
@@ -119,6 +128,19 @@
 	}
 }
 
+// cutField returns the name and the value in a line of a head. A line that continues the value of the one before has no name; first is
+// set if there is none before.
+func cutField(line []byte, first bool) (name, value []byte, err error) {
+	if !first && (line[0] == ' ' || line[0] == '\t') {
+		return nil, line, nil
+	}
+	name, value, found := bytes.Cut(line, []byte(":"))
+	if !found || !isToken(name) {
+		return nil, nil, malformed(Name, line)
+	}
+	return name, value, nil
+}
+
 // skipEmptyLines returns b without the line breaks before a message.
 func skipEmptyLines(b []byte) []byte { return bytes.TrimLeft(b, "\r\n") }
 
@@ -141,3 +163,30 @@
 	}
 	return code[0] != '0'
 }
+
+// bytesOf has the bytes that are allowed in a token, and those in the text of a value or a reason, which may be of other encodings; see
+// RFC 9110, sections 5.5 and 5.6.2.
+var bytesOf = func() (of struct{ token, text [256]bool }) {
+	for c := range 256 {
+		of.text[c] = c >= ' ' && c != 0x7f || c == '\t'
+	}
+	for _, c := range []byte("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ") {
+		of.token[c] = true
+	}
+	return of
+}()
+
+// isToken reports whether b is a token.
+func isToken(b []byte) bool { return len(b) > 0 && consistsOf(b, &bytesOf.token) }
+
+// isText reports whether b has no control bytes but tabs.
+func isText(b []byte) bool { return consistsOf(b, &bytesOf.text) }
+
+func consistsOf(b []byte, allowed *[256]bool) bool {
+	for _, c := range b {
+		if !allowed[c] {
+			return false
+		}
+	}
+	return true
+}
