Answers of the stores with a malformed head are not believed

Change: the HTTP library's clients read from a connection that checks each head before they see it; it knows where a head begins, as these clients send one request after the other. Watches and the demo read heads with the piece that endpoints' answers are read with. A head over 4 KB fails as malformed, as it failed in the library before.

--- a/demo/wire.go
+++ b/demo/wire.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/sardinedock/sardinedock/internal/httphead"
 )
 
 // Request and response headers that the callers use.
@@ -145,7 +147,7 @@
 
 func readAnswer(r *bufio.Reader, c *call) (a answer) {
 	var h fasthttp.ResponseHeader
-	if err := h.Read(r); err != nil {
+	if err := httphead.ReadResponse(r, &h); err != nil {
 		return answer{ending: endingOf(err)}
 	}
 	a = answer{
--- a/internal/cli/dump.go
+++ b/internal/cli/dump.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/internal/httphead"
 )
 
 // dumpTimeout bounds the wait for a dump; an instance that takes longer is considered stuck.
@@ -25,7 +26,7 @@
 }
 
 func (c *dumpCommand) run(out, _ io.Writer) error {
-	client := &fasthttp.HostClient{Addr: c.instance}
+	client := &fasthttp.HostClient{Addr: c.instance, Dial: httphead.CheckedDial(fasthttp.Dial)}
 	status, body, err := client.GetTimeout(nil, "http://"+c.instance+"/debug/state", dumpTimeout)
 	if err != nil {
 		return fault.Wrap(err, fault.Unavailable, "check the address (listen.admin of its settings) and that the instance runs", "dump of %s", c.instance)
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -45,6 +46,8 @@
 	Name    Part = "name"
 	Value   Part = "value"
 	Framing Part = "framing"
+	// Length is that of the whole head.
+	Length Part = "length"
 )
 
 // Error is returned for a head that no HTTP/1 response has.
@@ -74,7 +77,7 @@
 	if err != nil {
 		return err
 	}
-	if err := checkResponse(head); err != nil {
+	if _, err := checkResponse(head); err != nil {
 		return err
 	}
 	return h.Read(br)
@@ -90,6 +93,8 @@
 			return nil, malformed(Framing, skipEmptyLines(b))
 		case end > 0:
 			return b[:end], nil
+		case errors.Is(err, bufio.ErrBufferFull):
+			return nil, malformed(Length, skipEmptyLines(b))
 		case err != nil:
 			return nil, err
 		}
@@ -97,33 +102,33 @@
 	}
 }
 
-// checkResponse returns an error unless head is the head of a response.
-func checkResponse(head []byte) error {
+// checkResponse returns an error unless head is that of a response, and whether that is an informational one.
+func checkResponse(head []byte) (informational bool, err error) {
 	line, fields := cutLine(skipEmptyLines(head))
 	version, rest, _ := bytes.Cut(line, []byte(" "))
 	http10 := string(version) == "HTTP/1.0"
 	if !http10 && string(version) != "HTTP/1.1" {
-		return malformed(Version, line)
+		return false, malformed(Version, line)
 	}
 	code, reason, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
 	if !isStatus(code) || !isText(reason) {
-		return malformed(Status, line)
+		return false, malformed(Status, line)
 	}
 	for first := true; ; first = false {
 		line, fields = cutLine(fields)
 		if len(line) == 0 {
-			return nil
+			return code[0] == '1', nil
 		}
 		name, value, err := cutField(line, first)
 		if err != nil {
-			return err
+			return false, err
 		}
 		if !isText(value) {
-			return malformed(Value, line)
+			return false, malformed(Value, line)
 		}
 		// The HTTP library ignores the coding, so that the body would have the lines of its chunks; see RFC 9112, section 6.1.
 		if http10 && bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding)) {
-			return malformed(Framing, line)
+			return false, malformed(Framing, line)
 		}
 	}
 }
--- a/objectapi/client.go
+++ b/objectapi/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/sardinedock/sardinedock/clock"
 	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/internal/httphead"
 )
 
 const (
@@ -88,7 +89,7 @@
 		breaker: Breaker{instances: assumedInstances},
 		http: &fasthttp.HostClient{
 			Addr:                      cfg.Address,
-			Dial:                      func(addr string) (net.Conn, error) { return dial(addr, cfg.Timeout) },
+			Dial:                      httphead.CheckedDial(func(addr string) (net.Conn, error) { return dial(addr, cfg.Timeout) }),
 			MaxIdemponentCallAttempts: 1,
 			RetryIfErr:                neverRetry,
 			MaxIdleConnDuration:       maxIdleTime,
--- a/objectapi/watch.go
+++ b/objectapi/watch.go
@@ -17,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/sardinedock/sardinedock/fault"
+	"github.com/sardinedock/sardinedock/internal/httphead"
 )
 
 // maxWatchLineBytes bounds the line of one change: the largest value in base64 and the other fields.
@@ -92,7 +93,7 @@
 	}
 	var header fasthttp.ResponseHeader
 	br := bufio.NewReader(w.conn)
-	if err := header.Read(br); err != nil {
+	if err := httphead.ReadResponse(br, &header); err != nil {
 		return watchError(err)
 	}
 	if err := statusFault(header.StatusCode(), k); err != nil {
