Answers of the object API are received by the reader of all others

The time for a connection stays apart from that of an attempt, and a call stays not ended with its caller's context. The command dump reads in the same way.

--- a/endpoint/relay.go
+++ b/endpoint/relay.go
@@ -138,6 +138,26 @@
 	return nil, err
 }
 
+// RoundTrip sends the request once and returns the status and the whole body of its response, with the errors of Open and ReadAll.
+// seen, if set, is called with the header of the response, also if the body then breaks off.
+func (r *Relay) RoundTrip(ctx context.Context, o Outgoing, seen func(*fasthttp.ResponseHeader)) (status int, body []byte, err error) {
+	in, err := r.Open(ctx, o)
+	if err != nil {
+		return 0, nil, err
+	}
+	if seen != nil {
+		seen(in.Header())
+	}
+	body, err = in.ReadAll()
+	if err != nil {
+		in.Drop()
+		return 0, nil, err
+	}
+	status = in.Header().StatusCode()
+	in.Finish()
+	return status, body, nil
+}
+
 // send writes the request. A long one is written in the background while the response is read.
 func (in *Incoming) send(o Outgoing) error {
 	c := in.response.conn
--- a/internal/cli/dump.go
+++ b/internal/cli/dump.go
@@ -1,14 +1,15 @@
 package cli
 
 import (
+	"context"
 	"io"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/valyala/fasthttp"
 
+	"github.com/sardinedock/sardinedock/endpoint"
 	"github.com/sardinedock/sardinedock/fault"
-	"github.com/sardinedock/sardinedock/internal/httphead"
 )
 
 // dumpTimeout bounds the wait for a dump; an instance that takes longer is considered stuck.
@@ -26,8 +27,11 @@
 }
 
 func (c *dumpCommand) run(out, _ io.Writer) error {
-	client := &fasthttp.HostClient{Addr: c.instance, Dial: httphead.CheckedDial(fasthttp.Dial)}
-	status, body, err := client.GetTimeout(nil, "http://"+c.instance+"/debug/state", dumpTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), dumpTimeout)
+	defer cancel()
+	relay := endpoint.NewRelay(c.instance, dumpTimeout, 0)
+	defer relay.Close()
+	status, body, err := relay.RoundTrip(ctx, endpoint.Outgoing{Head: []byte("GET /debug/state HTTP/1.1\r\nHost: " + c.instance + "\r\n\r\n")}, nil)
 	if err != nil {
 		return fault.Wrap(err, fault.Unavailable, "check the address (listen.admin of its settings) and that the instance runs", "dump of %s", c.instance)
 	}
--- a/objectapi/client.go
+++ b/objectapi/client.go
@@ -1,10 +1,13 @@
 package objectapi
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/url"
@@ -14,9 +17,10 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
 
+	"github.com/sardinedock/sardinedock/bufferlimit"
 	"github.com/sardinedock/sardinedock/clock"
+	"github.com/sardinedock/sardinedock/endpoint"
 	"github.com/sardinedock/sardinedock/fault"
-	"github.com/sardinedock/sardinedock/internal/httphead"
 )
 
 const (
@@ -61,8 +65,8 @@
 // Client implements Store over HTTP and JSON. It counts every call and open watch against a Budget,
 // and holds calls back during an outage by a Breaker. It is safe for concurrent use.
 type Client struct {
-	cfg  Config
-	http *fasthttp.HostClient
+	cfg   Config
+	relay *endpoint.Relay
 
 	mu      sync.Mutex
 	budget  *Budget
@@ -84,28 +88,20 @@
 	if cfg.Fleet.Writes == 0 {
 		cfg.Fleet.Writes = noLimit
 	}
-	return &Client{
+	c := &Client{
 		cfg:     cfg,
 		breaker: Breaker{instances: assumedInstances},
-		http: &fasthttp.HostClient{
-			Addr:                      cfg.Address,
-			Dial:                      httphead.CheckedDial(func(addr string) (net.Conn, error) { return dial(addr, cfg.Timeout) }),
-			MaxIdemponentCallAttempts: 1,
-			RetryIfErr:                neverRetry,
-			MaxIdleConnDuration:       maxIdleTime,
-			MaxResponseBodySize:       maxResponseBytes,
-		},
-		budget: NewBudget(cfg.Fleet),
+		relay:   endpoint.NewRelay(cfg.Address, cfg.Timeout, maxIdleTime),
+		budget:  NewBudget(cfg.Fleet),
 	}
+	// The time for a connection is not that of an attempt, which may be shorter.
+	c.relay.SetDialer(func(_ context.Context, address string) (net.Conn, error) { return dial(address, cfg.Timeout) })
+	c.relay.SetIntake(bufferlimit.NewIntake(answerBytes))
+	return c
 }
 
-// maxResponseBytes bounds the size of a response. A listing of all records of the largest fleet has a
-// few megabytes.
-const maxResponseBytes = 64 << 20
-
-// neverRetry keeps the HTTP library from retrying a call by itself: a conditional write that is
-// repeated would conflict with its own first attempt.
-func neverRetry(*fasthttp.Request, int, error) (bool, bool) { return false, false }
+// answerBytes bounds the answers that are being received, in sum. A listing of all records of the largest fleet has a few megabytes.
+const answerBytes = 64 << 20
 
 // notSentError marks a call of which no byte was sent.
 type notSentError struct{ error }
@@ -264,7 +260,7 @@
 	counter("calls", k.op).Inc()
 	start := time.Now()
 	err := c.exchange(ctx, k, out)
-	if k.timeout < c.cfg.Timeout && errors.Is(err, fasthttp.ErrTimeout) && ctx.Err() == nil {
+	if k.timeout < c.cfg.Timeout && errors.Is(err, context.DeadlineExceeded) && ctx.Err() == nil {
 		// A timeout this short does not show that the object API is down, so it does not count
 		// for the breaker.
 		counter("given_up_early", k.op).Inc()
@@ -290,45 +286,53 @@
 	c.breaker.Succeeded()
 }
 
-// exchange sends one request and decodes the response into out, unless that is nil.
+// exchange sends one request and decodes the response into out, unless that is nil. The error is a context.DeadlineExceeded if the time
+// for the call is over.
 func (c *Client) exchange(ctx context.Context, k call, out any) error {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	c.prepare(req, k)
 	deadline := time.Now().Add(k.timeout)
 	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
 		deadline = d
 	}
-	if err := c.http.DoDeadline(req, resp, deadline); err != nil {
+	callCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	defer cancel()
+	var text bytes.Buffer
+	if err := c.writeRequest(&text, k); err != nil {
+		return notSentError{fault.Wrap(err, fault.Internal, "report it", "encode %s %s", k.method, k.path)}
+	}
+	status, body, err := c.relay.RoundTrip(callCtx, endpoint.Outgoing{Head: text.Bytes()}, nil)
+	if err != nil {
 		// The same middlebox may have dropped the state of the other idle connections, so the
 		// next attempts must not try them one after the other.
-		c.http.CloseIdleConnections()
-		if errors.Is(err, fasthttp.ErrNoFreeConns) {
+		c.relay.Close()
+		if fault.Is(err, fault.Unavailable) {
 			err = notSentError{err}
 		}
-		return fault.Wrap(err, fault.Unavailable, "check that the object API runs", "%s %s", k.method, k.path)
+		return fault.Wrap(errors.Join(err, callCtx.Err()), fault.Unavailable, "check that the object API runs", "%s %s", k.method, k.path)
 	}
-	if err := statusFault(resp.StatusCode(), k); err != nil {
+	if err := statusFault(status, k); err != nil {
 		return err
 	}
 	if out == nil {
 		return nil
 	}
-	if err := json.Unmarshal(resp.Body(), out); err != nil {
+	if err := json.Unmarshal(body, out); err != nil {
 		return fault.Wrap(err, fault.Unavailable, "check the object API's address", "decode %s %s", k.method, k.path)
 	}
 	return nil
 }
 
-// prepare sets the method, URI, header and body of the request.
-func (c *Client) prepare(req *fasthttp.Request, k call) {
+// writeRequest writes the request of a call.
+func (c *Client) writeRequest(w io.Writer, k call) error {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
 	req.SetRequestURI("http://" + c.cfg.Address + k.path)
 	req.Header.SetMethod(k.method)
 	if c.cfg.Instance != "" {
 		req.Header.Set(headerInstance, c.cfg.Instance)
 	}
 	req.SetBodyRaw(k.body)
+	bw := bufio.NewWriter(w)
+	return errors.Join(req.Write(bw), bw.Flush())
 }
 
 // statusFault returns the error for a status of the object API, or nil for 200.
--- a/objectapi/watch.go
+++ b/objectapi/watch.go
@@ -81,14 +81,10 @@
 
 // start sends the request and reads the header of the answer.
 func (w *watch) start(c *Client, k call) error {
-	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
-	c.prepare(req, k)
 	if err := w.conn.SetDeadline(time.Now().Add(c.cfg.Timeout)); err != nil {
 		return watchError(err)
 	}
-	bw := bufio.NewWriter(w.conn)
-	if err := errors.Join(req.Write(bw), bw.Flush()); err != nil {
+	if err := c.writeRequest(w.conn, k); err != nil {
 		return watchError(err)
 	}
 	var header fasthttp.ResponseHeader
