--- a/hosted/broken_head_test.go
+++ b/hosted/broken_head_test.go
@@ -131,3 +131,48 @@
 func TestMalformedFieldDoesNotReachTheCaller(t *testing.T) {
 	testMalformed(t, platformtest.MalformedFields)
 }
+
+// Guards against endpoints that are all avoided, or requests that count as crashing endpoints, since every endpoint of a service
+// answers some requests with a malformed head.
+func TestMalformedHeadsHarmNoOtherRequests(t *testing.T) {
+	const endpoints, parallel, total, faultyShare = 4, 8, 600, 3
+	f := newFixtureWith(t, 1, 10_000)
+	handler := func(x *platformtest.Exchange) bool {
+		var n int
+		if _, err := fmt.Sscanf(x.ID(), brokenID, &n); err == nil && n%faultyShare == 0 {
+			x.Write("HTTP/1.1 000 X\r\n%sContent-Length: 2\r\n\r\n{}", signedFields(x.ID(), x.Signature()))
+			return true
+		}
+		if x.Header("Sardinedock-Model") != "" {
+			return oneEvent(x)
+		}
+		x.Answer(200, "ok")
+		return true
+	}
+	for k := range endpoints {
+		f.endpoint(fmt.Sprintf("e%d", k), []string{"orders", "pool"}[k%2], handler)
+	}
+	f.serve(endpoints, nil)
+	var next atomic.Int64
+	var wg sync.WaitGroup
+	for range parallel {
+		wg.Go(func() {
+			for n := int(next.Add(1)) - 1; n < total; n = int(next.Add(1)) - 1 {
+				route := cutRoutes[n%len(cutRoutes)]
+				req := f.request(route.method, route.path+fmt.Sprint(n), "")
+				req.Header.Set("Sardinedock-Request-Id", fmt.Sprintf(brokenID, n))
+				if route.path != "/confirm/" && route.path != "/stock/" {
+					req = prompt(req)
+				}
+				a, malformed := f.doStrict(req)
+				switch faulty := n%faultyShare == 0; {
+				case malformed != nil, !faulty && !a.looksWhole():
+					t.Errorf("%s %s: %+v, %v", route.method, route.path, a, malformed)
+				case faulty && !a.truncated && a.status != 502 && (route.once || a.status != 503):
+					t.Errorf("%s %s, answered with malformed heads only: %+v", route.method, route.path, a)
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
