Test: no request is cut throughout a planned stop

Held before too, see TestRequestAfterTheListenerClosedIsRefused and TestDrainingInstanceAcceptsOnlyRequestsThatFit; nothing was changed for it.

--- a/hosted/drain_test.go
+++ b/hosted/drain_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -230,3 +231,69 @@
 	}
 	<-answers
 }
+
+// Guards against a request that is sent to an endpoint late in a planned stop, and that the end of the grace period cuts. Callers go on
+// to send on open connections and on new ones until the instance is gone.
+func TestNoRequestIsCutThroughoutAPlannedStop(t *testing.T) {
+	const streamTakes, answerTakes, parallel = 400 * time.Millisecond, 30 * time.Millisecond, 4
+	f := newFixture(t, 1)
+	var reached sync.Map
+	f.endpoint("e1", "pool", func(x *platformtest.Exchange) bool {
+		reached.Store(x.ID(), true)
+		x.StreamHead()
+		x.Event(1)
+		time.Sleep(streamTakes)
+		x.Event(2)
+		x.End()
+		return true
+	})
+	f.endpoint("e2", "orders", func(x *platformtest.Exchange) bool {
+		reached.Store(x.ID(), true)
+		time.Sleep(answerTakes)
+		x.Answer(200, "done")
+		return true
+	})
+	f.serve(2, nil)
+	var wg sync.WaitGroup
+	var gone, stopping atomic.Bool
+	const enough = 50
+	var late, refused, cut atomic.Int64
+	for k := range parallel {
+		for _, kept := range []bool{false, true} {
+			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: !kept}}
+			t.Cleanup(client.CloseIdleConnections)
+			wg.Go(func() {
+				for n := 0; !gone.Load(); n++ {
+					req := f.request("POST", "/confirm/1", "x")
+					if (n+k)%2 == 0 {
+						req = prompt(f.request("POST", "/draft/1", "p"))
+					}
+					inStop := stopping.Load()
+					a := f.doWith(client, req)
+					if inStop {
+						late.Add(1)
+					}
+					_, ran := reached.Load(req.Header.Get("Sardinedock-Request-Id"))
+					switch {
+					case a.status == http.StatusServiceUnavailable:
+						if refused.Add(1); ran {
+							t.Errorf("%s was refused and has run", req.URL.Path)
+						}
+					case ran && !a.looksWhole():
+						cut.Add(1)
+					}
+					time.Sleep(5 * time.Millisecond)
+				}
+			})
+		}
+	}
+	time.Sleep(time.Second)
+	stopping.Store(true)
+	f.instances[0].Shutdown()
+	gone.Store(true)
+	wg.Wait()
+	t.Logf("%d requests sent since the stop began, %d refused", late.Load(), refused.Load())
+	if cut.Load() > 0 || late.Load() < enough {
+		t.Errorf("%d of %d requests were cut", cut.Load(), late.Load())
+	}
+}
--- a/hosted/fixture_test.go
+++ b/hosted/fixture_test.go
@@ -206,7 +206,13 @@
 
 func (f *fixture) do(req *http.Request) answer {
 	f.t.Helper()
-	resp, err := f.client.Do(req)
+	return f.doWith(f.client, req)
+}
+
+// doWith is do with another client.
+func (f *fixture) doWith(client *http.Client, req *http.Request) answer {
+	f.t.Helper()
+	resp, err := client.Do(req)
 	if err != nil {
 		return answer{truncated: true}
 	}
