--- a/hosted/broken_head_test.go
+++ b/hosted/broken_head_test.go
@@ -176,3 +176,30 @@
 	}
 	wg.Wait()
 }
+
+// Guards against a status in no class, which is a failure of the endpoint like a 5xx, and that counts as a result: the request is not
+// sent again though its route allows that.
+func TestStatusInNoClassIsAFailure(t *testing.T) {
+	for _, status := range []int{600, 700, 999} {
+		f := newFixture(t, 1)
+		var runs atomic.Int64
+		handler := func(x *platformtest.Exchange) bool {
+			if runs.Add(1) == 1 {
+				x.Answer(status, "failed")
+				return true
+			}
+			x.Answer(200, "ok")
+			return true
+		}
+		f.endpoint("e1", "orders", handler)
+		f.endpoint("e2", "orders", handler)
+		f.serve(2, nil)
+		if a := f.do(f.request("POST", "/confirm/1", "x")); a.status != status || a.body != "failed" || a.truncated || runs.Load() != 1 {
+			t.Errorf("%d, may run once: %+v after %d runs, want the endpoint's answer", status, a, runs.Load())
+		}
+		runs.Store(0)
+		if a := f.do(f.request("GET", "/stock/1", "")); a.status != 200 || a.body != "ok" || runs.Load() != 2 {
+			t.Errorf("%d, safe: %+v after %d runs, want the answer to a repeated request", status, a, runs.Load())
+		}
+	}
+}
