Tests of endless answers share their stand-in; checkResponse returns an error only

Clean-up after reading the change: the observer of the heap and the endpoint that sends without end stood in two tests, and nobody asks any more whether a head is informational.

--- a/hosted/drain_test.go
+++ b/hosted/drain_test.go
@@ -233,7 +233,7 @@
 }
 
 // Guards against a request that is sent to an endpoint late in a planned stop, and that the end of the grace period cuts. Callers go on
-// to send on open connections and on new ones until the instance is gone.
+// to send on open connections and on new ones until the instance has ended.
 func TestNoRequestIsCutThroughoutAPlannedStop(t *testing.T) {
 	const streamTakes, answerTakes, parallel = 400 * time.Millisecond, 30 * time.Millisecond, 4
 	f := newFixture(t, 1)
@@ -255,7 +255,7 @@
 	})
 	f.serve(2, nil)
 	var wg sync.WaitGroup
-	var gone, stopping atomic.Bool
+	var ended, stopping atomic.Bool
 	const enough = 50
 	var late, refused, cut atomic.Int64
 	for k := range parallel {
@@ -263,7 +263,7 @@
 			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: !kept}}
 			t.Cleanup(client.CloseIdleConnections)
 			wg.Go(func() {
-				for n := 0; !gone.Load(); n++ {
+				for n := 0; !ended.Load(); n++ {
 					req := f.request("POST", "/confirm/1", "x")
 					if (n+k)%2 == 0 {
 						req = prompt(f.request("POST", "/draft/1", "p"))
@@ -290,7 +290,7 @@
 	time.Sleep(time.Second)
 	stopping.Store(true)
 	f.instances[0].Shutdown()
-	gone.Store(true)
+	ended.Store(true)
 	wg.Wait()
 	t.Logf("%d requests sent since the stop began, %d refused", late.Load(), refused.Load())
 	if cut.Load() > 0 || late.Load() < enough {
--- a/internal/httphead/httphead.go
+++ b/internal/httphead/httphead.go
@@ -77,7 +77,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err := checkResponse(head); err != nil {
+	if err := checkResponse(head); err != nil {
 		return err
 	}
 	return h.Read(br)
@@ -102,33 +102,33 @@
 	}
 }
 
-// checkResponse returns an error unless head is that of a response, and whether that is an informational one.
-func checkResponse(head []byte) (informational bool, err error) {
+// checkResponse returns an *Error unless head is the head of a response.
+func checkResponse(head []byte) error {
 	line, fields := cutLine(skipEmptyLines(head))
 	version, rest, _ := bytes.Cut(line, []byte(" "))
 	http10 := string(version) == "HTTP/1.0"
 	if !http10 && string(version) != "HTTP/1.1" {
-		return false, malformed(Version, line)
+		return malformed(Version, line)
 	}
 	code, reason, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
 	if !isStatus(code) || !isText(reason) {
-		return false, malformed(Status, line)
+		return malformed(Status, line)
 	}
 	for first := true; ; first = false {
 		line, fields = cutLine(fields)
 		if len(line) == 0 {
-			return code[0] == '1', nil
+			return nil
 		}
 		name, value, err := cutField(line, first)
 		if err != nil {
-			return false, err
+			return err
 		}
 		if !isText(value) {
-			return false, malformed(Value, line)
+			return malformed(Value, line)
 		}
 		// The HTTP library ignores the coding, so that the body would have the lines of its chunks; see RFC 9112, section 6.1.
 		if http10 && bytes.EqualFold(name, []byte(fasthttp.HeaderTransferEncoding)) {
-			return false, malformed(Framing, line)
+			return malformed(Framing, line)
 		}
 	}
 }
--- a/objectapi/endless_test.go
+++ b/objectapi/endless_test.go
@@ -1,7 +1,6 @@
 package objectapi_test
 
 import (
-	"runtime"
 	"runtime/debug"
 	"strings"
 	"sync"
@@ -27,36 +26,22 @@
 		"body":   {"HTTP/1.1 200 OK\r\n\r\n", x},
 		"chunks": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1000\r\n" + x + "\r\n"},
 	} {
-		e, err := platformtest.NewEndpoint("store", func(x *platformtest.Exchange) bool {
-			x.Write("%s", answer.head)
-			for block := []byte(strings.Repeat(answer.repeated, 8)); ; {
-				if _, err := x.Conn.Write(block); err != nil {
-					return false
-				}
-			}
-		})
+		e, err := platformtest.NewEndlessEndpoint(answer.head, answer.repeated)
 		if err != nil {
 			t.Fatal(err)
 		}
-		var m runtime.MemStats
-		runtime.GC()
-		runtime.ReadMemStats(&m)
-		base, peak := m.HeapInuse, uint64(0)
-		began := time.Now()
-		var wg sync.WaitGroup
 		c := objectapi.NewClient(objectapi.Config{Address: e.Address(), Instance: "entry-1", Timeout: lasts})
-		for range parallel {
-			wg.Go(func() {
-				if _, err := c.List(t.Context(), "records"); err == nil {
-					t.Error("an answer without end was read as one")
-				}
-			})
-		}
-		for ; time.Since(began) < lasts; time.Sleep(2 * time.Millisecond) {
-			runtime.ReadMemStats(&m)
-			peak = max(peak, max(m.HeapInuse, base)-base)
-		}
-		wg.Wait()
+		peak := platformtest.HeapGrowth(lasts, func() {
+			var wg sync.WaitGroup
+			for range parallel {
+				wg.Go(func() {
+					if _, err := c.List(t.Context(), "records"); err == nil {
+						t.Error("an answer without end was read as one")
+					}
+				})
+			}
+			wg.Wait()
+		})
 		e.Close()
 		if t.Logf("%s: the heap grew by %d MB", name, peak>>20); peak > limit {
 			t.Errorf("%s: the heap grew by %d MB, want at most %d", name, peak>>20, limit>>20)
