Tests: one piece accepts connections for stand-ins that handle them raw

Found on reading the change: early_reset_test.go had the accept loop of serve_test.go again. Both call serveConns now; their checks are as before.

--- a/hosted/early_reset_test.go
+++ b/hosted/early_reset_test.go
@@ -38,25 +38,13 @@
 	const tries, parallel, endpoints = 120, 4, 4
 	f := newFixtureWith(t, 1, 10_000)
 	for k := range endpoints {
-		ln, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { _ = ln.Close() })
-		go func() {
-			for n := time.Duration(0); ; n++ {
-				c, err := ln.Accept()
-				if err != nil {
-					return
-				}
-				go resetEarly(c, n%3*10*time.Millisecond)
-			}
-		}()
+		var conns atomic.Int64
+		address := serveConns(t, func(c net.Conn) { resetEarly(c, time.Duration(conns.Add(1)%3)*10*time.Millisecond) })
 		service, versions := "orders", map[string]int64(nil)
 		if k%2 == 0 {
 			service, versions = "pool", map[string]int64{"m": 1}
 		}
-		f.store.Put("servers", fmt.Sprintf("e%d", k), platformtest.EntryAt(ln.Addr().String(), service, "ready", versions))
+		f.store.Put("servers", fmt.Sprintf("e%d", k), platformtest.EntryAt(address, service, "ready", versions))
 	}
 	f.serve(endpoints, func(r map[string]any) { r["limits"].(map[string]any)["maxBodyBytes"] = 4 << 20 })
 	body := strings.Repeat("x", 2<<20)
--- a/hosted/fixture_test.go
+++ b/hosted/fixture_test.go
@@ -167,6 +167,26 @@
 	f.t.Fatalf("not within %v: %s", wait, what)
 }
 
+// serveConns has handle serve each connection to a free address, which it returns.
+func serveConns(t testing.TB, handle func(net.Conn)) (address string) {
+	t.Helper()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go handle(c)
+		}
+	}()
+	return ln.Addr().String()
+}
+
 // request returns a caller's request.
 func (f *fixture) request(method, path, body string) *http.Request {
 	f.t.Helper()
--- a/hosted/serve_test.go
+++ b/hosted/serve_test.go
@@ -409,22 +409,9 @@
 // that connection would be read as the rest of the body.
 func TestConnectionWithAnUnreadBodyIsNotReused(t *testing.T) {
 	f := newFixture(t, 1)
-	raw, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = raw.Close() }()
 	var foreign atomic.Int64
-	go func() {
-		for {
-			c, err := raw.Accept()
-			if err != nil {
-				return
-			}
-			go earlyEndpoint(c, &foreign)
-		}
-	}()
-	f.store.Put("servers", "e1", platformtest.EntryAt(raw.Addr().String(), "orders", "ready", nil))
+	address := serveConns(t, func(c net.Conn) { earlyEndpoint(c, &foreign) })
+	f.store.Put("servers", "e1", platformtest.EntryAt(address, "orders", "ready", nil))
 	f.serve(1, func(r map[string]any) { r["limits"].(map[string]any)["maxBodyBytes"] = 4 << 20 })
 	long := strings.Repeat("x", 1<<20)
 	for range 2 {
